--- /dev/null
+++ b/components/callers/src/chat.rs
@@ -0,0 +1,132 @@
+//! Reads the parts of a chat-completions request that decide where it goes. The rest is passed on as
+//! it came.
+
+use bytes::Bytes;
+use serde_json::{Map, Value};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Bytes taken for one token where the engine's tokenizer is not known.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// A request for a generation.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ChatRequest {
+    /// The model's name.
+    pub model: String,
+    /// Whether the caller wants a stream.
+    pub stream: bool,
+    /// Largest answer that the caller wants.
+    pub max_tokens: Option<u32>,
+    /// Estimated tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Hash and estimated tokens of the first message, which engines may have cached.
+    pub prefix: Option<(u64, u32)>,
+    /// Length of the answer as the metadata tell it; only the oracle policy of measurements reads it.
+    pub told_output_tokens: Option<u32>,
+    /// The whole body.
+    pub body: Map<String, Value>,
+}
+
+/// Reads a request.
+///
+/// # Errors
+/// A sentence for the caller.
+pub fn parse_chat(body: &Bytes) -> Result<ChatRequest, String> {
+    let value: Value =
+        serde_json::from_slice(body).map_err(|error| format!("the body is not JSON: {error}"))?;
+    let Value::Object(body) = value else {
+        return Err("the body must be a JSON object".into());
+    };
+    let model = match body.get("model") {
+        Some(Value::String(model)) if !model.is_empty() => model.clone(),
+        _ => return Err("`model` must be the name of a model".into()),
+    };
+    let stream = match body.get("stream") {
+        None | Some(Value::Null) => false,
+        Some(Value::Bool(stream)) => *stream,
+        Some(_) => return Err("`stream` must be true or false".into()),
+    };
+    let messages = match body.get("messages") {
+        Some(Value::Array(messages)) if !messages.is_empty() => messages,
+        _ => return Err("`messages` must be a list with at least one message".into()),
+    };
+    if !messages.iter().all(Value::is_object) {
+        return Err("each of `messages` must be an object".into());
+    }
+    let max_tokens = max_tokens(&body)?;
+    let prompt_tokens = messages.iter().map(content_tokens).sum::<u32>().max(1);
+    let told = body
+        .get("metadata")
+        .and_then(|metadata| metadata.get("output_tokens"));
+    Ok(ChatRequest {
+        model,
+        stream,
+        max_tokens,
+        prompt_tokens,
+        prefix: prefix(messages),
+        told_output_tokens: told
+            .and_then(Value::as_str)
+            .and_then(|text| text.parse().ok()),
+        body,
+    })
+}
+
+fn max_tokens(body: &Map<String, Value>) -> Result<Option<u32>, String> {
+    let value = body.get("max_completion_tokens").or(body.get("max_tokens"));
+    match value {
+        None | Some(Value::Null) => Ok(None),
+        Some(value) => match value.as_u64().and_then(|tokens| u32::try_from(tokens).ok()) {
+            Some(tokens) if tokens > 0 => Ok(Some(tokens)),
+            _ => Err("`max_tokens` must be a whole number above zero".into()),
+        },
+    }
+}
+
+fn prefix(messages: &[Value]) -> Option<(u64, u32)> {
+    let first = messages.first().filter(|_| messages.len() > 1)?;
+    let text = first.get("content")?.as_str()?;
+    Some((
+        xxh3_64(text.as_bytes()),
+        (text.len() / BYTES_PER_TOKEN) as u32,
+    ))
+}
+
+fn content_tokens(message: &Value) -> u32 {
+    let bytes = match message.get("content") {
+        Some(Value::String(text)) => text.len(),
+        Some(Value::Array(parts)) => parts
+            .iter()
+            .filter_map(|part| part.get("text").and_then(Value::as_str))
+            .map(str::len)
+            .sum(),
+        _ => 0,
+    };
+    (bytes / BYTES_PER_TOKEN) as u32
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use rstest::rstest;
+
+    #[test]
+    fn reads_a_request() {
+        let body =
+            br#"{"model":"m","stream":true,"messages":[{"role":"user","content":"12345678"}]}"#;
+        let request = parse_chat(&Bytes::from_static(body)).unwrap();
+        assert_eq!(request.prompt_tokens, 2);
+        assert!(request.stream);
+    }
+
+    #[rstest]
+    #[case("[]", "object")]
+    #[case("{", "not JSON")]
+    #[case(r#"{"messages":[{}]}"#, "model")]
+    #[case(r#"{"model":"m","messages":[]}"#, "messages")]
+    #[case(r#"{"model":"m","messages":[{}],"stream":"yes"}"#, "stream")]
+    #[case(r#"{"model":"m","messages":[{}],"max_tokens":-1}"#, "max_tokens")]
+    fn says_what_is_wrong(#[case] body: &'static str, #[case] part: &str) {
+        let error = parse_chat(&Bytes::from_static(body.as_bytes())).unwrap_err();
+        assert!(error.contains(part), "{error}");
+    }
+}
--- /dev/null
+++ b/components/engines/src/lib.rs
@@ -0,0 +1,9 @@
+//! Client of model engines: streams, resume, cancel, load and orders.
+
+mod client;
+mod load;
+mod stream;
+
+pub use client::{Endpoint, EngineClient, OrderError, ResumeError, StartError};
+pub use load::{LoadReport, parse_load};
+pub use stream::{EngineEvent, EngineStream, StreamError};
--- /dev/null
+++ b/components/engines/src/load.rs
@@ -0,0 +1,70 @@
+//! Load as engines report it: Prometheus text with vLLM's metric names.
+
+use prelude::TargetIncarnation;
+use prometheus_parse::{Scrape, Value};
+
+/// One report of an engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct LoadReport {
+    /// The life of the engine that reports: its process start time in milliseconds.
+    pub incarnation: TargetIncarnation,
+    /// Requests in the running batch.
+    pub running: u32,
+    /// Requests that wait at the engine.
+    pub waiting: u32,
+    /// Share of the memory in use, between 0 and 1.
+    pub memory_share: f64,
+    /// Preemptions since the engine started.
+    pub preemptions: u64,
+    /// Whether the engine says that it leaves.
+    pub leaving: bool,
+}
+
+/// Reads a report; lines that are not known are passed over.
+pub fn parse_load(text: &str) -> LoadReport {
+    let lines = text.lines().map(|line| Ok(line.to_owned()));
+    let mut report = LoadReport::default();
+    let Ok(scrape) = Scrape::parse(lines) else {
+        return report;
+    };
+    for sample in scrape.samples {
+        let value = match sample.value {
+            Value::Counter(value) | Value::Gauge(value) | Value::Untyped(value) => value,
+            Value::Histogram(_) | Value::Summary(_) => continue,
+        };
+        match sample.metric.as_str() {
+            "process_start_time_seconds" => {
+                report.incarnation = TargetIncarnation((value * 1000.0).round() as u64);
+            }
+            "vllm:num_requests_running" => report.running = value as u32,
+            "vllm:num_requests_waiting" => report.waiting = value as u32,
+            "vllm:kv_cache_usage_perc" => report.memory_share = value,
+            "vllm:num_preemptions_total" => report.preemptions = value as u64,
+            "engine_leaving" => report.leaving = value > 0.0,
+            _ => {}
+        }
+    }
+    report
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn reads_metrics_of_an_engine() {
+        let text = "# TYPE vllm:num_requests_running gauge\nvllm:num_requests_running 12\n\
+                    # TYPE vllm:num_preemptions_total counter\nvllm:num_preemptions_total 3\n\
+                    vllm:kv_cache_usage_perc{model=\"m\"} 0.5\nprocess_start_time_seconds 1.5\n";
+        let report = parse_load(text);
+        assert_eq!(report.running, 12);
+        assert_eq!(report.preemptions, 3);
+        assert_eq!(report.memory_share, 0.5);
+        assert_eq!(report.incarnation, TargetIncarnation(1500));
+    }
+
+    #[test]
+    fn passes_over_text_that_is_no_report() {
+        assert_eq!(parse_load("\u{0}{{{ not 1 2 3"), LoadReport::default());
+    }
+}
--- /dev/null
+++ b/components/peers/src/client.rs
@@ -0,0 +1,148 @@
+//! Links to peers, made when first needed and again after a failure.
+
+use crate::counted::{Counted, Traffic};
+use crate::handshake;
+use crate::server::codec;
+use crate::service::PeerClient;
+use prelude::BoxId;
+use std::collections::HashMap;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+use std::sync::{Arc, Mutex, PoisonError};
+use std::time::{Duration, Instant};
+use tarpc::client::RpcError;
+use tarpc::context::{self, Context};
+use tarpc::tokio_serde::formats::Bincode;
+use thiserror::Error;
+use tokio::net::TcpStream;
+use tokio_util::codec::Framed;
+
+/// Why a peer gave no answer.
+#[derive(Debug, Error)]
+pub enum PeerError {
+    /// No address of the box is known.
+    #[error("box {0} is not known")]
+    NotKnown(BoxId),
+    /// No link could be made: the peer was sent nothing.
+    #[error("box {id} cannot be reached: {cause}")]
+    NotReached {
+        /// The box.
+        id: BoxId,
+        /// Why.
+        cause: std::io::Error,
+    },
+    /// The call was sent and no answer came.
+    #[error("box {id} did not answer: {cause}")]
+    NoAnswer {
+        /// The box.
+        id: BoxId,
+        /// Why.
+        cause: RpcError,
+    },
+}
+
+const CONNECT_LIMIT: Duration = Duration::from_millis(300);
+
+struct Slot {
+    address: SocketAddr,
+    client: tokio::sync::Mutex<Option<PeerClient>>,
+}
+
+/// Links to all peers. Cheap to clone.
+#[derive(Clone)]
+pub struct PeerClients {
+    keys: Arc<[String]>,
+    slots: Arc<Mutex<HashMap<BoxId, Arc<Slot>>>>,
+    traffic: Arc<Traffic>,
+}
+
+impl PeerClients {
+    /// No links yet; the first of `keys` is used to prove who we are.
+    pub fn new(keys: &[String], traffic: Arc<Traffic>) -> Self {
+        Self {
+            keys: keys.into(),
+            slots: Arc::default(),
+            traffic,
+        }
+    }
+
+    /// Sets where a box listens.
+    pub fn set_address(&self, id: BoxId, address: SocketAddr) {
+        let mut slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
+        if slots.get(&id).is_some_and(|slot| slot.address == address) {
+            return;
+        }
+        let slot = Slot {
+            address,
+            client: tokio::sync::Mutex::new(None),
+        };
+        slots.insert(id, Arc::new(slot));
+    }
+
+    /// Forgets a box and drops its link.
+    pub fn forget(&self, id: BoxId) {
+        self.slots
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .remove(&id);
+    }
+
+    /// Calls a box, waiting for its answer for `limit` at the most.
+    ///
+    /// # Errors
+    /// [`PeerError`], which says whether the call was sent.
+    pub async fn call<T, F, Fut>(&self, id: BoxId, limit: Duration, call: F) -> Result<T, PeerError>
+    where
+        F: FnOnce(PeerClient, Context) -> Fut,
+        Fut: Future<Output = Result<T, RpcError>>,
+    {
+        let slot = {
+            let slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
+            slots.get(&id).cloned().ok_or(PeerError::NotKnown(id))?
+        };
+        let client = self.client(id, &slot).await?;
+        let mut context = context::current();
+        context.deadline = Instant::now() + limit;
+        self.traffic.calls.fetch_add(1, Ordering::Relaxed);
+        let answered = match tokio::time::timeout(limit, call(client, context)).await {
+            Ok(answered) => answered,
+            Err(_) => Err(RpcError::DeadlineExceeded),
+        };
+        match answered {
+            Ok(value) => Ok(value),
+            Err(cause) => {
+                if !matches!(cause, RpcError::DeadlineExceeded) {
+                    *slot.client.lock().await = None;
+                }
+                Err(PeerError::NoAnswer { id, cause })
+            }
+        }
+    }
+
+    async fn client(&self, id: BoxId, slot: &Slot) -> Result<PeerClient, PeerError> {
+        let mut held = slot.client.lock().await;
+        if let Some(client) = held.as_ref() {
+            return Ok(client.clone());
+        }
+        let client = self
+            .connect(slot.address)
+            .await
+            .map_err(|cause| PeerError::NotReached { id, cause })?;
+        *held = Some(client.clone());
+        Ok(client)
+    }
+
+    async fn connect(&self, address: SocketAddr) -> std::io::Result<PeerClient> {
+        let connecting = async {
+            let mut link = TcpStream::connect(address).await?;
+            link.set_nodelay(true)?;
+            handshake::connect(&mut link, &self.keys).await?;
+            Ok::<_, std::io::Error>(link)
+        };
+        let link = tokio::time::timeout(CONNECT_LIMIT, connecting).await??;
+        let framed = Framed::new(Counted::new(link, self.traffic.clone()), codec());
+        let transport = tarpc::serde_transport::new(framed, Bincode::default());
+        Ok(PeerClient::new(tarpc::client::Config::default(), transport).spawn())
+    }
+}
--- /dev/null
+++ b/components/peers/src/messages.rs
@@ -0,0 +1,236 @@
+//! The messages between boxes.
+
+use prelude::{
+    AccountId, BoxId, BoxIncarnation, PermitId, PoolId, Refusal, ServiceId, TargetId, TargetKey,
+};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// A box asks a pool's dispatcher for a permit. Weights follow from the settings, so they are not sent.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AcquireRequest {
+    /// The pool.
+    pub pool: PoolId,
+    /// The permit's name.
+    pub permit: PermitId,
+    /// Who is charged.
+    pub account: AccountId,
+    /// Kind of request, for the length estimate.
+    pub kind: u8,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// The most it may generate.
+    pub max_tokens: u32,
+    /// Whether it goes first.
+    pub urgent: bool,
+    /// How long it may still wait.
+    pub wait_left_ms: u32,
+    /// Hash and tokens of a prefix that engines may have cached.
+    pub prefix: Option<(u64, u32)>,
+    /// True length, for the oracle policy.
+    pub told_tokens: Option<u32>,
+    /// An engine that just failed it.
+    pub avoid: Option<TargetId>,
+}
+
+/// A dispatcher's word on a permit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum PermitReply {
+    /// It may run there.
+    Granted {
+        /// The engine.
+        target: TargetId,
+    },
+    /// It waits.
+    Waiting {
+        /// Requests before it when it came.
+        place: u32,
+    },
+    /// It is not to be run.
+    Refused(Refusal),
+}
+
+/// Answer to [`AcquireRequest`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AcquireReply {
+    /// The word.
+    pub permit: PermitReply,
+    /// The dispatcher's life; when it changes, it must be told of open streams.
+    pub life: BoxIncarnation,
+}
+
+/// How far a stream has come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct StreamProgress {
+    /// Its permit.
+    pub permit: PermitId,
+    /// Tokens generated.
+    pub tokens: u32,
+}
+
+/// A stream that ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndedStream {
+    /// Its permit.
+    pub permit: PermitId,
+    /// Tokens generated.
+    pub tokens: u32,
+    /// Whether the model ended it.
+    pub finished: bool,
+}
+
+/// Progress and ends of a box's streams in one pool.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpdateRequest {
+    /// The pool.
+    pub pool: PoolId,
+    /// Streams that came further.
+    pub progress: Vec<StreamProgress>,
+    /// Streams that ended.
+    pub ended: Vec<EndedStream>,
+}
+
+/// Answer to [`UpdateRequest`].
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpdateReply {
+    /// Permits that this dispatcher does not know: it must be told of them.
+    pub unknown: Vec<PermitId>,
+}
+
+/// An open stream, told to a new dispatcher.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct AdoptedStream {
+    /// What was asked for.
+    pub request: AcquireRequest,
+    /// Where it runs.
+    pub target: TargetId,
+    /// Tokens generated.
+    pub tokens: u32,
+}
+
+/// What a box says of itself.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct BoxCard {
+    /// Its number.
+    pub id: BoxId,
+    /// Its life.
+    pub life: BoxIncarnation,
+    /// Where its peers reach it.
+    pub address: SocketAddr,
+    /// Whether it stops.
+    pub leaving: bool,
+}
+
+/// One value of the settings, at a revision of the platform's service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SettingsValue {
+    /// The partner whose branch it is.
+    pub partner: String,
+    /// The revision at which it was accepted.
+    pub revision: u64,
+    /// The branch as YAML.
+    pub text: String,
+}
+
+/// What is said of a target's life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum StateOfTarget {
+    /// It takes no new work.
+    Leaving,
+    /// It is dead.
+    Gone,
+}
+
+/// A word on one life of a target. Words are joined by their maximum, so a life never comes back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetWord {
+    /// The target and its life.
+    pub target: TargetKey,
+    /// What is said.
+    pub state: StateOfTarget,
+}
+
+/// A notice that is spread to all boxes at once.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Notice {
+    /// A target leaves or is dead.
+    Target(TargetWord),
+    /// A box stops by plan, or says that it runs.
+    Box(BoxCard),
+    /// A branch of the settings was accepted.
+    Settings(SettingsValue),
+}
+
+/// What a box knows, in short. Two boxes exchange it and each then gets what it lacks.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// Who says it.
+    pub from: BoxCard,
+    /// Revisions of the branches that it has.
+    pub revisions: Vec<(String, u64)>,
+    /// Targets that it knows to leave or to be dead.
+    pub targets: Vec<TargetWord>,
+    /// Branches that the other box lacks; empty in the first message.
+    pub newer: Vec<SettingsValue>,
+}
+
+/// A box asks the writer of a claim slot to record a claim.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClaimRequest {
+    /// The service.
+    pub service: ServiceId,
+    /// Fingerprint of account and key.
+    pub key: u128,
+    /// Fingerprint of the request.
+    pub request: u64,
+    /// The box that will run the call.
+    pub claimant: BoxId,
+    /// Its life.
+    pub life: BoxIncarnation,
+    /// Unique to this try.
+    pub nonce: u64,
+    /// How long the claim may wait to be recorded.
+    pub wait_left_ms: u32,
+}
+
+/// What became of a claim.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum ClaimResult {
+    /// It is recorded: the claimant, and nobody else, may send the call.
+    Won,
+    /// The key was claimed before.
+    Taken {
+        /// By whom.
+        claimant: BoxId,
+        /// In which life.
+        life: BoxIncarnation,
+        /// Fingerprint of that request.
+        request: u64,
+    },
+    /// It was not recorded, and will not be.
+    NotRecorded,
+    /// It may have been recorded.
+    Unclear,
+}
+
+/// What a claimant knows of a call.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum KeyOutcome {
+    /// It ran; this was the answer.
+    Done {
+        /// HTTP status.
+        status: u16,
+        /// Type of the body.
+        content_type: Option<String>,
+        /// The body.
+        body: Vec<u8>,
+    },
+    /// It was not sent, and will not be.
+    NotRun,
+    /// It may have run.
+    MayHaveRun,
+    /// It is still in progress after the time that was waited.
+    InProgress,
+    /// This box, in this life, knows nothing of the key.
+    NotKnown,
+}
--- /dev/null
+++ b/components/peers/src/service.rs
@@ -0,0 +1,118 @@
+//! The calls between boxes.
+
+use crate::messages::{
+    AcquireReply, AcquireRequest, AdoptedStream, ClaimRequest, ClaimResult, Digest, KeyOutcome,
+    Notice, UpdateReply, UpdateRequest,
+};
+use prelude::{BoxId, BoxIncarnation, PermitId, PoolId};
+use std::future::Future;
+use tarpc::context::Context;
+
+/// What each box answers.
+#[tarpc::service]
+pub trait Peer {
+    /// Asks for a permit; waits up to `wait_ms` for a decision.
+    async fn acquire(request: AcquireRequest, wait_ms: u32) -> AcquireReply;
+
+    /// Takes back a request for a permit.
+    async fn withdraw(pool: PoolId, permit: PermitId);
+
+    /// Reports progress and ends of streams.
+    async fn update(request: UpdateRequest) -> UpdateReply;
+
+    /// Tells a dispatcher of open streams.
+    async fn adopt(pool: PoolId, streams: Vec<AdoptedStream>);
+
+    /// Spreads a notice that `origin` began.
+    async fn notice(origin: BoxId, notice: Notice);
+
+    /// Exchanges what both know.
+    async fn digest(digest: Digest) -> Digest;
+
+    /// Asks the writer of a slot to record a claim.
+    async fn claim(request: ClaimRequest) -> ClaimResult;
+
+    /// Asks a claimant, in a given life, what became of a call; waits up to `wait_ms`.
+    async fn outcome(life: BoxIncarnation, key: u128, wait_ms: u32) -> KeyOutcome;
+}
+
+/// What a box does on each call of [`Peer`]. `tarpc` does not say that its futures are `Send`; these
+/// are.
+pub trait PeerHandler: Clone + Send + Sync + 'static {
+    /// See [`Peer::acquire`].
+    fn acquire(
+        &self,
+        request: AcquireRequest,
+        wait_ms: u32,
+    ) -> impl Future<Output = AcquireReply> + Send;
+
+    /// See [`Peer::withdraw`].
+    fn withdraw(&self, pool: PoolId, permit: PermitId) -> impl Future<Output = ()> + Send;
+
+    /// See [`Peer::update`].
+    fn update(&self, request: UpdateRequest) -> impl Future<Output = UpdateReply> + Send;
+
+    /// See [`Peer::adopt`].
+    fn adopt(&self, pool: PoolId, streams: Vec<AdoptedStream>) -> impl Future<Output = ()> + Send;
+
+    /// See [`Peer::notice`].
+    fn notice(&self, origin: BoxId, notice: Notice) -> impl Future<Output = ()> + Send;
+
+    /// See [`Peer::digest`].
+    fn digest(&self, digest: Digest) -> impl Future<Output = Digest> + Send;
+
+    /// See [`Peer::claim`].
+    fn claim(&self, request: ClaimRequest) -> impl Future<Output = ClaimResult> + Send;
+
+    /// See [`Peer::outcome`].
+    fn outcome(
+        &self,
+        life: BoxIncarnation,
+        key: u128,
+        wait_ms: u32,
+    ) -> impl Future<Output = KeyOutcome> + Send;
+}
+
+/// Answers the calls of [`Peer`] by a handler.
+#[derive(Clone)]
+pub(crate) struct PeerServer<H>(pub H);
+
+impl<H: PeerHandler> Peer for PeerServer<H> {
+    async fn acquire(self, _: Context, request: AcquireRequest, wait_ms: u32) -> AcquireReply {
+        self.0.acquire(request, wait_ms).await
+    }
+
+    async fn withdraw(self, _: Context, pool: PoolId, permit: PermitId) {
+        self.0.withdraw(pool, permit).await;
+    }
+
+    async fn update(self, _: Context, request: UpdateRequest) -> UpdateReply {
+        self.0.update(request).await
+    }
+
+    async fn adopt(self, _: Context, pool: PoolId, streams: Vec<AdoptedStream>) {
+        self.0.adopt(pool, streams).await;
+    }
+
+    async fn notice(self, _: Context, origin: BoxId, notice: Notice) {
+        self.0.notice(origin, notice).await;
+    }
+
+    async fn digest(self, _: Context, digest: Digest) -> Digest {
+        self.0.digest(digest).await
+    }
+
+    async fn claim(self, _: Context, request: ClaimRequest) -> ClaimResult {
+        self.0.claim(request).await
+    }
+
+    async fn outcome(
+        self,
+        _: Context,
+        life: BoxIncarnation,
+        key: u128,
+        wait_ms: u32,
+    ) -> KeyOutcome {
+        self.0.outcome(life, key, wait_ms).await
+    }
+}
--- /dev/null
+++ b/components/policy/src/kind.rs
@@ -0,0 +1,84 @@
+//! The settings of a pool: which policy places its work, and the policy's parameters.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// How a target is chosen. All but [`PolicyKind::Shuntpier`] and [`PolicyKind::Oracle`] are
+/// baselines that are kept to be measured against.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum PolicyKind {
+    /// The next target in turn.
+    RoundRobin,
+    /// The target that reported the fewest running and waiting requests.
+    LeastLoad,
+    /// The better of two targets drawn at random, by reported load plus own streams.
+    TwoChoices,
+    /// Permits from the pool's dispatcher, which forecasts each engine's memory.
+    #[default]
+    Shuntpier,
+    /// The same, told the true length of each answer: a bound for measurements.
+    Oracle,
+}
+
+impl PolicyKind {
+    /// Whether a dispatcher grants permits under this policy.
+    pub fn uses_dispatcher(self) -> bool {
+        matches!(self, Self::Shuntpier | Self::Oracle)
+    }
+}
+
+/// Parameters of one pool. Every field has a default that suits the deployments of the brief.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct PoolSettings {
+    /// How a target is chosen.
+    pub policy: PolicyKind,
+    /// Open streams that one engine may have under a baseline policy; 0 for no limit.
+    pub concurrency_limit: u32,
+    /// Share of an engine's memory that the forecast may fill, between 0 and 1.
+    pub memory_share: f64,
+    /// Standard deviations of the forecast kept free when a pool starts.
+    pub margin_initial: f64,
+    /// The least margin, in standard deviations.
+    pub margin_min: f64,
+    /// The largest margin, in standard deviations.
+    pub margin_max: f64,
+    /// Added to the margin for each preemption that an engine reports.
+    pub margin_step: f64,
+    /// Taken off the margin each second without a preemption.
+    pub margin_decay_per_s: f64,
+    /// Prompt tokens that one engine may have waiting for their first token.
+    pub prefill_tokens: u32,
+    /// Open streams that one engine may have, whatever the forecast says; 0 for no limit.
+    pub running_limit: u32,
+    /// How old an engine's report of its load is when it is read.
+    pub report_lag_ms: u64,
+    /// Largest bonus for a cached prompt prefix, in tokens of memory.
+    pub affinity_tokens: u32,
+    /// After this wait the first in line is no longer passed by smaller requests.
+    pub pass_limit_ms: u64,
+    /// Retries as a share of fresh requests.
+    pub retry_share: f64,
+}
+
+impl Default for PoolSettings {
+    fn default() -> Self {
+        Self {
+            policy: PolicyKind::Shuntpier,
+            concurrency_limit: 0,
+            memory_share: 0.97,
+            margin_initial: 1.5,
+            margin_min: 0.5,
+            margin_max: 4.0,
+            margin_step: 0.25,
+            margin_decay_per_s: 0.01,
+            prefill_tokens: 4096,
+            running_limit: 0,
+            report_lag_ms: 250,
+            affinity_tokens: 256,
+            pass_limit_ms: 500,
+            retry_share: 0.1,
+        }
+    }
+}
--- /dev/null
+++ b/components/policy/src/length.rs
@@ -0,0 +1,214 @@
+//! How long will an answer be? A product-limit estimate (Kaplan and Meier, 1958) on logarithmic bins
+//! of output length, kept up while answers run: each bin counts the answers that reached it and those
+//! that ended in it. Answers that were cut, or that still run, count as reached and not as ended, so
+//! the estimate is not biased short when engines are crowded.
+
+use prelude::AccountId;
+use std::collections::HashMap;
+
+/// Bins to each doubling of the length.
+const BINS_PER_DOUBLING: usize = 4;
+/// Doublings covered: up to 131,072 tokens.
+const DOUBLINGS: usize = 17;
+const BINS: usize = BINS_PER_DOUBLING * DOUBLINGS;
+/// Answers after which an old observation counts half.
+const HALF_LIFE_ANSWERS: f64 = 2000.0;
+/// How many answers of its own a class needs in a bin to weigh as much as its parent.
+const PARENT_WEIGHT: f64 = 20.0;
+/// Share of answers that end in a bin where nothing is known.
+const PRIOR_HAZARD: f64 = 0.08;
+/// The same for the shortest answers, below [`PRIOR_SHORT_TOKENS`].
+const PRIOR_SHORT_HAZARD: f64 = 0.01;
+const PRIOR_SHORT_TOKENS: f64 = 16.0;
+/// Weight of that prior, in answers.
+const PRIOR_WEIGHT: f64 = 5.0;
+/// Changes after which a survival table is computed anew.
+const CHANGES_PER_TABLE: u32 = 32;
+/// Weights are brought back to one when they pass this.
+const WEIGHT_LIMIT: f64 = 1e12;
+
+/// Whose answers are alike in length.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+pub struct LengthClass {
+    /// The account.
+    pub account: AccountId,
+    /// Kind of request: whether it is urgent, streamed, or bounded short.
+    pub kind: u8,
+}
+
+/// How an answer came to its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum End {
+    /// The model ended it.
+    Finished,
+    /// It was cut, cancelled or lost: it would have been longer.
+    Censored,
+}
+
+/// The first length in a bin.
+fn bin_start(bin: usize) -> f64 {
+    (bin as f64 / BINS_PER_DOUBLING as f64).exp2()
+}
+
+/// What is taken for known of a bin before anything was observed: hazard and weight.
+fn prior(bin: usize) -> (f64, f64) {
+    let short = bin_start(bin) < PRIOR_SHORT_TOKENS;
+    let hazard = if short {
+        PRIOR_SHORT_HAZARD
+    } else {
+        PRIOR_HAZARD
+    };
+    (hazard, PRIOR_WEIGHT)
+}
+
+fn bin_of(tokens: f64) -> usize {
+    let bin = tokens.max(1.0).log2() * BINS_PER_DOUBLING as f64;
+    (bin as usize).min(BINS - 1)
+}
+
+#[derive(Clone, Debug)]
+struct Bins {
+    reached: [f64; BINS],
+    ended: [f64; BINS],
+    weight: f64,
+    /// Logarithm of the share of answers that reach each bin's start.
+    log_survival: [f64; BINS + 1],
+    changes: u32,
+}
+
+impl Bins {
+    fn new() -> Self {
+        let mut bins = Self {
+            reached: [0.0; BINS],
+            ended: [0.0; BINS],
+            weight: 1.0,
+            log_survival: [0.0; BINS + 1],
+            changes: 0,
+        };
+        bins.tabulate(prior);
+        bins
+    }
+
+    fn reach(&mut self, bin: usize, share: f64) {
+        self.reached[bin] += self.weight * share;
+    }
+
+    fn end(&mut self, bin: usize) {
+        self.ended[bin] += self.weight;
+    }
+
+    /// Makes everything observed so far weigh a little less.
+    fn age(&mut self) {
+        self.weight *= (std::f64::consts::LN_2 / HALF_LIFE_ANSWERS).exp();
+        if self.weight < WEIGHT_LIMIT {
+            return;
+        }
+        let scale = self.weight.recip();
+        self.reached.iter_mut().for_each(|value| *value *= scale);
+        self.ended.iter_mut().for_each(|value| *value *= scale);
+        self.weight = 1.0;
+    }
+
+    fn hazard(&self, bin: usize, prior: (f64, f64)) -> f64 {
+        let (hazard, weight) = prior;
+        let reached = self.reached[bin] / self.weight + weight;
+        let ended = self.ended[bin] / self.weight + weight * hazard;
+        (ended / reached).clamp(0.0, 0.999)
+    }
+
+    fn tabulate(&mut self, prior: impl Fn(usize) -> (f64, f64)) {
+        let mut log_survival = 0.0;
+        for bin in 0..BINS {
+            self.log_survival[bin] = log_survival;
+            log_survival += (1.0 - self.hazard(bin, prior(bin))).ln();
+        }
+        self.log_survival[BINS] = log_survival;
+        self.changes = 0;
+    }
+
+    /// Logarithm of the share of answers longer than `tokens`.
+    fn log_longer(&self, tokens: f64) -> f64 {
+        let tokens = tokens.max(1.0);
+        let bin = bin_of(tokens);
+        let start = bin_start(bin);
+        let part = ((tokens - start) / (bin_start(bin + 1) - start)).clamp(0.0, 1.0);
+        let low = self.log_survival[bin];
+        low + part * (self.log_survival[bin + 1] - low)
+    }
+}
+
+/// Length estimates for one pool: a class is shrunk towards the whole pool, bin by bin.
+#[derive(Clone, Debug)]
+pub struct LengthModel {
+    pool: Bins,
+    classes: HashMap<LengthClass, Bins>,
+}
+
+impl Default for LengthModel {
+    fn default() -> Self {
+        Self {
+            pool: Bins::new(),
+            classes: HashMap::new(),
+        }
+    }
+}
+
+impl LengthModel {
+    /// Notes that an answer of `class` grew from `from_tokens` to `to_tokens` and goes on.
+    pub fn grew(&mut self, class: LengthClass, from_tokens: u32, to_tokens: u32) {
+        let from = bin_of(f64::from(from_tokens.max(1)));
+        let to = bin_of(f64::from(to_tokens.max(1)));
+        if from == to {
+            return;
+        }
+        let bins = self.classes.entry(class).or_insert_with(Bins::new);
+        for bin in from..to {
+            bins.reach(bin, 1.0);
+            self.pool.reach(bin, 1.0);
+        }
+        self.changed(class);
+    }
+
+    /// Notes that an answer of `class` ended at `tokens`.
+    pub fn ended(&mut self, class: LengthClass, tokens: u32, end: End) {
+        let bin = bin_of(f64::from(tokens.max(1)));
+        let bins = self.classes.entry(class).or_insert_with(Bins::new);
+        for bins in [bins, &mut self.pool] {
+            match end {
+                End::Finished => {
+                    bins.reach(bin, 1.0);
+                    bins.end(bin);
+                }
+                End::Censored => bins.reach(bin, 0.5),
+            }
+            bins.age();
+        }
+        self.changed(class);
+    }
+
+    /// The share of answers that go on for more than `more` tokens, among those of `class` that have
+    /// `generated` already.
+    pub fn survival(&self, class: LengthClass, generated: f64, more: f64) -> f64 {
+        let bins = self.classes.get(&class).unwrap_or(&self.pool);
+        (bins.log_longer(generated + more) - bins.log_longer(generated)).exp()
+    }
+
+    fn changed(&mut self, class: LengthClass) {
+        self.pool.changes += 1;
+        if self.pool.changes >= CHANGES_PER_TABLE {
+            self.pool.tabulate(prior);
+        }
+        let Some(bins) = self.classes.get_mut(&class) else {
+            return;
+        };
+        bins.changes += 1;
+        if bins.changes >= CHANGES_PER_TABLE {
+            let pool = &self.pool;
+            bins.tabulate(|bin| (pool.hazard(bin, prior(bin)), PARENT_WEIGHT));
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "length_tests.rs"]
+mod tests;
--- /dev/null
+++ b/components/policy/src/length_tests.rs
@@ -0,0 +1,71 @@
+use super::*;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const CLASS: LengthClass = LengthClass {
+    account: AccountId(1),
+    kind: 0,
+};
+
+/// Records answers of exponential length with mean `mean`, cut at `cut` tokens where given.
+fn train(model: &mut LengthModel, class: LengthClass, mean: f64, cut: Option<u32>, count: usize) {
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    for _ in 0..count {
+        let length = (-mean * rng.random::<f64>().max(1e-9).ln()).ceil() as u32;
+        let (tokens, end) = match cut {
+            Some(cut) if length > cut => (cut, End::Censored),
+            _ => (length, End::Finished),
+        };
+        model.grew(class, 0, tokens);
+        model.ended(class, tokens, end);
+    }
+}
+
+#[test]
+fn learns_how_long_answers_are() {
+    let mut model = LengthModel::default();
+    train(&mut model, CLASS, 200.0, None, 4000);
+    let survival = model.survival(CLASS, 0.0, 200.0);
+    assert!((survival - 0.368).abs() < 0.04, "{survival}");
+}
+
+#[test]
+fn is_not_biased_short_by_cut_answers() {
+    let mut model = LengthModel::default();
+    train(&mut model, CLASS, 200.0, Some(100), 4000);
+    let survival = model.survival(CLASS, 0.0, 90.0);
+    assert!((survival - 0.638).abs() < 0.05, "{survival}");
+}
+
+#[test]
+fn counts_running_answers_as_reached() {
+    let mut model = LengthModel::default();
+    train(&mut model, CLASS, 20.0, None, 500);
+    let before = model.survival(CLASS, 0.0, 200.0);
+    for _ in 0..500 {
+        model.grew(CLASS, 0, 400);
+    }
+    model.ended(CLASS, 1, End::Finished);
+    assert!(model.survival(CLASS, 0.0, 200.0) > before + 0.2);
+}
+
+#[test]
+fn takes_unknown_class_for_the_pool() {
+    let mut model = LengthModel::default();
+    train(&mut model, CLASS, 50.0, None, 2000);
+    let other = LengthClass {
+        account: AccountId(2),
+        kind: 0,
+    };
+    let known = model.survival(CLASS, 0.0, 50.0);
+    assert!((model.survival(other, 0.0, 50.0) - known).abs() < 0.05);
+}
+
+#[test]
+fn follows_a_shift_of_length() {
+    let mut model = LengthModel::default();
+    train(&mut model, CLASS, 50.0, None, 4000);
+    let short = model.survival(CLASS, 0.0, 200.0);
+    train(&mut model, CLASS, 400.0, None, 4000);
+    assert!(model.survival(CLASS, 0.0, 200.0) > short + 0.25);
+}
--- /dev/null
+++ b/components/policy/src/lib.rs
@@ -0,0 +1,25 @@
+//! The decisions: which target, when to wait, when to refuse. Nothing here opens a socket, starts a
+//! task or reads a clock.
+
+mod fairness;
+mod forecast;
+mod kind;
+mod ledger;
+mod length;
+mod local;
+mod pool;
+mod prefixes;
+mod queue;
+mod rendezvous;
+mod retry;
+
+pub use fairness::{FairTree, Share};
+pub use forecast::{Forecast, HORIZONS_TOKENS};
+pub use kind::{PolicyKind, PoolSettings};
+pub use ledger::{EngineInfo, EngineLedger, EngineReport, EngineState, Stream};
+pub use length::{End, LengthClass, LengthModel};
+pub use local::{LocalPool, LocalTarget};
+pub use pool::{Adopted, Demand, EngineView, Pool, PoolView, Submitted, Verdict};
+pub use prefixes::PrefixIndex;
+pub use rendezvous::{ranked, winner};
+pub use retry::RetryBudget;
--- /dev/null
+++ b/components/policy/src/local.rs
@@ -0,0 +1,265 @@
+//! Placement by what one box sees alone: the baselines, and what a box falls back on while its
+//! dispatcher is silent.
+
+use crate::kind::PolicyKind;
+use crate::ledger::EngineState;
+use crate::pool::Verdict;
+use prelude::{PermitId, Refusal, RefusalReason, TargetId};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::collections::VecDeque;
+
+/// An engine as one box sees it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LocalTarget {
+    /// The engine.
+    pub id: TargetId,
+    /// Whether it takes new work.
+    pub state: EngineState,
+    /// Streams that this box has open there.
+    pub own_open: u32,
+    /// Streams that this box opened since the last report.
+    pub own_since_report: u32,
+    /// Requests that run or wait there, by its last report.
+    pub reported: u32,
+}
+
+impl LocalTarget {
+    fn load(&self) -> u32 {
+        (self.reported + self.own_since_report).max(self.own_open)
+    }
+}
+
+struct Waiting {
+    permit: PermitId,
+    deadline_ms: u64,
+    avoid: Option<TargetId>,
+}
+
+/// What one box knows of a pool, and the requests that wait for room under a concurrency limit.
+pub struct LocalPool {
+    kind: PolicyKind,
+    limit: u32,
+    targets: Vec<LocalTarget>,
+    queue: VecDeque<Waiting>,
+    next: usize,
+    rng: ChaCha8Rng,
+}
+
+/// When a caller who was refused shall come back, where nothing better is known.
+const RETRY_AFTER_MS: u64 = 1000;
+
+impl LocalPool {
+    /// An empty pool. `limit` is the number of open streams an engine may have, 0 for no limit.
+    pub fn new(kind: PolicyKind, limit: u32, seed: u64) -> Self {
+        Self {
+            kind,
+            limit,
+            targets: Vec::new(),
+            queue: VecDeque::new(),
+            next: 0,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+        }
+    }
+
+    /// Changes policy and limit.
+    pub fn set_kind(&mut self, kind: PolicyKind, limit: u32) {
+        self.kind = kind;
+        self.limit = limit;
+    }
+
+    /// Sets which engines there are and whether they take new work.
+    pub fn set_targets(&mut self, targets: &[(TargetId, EngineState)]) {
+        let known = std::mem::take(&mut self.targets);
+        for (id, state) in targets {
+            let mut target = known.iter().find(|target| target.id == *id).copied();
+            let target = target.get_or_insert(LocalTarget {
+                id: *id,
+                state: *state,
+                own_open: 0,
+                own_since_report: 0,
+                reported: 0,
+            });
+            target.state = *state;
+            self.targets.push(*target);
+        }
+    }
+
+    /// Takes an engine's report in.
+    pub fn report(&mut self, target: TargetId, running: u32, waiting: u32) {
+        if let Some(known) = self.target_mut(target) {
+            known.reported = running + waiting;
+            known.own_since_report = 0;
+        }
+    }
+
+    /// Adds a request that waits.
+    pub fn submit(&mut self, permit: PermitId, deadline_ms: u64, avoid: Option<TargetId>) {
+        self.queue.push_back(Waiting {
+            permit,
+            deadline_ms,
+            avoid,
+        });
+    }
+
+    /// Takes back a request that waits.
+    pub fn withdraw(&mut self, permit: PermitId) {
+        self.queue.retain(|waiting| waiting.permit != permit);
+    }
+
+    /// Places what there is room for, in the order of arrival.
+    pub fn run(&mut self, now_ms: u64) -> Vec<(PermitId, Verdict)> {
+        let mut verdicts = Vec::new();
+        while let Some(waiting) = self.queue.front() {
+            let (permit, avoid) = (waiting.permit, waiting.avoid);
+            let verdict = if waiting.deadline_ms <= now_ms {
+                refused(RefusalReason::DeadlinePassed)
+            } else if !self
+                .targets
+                .iter()
+                .any(|target| target.state == EngineState::Live)
+            {
+                refused(RefusalReason::NoTarget)
+            } else {
+                let Some(target) = self.choose(avoid) else {
+                    break;
+                };
+                self.opened(target);
+                Verdict::Granted { target }
+            };
+            self.queue.pop_front();
+            verdicts.push((permit, verdict));
+        }
+        verdicts
+    }
+
+    /// Notes a stream that another way of placing opened.
+    pub fn opened(&mut self, target: TargetId) {
+        if let Some(known) = self.target_mut(target) {
+            known.own_open += 1;
+            known.own_since_report += 1;
+        }
+    }
+
+    /// Notes that a stream ended.
+    pub fn closed(&mut self, target: TargetId) {
+        if let Some(known) = self.target_mut(target) {
+            known.own_open = known.own_open.saturating_sub(1);
+        }
+    }
+
+    /// What is known of each engine.
+    pub fn targets(&self) -> &[LocalTarget] {
+        &self.targets
+    }
+
+    /// Requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.queue.len()
+    }
+
+    fn target_mut(&mut self, id: TargetId) -> Option<&mut LocalTarget> {
+        self.targets.iter_mut().find(|target| target.id == id)
+    }
+
+    fn choose(&mut self, avoid: Option<TargetId>) -> Option<TargetId> {
+        let limit = self.limit;
+        let has_room = |target: &&LocalTarget| {
+            target.state == EngineState::Live && (limit == 0 || target.load() < limit)
+        };
+        let open: Vec<LocalTarget> = self.targets.iter().filter(has_room).copied().collect();
+        let preferred: Vec<LocalTarget> = open
+            .iter()
+            .filter(|target| Some(target.id) != avoid)
+            .copied()
+            .collect();
+        let choices = if preferred.is_empty() {
+            open
+        } else {
+            preferred
+        };
+        if choices.is_empty() {
+            return None;
+        }
+        let chosen = match self.kind {
+            PolicyKind::RoundRobin => {
+                self.next = self.next.wrapping_add(1);
+                choices[self.next % choices.len()]
+            }
+            PolicyKind::LeastLoad => {
+                let least = choices.iter().min_by_key(|target| target.reported);
+                *least.unwrap_or(&choices[0])
+            }
+            PolicyKind::TwoChoices | PolicyKind::Shuntpier | PolicyKind::Oracle => {
+                let first = choices[self.rng.random_range(0..choices.len())];
+                let second = choices[self.rng.random_range(0..choices.len())];
+                if second.load() < first.load() {
+                    second
+                } else {
+                    first
+                }
+            }
+        };
+        Some(chosen.id)
+    }
+}
+
+fn refused(reason: RefusalReason) -> Verdict {
+    Verdict::Refused(Refusal {
+        reason,
+        retry_after_ms: Some(RETRY_AFTER_MS),
+    })
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use prelude::BoxId;
+    use rstest::rstest;
+
+    fn pool(kind: PolicyKind, limit: u32) -> LocalPool {
+        let mut pool = LocalPool::new(kind, limit, 1);
+        let live = [1, 2, 3].map(|id| (TargetId(id), EngineState::Live));
+        pool.set_targets(&live);
+        pool
+    }
+
+    fn submit(pool: &mut LocalPool, count: u64) -> usize {
+        for serial in 0..count {
+            let permit = PermitId {
+                entry: BoxId(1),
+                life: 0,
+                serial,
+            };
+            pool.submit(permit, 1000, None);
+        }
+        pool.run(0).len()
+    }
+
+    #[rstest]
+    #[case(PolicyKind::RoundRobin)]
+    #[case(PolicyKind::LeastLoad)]
+    #[case(PolicyKind::TwoChoices)]
+    fn keeps_its_limit(#[case] kind: PolicyKind) {
+        let mut pool = pool(kind, 2);
+        assert_eq!(submit(&mut pool, 10), 6);
+        pool.closed(TargetId(1));
+        pool.report(TargetId(1), 1, 0);
+        assert_eq!(pool.run(1).len(), 1);
+    }
+
+    #[test]
+    fn refuses_where_no_engine_is_live() {
+        let mut pool = pool(PolicyKind::TwoChoices, 0);
+        pool.set_targets(&[(TargetId(1), EngineState::Leaving)]);
+        submit(&mut pool, 1);
+        assert_eq!(pool.waiting(), 0);
+    }
+
+    #[test]
+    fn turns_in_round_robin() {
+        let mut pool = pool(PolicyKind::RoundRobin, 0);
+        submit(&mut pool, 9);
+        assert!(pool.targets().iter().all(|target| target.own_open == 3));
+    }
+}
--- /dev/null
+++ b/components/policy/src/pool_tests.rs
@@ -0,0 +1,215 @@
+use super::*;
+use prelude::{AccountId, OwnerId, PartnerId, TargetIncarnation};
+
+const ENGINE: TargetId = TargetId(1);
+const OTHER_ENGINE: TargetId = TargetId(2);
+
+fn pool(engines: &[(TargetId, u64)]) -> Pool {
+    let mut pool = Pool::new(PoolSettings::default());
+    let infos: Vec<EngineInfo> = engines
+        .iter()
+        .map(|(id, capacity_tokens)| EngineInfo {
+            id: *id,
+            capacity_tokens: *capacity_tokens,
+        })
+        .collect();
+    pool.set_engines(&infos);
+    pool
+}
+
+fn permit(serial: u64) -> PermitId {
+    PermitId {
+        entry: BoxId(1),
+        life: 0,
+        serial,
+    }
+}
+
+fn demand(serial: u64, owner: u64, prompt_tokens: u32) -> Demand {
+    Demand {
+        permit: permit(serial),
+        share: Share {
+            partner: PartnerId(1),
+            owner: OwnerId(owner),
+            account: AccountId(owner),
+            partner_weight: 1.0,
+            owner_weight: 1.0,
+            account_weight: 1.0,
+        },
+        class: LengthClass {
+            account: AccountId(owner),
+            kind: 0,
+        },
+        prompt_tokens,
+        max_tokens: 1000,
+        urgent: false,
+        since_ms: 0,
+        deadline_ms: 1000,
+        prefix: None,
+        told_tokens: None,
+        avoid: None,
+    }
+}
+
+fn granted(verdicts: &[(PermitId, Verdict)]) -> Vec<(u64, TargetId)> {
+    let grant = |(permit, verdict): &(PermitId, Verdict)| match verdict {
+        Verdict::Granted { target } => Some((permit.serial, *target)),
+        Verdict::Refused(_) => None,
+    };
+    verdicts.iter().filter_map(grant).collect()
+}
+
+#[test]
+fn spreads_over_engines_by_room() {
+    let mut pool = pool(&[(ENGINE, 10_000), (OTHER_ENGINE, 10_000)]);
+    pool.submit(demand(1, 1, 1000), 0);
+    pool.submit(demand(2, 1, 1000), 0);
+    let grants = granted(&pool.run(0));
+    assert_ne!(grants[0].1, grants[1].1);
+}
+
+#[test]
+fn waits_where_memory_would_fill() {
+    let mut pool = pool(&[(ENGINE, 2000)]);
+    for serial in 1..=3 {
+        pool.submit(demand(serial, 1, 1000), 0);
+    }
+    assert_eq!(granted(&pool.run(0)).len(), 1);
+    pool.release(permit(1), 10, End::Finished);
+    assert_eq!(granted(&pool.run(1)).len(), 1);
+}
+
+#[test]
+fn refuses_when_the_deadline_passes() {
+    let mut pool = pool(&[(ENGINE, 1500)]);
+    pool.submit(demand(1, 1, 1000), 0);
+    pool.run(0);
+    pool.submit(demand(2, 1, 1000), 0);
+    let verdicts = pool.run(1000);
+    let Verdict::Refused(refusal) = verdicts[0].1 else {
+        panic!("{verdicts:?}");
+    };
+    assert_eq!(refusal.reason, RefusalReason::DeadlinePassed);
+    assert!(refusal.retry_after_ms.is_some());
+}
+
+#[test]
+fn refuses_at_once_what_would_wait_too_long() {
+    let mut pool = pool(&[(ENGINE, 1500)]);
+    let mut refused = 0;
+    for serial in 0..100 {
+        let now_ms = serial * 100;
+        let mut next = demand(serial, 1, 1000);
+        next.since_ms = now_ms;
+        next.deadline_ms = now_ms + 1000;
+        refused += usize::from(matches!(pool.submit(next, now_ms), Submitted::Refused(_)));
+        pool.run(now_ms);
+        if serial % 5 == 4 {
+            let held: Vec<PermitId> = pool.by_permit.keys().copied().collect();
+            held.into_iter()
+                .for_each(|permit| pool.release(permit, 5, End::Finished));
+        }
+    }
+    assert!(refused > 20, "{refused}");
+}
+
+#[test]
+fn refuses_a_prompt_that_fits_no_engine() {
+    let mut pool = pool(&[(ENGINE, 1500)]);
+    let Submitted::Refused(refusal) = pool.submit(demand(1, 1, 2000), 0) else {
+        panic!();
+    };
+    assert_eq!(refusal.reason, RefusalReason::TooLarge);
+}
+
+#[test]
+fn gives_no_new_work_to_a_leaving_engine() {
+    let mut pool = pool(&[(ENGINE, 10_000)]);
+    pool.set_state(ENGINE, EngineState::Leaving);
+    assert!(matches!(
+        pool.submit(demand(1, 1, 10), 0),
+        Submitted::Refused(_)
+    ));
+}
+
+#[test]
+fn keeps_room_for_load_it_did_not_place() {
+    let mut pool = pool(&[(ENGINE, 10_000)]);
+    let report = EngineReport {
+        memory_share: 0.95,
+        ..EngineReport::default()
+    };
+    for at_ms in 0..50 {
+        pool.run(at_ms * 100);
+        pool.report(ENGINE, report, at_ms * 100);
+    }
+    let mut late = demand(1, 1, 1000);
+    late.deadline_ms = 99_000;
+    pool.submit(late, 5000);
+    assert!(granted(&pool.run(5000)).is_empty());
+}
+
+#[test]
+fn widens_its_margin_on_preemptions() {
+    let mut pool = pool(&[(ENGINE, 10_000)]);
+    let report = |preemptions| EngineReport {
+        preemptions,
+        incarnation: TargetIncarnation(1),
+        ..EngineReport::default()
+    };
+    pool.report(ENGINE, report(0), 0);
+    let before = pool.margin;
+    pool.report(ENGINE, report(3), 1);
+    assert!(pool.margin > before);
+}
+
+#[test]
+fn tells_when_a_permit_is_not_known() {
+    let mut pool = pool(&[(ENGINE, 10_000)]);
+    assert!(!pool.progress(permit(1), 5, 0));
+    let adopted = Adopted {
+        demand: demand(1, 1, 100),
+        target: ENGINE,
+        generated_tokens: 5,
+    };
+    pool.adopt(adopted, 0);
+    assert!(pool.progress(permit(1), 6, 0));
+    assert_eq!(pool.view(0).engines[0].streams, 1);
+}
+
+#[test]
+fn drops_the_permits_of_a_silent_box() {
+    let mut pool = pool(&[(ENGINE, 10_000)]);
+    pool.submit(demand(1, 1, 100), 0);
+    pool.run(0);
+    pool.forget_silent(SILENT_BOX_MS + 1);
+    assert_eq!(pool.view(0).engines[0].streams, 0);
+}
+
+#[test]
+fn serves_owners_alike_where_one_is_greedy() {
+    let mut pool = pool(&[(ENGINE, 2500)]);
+    let mut serial = 0;
+    let mut served: HashMap<OwnerId, u32> = HashMap::new();
+    for round in 0..200 {
+        for (owner, count) in [(1, 8), (2, 4)] {
+            for _ in 0..count {
+                serial += 1;
+                let mut next = demand(serial, owner, 500);
+                next.deadline_ms = u64::MAX;
+                next.since_ms = round;
+                pool.submit(next, round);
+            }
+        }
+        for (permit, _) in granted(&pool.run(round))
+            .into_iter()
+            .map(|(s, t)| (permit(s), t))
+        {
+            let owner = pool.streams[pool.by_permit[&permit]].share.owner;
+            *served.entry(owner).or_default() += 1;
+            pool.release(permit, 100, End::Finished);
+        }
+    }
+    let (greedy, modest) = (served[&OwnerId(1)], served[&OwnerId(2)]);
+    assert!(greedy.abs_diff(modest) <= 2, "{greedy} {modest}");
+}
--- /dev/null
+++ b/components/policy/src/queue.rs
@@ -0,0 +1,172 @@
+//! Requests that wait for a permit, by account.
+
+use crate::fairness::{FairTree, Share};
+use crate::pool::Demand;
+use prelude::{AccountId, PermitId};
+use std::collections::{HashMap, HashSet, VecDeque};
+
+/// Urgent requests granted in a row while others wait.
+const URGENT_IN_A_ROW: u32 = 4;
+
+#[derive(Clone, Debug)]
+struct Line {
+    share: Share,
+    urgent: VecDeque<Demand>,
+    plain: VecDeque<Demand>,
+}
+
+impl Line {
+    fn is_empty(&self) -> bool {
+        self.urgent.is_empty() && self.plain.is_empty()
+    }
+
+    fn len(&self) -> usize {
+        self.urgent.len() + self.plain.len()
+    }
+}
+
+/// Which line a candidate stands in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub(crate) struct Place {
+    account: AccountId,
+    urgent: bool,
+}
+
+/// All requests that wait.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Queue {
+    lines: HashMap<AccountId, Line>,
+    len: usize,
+    urgent_in_a_row: u32,
+}
+
+impl Queue {
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// How many requests of an account wait.
+    pub fn len_of(&self, account: AccountId) -> usize {
+        self.lines.get(&account).map_or(0, Line::len)
+    }
+
+    /// The account's part of the weights of all accounts that wait, were it to wait too.
+    pub fn weight_part(&self, share: &Share) -> f64 {
+        let weight =
+            |share: &Share| share.partner_weight * share.owner_weight * share.account_weight;
+        let others = self
+            .lines
+            .iter()
+            .filter(|(account, _)| **account != share.account);
+        let others: f64 = others.map(|(_, line)| weight(&line.share)).sum();
+        weight(share) / (weight(share) + others)
+    }
+
+    pub fn push(&mut self, demand: Demand) {
+        let line = self
+            .lines
+            .entry(demand.share.account)
+            .or_insert_with(|| Line {
+                share: demand.share,
+                urgent: VecDeque::new(),
+                plain: VecDeque::new(),
+            });
+        line.share = demand.share;
+        if demand.urgent {
+            line.urgent.push_back(demand);
+        } else {
+            line.plain.push_back(demand);
+        }
+        self.len += 1;
+    }
+
+    /// The next place to serve that is not among `passed`: urgent requests first, within bounds, then
+    /// the account that was served least.
+    pub fn next(&self, tree: &FairTree, passed: &HashSet<Place>) -> Option<Place> {
+        let bounded = self.urgent_in_a_row >= URGENT_IN_A_ROW;
+        let mut best: Option<(bool, [f64; 3], Place)> = None;
+        for (account, line) in &self.lines {
+            let rank = tree.rank(&line.share);
+            for (urgent, waiting) in [(true, &line.urgent), (false, &line.plain)] {
+                let place = Place {
+                    account: *account,
+                    urgent,
+                };
+                if waiting.is_empty() || passed.contains(&place) {
+                    continue;
+                }
+                let later = urgent == bounded;
+                let before = match &best {
+                    None => true,
+                    Some((other_later, other_rank, _)) => {
+                        (later, rank) < (*other_later, *other_rank)
+                    }
+                };
+                if before {
+                    best = Some((later, rank, place));
+                }
+            }
+        }
+        best.map(|(_, _, place)| place)
+    }
+
+    pub fn front(&self, place: Place) -> Option<&Demand> {
+        let line = self.lines.get(&place.account)?;
+        if place.urgent {
+            line.urgent.front()
+        } else {
+            line.plain.front()
+        }
+    }
+
+    /// Takes the first request of a place for a grant.
+    pub fn pop(&mut self, place: Place) -> Option<Demand> {
+        let line = self.lines.get_mut(&place.account)?;
+        let demand = if place.urgent {
+            line.urgent.pop_front()
+        } else {
+            line.plain.pop_front()
+        }?;
+        if line.is_empty() {
+            self.lines.remove(&place.account);
+        }
+        self.len -= 1;
+        self.urgent_in_a_row = match place.urgent {
+            true => self.urgent_in_a_row + 1,
+            false => 0,
+        };
+        Some(demand)
+    }
+
+    /// Takes out every request for which `leaves` holds.
+    pub fn take_if(&mut self, leaves: impl Fn(&Demand) -> bool) -> Vec<Demand> {
+        let mut taken = Vec::new();
+        for line in self.lines.values_mut() {
+            for waiting in [&mut line.urgent, &mut line.plain] {
+                if !waiting.iter().any(&leaves) {
+                    continue;
+                }
+                let (out, stay): (VecDeque<_>, VecDeque<_>) =
+                    std::mem::take(waiting).into_iter().partition(&leaves);
+                *waiting = stay;
+                taken.extend(out);
+            }
+        }
+        self.lines.retain(|_, line| !line.is_empty());
+        self.len -= taken.len();
+        taken
+    }
+
+    /// Takes out one request.
+    pub fn remove(&mut self, permit: PermitId) -> Option<Demand> {
+        self.take_if(|demand| demand.permit == permit).pop()
+    }
+
+    pub fn contains(&self, permit: PermitId) -> bool {
+        let in_line = |line: &Line| {
+            let mut waiting = line.urgent.iter().chain(&line.plain);
+            waiting.any(|demand| demand.permit == permit)
+        };
+        self.lines.values().any(in_line)
+    }
+}
--- /dev/null
+++ b/components/policy/src/retry.rs
@@ -0,0 +1,51 @@
+//! A retry budget: retries are a share of fresh requests, so that faults do not multiply load.
+
+/// A bucket of tokens, filled by fresh requests and spent by retries.
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    share: f64,
+    tokens: f64,
+}
+
+/// Retries that may be made at once after a quiet time.
+const BURST: f64 = 20.0;
+
+impl RetryBudget {
+    /// A full bucket that gains `share` of a retry for each fresh request.
+    pub fn new(share: f64) -> Self {
+        Self {
+            share,
+            tokens: BURST,
+        }
+    }
+
+    /// Counts a fresh request.
+    pub fn fresh(&mut self) {
+        self.tokens = (self.tokens + self.share).min(BURST);
+    }
+
+    /// Takes one retry, where the budget has one left.
+    pub fn take(&mut self) -> bool {
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn allows_a_share_of_fresh_requests() {
+        let mut budget = RetryBudget::new(0.1);
+        while budget.take() {}
+        for _ in 0..100 {
+            budget.fresh();
+        }
+        let taken = std::iter::repeat_with(|| budget.take()).take_while(|taken| *taken);
+        assert!((9..=10).contains(&taken.count()));
+    }
+}
--- /dev/null
+++ b/components/prelude/src/ids.rs
@@ -0,0 +1,121 @@
+//! Small `Copy` keys. A key made from a name is the same on every box, so peers can exchange it
+//! without agreeing on a numbering first.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use xxhash_rust::xxh3::xxh3_64;
+
+macro_rules! named_key {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(
+            Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+        )]
+        pub struct $name(pub u64);
+
+        impl $name {
+            /// The key of `name`: its 64-bit XXH3 hash.
+            pub fn from_name(name: &str) -> Self {
+                Self(xxh3_64(name.as_bytes()))
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{:016x}", self.0)
+            }
+        }
+    };
+}
+
+named_key!(
+    /// A back end: a model engine or a worker of a plain service.
+    TargetId
+);
+named_key!(
+    /// A client account.
+    AccountId
+);
+named_key!(
+    /// The owner an account belongs to.
+    OwnerId
+);
+named_key!(
+    /// One of the partners who share the pool.
+    PartnerId
+);
+named_key!(
+    /// A model that engines serve.
+    ModelId
+);
+named_key!(
+    /// A plain service.
+    ServiceId
+);
+named_key!(
+    /// A data centre.
+    DataCentreId
+);
+named_key!(
+    /// A region, which holds data centres that are near each other.
+    RegionId
+);
+
+/// The engines that serve one model in one region.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct PoolId {
+    /// The model.
+    pub model: ModelId,
+    /// The region.
+    pub region: RegionId,
+}
+
+/// An entry box, numbered by its settings.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct BoxId(pub u32);
+
+impl fmt::Display for BoxId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+/// One life of an entry box: the Unix time at which its process started, in milliseconds.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct BoxIncarnation(pub u64);
+
+/// One life of a target. A target that comes back has a higher incarnation.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct TargetIncarnation(pub u64);
+
+/// A target in one of its lives.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct TargetKey {
+    /// The target.
+    pub id: TargetId,
+    /// Its life.
+    pub incarnation: TargetIncarnation,
+}
+
+/// The permission to run one generation on one engine, unique among all boxes.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct PermitId {
+    /// The box that asked.
+    pub entry: BoxId,
+    /// The life of that box, shortened to its low 32 bits.
+    pub life: u32,
+    /// Counts the permits of that life.
+    pub serial: u64,
+}
--- /dev/null
+++ b/components/prelude/src/lib.rs
@@ -0,0 +1,12 @@
+//! The types that every package of shuntpier uses: keys, time, outcomes.
+
+mod ids;
+mod outcome;
+mod time;
+
+pub use ids::{
+    AccountId, BoxId, BoxIncarnation, DataCentreId, ModelId, OwnerId, PartnerId, PermitId, PoolId,
+    RegionId, ServiceId, TargetId, TargetIncarnation, TargetKey,
+};
+pub use outcome::{Refusal, RefusalReason, RunState};
+pub use time::{Clock, unix_ms};
