The whole path: entry boxes, permits, claims, streams, demo

Cause: no request was served yet. One binary now serves chat completions and plain services through entry boxes that share a pool by permits, with the settings in the platform's service and the demo around it. Nothing is measured so far.

--- a/components/callers/src/front.rs
+++ b/components/callers/src/front.rs
@@ -9,6 +9,12 @@
 /// One event of an answer, as the caller gets it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum CallerEvent {
+    /// A generation began, or was taken up again; its chunks follow. Before the first chunk this may
+    /// come again, when the generation had to be started elsewhere.
+    Began {
+        /// Prefix of the ids of the events, from which any box can resume the stream.
+        seal: String,
+    },
     /// The next chunk.
     Chunk {
         /// Counts the chunks of the answer from zero.
@@ -37,8 +43,6 @@
 
 /// An answer that is being streamed.
 pub struct OpenedStream {
-    /// Prefix of the events' ids, from which any box can resume the stream.
-    pub seal: String,
     /// The events, in order.
     pub events: mpsc::Receiver<CallerEvent>,
 }
--- a/components/callers/src/seal.rs
+++ b/components/callers/src/seal.rs
@@ -3,13 +3,13 @@
 use base64::Engine;
 use base64::engine::general_purpose::URL_SAFE_NO_PAD;
 use hmac::{Hmac, Mac};
-use prelude::{AccountId, ModelId, TargetId, TargetIncarnation, TargetKey};
+use prelude::{AccountId, BoxId, ModelId, TargetId, TargetIncarnation, TargetKey};
 use sha2::Sha256;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 
-const ADDRESS_BYTES: usize = 54;
+const ADDRESS_BYTES: usize = 58;
 const MAC_BYTES: usize = 16;
-const TOKEN_CHARS_MAX: usize = 128;
+const TOKEN_CHARS_MAX: usize = 140;
 
 /// Where a stream is. The generation is named by a UUID.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -22,6 +22,8 @@
     pub target: TargetKey,
     /// The generation.
     pub generation: u128,
+    /// The box that serves the caller, to be told when another takes over.
+    pub entry: BoxId,
     /// Where the engine listened when the stream began; IPv4 only.
     pub address: SocketAddr,
 }
@@ -39,6 +41,7 @@
         bytes[32..48].copy_from_slice(&self.generation.to_be_bytes());
         bytes[48..52].copy_from_slice(&ip.octets());
         bytes[52..54].copy_from_slice(&self.address.port().to_be_bytes());
+        bytes[54..58].copy_from_slice(&self.entry.0.to_be_bytes());
         Some(bytes)
     }
 
@@ -58,6 +61,7 @@
                 incarnation: TargetIncarnation(number(24)?),
             },
             generation,
+            entry: BoxId(u32::from_be_bytes(bytes.get(54..58)?.try_into().ok()?)),
             address: SocketAddr::from((Ipv4Addr::from(octets), port)),
         })
     }
@@ -135,6 +139,7 @@
                 incarnation: TargetIncarnation(4),
             },
             generation: 5,
+            entry: BoxId(7),
             address: SocketAddr::from(([127, 0, 0, 1], 6)),
         }
     }
--- a/components/callers/src/sse.rs
+++ b/components/callers/src/sse.rs
@@ -26,7 +26,7 @@
 
 fn pieces(opened: OpenedStream) -> impl Stream<Item = Result<Bytes, Infallible>> + Send + Sync {
     let writer = Writer {
-        seal: opened.seal,
+        seal: String::new(),
         events: opened.events,
         ready: Vec::new(),
     };
@@ -40,7 +40,10 @@
         }
         let mut piece = BytesMut::with_capacity(count * 384);
         for event in writer.ready.drain(..) {
-            write_event(&mut piece, &writer.seal, &event);
+            match event {
+                CallerEvent::Began { seal } => writer.seal = seal,
+                event => write_event(&mut piece, &writer.seal, &event),
+            }
         }
         Some((Ok(piece.freeze()), writer))
     })
@@ -56,6 +59,7 @@
         CallerEvent::Chunk { index, data } => {
             write!(piece, "id: {seal}.{index}\ndata: {data}\n\n")
         }
+        CallerEvent::Began { .. } => Ok(()),
         CallerEvent::Done => write!(piece, "data: [DONE]\n\n"),
         CallerEvent::Failed(failure) => {
             let body = ErrorBody {
--- a/components/callers/src/whole.rs
+++ b/components/callers/src/whole.rs
@@ -88,6 +88,7 @@
     };
     while let Some(event) = opened.events.recv().await {
         match event {
+            CallerEvent::Began { .. } => {}
             CallerEvent::Chunk { data, .. } => match serde_json::from_str(&data) {
                 Ok(chunk) => completion.add(chunk),
                 Err(error) => {
--- a/components/engines/src/client.rs
+++ b/components/engines/src/client.rs
@@ -2,6 +2,7 @@
 //! the caller of the engine through `X-Request-Id`; it is resumed by `GET` with `Last-Event-ID` and
 //! cancelled by `DELETE` on its completion.
 
+use crate::cache::{CacheEvent, PublishedEvent};
 use crate::load::{LoadReport, parse_load};
 use crate::stream::EngineStream;
 use bytes::Bytes;
@@ -191,6 +192,24 @@
         Ok(parse_load(&text))
     }
 
+    /// Reads an engine's cache events after `after`.
+    ///
+    /// # Errors
+    /// The HTTP library's, where the engine does not answer.
+    pub async fn cache_events(
+        &self,
+        address: SocketAddr,
+        after: u64,
+    ) -> Result<Vec<CacheEvent>, reqwest::Error> {
+        let url = format!("http://{address}/kv_events?after={after}");
+        let response = self.http.get(url).timeout(SHORT_CALL_LIMIT).send().await?;
+        let published: Vec<PublishedEvent> = response.error_for_status()?.json().await?;
+        Ok(published
+            .into_iter()
+            .flat_map(PublishedEvent::flatten)
+            .collect())
+    }
+
     /// Gives an engine an order, fenced by `fence`.
     ///
     /// # Errors
--- a/components/engines/src/lib.rs
+++ b/components/engines/src/lib.rs
@@ -1,9 +1,11 @@
 //! Client of model engines: streams, resume, cancel, load and orders.
 
+mod cache;
 mod client;
 mod load;
 mod stream;
 
+pub use cache::CacheEvent;
 pub use client::{Endpoint, EngineClient, OrderError, ResumeError, StartError};
 pub use load::{LoadReport, parse_load};
 pub use stream::{EngineEvent, EngineStream, StreamError};
--- a/components/engines/src/stream.rs
+++ b/components/engines/src/stream.rs
@@ -1,9 +1,8 @@
 //! The events of one generation, checked to come in order and from that generation only.
 
-use bytes::Bytes;
 use eventsource_stream::{EventStream, Eventsource};
 use futures::StreamExt;
-use futures::stream::BoxStream;
+use http_body_util::BodyDataStream;
 use thiserror::Error;
 use tokio::time::{Duration, timeout};
 
@@ -46,7 +45,7 @@
     },
 }
 
-type Events = EventStream<BoxStream<'static, Result<Bytes, reqwest::Error>>>;
+type Events = EventStream<BodyDataStream<reqwest::Body>>;
 
 /// An open stream from an engine.
 pub struct EngineStream {
@@ -63,8 +62,9 @@
         next_index: u64,
         silence_ms: u64,
     ) -> Self {
+        let body = http::Response::from(response).into_body();
         Self {
-            events: response.bytes_stream().boxed().eventsource(),
+            events: BodyDataStream::new(body).eventsource(),
             generation,
             next_index,
             silence_ms,
--- /dev/null
+++ b/components/node/src/inforce.rs
@@ -0,0 +1,132 @@
+//! The settings in force at this box. A branch is replaced only by one of a higher revision, so what
+//! was accepted never reverts, whatever order the news come in.
+
+use peers::SettingsValue;
+use settings::{Branch, Resolved, parse_branch};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+struct Held {
+    value: SettingsValue,
+    branch: Branch,
+}
+
+/// What became of a value that was offered.
+#[derive(Debug, PartialEq, Eq)]
+pub(crate) enum Offered {
+    /// It is in force now.
+    InForce,
+    /// The same or a later revision is in force already.
+    Old,
+    /// It is wrong; the last good one stays in force.
+    Wrong(String),
+}
+
+/// All branches that this box has.
+#[derive(Default)]
+pub(crate) struct InForce {
+    held: BTreeMap<String, Held>,
+}
+
+impl InForce {
+    /// Takes a value in, if it is of a higher revision.
+    pub fn offer(&mut self, value: &SettingsValue) -> Offered {
+        let known = self
+            .held
+            .get(&value.partner)
+            .map(|held| held.value.revision);
+        if known.is_some_and(|known| known >= value.revision) {
+            return Offered::Old;
+        }
+        let branch = match parse_branch(&value.partner, &value.text) {
+            Ok(branch) if branch.partner == value.partner => branch,
+            Ok(branch) => {
+                let said = branch.partner;
+                let key = &value.partner;
+                return Offered::Wrong(format!("the branch at `{key}` is that of `{said}`"));
+            }
+            Err(mistakes) => return Offered::Wrong(mistakes.to_string()),
+        };
+        let held = Held {
+            value: value.clone(),
+            branch,
+        };
+        self.held.insert(value.partner.clone(), held);
+        Offered::InForce
+    }
+
+    /// The settings that follow.
+    pub fn resolve(&self) -> Arc<Resolved> {
+        let branches = self
+            .held
+            .values()
+            .map(|held| (&held.branch, held.value.revision));
+        Arc::new(Resolved::from_branches(branches))
+    }
+
+    /// The revision of each branch.
+    pub fn revisions(&self) -> Vec<(String, u64)> {
+        let revision = |(partner, held): (&String, &Held)| (partner.clone(), held.value.revision);
+        self.held.iter().map(revision).collect()
+    }
+
+    /// The branches that are newer here than `revisions` say.
+    pub fn newer_than(&self, revisions: &[(String, u64)]) -> Vec<SettingsValue> {
+        let theirs: BTreeMap<&str, u64> = revisions
+            .iter()
+            .map(|(partner, revision)| (partner.as_str(), *revision))
+            .collect();
+        let newer = self.held.values().filter(|held| {
+            let known = theirs.get(held.value.partner.as_str());
+            known.is_none_or(|known| *known < held.value.revision)
+        });
+        newer.map(|held| held.value.clone()).collect()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    fn value(revision: u64, weight: u32) -> SettingsValue {
+        SettingsValue {
+            partner: "p".into(),
+            revision,
+            text: format!("partner: p\nweight: {weight}\n"),
+        }
+    }
+
+    #[test]
+    fn never_reverts() {
+        let mut in_force = InForce::default();
+        assert_eq!(in_force.offer(&value(5, 1)), Offered::InForce);
+        assert_eq!(in_force.offer(&value(4, 2)), Offered::Old);
+        assert_eq!(in_force.resolve().revisions["p"], 5);
+    }
+
+    #[test]
+    fn keeps_the_last_good_value() {
+        let mut in_force = InForce::default();
+        in_force.offer(&value(5, 1));
+        let mut wrong = value(6, 1);
+        wrong.text = "partner: [".into();
+        assert!(matches!(in_force.offer(&wrong), Offered::Wrong(_)));
+        assert_eq!(in_force.resolve().revisions["p"], 5);
+    }
+
+    #[test]
+    fn refuses_a_branch_of_another_partner() {
+        let mut in_force = InForce::default();
+        let mut foreign = value(1, 1);
+        foreign.partner = "q".into();
+        assert!(matches!(in_force.offer(&foreign), Offered::Wrong(_)));
+    }
+
+    #[test]
+    fn gives_what_the_other_lacks() {
+        let mut in_force = InForce::default();
+        in_force.offer(&value(5, 1));
+        assert_eq!(in_force.newer_than(&[("p".into(), 4)]).len(), 1);
+        assert!(in_force.newer_than(&[("p".into(), 5)]).is_empty());
+    }
+}
--- /dev/null
+++ b/components/node/src/targets.rs
@@ -0,0 +1,185 @@
+//! What a box knows of each target's lives. Words on a life are joined by their maximum: live, then
+//! leaving, then gone, never back. A target that comes back does so in a higher life.
+
+use peers::{StateOfTarget, TargetWord};
+use policy::EngineState;
+use prelude::{TargetId, TargetIncarnation, TargetKey};
+use std::collections::{HashMap, HashSet};
+
+/// Failed connections in a row after which a target is taken for dead.
+const FAILURES_MAX: u32 = 3;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Record {
+    life: TargetIncarnation,
+    leaving: Option<TargetIncarnation>,
+    gone: Option<TargetIncarnation>,
+    failures: u32,
+    own_open: u32,
+}
+
+/// All targets.
+#[derive(Debug, Default)]
+pub(crate) struct TargetTable {
+    records: HashMap<TargetId, Record>,
+    listed_leaving: HashSet<TargetId>,
+}
+
+impl TargetTable {
+    /// The target in its newest life.
+    pub fn key(&self, id: TargetId) -> TargetKey {
+        let incarnation = self
+            .records
+            .get(&id)
+            .map_or(TargetIncarnation(0), |r| r.life);
+        TargetKey { id, incarnation }
+    }
+
+    /// Whether a target takes new work.
+    pub fn state(&self, id: TargetId) -> EngineState {
+        let record = self.records.get(&id).copied().unwrap_or_default();
+        if record.gone.is_some_and(|life| life >= record.life) {
+            EngineState::Gone
+        } else if record.leaving.is_some_and(|life| life >= record.life)
+            || self.listed_leaving.contains(&id)
+        {
+            EngineState::Leaving
+        } else {
+            EngineState::Live
+        }
+    }
+
+    /// Whether one life of a target is known to be over.
+    pub fn is_gone(&self, key: TargetKey) -> bool {
+        self.records.get(&key.id).is_some_and(|record| {
+            record.gone.is_some_and(|life| life >= key.incarnation)
+                || (key.incarnation.0 > 0 && record.life > key.incarnation)
+        })
+    }
+
+    /// Notes that a target answered, in this life.
+    pub fn answered(&mut self, key: TargetKey) {
+        let record = self.records.entry(key.id).or_default();
+        record.failures = 0;
+        record.life = record.life.max(key.incarnation);
+    }
+
+    /// Notes that a target could not be reached. True where it is now to be taken for dead.
+    pub fn failed(&mut self, id: TargetId) -> bool {
+        let record = self.records.entry(id).or_default();
+        record.failures += 1;
+        record.failures == FAILURES_MAX
+    }
+
+    /// Takes a word in. True where it is new.
+    pub fn word(&mut self, word: TargetWord) -> bool {
+        let record = self.records.entry(word.target.id).or_default();
+        let life = word.target.incarnation;
+        let known = match word.state {
+            StateOfTarget::Leaving => &mut record.leaving,
+            StateOfTarget::Gone => &mut record.gone,
+        };
+        if known.is_some_and(|known| known >= life) {
+            return false;
+        }
+        *known = Some(life);
+        record.life = record.life.max(life);
+        true
+    }
+
+    /// The words that are still of use, for others.
+    pub fn words(&self) -> Vec<TargetWord> {
+        let mut words = Vec::new();
+        for (id, record) in &self.records {
+            let said = [
+                (record.leaving, StateOfTarget::Leaving),
+                (record.gone, StateOfTarget::Gone),
+            ];
+            for (life, state) in said {
+                let Some(incarnation) = life.filter(|life| *life >= record.life) else {
+                    continue;
+                };
+                let target = TargetKey {
+                    id: *id,
+                    incarnation,
+                };
+                words.push(TargetWord { target, state });
+            }
+        }
+        words
+    }
+
+    /// Takes the box list's word on which targets leave.
+    pub fn set_listed_leaving(&mut self, leaving: HashSet<TargetId>) -> bool {
+        let changed = self.listed_leaving != leaving;
+        self.listed_leaving = leaving;
+        changed
+    }
+
+    /// Counts a stream or call of this box.
+    pub fn opened(&mut self, id: TargetId) {
+        self.records.entry(id).or_default().own_open += 1;
+    }
+
+    /// Counts its end.
+    pub fn closed(&mut self, id: TargetId) {
+        let record = self.records.entry(id).or_default();
+        record.own_open = record.own_open.saturating_sub(1);
+    }
+
+    /// Streams and calls of this box.
+    pub fn own_open(&self, id: TargetId) -> u32 {
+        self.records.get(&id).map_or(0, |record| record.own_open)
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const ID: TargetId = TargetId(1);
+
+    fn word(life: u64, state: StateOfTarget) -> TargetWord {
+        TargetWord {
+            target: key(life),
+            state,
+        }
+    }
+
+    fn key(life: u64) -> TargetKey {
+        TargetKey {
+            id: ID,
+            incarnation: TargetIncarnation(life),
+        }
+    }
+
+    #[test]
+    fn never_takes_a_life_back() {
+        let mut table = TargetTable::default();
+        table.answered(key(5));
+        assert!(table.word(word(5, StateOfTarget::Gone)));
+        assert!(!table.word(word(5, StateOfTarget::Gone)));
+        table.answered(key(5));
+        table.word(word(5, StateOfTarget::Leaving));
+        assert_eq!(table.state(ID), EngineState::Gone);
+    }
+
+    #[test]
+    fn takes_a_higher_life_for_live() {
+        let mut table = TargetTable::default();
+        table.answered(key(5));
+        table.word(word(5, StateOfTarget::Gone));
+        table.answered(key(6));
+        assert_eq!(table.state(ID), EngineState::Live);
+        assert!(table.is_gone(key(5)) && !table.is_gone(key(6)));
+        assert!(table.words().is_empty());
+    }
+
+    #[test]
+    fn ignores_a_late_word_on_an_earlier_life() {
+        let mut table = TargetTable::default();
+        table.answered(key(6));
+        table.word(word(5, StateOfTarget::Gone));
+        assert_eq!(table.state(ID), EngineState::Live);
+    }
+}
--- a/components/peers/src/lib.rs
+++ b/components/peers/src/lib.rs
@@ -13,8 +13,8 @@
 pub use counted::Traffic;
 pub use messages::{
     AcquireReply, AcquireRequest, AdoptedStream, BoxCard, ClaimRequest, ClaimResult, Digest,
-    EndedStream, KeyOutcome, Notice, PermitReply, SettingsValue, StateOfTarget, StreamProgress,
-    TargetWord, UpdateReply, UpdateRequest,
+    EndedStream, KeyOutcome, Notice, OutcomeRecord, PermitReply, SettingsValue, StateOfTarget,
+    StreamProgress, TargetWord, UpdateReply, UpdateRequest,
 };
 pub use server::serve;
 pub use service::{PeerClient, PeerHandler};
--- a/components/peers/src/messages.rs
+++ b/components/peers/src/messages.rs
@@ -1,7 +1,8 @@
 //! The messages between boxes.
 
 use prelude::{
-    AccountId, BoxId, BoxIncarnation, PermitId, PoolId, Refusal, ServiceId, TargetId, TargetKey,
+    AccountId, BoxId, BoxIncarnation, DataCentreId, PermitId, PoolId, Refusal, ServiceId, TargetId,
+    TargetKey,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -38,8 +39,8 @@
 pub enum PermitReply {
     /// It may run there.
     Granted {
-        /// The engine.
-        target: TargetId,
+        /// The engine, in the life that its last report showed.
+        target: TargetKey,
     },
     /// It waits.
     Waiting {
@@ -88,13 +89,17 @@
     pub progress: Vec<StreamProgress>,
     /// Streams that ended.
     pub ended: Vec<EndedStream>,
+    /// The box that reports.
+    pub from: BoxId,
+    /// Streams that it has open in the pool.
+    pub open_streams: u32,
 }
 
 /// Answer to [`UpdateRequest`].
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpdateReply {
-    /// Permits that this dispatcher does not know: it must be told of them.
-    pub unknown: Vec<PermitId>,
+    /// Whether the dispatcher's ledger differs and must be told all open streams.
+    pub resync: bool,
 }
 
 /// An open stream, told to a new dispatcher.
@@ -117,6 +122,8 @@
     pub life: BoxIncarnation,
     /// Where its peers reach it.
     pub address: SocketAddr,
+    /// The data centre it stands in.
+    pub data_centre: DataCentreId,
     /// Whether it stops.
     pub leaving: bool,
 }
@@ -189,23 +196,36 @@
     pub life: BoxIncarnation,
     /// Unique to this try.
     pub nonce: u64,
+    /// Revision of the claim that it replaces, whose claimant said that it did not run; 0 for none.
+    pub replaces_revision: u64,
+    /// How long the claim is to be kept.
+    pub retention_ms: u64,
     /// How long the claim may wait to be recorded.
     pub wait_left_ms: u32,
 }
 
 /// What became of a claim.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ClaimResult {
     /// It is recorded: the claimant, and nobody else, may send the call.
-    Won,
+    Won {
+        /// Revision of the claim.
+        revision: u64,
+    },
     /// The key was claimed before.
     Taken {
         /// By whom.
         claimant: BoxId,
         /// In which life.
         life: BoxIncarnation,
+        /// The try that made it.
+        nonce: u64,
         /// Fingerprint of that request.
         request: u64,
+        /// Revision of that claim.
+        revision: u64,
+        /// The outcome, where it is recorded.
+        outcome: Option<KeyOutcome>,
     },
     /// It was not recorded, and will not be.
     NotRecorded,
@@ -213,6 +233,17 @@
     Unclear,
 }
 
+/// A claimant asks the writer of a claim slot to record what became of a call. It may be lost.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OutcomeRecord {
+    /// The claim, as it was made.
+    pub claim: ClaimRequest,
+    /// Revision of the claim.
+    pub revision: u64,
+    /// What became of the call.
+    pub outcome: KeyOutcome,
+}
+
 /// What a claimant knows of a call.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum KeyOutcome {
@@ -222,8 +253,8 @@
         status: u16,
         /// Type of the body.
         content_type: Option<String>,
-        /// The body.
-        body: Vec<u8>,
+        /// The body; none where it was too long to be kept.
+        body: Option<Vec<u8>>,
     },
     /// It was not sent, and will not be.
     NotRun,
--- a/components/peers/src/service.rs
+++ b/components/peers/src/service.rs
@@ -2,7 +2,7 @@
 
 use crate::messages::{
     AcquireReply, AcquireRequest, AdoptedStream, ClaimRequest, ClaimResult, Digest, KeyOutcome,
-    Notice, UpdateReply, UpdateRequest,
+    Notice, OutcomeRecord, UpdateReply, UpdateRequest,
 };
 use prelude::{BoxId, BoxIncarnation, PermitId, PoolId};
 use std::future::Future;
@@ -20,8 +20,8 @@
     /// Reports progress and ends of streams.
     async fn update(request: UpdateRequest) -> UpdateReply;
 
-    /// Tells a dispatcher of open streams.
-    async fn adopt(pool: PoolId, streams: Vec<AdoptedStream>);
+    /// Tells a dispatcher of all the streams that `from` has open in a pool.
+    async fn adopt(from: BoxId, pool: PoolId, streams: Vec<AdoptedStream>);
 
     /// Spreads a notice that `origin` began.
     async fn notice(origin: BoxId, notice: Notice);
@@ -32,8 +32,15 @@
     /// Asks the writer of a slot to record a claim.
     async fn claim(request: ClaimRequest) -> ClaimResult;
 
-    /// Asks a claimant, in a given life, what became of a call; waits up to `wait_ms`.
-    async fn outcome(life: BoxIncarnation, key: u128, wait_ms: u32) -> KeyOutcome;
+    /// Asks a claimant, in a given life, what became of the call under one claim; waits up to
+    /// `wait_ms`.
+    async fn outcome(life: BoxIncarnation, key: u128, nonce: u64, wait_ms: u32) -> KeyOutcome;
+
+    /// Asks the writer of a slot to record what became of a call.
+    async fn record_outcome(record: OutcomeRecord);
+
+    /// Says that another box now serves a generation's caller.
+    async fn taken_over(generation: u128);
 }
 
 /// What a box does on each call of [`Peer`]. `tarpc` does not say that its futures are `Send`; these
@@ -53,7 +60,12 @@
     fn update(&self, request: UpdateRequest) -> impl Future<Output = UpdateReply> + Send;
 
     /// See [`Peer::adopt`].
-    fn adopt(&self, pool: PoolId, streams: Vec<AdoptedStream>) -> impl Future<Output = ()> + Send;
+    fn adopt(
+        &self,
+        from: BoxId,
+        pool: PoolId,
+        streams: Vec<AdoptedStream>,
+    ) -> impl Future<Output = ()> + Send;
 
     /// See [`Peer::notice`].
     fn notice(&self, origin: BoxId, notice: Notice) -> impl Future<Output = ()> + Send;
@@ -69,8 +81,15 @@
         &self,
         life: BoxIncarnation,
         key: u128,
+        nonce: u64,
         wait_ms: u32,
     ) -> impl Future<Output = KeyOutcome> + Send;
+
+    /// See [`Peer::record_outcome`].
+    fn record_outcome(&self, record: OutcomeRecord) -> impl Future<Output = ()> + Send;
+
+    /// See [`Peer::taken_over`].
+    fn taken_over(&self, generation: u128) -> impl Future<Output = ()> + Send;
 }
 
 /// Answers the calls of [`Peer`] by a handler.
@@ -90,8 +109,8 @@
         self.0.update(request).await
     }
 
-    async fn adopt(self, _: Context, pool: PoolId, streams: Vec<AdoptedStream>) {
-        self.0.adopt(pool, streams).await;
+    async fn adopt(self, _: Context, from: BoxId, pool: PoolId, streams: Vec<AdoptedStream>) {
+        self.0.adopt(from, pool, streams).await;
     }
 
     async fn notice(self, _: Context, origin: BoxId, notice: Notice) {
@@ -111,8 +130,17 @@
         _: Context,
         life: BoxIncarnation,
         key: u128,
+        nonce: u64,
         wait_ms: u32,
     ) -> KeyOutcome {
-        self.0.outcome(life, key, wait_ms).await
+        self.0.outcome(life, key, nonce, wait_ms).await
+    }
+
+    async fn record_outcome(self, _: Context, record: OutcomeRecord) {
+        self.0.record_outcome(record).await;
+    }
+
+    async fn taken_over(self, _: Context, generation: u128) {
+        self.0.taken_over(generation).await;
     }
 }
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -331,6 +331,29 @@
         self.place(adopted.demand, adopted.target, generated_tokens, now_ms);
     }
 
+    /// Drops the permits of a box that are not among those it says it has.
+    pub fn keep_only(&mut self, entry: BoxId, permits: &HashSet<PermitId>) {
+        let of_box = self
+            .streams
+            .values()
+            .filter(|stream| stream.entry() == entry);
+        let extra = of_box.filter(|stream| !permits.contains(&stream.permit));
+        let extra: Vec<(PermitId, u32)> = extra
+            .map(|stream| (stream.permit, stream.generated_tokens))
+            .collect();
+        for (permit, tokens) in extra {
+            self.release(permit, tokens, End::Censored);
+        }
+    }
+
+    /// Streams of a box that hold a permit.
+    pub fn streams_of(&self, entry: BoxId) -> usize {
+        self.streams
+            .values()
+            .filter(|stream| stream.entry() == entry)
+            .count()
+    }
+
     /// Takes an engine's report in.
     pub fn report(&mut self, target: TargetId, report: EngineReport, now_ms: u64) {
         let lag_ms = self.settings.report_lag_ms;
--- a/components/settings/src/boxfile.rs
+++ b/components/settings/src/boxfile.rs
@@ -85,8 +85,14 @@
     pub resume_grace_ms: u64,
     /// Longest silence of an engine before the stream is resumed.
     pub engine_silence_ms: u64,
+    /// How long a stopping box still takes new requests, until the balancer has heard of the stop.
+    pub balancer_delay_ms: u64,
     /// Longest planned stop.
     pub stop_limit_ms: u64,
+    /// How often engines are asked for their load.
+    pub load_interval_ms: u64,
+    /// Writes of claims to the key-value service, of all boxes together.
+    pub claim_writes_per_s: u32,
 }
 
 impl Default for LimitSettings {
@@ -97,7 +103,10 @@
             header_time_ms: 10_000,
             resume_grace_ms: 5_000,
             engine_silence_ms: 10_000,
+            balancer_delay_ms: 2_000,
             stop_limit_ms: 600_000,
+            load_interval_ms: 200,
+            claim_writes_per_s: 60,
         }
     }
 }
--- a/components/settings/src/branch.rs
+++ b/components/settings/src/branch.rs
@@ -166,6 +166,9 @@
     /// Whether the target itself refuses an order with an old fence.
     #[serde(default)]
     pub checks_fences: bool,
+    /// Whether it is to take no new work. It is then also ordered to leave.
+    #[serde(default)]
+    pub leave: bool,
 }
 
 /// A plain service.
--- a/components/settings/src/resolve.rs
+++ b/components/settings/src/resolve.rs
@@ -68,6 +68,10 @@
     pub kv_capacity_tokens: u64,
     /// Whether it refuses old fences itself.
     pub checks_fences: bool,
+    /// Whether it is to take no new work.
+    pub leave: bool,
+    /// Revision of the branch that says so: the fence of orders that follow from it.
+    pub revision: u64,
 }
 
 /// A model and how its pool is run.
@@ -124,7 +128,7 @@
             resolved.revisions.insert(branch.partner.clone(), revision);
             resolved.add_accounts(branch);
             resolved.add_models(branch);
-            resolved.add_targets(branch);
+            resolved.add_targets(branch, revision);
             resolved.add_services(branch);
         }
         resolved
@@ -203,7 +207,7 @@
         }
     }
 
-    fn add_targets(&mut self, branch: &Branch) {
+    fn add_targets(&mut self, branch: &Branch, revision: u64) {
         for (name, target) in &branch.targets {
             let id = TargetId::from_name(name);
             let models = target.models.iter().map(|model| ModelId::from_name(model));
@@ -217,6 +221,8 @@
                 models: models.collect(),
                 kv_capacity_tokens: target.kv_capacity_tokens,
                 checks_fences: target.checks_fences,
+                leave: target.leave,
+                revision,
             };
             self.targets.entry(id).or_insert(resolved);
         }
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,47 @@
+//! A file for each subcommand.
+
+pub mod burn;
+pub mod check;
+pub mod demo;
+pub mod serve;
+pub mod settings;
+pub mod standins;
+pub mod targets;
+
+use miette::{IntoDiagnostic, WrapErr};
+use serde::de::DeserializeOwned;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+use tokio::runtime::Runtime;
+
+const BOX_ANSWER_LIMIT: Duration = Duration::from_secs(3);
+
+/// Reads a file, or says which could not be read.
+fn read_file(path: &Path) -> miette::Result<String> {
+    std::fs::read_to_string(path)
+        .into_diagnostic()
+        .wrap_err_with(|| format!("cannot read {}", path.display()))
+}
+
+fn runtime() -> miette::Result<Runtime> {
+    Runtime::new()
+        .into_diagnostic()
+        .wrap_err("cannot start the runtime")
+}
+
+/// Asks a box for a JSON page of its operators' address.
+async fn ask_box<T: DeserializeOwned>(address: SocketAddr, page: &str) -> Result<T, String> {
+    let client = reqwest::Client::builder()
+        .timeout(BOX_ANSWER_LIMIT)
+        .no_proxy()
+        .build()
+        .map_err(|error| error.to_string())?;
+    let answer = client
+        .get(format!("http://{address}/{page}"))
+        .send()
+        .await
+        .and_then(reqwest::Response::error_for_status)
+        .map_err(|error| error.to_string())?;
+    answer.json().await.map_err(|error| error.to_string())
+}
--- /dev/null
+++ b/src/cmd/serve.rs
@@ -0,0 +1,49 @@
+//! `serve`: one entry box as a plain process.
+
+use crate::cli::ServeOptions;
+use crate::cmd::{read_file, runtime};
+use crate::logs::logger;
+use miette::{IntoDiagnostic, WrapErr};
+use node::Node;
+use settings::parse_box_file;
+use std::process::ExitCode;
+use tokio::signal::unix::{Signal, SignalKind, signal};
+
+/// Runs the box until it is stopped: by plan at the first SIGTERM or SIGINT, at once at the second.
+pub fn run(options: &ServeOptions) -> miette::Result<ExitCode> {
+    let name = options.settings.display().to_string();
+    let text = read_file(&options.settings)?;
+    let file = parse_box_file(&name, &text).map_err(|mistakes| miette::Report::new(*mistakes))?;
+    operators::install_metrics()
+        .into_diagnostic()
+        .wrap_err("cannot start metrics")?;
+    let log = logger(options.log_format);
+    runtime()?.block_on(async move {
+        let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
+        let mut interrupt = signal(SignalKind::interrupt()).into_diagnostic()?;
+        let (node, addresses) = node::start(file, log.clone())
+            .await
+            .into_diagnostic()
+            .wrap_err("the box cannot start")?;
+        println!(
+            "callers {} peers {} operators {}",
+            addresses.callers, addresses.peers, addresses.operators
+        );
+        next_signal(&mut terminate, &mut interrupt).await;
+        Ok(stop(&node, &mut terminate, &mut interrupt).await)
+    })
+}
+
+async fn next_signal(terminate: &mut Signal, interrupt: &mut Signal) {
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+}
+
+async fn stop(node: &Node, terminate: &mut Signal, interrupt: &mut Signal) -> ExitCode {
+    tokio::select! {
+        () = node.stop() => ExitCode::SUCCESS,
+        () = next_signal(terminate, interrupt) => ExitCode::FAILURE,
+    }
+}
--- /dev/null
+++ b/src/cmd/targets.rs
@@ -0,0 +1,63 @@
+//! `targets`: what the boxes see of targets, and what the dispatchers know of their pools.
+
+use crate::cli::ReportOptions;
+use crate::cmd::{ask_box, runtime};
+use operators::NodeView;
+use std::process::ExitCode;
+
+/// Prints a table, or JSON.
+pub fn run(options: &ReportOptions) -> miette::Result<ExitCode> {
+    runtime()?.block_on(async {
+        let mut views = Vec::new();
+        for address in &options.boxes {
+            match ask_box::<NodeView>(*address, "node").await {
+                Ok(view) => views.push(view),
+                Err(error) => eprintln!("box at {address}: {error}"),
+            }
+        }
+        if options.json {
+            println!(
+                "{}",
+                serde_json::to_string_pretty(&views).unwrap_or_default()
+            );
+        } else {
+            views.iter().for_each(print_view);
+        }
+        Ok(match views.len() == options.boxes.len() {
+            true => ExitCode::SUCCESS,
+            false => ExitCode::FAILURE,
+        })
+    })
+}
+
+fn print_view(view: &NodeView) {
+    println!("box {}: {} open streams", view.id, view.open_streams);
+    for target in &view.targets {
+        let life = target.incarnation;
+        println!(
+            "  {:24} {:8} own {:5} life {life}",
+            target.name, target.state, target.own_open
+        );
+    }
+    for (model, pool) in &view.pools {
+        println!(
+            "  dispatches {model}: {} waiting, margin {:.2}, {:.1} grants/s",
+            pool.waiting, pool.margin, pool.grants_per_s
+        );
+        for engine in &pool.engines {
+            let id = engine.target.0.to_string();
+            let name = view.target_names.get(&id).cloned().unwrap_or(id);
+            println!(
+                "    {name:24} ledger {:7} reported {:7} of {:7} tokens, foreign {:6}, \
+                 running {:4}, waiting {:3}, preemptions {:4}",
+                engine.ledger_tokens,
+                engine.reported_tokens,
+                engine.capacity_tokens,
+                engine.foreign_tokens,
+                engine.reported_running,
+                engine.reported_waiting,
+                engine.preemptions
+            );
+        }
+    }
+}
