Stand-ins send without delay and name unnamed generations apart

Nagle's algorithm in the stand-in delayed each first token by the peer's delayed acknowledgement; and generations without a name were named by the millisecond, so that many shared one. Both were faults of the stand-in, not of the box.

--- a/components/standins/src/boxlist.rs
+++ b/components/standins/src/boxlist.rs
@@ -1,12 +1,11 @@
 //! A stand-in box list: Prometheus' HTTP service-discovery JSON, shown with a lag.
 
-use crate::host::{Host, HostError};
+use crate::host::{Host, HostError, listen};
 use prelude::unix_ms;
 use serde::Serialize;
 use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, PoisonError};
-use tokio::net::TcpListener;
 use warp::Filter;
 
 /// One box in the list, as service discovery writes it.
@@ -66,7 +65,7 @@
         let versions = Versions::default();
         let shown = versions.clone();
         let (host, made) = Host::start("standin-boxes", move || async move {
-            let listener = TcpListener::bind(address).await?;
+            let listener = listen(address)?;
             let address = listener.local_addr()?;
             let list = warp::any().map(move || {
                 let before_ms = unix_ms().saturating_sub(lag_ms);
--- a/components/standins/src/engine/server.rs
+++ b/components/standins/src/engine/server.rs
@@ -4,7 +4,7 @@
 use super::core::{Core, Sequence};
 use super::outputs::Outputs;
 use super::request::ChatBody;
-use crate::host::{Host, HostError};
+use crate::host::{Host, HostError, listen};
 use prelude::unix_ms;
 use serde::{Deserialize, Serialize};
 use std::collections::VecDeque;
@@ -12,7 +12,6 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
-use tokio::net::TcpListener;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep_until};
 
@@ -102,6 +101,7 @@
     pub link_epoch: AtomicU64,
     pub fence: AtomicU64,
     pub steps: AtomicU64,
+    pub unnamed: AtomicU64,
 }
 
 /// What is guarded by the lock.
@@ -145,6 +145,11 @@
         self.wake.notify_one();
     }
 
+    /// A name for a generation that came without one.
+    pub fn next_name(&self) -> String {
+        format!("unnamed-{}", self.unnamed.fetch_add(1, Ordering::Relaxed))
+    }
+
     pub fn cancel(&self, generation: &str) {
         let mut inner = self.lock();
         inner.core.remove(generation);
@@ -244,7 +249,7 @@
     /// [`HostError`], also where the address is taken.
     pub fn start(settings: EngineSettings) -> Result<Self, HostError> {
         let (host, made) = Host::start("standin-engine", || async move {
-            let listener = TcpListener::bind(settings.address).await?;
+            let listener = listen(settings.address)?;
             let address = listener.local_addr()?;
             let state = Arc::new(State {
                 settings,
@@ -256,6 +261,7 @@
                 link_epoch: AtomicU64::new(0),
                 fence: AtomicU64::new(0),
                 steps: AtomicU64::new(0),
+                unnamed: AtomicU64::new(0),
             });
             tokio::spawn(run_steps(state.clone()));
             tokio::spawn(api::serve(state.clone(), listener));
--- a/components/standins/src/host.rs
+++ b/components/standins/src/host.rs
@@ -3,10 +3,12 @@
 
 use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
 use std::sync::mpsc as sync_mpsc;
 use std::thread;
 use std::time::Duration;
 use thiserror::Error;
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::runtime::{Builder, Handle};
 use tokio::sync::oneshot;
 
@@ -21,6 +23,22 @@
     EndedEarly,
 }
 
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 4096;
+
+/// Listens on `address`. Linux hands the no-delay option on to accepted links; without it each first
+/// token would come 40 ms late.
+pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.set_reuseaddr(true)?;
+    socket.set_nodelay(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
 /// A runtime in a thread of its own.
 pub struct Host {
     handle: Handle,
--- a/components/standins/src/service.rs
+++ b/components/standins/src/service.rs
@@ -1,6 +1,6 @@
 //! A stand-in plain service, such as a ledger, whose calls may not be repeated. It records each run.
 
-use crate::host::{Host, HostError};
+use crate::host::{Host, HostError, listen};
 use bytes::Bytes;
 use prelude::unix_ms;
 use serde::Serialize;
@@ -58,7 +58,7 @@
         state.started_ms.store(unix_ms(), Ordering::Relaxed);
         let shared = state.clone();
         let (host, made) = Host::start("standin-service", move || async move {
-            let listener = TcpListener::bind(address).await?;
+            let listener = listen(address)?;
             let address = listener.local_addr()?;
             tokio::spawn(serve(shared, listener));
             Ok::<_, std::io::Error>(address)
--- a/components/standins/src/store/server.rs
+++ b/components/standins/src/store/server.rs
@@ -3,11 +3,10 @@
 use super::api;
 use super::data::Data;
 use super::messages::{Base64, Number};
-use crate::host::{Host, HostError};
+use crate::host::{Host, HostError, listen};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
-use tokio::net::TcpListener;
 use tokio::sync::Notify;
 
 /// Faults that can be switched on while the store runs, and counts of its calls.
@@ -64,7 +63,7 @@
         let state = Arc::new(State::default());
         let shared = state.clone();
         let (host, made) = Host::start("standin-store", move || async move {
-            let listener = TcpListener::bind(address).await?;
+            let listener = listen(address)?;
             let address = listener.local_addr()?;
             tokio::spawn(api::serve(shared, listener));
             Ok::<_, std::io::Error>(address)
