bench placement; permits wait at the dispatcher; compact reports

Cause: nothing showed whether the decisions are worth having. `bench placement` runs every policy on the same arrivals over the real path. Ruled out: progress reports (about 2 KB/s); the cause was that a waiting request asked again every 400 ms. It now waits at the dispatcher, whose life shows in its answers to reports.

--- a/components/bench/src/main.rs
+++ b/components/bench/src/main.rs
@@ -1,6 +1,7 @@
 //! Measures: the path, the decisions, the promises under faults, spread and capacity.
 
 mod path;
+mod placement;
 mod process;
 mod roles;
 mod stats;
@@ -16,6 +17,10 @@
     /// What an entry box adds to a stream, against a direct link and a bare relay
     Path(#[bpaf(external(path::options))] path::Options),
 
+    #[bpaf(command("placement"))]
+    /// Which target, when to wait, when to refuse: every policy on the same arrivals
+    Placement(#[bpaf(external(placement::options))] placement::Options),
+
     #[bpaf(command("role"), hide)]
     Role(#[bpaf(external(roles::role))] roles::Role),
 }
@@ -23,6 +28,7 @@
 fn main() -> miette::Result<ExitCode> {
     match command().run() {
         Command::Path(options) => path::run(&options),
+        Command::Placement(options) => placement::run(&options),
         Command::Role(role) => roles::run(&role),
     }
 }
--- a/components/node/src/desk.rs
+++ b/components/node/src/desk.rs
@@ -2,7 +2,7 @@
 //! the dispatcher, and the local view by which the baselines place.
 
 use crate::shared::lock;
-use peers::{AcquireRequest, AdoptedStream, EndedStream, StreamProgress, UpdateRequest};
+use peers::{AcquireRequest, AdoptedStream, BoxCard, EndedStream, StreamProgress, UpdateRequest};
 use policy::{EngineState, LocalPool, PolicyKind, PoolSettings, RetryBudget, Verdict};
 use prelude::{BoxId, PermitId, PoolId, TargetId, TargetKey};
 use std::collections::HashMap;
@@ -30,6 +30,8 @@
     retries: RetryBudget,
     used_ms: u64,
     fallback_until_ms: u64,
+    /// Requests that wait for the dispatcher's word.
+    asking: u32,
 }
 
 /// One pool, as the entry side of a box sees it.
@@ -38,6 +40,8 @@
     inner: Mutex<Inner>,
     /// Woken when streams have ended.
     pub ended: Notify,
+    /// Woken when the dispatcher has become silent.
+    pub silent: Notify,
 }
 
 /// What is to be told to a dispatcher.
@@ -60,11 +64,13 @@
             retries: RetryBudget::new(settings.retry_share),
             used_ms: 0,
             fallback_until_ms: 0,
+            asking: 0,
         };
         Self {
             pool,
             inner: Mutex::new(inner),
             ended: Notify::new(),
+            silent: Notify::new(),
         }
     }
 
@@ -99,6 +105,13 @@
         places_locally && in_use
     }
 
+    /// Counts a request that waits for the dispatcher's word, until the guard is dropped. While there
+    /// are any, the dispatcher is reported to, and so known to be alive.
+    pub fn asks(self: &Arc<Self>) -> Asking {
+        lock(&self.inner).asking += 1;
+        Asking { desk: self.clone() }
+    }
+
     pub fn fresh_request(&self) {
         lock(&self.inner).retries.fresh();
     }
@@ -185,7 +198,7 @@
         inner.local.closed(permit.target.id);
         if inner.policy.uses_dispatcher() {
             inner.ended.push(EndedStream {
-                permit: permit.id,
+                serial: permit.id.serial,
                 tokens: permit.tokens.load(Ordering::Relaxed),
                 finished: permit.finished,
             });
@@ -195,7 +208,12 @@
     }
 
     /// What `dispatcher` is to be told now, if anything.
-    pub fn report_to(&self, dispatcher: BoxId, own: BoxId, with_progress: bool) -> Option<Report> {
+    pub fn report_to(
+        &self,
+        dispatcher: BoxId,
+        own: &BoxCard,
+        with_progress: bool,
+    ) -> Option<Report> {
         let mut inner = lock(&self.inner);
         if !inner.policy.uses_dispatcher() {
             inner.ended.clear();
@@ -211,7 +229,7 @@
             true => progress(&mut inner),
             false => Vec::new(),
         };
-        let quiet = inner.open.is_empty() && ended.is_empty();
+        let quiet = inner.open.is_empty() && ended.is_empty() && inner.asking == 0;
         if quiet || (!with_progress && ended.is_empty()) {
             return None;
         }
@@ -219,7 +237,8 @@
             pool: self.pool,
             progress,
             ended,
-            from: own,
+            from: own.id,
+            life: own.life.0 as u32,
             open_streams: inner.open.len() as u32,
         }))
     }
@@ -238,7 +257,7 @@
         if first || tokens >= open.told_tokens + PROGRESS_TOKENS {
             open.told_tokens = tokens;
             progress.push(StreamProgress {
-                permit: *permit,
+                serial: permit.serial,
                 tokens,
             });
         }
@@ -259,6 +278,17 @@
     streams
 }
 
+/// A request that waits for the dispatcher's word.
+pub(crate) struct Asking {
+    desk: Arc<Desk>,
+}
+
+impl Drop for Asking {
+    fn drop(&mut self) {
+        lock(&self.desk.inner).asking -= 1;
+    }
+}
+
 /// The permission to run one generation. Dropping it gives it back.
 pub(crate) struct Permit {
     pub id: PermitId,
--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -4,7 +4,7 @@
 use crate::poller::{Polled, poll_engine};
 use crate::shared::{Shared, lock};
 use engines::LoadReport;
-use peers::{AcquireReply, AcquireRequest, AdoptedStream, PermitReply, UpdateReply, UpdateRequest};
+use peers::{AcquireRequest, AdoptedStream, PermitReply, UpdateReply, UpdateRequest};
 use policy::{
     Adopted, Demand, End, EngineInfo, EngineReport, LengthClass, Pool, PoolSettings, PoolView,
     Share, Submitted, Verdict,
@@ -239,17 +239,24 @@
         self.used_ms = now_ms;
         let update = message.0;
         let mut resync = false;
+        let permit_of = |serial| PermitId {
+            entry: update.from,
+            life: update.life,
+            serial,
+        };
         for stream in &update.progress {
-            resync |= !self.pool.progress(stream.permit, stream.tokens, now_ms);
+            let permit = permit_of(stream.serial);
+            resync |= !self.pool.progress(permit, stream.tokens, now_ms);
         }
         for stream in &update.ended {
+            let permit = permit_of(stream.serial);
             let end = if stream.finished {
                 End::Finished
             } else {
                 End::Censored
             };
-            self.pool.release(stream.permit, stream.tokens, end);
-            self.decided.remove(&stream.permit);
+            self.pool.release(permit, stream.tokens, end);
+            self.decided.remove(&permit);
         }
         let known = self.pool.streams_of(update.from);
         let mismatches = self.mismatches.entry(update.from).or_default();
@@ -366,22 +373,18 @@
     shared: &Arc<Shared>,
     request: AcquireRequest,
     wait: Duration,
-) -> AcquireReply {
+) -> PermitReply {
     let address = dispatcher(shared, request.pool);
     let stopped = PermitReply::Refused(Refusal {
         reason: RefusalReason::Stopping,
         retry_after_ms: Some(0),
     });
-    let permit = match address.send(Acquire(request)).await {
+    match address.send(Acquire(request)).await {
         Err(_) => stopped,
         Ok(Word::Now(reply)) => reply,
         Ok(Word::Later(decided, place)) => match tokio::time::timeout(wait, decided).await {
             Ok(Ok(reply)) => reply,
             Ok(Err(_)) | Err(_) => PermitReply::Waiting { place },
         },
-    };
-    AcquireReply {
-        permit,
-        life: shared.card.life,
     }
 }
--- a/components/node/src/permits.rs
+++ b/components/node/src/permits.rs
@@ -5,7 +5,7 @@
 use crate::desk::{Desk, Permit, Report};
 use crate::dispatch::{Adopt, Update, Withdraw, acquire_here, dispatcher};
 use crate::shared::{Shared, lock};
-use peers::{AcquireReply, AcquireRequest, PeerError, PermitReply, UpdateReply};
+use peers::{AcquireRequest, PeerError, PermitReply, UpdateReply};
 use policy::{Verdict, winner};
 use prelude::{BoxId, PermitId, PoolId, Refusal, RefusalReason, TargetKey};
 use std::sync::Arc;
@@ -14,8 +14,8 @@
 
 /// How long a dispatcher may hold back its first word.
 const FIRST_WAIT_MS: u32 = 80;
-/// How long it may hold back a later one.
-const LATER_WAIT_MS: u32 = 400;
+/// How long it may hold back a later one. That it is alive shows in its answers to reports.
+const LATER_WAIT_MS: u32 = 4_000;
 /// Time beyond that after which it is taken for silent.
 const REPLY_SLACK_MS: u32 = 120;
 /// Dispatchers that are tried before the local view is used.
@@ -76,28 +76,24 @@
         let mut asked = request;
         asked.wait_left_ms = (deadline_ms - now_ms) as u32;
         let guard = WithdrawOnDrop::new(shared, holder, &request);
-        let reply = ask(shared, holder, asked, wait_ms).await;
+        let asking = desk.asks();
+        let reply = tokio::select! {
+            reply = ask(shared, holder, asked, wait_ms) => reply,
+            () = silent_holder(shared, desk, holder) => Err(PeerError::NotKnown(holder)),
+        };
+        drop(asking);
         match reply {
-            Ok(AcquireReply {
-                permit: PermitReply::Granted { target },
-                ..
-            }) => {
+            Ok(PermitReply::Granted { target }) => {
                 guard.disarm();
                 return Ok(desk.open(request, target, 0, false));
             }
-            Ok(AcquireReply {
-                permit: PermitReply::Refused(refusal),
-                ..
-            }) => {
+            Ok(PermitReply::Refused(refusal)) => {
                 guard.disarm();
                 return Err(refusal);
             }
-            Ok(AcquireReply {
-                permit: PermitReply::Waiting { .. },
-                ..
-            }) => {
+            Ok(PermitReply::Waiting { .. }) => {
                 guard.disarm();
-                wait_ms = LATER_WAIT_MS;
+                wait_ms = LATER_WAIT_MS.min(asked.wait_left_ms);
             }
             Err(error) => {
                 // The guard takes the request back, should the dispatcher have it.
@@ -111,12 +107,22 @@
     }
 }
 
+/// Resolves when `holder` is no longer the box to wait for.
+async fn silent_holder(shared: &Arc<Shared>, desk: &Arc<Desk>, holder: BoxId) {
+    loop {
+        desk.silent.notified().await;
+        if dispatcher_of(shared, desk.pool) != Some(holder) {
+            return;
+        }
+    }
+}
+
 async fn ask(
     shared: &Arc<Shared>,
     holder: BoxId,
     request: AcquireRequest,
     wait_ms: u32,
-) -> Result<AcquireReply, PeerError> {
+) -> Result<PermitReply, PeerError> {
     if holder == shared.card.id {
         let wait = Duration::from_millis(u64::from(wait_ms));
         return Ok(acquire_here(shared, request, wait).await);
@@ -244,7 +250,7 @@
         let Some(holder) = dispatcher_of(&shared, desk.pool) else {
             continue;
         };
-        let Some(report) = desk.report_to(holder, shared.card.id, with_progress) else {
+        let Some(report) = desk.report_to(holder, &shared.card, with_progress) else {
             continue;
         };
         match tell(&shared, holder, desk.pool, report).await {
@@ -253,6 +259,7 @@
             Err(_) => {
                 shared.suspect(holder);
                 desk.resync();
+                desk.silent.notify_waiters();
             }
         }
     }
--- a/components/peers/src/lib.rs
+++ b/components/peers/src/lib.rs
@@ -12,9 +12,9 @@
 pub use client::{PeerClients, PeerError};
 pub use counted::Traffic;
 pub use messages::{
-    AcquireReply, AcquireRequest, AdoptedStream, BoxCard, ClaimRequest, ClaimResult, Digest,
-    EndedStream, KeyOutcome, Notice, OutcomeRecord, PermitReply, SettingsValue, StateOfTarget,
-    StreamProgress, TargetWord, UpdateReply, UpdateRequest,
+    AcquireRequest, AdoptedStream, BoxCard, ClaimRequest, ClaimResult, Digest, EndedStream,
+    KeyOutcome, Notice, OutcomeRecord, PermitReply, SettingsValue, StateOfTarget, StreamProgress,
+    TargetWord, UpdateReply, UpdateRequest,
 };
 pub use server::serve;
 pub use service::{PeerClient, PeerHandler};
--- a/components/peers/src/messages.rs
+++ b/components/peers/src/messages.rs
@@ -51,20 +51,11 @@
     Refused(Refusal),
 }
 
-/// Answer to [`AcquireRequest`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct AcquireReply {
-    /// The word.
-    pub permit: PermitReply,
-    /// The dispatcher's life; when it changes, it must be told of open streams.
-    pub life: BoxIncarnation,
-}
-
 /// How far a stream has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamProgress {
-    /// Its permit.
-    pub permit: PermitId,
+    /// Serial number of its permit.
+    pub serial: u64,
     /// Tokens generated.
     pub tokens: u32,
 }
@@ -72,8 +63,8 @@
 /// A stream that ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndedStream {
-    /// Its permit.
-    pub permit: PermitId,
+    /// Serial number of its permit.
+    pub serial: u64,
     /// Tokens generated.
     pub tokens: u32,
     /// Whether the model ended it.
@@ -91,6 +82,8 @@
     pub ended: Vec<EndedStream>,
     /// The box that reports.
     pub from: BoxId,
+    /// Its life, as its permits carry it.
+    pub life: u32,
     /// Streams that it has open in the pool.
     pub open_streams: u32,
 }
--- a/components/peers/src/service.rs
+++ b/components/peers/src/service.rs
@@ -1,8 +1,8 @@
 //! The calls between boxes.
 
 use crate::messages::{
-    AcquireReply, AcquireRequest, AdoptedStream, ClaimRequest, ClaimResult, Digest, KeyOutcome,
-    Notice, OutcomeRecord, UpdateReply, UpdateRequest,
+    AcquireRequest, AdoptedStream, ClaimRequest, ClaimResult, Digest, KeyOutcome, Notice,
+    OutcomeRecord, PermitReply, UpdateReply, UpdateRequest,
 };
 use prelude::{BoxId, BoxIncarnation, PermitId, PoolId};
 use std::future::Future;
@@ -12,7 +12,7 @@
 #[tarpc::service]
 pub trait Peer {
     /// Asks for a permit; waits up to `wait_ms` for a decision.
-    async fn acquire(request: AcquireRequest, wait_ms: u32) -> AcquireReply;
+    async fn acquire(request: AcquireRequest, wait_ms: u32) -> PermitReply;
 
     /// Takes back a request for a permit.
     async fn withdraw(pool: PoolId, permit: PermitId);
@@ -51,7 +51,7 @@
         &self,
         request: AcquireRequest,
         wait_ms: u32,
-    ) -> impl Future<Output = AcquireReply> + Send;
+    ) -> impl Future<Output = PermitReply> + Send;
 
     /// See [`Peer::withdraw`].
     fn withdraw(&self, pool: PoolId, permit: PermitId) -> impl Future<Output = ()> + Send;
@@ -97,7 +97,7 @@
 pub(crate) struct PeerServer<H>(pub H);
 
 impl<H: PeerHandler> Peer for PeerServer<H> {
-    async fn acquire(self, _: Context, request: AcquireRequest, wait_ms: u32) -> AcquireReply {
+    async fn acquire(self, _: Context, request: AcquireRequest, wait_ms: u32) -> PermitReply {
         self.0.acquire(request, wait_ms).await
     }
 
