--- a/components/standins/src/lib.rs
+++ b/components/standins/src/lib.rs
@@ -4,11 +4,13 @@
 mod boxlist;
 mod engine;
 mod host;
+mod link;
 mod service;
 mod store;
 
 pub use boxlist::{BoxEntry, BoxList};
 pub use engine::{EngineSettings, StandinEngine, StartRecord, token_text};
 pub use host::{Host, HostError};
+pub use link::Link;
 pub use service::{ServiceRun, StandinService};
 pub use store::{StandinStore, StoreFaults};
