bench faults: histories of concurrent runs under faults, a checker for each promise

Cause: the promises were shown by single tests only. A finding on the way: a chat whose first engine did not answer, and which no other engine then took, was refused as *not run* though the first may have begun it. It is now *incomplete*. The stand-in engine no longer refuses new work when it leaves, so that the check on it can fail.

--- a/components/bench/src/main.rs
+++ b/components/bench/src/main.rs
@@ -1,5 +1,6 @@
 //! Measures: the path, the decisions, the promises under faults, spread and capacity.
 
+mod faults;
 mod path;
 mod placement;
 mod process;
@@ -21,6 +22,10 @@
     /// Which target, when to wait, when to refuse: every policy on the same arrivals
     Placement(#[bpaf(external(placement::options))] placement::Options),
 
+    #[bpaf(command("faults"))]
+    /// The promises under faults drawn at random, checked by histories
+    Faults(#[bpaf(external(faults::options))] faults::Options),
+
     #[bpaf(command("role"), hide)]
     Role(#[bpaf(external(roles::role))] roles::Role),
 }
@@ -29,6 +34,7 @@
     match command().run() {
         Command::Path(options) => path::run(&options),
         Command::Placement(options) => placement::run(&options),
+        Command::Faults(options) => faults::run(&options),
         Command::Role(role) => roles::run(&role),
     }
 }
--- a/components/bench/src/stats.rs
+++ b/components/bench/src/stats.rs
@@ -22,20 +22,10 @@
         self.0.saturating_record(us.max(1));
     }
 
-    /// Adds all the times of another.
-    pub fn add_all(&mut self, other: &Times) {
-        self.0.add(&other.0).expect("the bounds are the same");
-    }
-
     /// A percentile in milliseconds.
     pub fn ms(&self, percentile: f64) -> f64 {
         self.0.value_at_percentile(percentile) as f64 / 1000.0
     }
-
-    /// How many times there are.
-    pub fn count(&self) -> u64 {
-        self.0.len()
-    }
 }
 
 /// Prints the fields of a JSON object, a line each.
--- a/components/node/src/calls.rs
+++ b/components/node/src/calls.rs
@@ -7,9 +7,7 @@
 use callers::{ServiceAnswer, ServiceCall};
 use peers::{ClaimRequest, ClaimResult, KeyOutcome, OutcomeRecord, PeerError};
 use policy::EngineState;
-use prelude::{
-    AccountId, BoxId, BoxIncarnation, Refusal, RefusalReason, ServiceId, TargetId, unix_ms,
-};
+use prelude::{AccountId, BoxId, BoxIncarnation, Refusal, RefusalReason, ServiceId, TargetId};
 use rand::Rng;
 use services::{CallError, KeyAge, ServiceRequest, ServiceResponse, fingerprint, key_age};
 use settings::{ResolvedAccount, ResolvedService};
@@ -53,7 +51,7 @@
                 "calls of this service may not be repeated: send an `Idempotency-Key`".into(),
             );
         };
-        if key_age(&key, unix_ms(), service.key_retention_ms) == KeyAge::Expired {
+        if key_age(&key, shared.clock.unix_ms(), service.key_retention_ms) == KeyAge::Expired {
             return refused(RefusalReason::KeyExpired, None);
         }
         call_once(shared, &account, service, &key, call, deadline_ms).await
--- a/components/node/src/chat.rs
+++ b/components/node/src/chat.rs
@@ -8,10 +8,10 @@
 use crate::spread::spread_target;
 use crate::timing::Timing;
 use bytes::Bytes;
-use callers::{CallerEvent, ChatAnswer, ChatRequest, OpenedStream, StreamAddress};
+use callers::{CallerEvent, ChatAnswer, ChatRequest, OpenedStream, StreamAddress, StreamFailure};
 use engines::{Endpoint, EngineStream, StartError};
 use peers::{AcquireRequest, StateOfTarget, TargetWord};
-use prelude::{AccountId, ModelId, PermitId, PoolId, Refusal, RefusalReason, TargetId};
+use prelude::{AccountId, ModelId, PermitId, PoolId, Refusal, RefusalReason, RunState, TargetId};
 use serde_json::{Value, json};
 use settings::ResolvedAccount;
 use std::sync::Arc;
@@ -44,10 +44,22 @@
 
 /// Why a request did not start.
 pub(crate) enum NotStarted {
+    /// No engine was sent it.
     Refused(Refusal),
+    /// An engine may have begun it; nothing of its answer was delivered.
+    MayHaveBegun(Refusal),
     Invalid(String),
 }
 
+impl NotStarted {
+    fn refused(refusal: Refusal, may_have_begun: bool) -> Self {
+        match may_have_begun {
+            true => Self::MayHaveBegun(refusal),
+            false => Self::Refused(refusal),
+        }
+    }
+}
+
 /// The desk of a pool, made with the first request for it.
 pub(crate) fn desk_of(shared: &Arc<Shared>, pool: PoolId) -> Arc<Desk> {
     let mut desks = lock(&shared.desks);
@@ -96,6 +108,10 @@
         match begin(shared, &desk, &wanted, None).await {
             Err(NotStarted::Refused(refusal)) => refuse(refusal),
             Err(NotStarted::Invalid(message)) => ChatAnswer::Invalid(message),
+            Err(NotStarted::MayHaveBegun(refusal)) => {
+                shared.record(&timing.sample(None, false, true), &account);
+                ChatAnswer::Lost(lost_before_first(refusal))
+            }
             Ok(started) => {
                 let run = Run {
                     shared: shared.clone(),
@@ -112,6 +128,17 @@
     }
 }
 
+/// An engine was lost before the first chunk, and no other took the request.
+pub(crate) fn lost_before_first(refusal: Refusal) -> StreamFailure {
+    let reason = refusal.reason.as_str();
+    StreamFailure {
+        run: RunState::Incomplete,
+        message: format!("the engine was lost, and no other took the request: {reason}"),
+        delivered: 0,
+        retry_after_ms: refusal.retry_after_ms,
+    }
+}
+
 fn reason_of(refusal: Refusal) -> &'static str {
     refusal.reason.as_str()
 }
@@ -178,12 +205,14 @@
     wanted: &Wanted,
     mut avoid: Option<TargetId>,
 ) -> Result<Started, NotStarted> {
+    let mut may_have_begun = false;
     for start in 0..STARTS_MAX {
         if start > 0 && !desk.take_retry() {
-            return Err(NotStarted::Refused(Refusal {
+            let spent = Refusal {
                 reason: RefusalReason::RetryBudgetSpent,
                 retry_after_ms: Some(1000),
-            }));
+            };
+            return Err(NotStarted::refused(spent, may_have_begun));
         }
         let mut request = wanted.acquire;
         request.permit = shared.next_permit();
@@ -191,7 +220,7 @@
         request.wait_left_ms = wanted.deadline_ms.saturating_sub(shared.now_ms()) as u32;
         let permit = acquire(shared, desk, request)
             .await
-            .map_err(NotStarted::Refused)?;
+            .map_err(|refusal| NotStarted::refused(refusal, may_have_begun))?;
         let Some(target) = shared.target(permit.target.id) else {
             avoid = Some(permit.target.id);
             continue;
@@ -223,6 +252,7 @@
             Err(StartError::NotReached { .. }) => probe(shared, endpoint).await,
             Err(StartError::NoAnswer { .. }) => {
                 // Nothing of it was delivered, so a second generation does no harm.
+                may_have_begun = true;
                 let engines = shared.engines.clone();
                 tokio::spawn(async move { engines.cancel(endpoint, &name).await });
             }
@@ -230,10 +260,11 @@
         metrics::counter!("shuntpier_restarts_total").increment(1);
         avoid = Some(endpoint.key.id);
     }
-    Err(NotStarted::Refused(Refusal {
+    let nowhere = Refusal {
         reason: RefusalReason::NoTarget,
         retry_after_ms: Some(1000),
-    }))
+    };
+    Err(NotStarted::refused(nowhere, may_have_begun))
 }
 
 /// Tries a second time to reach an engine that could not be reached. A process that does not listen is
--- a/components/node/src/console.rs
+++ b/components/node/src/console.rs
@@ -4,7 +4,7 @@
 use crate::shared::{Node, lock};
 use operators::{BurnReport, Console, MemberView, NodeView, TargetView};
 use policy::{EngineState, PoolView};
-use prelude::{PoolId, unix_ms};
+use prelude::PoolId;
 use std::collections::BTreeMap;
 use std::sync::atomic::Ordering;
 
@@ -26,7 +26,7 @@
 
     async fn burn(&self) -> BurnReport {
         let shared = &self.0;
-        lock(&shared.burn).report(unix_ms(), |target| shared.target_name(target))
+        lock(&shared.burn).report(shared.clock.unix_ms(), |target| shared.target_name(target))
     }
 }
 
--- a/components/node/src/pump.rs
+++ b/components/node/src/pump.rs
@@ -1,12 +1,12 @@
 //! Carries one answer from its engine to its caller: each token once, in order, from one generation.
 
-use crate::chat::{NotStarted, Started, Wanted, begin, probe, seal_of};
+use crate::chat::{NotStarted, Started, Wanted, begin, lost_before_first, probe, seal_of};
 use crate::desk::Desk;
 use crate::shared::{Shared, lock};
 use crate::timing::Timing;
 use callers::{CallerEvent, StreamFailure};
 use engines::{EngineEvent, EngineStream, ResumeError, StreamError};
-use prelude::{Refusal, RunState};
+use prelude::RunState;
 use settings::ResolvedAccount;
 use std::sync::Arc;
 use std::time::Duration;
@@ -206,15 +206,8 @@
     let avoid = Some(run.started.endpoint.key.id);
     let started = match begin(&run.shared, &run.desk, &wanted, avoid).await {
         Ok(started) => started,
-        Err(NotStarted::Refused(Refusal {
-            reason,
-            retry_after_ms,
-        })) => {
-            let message = format!(
-                "the engine was lost, and no other took it: {}",
-                reason.as_str()
-            );
-            return Err(failed(message, retry_after_ms));
+        Err(NotStarted::Refused(refusal) | NotStarted::MayHaveBegun(refusal)) => {
+            return Err(Ended::Failed(lost_before_first(refusal)));
         }
         Err(NotStarted::Invalid(message)) => return Err(failed(message, None)),
     };
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -13,7 +13,7 @@
 use operators::{BurnRecorder, Objective, Sample};
 use peers::{BoxCard, PeerClients, SettingsValue, Topology, Traffic};
 use platform::Etcd;
-use prelude::{AccountId, BoxId, Clock, PermitId, PoolId, RegionId, TargetId, unix_ms};
+use prelude::{AccountId, BoxId, Clock, PermitId, PoolId, RegionId, TargetId};
 use services::ServiceClient;
 use settings::{LimitSettings, Resolved, ResolvedAccount, ResolvedTarget};
 use slog::Logger;
@@ -192,7 +192,7 @@
             token_gap_ms: account.objectives.token_gap_ms,
             stall_ms: account.objectives.stall_ms,
         };
-        lock(&self.burn).record(sample, &objective, unix_ms());
+        lock(&self.burn).record(sample, &objective, self.clock.unix_ms());
         let outcome = match (sample.refused, sample.incomplete) {
             (true, _) => "refused",
             (false, true) => "incomplete",
--- a/components/node/src/stop.rs
+++ b/components/node/src/stop.rs
@@ -42,6 +42,11 @@
         (traffic.total_bytes(), traffic.calls.load(Ordering::Relaxed))
     }
 
+    /// Has the box's Unix clock step, for tests.
+    pub fn step_clock(&self, ms: i64) {
+        self.0.clock.step_unix(ms);
+    }
+
     /// Streams in progress.
     pub fn open_streams(&self) -> u64 {
         self.0.open_streams.load(Ordering::Relaxed)
--- a/components/prelude/src/time.rs
+++ b/components/prelude/src/time.rs
@@ -1,11 +1,14 @@
 //! Time as the policies see it: milliseconds on a clock that never steps back.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicI64, Ordering};
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 /// A monotonic clock, read in milliseconds since it was made.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Clock {
     start: Instant,
+    unix_step_ms: Arc<AtomicI64>,
 }
 
 impl Clock {
@@ -13,6 +16,7 @@
     pub fn new() -> Self {
         Self {
             start: Instant::now(),
+            unix_step_ms: Arc::default(),
         }
     }
 
@@ -20,6 +24,17 @@
     pub fn now_ms(&self) -> u64 {
         self.start.elapsed().as_millis() as u64
     }
+
+    /// Milliseconds since the Unix epoch, with the steps that this clock has made.
+    pub fn unix_ms(&self) -> u64 {
+        unix_ms().saturating_add_signed(self.unix_step_ms.load(Ordering::Relaxed))
+    }
+
+    /// Has the Unix time step, as an administrator or a time service may. Time since the start does
+    /// not.
+    pub fn step_unix(&self, ms: i64) {
+        self.unix_step_ms.fetch_add(ms, Ordering::Relaxed);
+    }
 }
 
 impl Default for Clock {
--- a/components/standins/src/engine/api.rs
+++ b/components/standins/src/engine/api.rs
@@ -41,9 +41,6 @@
         .and(with(state))
         .then(
             |id: Option<String>, body: ChatBody, state: Arc<State>| async move {
-                if state.leaving.load(Ordering::Relaxed) {
-                    return status(StatusCode::SERVICE_UNAVAILABLE, "leaving");
-                }
                 let generation = id.unwrap_or_else(|| state.next_name());
                 state.start(&generation, &body);
                 open_stream(&state, &generation, 0)
--- a/components/standins/src/engine/server.rs
+++ b/components/standins/src/engine/server.rs
@@ -102,6 +102,7 @@
     pub fence: AtomicU64,
     pub steps: AtomicU64,
     pub unnamed: AtomicU64,
+    pub left_at_ms: AtomicU64,
 }
 
 /// What is guarded by the lock.
@@ -262,6 +263,7 @@
                 fence: AtomicU64::new(0),
                 steps: AtomicU64::new(0),
                 unnamed: AtomicU64::new(0),
+                left_at_ms: AtomicU64::new(0),
             });
             tokio::spawn(run_steps(state.clone()));
             tokio::spawn(api::serve(state.clone(), listener));
@@ -301,11 +303,18 @@
         inner.core.running.len() + inner.core.waiting.len()
     }
 
-    /// Says in its reports that it leaves, and refuses new work.
+    /// Says in its reports that it leaves; what is sent to it all the same, it still runs.
     pub fn leave(&self) {
+        self.state.left_at_ms.store(unix_ms(), Ordering::Relaxed);
         self.state.leaving.store(true, Ordering::Relaxed);
     }
 
+    /// When it said so, in Unix milliseconds.
+    pub fn left_at_ms(&self) -> Option<u64> {
+        let at_ms = self.state.left_at_ms.load(Ordering::Relaxed);
+        (at_ms > 0).then_some(at_ms)
+    }
+
     /// Makes no progress for a while, links staying open.
     pub fn stall(&self, time: Duration) {
         let until_ms = unix_ms() + time.as_millis() as u64;
--- a/components/standins/src/link.rs
+++ b/components/standins/src/link.rs
@@ -76,7 +76,9 @@
     /// Leaves the open connections half-open: they stay, and carry nothing any more.
     pub fn go_half_open(&self) {
         let connections = self.faults.connections.load(Ordering::Relaxed);
-        self.faults.dead_before.store(connections, Ordering::Relaxed);
+        self.faults
+            .dead_before
+            .store(connections, Ordering::Relaxed);
     }
 }
 
--- a/components/trial/src/caller.rs
+++ b/components/trial/src/caller.rs
@@ -37,6 +37,8 @@
     Unknown(ErrorDetail),
     /// The link broke, so the caller knows nothing.
     NoAnswer,
+    /// The box could not be reached.
+    NotReached,
 }
 
 /// A call's outcome, with its status.
@@ -67,6 +69,8 @@
 enum LinkEnd {
     Over(ChatEnd),
     Broken,
+    /// The box could not be reached, or took nothing.
+    NotReached,
 }
 
 /// What is known of an answer across its links.
@@ -119,14 +123,20 @@
         let mut failures = 0;
         for at in 0.. {
             let chunks_before = result.chunks;
-            let request = self.chat_request(choose(at), spec, &progress.last_event_id);
+            let box_at = choose(at);
+            let request = self.chat_request(box_at, spec, &progress.last_event_id);
             let end = match request.send().await {
                 Ok(response) => read_link(response, spec, &mut result, &mut progress).await,
+                Err(error) if error.is_connect() => LinkEnd::NotReached,
                 Err(_) => LinkEnd::Broken,
             };
-            if let LinkEnd::Over(end) = end {
-                result.end = end;
-                return result;
+            match end {
+                LinkEnd::Over(end) => {
+                    result.end = end;
+                    return result;
+                }
+                LinkEnd::Broken => result.cut_at.push(box_at),
+                LinkEnd::NotReached => {}
             }
             failures = if result.chunks > chunks_before {
                 0
@@ -178,8 +188,15 @@
             status: None,
             outcome: CallOutcome::NoAnswer,
         };
-        let Ok(response) = sent else {
-            return no_answer;
+        let response = match sent {
+            Ok(response) => response,
+            Err(error) if error.is_connect() => {
+                return ServiceReply {
+                    status: None,
+                    outcome: CallOutcome::NotReached,
+                };
+            }
+            Err(_) => return no_answer,
         };
         let status = response.status();
         let Ok(text) = response.text().await else {
@@ -233,7 +250,7 @@
         if status.as_u16() == 410 {
             return LinkEnd::Over(ChatEnd::Failed(body.error));
         }
-        return LinkEnd::Broken;
+        return LinkEnd::NotReached;
     }
     let mut events = response.bytes_stream().eventsource();
     loop {
--- a/components/trial/src/chat.rs
+++ b/components/trial/src/chat.rs
@@ -1,6 +1,7 @@
 //! What a caller asks of a chat, and what it got.
 
 use callers::ErrorDetail;
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// A chat request of a trial.
@@ -54,6 +55,8 @@
     pub resumes: u32,
     /// Longest time from a broken link to the next chunk.
     pub resume_time: Duration,
+    /// Boxes whose links broke after their answer had begun.
+    pub cut_at: Vec<SocketAddr>,
 }
 
 impl ChatResult {
@@ -66,6 +69,7 @@
             gaps_us: Vec::new(),
             resumes: 0,
             resume_time: Duration::ZERO,
+            cut_at: Vec::new(),
         }
     }
 
