Keep single engines for large requests instead of all; shards; ends travel with requests

Ruled out: the margin, leaks in the ledger (a resync changed nothing), later ends of streams (5 or 30 ms alike). A request that fits nowhere stopped all grants after 500 ms, so one large prompt emptied ten engines. It now has engines kept for it, at the most a share of the pool. The default is 0.45: between throughput and the owner of the large prompts. Also: engines of a region may be divided into shards, each with its dispatcher; ends of streams travel with requests for permits.

--- a/components/node/src/adopt.rs
+++ b/components/node/src/adopt.rs
@@ -54,10 +54,7 @@
                 retry_after_ms: Some(0),
             });
         };
-        let pool = PoolId {
-            model: address.model,
-            region: shared.region,
-        };
+        let pool = pool_of_target(shared, &address);
         let desk = desk_of(shared, pool);
         let request = AcquireRequest {
             pool,
@@ -92,6 +89,22 @@
     }
 }
 
+/// The pool in which a stream's engine is.
+fn pool_of_target(shared: &Shared, address: &StreamAddress) -> PoolId {
+    let settings = shared.settings();
+    let pool = |shard| PoolId {
+        model: address.model,
+        region: shared.region,
+        shard,
+    };
+    let holds = |pool: &PoolId| {
+        let engines = settings.engines_of(*pool);
+        engines.iter().any(|engine| engine.id == address.target.id)
+    };
+    let mut pools = (0..settings.shards_of(address.model)).map(pool);
+    pools.find(holds).unwrap_or(pool(0))
+}
+
 async fn resume(
     shared: &Shared,
     endpoint: Endpoint,
--- a/components/node/src/chat.rs
+++ b/components/node/src/chat.rs
@@ -98,10 +98,11 @@
                 retry_after_ms: Some(1000),
             });
         };
-        let pool = PoolId {
-            model,
-            region: shared.region,
-        };
+        // Prompts that share a prefix go to one part of the engines, the others by chance.
+        let draw = request
+            .prefix
+            .map_or_else(rand::random, |(prefix, _)| prefix);
+        let pool = shared.settings().pool_of(model, shared.region, draw);
         let desk = desk_of(shared, pool);
         desk.fresh_request();
         let wanted = wanted(shared, &account, pool, request);
--- a/components/node/src/console.rs
+++ b/components/node/src/console.rs
@@ -83,7 +83,11 @@
     fn pool_name(&self, pool: PoolId) -> String {
         let settings = self.0.settings();
         let model = settings.models.get(&pool.model);
-        model.map_or_else(|| pool.model.to_string(), |model| model.name.clone())
+        let name = model.map_or_else(|| pool.model.to_string(), |model| model.name.clone());
+        match pool.shard {
+            0 => name,
+            shard => format!("{name}#{shard}"),
+        }
     }
 
     fn target_names(&self) -> BTreeMap<String, String> {
--- a/components/node/src/desk.rs
+++ b/components/node/src/desk.rs
@@ -10,8 +10,9 @@
 use std::sync::{Arc, Mutex};
 use tokio::sync::{Notify, oneshot};
 
-/// New tokens after which a stream's progress is told.
-const PROGRESS_TOKENS: u32 = 16;
+/// New tokens after which a stream's progress is told. In between the dispatcher carries it on at the
+/// measured pace.
+const PROGRESS_TOKENS: u32 = 32;
 
 struct Open {
     request: AcquireRequest,
@@ -207,6 +208,15 @@
         self.ended.notify_one();
     }
 
+    /// Ends that a request for a permit can carry to `dispatcher`.
+    pub fn take_ended(&self, dispatcher: BoxId) -> Vec<EndedStream> {
+        let mut inner = lock(&self.inner);
+        match inner.told == Some(dispatcher) {
+            true => std::mem::take(&mut inner.ended),
+            false => Vec::new(),
+        }
+    }
+
     /// What `dispatcher` is to be told now, if anything.
     pub fn report_to(
         &self,
--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -4,7 +4,7 @@
 use crate::poller::{Polled, poll_engine};
 use crate::shared::{Shared, lock};
 use engines::LoadReport;
-use peers::{AcquireRequest, AdoptedStream, PermitReply, UpdateReply, UpdateRequest};
+use peers::{AcquireRequest, AdoptedStream, EndedStream, PermitReply, UpdateReply, UpdateRequest};
 use policy::{
     Adopted, Demand, End, EngineInfo, EngineReport, LengthClass, Pool, PoolSettings, PoolView,
     Share, Submitted, Verdict,
@@ -50,7 +50,7 @@
     Later(oneshot::Receiver<PermitReply>, u32),
 }
 
-pub(crate) struct Acquire(pub AcquireRequest);
+pub(crate) struct Acquire(pub AcquireRequest, pub Vec<EndedStream>);
 pub(crate) struct Update(pub UpdateRequest);
 pub(crate) struct Adopt(pub BoxId, pub Vec<AdoptedStream>);
 pub(crate) struct Withdraw(pub PermitId);
@@ -165,6 +165,22 @@
         }
     }
 
+    fn end_streams(&mut self, entry: BoxId, life: u32, ended: &[EndedStream]) {
+        for stream in ended {
+            let permit = PermitId {
+                entry,
+                life,
+                serial: stream.serial,
+            };
+            let end = match stream.finished {
+                true => End::Finished,
+                false => End::Censored,
+            };
+            self.pool.release(permit, stream.tokens, end);
+            self.decided.remove(&permit);
+        }
+    }
+
     /// Decides what can be decided, and tells those who wait.
     fn run(&mut self, now_ms: u64) {
         let began = std::time::Instant::now();
@@ -216,6 +232,7 @@
         let now_ms = self.shared.now_ms();
         self.used_ms = now_ms;
         let permit = message.0.permit;
+        self.end_streams(permit.entry, permit.life, &message.1);
         if let Some(reply) = self.decided.remove(&permit) {
             return Word::Now(reply);
         }
@@ -248,16 +265,7 @@
             let permit = permit_of(stream.serial);
             resync |= !self.pool.progress(permit, stream.tokens, now_ms);
         }
-        for stream in &update.ended {
-            let permit = permit_of(stream.serial);
-            let end = if stream.finished {
-                End::Finished
-            } else {
-                End::Censored
-            };
-            self.pool.release(permit, stream.tokens, end);
-            self.decided.remove(&permit);
-        }
+        self.end_streams(update.from, update.life, &update.ended);
         let known = self.pool.streams_of(update.from);
         let mismatches = self.mismatches.entry(update.from).or_default();
         *mismatches = match known == update.open_streams as usize {
@@ -373,13 +381,14 @@
     shared: &Arc<Shared>,
     request: AcquireRequest,
     wait: Duration,
+    ended: Vec<EndedStream>,
 ) -> PermitReply {
     let address = dispatcher(shared, request.pool);
     let stopped = PermitReply::Refused(Refusal {
         reason: RefusalReason::Stopping,
         retry_after_ms: Some(0),
     });
-    match address.send(Acquire(request)).await {
+    match address.send(Acquire(request, ended)).await {
         Err(_) => stopped,
         Ok(Word::Now(reply)) => reply,
         Ok(Word::Later(decided, place)) => match tokio::time::timeout(wait, decided).await {
--- a/components/node/src/handler.rs
+++ b/components/node/src/handler.rs
@@ -5,8 +5,8 @@
 use crate::shared::{Node, lock};
 use crate::spread::{exchange, take_notice};
 use peers::{
-    AcquireRequest, AdoptedStream, ClaimRequest, ClaimResult, Digest, KeyOutcome, Notice,
-    OutcomeRecord, PeerHandler, PermitReply, UpdateReply, UpdateRequest,
+    AcquireRequest, AdoptedStream, ClaimRequest, ClaimResult, Digest, EndedStream, KeyOutcome,
+    Notice, OutcomeRecord, PeerHandler, PermitReply, UpdateReply, UpdateRequest,
 };
 use prelude::{BoxId, BoxIncarnation, PermitId, PoolId};
 use std::time::Duration;
@@ -19,8 +19,13 @@
 }
 
 impl PeerHandler for Node {
-    async fn acquire(&self, request: AcquireRequest, wait_ms: u32) -> PermitReply {
-        acquire_here(&self.0, request, bounded(wait_ms)).await
+    async fn acquire(
+        &self,
+        request: AcquireRequest,
+        wait_ms: u32,
+        ended: Vec<EndedStream>,
+    ) -> PermitReply {
+        acquire_here(&self.0, request, bounded(wait_ms), ended).await
     }
 
     async fn withdraw(&self, pool: PoolId, permit: PermitId) {
--- a/components/node/src/permits.rs
+++ b/components/node/src/permits.rs
@@ -24,16 +24,17 @@
 const FALLBACK_MS: u64 = 3_000;
 /// How often progress is told.
 const PROGRESS_INTERVAL: Duration = Duration::from_millis(200);
-/// Least time between two reports that only tell of ends.
-const ENDED_PAUSE: Duration = Duration::from_millis(10);
+/// How long the end of a stream waits for a request that can carry it.
+const ENDED_PAUSE: Duration = Duration::from_millis(5);
 const UPDATE_LIMIT: Duration = Duration::from_millis(300);
 const WITHDRAW_LIMIT: Duration = Duration::from_millis(500);
 
 /// The role of a pool's dispatcher, for rendezvous hashing.
 fn role(pool: PoolId) -> u64 {
-    let mut bytes = [0; 16];
+    let mut bytes = [0; 18];
     bytes[..8].copy_from_slice(&pool.model.0.to_le_bytes());
-    bytes[8..].copy_from_slice(&pool.region.0.to_le_bytes());
+    bytes[8..16].copy_from_slice(&pool.region.0.to_le_bytes());
+    bytes[16..].copy_from_slice(&pool.shard.to_le_bytes());
     xxh3_64(&bytes)
 }
 
@@ -78,7 +79,7 @@
         let guard = WithdrawOnDrop::new(shared, holder, &request);
         let asking = desk.asks();
         let reply = tokio::select! {
-            reply = ask(shared, holder, asked, wait_ms) => reply,
+            reply = ask(shared, desk, holder, asked, wait_ms) => reply,
             () = silent_holder(shared, desk, holder) => Err(PeerError::NotKnown(holder)),
         };
         drop(asking);
@@ -119,21 +120,27 @@
 
 async fn ask(
     shared: &Arc<Shared>,
+    desk: &Arc<Desk>,
     holder: BoxId,
     request: AcquireRequest,
     wait_ms: u32,
 ) -> Result<PermitReply, PeerError> {
+    let ended = desk.take_ended(holder);
     if holder == shared.card.id {
         let wait = Duration::from_millis(u64::from(wait_ms));
-        return Ok(acquire_here(shared, request, wait).await);
+        return Ok(acquire_here(shared, request, wait, ended).await);
     }
+    let carried = !ended.is_empty();
     let limit = Duration::from_millis(u64::from(wait_ms + REPLY_SLACK_MS));
-    shared
-        .peers
-        .call(holder, limit, |client, context| async move {
-            client.acquire(context, request, wait_ms).await
-        })
-        .await
+    let call = |client: peers::PeerClient, context| async move {
+        client.acquire(context, request, wait_ms, ended).await
+    };
+    let reply = shared.peers.call(holder, limit, call).await;
+    if reply.is_err() && carried {
+        // Whether the ends arrived is not known.
+        desk.resync();
+    }
+    reply
 }
 
 async fn acquire_locally(
--- a/components/peers/src/service.rs
+++ b/components/peers/src/service.rs
@@ -1,8 +1,8 @@
 //! The calls between boxes.
 
 use crate::messages::{
-    AcquireRequest, AdoptedStream, ClaimRequest, ClaimResult, Digest, KeyOutcome, Notice,
-    OutcomeRecord, PermitReply, UpdateReply, UpdateRequest,
+    AcquireRequest, AdoptedStream, ClaimRequest, ClaimResult, Digest, EndedStream, KeyOutcome,
+    Notice, OutcomeRecord, PermitReply, UpdateReply, UpdateRequest,
 };
 use prelude::{BoxId, BoxIncarnation, PermitId, PoolId};
 use std::future::Future;
@@ -11,8 +11,10 @@
 /// What each box answers.
 #[tarpc::service]
 pub trait Peer {
-    /// Asks for a permit; waits up to `wait_ms` for a decision.
-    async fn acquire(request: AcquireRequest, wait_ms: u32) -> PermitReply;
+    /// Asks for a permit; waits up to `wait_ms` for a decision. Carries the ends of streams of the same
+    /// pool and box.
+    async fn acquire(request: AcquireRequest, wait_ms: u32, ended: Vec<EndedStream>)
+    -> PermitReply;
 
     /// Takes back a request for a permit.
     async fn withdraw(pool: PoolId, permit: PermitId);
@@ -51,6 +53,7 @@
         &self,
         request: AcquireRequest,
         wait_ms: u32,
+        ended: Vec<EndedStream>,
     ) -> impl Future<Output = PermitReply> + Send;
 
     /// See [`Peer::withdraw`].
@@ -97,8 +100,14 @@
 pub(crate) struct PeerServer<H>(pub H);
 
 impl<H: PeerHandler> Peer for PeerServer<H> {
-    async fn acquire(self, _: Context, request: AcquireRequest, wait_ms: u32) -> PermitReply {
-        self.0.acquire(request, wait_ms).await
+    async fn acquire(
+        self,
+        _: Context,
+        request: AcquireRequest,
+        wait_ms: u32,
+        ended: Vec<EndedStream>,
+    ) -> PermitReply {
+        self.0.acquire(request, wait_ms, ended).await
     }
 
     async fn withdraw(self, _: Context, pool: PoolId, permit: PermitId) {
--- a/components/policy/src/kind.rs
+++ b/components/policy/src/kind.rs
@@ -36,6 +36,9 @@
     pub policy: PolicyKind,
     /// Open streams that one engine may have under a baseline policy; 0 for no limit.
     pub concurrency_limit: u32,
+    /// Parts into which the engines of a region are divided, each with a dispatcher of its own.
+    #[schemars(range(min = 1, max = 1024))]
+    pub shards: u16,
     /// Share of an engine's memory that the forecast may fill, between 0 and 1.
     pub memory_share: f64,
     /// Standard deviations of the forecast kept free when a pool starts.
@@ -56,8 +59,11 @@
     pub report_lag_ms: u64,
     /// Largest bonus for a cached prompt prefix, in tokens of memory.
     pub affinity_tokens: u32,
-    /// After this wait the first in line is no longer passed by smaller requests.
+    /// After this wait a request that fits nowhere has the engine that is nearest to having room kept
+    /// for it.
     pub pass_limit_ms: u64,
+    /// Share of the engines that may be kept for such requests at a time, between 0 and 1.
+    pub reserve_share: f64,
     /// Retries as a share of fresh requests.
     pub retry_share: f64,
 }
@@ -67,6 +73,7 @@
         Self {
             policy: PolicyKind::Shuntpier,
             concurrency_limit: 0,
+            shards: 1,
             memory_share: 0.97,
             margin_initial: 0.75,
             margin_min: 0.0,
@@ -78,6 +85,7 @@
             report_lag_ms: 250,
             affinity_tokens: 256,
             pass_limit_ms: 500,
+            reserve_share: 0.45,
             retry_share: 0.1,
         }
     }
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -132,6 +132,15 @@
 /// Weight of one measured pace.
 const PACE_WEIGHT: f64 = 0.02;
 
+/// Where a request can go.
+#[derive(Clone, Debug, Default)]
+struct Choice {
+    /// The engine with the most room left, where it fits.
+    fits: Option<TargetId>,
+    /// The engines where it does not fit, the one nearest to having room first.
+    nearest: Vec<TargetId>,
+}
+
 /// The dispatcher's state for one pool.
 #[derive(Clone, Debug)]
 pub struct Pool {
@@ -249,14 +258,14 @@
         self.keep_past(now_ms);
         self.decay_margin(now_ms);
         let mut passed = HashSet::new();
+        let mut reserved = Vec::new();
         while passed.len() < CANDIDATES {
             let Some(place) = self.queue.next(&self.tree, &passed) else {
                 break;
             };
-            let Some(target) = self.choose(place, now_ms) else {
-                if self.waited_past_limit(place, now_ms) {
-                    break;
-                }
+            let choice = self.choose(place, now_ms, &reserved);
+            let Some(target) = choice.fits else {
+                self.reserve(place, &choice.nearest, &mut reserved, now_ms);
                 passed.insert(place);
                 continue;
             };
@@ -500,16 +509,20 @@
         Some((ahead * ms_per_grant) as u64)
     }
 
-    /// The engine for the first request of a place, or none where it fits nowhere now.
-    fn choose(&mut self, place: Place, now_ms: u64) -> Option<TargetId> {
-        let demand = self.queue.front(place)?;
+    /// The engine for the first request of a place. Engines in `reserved` are kept for others.
+    fn choose(&mut self, place: Place, now_ms: u64, reserved: &[TargetId]) -> Choice {
+        let Some(demand) = self.queue.front(place) else {
+            return Choice::default();
+        };
         let new = demand_forecast(&self.lengths, demand, self.settings.policy);
         let margin = self.margin_in_use();
         let mut best: Option<(f64, TargetId)> = None;
+        let mut nearest: Vec<(f64, TargetId)> = Vec::new();
         for ledger in &mut self.engines {
             let limit = self.settings.running_limit as usize;
             let at_limit = limit > 0 && ledger.streams.len() >= limit;
             let takes = ledger.state == EngineState::Live
+                && !reserved.contains(&ledger.info.id)
                 && demand.avoid != Some(ledger.info.id)
                 && !at_limit
                 && !ledger.is_backed_up(now_ms);
@@ -523,6 +536,7 @@
             let left = usable - ledger.foreign_tokens - peak;
             let empty = ledger.streams.is_empty() && ledger.foreign_tokens == 0.0;
             if left < 0.0 && !empty {
+                nearest.push((left, ledger.info.id));
                 continue;
             }
             let affinity = demand.prefix.map_or(0.0, |(prefix, tokens)| {
@@ -534,7 +548,27 @@
                 best = Some((score, ledger.info.id));
             }
         }
-        best.map(|(_, target)| target)
+        nearest.sort_by(|a, b| b.0.total_cmp(&a.0));
+        Choice {
+            fits: best.map(|(_, target)| target),
+            nearest: nearest.into_iter().map(|(_, target)| target).collect(),
+        }
+    }
+
+    /// Keeps an engine for each request of a place that has waited past the limit, within the share
+    /// of engines that may be kept: those that are nearest to having room.
+    fn reserve(
+        &self,
+        place: Place,
+        nearest: &[TargetId],
+        reserved: &mut Vec<TargetId>,
+        now_ms: u64,
+    ) {
+        let most = (self.engines.len() as f64 * self.settings.reserve_share).ceil() as usize;
+        let room = most.saturating_sub(reserved.len());
+        let late_ms = now_ms.saturating_sub(self.settings.pass_limit_ms);
+        let late = self.queue.count_since(place, late_ms, room);
+        reserved.extend(nearest.iter().take(late));
     }
 
     fn margin_in_use(&self) -> f64 {
@@ -544,11 +578,6 @@
         }
     }
 
-    fn waited_past_limit(&self, place: Place, now_ms: u64) -> bool {
-        let waited = |demand: &Demand| now_ms >= demand.since_ms + self.settings.pass_limit_ms;
-        self.queue.front(place).is_some_and(waited)
-    }
-
     fn grant(&mut self, demand: Demand, target: TargetId, now_ms: u64) {
         self.grants.push_back(now_ms);
         while self
--- a/components/policy/src/pool_tests.rs
+++ b/components/policy/src/pool_tests.rs
@@ -79,6 +79,38 @@
     assert_eq!(granted(&pool.run(1)).len(), 1);
 }
 
+#[test]
+fn keeps_one_engine_for_a_large_request_and_lets_small_ones_use_the_others() {
+    let mut pool = pool(&[(ENGINE, 2000), (OTHER_ENGINE, 2000)]);
+    let patient = |serial, prompt| Demand {
+        deadline_ms: u64::MAX,
+        ..demand(serial, serial, prompt)
+    };
+    pool.submit(patient(1, 600), 0);
+    pool.submit(patient(2, 600), 0);
+    assert_eq!(granted(&pool.run(0)).len(), 2);
+    pool.submit(patient(3, 1700), 0);
+    let late_ms = PoolSettings::default().pass_limit_ms + 1;
+    pool.submit(patient(4, 100), late_ms);
+    pool.submit(patient(5, 100), late_ms);
+    let small = granted(&pool.run(late_ms));
+    assert_eq!(small.len(), 2);
+    assert_eq!(small[0].1, small[1].1);
+    let kept = if small[0].1 == ENGINE {
+        OTHER_ENGINE
+    } else {
+        ENGINE
+    };
+    let on_kept: Vec<PermitId> = [1, 2]
+        .map(permit)
+        .into_iter()
+        .filter(|id| pool.streams[pool.by_permit[id]].target == kept)
+        .collect();
+    assert_eq!(on_kept.len(), 1);
+    pool.release(on_kept[0], 10, End::Finished);
+    assert_eq!(granted(&pool.run(late_ms + 1)), [(3, kept)]);
+}
+
 #[test]
 fn refuses_when_the_deadline_passes() {
     let mut pool = pool(&[(ENGINE, 1500)]);
--- a/components/policy/src/queue.rs
+++ b/components/policy/src/queue.rs
@@ -119,6 +119,23 @@
         }
     }
 
+    /// How many requests of a place have waited since `since_ms` or longer, counted up to `most`.
+    pub fn count_since(&self, place: Place, since_ms: u64, most: usize) -> usize {
+        let Some(line) = self.lines.get(&place.account) else {
+            return 0;
+        };
+        let waiting = if place.urgent {
+            &line.urgent
+        } else {
+            &line.plain
+        };
+        let late = waiting
+            .iter()
+            .take(most)
+            .filter(|demand| demand.since_ms <= since_ms);
+        late.count()
+    }
+
     /// Takes the first request of a place for a grant.
     pub fn pop(&mut self, place: Place) -> Option<Demand> {
         let line = self.lines.get_mut(&place.account)?;
--- a/components/prelude/src/ids.rs
+++ b/components/prelude/src/ids.rs
@@ -70,6 +70,8 @@
     pub model: ModelId,
     /// The region.
     pub region: RegionId,
+    /// Which part of the engines, where they are too many for one dispatcher.
+    pub shard: u16,
 }
 
 /// An entry box, numbered by its settings.
--- a/components/settings/src/resolve.rs
+++ b/components/settings/src/resolve.rs
@@ -142,16 +142,40 @@
 
     /// The engines of a pool, in the order of their keys.
     pub fn engines_of(&self, pool: PoolId) -> Vec<&ResolvedTarget> {
+        let shards = self.shards_of(pool.model);
         let in_pool = |target: &&ResolvedTarget| {
             target.kind == TargetKind::Engine
                 && target.region == pool.region
                 && target.models.contains(&pool.model)
+                && shard_of(target.id.0, shards) == pool.shard
         };
         let mut engines: Vec<&ResolvedTarget> = self.targets.values().filter(in_pool).collect();
         engines.sort_by_key(|target| target.id);
         engines
     }
 
+    /// Parts into which a model's engines are divided.
+    pub fn shards_of(&self, model: ModelId) -> u16 {
+        self.models
+            .get(&model)
+            .map_or(1, |model| model.pool.shards.max(1))
+    }
+
+    /// The pool that takes a request, chosen by `draw`: by chance, or by what shall stay together.
+    /// Parts that have no engine are passed over.
+    pub fn pool_of(&self, model: ModelId, region: RegionId, draw: u64) -> PoolId {
+        let shards = self.shards_of(model);
+        let pool = |shard| PoolId {
+            model,
+            region,
+            shard,
+        };
+        let first = shard_of(draw, shards);
+        let in_turn = (0..shards).map(|more| pool((first + more) % shards));
+        let mut in_use = in_turn.filter(|pool| shards == 1 || !self.engines_of(*pool).is_empty());
+        in_use.next().unwrap_or(pool(first))
+    }
+
     fn add_accounts(&mut self, branch: &Branch) {
         for (name, account) in &branch.accounts {
             let full_name = format!("{}/{}", branch.partner, name);
@@ -247,6 +271,12 @@
     }
 }
 
+/// The part to which a key belongs.
+fn shard_of(key: u64, shards: u16) -> u16 {
+    // Keys are hashes already, but for small draws.
+    (key.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 32) as u16 % shards.max(1)
+}
+
 /// The limits of a node with everything it inherits. A circle ends after as many steps as there are
 /// nodes.
 fn node_limits(branch: &Branch, start: &str) -> Limits {
@@ -300,6 +330,33 @@
         assert!(!account.urgent);
     }
 
+    #[test]
+    fn divides_engines_into_shards() {
+        let mut branch = example();
+        let engine = branch.targets["oslo-engine-1"].clone();
+        for number in 0..40 {
+            branch.targets.insert(format!("e{number}"), engine.clone());
+        }
+        branch.models.get_mut("assistant").unwrap().shards = 4;
+        let resolved = Resolved::from_branches([(&branch, 1)]);
+        let model = ModelId::from_name("assistant");
+        let region = RegionId::from_name("region-1");
+        let sizes: Vec<usize> = (0..4)
+            .map(|shard| {
+                let pool = PoolId {
+                    model,
+                    region,
+                    shard,
+                };
+                resolved.engines_of(pool).len()
+            })
+            .collect();
+        assert_eq!(sizes.iter().sum::<usize>(), 43);
+        assert!(sizes.iter().all(|size| *size > 0), "{sizes:?}");
+        let drawn = resolved.pool_of(model, region, 17);
+        assert!(!resolved.engines_of(drawn).is_empty());
+    }
+
     #[test]
     fn finds_account_by_key() {
         let mut branch = example();
