--- a/components/bench/src/capacity/boxes.rs
+++ b/components/bench/src/capacity/boxes.rs
@@ -18,11 +18,11 @@
 const ANSWER_TOKENS: u32 = 100;
 const START_RATES: [f64; 3] = [30.0, 60.0, 120.0];
 const STREAM_COUNTS: [u32; 3] = [500, 1_000, 2_000];
-const CLUSTERS: [u32; 3] = [4, 8, 16];
+const CLUSTERS: [u32; 3] = [8, 16, 32];
 const REQUEST_RATES: [f64; 3] = [60.0, 120.0, 240.0];
 const SHORT_ANSWER_TOKENS: u32 = 10;
 const LOAD_TIME: Duration = Duration::from_secs(3);
-const QUIET_TIME: Duration = Duration::from_secs(5);
+const QUIET_TIME: Duration = Duration::from_secs(8);
 const WARM_UP: Duration = Duration::from_secs(2);
 
 /// What tokens and open streams cost a box. This is the callers' work, not control.
--- a/components/bench/src/capacity/mod.rs
+++ b/components/bench/src/capacity/mod.rs
@@ -4,6 +4,7 @@
 mod boxes;
 mod claims;
 mod dispatch;
+mod page;
 mod settings;
 mod slope;
 mod target;
@@ -19,6 +20,8 @@
 pub struct Options {
     /// Print JSON
     pub json: bool,
+    /// Print the rows of the table in docs/CAPACITY.md
+    pub table: bool,
 }
 
 /// Runs the measurement and prints each slope.
@@ -34,14 +37,19 @@
         Ok::<_, miette::Report>(())
     })?;
     for slope in &slopes {
-        print_slope(slope, options.json);
+        print_slope(slope, options);
     }
     Ok(ExitCode::SUCCESS)
 }
 
-fn print_slope(slope: &Slope, json: bool) {
-    if json {
-        println!("{}", serde_json::to_string(slope).unwrap_or_default());
+fn print_slope(slope: &Slope, options: &Options) {
+    let value = serde_json::to_value(slope).unwrap_or_default();
+    if options.json {
+        println!("{value}");
+        return;
+    }
+    if options.table {
+        println!("{}", page::row(&value));
         return;
     }
     println!(
--- /dev/null
+++ b/components/bench/src/capacity/page.rs
@@ -0,0 +1,53 @@
+//! The rows of the table in docs/CAPACITY.md, made from a recorded measurement.
+
+use serde_json::Value;
+
+/// The row of a slope, as `bench capacity --json` records it.
+pub fn row(slope: &Value) -> String {
+    let text = |name: &str| slope[name].as_str().unwrap_or("").to_owned();
+    let number = |name: &str| slope[name].as_f64().map_or("-".to_owned(), short);
+    format!(
+        "| {} | {} | {} | {} | {} | {} | {} |",
+        text("role"),
+        text("quantity"),
+        text("per"),
+        number("slope"),
+        number("r2"),
+        number("at_target_size"),
+        number("budget")
+    )
+}
+
+/// Three digits that count, or a whole number.
+fn short(value: f64) -> String {
+    match value.abs() {
+        size if size >= 100.0 => format!("{value:.0}"),
+        size if size >= 1.0 => format!("{value:.2}"),
+        _ => format!("{value:.4}"),
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    const RECORDED: &str = include_str!("../../../../docs/capacity.jsonl");
+    const PAGE: &str = include_str!("../../../../docs/CAPACITY.md");
+
+    #[test]
+    fn page_agrees_with_the_recorded_measurement() {
+        for line in RECORDED.lines() {
+            let row = row(&serde_json::from_str(line).unwrap());
+            assert!(PAGE.contains(&row), "not on the page: {row}");
+        }
+        let rows = PAGE.lines().filter(|line| line.starts_with("| ")).count();
+        assert!(rows > RECORDED.lines().count());
+    }
+
+    #[test]
+    fn says_no_budget_where_there_is_none() {
+        let slope = serde_json::json!({"role": "r", "quantity": "q", "per": "p", "slope": 12.3456,
+            "r2": 0.5, "at_target_size": 1234.5, "budget": null});
+        assert_eq!(row(&slope), "| r | q | p | 12.35 | 0.5000 | 1234 | - |");
+    }
+}
