A planned stop waits for requests that wait; empty engines count as empty; order without chance

A request that waits for its permit was not counted as in progress, and the stop waited 300 ms for the last bytes. Every request now counts from its coming, and the stop waits for callers' connections. The new test failed before and passes after. A test of the pool hung on the order of a hash map among equal ranks; ties now go by time, then account.

--- a/components/node/src/permits.rs
+++ b/components/node/src/permits.rs
@@ -260,6 +260,10 @@
         let Some(report) = desk.report_to(holder, &shared.card, with_progress) else {
             continue;
         };
+        if matches!(report, Report::Adopt(_)) {
+            // Requests that wait at the dispatcher before this one must ask anew.
+            desk.silent.notify_waiters();
+        }
         match tell(&shared, holder, desk.pool, report).await {
             Ok(UpdateReply { resync: false }) => {}
             Ok(UpdateReply { resync: true }) => desk.resync(),
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -65,7 +65,9 @@
     pub stop: CancellationToken,
     /// Everything ends.
     pub closed: CancellationToken,
-    /// Streams and calls in progress.
+    /// All connections of callers have ended.
+    pub callers_served: CancellationToken,
+    /// Requests in progress, from their coming to the end of their answers.
     pub work: TaskTracker,
     pub permits: AtomicU64,
 }
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -143,6 +143,7 @@
         leaving: AtomicBool::new(false),
         stop: CancellationToken::new(),
         closed: CancellationToken::new(),
+        callers_served: CancellationToken::new(),
         work: TaskTracker::new(),
         permits: AtomicU64::new(1),
     });
@@ -178,7 +179,12 @@
         header_time_ms: file.limits.header_time_ms,
     };
     let (stop, closed) = (shared.stop.clone(), shared.closed.clone());
-    tokio::spawn(callers::serve(node.clone(), callers, limits, stop, closed));
+    let serving = callers::serve(node.clone(), callers, limits, stop, closed);
+    let served = shared.callers_served.clone();
+    tokio::spawn(async move {
+        serving.await;
+        served.cancel();
+    });
     let ended = shared.closed.clone().cancelled_owned();
     tokio::spawn(operators::serve(node.clone(), operators, ended));
     slog::info!(shared.log, "box started";
@@ -225,14 +231,17 @@
     }
 
     async fn chat(&self, account: AccountId, request: ChatRequest) -> ChatAnswer {
+        let _in_progress = self.0.work.token();
         self.start_chat(account, request).await
     }
 
     async fn resume(&self, account: AccountId, last_event_id: &str) -> ChatAnswer {
+        let _in_progress = self.0.work.token();
         self.resume_chat(account, last_event_id).await
     }
 
     async fn call(&self, account: AccountId, call: ServiceCall) -> ServiceAnswer {
+        let _in_progress = self.0.work.token();
         self.call_service(account, call).await
     }
 }
--- a/components/node/src/stop.rs
+++ b/components/node/src/stop.rs
@@ -5,8 +5,8 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
-/// How long the last answers have to leave after the last stream ended.
-const LAST_BYTES: Duration = Duration::from_millis(300);
+/// How long the last answers have to leave after the last stream or call ended.
+const LAST_BYTES: Duration = Duration::from_secs(5);
 
 impl Node {
     /// Stops the box. Returns when nothing is in progress, or when the longest planned stop is over.
@@ -31,8 +31,8 @@
             let cut = shared.work.len();
             slog::warn!(shared.log, "the longest planned stop is over"; "cut" => cut);
         }
-        tokio::time::sleep(LAST_BYTES).await;
         shared.closed.cancel();
+        let _ = tokio::time::timeout(LAST_BYTES, shared.callers_served.cancelled()).await;
         slog::info!(shared.log, "box stopped");
     }
 
--- a/components/policy/src/ledger.rs
+++ b/components/policy/src/ledger.rs
@@ -258,6 +258,10 @@
             excess = 0.0;
         }
         self.foreign_tokens += weight * (excess - self.foreign_tokens);
+        if self.foreign_tokens < capacity * FOREIGN_NOISE_SHARE {
+            // An estimate that only fades never lets an empty engine count as empty.
+            self.foreign_tokens = 0.0;
+        }
     }
 }
 
@@ -298,6 +302,17 @@
         assert!((ledger.foreign_tokens - 500.0).abs() < 20.0);
     }
 
+    #[test]
+    fn forgets_load_of_others_that_has_gone() {
+        let mut ledger = ledger();
+        ledger.reported(report(0.9), 0, 0);
+        for at_ms in 1..20 {
+            ledger.remember(0.0, at_ms);
+            ledger.reported(report(0.0), 0, at_ms);
+        }
+        assert_eq!(ledger.foreign_tokens, 0.0);
+    }
+
     #[test]
     fn does_not_take_its_own_past_for_others_load() {
         let mut ledger = ledger();
--- a/components/policy/src/queue.rs
+++ b/components/policy/src/queue.rs
@@ -25,6 +25,10 @@
     }
 }
 
+/// The order in which places are served: those that go later are last, then by service, by time of coming,
+/// and by account, so that the order never hangs on chance.
+type Rank = (bool, [f64; 3], u64, AccountId);
+
 /// Which line a candidate stands in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Place {
@@ -81,10 +85,10 @@
     }
 
     /// The next place to serve that is not among `passed`: urgent requests first, within bounds, then
-    /// the account that was served least.
+    /// the account that was served least, then the request that came first.
     pub fn next(&self, tree: &FairTree, passed: &HashSet<Place>) -> Option<Place> {
         let bounded = self.urgent_in_a_row >= URGENT_IN_A_ROW;
-        let mut best: Option<(bool, [f64; 3], Place)> = None;
+        let mut best: Option<(Rank, Place)> = None;
         for (account, line) in &self.lines {
             let rank = tree.rank(&line.share);
             for (urgent, waiting) in [(true, &line.urgent), (false, &line.plain)] {
@@ -92,22 +96,16 @@
                     account: *account,
                     urgent,
                 };
-                if waiting.is_empty() || passed.contains(&place) {
+                let Some(front) = waiting.front().filter(|_| !passed.contains(&place)) else {
                     continue;
-                }
-                let later = urgent == bounded;
-                let before = match &best {
-                    None => true,
-                    Some((other_later, other_rank, _)) => {
-                        (later, rank) < (*other_later, *other_rank)
-                    }
                 };
-                if before {
-                    best = Some((later, rank, place));
+                let rank: Rank = (urgent == bounded, rank, front.since_ms, *account);
+                if best.as_ref().is_none_or(|(other, _)| rank < *other) {
+                    best = Some((rank, place));
                 }
             }
         }
-        best.map(|(_, _, place)| place)
+        best.map(|(_, place)| place)
     }
 
     pub fn front(&self, place: Place) -> Option<&Demand> {
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -187,6 +187,37 @@
     );
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn cuts_off_no_request_that_waits_for_its_permit_on_a_planned_stop() {
+    let engine = EngineSettings {
+        kv_capacity_tokens: 600,
+        ..EngineSettings::default()
+    };
+    let plan = TrialPlan {
+        engines: vec![engine],
+        ..TrialPlan::default()
+    };
+    let mut trial = trial(plan).await;
+    let long = |marker: &str| {
+        let mut spec = chat_of(&trial, marker, 250);
+        spec.prompt_tokens = 300;
+        spec
+    };
+    let (first, second) = (long("first"), long("second"));
+    let running = begin_chat(&trial, &first);
+    wait_for("a start", async || engine_of(&trial, "first").is_some()).await;
+    let waiting = begin_chat(&trial, &second);
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    assert!(engine_of(&trial, "second").is_none());
+    let stopped = trial.take_box(0).unwrap();
+    stopped.node.stop().await;
+    stopped.host.kill();
+    for answer in [running.await.unwrap(), waiting.await.unwrap()] {
+        assert_eq!((answer.end, answer.chunks), (ChatEnd::Whole, 250));
+        assert!(answer.cut_at.is_empty());
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn gives_a_leaving_engine_no_new_work() {
     let trial = trial(plan(2)).await;
