A burst of preemptions raises the margin by two steps at the most

Each preemption raised the margin by 0.1 and it shrinks by 0.05 a second: thirty at once, from an engine that was filled twice, cost a minute of empty memory. A report now counts two, and the margin ends at 2 deviations.

--- a/components/policy/src/kind.rs
+++ b/components/policy/src/kind.rs
@@ -77,7 +77,7 @@
             memory_share: 0.97,
             margin_initial: 0.75,
             margin_min: 0.0,
-            margin_max: 4.0,
+            margin_max: 2.0,
             margin_step: 0.1,
             margin_decay_per_s: 0.05,
             prefill_tokens: 4096,
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -126,6 +126,8 @@
 const REMEMBER_MS: u64 = 25;
 /// A box that says nothing for this long holds no permits any more.
 const SILENT_BOX_MS: u64 = 10_000;
+/// Preemptions of one report that raise the margin.
+const PREEMPTIONS_COUNTED: u64 = 2;
 /// How long a new dispatcher waits for an engine's first report. Until then it does not know what runs
 /// there, and would fill the engine a second time.
 const FIRST_REPORT_MS: u64 = 500;
@@ -380,7 +382,10 @@
             return;
         };
         let preemptions = ledger.reported(report, lag_ms, now_ms);
-        let raise = self.settings.margin_step * preemptions as f64;
+        // Many at once have one cause, such as an engine that was filled twice; the margin is for the
+        // forecast's own errors.
+        let counted = preemptions.min(PREEMPTIONS_COUNTED);
+        let raise = self.settings.margin_step * counted as f64;
         self.margin = (self.margin + raise).min(self.settings.margin_max);
     }
 
