--- a/components/settings/src/check_tests.rs
+++ b/components/settings/src/check_tests.rs
@@ -69,3 +69,13 @@
         }
     }
 }
+
+#[test]
+fn accepts_the_trial_boxes() {
+    for text in [
+        include_str!("../../../examples/trial-box-1.yaml"),
+        include_str!("../../../examples/trial-box-2.yaml"),
+    ] {
+        assert!(check_box_file("trial", text).is_none());
+    }
+}
