--- /dev/null
+++ b/components/policy/src/demand.rs
@@ -0,0 +1,68 @@
+//! What a pool is asked, and what it says.
+
+use crate::fairness::Share;
+use crate::length::LengthClass;
+use prelude::{PermitId, Refusal, TargetId};
+use serde::{Deserialize, Serialize};
+
+/// A request for a permit.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Demand {
+    /// The permit's name, chosen by the box that asks.
+    pub permit: PermitId,
+    /// Who is charged.
+    pub share: Share,
+    /// Whose lengths it is like.
+    pub class: LengthClass,
+    /// Tokens of its prompt.
+    pub prompt_tokens: u32,
+    /// The most it may generate.
+    pub max_tokens: u32,
+    /// Whether it goes before requests that can wait.
+    pub urgent: bool,
+    /// When it came to the pool.
+    pub since_ms: u64,
+    /// When it is to be refused if it still waits.
+    pub deadline_ms: u64,
+    /// Hash and tokens of a prefix that engines may have cached.
+    pub prefix: Option<(u64, u32)>,
+    /// Its true length, for the oracle policy.
+    pub told_tokens: Option<u32>,
+    /// An engine that just failed it.
+    pub avoid: Option<TargetId>,
+}
+
+/// What became of a request when it came.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Submitted {
+    /// It waits, behind this many others.
+    Waits {
+        /// Requests before it.
+        place: u32,
+    },
+    /// It was refused.
+    Refused(Refusal),
+}
+
+/// What became of a request that waited.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Verdict {
+    /// It may run on this engine.
+    Granted {
+        /// The engine.
+        target: TargetId,
+    },
+    /// It was refused.
+    Refused(Refusal),
+}
+
+/// A stream that a new dispatcher is told of.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Adopted {
+    /// What it asked for.
+    pub demand: Demand,
+    /// Where it runs.
+    pub target: TargetId,
+    /// Tokens generated so far.
+    pub generated_tokens: u32,
+}
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -1,6 +1,7 @@
 //! The decisions: which target, when to wait, when to refuse. Nothing here opens a socket, starts a
 //! task or reads a clock.
 
+mod demand;
 mod fairness;
 mod forecast;
 mod kind;
@@ -13,14 +14,17 @@
 mod queue;
 mod rendezvous;
 mod retry;
+mod view;
 
+pub use demand::{Adopted, Demand, Submitted, Verdict};
 pub use fairness::{FairTree, Share};
 pub use forecast::{Forecast, HORIZONS_TOKENS};
 pub use kind::{PolicyKind, PoolSettings};
 pub use ledger::{EngineInfo, EngineLedger, EngineReport, EngineState, Stream};
 pub use length::{End, LengthClass, LengthModel, Survivor};
 pub use local::{LocalPool, LocalTarget};
-pub use pool::{Adopted, Demand, EngineView, Pool, PoolView, Submitted, Verdict};
+pub use pool::Pool;
 pub use prefixes::PrefixIndex;
 pub use rendezvous::{ranked, winner};
 pub use retry::RetryBudget;
+pub use view::{EngineView, PoolView};
--- a/components/policy/src/local.rs
+++ b/components/policy/src/local.rs
@@ -1,9 +1,9 @@
 //! Placement by what one box sees alone: the baselines, and what a box falls back on while its
 //! dispatcher is silent.
 
+use crate::demand::Verdict;
 use crate::kind::PolicyKind;
 use crate::ledger::EngineState;
-use crate::pool::Verdict;
 use prelude::{PermitId, Refusal, RefusalReason, TargetId};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -2,120 +2,21 @@
 //! it is wrong, or when two boxes each believe that they dispatch, an engine preempts; nothing is lost
 //! or doubled.
 
-use crate::fairness::{FairTree, Share};
+use crate::demand::{Adopted, Demand, Submitted, Verdict};
+use crate::fairness::FairTree;
 use crate::forecast::Forecast;
 use crate::kind::{PolicyKind, PoolSettings};
 use crate::ledger::{
     EngineInfo, EngineLedger, EngineReport, EngineState, Stream, StreamKey, Streams,
 };
-use crate::length::{End, LengthClass, LengthModel};
+use crate::length::{End, LengthModel};
 use crate::pace::GrantPace;
 use crate::prefixes::PrefixIndex;
 use crate::queue::{Place, Queue};
+use crate::view::{EngineView, PoolView};
 use prelude::{BoxId, PermitId, Refusal, RefusalReason, TargetId};
-use serde::{Deserialize, Serialize};
 use std::collections::{HashMap, HashSet, VecDeque};
 
-/// A request for a permit.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Demand {
-    /// The permit's name, chosen by the box that asks.
-    pub permit: PermitId,
-    /// Who is charged.
-    pub share: Share,
-    /// Whose lengths it is like.
-    pub class: LengthClass,
-    /// Tokens of its prompt.
-    pub prompt_tokens: u32,
-    /// The most it may generate.
-    pub max_tokens: u32,
-    /// Whether it goes before requests that can wait.
-    pub urgent: bool,
-    /// When it came to the pool.
-    pub since_ms: u64,
-    /// When it is to be refused if it still waits.
-    pub deadline_ms: u64,
-    /// Hash and tokens of a prefix that engines may have cached.
-    pub prefix: Option<(u64, u32)>,
-    /// Its true length, for the oracle policy.
-    pub told_tokens: Option<u32>,
-    /// An engine that just failed it.
-    pub avoid: Option<TargetId>,
-}
-
-/// What became of a request when it came.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Submitted {
-    /// It waits, behind this many others.
-    Waits {
-        /// Requests before it.
-        place: u32,
-    },
-    /// It was refused.
-    Refused(Refusal),
-}
-
-/// What became of a request that waited.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Verdict {
-    /// It may run on this engine.
-    Granted {
-        /// The engine.
-        target: TargetId,
-    },
-    /// It was refused.
-    Refused(Refusal),
-}
-
-/// A stream that a new dispatcher is told of.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Adopted {
-    /// What it asked for.
-    pub demand: Demand,
-    /// Where it runs.
-    pub target: TargetId,
-    /// Tokens generated so far.
-    pub generated_tokens: u32,
-}
-
-/// One engine as operators see it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct EngineView {
-    /// The engine.
-    pub target: TargetId,
-    /// Whether it takes new work.
-    pub takes_work: bool,
-    /// Its memory.
-    pub capacity_tokens: u64,
-    /// Streams with a permit.
-    pub streams: u32,
-    /// Memory that those hold.
-    pub ledger_tokens: u64,
-    /// Memory in use by its own report.
-    pub reported_tokens: u64,
-    /// Memory taken by load from elsewhere.
-    pub foreign_tokens: u64,
-    /// Requests that wait at the engine by its report.
-    pub reported_waiting: u32,
-    /// Requests that run at the engine by its report.
-    pub reported_running: u32,
-    /// Preemptions seen by this dispatcher.
-    pub preemptions: u64,
-}
-
-/// A pool as operators see it.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct PoolView {
-    /// Requests that wait for a permit.
-    pub waiting: u32,
-    /// The margin in standard deviations.
-    pub margin: f64,
-    /// Permits granted a second.
-    pub grants_per_s: f64,
-    /// Its engines.
-    pub engines: Vec<EngineView>,
-}
-
 /// Candidates that are tried in one run when the first does not fit.
 const CANDIDATES: usize = 6;
 /// Window over which grants are counted.
--- a/components/policy/src/pool_tests.rs
+++ b/components/policy/src/pool_tests.rs
@@ -1,4 +1,6 @@
 use super::*;
+use crate::fairness::Share;
+use crate::length::LengthClass;
 use prelude::{AccountId, OwnerId, PartnerId, TargetIncarnation};
 
 const ENGINE: TargetId = TargetId(1);
