--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -12,6 +12,7 @@
 mod handler;
 mod inforce;
 mod members;
+mod once;
 mod orders;
 mod permits;
 mod poller;
