--- a/components/bench/src/capacity/dispatch.rs
+++ b/components/bench/src/capacity/dispatch.rs
@@ -4,7 +4,7 @@
 use super::target;
 use crate::process::rss_bytes;
 use policy::{Adopted, Demand, End, EngineInfo, LengthClass, Pool, PoolSettings, Share};
-use prelude::{AccountId, BoxId, OwnerId, PartnerId, PermitId, TargetId};
+use prelude::{AccountId, BoxId, DataCentreId, OwnerId, PartnerId, PermitId, TargetId};
 use std::time::Instant;
 
 const ENGINES: u64 = 4;
@@ -76,6 +76,7 @@
         prefix: None,
         told_tokens: None,
         avoid: None,
+        near: None,
     }
 }
 
@@ -89,6 +90,7 @@
     let engine = |id| EngineInfo {
         id: TargetId(id),
         capacity_tokens,
+        data_centre: DataCentreId(0),
     };
     pool.set_engines(&(0..ENGINES).map(engine).collect::<Vec<_>>());
     for serial in 0..streams {
--- a/components/bench/src/faults/actors.rs
+++ b/components/bench/src/faults/actors.rs
@@ -2,13 +2,13 @@
 
 use super::history::{AcceptedChange, CallRecord, ChatRecord, RegisterStep};
 use super::run::World;
-use platform::{ApplyError, ApplyOutcome, Etcd, HistoryEntry, apply_branch, read_branches};
 use prelude::unix_ms;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
+use store::{ApplyError, ApplyOutcome, Etcd, HistoryEntry, apply_branch, read_branches};
 use trial::{CallOutcome, Caller, ChatSpec};
 
 /// Requests of a call with one key: the first, and those through other boxes that follow or run beside.
--- a/components/bench/src/faults/run.rs
+++ b/components/bench/src/faults/run.rs
@@ -242,7 +242,7 @@
     }
 
     fn branch_key(&self) -> String {
-        format!("{}{}", platform::SETTINGS_PREFIX, self.partner())
+        format!("{}{}", store::SETTINGS_PREFIX, self.partner())
     }
 
     /// The branch with a weight.
--- a/components/bench/src/spread/settings.rs
+++ b/components/bench/src/spread/settings.rs
@@ -3,12 +3,12 @@
 use crate::stats::Times;
 use miette::{IntoDiagnostic, miette};
 use operators::Console;
-use platform::{ApplyOutcome, Etcd, HistoryEntry, apply_branch, read_branches};
 use prelude::unix_ms;
 use serde::Serialize;
 use standins::EngineSettings;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, Instant};
+use store::{ApplyOutcome, Etcd, HistoryEntry, apply_branch, read_branches};
 use trial::{Trial, TrialPlan};
 
 const LIMIT: Duration = Duration::from_secs(15);
--- /dev/null
+++ b/components/http1/src/channel.rs
@@ -0,0 +1,244 @@
+//! One TCP channel with what was read from it and not yet used.
+
+use crate::head::{HeadError, RequestHead, ResponseHead, parse_request, parse_response};
+use bytes::{Buf, BytesMut};
+use socket2::{SockRef, TcpKeepalive};
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+
+/// Read from a channel at a time.
+const READ_BYTES: usize = 8 * 1024;
+/// Bytes of later requests that are kept while one is answered.
+const AHEAD_BYTES_MAX: usize = 64 * 1024;
+/// Longest head of an answer.
+const ANSWER_HEAD_BYTES_MAX: usize = 32 * 1024;
+/// Written bytes that are not acknowledged for this long end the channel. A peer behind a cut says
+/// nothing, and the system's own time is many minutes.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(2500);
+/// A silent channel is probed after this time, and at this interval.
+const PROBE_AFTER: Duration = Duration::from_secs(2);
+const PROBE_INTERVAL: Duration = Duration::from_secs(1);
+/// New channels that may wait to be taken.
+const BACKLOG: u32 = 1024;
+
+/// Why nothing more can be read.
+#[derive(Debug, Error)]
+pub enum ChannelError {
+    /// The channel failed.
+    #[error("the channel failed: {0}")]
+    Io(#[from] io::Error),
+    /// The peer closed it in good order.
+    #[error("the channel was closed")]
+    Closed,
+    /// What came is no message.
+    #[error(transparent)]
+    Head(#[from] HeadError),
+}
+
+/// A TCP channel and what was read ahead from it.
+#[derive(Debug)]
+pub struct Channel {
+    io: TcpStream,
+    /// Read and not yet used.
+    pub buffer: BytesMut,
+}
+
+fn tune(io: &TcpStream) -> io::Result<()> {
+    io.set_nodelay(true)?;
+    let socket = SockRef::from(io);
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_AFTER)
+        .with_interval(PROBE_INTERVAL);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))
+}
+
+/// Takes channels.
+#[derive(Debug)]
+pub struct Listener(TcpListener);
+
+impl Listener {
+    /// Listens on an address.
+    ///
+    /// # Errors
+    /// The system's, where the address is taken or not ours.
+    pub fn bind(address: SocketAddr) -> io::Result<Self> {
+        let socket = match address {
+            SocketAddr::V4(_) => TcpSocket::new_v4()?,
+            SocketAddr::V6(_) => TcpSocket::new_v6()?,
+        };
+        socket.set_reuseaddr(true)?;
+        socket.bind(address)?;
+        Ok(Self(socket.listen(BACKLOG)?))
+    }
+
+    /// The address that it listens on.
+    ///
+    /// # Errors
+    /// The system's.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.0.local_addr()
+    }
+
+    /// Takes the next channel.
+    ///
+    /// # Errors
+    /// The system's, where descriptors are used up or a channel ended before it was taken.
+    pub async fn accept(&self) -> io::Result<Channel> {
+        let (io, _) = self.0.accept().await?;
+        Channel::new(io)
+    }
+}
+
+impl Channel {
+    /// A channel over an open socket.
+    ///
+    /// # Errors
+    /// The system's, where the socket cannot be set up.
+    pub fn new(io: TcpStream) -> io::Result<Self> {
+        tune(&io)?;
+        Ok(Self {
+            io,
+            buffer: BytesMut::new(),
+        })
+    }
+
+    /// Opens a channel.
+    ///
+    /// # Errors
+    /// The system's, or [`io::ErrorKind::TimedOut`] after `limit`. Nothing was sent.
+    pub async fn connect(address: SocketAddr, limit: Duration) -> io::Result<Self> {
+        let connecting = TcpStream::connect(address);
+        match tokio::time::timeout(limit, connecting).await {
+            Ok(io) => Self::new(io?),
+            Err(_) => Err(io::ErrorKind::TimedOut.into()),
+        }
+    }
+
+    /// Reads more into the buffer and says how much; 0 where the peer closed the channel.
+    ///
+    /// # Errors
+    /// The system's.
+    pub async fn fill(&mut self) -> io::Result<usize> {
+        self.buffer.reserve(READ_BYTES);
+        self.io.read_buf(&mut self.buffer).await
+    }
+
+    /// Writes all of `bytes`.
+    ///
+    /// # Errors
+    /// The system's. Some of the bytes may have been sent.
+    pub async fn write(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.io.write_all(bytes).await
+    }
+
+    /// Writes `bytes` while reading: ends when all is written, or as soon as something was read.
+    /// Says how many bytes were written.
+    ///
+    /// # Errors
+    /// The system's, where the peer closed it or it failed.
+    pub async fn write_or_read(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.buffer.reserve(READ_BYTES);
+        let (mut reader, mut writer) = self.io.split();
+        let mut written = 0;
+        while written < bytes.len() {
+            tokio::select! {
+                biased;
+                read = reader.read_buf(&mut self.buffer) => {
+                    return match read? {
+                        0 => Err(io::ErrorKind::UnexpectedEof.into()),
+                        _ => Ok(written),
+                    };
+                }
+                more = writer.write(&bytes[written..]) => written += more?,
+            }
+        }
+        Ok(written)
+    }
+
+    /// Whether the channel is open with nothing read from it: one on which a request may be sent.
+    pub fn is_quiet(&mut self) -> bool {
+        if !self.buffer.is_empty() {
+            return false;
+        }
+        let mut byte = [0; 1];
+        let read = self.io.try_read(&mut byte);
+        matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Waits until the peer closes the channel or it fails. What comes meanwhile is kept.
+    pub async fn gone(&mut self) {
+        loop {
+            if self.buffer.len() >= AHEAD_BYTES_MAX {
+                // A peer that sends so far ahead is not read on; its close shows when it is written to.
+                std::future::pending::<()>().await;
+            }
+            if !matches!(self.fill().await, Ok(read) if read > 0) {
+                return;
+            }
+        }
+    }
+
+    /// Reads the head of the next request; none where the peer closed the channel between requests.
+    ///
+    /// # Errors
+    /// [`ChannelError`].
+    pub async fn request(
+        &mut self,
+        most_bytes: usize,
+    ) -> Result<Option<RequestHead>, ChannelError> {
+        loop {
+            if let Some((head, taken)) = parse_request(&self.buffer, most_bytes)? {
+                self.buffer.advance(taken);
+                return Ok(Some(head));
+            }
+            if self.fill().await? == 0 {
+                return match self.buffer.is_empty() {
+                    true => Ok(None),
+                    false => Err(ChannelError::Closed),
+                };
+            }
+        }
+    }
+
+    /// Reads the head of the next answer, passing over heads that only announce one.
+    ///
+    /// # Errors
+    /// [`ChannelError`].
+    pub async fn response(&mut self) -> Result<ResponseHead, ChannelError> {
+        loop {
+            if let Some((head, taken)) = parse_response(&self.buffer, ANSWER_HEAD_BYTES_MAX)? {
+                self.buffer.advance(taken);
+                if head.status >= 200 {
+                    return Ok(head);
+                }
+                continue;
+            }
+            if self.fill().await? == 0 {
+                return Err(ChannelError::Closed);
+            }
+        }
+    }
+
+    /// Ends our side after what was written, and reads for a while what the peer still sends: a close
+    /// with unread bytes resets the channel and may destroy the answer on its way.
+    pub async fn finish(mut self, limit: Duration) {
+        if self.io.shutdown().await.is_err() {
+            return;
+        }
+        let drain = async {
+            loop {
+                self.buffer.clear();
+                if !matches!(self.fill().await, Ok(read) if read > 0) {
+                    return;
+                }
+            }
+        };
+        // A peer that neither closes nor stops is left after the limit.
+        let _ = tokio::time::timeout(limit, drain).await;
+    }
+}
--- a/components/node/src/claims.rs
+++ b/components/node/src/claims.rs
@@ -3,7 +3,6 @@
 
 use crate::shared::{Shared, lock};
 use peers::{ClaimRequest, ClaimResult, KeyOutcome, OutcomeRecord};
-use platform::{CallBudget, Etcd, KeyValue};
 use policy::winner;
 use prelude::{BoxId, BoxIncarnation};
 use services::{
@@ -12,6 +11,7 @@
 };
 use std::sync::Arc;
 use std::time::Duration;
+use store::{CallBudget, Etcd, KeyValue};
 use tokio::sync::{mpsc, oneshot};
 
 /// Claims that may wait to be recorded.
--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -9,7 +9,7 @@
     Adopted, Demand, End, EngineInfo, EngineReport, LengthClass, Pool, PoolSettings, PoolView,
     Share, Submitted, Verdict,
 };
-use prelude::{BoxId, PermitId, PoolId, Refusal, RefusalReason, TargetId};
+use prelude::{BoxId, DataCentreId, PermitId, PoolId, Refusal, RefusalReason, TargetId};
 use settings::Resolved;
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
@@ -122,6 +122,7 @@
             .map(|engine| EngineInfo {
                 id: engine.id,
                 capacity_tokens: engine.kv_capacity_tokens,
+                data_centre: DataCentreId::default(),
             })
             .collect();
         self.pool.set_engines(&infos);
@@ -165,6 +166,7 @@
             prefix: request.prefix,
             told_tokens: request.told_tokens,
             avoid: request.avoid,
+            near: None,
         }
     }
 
--- a/components/node/src/members.rs
+++ b/components/node/src/members.rs
@@ -1,10 +1,10 @@
 //! Which boxes there are: the lagging box list, joined with what is seen of each box.
 
 use peers::BoxCard;
-use platform::{ListedBox, ListedState};
 use prelude::{BoxId, BoxIncarnation, DataCentreId};
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use store::{ListedBox, ListedState};
 
 /// How long a box that gave no answer is left out of the roles.
 const SUSPECT_MS: u64 = 2_000;
--- a/components/node/src/orders.rs
+++ b/components/node/src/orders.rs
@@ -6,13 +6,13 @@
 use crate::spread::spread_target;
 use engines::OrderError;
 use peers::{StateOfTarget, TargetWord};
-use platform::{Etcd, read_branches};
 use policy::winner;
 use prelude::TargetId;
 use settings::{ResolvedTarget, TargetKind};
 use std::collections::HashMap;
 use std::sync::Arc;
 use std::time::Duration;
+use store::{Etcd, read_branches};
 
 /// How often orders that were not taken are given again.
 const RETRY: Duration = Duration::from_secs(2);
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -16,7 +16,6 @@
 };
 use engines::EngineClient;
 use peers::{BoxCard, PeerClients, SettingsValue, Topology, Traffic};
-use platform::{BoxListClient, Etcd};
 use prelude::{AccountId, BoxId, BoxIncarnation, Clock, DataCentreId, RegionId, unix_ms};
 use services::ServiceClient;
 use settings::{BoxFile, Resolved};
@@ -27,6 +26,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
+use store::{BoxListClient, Etcd};
 use thiserror::Error;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
--- a/components/node/src/watcher.rs
+++ b/components/node/src/watcher.rs
@@ -4,15 +4,15 @@
 use crate::shared::{Shared, lock};
 use crate::spread::{exchange_with, spread_settings};
 use peers::SettingsValue;
-use platform::{
-    BoxListClient, BranchText, Etcd, KeyValue, ListedState, SETTINGS_PREFIX, StoreError,
-    WatchEvent, branch_partner, read_branches,
-};
 use policy::ranked;
 use rand::Rng;
 use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
+use store::{
+    BoxListClient, BranchText, Etcd, KeyValue, ListedState, SETTINGS_PREFIX, StoreError,
+    WatchEvent, WatchStream, branch_partner, read_branches,
+};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Boxes of a data centre that watch.
--- a/components/operators/src/lib.rs
+++ b/components/operators/src/lib.rs
@@ -9,4 +9,4 @@
     AccountBurn, BadReason, BurnRecorder, BurnReport, Objective, Sample, WindowBurn, merge,
 };
 pub use console::{Console, MemberView, NodeView, TargetView, serve};
-pub use metrics::install_metrics;
+pub use metrics::{install_metrics, serve_metrics};
--- a/components/peers/src/client.rs
+++ b/components/peers/src/client.rs
@@ -1,6 +1,7 @@
 //! Links to peers, made when first needed and again after a failure.
 
 use crate::counted::{Counted, Traffic};
+use crate::fleet::FleetClient;
 use crate::handshake;
 use crate::server::codec;
 use crate::service::PeerClient;
@@ -16,7 +17,7 @@
 use tarpc::tokio_serde::formats::Bincode;
 use thiserror::Error;
 use tokio::net::TcpStream;
-use tokio_util::codec::Framed;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 /// Why a peer gave no answer.
 #[derive(Debug, Error)]
@@ -44,20 +45,50 @@
 
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 
-struct Slot {
+/// A link whose both sides know each other, cut into messages.
+pub type LinkFrames = Framed<Counted<TcpStream>, LengthDelimitedCodec>;
+
+/// A client of one of the services between boxes.
+pub trait LinkClient: Clone + Send + 'static {
+    /// Starts it on an open link.
+    fn start(frames: LinkFrames) -> Self;
+}
+
+impl LinkClient for PeerClient {
+    fn start(frames: LinkFrames) -> Self {
+        let transport = tarpc::serde_transport::new(frames, Bincode::default());
+        Self::new(tarpc::client::Config::default(), transport).spawn()
+    }
+}
+
+impl LinkClient for FleetClient {
+    fn start(frames: LinkFrames) -> Self {
+        let transport = tarpc::serde_transport::new(frames, Bincode::default());
+        Self::new(tarpc::client::Config::default(), transport).spawn()
+    }
+}
+
+/// Links of the boxes that hold streams for callers who may come back through any box.
+pub type PeerClients = Links<PeerClient>;
+/// Links of the boxes of a platform's fleet.
+pub type FleetClients = Links<FleetClient>;
+
+struct Slot<C> {
     address: SocketAddr,
-    client: tokio::sync::Mutex<Option<PeerClient>>,
+    client: tokio::sync::Mutex<Option<C>>,
 }
 
+type Slots<C> = Arc<Mutex<HashMap<BoxId, Arc<Slot<C>>>>>;
+
 /// Links to all peers. Cheap to clone.
 #[derive(Clone)]
-pub struct PeerClients {
+pub struct Links<C> {
     keys: Arc<[String]>,
-    slots: Arc<Mutex<HashMap<BoxId, Arc<Slot>>>>,
+    slots: Slots<C>,
     traffic: Arc<Traffic>,
 }
 
-impl PeerClients {
+impl<C: LinkClient> Links<C> {
     /// No links yet; the first of `keys` is used to prove who we are.
     pub fn new(keys: &[String], traffic: Arc<Traffic>) -> Self {
         Self {
@@ -94,7 +125,7 @@
     /// [`PeerError`], which says whether the call was sent.
     pub async fn call<T, F, Fut>(&self, id: BoxId, limit: Duration, call: F) -> Result<T, PeerError>
     where
-        F: FnOnce(PeerClient, Context) -> Fut,
+        F: FnOnce(C, Context) -> Fut,
         Fut: Future<Output = Result<T, RpcError>>,
     {
         let slot = {
@@ -120,7 +151,7 @@
         }
     }
 
-    async fn client(&self, id: BoxId, slot: &Slot) -> Result<PeerClient, PeerError> {
+    async fn client(&self, id: BoxId, slot: &Slot<C>) -> Result<C, PeerError> {
         let mut held = slot.client.lock().await;
         if let Some(client) = held.as_ref() {
             return Ok(client.clone());
@@ -133,7 +164,7 @@
         Ok(client)
     }
 
-    async fn connect(&self, address: SocketAddr) -> std::io::Result<PeerClient> {
+    async fn connect(&self, address: SocketAddr) -> std::io::Result<C> {
         let connecting = async {
             let mut link = TcpStream::connect(address).await?;
             link.set_nodelay(true)?;
@@ -142,7 +173,6 @@
         };
         let link = tokio::time::timeout(CONNECT_LIMIT, connecting).await??;
         let framed = Framed::new(Counted::new(link, self.traffic.clone()), codec());
-        let transport = tarpc::serde_transport::new(framed, Bincode::default());
-        Ok(PeerClient::new(tarpc::client::Config::default(), transport).spawn())
+        Ok(C::start(framed))
     }
 }
--- a/components/peers/src/counted.rs
+++ b/components/peers/src/counted.rs
@@ -27,7 +27,7 @@
 
 /// A link whose bytes are counted.
 #[derive(Debug)]
-pub(crate) struct Counted<L> {
+pub struct Counted<L> {
     link: L,
     traffic: Arc<Traffic>,
 }
--- /dev/null
+++ b/components/peers/src/fleet.rs
@@ -0,0 +1,161 @@
+//! The calls between the boxes of a platform's fleet: what each knows of the operators' declarations, of
+//! targets and of boxes, and permits for generations.
+
+use crate::messages::{AcquireRequest, AdoptedStream, PermitReply, UpdateReply, UpdateRequest};
+use prelude::{BoxId, PermitId, PoolId, TargetId};
+use routing::TargetEntry;
+use serde::{Deserialize, Serialize};
+use std::future::Future;
+use std::net::SocketAddr;
+use tarpc::context::Context;
+
+/// What a box says of itself.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetCard {
+    /// Its key, made from its name.
+    pub id: BoxId,
+    /// Drawn at each start of its process: tells one life from another.
+    pub life: u32,
+    /// Its name.
+    pub name: Box<str>,
+    /// Where its peers reach it.
+    pub address: SocketAddr,
+    /// The data centre it stands in.
+    pub data_centre: Box<str>,
+    /// Whether it stops.
+    pub leaving: bool,
+}
+
+/// What a box knows, in short.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FleetDigest {
+    /// Who says it.
+    pub from: FleetCard,
+    /// Version of the declarations that it has; 0 for none.
+    pub table_version: u64,
+    /// The store's revision of the last change of targets that it knows.
+    pub targets_changed_at: u64,
+    /// The store's revision up to which it knows all targets.
+    pub targets_current_to: u64,
+}
+
+/// The operators' declarations as they lie in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct SharedTable {
+    /// Their version.
+    pub version: u64,
+    /// Their text.
+    pub text: Vec<u8>,
+}
+
+/// What a box tells another.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct FleetNews {
+    /// What the sender knows, in short.
+    pub digest: FleetDigest,
+    /// The declarations, where the other has none or older ones.
+    pub table: Option<SharedTable>,
+    /// All targets that are listed, where the other knows less of them.
+    pub targets: Option<Vec<TargetEntry>>,
+    /// Boxes that the sender knows; empty where the other is not new.
+    pub boxes: Vec<FleetCard>,
+}
+
+/// What each box of a fleet answers.
+#[tarpc::service]
+pub trait Fleet {
+    /// Says what the caller knows, and gets what it lacks.
+    async fn exchange(digest: FleetDigest) -> FleetNews;
+
+    /// Tells news that the caller just learnt.
+    async fn tell(news: FleetNews);
+
+    /// Asks for a permit; waits up to `wait_ms` for a decision.
+    async fn acquire(request: AcquireRequest, wait_ms: u32) -> PermitReply;
+
+    /// Takes back a request for a permit.
+    async fn withdraw(pool: PoolId, permit: PermitId);
+
+    /// Asks where a running generation can go on; its permit moves there.
+    async fn relocate(pool: PoolId, permit: PermitId, avoid: Vec<TargetId>) -> Option<TargetId>;
+
+    /// Reports progress and ends of generations.
+    async fn update(request: UpdateRequest) -> UpdateReply;
+
+    /// Tells a dispatcher of all the generations that `from` has open in a pool.
+    async fn adopt(from: BoxId, pool: PoolId, streams: Vec<AdoptedStream>);
+}
+
+/// What a box does on each call of [`Fleet`]. All its work is done in one thread.
+pub trait FleetHandler: Clone + 'static {
+    /// See [`Fleet::exchange`].
+    fn exchange(&self, digest: FleetDigest) -> impl Future<Output = FleetNews>;
+
+    /// See [`Fleet::tell`].
+    fn tell(&self, news: FleetNews) -> impl Future<Output = ()>;
+
+    /// See [`Fleet::acquire`].
+    fn acquire(&self, request: AcquireRequest, wait_ms: u32) -> impl Future<Output = PermitReply>;
+
+    /// See [`Fleet::withdraw`].
+    fn withdraw(&self, pool: PoolId, permit: PermitId) -> impl Future<Output = ()>;
+
+    /// See [`Fleet::relocate`].
+    fn relocate(
+        &self,
+        pool: PoolId,
+        permit: PermitId,
+        avoid: Vec<TargetId>,
+    ) -> impl Future<Output = Option<TargetId>>;
+
+    /// See [`Fleet::update`].
+    fn update(&self, request: UpdateRequest) -> impl Future<Output = UpdateReply>;
+
+    /// See [`Fleet::adopt`].
+    fn adopt(
+        &self,
+        from: BoxId,
+        pool: PoolId,
+        streams: Vec<AdoptedStream>,
+    ) -> impl Future<Output = ()>;
+}
+
+/// Answers the calls of [`Fleet`] by a handler.
+#[derive(Clone)]
+pub(crate) struct FleetServer<H>(pub H);
+
+impl<H: FleetHandler> Fleet for FleetServer<H> {
+    async fn exchange(self, _: Context, digest: FleetDigest) -> FleetNews {
+        self.0.exchange(digest).await
+    }
+
+    async fn tell(self, _: Context, news: FleetNews) {
+        self.0.tell(news).await;
+    }
+
+    async fn acquire(self, _: Context, request: AcquireRequest, wait_ms: u32) -> PermitReply {
+        self.0.acquire(request, wait_ms).await
+    }
+
+    async fn withdraw(self, _: Context, pool: PoolId, permit: PermitId) {
+        self.0.withdraw(pool, permit).await;
+    }
+
+    async fn relocate(
+        self,
+        _: Context,
+        pool: PoolId,
+        permit: PermitId,
+        avoid: Vec<TargetId>,
+    ) -> Option<TargetId> {
+        self.0.relocate(pool, permit, avoid).await
+    }
+
+    async fn update(self, _: Context, request: UpdateRequest) -> UpdateReply {
+        self.0.update(request).await
+    }
+
+    async fn adopt(self, _: Context, from: BoxId, pool: PoolId, streams: Vec<AdoptedStream>) {
+        self.0.adopt(from, pool, streams).await;
+    }
+}
--- a/components/peers/src/lib.rs
+++ b/components/peers/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod client;
 mod counted;
+mod fleet;
 mod handshake;
 mod messages;
 mod patch;
@@ -10,14 +11,15 @@
 mod service;
 mod spread;
 
-pub use client::{PeerClients, PeerError};
-pub use counted::Traffic;
+pub use client::{FleetClients, LinkClient, LinkFrames, Links, PeerClients, PeerError};
+pub use counted::{Counted, Traffic};
+pub use fleet::{FleetCard, FleetClient, FleetDigest, FleetHandler, FleetNews, SharedTable};
 pub use messages::{
     AcquireRequest, AdoptedStream, BoxCard, ClaimRequest, ClaimResult, Digest, EndedStream,
     KeyOutcome, Notice, OutcomeRecord, PermitReply, SettingsValue, StateOfTarget, StreamProgress,
     TargetWord, UpdateReply, UpdateRequest,
 };
 pub use patch::SettingsPatch;
-pub use server::serve;
+pub use server::{serve, serve_fleet};
 pub use service::{PeerClient, PeerHandler};
 pub use spread::{Topology, next_hops};
--- a/components/policy/src/demand.rs
+++ b/components/policy/src/demand.rs
@@ -2,7 +2,7 @@
 
 use crate::fairness::Share;
 use crate::length::LengthClass;
-use prelude::{PermitId, Refusal, TargetId};
+use prelude::{DataCentreId, PermitId, Refusal, TargetId};
 use serde::{Deserialize, Serialize};
 
 /// A request for a permit.
@@ -30,6 +30,8 @@
     pub told_tokens: Option<u32>,
     /// An engine that just failed it.
     pub avoid: Option<TargetId>,
+    /// The data centre of the box that serves its caller.
+    pub near: Option<DataCentreId>,
 }
 
 /// What became of a request when it came.
--- a/components/policy/src/kind.rs
+++ b/components/policy/src/kind.rs
@@ -64,6 +64,10 @@
     pub pass_limit_ms: u64,
     /// Share of the engines that may be kept for such requests at a time, between 0 and 1.
     pub reserve_share: f64,
+    /// What an engine in the data centre of the caller's box is preferred by, in tokens of memory.
+    pub near_tokens: u32,
+    /// How long a new dispatcher waits for an engine's first report; 0 where all load is its own.
+    pub first_report_ms: u64,
     /// Retries as a share of fresh requests.
     pub retry_share: f64,
 }
@@ -86,6 +90,8 @@
             affinity_tokens: 256,
             pass_limit_ms: 500,
             reserve_share: 0.45,
+            near_tokens: 0,
+            first_report_ms: 500,
             retry_share: 0.1,
         }
     }
--- a/components/policy/src/ledger.rs
+++ b/components/policy/src/ledger.rs
@@ -4,7 +4,7 @@
 use crate::fairness::Share;
 use crate::forecast::Forecast;
 use crate::length::{LengthClass, LengthModel};
-use prelude::{BoxId, PermitId, TargetId, TargetIncarnation};
+use prelude::{BoxId, DataCentreId, PermitId, TargetId, TargetIncarnation};
 use slotmap::{SlotMap, new_key_type};
 use std::collections::VecDeque;
 
@@ -20,6 +20,8 @@
     pub id: TargetId,
     /// Its memory in tokens.
     pub capacity_tokens: u64,
+    /// Where it stands.
+    pub data_centre: DataCentreId,
 }
 
 /// Whether an engine takes new work.
@@ -282,6 +284,7 @@
         EngineLedger::new(EngineInfo {
             id: TargetId(1),
             capacity_tokens: 1000,
+            data_centre: DataCentreId(0),
         })
     }
 
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -29,9 +29,6 @@
 const SILENT_BOX_MS: u64 = 10_000;
 /// Preemptions of one report that raise the margin.
 const PREEMPTIONS_COUNTED: u64 = 2;
-/// How long a new dispatcher waits for an engine's first report. Until then it does not know what runs
-/// there, and would fill the engine a second time.
-const FIRST_REPORT_MS: u64 = 500;
 /// Least time after which a refused caller is told to come back.
 const RETRY_AFTER_MIN_MS: u64 = 100;
 /// Pace of a stream before any was measured, in tokens per millisecond.
@@ -51,17 +48,17 @@
 /// The dispatcher's state for one pool.
 #[derive(Clone, Debug)]
 pub struct Pool {
-    settings: PoolSettings,
-    engines: Vec<EngineLedger>,
-    streams: Streams,
-    by_permit: HashMap<PermitId, StreamKey>,
+    pub(crate) settings: PoolSettings,
+    pub(crate) engines: Vec<EngineLedger>,
+    pub(crate) streams: Streams,
+    pub(crate) by_permit: HashMap<PermitId, StreamKey>,
     queue: Queue,
     tree: FairTree,
-    lengths: LengthModel,
+    pub(crate) lengths: LengthModel,
     prefixes: PrefixIndex,
     margin: f64,
     margin_ms: u64,
-    tokens_per_ms: f64,
+    pub(crate) tokens_per_ms: f64,
     grants: VecDeque<u64>,
     pace: GrantPace,
     /// When the first request came; grants wait for engines' reports from then on, but not for ever.
@@ -268,6 +265,12 @@
         }
     }
 
+    /// The engine of a permit that is held.
+    pub fn target_of(&self, permit: PermitId) -> Option<TargetId> {
+        let key = self.by_permit.get(&permit)?;
+        self.streams.get(*key).map(|stream| stream.target)
+    }
+
     /// Streams of a box that hold a permit.
     pub fn streams_of(&self, entry: BoxId) -> usize {
         self.streams
@@ -370,7 +373,7 @@
         }
     }
 
-    fn engine_mut(&mut self, target: TargetId) -> Option<&mut EngineLedger> {
+    pub(crate) fn engine_mut(&mut self, target: TargetId) -> Option<&mut EngineLedger> {
         self.engines
             .iter_mut()
             .find(|ledger| ledger.info.id == target)
@@ -423,7 +426,9 @@
         let new = demand_forecast(&self.lengths, demand, self.settings.policy);
         let margin = self.margin_in_use();
         let began_ms = *self.began_ms.get_or_insert(now_ms);
-        let needs_report = now_ms < began_ms + FIRST_REPORT_MS;
+        // Until an engine's first report the dispatcher does not know what runs there, and would fill it
+        // a second time.
+        let needs_report = now_ms < began_ms + self.settings.first_report_ms;
         let mut best: Option<(f64, TargetId)> = None;
         let mut nearest: Vec<(f64, TargetId)> = Vec::new();
         for ledger in &mut self.engines {
@@ -452,7 +457,9 @@
                 let tokens = tokens.min(self.settings.affinity_tokens);
                 self.prefixes.worth(ledger.info.id, prefix, now_ms) * f64::from(tokens)
             });
-            let score = left + affinity;
+            let is_near = demand.near == Some(ledger.info.data_centre);
+            let near = f64::from(u8::from(is_near)) * f64::from(self.settings.near_tokens);
+            let score = left + affinity + near;
             if best.is_none_or(|(other, _)| score > other) {
                 best = Some((score, ledger.info.id));
             }
@@ -480,7 +487,7 @@
         reserved.extend(nearest.iter().take(late));
     }
 
-    fn margin_in_use(&self) -> f64 {
+    pub(crate) fn margin_in_use(&self) -> f64 {
         match self.settings.policy {
             PolicyKind::Oracle => 0.0,
             _ => self.margin,
--- a/components/policy/src/pool_tests.rs
+++ b/components/policy/src/pool_tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use crate::fairness::Share;
 use crate::length::LengthClass;
-use prelude::{AccountId, OwnerId, PartnerId, TargetIncarnation};
+use prelude::{AccountId, DataCentreId, OwnerId, PartnerId, TargetIncarnation};
 
 const ENGINE: TargetId = TargetId(1);
 const OTHER_ENGINE: TargetId = TargetId(2);
@@ -13,6 +13,7 @@
         .map(|(id, capacity_tokens)| EngineInfo {
             id: *id,
             capacity_tokens: *capacity_tokens,
+            data_centre: DataCentreId(0),
         })
         .collect();
     pool.set_engines(&infos);
@@ -53,6 +54,7 @@
         prefix: None,
         told_tokens: None,
         avoid: None,
+        near: None,
     }
 }
 
@@ -122,6 +124,7 @@
     let info = EngineInfo {
         id: ENGINE,
         capacity_tokens: 1000,
+        data_centre: DataCentreId(0),
     };
     pool.set_engines(&[info]);
     pool.submit(demand(1, 1, 100), 0);
--- /dev/null
+++ b/components/policy/src/relocate.rs
@@ -0,0 +1,90 @@
+//! A generation goes on at another engine: which one has room for what it holds and will still make.
+
+use crate::forecast::Forecast;
+use crate::ledger::EngineState;
+use crate::pool::Pool;
+use prelude::{DataCentreId, PermitId, TargetId};
+
+/// What copying within a data centre is preferred by, in tokens of memory: between data centres a copy
+/// takes twice as long.
+const NEAR_COPY_TOKENS: f64 = 4000.0;
+
+/// A generation that is to go on elsewhere.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Relocation {
+    /// Where it goes on.
+    pub target: TargetId,
+    /// Where it ran.
+    pub from: TargetId,
+}
+
+impl Pool {
+    /// Finds another engine for a running generation and moves its permit there, so that its room is
+    /// taken from now on. None where no engine can take it; its permit then stays where it is.
+    pub fn relocate(
+        &mut self,
+        permit: PermitId,
+        avoid: &[TargetId],
+        now_ms: u64,
+    ) -> Option<Relocation> {
+        let key = *self.by_permit.get(&permit)?;
+        let stream = self.streams.get(key)?;
+        let from = stream.target;
+        let held = f64::from(stream.prompt_tokens) + f64::from(stream.generated_tokens);
+        let generated = f64::from(stream.generated_tokens);
+        let mut more = Forecast::default();
+        more.add(held, stream.survival(&self.lengths, generated));
+        let place = self.data_centre_of(from);
+        let target = self.roomiest(&more, place, from, avoid, now_ms)?;
+        if let Some(ledger) = self.engine_mut(from) {
+            ledger.remove(key);
+        }
+        if let Some(ledger) = self.engine_mut(target) {
+            ledger.add(key, &more);
+        }
+        if let Some(stream) = self.streams.get_mut(key) {
+            stream.target = target;
+        }
+        Some(Relocation { target, from })
+    }
+
+    fn data_centre_of(&self, target: TargetId) -> Option<DataCentreId> {
+        let ledger = self
+            .engines
+            .iter()
+            .find(|ledger| ledger.info.id == target)?;
+        Some(ledger.info.data_centre)
+    }
+
+    fn roomiest(
+        &mut self,
+        more: &Forecast,
+        place: Option<DataCentreId>,
+        from: TargetId,
+        avoid: &[TargetId],
+        now_ms: u64,
+    ) -> Option<TargetId> {
+        let margin = self.margin_in_use();
+        let mut best: Option<(f64, TargetId)> = None;
+        for ledger in &mut self.engines {
+            let id = ledger.info.id;
+            if ledger.state != EngineState::Live || id == from || avoid.contains(&id) {
+                continue;
+            }
+            let pace = self.tokens_per_ms;
+            let forecast = ledger.forecast(&self.streams, &self.lengths, pace, now_ms);
+            let peak = forecast.plus(more).peak_tokens(margin);
+            let usable = ledger.info.capacity_tokens as f64 * self.settings.memory_share;
+            let left = usable - ledger.foreign_tokens - peak;
+            if left < 0.0 {
+                continue;
+            }
+            let near = f64::from(u8::from(place == Some(ledger.info.data_centre)));
+            let score = left + near * NEAR_COPY_TOKENS;
+            if best.is_none_or(|(other, _)| score > other) {
+                best = Some((score, id));
+            }
+        }
+        best.map(|(_, target)| target)
+    }
+}
--- /dev/null
+++ b/components/relay/src/call.rs
@@ -0,0 +1,208 @@
+//! Plain requests: sent to the emptiest target, again where the route and the budget allow, and answered
+//! whole.
+
+use crate::request::{Incoming, Own, Reply, Way};
+use crate::send::{Message, NotRun, Opened, Tried};
+use crate::state::Relay;
+use crate::targets::TargetSlot;
+use bytes::Bytes;
+use platform::{Forwarding, forward, relayed_head};
+use routing::RouteKind;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Targets that one request is offered to, those that refuse it counted.
+const OFFERS_MAX: usize = 4;
+/// When a refused caller is told to come back, where no target says so.
+const RETRY_AFTER_MS: u64 = 300;
+/// Part of the goal after which a request that may run again is given up at a target that says nothing.
+const PATIENCE_SHARE: f64 = 0.8;
+
+/// What one offer led to.
+enum Offer {
+    Answered { reply: Reply, status: u16 },
+    NotRun(NotRun),
+    MayHaveRun(&'static str),
+}
+
+/// What the offers of a request have led to so far.
+#[derive(Default)]
+struct Story {
+    offered: Vec<TargetSlot>,
+    /// Offers after which the request may have run.
+    runs: u32,
+    /// An answer that is passed on where no better one comes.
+    kept: Option<Reply>,
+    retry_after_ms: Option<u64>,
+    last: &'static str,
+}
+
+/// Serves a plain request.
+pub(crate) async fn call(relay: &Rc<Relay>, incoming: &Incoming, way: &Way) -> Reply {
+    let service = &way.service().name;
+    relay.resend_window(service, |window, now_ms| window.request(now_ms));
+    let mut story = Story::default();
+    let due_ms = incoming.due_ms(way.route());
+    while let Some(slot) = next_offer(relay, way, &story, due_ms) {
+        story.offered.push(slot);
+        let offer = offer(relay, incoming, way, slot, &story).await;
+        judge(relay, slot, &offer);
+        match offer {
+            Offer::Answered { reply, status } => {
+                let may_improve = status >= 500 && way.route().kind == RouteKind::Repeatable;
+                if !may_improve {
+                    return reply;
+                }
+                story.runs += 1;
+                story.last = "the target failed";
+                story.kept = Some(reply);
+            }
+            Offer::NotRun(why) => {
+                if let NotRun::Refused { retry_after_ms } = why {
+                    story.retry_after_ms = story.retry_after_ms.or(retry_after_ms);
+                }
+            }
+            Offer::MayHaveRun(why) => {
+                story.runs += 1;
+                story.last = why;
+            }
+        }
+    }
+    conclude(relay, incoming, &story, due_ms)
+}
+
+/// The next target to offer a request to; none where it is over.
+fn next_offer(relay: &Rc<Relay>, way: &Way, story: &Story, due_ms: u64) -> Option<TargetSlot> {
+    let route = way.route();
+    let now_ms = relay.now_ms();
+    let may_run_again = route.kind == RouteKind::Repeatable && story.runs < route.runs_most;
+    if now_ms >= due_ms || story.offered.len() >= OFFERS_MAX {
+        return None;
+    }
+    if story.runs > 0 && !may_run_again {
+        return None;
+    }
+    let service = &way.service().name;
+    let near = relay.data_centre;
+    let slot = relay
+        .targets
+        .borrow()
+        .choose(service, near, &story.offered, now_ms)?;
+    if story.offered.contains(&slot) {
+        return None;
+    }
+    let again = !story.offered.is_empty();
+    (!again || relay.take_resend(service)).then_some(slot)
+}
+
+async fn offer(
+    relay: &Rc<Relay>,
+    incoming: &Incoming,
+    way: &Way,
+    slot: TargetSlot,
+    story: &Story,
+) -> Offer {
+    let route = way.route();
+    let left_ms = incoming.left_ms(route, relay.now_ms());
+    let instance = relay
+        .targets
+        .borrow()
+        .get(slot)
+        .map(|target| target.entry.instance.clone());
+    let Some(instance) = instance else {
+        return Offer::NotRun(NotRun::Unreachable);
+    };
+    let forwarding = Forwarding {
+        instance: &instance,
+        account: way.account_name(),
+        left_ms,
+        ..Forwarding::default()
+    };
+    let head = forward(&incoming.head, incoming.body.len(), &forwarding);
+    let message = Message {
+        request_id: incoming.id(),
+        head: &head,
+        body: &incoming.body,
+        bodiless: &*incoming.head.method == "HEAD",
+    };
+    let patience_ms = (route.answer_goal_ms as f64 * PATIENCE_SHARE) as u64;
+    let another = route.kind == RouteKind::Repeatable && story.runs + 1 < route.runs_most;
+    let limit_ms = match another {
+        true => left_ms.min(patience_ms),
+        false => left_ms,
+    };
+    let trying = try_whole(relay, slot, message);
+    match timeout(Duration::from_millis(limit_ms), trying).await {
+        Ok(offer) => offer,
+        Err(_) => Offer::MayHaveRun("the target did not answer in time"),
+    }
+}
+
+async fn try_whole(relay: &Rc<Relay>, slot: TargetSlot, message: Message<'_>) -> Offer {
+    match relay.try_at(slot, message).await {
+        Tried::NotRun(why) => Offer::NotRun(why),
+        Tried::MayHaveRun(why) => Offer::MayHaveRun(why),
+        Tried::Answered(opened) => whole(relay, *opened).await,
+    }
+}
+
+/// Reads an answer whole and checks it before any of it is passed on.
+async fn whole(relay: &Rc<Relay>, mut opened: Opened) -> Offer {
+    if !opened.is_vouched() {
+        return Offer::MayHaveRun("the answer is not the target's own");
+    }
+    let body: Bytes = match opened.read_whole().await {
+        Ok(body) => body,
+        Err(why) => return Offer::MayHaveRun(why),
+    };
+    let status = opened.head.status;
+    let reply = Reply {
+        head: relayed_head(&opened.head),
+        body,
+    };
+    opened.finish(relay);
+    Offer::Answered { reply, status }
+}
+
+/// Notes what an offer says of its target.
+fn judge(relay: &Relay, slot: TargetSlot, offer: &Offer) {
+    let now_ms = relay.now_ms();
+    let mut left = None;
+    {
+        let mut targets = relay.targets.borrow_mut();
+        match offer {
+            Offer::NotRun(NotRun::Refused { .. }) => targets.full(slot, now_ms),
+            Offer::NotRun(NotRun::Misdirected) => left = targets.leaves(slot),
+            _ => {}
+        }
+        if let Some(target) = targets.get_mut(slot) {
+            match offer {
+                Offer::Answered { status, .. } if *status < 500 => target.suspicion.succeeded(),
+                Offer::NotRun(NotRun::Refused { .. } | NotRun::Misdirected) => {}
+                _ => target.suspicion.failed(now_ms),
+            }
+        }
+    }
+    if let Some(change) = left {
+        relay.took_changes(&[change], "answer");
+    }
+}
+
+fn conclude(relay: &Relay, incoming: &Incoming, story: &Story, due_ms: u64) -> Reply {
+    if let Some(kept) = &story.kept {
+        return kept.clone();
+    }
+    let own = match story.runs {
+        0 => Own::NotRun {
+            why: match story.offered.is_empty() {
+                true => "no target serves this",
+                false => "no target took it",
+            },
+            retry_after_ms: story.retry_after_ms.unwrap_or(RETRY_AFTER_MS),
+        },
+        _ if relay.now_ms() >= due_ms => Own::TimeOver,
+        _ => Own::MayHaveRun(story.last),
+    };
+    Reply::own(own, incoming.facts.request_id.as_deref())
+}
--- /dev/null
+++ b/components/relay/src/dispatch.rs
@@ -0,0 +1,313 @@
+//! The dispatcher of a pool of engines, on the box that holds the role: [`policy::Pool`] with the requests
+//! that wait for its word. It is soft state; a box that takes the role over is told by the others what
+//! runs where.
+
+use crate::state::{Relay, pool_of};
+use crate::targets::Belief;
+use peers::{AcquireRequest, AdoptedStream, PermitReply, UpdateReply, UpdateRequest};
+use policy::{
+    Adopted, Demand, End, EngineInfo, EngineState, LengthClass, Pool, PoolSettings, Share,
+    Submitted, Verdict,
+};
+use prelude::{
+    BoxId, DataCentreId, OwnerId, PartnerId, PermitId, PoolId, Refusal, RefusalReason, TargetId,
+    TargetIncarnation, TargetKey,
+};
+use std::collections::{HashMap, HashSet};
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::{Instant, sleep, timeout_at};
+
+/// How often the requests that wait are looked over.
+const LOOK_EACH: Duration = Duration::from_millis(20);
+/// Prompt tokens that one engine may have waiting for their first token. A longer row holds the tokens of
+/// all that runs there up; measured in `docs/design/platform.md`.
+const PREFILL_TOKENS: u32 = 7_000;
+/// What an engine near the caller's box is preferred by, in tokens of memory: bytes between data centres
+/// are paid for.
+const NEAR_TOKENS: u32 = 1_500;
+/// What is told to come back to where nothing is known of the wait.
+const RETRY_AFTER_MS: u64 = 500;
+
+/// A pool, and who waits for its word.
+#[derive(Debug)]
+pub(crate) struct Dispatcher {
+    pool: Pool,
+    waiting: HashMap<PermitId, oneshot::Sender<Verdict>>,
+}
+
+fn pool_settings() -> PoolSettings {
+    PoolSettings {
+        prefill_tokens: PREFILL_TOKENS,
+        near_tokens: NEAR_TOKENS,
+        first_report_ms: 0,
+        ..PoolSettings::default()
+    }
+}
+
+impl Dispatcher {
+    fn new() -> Self {
+        Self {
+            pool: Pool::new(pool_settings()),
+            waiting: HashMap::new(),
+        }
+    }
+
+    fn decide(&mut self, now_ms: u64) {
+        for (permit, verdict) in self.pool.run(now_ms) {
+            let Some(asker) = self.waiting.remove(&permit) else {
+                continue;
+            };
+            if asker.send(verdict).is_err() {
+                // Whoever asked has left: the permit is free again.
+                self.pool.release(permit, 0, End::Censored);
+            }
+        }
+    }
+}
+
+fn granted(target: TargetId) -> PermitReply {
+    PermitReply::Granted {
+        target: TargetKey {
+            id: target,
+            incarnation: TargetIncarnation::default(),
+        },
+    }
+}
+
+impl Relay {
+    /// Brings the engines of each pool that is dispatched here up to date.
+    pub(crate) fn sync_dispatchers(&self) {
+        let pools: Vec<PoolId> = self.dispatchers.borrow().keys().copied().collect();
+        for pool in pools {
+            let (infos, states) = self.engines_of(pool);
+            let now_ms = self.now_ms();
+            if let Some(dispatcher) = self.dispatchers.borrow_mut().get_mut(&pool) {
+                dispatcher.pool.set_engines(&infos);
+                for (target, state) in states {
+                    dispatcher.pool.set_state(target, state);
+                }
+                dispatcher.decide(now_ms);
+            }
+        }
+    }
+
+    fn engines_of(&self, pool: PoolId) -> (Vec<EngineInfo>, Vec<(TargetId, EngineState)>) {
+        let Some(held) = self.declared() else {
+            return (Vec::new(), Vec::new());
+        };
+        let mut infos = Vec::new();
+        let mut states = Vec::new();
+        let targets = self.targets.borrow();
+        let of_pool = |service: &&routing::Service| pool_of(&service.name) == pool;
+        for service in held.table.services.iter().filter(of_pool) {
+            let Some(engine) = service.engine else {
+                continue;
+            };
+            for (_, target) in targets.of_service(&service.name) {
+                infos.push(EngineInfo {
+                    id: target.id,
+                    capacity_tokens: u64::from(engine.memory_tokens),
+                    data_centre: target.data_centre,
+                });
+                let state = match target.belief {
+                    Belief::Ready => EngineState::Live,
+                    Belief::Leaving | Belief::Gone => EngineState::Leaving,
+                };
+                states.push((target.id, state));
+            }
+        }
+        (infos, states)
+    }
+
+    fn with_dispatcher<T>(&self, pool: PoolId, act: impl FnOnce(&mut Dispatcher, u64) -> T) -> T {
+        if !self.dispatchers.borrow().contains_key(&pool) {
+            self.dispatchers
+                .borrow_mut()
+                .insert(pool, Dispatcher::new());
+            slog::info!(self.log, "dispatching"; "pool" => %pool.model);
+            self.sync_dispatchers();
+        }
+        let now_ms = self.now_ms();
+        let mut dispatchers = self.dispatchers.borrow_mut();
+        match dispatchers.get_mut(&pool) {
+            Some(dispatcher) => act(dispatcher, now_ms),
+            None => unreachable!("the dispatcher was just made"),
+        }
+    }
+
+    fn data_centre_of(&self, id: BoxId) -> DataCentreId {
+        if id == self.id {
+            return self.data_centre;
+        }
+        let members = self.members.borrow();
+        let card = members.card(id);
+        card.map_or(DataCentreId::default(), |card| {
+            DataCentreId::from_name(&card.data_centre)
+        })
+    }
+
+    fn demand(&self, request: &AcquireRequest, now_ms: u64) -> Demand {
+        Demand {
+            permit: request.permit,
+            share: Share {
+                partner: PartnerId::default(),
+                owner: OwnerId::default(),
+                account: request.account,
+                partner_weight: 1.0,
+                owner_weight: 1.0,
+                account_weight: 1.0,
+            },
+            class: LengthClass {
+                account: prelude::AccountId::default(),
+                kind: request.kind,
+            },
+            prompt_tokens: request.prompt_tokens,
+            max_tokens: request.max_tokens,
+            urgent: request.urgent,
+            since_ms: now_ms,
+            deadline_ms: now_ms + u64::from(request.wait_left_ms),
+            prefix: request.prefix,
+            told_tokens: request.told_tokens,
+            avoid: request.avoid,
+            near: Some(self.data_centre_of(request.permit.entry)),
+        }
+    }
+
+    /// Decides on a request for a permit, waiting up to `wait_ms`.
+    pub(crate) async fn acquire_here(&self, request: AcquireRequest, wait_ms: u32) -> PermitReply {
+        let demand = self.demand(&request, self.now_ms());
+        let (asker, mut word) = oneshot::channel();
+        let early = self.with_dispatcher(request.pool, |dispatcher, now_ms| {
+            if let Some(target) = dispatcher.pool.target_of(request.permit) {
+                return Some(granted(target));
+            }
+            dispatcher.waiting.insert(request.permit, asker);
+            match dispatcher.pool.submit(demand, now_ms) {
+                Submitted::Refused(refusal) => {
+                    dispatcher.waiting.remove(&request.permit);
+                    Some(PermitReply::Refused(refusal))
+                }
+                Submitted::Waits { .. } => {
+                    dispatcher.decide(now_ms);
+                    None
+                }
+            }
+        });
+        if let Some(reply) = early {
+            return reply;
+        }
+        let until = Instant::now() + Duration::from_millis(u64::from(wait_ms));
+        loop {
+            if let Ok(verdict) = word.try_recv() {
+                return reply_of(verdict);
+            }
+            if Instant::now() >= until {
+                return PermitReply::Waiting { place: 0 };
+            }
+            let look = until.min(Instant::now() + LOOK_EACH);
+            if let Ok(Ok(verdict)) = timeout_at(look, &mut word).await {
+                return reply_of(verdict);
+            }
+            self.with_dispatcher(request.pool, Dispatcher::decide);
+        }
+    }
+
+    /// Takes a request for a permit back, or releases the permit.
+    pub(crate) fn withdraw_here(&self, pool: PoolId, permit: PermitId) {
+        self.with_dispatcher(pool, |dispatcher, now_ms| {
+            dispatcher.waiting.remove(&permit);
+            dispatcher.pool.withdraw(permit);
+            dispatcher.decide(now_ms);
+        });
+    }
+
+    /// Decides where a running generation goes on.
+    pub(crate) fn relocate_here(
+        &self,
+        pool: PoolId,
+        permit: PermitId,
+        avoid: &[TargetId],
+    ) -> Option<TargetId> {
+        let moved = self.with_dispatcher(pool, |dispatcher, now_ms| {
+            dispatcher.pool.relocate(permit, avoid, now_ms)
+        });
+        slog::info!(self.log, "relocation"; "permit" => permit.serial, "box" => permit.entry.0,
+            "from" => moved.map(|moved| moved.from.0), "to" => moved.map(|moved| moved.target.0));
+        moved.map(|moved| moved.target)
+    }
+
+    /// Takes progress and ends in.
+    pub(crate) fn update_here(&self, request: &UpdateRequest) -> UpdateReply {
+        let permit = |serial| PermitId {
+            entry: request.from,
+            life: request.life,
+            serial,
+        };
+        self.with_dispatcher(request.pool, |dispatcher, now_ms| {
+            let pool = &mut dispatcher.pool;
+            let mut known = true;
+            for progress in &request.progress {
+                known &= pool.progress(permit(progress.serial), progress.tokens, now_ms);
+            }
+            for ended in &request.ended {
+                let end = match ended.finished {
+                    true => End::Finished,
+                    false => End::Censored,
+                };
+                pool.release(permit(ended.serial), ended.tokens, end);
+            }
+            pool.forget_silent(now_ms);
+            let resync = !known || pool.streams_of(request.from) != request.open_streams as usize;
+            dispatcher.decide(now_ms);
+            UpdateReply { resync }
+        })
+    }
+
+    /// Takes over the generations of a box.
+    pub(crate) fn adopt_here(&self, from: BoxId, pool: PoolId, streams: &[AdoptedStream]) {
+        let now_ms = self.now_ms();
+        let demands: Vec<(Demand, &AdoptedStream)> = streams
+            .iter()
+            .map(|stream| (self.demand(&stream.request, now_ms), stream))
+            .collect();
+        self.with_dispatcher(pool, |dispatcher, now_ms| {
+            let kept: HashSet<PermitId> = demands.iter().map(|(d, _)| d.permit).collect();
+            dispatcher.pool.keep_only(from, &kept);
+            for (demand, stream) in demands {
+                let adopted = Adopted {
+                    demand,
+                    target: stream.target,
+                    generated_tokens: stream.tokens,
+                };
+                dispatcher.pool.adopt(adopted, now_ms);
+            }
+            dispatcher.decide(now_ms);
+        });
+    }
+
+    /// Looks over requests that wait here, for a pool that nothing else wakes.
+    pub(crate) async fn run_dispatchers(&self) {
+        loop {
+            sleep(Duration::from_millis(500)).await;
+            for dispatcher in self.dispatchers.borrow_mut().values_mut() {
+                dispatcher.decide(self.clock.now_ms());
+            }
+        }
+    }
+}
+
+fn reply_of(verdict: Verdict) -> PermitReply {
+    match verdict {
+        Verdict::Granted { target } => granted(target),
+        Verdict::Refused(refusal) => PermitReply::Refused(refusal),
+    }
+}
+
+/// A refusal where no dispatcher's word is known.
+pub(crate) fn refusal(reason: RefusalReason) -> Refusal {
+    Refusal {
+        reason,
+        retry_after_ms: Some(RETRY_AFTER_MS),
+    }
+}
--- /dev/null
+++ b/components/relay/src/follow.rs
@@ -0,0 +1,235 @@
+//! Follows the platform's store: the operators' declarations on every box, the targets on the box whose
+//! turn it is. The others learn of targets from that box, and look themselves when it says nothing.
+
+use crate::news::spread;
+use crate::state::Relay;
+use platform::{CONFIG_KEY, OPERATOR_PREFIX, TARGET_PREFIX, decode_target};
+use prelude::BoxId;
+use routing::TargetEntry;
+use std::rc::Rc;
+use std::time::Duration;
+use store::{KeyValue, StoreError, Versioned, WatchEvent, WatchStream};
+use tokio::time::sleep;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Pauses after a failure of the store.
+const RETRY_MIN: Duration = Duration::from_millis(100);
+const RETRY_MAX: Duration = Duration::from_millis(800);
+/// Pause between two answers of the watch on targets: each answer is paid for, and targets write to their
+/// entries without pause.
+const TARGETS_PACE: Duration = Duration::from_millis(200);
+/// A box whose view of targets was not confirmed for this long looks itself.
+const TARGETS_QUIET_MS: u64 = 900;
+/// Each further box in rank leaves it this much longer to those before it.
+const TARGETS_TURN_MS: u64 = 300;
+/// How often a box that does not watch looks whether it must.
+const TURN_CHECK: Duration = Duration::from_millis(100);
+/// The box that watches says so at least this often.
+const CONFIRM_EACH_MS: u64 = 400;
+
+/// Pauses that grow while the store fails.
+struct Backoff(Duration);
+
+impl Backoff {
+    fn new() -> Self {
+        Self(RETRY_MIN)
+    }
+
+    async fn pause(&mut self) {
+        sleep(self.0).await;
+        self.0 = (self.0 * 2).min(RETRY_MAX);
+    }
+
+    fn reset(&mut self) {
+        self.0 = RETRY_MIN;
+    }
+}
+
+/// Follows the declarations for as long as the box lives.
+pub(crate) async fn follow_declarations(relay: Rc<Relay>) {
+    let mut backoff = Backoff::new();
+    loop {
+        let error = tokio::select! {
+            error = follow_declarations_once(&relay, &mut backoff) => error,
+            () = relay.store_doubted.notified() => StoreError::NotDone("the store is in doubt".into()),
+        };
+        metrics::counter!("shuntpier_store_failures", "of" => "declarations").increment(1);
+        slog::info!(relay.log, "declarations not followed"; "error" => %error);
+        backoff.pause().await;
+    }
+}
+
+async fn follow_declarations_once(relay: &Rc<Relay>, backoff: &mut Backoff) -> StoreError {
+    match read_declarations(relay).await {
+        Ok(revision) => {
+            backoff.reset();
+            watch_declarations(relay, revision).await
+        }
+        Err(error) => error,
+    }
+}
+
+async fn read_declarations(relay: &Rc<Relay>) -> Result<u64, StoreError> {
+    let (items, revision) = relay.store.list(OPERATOR_PREFIX).await?;
+    metrics::counter!("shuntpier_store_calls", "of" => "declarations").increment(1);
+    for item in items {
+        if item.key == CONFIG_KEY {
+            relay.declare(item.value, "store");
+        }
+    }
+    Ok(revision)
+}
+
+async fn watch_declarations(relay: &Rc<Relay>, revision: u64) -> StoreError {
+    let mut watch = match relay.store.watch(OPERATOR_PREFIX, revision + 1).await {
+        Ok(watch) => watch,
+        Err(error) => return error,
+    };
+    loop {
+        let events = match watch.next().await {
+            Ok(events) => events,
+            Err(error) => return error,
+        };
+        metrics::counter!("shuntpier_store_calls", "of" => "declarations").increment(1);
+        for event in events {
+            if let (CONFIG_KEY, Some(text)) = (event.key.as_str(), event.value) {
+                relay.declare(text, "store");
+            }
+        }
+    }
+}
+
+/// The role of following targets, for rendezvous hashing.
+fn targets_role() -> u64 {
+    xxh3_64(b"targets")
+}
+
+/// How long this box leaves it to others to say that the view of targets is current.
+fn quiet_limit_ms(relay: &Relay) -> u64 {
+    let now_ms = relay.now_ms();
+    let ranks = relay
+        .members
+        .borrow()
+        .ranked(targets_role(), relay.is_stopping(), now_ms);
+    let rank = ranks.iter().position(|id: &BoxId| *id == relay.id);
+    match rank {
+        Some(0) => 0,
+        Some(rank) => TARGETS_QUIET_MS + TARGETS_TURN_MS * rank as u64,
+        None => TARGETS_QUIET_MS + TARGETS_TURN_MS * ranks.len() as u64,
+    }
+}
+
+fn must_watch_targets(relay: &Relay) -> bool {
+    let confirmed_ms = relay.targets.borrow().confirmed_ms;
+    let Some(confirmed_ms) = confirmed_ms else {
+        return true;
+    };
+    let limit_ms = quiet_limit_ms(relay);
+    limit_ms == 0 || confirmed_ms + limit_ms < relay.now_ms()
+}
+
+/// Follows targets for as long as the box lives, while it is its turn.
+pub(crate) async fn follow_targets(relay: Rc<Relay>) {
+    let mut backoff = Backoff::new();
+    loop {
+        if !must_watch_targets(&relay) {
+            sleep(TURN_CHECK).await;
+            continue;
+        }
+        let ended = tokio::select! {
+            ended = follow_targets_once(&relay, &mut backoff) => ended,
+            () = relay.store_doubted.notified() =>
+                Err(StoreError::NotDone("the store is in doubt".into())),
+        };
+        if let Err(error) = ended {
+            metrics::counter!("shuntpier_store_failures", "of" => "targets").increment(1);
+            slog::info!(relay.log, "targets not followed"; "error" => %error);
+            backoff.pause().await;
+        }
+    }
+}
+
+fn decoded(relay: &Relay, item: &Versioned) -> Option<TargetEntry> {
+    match decode_target(&item.key, &item.value, item.revision) {
+        Ok(entry) => Some(entry),
+        Err(error) => {
+            slog::warn!(relay.log, "entry of a target not used"; "key" => &item.key,
+                "error" => %error);
+            None
+        }
+    }
+}
+
+/// Reads all targets, then watches them until it is another box's turn.
+async fn follow_targets_once(relay: &Rc<Relay>, backoff: &mut Backoff) -> Result<(), StoreError> {
+    let (items, revision) = relay.store.list(TARGET_PREFIX).await?;
+    metrics::counter!("shuntpier_store_calls", "of" => "targets").increment(1);
+    backoff.reset();
+    let entries = items
+        .iter()
+        .filter_map(|item| decoded(relay, item))
+        .collect();
+    let now_ms = relay.now_ms();
+    let changes = relay
+        .targets
+        .borrow_mut()
+        .replace(entries, revision, now_ms);
+    confirm(relay, revision);
+    relay.took_changes(&changes, "store");
+    let mut told_ms = now_ms;
+    spread(relay);
+    let mut watch = relay.store.watch(TARGET_PREFIX, revision + 1).await?;
+    let mut watched_from_ms = now_ms;
+    loop {
+        sleep(TARGETS_PACE).await;
+        let events = watch.next().await?;
+        metrics::counter!("shuntpier_store_calls", "of" => "targets").increment(1);
+        let changed = take_events(relay, events, watch.revision());
+        let now_ms = relay.now_ms();
+        if changed || now_ms >= told_ms + CONFIRM_EACH_MS {
+            told_ms = now_ms;
+            spread(relay);
+        }
+        // Whoever is first in rank goes on; the others stop when the first speaks again.
+        if quiet_limit_ms(relay) > 0 && now_ms > watched_from_ms + TARGETS_QUIET_MS {
+            if relay.members.borrow().heard_watcher_ms() > watched_from_ms {
+                return Ok(());
+            }
+            watched_from_ms = now_ms;
+        }
+    }
+}
+
+fn confirm(relay: &Relay, revision: u64) {
+    let now_ms = relay.now_ms();
+    let mut targets = relay.targets.borrow_mut();
+    targets.current_to = targets.current_to.max(revision);
+    targets.confirmed_ms = Some(now_ms);
+}
+
+fn take_events(relay: &Rc<Relay>, events: Vec<WatchEvent>, revision: u64) -> bool {
+    let now_ms = relay.now_ms();
+    let mut changes = Vec::new();
+    for event in events {
+        let key = event.key;
+        let change = match event.value {
+            Some(value) => {
+                let item = Versioned {
+                    key,
+                    value,
+                    revision: event.revision,
+                };
+                let entry = decoded(relay, &item);
+                entry.and_then(|entry| relay.targets.borrow_mut().listed(entry, now_ms))
+            }
+            None => key.strip_prefix(TARGET_PREFIX).and_then(|instance| {
+                let mut targets = relay.targets.borrow_mut();
+                targets.unlisted(instance, event.revision)
+            }),
+        };
+        changes.extend(change);
+    }
+    confirm(relay, revision);
+    relay.took_changes(&changes, "store");
+    !changes.is_empty()
+}
--- /dev/null
+++ b/components/relay/src/generation.rs
@@ -0,0 +1,477 @@
+//! Generations: a permit, one engine, and events passed on as they come. A generation whose engine leaves
+//! goes on at another (see [`crate::moving`]).
+
+use crate::dispatch::refusal;
+use crate::events::EventSplitter;
+use crate::ingress::{After, count, write_reply};
+use crate::moving::{Mover, Step};
+use crate::permits::{Permit, Want};
+use crate::request::{Incoming, Own, Reply, Way};
+use crate::send::{Message, NotRun, Opened, Tried};
+use crate::state::Relay;
+use http1::{Channel, Framing, push_chunk};
+use platform::{Continuation, Forwarding, PRIORITY_MOST, forward, relayed_head};
+use prelude::{Refusal, RefusalReason, TargetId};
+use routing::{EngineTraits, GenerationRequest};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep_until, timeout_at};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Part of the goal for which a request waits for a permit: beyond it a refusal costs the caller less.
+const WAIT_SHARE: f64 = 0.22;
+/// Engines that one generation is offered to, those that refuse it counted.
+const OFFERS_MAX: usize = 3;
+/// Answer tokens that a caller's guess is rounded to: this many steps for each doubling.
+const GUESS_STEPS: f64 = 2.0;
+/// Weight of a generation without a guess.
+const KIND_UNKNOWN: u8 = 255;
+
+/// Serves a generation.
+pub(crate) async fn generate(
+    relay: &Rc<Relay>,
+    caller: &mut Channel,
+    incoming: &Incoming,
+    way: &Way,
+) -> After {
+    let service = &way.service().name;
+    relay.resend_window(service, |window, now_ms| window.request(now_ms));
+    let started = tokio::select! {
+        started = start(relay, incoming, way) => started,
+        () = caller.gone() => {
+            slog::info!(relay.log, "caller left before its answer"; "id" => incoming.id(),
+                "after_ms" => relay.now_ms() - incoming.came_ms);
+            metrics::counter!("shuntpier_callers_left").increment(1);
+            return After::Drop;
+        }
+    };
+    match started {
+        Started::Own(own) => {
+            slog::info!(relay.log, "generation not begun"; "id" => incoming.id(),
+                "status" => own.status(), "why" => own.why(),
+                "retry_after_ms" => own.retry_after_ms(),
+                "after_ms" => relay.now_ms() - incoming.came_ms);
+            count(own.status(), "own");
+            let reply = Reply::own(own, incoming.facts.request_id.as_deref());
+            write_reply(relay, caller, reply, false).await
+        }
+        Started::Opened(opened, permit) if opened.head.status == 200 && opened.is_vouched() => {
+            let pump = Pump::new(relay, incoming, way, permit);
+            pump.run(caller, *opened).await
+        }
+        Started::Opened(opened, _) => pass_on(relay, caller, incoming, *opened).await,
+    }
+}
+
+/// Passes an answer on that is no stream.
+async fn pass_on(
+    relay: &Rc<Relay>,
+    caller: &mut Channel,
+    incoming: &Incoming,
+    mut opened: Opened,
+) -> After {
+    let status = opened.head.status;
+    let vouched = opened.is_vouched() && status != 200;
+    let whole = opened.read_whole().await;
+    let reply = match whole {
+        Ok(body) if vouched => {
+            let head = relayed_head(&opened.head);
+            opened.finish(relay);
+            Reply { head, body }
+        }
+        _ => {
+            let own = Own::MayHaveRun("the answer is not the target's own");
+            Reply::own(own, incoming.facts.request_id.as_deref())
+        }
+    };
+    slog::info!(relay.log, "generation failed"; "id" => incoming.id(), "status" => status,
+        "vouched" => vouched, "after_ms" => relay.now_ms() - incoming.came_ms);
+    count(status, "generation");
+    write_reply(relay, caller, reply, false).await
+}
+
+enum Started {
+    Opened(Box<Opened>, Permit),
+    Own(Own),
+}
+
+fn not_run(refusal: Refusal) -> Own {
+    Own::NotRun {
+        why: refusal.reason.as_str(),
+        retry_after_ms: refusal.retry_after_ms.unwrap_or(1_000),
+    }
+}
+
+/// Which generations have answers of like length: those of like rank and guess.
+fn kind_of(generation: &GenerationRequest, rank: u8) -> u8 {
+    let Some(guess) = generation.guess_tokens else {
+        return KIND_UNKNOWN - rank.min(7);
+    };
+    let step = (f64::from(guess.max(1)).log2() * GUESS_STEPS) as u8;
+    step.min(31) * 7 + rank.min(6)
+}
+
+/// The part of a prompt that other requests may share.
+fn shared_prefix(generation: &GenerationRequest) -> Option<(u64, u32)> {
+    let shared = generation.parts.split_last()?.1;
+    if shared.is_empty() {
+        return None;
+    }
+    let mut name = Vec::with_capacity(shared.len() * 8);
+    for part in shared {
+        name.extend_from_slice(&part.id.to_le_bytes());
+    }
+    let tokens = shared.iter().map(|part| part.tokens).sum();
+    Some((xxh3_64(&name), tokens))
+}
+
+/// Gets a permit and has an engine begin.
+async fn start(relay: &Rc<Relay>, incoming: &Incoming, way: &Way) -> Started {
+    let route = way.route();
+    let generation = incoming.facts.generation.clone().unwrap_or_default();
+    let due_ms = incoming.due_ms(route);
+    let wait_until_ms = incoming.came_ms + (route.answer_goal_ms as f64 * WAIT_SHARE) as u64;
+    let mut avoid: Option<TargetId> = None;
+    let mut last = refusal(RefusalReason::Crowded);
+    for offer in 0..OFFERS_MAX {
+        let now_ms = relay.now_ms();
+        let want = Want {
+            service: &way.service().name,
+            account: way.account_id(),
+            kind: kind_of(&generation, way.rank()),
+            prompt_tokens: generation.prompt_tokens,
+            most_tokens: generation.most_tokens,
+            urgent: way.rank() == 0,
+            prefix: shared_prefix(&generation),
+            wait_left_ms: wait_until_ms.min(due_ms).saturating_sub(now_ms).max(1),
+            avoid,
+        };
+        if offer > 0 && !relay.take_resend(&way.service().name) {
+            return Started::Own(not_run(refusal(RefusalReason::RetryBudgetSpent)));
+        }
+        let permit = match relay.acquire(&want).await {
+            Ok(permit) => permit,
+            Err(refusal) => return Started::Own(not_run(refusal)),
+        };
+        let until = Instant::now() + Duration::from_millis(due_ms.saturating_sub(now_ms));
+        let slot = permit.slot;
+        let trying = send(relay, incoming, way, slot, None);
+        let Ok(tried) = timeout_at(until, trying).await else {
+            return Started::Own(Own::TimeOver);
+        };
+        note(relay, slot, &tried);
+        match tried {
+            Tried::Answered(opened) => return Started::Opened(opened, permit),
+            Tried::MayHaveRun(why) => return Started::Own(Own::MayHaveRun(why)),
+            Tried::NotRun(why) => {
+                avoid = relay.targets.borrow().get(slot).map(|target| target.id);
+                slog::info!(relay.log, "engine did not take it"; "id" => incoming.id(),
+                    "why" => ?why);
+                if let NotRun::Refused { retry_after_ms } = why {
+                    last.retry_after_ms = retry_after_ms.or(last.retry_after_ms);
+                }
+            }
+        }
+    }
+    Started::Own(not_run(last))
+}
+
+/// Notes what a try says of its engine.
+fn note(relay: &Relay, slot: crate::targets::TargetSlot, tried: &Tried) {
+    let now_ms = relay.now_ms();
+    let change = {
+        let mut targets = relay.targets.borrow_mut();
+        match tried {
+            Tried::NotRun(NotRun::Misdirected) => targets.leaves(slot),
+            _ => {
+                if let Some(target) = targets.get_mut(slot) {
+                    match tried {
+                        Tried::Answered(_) => target.suspicion.succeeded(),
+                        Tried::NotRun(NotRun::Refused { .. }) => {}
+                        _ => target.suspicion.failed(now_ms),
+                    }
+                }
+                None
+            }
+        }
+    };
+    if let Some(change) = change {
+        relay.took_changes(&[change], "answer");
+    }
+}
+
+/// Sends a generation to an engine, from its start or where it goes on.
+pub(crate) async fn send(
+    relay: &Rc<Relay>,
+    incoming: &Incoming,
+    way: &Way,
+    slot: crate::targets::TargetSlot,
+    continuation: Option<&Continuation>,
+) -> Tried {
+    let instance = relay
+        .targets
+        .borrow()
+        .get(slot)
+        .map(|target| target.entry.instance.clone());
+    let Some(instance) = instance else {
+        return Tried::NotRun(NotRun::Unreachable);
+    };
+    let forwarding = Forwarding {
+        instance: &instance,
+        account: way.account_name(),
+        left_ms: incoming.left_ms(way.route(), relay.now_ms()),
+        priority: Some(way.rank().min(PRIORITY_MOST)),
+        copy_to: None,
+        continuation,
+    };
+    let head = forward(&incoming.head, incoming.body.len(), &forwarding);
+    let message = Message {
+        request_id: incoming.id(),
+        head: &head,
+        body: &incoming.body,
+        bodiless: false,
+    };
+    relay.try_at(slot, message).await
+}
+
+/// Whether only the end of its channel ends an answer.
+fn is_unframed(opened: &Opened) -> bool {
+    opened.head.framing == Framing::UntilClose
+}
+
+/// How a stream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Ended {
+    /// With its last event.
+    Whole,
+    /// The caller left.
+    CallerLeft,
+    /// Its time is over.
+    TimeOver,
+    /// Early.
+    Broken(&'static str),
+}
+
+/// Passes the events of one generation on.
+struct Pump<'a> {
+    relay: &'a Rc<Relay>,
+    incoming: &'a Incoming,
+    way: &'a Way,
+    permit: Permit,
+    engine: Option<EngineTraits>,
+    splitter: EventSplitter,
+    last_event: Option<Box<str>>,
+    events: u32,
+    head_written: bool,
+    first_event_ms: Option<u64>,
+    longest_pause_ms: u64,
+    last_event_ms: u64,
+    moves: u32,
+}
+
+impl<'a> Pump<'a> {
+    fn new(relay: &'a Rc<Relay>, incoming: &'a Incoming, way: &'a Way, permit: Permit) -> Self {
+        Self {
+            relay,
+            incoming,
+            way,
+            permit,
+            engine: way.service().engine,
+            splitter: EventSplitter::default(),
+            last_event: None,
+            events: 0,
+            head_written: false,
+            first_event_ms: None,
+            longest_pause_ms: 0,
+            last_event_ms: 0,
+            moves: 0,
+        }
+    }
+
+    async fn run(mut self, caller: &mut Channel, opened: Opened) -> After {
+        let closes = self.relay.is_stopping() || self.incoming.head.old;
+        let ended = self.pump(caller, opened, closes).await;
+        let finished = ended == Ended::Whole;
+        if finished {
+            self.permit.finished();
+        }
+        slog::info!(self.relay.log, "generation ended"; "id" => self.incoming.id(),
+            "end" => ?ended, "events" => self.events, "moves" => self.moves,
+            "first_event_ms" => self.first_event_ms, "longest_pause_ms" => self.longest_pause_ms,
+            "after_ms" => self.relay.now_ms() - self.incoming.came_ms);
+        let word = match ended {
+            Ended::Whole => "whole",
+            Ended::CallerLeft => "caller_left",
+            Ended::TimeOver => "time_over",
+            Ended::Broken(_) => "broken",
+        };
+        metrics::counter!("shuntpier_generations", "end" => word).increment(1);
+        match ended {
+            Ended::Whole if self.incoming.head.old => After::Close,
+            Ended::Whole => match caller.write(b"0\r\n\r\n").await {
+                Ok(()) if closes => After::Close,
+                Ok(()) => After::Keep,
+                Err(_) => After::Drop,
+            },
+            Ended::CallerLeft => After::Drop,
+            _ if self.head_written => After::Drop,
+            Ended::TimeOver => self.answer_own(caller, Own::TimeOver).await,
+            Ended::Broken(why) => self.answer_own(caller, Own::MayHaveRun(why)).await,
+        }
+    }
+
+    async fn answer_own(&self, caller: &mut Channel, own: Own) -> After {
+        count(own.status(), "own");
+        let reply = Reply::own(own, self.incoming.facts.request_id.as_deref());
+        write_reply(self.relay, caller, reply, false).await
+    }
+
+    async fn pump(&mut self, caller: &mut Channel, mut opened: Opened, closes: bool) -> Ended {
+        let due_ms = self.incoming.due_ms(self.way.route());
+        let left_ms = due_ms.saturating_sub(self.relay.now_ms());
+        let due = Instant::now() + Duration::from_millis(left_ms);
+        let head = relayed_head(&opened.head);
+        let mut mover = Mover::new(self.relay, self.engine);
+        loop {
+            let step = tokio::select! {
+                biased;
+                () = caller.gone() => return Ended::CallerLeft,
+                () = sleep_until(due) => return Ended::TimeOver,
+                step = mover.next(&self.permit, self.incoming.id()) => Some(step),
+                piece = opened.next(), if mover.reads_source() => match piece {
+                    Ok(Some(data)) => {
+                        match self.pass(caller, &head, &data, closes).await {
+                            Ok(()) => None,
+                            Err(ended) => return ended,
+                        }
+                    }
+                    Ok(None) if !(mover.stops_source() && is_unframed(&opened)) => {
+                        return self.whole(opened);
+                    }
+                    Ok(None) => {
+                        mover.source_ended();
+                        None
+                    }
+                    Err(why) if mover.stops_source() => {
+                        slog::debug!(self.relay.log, "source closed"; "why" => why);
+                        mover.source_ended();
+                        None
+                    }
+                    Err(why) => return Ended::Broken(why),
+                },
+            };
+            let from = match step {
+                Some(Step::Continue(from)) => from,
+                Some(Step::Failed) if !mover.reads_source() => {
+                    return Ended::Broken("it was stopped and could not be moved");
+                }
+                _ => continue,
+            };
+            match self.go_on(from, due).await {
+                Ok(next) => opened = next,
+                Err(ended) => return ended,
+            }
+            mover = Mover::new(self.relay, self.engine);
+        }
+    }
+
+    /// Whether a stream that came to its end is whole.
+    fn whole(&mut self, opened: Opened) -> Ended {
+        if self.splitter.is_within_event() {
+            return Ended::Broken("the stream ended within an event");
+        }
+        if self.events == 0 {
+            return Ended::Broken("the stream ended without an event");
+        }
+        opened.finish(self.relay);
+        Ended::Whole
+    }
+
+    async fn pass(
+        &mut self,
+        caller: &mut Channel,
+        head: &[u8],
+        data: &[u8],
+        closes: bool,
+    ) -> Result<(), Ended> {
+        let events = self
+            .splitter
+            .push(data)
+            .map_err(|_| Ended::Broken("an event does not end"))?;
+        if events.count == 0 {
+            return Ok(());
+        }
+        let now_ms = self.relay.now_ms();
+        if self.events > 0 {
+            let pause_ms = now_ms.saturating_sub(self.last_event_ms);
+            self.longest_pause_ms = self.longest_pause_ms.max(pause_ms);
+        } else {
+            self.first_event_ms = Some(now_ms - self.incoming.came_ms);
+        }
+        self.last_event_ms = now_ms;
+        self.events += events.count;
+        if events.last_id.is_some() {
+            self.last_event = events.last_id;
+        }
+        let per_event = self.engine.map_or(1, |engine| engine.tokens_per_event);
+        self.permit.grew(self.events * per_event);
+        let mut out = Vec::with_capacity(events.bytes.len() + 512);
+        let chunked = !self.incoming.head.old;
+        if !std::mem::replace(&mut self.head_written, true) {
+            out.extend_from_slice(head);
+            if chunked {
+                out.extend_from_slice(b"Transfer-Encoding: chunked\r\n");
+            }
+            if closes {
+                out.extend_from_slice(b"Connection: close\r\n");
+            }
+            out.extend_from_slice(b"\r\n");
+        }
+        match chunked {
+            true => push_chunk(&mut out, &events.bytes),
+            false => out.extend_from_slice(&events.bytes),
+        }
+        caller.write(&out).await.map_err(|_| Ended::CallerLeft)
+    }
+
+    /// Has the generation go on where its copy lies.
+    async fn go_on(&mut self, from: crate::moving::Moved, due: Instant) -> Result<Opened, Ended> {
+        // What was cut off with the source's stream comes again from the copy.
+        self.splitter = EventSplitter::default();
+        let continuation = Continuation {
+            source: from.source,
+            copy: from.copy,
+            last_event: self.last_event.clone(),
+        };
+        for slot in [from.to, from.source_slot] {
+            let trying = send(
+                self.relay,
+                self.incoming,
+                self.way,
+                slot,
+                Some(&continuation),
+            );
+            let Ok(tried) = timeout_at(due, trying).await else {
+                return Err(Ended::TimeOver);
+            };
+            note(self.relay, slot, &tried);
+            match tried {
+                Tried::Answered(opened) if opened.head.status == 200 && opened.is_vouched() => {
+                    self.permit.slot = slot;
+                    self.moves += 1;
+                    metrics::counter!("shuntpier_moves", "end" => "done").increment(1);
+                    slog::info!(self.relay.log, "generation goes on"; "id" => self.incoming.id(),
+                        "events" => self.events, "copy" => &*continuation.copy);
+                    return Ok(*opened);
+                }
+                Tried::Answered(_) | Tried::MayHaveRun(_) => break,
+                Tried::NotRun(why) => {
+                    slog::info!(self.relay.log, "copy not taken up"; "id" => self.incoming.id(),
+                        "why" => ?why);
+                }
+            }
+        }
+        metrics::counter!("shuntpier_moves", "end" => "lost").increment(1);
+        Err(Ended::Broken("its copy was not taken up"))
+    }
+}
--- /dev/null
+++ b/components/relay/src/ingress.rs
@@ -0,0 +1,298 @@
+//! Callers' channels: one request after another, each read whole before anything of it is sent on.
+
+use crate::call::call;
+use crate::generation::generate;
+use crate::request::{Incoming, Own, Reply, Way};
+use crate::state::Relay;
+use bytes::Bytes;
+use http1::{
+    BodyError, Channel, ChannelError, Decoder, Framing, HeadError, Listener, Piece, RequestHead,
+};
+use platform::read_facts;
+use routing::{CallerLimits, RouteKind, Verdict};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+
+/// Pause after a channel could not be taken: descriptors are used up.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Longest pause between two pieces of a request's body.
+const BODY_PAUSE_LIMIT: Duration = Duration::from_secs(10);
+/// How long a closed channel is read on, so that its last answer arrives.
+const LINGER: Duration = Duration::from_millis(500);
+/// Callers rest for up to four fifths of the idle limit; this much longer a channel stays open, for what
+/// is on its way.
+const IDLE_SLACK_MS: u64 = 500;
+/// When a caller is told to come back while this box knows no declarations.
+const NO_TABLE_RETRY_MS: u64 = 500;
+
+/// What follows an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum After {
+    /// The channel takes the next request.
+    Keep,
+    /// It closes, once the caller has what was written.
+    Close,
+    /// It closes at once: what was written must not look complete, or nobody is there.
+    Drop,
+}
+
+/// Takes callers' channels until the box ends.
+pub(crate) async fn serve(relay: Rc<Relay>, listener: Listener) {
+    loop {
+        let accepted = tokio::select! {
+            () = relay.closed.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok(channel) => {
+                tokio::task::spawn_local(serve_channel(relay.clone(), channel));
+            }
+            Err(error) => {
+                slog::warn!(relay.log, "a caller's channel was not taken"; "error" => %error);
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_channel(relay: Rc<Relay>, mut channel: Channel) {
+    loop {
+        if channel.buffer.is_empty() && !wait_for_request(&relay, &mut channel).await {
+            return;
+        }
+        match serve_request(&relay, &mut channel).await {
+            After::Keep => {}
+            After::Close => return channel.finish(LINGER).await,
+            After::Drop => return,
+        }
+    }
+}
+
+/// Waits for the first byte of a request. False where the channel is over.
+async fn wait_for_request(relay: &Relay, channel: &mut Channel) -> bool {
+    let idle_ms = limits(relay).idle_ms + IDLE_SLACK_MS;
+    tokio::select! {
+        read = channel.fill() => matches!(read, Ok(read) if read > 0),
+        () = sleep(Duration::from_millis(idle_ms)) => false,
+        () = relay.closed.cancelled() => false,
+    }
+}
+
+fn limits(relay: &Relay) -> CallerLimits {
+    relay
+        .declared()
+        .map_or(CallerLimits::default(), |held| held.table.limits)
+}
+
+async fn serve_request(relay: &Rc<Relay>, channel: &mut Channel) -> After {
+    let _in_progress = relay.begin();
+    let came_ms = relay.now_ms();
+    let limits = limits(relay);
+    let head = match read_head(channel, limits).await {
+        Ok(Some(head)) => head,
+        Ok(None) => return After::Drop,
+        Err(own) => return refuse(relay, channel, own, None).await,
+    };
+    let body = match read_body(channel, &head, limits).await {
+        Ok(body) => body,
+        Err(Some(own)) => return refuse(relay, channel, own, None).await,
+        Err(None) => return After::Drop,
+    };
+    let closes = head.old || head.headers.has_word("connection", "close");
+    let answered = match admit(relay, head, body, came_ms) {
+        Ok((incoming, way)) => answer(relay, channel, &incoming, &way).await,
+        Err((own, id)) => {
+            slog::info!(relay.log, "request refused"; "id" => id.as_deref(),
+                "status" => own.status(), "why" => own.why());
+            count(own.status(), "own");
+            let reply = Reply::own(own, id.as_deref());
+            write_reply(relay, channel, reply, closes).await
+        }
+    };
+    match answered {
+        After::Keep if closes => After::Close,
+        after => after,
+    }
+}
+
+pub(crate) fn count(status: u16, by: &'static str) {
+    metrics::counter!("shuntpier_answers", "status" => status.to_string(), "by" => by).increment(1);
+}
+
+async fn read_head(
+    channel: &mut Channel,
+    limits: CallerLimits,
+) -> Result<Option<RequestHead>, Own> {
+    let limit = Duration::from_millis(limits.head_time_ms);
+    match timeout(limit, channel.request(limits.head_bytes)).await {
+        Ok(Ok(head)) => Ok(head),
+        Ok(Err(ChannelError::Head(HeadError::TooLong(_)))) => Err(Own::HeadTooLong),
+        Ok(Err(ChannelError::Head(HeadError::Malformed(why)))) => Err(Own::BadRequest(why)),
+        Ok(Err(ChannelError::Io(_) | ChannelError::Closed)) => Ok(None),
+        Err(_) => Err(Own::SlowHead),
+    }
+}
+
+/// Reads a body whole. The error is the answer; none where the caller left.
+async fn read_body(
+    channel: &mut Channel,
+    head: &RequestHead,
+    limits: CallerLimits,
+) -> Result<Bytes, Option<Own>> {
+    if matches!(head.framing, Framing::Length(length) if length > limits.body_bytes as u64) {
+        return Err(Some(Own::BodyTooLong));
+    }
+    let mut decoder = Decoder::new(head.framing);
+    let mut asked = head.headers.has_word("expect", "100-continue");
+    let mut body: Option<Bytes> = None;
+    let mut rest: Vec<u8> = Vec::new();
+    loop {
+        match decoder.next(&mut channel.buffer) {
+            Ok(Piece::Data(data)) if body.is_none() => body = Some(data),
+            Ok(Piece::Data(data)) => rest.extend_from_slice(&data),
+            Ok(Piece::End) => break,
+            Ok(Piece::More) => {
+                if std::mem::take(&mut asked) {
+                    let go_on = channel.write(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+                    go_on.map_err(|_| None)?;
+                }
+                match timeout(BODY_PAUSE_LIMIT, channel.fill()).await {
+                    Ok(Ok(read)) if read > 0 => {}
+                    Ok(_) => return Err(None),
+                    Err(_) => return Err(Some(Own::BadRequest("the body took too long"))),
+                }
+            }
+            Err(BodyError::Malformed | BodyError::Short) => {
+                return Err(Some(Own::BadRequest(
+                    "the body's chunks are not well formed",
+                )));
+            }
+        }
+        if body.as_ref().map_or(0, Bytes::len) + rest.len() > limits.body_bytes {
+            return Err(Some(Own::BodyTooLong));
+        }
+    }
+    let first = body.unwrap_or_default();
+    if rest.is_empty() {
+        return Ok(first);
+    }
+    let mut whole = first.to_vec();
+    whole.append(&mut rest);
+    Ok(whole.into())
+}
+
+type Refused = (Own, Option<Box<str>>);
+
+/// Decides whether a request goes on, by the declarations in force now.
+fn admit(
+    relay: &Relay,
+    head: RequestHead,
+    body: Bytes,
+    came_ms: u64,
+) -> Result<(Incoming, Way), Refused> {
+    let facts = match read_facts(&head.headers) {
+        Ok(facts) => facts,
+        Err(_) => return Err((Own::BadRequest("a field of the head cannot be read"), None)),
+    };
+    let id = facts.request_id.clone();
+    if id.is_none() {
+        return Err((Own::BadRequest("the request has no name"), None));
+    }
+    if head.headers.count("host") != 1 {
+        return Err((Own::BadRequest("not exactly one host"), id));
+    }
+    let Some(declared) = relay.declared() else {
+        let why = "this box knows no declarations yet";
+        let retry_after_ms = NO_TABLE_RETRY_MS;
+        return Err((
+            Own::NotRun {
+                why,
+                retry_after_ms,
+            },
+            id,
+        ));
+    };
+    let host = head.headers.text("host").unwrap_or_default();
+    let table = &declared.table;
+    let (route, account) = match table.admit(host, &head.target, facts.key.as_deref()) {
+        Verdict::Admitted { route, account } => (route, account),
+        Verdict::NoRoute => return Err((Own::NoRoute, id)),
+        Verdict::NoAccount => return Err((Own::NoAccount, id)),
+    };
+    let way = Way {
+        service: table.share(route, rand::random()),
+        route,
+        account,
+        declared: declared.clone(),
+    };
+    let incoming = Incoming {
+        head,
+        facts,
+        body,
+        came_ms,
+    };
+    Ok((incoming, way))
+}
+
+async fn answer(relay: &Rc<Relay>, channel: &mut Channel, incoming: &Incoming, way: &Way) -> After {
+    if way.route().kind == RouteKind::Generation {
+        return generate(relay, channel, incoming, way).await;
+    }
+    let reply = tokio::select! {
+        reply = call(relay, incoming, way) => reply,
+        () = channel.gone() => {
+            slog::info!(relay.log, "caller left"; "id" => incoming.id(),
+                "after_ms" => relay.now_ms() - incoming.came_ms);
+            metrics::counter!("shuntpier_callers_left").increment(1);
+            return After::Drop;
+        }
+    };
+    let took_ms = relay.now_ms() - incoming.came_ms;
+    let status = status_of(&reply);
+    if status >= 400 {
+        slog::info!(relay.log, "request failed"; "id" => incoming.id(), "status" => status,
+            "route" => &*way.route().name, "version" => way.declared.table.version,
+            "after_ms" => took_ms, "body" => own_words(&reply));
+    }
+    count(status, "call");
+    metrics::histogram!("shuntpier_call_ms").record(took_ms as f64);
+    write_reply(relay, channel, reply, false).await
+}
+
+/// The status in the first line of a reply's head.
+fn status_of(reply: &Reply) -> u16 {
+    let digits = reply.head.get(9..12).unwrap_or_default();
+    let text = std::str::from_utf8(digits).unwrap_or_default();
+    text.parse().unwrap_or_default()
+}
+
+/// The body of a failure of ours, for the log; targets' bodies are not logged.
+fn own_words(reply: &Reply) -> String {
+    match reply.body.starts_with(b"{\"error\"") {
+        true => String::from_utf8_lossy(&reply.body).into_owned(),
+        false => String::new(),
+    }
+}
+
+pub(crate) async fn write_reply(
+    relay: &Relay,
+    channel: &mut Channel,
+    reply: Reply,
+    closes: bool,
+) -> After {
+    let closes = closes || relay.is_stopping();
+    match channel.write(&reply.bytes(closes)).await {
+        Ok(()) if closes => After::Close,
+        Ok(()) => After::Keep,
+        Err(_) => After::Drop,
+    }
+}
+
+/// Answers what cannot be read on, and closes.
+async fn refuse(relay: &Relay, channel: &mut Channel, own: Own, id: Option<&str>) -> After {
+    slog::info!(relay.log, "request refused"; "id" => id, "status" => own.status(),
+        "why" => own.why());
+    count(own.status(), "own");
+    write_reply(relay, channel, Reply::own(own, id), true).await
+}
--- /dev/null
+++ b/components/relay/src/lib.rs
@@ -0,0 +1,27 @@
+//! One box of a platform's fleet: it takes callers' requests as they come, chooses a target, and passes the
+//! answer on. What must last lies in the platform's store; what a box knows of others it has from there and
+//! from its peers.
+
+mod call;
+mod channels;
+mod dispatch;
+mod events;
+mod follow;
+mod generation;
+mod ingress;
+mod members;
+mod moving;
+mod news;
+mod permits;
+mod presence;
+mod readiness;
+mod request;
+mod runs;
+mod send;
+mod start;
+mod state;
+mod targets;
+
+pub use events::{EventError, EventSplitter, Events};
+pub use start::{Running, StartError, start};
+pub use targets::{Belief, Change, Target, TargetBook, TargetSlot};
--- /dev/null
+++ b/components/relay/src/members.rs
@@ -0,0 +1,180 @@
+//! Which boxes there are, from their keys in the store and from their own word, and which of them holds a
+//! role. A lapsed key is no proof of death, and a live key no proof of life: a box that does not answer is
+//! passed over for a while.
+
+use peers::FleetCard;
+use policy::ranked;
+use prelude::BoxId;
+use std::collections::HashMap;
+
+/// A box that did not answer holds no role for this long.
+const DOUBT_MS: u64 = 1_000;
+/// A box whose key is gone and that says nothing is forgotten after this time.
+const SILENT_MS: u64 = 6_000;
+/// The number of boxes among which the budget is shared falls only after this time.
+const SHARE_KEPT_MS: u64 = 15_000;
+
+#[derive(Clone, Debug)]
+struct Member {
+    card: FleetCard,
+    keyed: bool,
+    heard_ms: u64,
+    doubted_until_ms: u64,
+}
+
+/// The boxes of a fleet.
+#[derive(Clone, Debug)]
+pub(crate) struct Members {
+    me: BoxId,
+    others: HashMap<BoxId, Member>,
+    most: usize,
+    most_ms: u64,
+    watcher_ms: u64,
+}
+
+/// What a card changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Met {
+    /// It was known.
+    Known,
+    /// The box is new, or has a new life or address.
+    New,
+}
+
+impl Members {
+    pub(crate) fn new(me: BoxId) -> Self {
+        Self {
+            me,
+            others: HashMap::new(),
+            most: 1,
+            most_ms: 0,
+            watcher_ms: 0,
+        }
+    }
+
+    /// Takes the card of a box in, from its key or from its own word.
+    pub(crate) fn met(&mut self, card: FleetCard, keyed: bool, now_ms: u64) -> Met {
+        if card.id == self.me {
+            return Met::Known;
+        }
+        let known = self.others.get(&card.id);
+        let same = known.is_some_and(|known| {
+            known.card.life == card.life && known.card.address == card.address
+        });
+        let member = self.others.entry(card.id).or_insert_with(|| Member {
+            card: card.clone(),
+            keyed,
+            heard_ms: now_ms,
+            doubted_until_ms: 0,
+        });
+        member.card = card;
+        member.keyed |= keyed;
+        if !keyed || !same {
+            member.heard_ms = now_ms;
+            member.doubted_until_ms = 0;
+        }
+        self.count(now_ms);
+        match same {
+            true => Met::Known,
+            false => Met::New,
+        }
+    }
+
+    /// Notes that the key of a box is gone.
+    pub(crate) fn key_gone(&mut self, id: BoxId) {
+        if let Some(member) = self.others.get_mut(&id) {
+            member.keyed = false;
+        }
+    }
+
+    /// Keeps the keys of just these boxes.
+    pub(crate) fn keys_are(&mut self, ids: &[BoxId]) {
+        for (id, member) in &mut self.others {
+            member.keyed = ids.contains(id);
+        }
+    }
+
+    /// Notes that a box answered.
+    pub(crate) fn heard(&mut self, id: BoxId, now_ms: u64) {
+        if let Some(member) = self.others.get_mut(&id) {
+            member.heard_ms = now_ms;
+            member.doubted_until_ms = 0;
+        }
+    }
+
+    /// Notes that a box did not answer.
+    pub(crate) fn doubted(&mut self, id: BoxId, now_ms: u64) {
+        if let Some(member) = self.others.get_mut(&id) {
+            member.doubted_until_ms = now_ms + DOUBT_MS;
+        }
+    }
+
+    /// Forgets boxes that have neither a key nor a word. Says which.
+    pub(crate) fn forget_silent(&mut self, now_ms: u64) -> Vec<BoxId> {
+        let silent = |member: &Member| !member.keyed && member.heard_ms + SILENT_MS < now_ms;
+        let gone = self.others.iter().filter(|(_, member)| silent(member));
+        let gone: Vec<BoxId> = gone.map(|(id, _)| *id).collect();
+        for id in &gone {
+            self.others.remove(id);
+        }
+        self.count(now_ms);
+        gone
+    }
+
+    /// All other boxes that are known.
+    pub(crate) fn others(&self) -> Vec<BoxId> {
+        let mut ids: Vec<BoxId> = self.others.keys().copied().collect();
+        ids.sort();
+        ids
+    }
+
+    /// The cards of all other boxes.
+    pub(crate) fn cards(&self) -> Vec<FleetCard> {
+        self.others
+            .values()
+            .map(|member| member.card.clone())
+            .collect()
+    }
+
+    /// The card of one box.
+    pub(crate) fn card(&self, id: BoxId) -> Option<&FleetCard> {
+        self.others.get(&id).map(|member| &member.card)
+    }
+
+    /// The boxes in the order in which they hold `role`. Those that stop or do not answer hold none.
+    pub(crate) fn ranked(&self, role: u64, leaving: bool, now_ms: u64) -> Vec<BoxId> {
+        let able = |member: &&Member| {
+            !member.card.leaving && member.doubted_until_ms <= now_ms && member.keyed
+        };
+        let others = self
+            .others
+            .values()
+            .filter(able)
+            .map(|member| member.card.id);
+        let me = (!leaving).then_some(self.me);
+        ranked(role, others.chain(me))
+    }
+
+    /// Notes that a box that watches targets told of them.
+    pub(crate) fn heard_watcher(&mut self, now_ms: u64) {
+        self.watcher_ms = now_ms;
+    }
+
+    /// When a box that watches targets last told of them.
+    pub(crate) fn heard_watcher_ms(&self) -> u64 {
+        self.watcher_ms
+    }
+
+    /// Among how many boxes a shared budget is divided: the most that there were lately.
+    pub(crate) fn budget_share(&self) -> usize {
+        self.most.max(self.others.len() + 1)
+    }
+
+    fn count(&mut self, now_ms: u64) {
+        let count = self.others.len() + 1;
+        if count >= self.most || self.most_ms + SHARE_KEPT_MS < now_ms {
+            self.most = count;
+            self.most_ms = now_ms;
+        }
+    }
+}
--- /dev/null
+++ b/components/relay/src/moving.rs
@@ -0,0 +1,288 @@
+//! Moves a running generation off an engine that leaves: a first copy while it runs, then a stop with what
+//! is new, then on at the other engine. The decision where to is the dispatcher's.
+
+use crate::permits::Permit;
+use crate::state::Relay;
+use crate::targets::{Belief, TargetSlot};
+use http1::{Channel, exchange};
+use platform::{CopyReply, copy_call, drop_copy_call, read_copy_reply};
+use prelude::{PoolId, TargetId};
+use routing::EngineTraits;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::{mpsc, watch};
+use tokio::task::JoinHandle;
+use tokio::time::sleep;
+
+/// Longest time for a channel to an engine for control.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+/// Longest time for one copy. An engine that leaves is gone by then.
+const COPY_LIMIT: Duration = Duration::from_millis(4_000);
+/// Pause before a copy is asked for again.
+const AGAIN: Duration = Duration::from_millis(60);
+/// Tries to move one generation.
+const TRIES_MAX: u32 = 20;
+/// How long the source's stream may take to close after the stop.
+const SOURCE_CLOSE_LIMIT: Duration = Duration::from_millis(150);
+/// Generations with fewer tokens left than this end sooner than they move.
+const TOKENS_LEFT_MIN: u32 = 48;
+
+/// A generation whose copy waits for it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Moved {
+    /// The engine that has the copy.
+    pub to: TargetSlot,
+    /// The engine that it ran on, which names the copy.
+    pub source: SocketAddr,
+    pub source_slot: TargetSlot,
+    pub copy: Box<str>,
+}
+
+/// What a move tells whoever reads the generation's stream.
+pub(crate) enum Step {
+    /// The generation is about to be stopped: the end of its stream says nothing.
+    Stopping,
+    /// It goes on elsewhere.
+    Continue(Moved),
+    /// It was not stopped, or is not known to be.
+    Failed,
+}
+
+/// Which generation is moved, and from where.
+#[derive(Clone, Debug)]
+struct Job {
+    pool: PoolId,
+    serial: u64,
+    id: Box<str>,
+    source: TargetSlot,
+    source_address: SocketAddr,
+}
+
+/// Watches the engine of one generation, and moves the generation when it leaves.
+pub(crate) struct Mover {
+    relay: Rc<Relay>,
+    changes: watch::Receiver<u64>,
+    looked: bool,
+    moves: bool,
+    steps: Option<mpsc::UnboundedReceiver<Step>>,
+    task: Option<JoinHandle<()>>,
+    stopping: bool,
+    source_open: bool,
+    waiting: Option<Moved>,
+}
+
+impl Drop for Mover {
+    fn drop(&mut self) {
+        if let Some(task) = &self.task {
+            task.abort();
+        }
+    }
+}
+
+impl Mover {
+    pub(crate) fn new(relay: &Rc<Relay>, engine: Option<EngineTraits>) -> Self {
+        Self {
+            relay: relay.clone(),
+            changes: relay.target_changes.subscribe(),
+            looked: false,
+            moves: engine.is_some_and(|engine| engine.moves),
+            steps: None,
+            task: None,
+            stopping: false,
+            source_open: true,
+            waiting: None,
+        }
+    }
+
+    /// Whether there is more to be read from the engine that the generation ran on.
+    pub(crate) fn reads_source(&self) -> bool {
+        self.source_open
+    }
+
+    /// Whether that engine was told to stop, so that the end of its stream is not the generation's.
+    pub(crate) fn stops_source(&self) -> bool {
+        self.stopping
+    }
+
+    /// Notes that the engine's stream is closed.
+    pub(crate) fn source_ended(&mut self) {
+        self.source_open = false;
+    }
+
+    /// Waits for the next step. May be dropped and called again.
+    pub(crate) async fn next(&mut self, permit: &Permit, id: &str) -> Step {
+        loop {
+            if let Some(moved) = &self.waiting {
+                if self.source_open {
+                    sleep(SOURCE_CLOSE_LIMIT).await;
+                    self.source_open = false;
+                }
+                return Step::Continue(moved.clone());
+            }
+            if let Some(steps) = &mut self.steps {
+                match steps.recv().await {
+                    Some(Step::Continue(moved)) => self.waiting = Some(moved),
+                    Some(Step::Stopping) => {
+                        self.stopping = true;
+                        return Step::Stopping;
+                    }
+                    Some(Step::Failed) => {
+                        self.stopping = false;
+                        return Step::Failed;
+                    }
+                    None => std::future::pending::<()>().await,
+                }
+                continue;
+            }
+            if self.looked && self.changes.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+            self.looked = true;
+            self.look(permit, id);
+        }
+    }
+
+    /// Begins to move the generation where its engine leaves.
+    fn look(&mut self, permit: &Permit, id: &str) {
+        let targets = self.relay.targets.borrow();
+        let Some(target) = targets.get(permit.slot) else {
+            return;
+        };
+        if !self.moves || target.belief == Belief::Ready {
+            return;
+        }
+        let job = Job {
+            pool: permit.pool,
+            serial: permit.serial,
+            id: id.into(),
+            source: permit.slot,
+            source_address: target.entry.address,
+        };
+        let (sender, steps) = mpsc::unbounded_channel();
+        self.steps = Some(steps);
+        let relay = self.relay.clone();
+        self.task = Some(tokio::task::spawn_local(async move {
+            job.run(&relay, &sender).await;
+        }));
+    }
+}
+
+impl Job {
+    async fn run(&self, relay: &Rc<Relay>, steps: &mpsc::UnboundedSender<Step>) {
+        let mut avoid: Vec<TargetId> = Vec::new();
+        for tries in 0..TRIES_MAX {
+            if tries > 0 {
+                sleep(AGAIN).await;
+            }
+            let run = relay.runs.borrow().get(self.serial);
+            let Some(run) = run else {
+                return;
+            };
+            if run.tokens > 0 && run.request.max_tokens < run.tokens + TOKENS_LEFT_MIN {
+                return self.note(relay, "it ends sooner", tries);
+            }
+            let Some(to) = relay.relocate(self.pool, self.serial, &avoid).await else {
+                self.note(relay, "no engine has room", tries);
+                continue;
+            };
+            let first = match self.copy(relay, to, false).await {
+                CopyReply::Done { copy, .. } => copy,
+                CopyReply::NotRunning => {
+                    self.note(relay, "it does not run yet, or no more", tries);
+                    continue;
+                }
+                CopyReply::UnderWay => continue,
+                reply => {
+                    slog::info!(relay.log, "copy failed"; "id" => &*self.id, "reply" => ?reply);
+                    avoid.extend(relay.targets.borrow().get(to).map(|target| target.id));
+                    continue;
+                }
+            };
+            if steps.send(Step::Stopping).is_err() {
+                return;
+            }
+            match self.copy(relay, to, true).await {
+                CopyReply::Done { copy, events_made } => {
+                    slog::info!(relay.log, "generation stopped to be moved"; "id" => &*self.id,
+                        "events" => events_made, "tries" => tries);
+                    self.goes_on(to, copy, steps);
+                    return;
+                }
+                CopyReply::NoRoom { kept: Some(copy) } => {
+                    slog::info!(relay.log, "generation goes on at its source"; "id" => &*self.id);
+                    self.goes_on(self.source, copy, steps);
+                    return;
+                }
+                CopyReply::NotRunning => {
+                    // It came to its own end meanwhile.
+                    free_copy(relay, self.source_address, &first);
+                    return;
+                }
+                reply => {
+                    slog::info!(relay.log, "stop failed"; "id" => &*self.id, "reply" => ?reply);
+                    if steps.send(Step::Failed).is_err() {
+                        return;
+                    }
+                    avoid.extend(relay.targets.borrow().get(to).map(|target| target.id));
+                }
+            }
+        }
+    }
+
+    fn goes_on(&self, to: TargetSlot, copy: Box<str>, steps: &mpsc::UnboundedSender<Step>) {
+        let moved = Moved {
+            to,
+            source: self.source_address,
+            source_slot: self.source,
+            copy,
+        };
+        // Nobody listens where the caller has left; the copy then ends by itself.
+        let _ = steps.send(Step::Continue(moved));
+    }
+
+    fn note(&self, relay: &Relay, why: &'static str, tries: u32) {
+        slog::info!(relay.log, "not moved"; "id" => &*self.id, "why" => why, "tries" => tries);
+    }
+
+    async fn copy(&self, relay: &Rc<Relay>, to: TargetSlot, stops: bool) -> CopyReply {
+        let to_address = relay.targets.borrow().get(to).map(|t| t.entry.address);
+        let Some(to_address) = to_address else {
+            return CopyReply::NoRoom { kept: None };
+        };
+        let call = copy_call(self.source_address, &self.id, to_address, stops);
+        let reply = control(relay, self.source_address, &call).await;
+        reply.map_or(CopyReply::Unknown { status: 0 }, |(status, body)| {
+            read_copy_reply(status, &body)
+        })
+    }
+}
+
+/// One control call to an engine; none where it gave no answer.
+async fn control(relay: &Relay, address: SocketAddr, call: &[u8]) -> Option<(u16, bytes::Bytes)> {
+    let channel = Channel::connect(address, CONNECT_LIMIT).await;
+    let mut channel = match channel {
+        Ok(channel) => channel,
+        Err(error) => {
+            slog::info!(relay.log, "engine not reached for control"; "address" => %address,
+                "error" => %error);
+            return None;
+        }
+    };
+    match exchange(&mut channel, call, COPY_LIMIT).await {
+        Ok(answer) => Some((answer.status, answer.body)),
+        Err(error) => {
+            slog::info!(relay.log, "no answer to a control call"; "address" => %address,
+                "error" => %error);
+            None
+        }
+    }
+}
+
+/// Frees a copy that nobody will use.
+fn free_copy(relay: &Rc<Relay>, source: SocketAddr, copy: &str) {
+    let (relay, call) = (relay.clone(), drop_copy_call(source, copy));
+    tokio::task::spawn_local(async move {
+        control(&relay, source, &call).await;
+    });
+}
--- /dev/null
+++ b/components/relay/src/news.rs
@@ -0,0 +1,214 @@
+//! What boxes tell each other: the declarations, the targets, and which boxes there are. News goes to all
+//! at once; what was missed is found by an exchange with one box at a time.
+
+use crate::members::Met;
+use crate::state::Relay;
+use peers::{AcquireRequest, AdoptedStream, PermitReply, UpdateReply, UpdateRequest};
+use peers::{FleetCard, FleetDigest, FleetHandler, FleetNews, SharedTable};
+use prelude::{BoxId, PermitId, PoolId, TargetId};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// How often a box exchanges what it knows with one other.
+const EXCHANGE_EACH: Duration = Duration::from_millis(500);
+/// Longest time for a call.
+const CALL_LIMIT: Duration = Duration::from_millis(400);
+
+/// Takes the card of a box in.
+pub(crate) fn meet(relay: &Relay, card: &FleetCard, keyed: bool) {
+    let now_ms = relay.now_ms();
+    let met = relay.members.borrow_mut().met(card.clone(), keyed, now_ms);
+    if card.id == relay.id {
+        return;
+    }
+    if met == Met::New {
+        relay.peers.forget(card.id);
+        slog::info!(relay.log, "box met"; "name" => &*card.name, "box" => card.id.0,
+            "life" => card.life, "address" => %card.address, "keyed" => keyed);
+    }
+    relay.peers.set_address(card.id, card.address);
+}
+
+/// What this box tells one that knows what `other` says.
+fn news_for(relay: &Relay, other: Option<&FleetDigest>) -> FleetNews {
+    let digest = relay.digest();
+    let table = relay
+        .declared()
+        .filter(|held| other.is_none_or(|other| other.table_version < held.table.version));
+    let knows_less = other.is_none_or(|other| {
+        other.targets_changed_at < digest.targets_changed_at
+            && other.targets_current_to < digest.targets_current_to
+    });
+    let targets = knows_less.then(|| relay.targets.borrow().entries());
+    let is_new = other.is_none_or(|other| other.table_version == 0);
+    let boxes = match is_new {
+        true => relay.members.borrow().cards(),
+        false => Vec::new(),
+    };
+    FleetNews {
+        digest,
+        table: table.map(|held| SharedTable {
+            version: held.table.version,
+            text: held.text.clone(),
+        }),
+        targets,
+        boxes,
+    }
+}
+
+/// Takes what another box tells.
+fn take_news(relay: &Relay, news: FleetNews) {
+    meet(relay, &news.digest.from, false);
+    for card in &news.boxes {
+        let known = relay.members.borrow().card(card.id).is_some();
+        if !known {
+            meet(relay, card, false);
+        }
+    }
+    if let Some(table) = news.table {
+        relay.declare(table.text, "peer");
+    }
+    let current_to = news.digest.targets_current_to;
+    let now_ms = relay.now_ms();
+    let mut changes = Vec::new();
+    {
+        let mut targets = relay.targets.borrow_mut();
+        let newer = current_to > targets.current_to || targets.confirmed_ms.is_none();
+        if let Some(entries) = news.targets.filter(|_| newer) {
+            changes = targets.replace(entries, current_to, now_ms);
+            targets.confirmed_ms = Some(now_ms);
+        } else if newer && targets.changed_at >= news.digest.targets_changed_at {
+            // Nothing has changed up to there.
+            targets.current_to = current_to;
+            targets.confirmed_ms = Some(now_ms);
+        }
+    }
+    relay.took_changes(&changes, "peer");
+}
+
+/// Tells all boxes what this box has just learnt of targets.
+pub(crate) fn spread(relay: &Rc<Relay>) {
+    let others = relay.members.borrow().others();
+    let news = FleetNews {
+        digest: relay.digest(),
+        table: None,
+        targets: Some(relay.targets.borrow().entries()),
+        boxes: Vec::new(),
+    };
+    for id in others {
+        let (relay, news) = (relay.clone(), news.clone());
+        tokio::task::spawn_local(async move {
+            let call = relay
+                .peers
+                .call(id, CALL_LIMIT, |client, context| async move {
+                    client.tell(context, news).await
+                });
+            relay.heard_from(id, call.await, "tell");
+        });
+    }
+}
+
+/// Exchanges what this box knows with one other after another, for as long as it lives.
+pub(crate) async fn run_exchanges(relay: Rc<Relay>) {
+    meet_seeds(&relay).await;
+    let mut turn = usize::from(relay.life as u16);
+    loop {
+        sleep(EXCHANGE_EACH).await;
+        let gone = relay.members.borrow_mut().forget_silent(relay.now_ms());
+        for id in gone {
+            slog::info!(relay.log, "box forgotten"; "box" => id.0);
+            relay.peers.forget(id);
+        }
+        let others = relay.members.borrow().others();
+        if others.is_empty() {
+            meet_seeds(&relay).await;
+            continue;
+        }
+        turn = turn.wrapping_add(1);
+        exchange_with(&relay, others[turn % others.len()]).await;
+    }
+}
+
+async fn exchange_with(relay: &Rc<Relay>, id: BoxId) -> bool {
+    let digest = relay.digest();
+    let call = relay
+        .peers
+        .call(id, CALL_LIMIT, |client, context| async move {
+            client.exchange(context, digest).await
+        });
+    match relay.heard_from(id, call.await, "exchange") {
+        Some(news) => {
+            take_news(relay, news);
+            true
+        }
+        None => false,
+    }
+}
+
+/// Asks the boxes that the settings name, which may be gone.
+async fn meet_seeds(relay: &Rc<Relay>) {
+    for (at, seed) in relay.file.seeds.iter().enumerate() {
+        if *seed == relay.file.identity.peers_address {
+            continue;
+        }
+        // Seeds have addresses and no names: they are asked under numbers that no box has.
+        let id = BoxId(u32::MAX - at as u32);
+        relay.peers.set_address(id, *seed);
+        let digest = relay.digest();
+        let call = relay
+            .peers
+            .call(id, CALL_LIMIT, |client, context| async move {
+                client.exchange(context, digest).await
+            });
+        match call.await {
+            Ok(news) => take_news(relay, news),
+            Err(error) => {
+                slog::info!(relay.log, "seed did not answer"; "address" => %seed, "error" => %error);
+            }
+        }
+        relay.peers.forget(id);
+    }
+}
+
+/// A box, as its peers call it.
+#[derive(Clone)]
+pub(crate) struct Handler(pub Rc<Relay>);
+
+impl FleetHandler for Handler {
+    async fn exchange(&self, digest: FleetDigest) -> FleetNews {
+        meet(&self.0, &digest.from, false);
+        news_for(&self.0, Some(&digest))
+    }
+
+    async fn tell(&self, news: FleetNews) {
+        let now_ms = self.0.now_ms();
+        self.0.members.borrow_mut().heard_watcher(now_ms);
+        take_news(&self.0, news);
+    }
+
+    async fn acquire(&self, request: AcquireRequest, wait_ms: u32) -> PermitReply {
+        self.0.acquire_here(request, wait_ms).await
+    }
+
+    async fn withdraw(&self, pool: PoolId, permit: PermitId) {
+        self.0.withdraw_here(pool, permit);
+    }
+
+    async fn relocate(
+        &self,
+        pool: PoolId,
+        permit: PermitId,
+        avoid: Vec<TargetId>,
+    ) -> Option<TargetId> {
+        self.0.relocate_here(pool, permit, &avoid)
+    }
+
+    async fn update(&self, request: UpdateRequest) -> UpdateReply {
+        self.0.update_here(&request)
+    }
+
+    async fn adopt(&self, from: BoxId, pool: PoolId, streams: Vec<AdoptedStream>) {
+        self.0.adopt_here(from, pool, &streams);
+    }
+}
--- /dev/null
+++ b/components/relay/src/permits.rs
@@ -0,0 +1,328 @@
+//! How a box gets the permission to run a generation on an engine: from the pool's dispatcher, which is
+//! found by rendezvous hashing, from the next in rank where that one does not answer, and at the end from
+//! its own view.
+
+use crate::dispatch::refusal;
+use crate::state::{Relay, pool_of};
+use crate::targets::TargetSlot;
+use peers::{AcquireRequest, AdoptedStream, PermitReply, UpdateRequest};
+use prelude::{BoxId, PermitId, PoolId, Refusal, RefusalReason, TargetId};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Longest time for a dispatcher's first word. Boxes are some milliseconds apart; a box at a fifth of its
+/// speed still answers in this time.
+const FIRST_WORD_LIMIT: Duration = Duration::from_millis(120);
+/// How long a dispatcher holds a request that has to wait, before it is asked again.
+const WAIT_EACH_MS: u32 = 200;
+/// What an answer may take beyond that.
+const WAIT_SLACK: Duration = Duration::from_millis(120);
+/// Longest time for other calls to a dispatcher.
+const CALL_LIMIT: Duration = Duration::from_millis(250);
+/// Dispatchers that are asked before a box decides by its own view.
+const ASKED_MAX: usize = 2;
+/// What is to be told is gathered for this long.
+const GATHER: Duration = Duration::from_millis(20);
+/// A dispatcher is told at least this often, so that it notices what it missed.
+const TELL_EACH: Duration = Duration::from_millis(1_000);
+
+/// What a generation needs.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Want<'a> {
+    pub service: &'a str,
+    pub account: prelude::AccountId,
+    /// Requests of one kind have answers of like length.
+    pub kind: u8,
+    pub prompt_tokens: u32,
+    pub most_tokens: u32,
+    pub urgent: bool,
+    pub prefix: Option<(u64, u32)>,
+    pub wait_left_ms: u64,
+    pub avoid: Option<TargetId>,
+}
+
+/// The permission to run one generation on one engine. It ends when it is dropped.
+pub(crate) struct Permit {
+    relay: Rc<Relay>,
+    pub(crate) serial: u64,
+    pub(crate) pool: PoolId,
+    pub(crate) slot: TargetSlot,
+    finished: bool,
+}
+
+impl Permit {
+    /// Notes that the generation came to its own end.
+    pub(crate) fn finished(&mut self) {
+        self.finished = true;
+    }
+
+    /// Notes how many tokens the generation has.
+    pub(crate) fn grew(&self, tokens: u32) {
+        if self.relay.runs.borrow_mut().grew(self.serial, tokens) {
+            self.relay.runs_changed.notify_one();
+        }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let mut runs = self.relay.runs.borrow_mut();
+        runs.ended(self.serial, self.finished);
+        self.relay.runs_changed.notify_one();
+    }
+}
+
+/// The role of a pool's dispatcher, for rendezvous hashing.
+fn role_of(pool: PoolId) -> u64 {
+    xxh3_64(&pool.model.0.to_le_bytes())
+}
+
+impl Relay {
+    fn permit_id(&self, serial: u64) -> PermitId {
+        PermitId {
+            entry: self.id,
+            life: self.life,
+            serial,
+        }
+    }
+
+    /// The boxes that dispatch a pool, the first in rank first.
+    fn dispatchers_of(&self, pool: PoolId) -> Vec<BoxId> {
+        let members = self.members.borrow();
+        members.ranked(role_of(pool), self.is_stopping(), self.now_ms())
+    }
+
+    /// Gets a permit.
+    ///
+    /// # Errors
+    /// The refusal, which is true: nothing was sent.
+    pub(crate) async fn acquire(self: &Rc<Self>, want: &Want<'_>) -> Result<Permit, Refusal> {
+        let serial = self.runs.borrow_mut().next_serial();
+        let request = AcquireRequest {
+            pool: pool_of(want.service),
+            permit: self.permit_id(serial),
+            account: want.account,
+            kind: want.kind,
+            prompt_tokens: want.prompt_tokens,
+            max_tokens: want.most_tokens,
+            urgent: want.urgent,
+            wait_left_ms: want.wait_left_ms as u32,
+            prefix: want.prefix,
+            told_tokens: None,
+            avoid: want.avoid,
+        };
+        let target = self.ask(request, want.wait_left_ms).await?;
+        let slot = self.targets.borrow().slot_of(target);
+        let Some(slot) = slot else {
+            // A dispatcher may know a target some milliseconds before we do.
+            self.tell_withdrawn(request.pool, request.permit);
+            return Err(refusal(RefusalReason::NoTarget));
+        };
+        self.runs.borrow_mut().began(request, target);
+        Ok(Permit {
+            relay: self.clone(),
+            serial,
+            pool: request.pool,
+            slot,
+            finished: false,
+        })
+    }
+
+    async fn ask(
+        self: &Rc<Self>,
+        request: AcquireRequest,
+        wait_left_ms: u64,
+    ) -> Result<TargetId, Refusal> {
+        let until = Instant::now() + Duration::from_millis(wait_left_ms);
+        let mut withdrawal = Withdrawal {
+            relay: self.clone(),
+            request,
+            armed: true,
+        };
+        let mut wait_ms = 0;
+        let mut failed = 0;
+        loop {
+            let first = self.dispatchers_of(request.pool).first().copied();
+            let asked = first.filter(|_| failed < ASKED_MAX).unwrap_or(self.id);
+            let reply = match asked == self.id {
+                true => Some(self.acquire_here(request, wait_ms).await),
+                false => self.acquire_at(asked, request, wait_ms).await,
+            };
+            match reply {
+                Some(PermitReply::Granted { target }) => {
+                    withdrawal.armed = false;
+                    return Ok(target.id);
+                }
+                Some(PermitReply::Refused(refusal)) => {
+                    withdrawal.armed = false;
+                    return Err(refusal);
+                }
+                Some(PermitReply::Waiting { .. }) => wait_ms = WAIT_EACH_MS,
+                None => failed += 1,
+            }
+            if Instant::now() >= until {
+                return Err(refusal(RefusalReason::DeadlinePassed));
+            }
+        }
+    }
+
+    async fn acquire_at(
+        &self,
+        dispatcher: BoxId,
+        request: AcquireRequest,
+        wait_ms: u32,
+    ) -> Option<PermitReply> {
+        let limit = match wait_ms {
+            0 => FIRST_WORD_LIMIT,
+            ms => Duration::from_millis(u64::from(ms)) + WAIT_SLACK,
+        };
+        let call = self
+            .peers
+            .call(dispatcher, limit, |client, context| async move {
+                client.acquire(context, request, wait_ms).await
+            });
+        self.heard_from(dispatcher, call.await, "acquire")
+    }
+
+    /// Notes whether a peer answered.
+    pub(crate) fn heard_from<T>(
+        &self,
+        id: BoxId,
+        answered: Result<T, peers::PeerError>,
+        call: &'static str,
+    ) -> Option<T> {
+        let now_ms = self.now_ms();
+        match answered {
+            Ok(value) => {
+                self.members.borrow_mut().heard(id, now_ms);
+                Some(value)
+            }
+            Err(error) => {
+                self.members.borrow_mut().doubted(id, now_ms);
+                slog::info!(self.log, "peer did not answer"; "call" => call, "box" => id.0,
+                    "error" => %error);
+                metrics::counter!("shuntpier_peer_failures").increment(1);
+                None
+            }
+        }
+    }
+
+    /// Takes a request or a permit back, without waiting for the answer.
+    fn tell_withdrawn(self: &Rc<Self>, pool: PoolId, permit: PermitId) {
+        let Some(dispatcher) = self.dispatchers_of(pool).first().copied() else {
+            return;
+        };
+        if dispatcher == self.id {
+            self.withdraw_here(pool, permit);
+            return;
+        }
+        let relay = self.clone();
+        tokio::task::spawn_local(async move {
+            let call = relay
+                .peers
+                .call(dispatcher, CALL_LIMIT, |client, context| async move {
+                    client.withdraw(context, pool, permit).await
+                });
+            relay.heard_from(dispatcher, call.await, "withdraw");
+        });
+    }
+
+    /// Asks where a running generation can go on. Its permit then is for that engine.
+    pub(crate) async fn relocate(
+        self: &Rc<Self>,
+        pool: PoolId,
+        serial: u64,
+        avoid: &[TargetId],
+    ) -> Option<TargetSlot> {
+        let id = self.permit_id(serial);
+        let dispatcher = self.dispatchers_of(pool).first().copied()?;
+        let target = if dispatcher == self.id {
+            self.relocate_here(pool, id, avoid)
+        } else {
+            let avoid = avoid.to_vec();
+            let call = self
+                .peers
+                .call(dispatcher, CALL_LIMIT, |client, context| async move {
+                    client.relocate(context, pool, id, avoid).await
+                });
+            self.heard_from(dispatcher, call.await, "relocate")
+                .flatten()
+        }?;
+        let slot = self.targets.borrow().slot_of(target)?;
+        self.runs.borrow_mut().moved(serial, target);
+        Some(slot)
+    }
+
+    /// Tells dispatchers what this box has open, for as long as the box lives.
+    pub(crate) async fn run_telling(self: Rc<Self>) {
+        loop {
+            let changed = self.runs_changed.notified();
+            if tokio::time::timeout(TELL_EACH, changed).await.is_ok() {
+                sleep(GATHER).await;
+            }
+            let pools = self.runs.borrow().pools();
+            for pool in pools {
+                self.tell_runs(pool).await;
+            }
+        }
+    }
+
+    async fn tell_runs(self: &Rc<Self>, pool: PoolId) {
+        let Some(dispatcher) = self.dispatchers_of(pool).first().copied() else {
+            return;
+        };
+        let (progress, ended) = self.runs.borrow_mut().untold(pool);
+        let open = self.runs.borrow().open_in(pool);
+        let update = UpdateRequest {
+            pool,
+            progress,
+            ended,
+            from: self.id,
+            life: self.life,
+            open_streams: open.len() as u32,
+        };
+        if dispatcher == self.id {
+            if self.update_here(&update).resync {
+                self.adopt_here(self.id, pool, &open);
+            }
+            return;
+        }
+        let call = self
+            .peers
+            .call(dispatcher, CALL_LIMIT, |client, context| async move {
+                client.update(context, update).await
+            });
+        let reply = self.heard_from(dispatcher, call.await, "update");
+        if reply.is_some_and(|reply| reply.resync) {
+            self.tell_all_runs(dispatcher, pool, open).await;
+        }
+    }
+
+    async fn tell_all_runs(&self, dispatcher: BoxId, pool: PoolId, open: Vec<AdoptedStream>) {
+        let me = self.id;
+        let call = self
+            .peers
+            .call(dispatcher, CALL_LIMIT, |client, context| async move {
+                client.adopt(context, me, pool, open).await
+            });
+        self.heard_from(dispatcher, call.await, "adopt");
+    }
+}
+
+/// Takes a request back when whoever waits for it leaves.
+struct Withdrawal {
+    relay: Rc<Relay>,
+    request: AcquireRequest,
+    armed: bool,
+}
+
+impl Drop for Withdrawal {
+    fn drop(&mut self) {
+        if self.armed {
+            self.relay
+                .tell_withdrawn(self.request.pool, self.request.permit);
+        }
+    }
+}
--- /dev/null
+++ b/components/relay/src/presence.rs
@@ -0,0 +1,143 @@
+//! This box's own key in the store, and the keys of the others: how boxes find each other without being
+//! named anywhere.
+
+use crate::news::meet;
+use crate::state::Relay;
+use peers::FleetCard;
+use prelude::BoxId;
+use std::rc::Rc;
+use std::time::Duration;
+use store::{KeyValue, StoreError, Transaction, Versioned, WatchStream, Write};
+use tokio::time::sleep;
+
+/// What begins the keys of boxes.
+const BOX_PREFIX: &str = "boxes/";
+/// Time after which the key of a box that says nothing goes.
+const LEASE_S: u64 = 6;
+/// How often the lease is renewed.
+const RENEW_EACH: Duration = Duration::from_millis(1_500);
+/// Pause after a failure.
+const RETRY: Duration = Duration::from_millis(400);
+
+/// Keeps this box's key for as long as it lives, and takes it away when it stops.
+pub(crate) async fn keep_key(relay: Rc<Relay>) {
+    let mut lease = None;
+    loop {
+        let kept = keep_once(&relay, &mut lease).await;
+        let pause = match kept {
+            Ok(()) => RENEW_EACH,
+            Err(error) => {
+                slog::info!(relay.log, "own key not kept"; "error" => %error);
+                metrics::counter!("shuntpier_store_failures", "of" => "presence").increment(1);
+                // Watches that hang on a dead channel are opened anew.
+                relay.store_doubted.notify_waiters();
+                RETRY
+            }
+        };
+        tokio::select! {
+            () = sleep(pause) => {}
+            () = relay.stopping.cancelled() => {
+                if let Some(lease) = lease {
+                    let ended = relay.store.end_lease(lease).await;
+                    if let Err(error) = ended {
+                        slog::info!(relay.log, "own key not taken away"; "error" => %error);
+                    }
+                }
+                return;
+            }
+        }
+    }
+}
+
+async fn keep_once(relay: &Relay, lease: &mut Option<u64>) -> Result<(), StoreError> {
+    if let Some(held) = *lease {
+        if relay.store.renew_lease(held).await? {
+            return Ok(());
+        }
+        *lease = None;
+    }
+    let granted = relay.store.grant_lease(LEASE_S).await?;
+    let value = serde_json::to_vec(&relay.card())
+        .map_err(|error| StoreError::NotDone(error.to_string()))?;
+    let transaction = Transaction {
+        compare: Vec::new(),
+        writes: vec![Write::Put {
+            key: format!("{BOX_PREFIX}{}", relay.file.identity.name),
+            value,
+            lease: granted,
+        }],
+    };
+    relay.store.transact(&transaction).await?;
+    *lease = Some(granted);
+    slog::info!(relay.log, "own key written"; "lease" => granted);
+    Ok(())
+}
+
+/// Follows the keys of all boxes for as long as this one lives.
+pub(crate) async fn follow_boxes(relay: Rc<Relay>) {
+    loop {
+        let ended = tokio::select! {
+            ended = follow_once(&relay) => ended,
+            () = relay.store_doubted.notified() => StoreError::NotDone("the store is in doubt".into()),
+        };
+        slog::info!(relay.log, "boxes not followed"; "error" => %ended);
+        sleep(RETRY).await;
+    }
+}
+
+async fn follow_once(relay: &Rc<Relay>) -> StoreError {
+    let (items, revision) = match relay.store.list(BOX_PREFIX).await {
+        Ok(listed) => listed,
+        Err(error) => return error,
+    };
+    let cards: Vec<FleetCard> = items.iter().filter_map(|item| card(relay, item)).collect();
+    let ids: Vec<BoxId> = cards.iter().map(|card| card.id).collect();
+    relay.members.borrow_mut().keys_are(&ids);
+    for card in &cards {
+        meet(relay, card, true);
+    }
+    let mut watch = match relay.store.watch(BOX_PREFIX, revision + 1).await {
+        Ok(watch) => watch,
+        Err(error) => return error,
+    };
+    loop {
+        let events = match watch.next().await {
+            Ok(events) => events,
+            Err(error) => return error,
+        };
+        metrics::counter!("shuntpier_store_calls", "of" => "boxes").increment(1);
+        for event in events {
+            match event.value {
+                Some(value) => {
+                    let item = Versioned {
+                        key: event.key,
+                        value,
+                        revision: event.revision,
+                    };
+                    if let Some(card) = card(relay, &item) {
+                        meet(relay, &card, true);
+                    }
+                }
+                None => {
+                    let name = event.key.strip_prefix(BOX_PREFIX).unwrap_or_default();
+                    relay.members.borrow_mut().key_gone(box_id(name));
+                }
+            }
+        }
+    }
+}
+
+/// The key of a box in the policies, made from its name.
+pub(crate) fn box_id(name: &str) -> BoxId {
+    BoxId(xxhash_rust::xxh3::xxh3_64(name.as_bytes()) as u32)
+}
+
+fn card(relay: &Relay, item: &Versioned) -> Option<FleetCard> {
+    match serde_json::from_slice(&item.value) {
+        Ok(card) => Some(card),
+        Err(error) => {
+            slog::warn!(relay.log, "key of a box not used"; "key" => &item.key, "error" => %error);
+            None
+        }
+    }
+}
--- /dev/null
+++ b/components/relay/src/runs.rs
@@ -0,0 +1,118 @@
+//! The generations that this box has open, as their dispatcher is told of them.
+
+use peers::{AcquireRequest, AdoptedStream, EndedStream, StreamProgress};
+use prelude::{PoolId, TargetId};
+use std::collections::BTreeMap;
+
+/// One open generation.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Run {
+    pub request: AcquireRequest,
+    pub target: TargetId,
+    pub tokens: u32,
+    told_tokens: u32,
+}
+
+/// Tokens after which a dispatcher is told how far a generation is.
+const TOLD_EACH_TOKENS: u32 = 128;
+
+/// All open generations, and what is to be told.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Runs {
+    open: BTreeMap<u64, Run>,
+    ended: Vec<(PoolId, EndedStream)>,
+    next_serial: u64,
+}
+
+impl Runs {
+    pub(crate) fn next_serial(&mut self) -> u64 {
+        self.next_serial += 1;
+        self.next_serial
+    }
+
+    pub(crate) fn began(&mut self, request: AcquireRequest, target: TargetId) {
+        let run = Run {
+            request,
+            target,
+            tokens: 0,
+            told_tokens: 0,
+        };
+        self.open.insert(request.permit.serial, run);
+    }
+
+    pub(crate) fn get(&self, serial: u64) -> Option<Run> {
+        self.open.get(&serial).copied()
+    }
+
+    pub(crate) fn moved(&mut self, serial: u64, target: TargetId) {
+        if let Some(run) = self.open.get_mut(&serial) {
+            run.target = target;
+        }
+    }
+
+    /// Notes how far a generation is. True where its dispatcher is to be told.
+    pub(crate) fn grew(&mut self, serial: u64, tokens: u32) -> bool {
+        let Some(run) = self.open.get_mut(&serial) else {
+            return false;
+        };
+        let first = run.tokens == 0 && tokens > 0;
+        run.tokens = tokens;
+        first || tokens >= run.told_tokens + TOLD_EACH_TOKENS
+    }
+
+    pub(crate) fn ended(&mut self, serial: u64, finished: bool) {
+        let Some(run) = self.open.remove(&serial) else {
+            return;
+        };
+        let ended = EndedStream {
+            serial,
+            tokens: run.tokens,
+            finished,
+        };
+        self.ended.push((run.request.pool, ended));
+    }
+
+    /// The pools in which something is open or ended.
+    pub(crate) fn pools(&self) -> Vec<PoolId> {
+        let open = self.open.values().map(|run| run.request.pool);
+        let mut pools: Vec<PoolId> = open.chain(self.ended.iter().map(|end| end.0)).collect();
+        pools.sort();
+        pools.dedup();
+        pools
+    }
+
+    /// What a pool's dispatcher is not yet told.
+    pub(crate) fn untold(&mut self, pool: PoolId) -> (Vec<StreamProgress>, Vec<EndedStream>) {
+        let mut progress = Vec::new();
+        for (serial, run) in &mut self.open {
+            if run.request.pool == pool && run.tokens > run.told_tokens {
+                run.told_tokens = run.tokens;
+                progress.push(StreamProgress {
+                    serial: *serial,
+                    tokens: run.tokens,
+                });
+            }
+        }
+        let (told, left) = std::mem::take(&mut self.ended)
+            .into_iter()
+            .partition(|(of, _)| *of == pool);
+        self.ended = left;
+        let told: Vec<(PoolId, EndedStream)> = told;
+        (progress, told.into_iter().map(|(_, ended)| ended).collect())
+    }
+
+    pub(crate) fn open_in(&self, pool: PoolId) -> Vec<AdoptedStream> {
+        let of_pool = self.open.values().filter(|run| run.request.pool == pool);
+        of_pool
+            .map(|run| AdoptedStream {
+                request: run.request,
+                target: run.target,
+                tokens: run.tokens,
+            })
+            .collect()
+    }
+
+    pub(crate) fn count(&self) -> usize {
+        self.open.len()
+    }
+}
--- /dev/null
+++ b/components/relay/src/send.rs
@@ -0,0 +1,290 @@
+//! One try at one target, and the one place that says whether it ran: not run (the target's own word, no
+//! channel, nothing written), answered, or it may have run.
+
+use crate::state::Relay;
+use crate::targets::TargetSlot;
+use bytes::Bytes;
+use http1::{Channel, Decoder, Framing, Piece, ResponseHead};
+use platform::AnswerFacts;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Longest time for a new channel. The opening packet is sent again after a second where it was dropped.
+const CONNECT_LIMIT: Duration = Duration::from_millis(700);
+/// Bodies up to this size travel in one write with their head.
+const JOINED_BYTES_MAX: usize = 32 * 1024;
+/// The longest plain answer that is held to be checked whole.
+const ANSWER_BYTES_MAX: usize = 16 * 1024 * 1024;
+/// Answers to other requests that are passed over on one channel.
+const STRAY_ANSWERS_MAX: usize = 3;
+
+/// Why a request was not run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum NotRun {
+    /// No channel, or nothing could be written.
+    Unreachable,
+    /// The target said so.
+    Refused { retry_after_ms: Option<u64> },
+    /// Another target listens there.
+    Misdirected,
+}
+
+/// What became of one try.
+pub(crate) enum Tried {
+    /// It was not run, and will not be.
+    NotRun(NotRun),
+    /// Nobody can say.
+    MayHaveRun(&'static str),
+    /// The target answers.
+    Answered(Box<Opened>),
+}
+
+/// An answer that has begun.
+pub(crate) struct Opened {
+    pub channel: Channel,
+    pub head: ResponseHead,
+    pub facts: AnswerFacts,
+    decoder: Decoder,
+    /// The request was written whole, so that the channel may be used again.
+    whole: bool,
+    open: OpenRequest,
+}
+
+/// Counts a request at a target while it lives.
+pub(crate) struct OpenRequest {
+    relay: Rc<Relay>,
+    slot: TargetSlot,
+}
+
+impl OpenRequest {
+    fn new(relay: &Rc<Relay>, slot: TargetSlot) -> Self {
+        relay.targets.borrow_mut().opened(slot);
+        Self {
+            relay: relay.clone(),
+            slot,
+        }
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.relay.targets.borrow_mut().closed(self.slot);
+    }
+}
+
+/// What is sent.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Message<'a> {
+    pub request_id: &'a str,
+    pub head: &'a [u8],
+    pub body: &'a Bytes,
+    /// The answer has no body, whatever its head says.
+    pub bodiless: bool,
+}
+
+impl Relay {
+    async fn channel_to(&self, slot: TargetSlot) -> Result<Channel, NotRun> {
+        let now_ms = self.now_ms();
+        if let Some(channel) = self.channels.borrow_mut().take(slot, now_ms) {
+            return Ok(channel);
+        }
+        let address = self.targets.borrow().get(slot).map(|t| t.entry.address);
+        let Some(address) = address else {
+            return Err(NotRun::Unreachable);
+        };
+        metrics::counter!("shuntpier_target_channels").increment(1);
+        Channel::connect(address, CONNECT_LIMIT)
+            .await
+            .map_err(|error| {
+                slog::info!(self.log, "no channel to target"; "address" => %address,
+                    "error" => %error);
+                NotRun::Unreachable
+            })
+    }
+
+    /// Sends a request to a target and reads the head of its answer.
+    pub(crate) async fn try_at(self: &Rc<Self>, slot: TargetSlot, message: Message<'_>) -> Tried {
+        let open = OpenRequest::new(self, slot);
+        let mut channel = match self.channel_to(slot).await {
+            Ok(channel) => channel,
+            Err(why) => return Tried::NotRun(why),
+        };
+        let whole = match write(&mut channel, message).await {
+            Written::Whole => true,
+            Written::AnsweredEarly => false,
+            Written::Nothing => return Tried::NotRun(NotRun::Unreachable),
+            Written::Part => {
+                return Tried::MayHaveRun("the channel failed while it was written to");
+            }
+        };
+        let answer = read_own_head(&mut channel, message).await;
+        let (head, facts, framing) = match answer {
+            Ok(answer) => answer,
+            Err(why) => return Tried::MayHaveRun(why),
+        };
+        let now_ms = self.now_ms();
+        if let (Some(load), Some(target)) = (facts.load, self.targets.borrow_mut().get_mut(slot)) {
+            target.load = Some((load, now_ms));
+        }
+        if facts.is_misdirected {
+            return Tried::NotRun(NotRun::Misdirected);
+        }
+        let mut opened = Opened {
+            decoder: Decoder::new(framing),
+            channel,
+            head,
+            facts,
+            whole,
+            open,
+        };
+        if opened.facts.is_not_run {
+            let retry_after_ms = opened.facts.retry_after_ms;
+            // The short body is read so that the channel can be used again; its loss changes nothing.
+            let _ = opened.read_whole().await;
+            opened.finish(self);
+            return Tried::NotRun(NotRun::Refused { retry_after_ms });
+        }
+        Tried::Answered(Box::new(opened))
+    }
+}
+
+enum Written {
+    Whole,
+    AnsweredEarly,
+    Nothing,
+    Part,
+}
+
+async fn write(channel: &mut Channel, message: Message<'_>) -> Written {
+    let joined = message.body.len() <= JOINED_BYTES_MAX;
+    let mut first = message.head.to_vec();
+    if joined {
+        first.extend_from_slice(message.body);
+    }
+    match channel.write_or_read(&first).await {
+        Ok(written) if written < first.len() => return Written::AnsweredEarly,
+        Ok(_) if joined => return Written::Whole,
+        Ok(_) => {}
+        Err(error) if error.kind() == std::io::ErrorKind::BrokenPipe => return Written::Nothing,
+        Err(_) => return Written::Part,
+    }
+    match channel.write_or_read(message.body).await {
+        Ok(written) if written < message.body.len() => Written::AnsweredEarly,
+        Ok(_) => Written::Whole,
+        Err(_) => Written::Part,
+    }
+}
+
+/// Reads answers until one is to this request. An earlier one on the channel belongs to a request that is
+/// over; nobody gets it.
+async fn read_own_head(
+    channel: &mut Channel,
+    message: Message<'_>,
+) -> Result<(ResponseHead, AnswerFacts, Framing), &'static str> {
+    for _ in 0..STRAY_ANSWERS_MAX {
+        let head = channel
+            .response()
+            .await
+            .map_err(|_| "the channel ended before an answer")?;
+        let facts = AnswerFacts::read(&head);
+        let framing = match message.bodiless {
+            true => Framing::Length(0),
+            false => head.framing,
+        };
+        let id = facts.request_id.as_deref();
+        let is_ours = id == Some(message.request_id);
+        let says_not_run = facts.is_not_run && id.is_none();
+        if is_ours || says_not_run {
+            return Ok((head, facts, framing));
+        }
+        metrics::counter!("shuntpier_stray_answers").increment(1);
+        if framing == Framing::UntilClose {
+            return Err("an answer to another request, up to the end of the channel");
+        }
+        let mut decoder = Decoder::new(framing);
+        loop {
+            match decoder.next(&mut channel.buffer) {
+                Ok(Piece::End) => break,
+                Ok(Piece::Data(_)) => {}
+                Ok(Piece::More) => match channel.fill().await {
+                    Ok(read) if read > 0 => {}
+                    _ => return Err("the channel ended within an answer to another request"),
+                },
+                Err(_) => return Err("an answer to another request is not well formed"),
+            }
+        }
+    }
+    Err("too many answers to other requests")
+}
+
+impl Opened {
+    /// The next bytes of the body; none at its end.
+    pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, &'static str> {
+        loop {
+            match self.decoder.next(&mut self.channel.buffer) {
+                Ok(Piece::Data(data)) => return Ok(Some(data)),
+                Ok(Piece::End) => return Ok(None),
+                Ok(Piece::More) => match self.channel.fill().await {
+                    Ok(0) => {
+                        return match self.decoder.closed() {
+                            Ok(()) => Ok(None),
+                            Err(_) => Err("the answer ended early"),
+                        };
+                    }
+                    Ok(_) => {}
+                    Err(_) => return Err("the channel failed within the answer"),
+                },
+                Err(_) => return Err("the answer's body is not well formed"),
+            }
+        }
+    }
+
+    /// The whole body.
+    pub(crate) async fn read_whole(&mut self) -> Result<Bytes, &'static str> {
+        let Some(first) = self.next().await? else {
+            return Ok(Bytes::new());
+        };
+        let Some(second) = self.next().await? else {
+            return Ok(first);
+        };
+        let mut body = first.to_vec();
+        body.extend_from_slice(&second);
+        while let Some(more) = self.next().await? {
+            if body.len() + more.len() > ANSWER_BYTES_MAX {
+                return Err("the answer is too long to be held");
+            }
+            body.extend_from_slice(&more);
+        }
+        Ok(body.into())
+    }
+
+    /// Whether the target vouches for the answer: a success carries its signature and no coding.
+    pub(crate) fn is_vouched(&self) -> bool {
+        let coded = self.head.headers.first("content-encoding").is_some();
+        self.facts.is_signed && !coded
+    }
+
+    /// Lets the channel rest for the next request, where that is safe: bytes beyond the answer belong to
+    /// no request.
+    pub(crate) fn finish(self, relay: &Relay) {
+        let clean = self.whole && !self.head.closes && self.channel.buffer.is_empty();
+        if !clean {
+            return;
+        }
+        let usable = relay
+            .targets
+            .borrow()
+            .get(self.open.slot)
+            .is_some_and(|target| target.belief == crate::targets::Belief::Ready);
+        if usable {
+            let now_ms = relay.now_ms();
+            let mut channels = relay.channels.borrow_mut();
+            channels.rest(
+                self.open.slot,
+                self.channel,
+                self.facts.rest_limit_ms,
+                now_ms,
+            );
+        }
+    }
+}
--- /dev/null
+++ b/components/relay/src/start.rs
@@ -0,0 +1,164 @@
+//! Starts and stops a box.
+
+use crate::follow::{follow_declarations, follow_targets};
+use crate::ingress;
+use crate::members::Members;
+use crate::news::{Handler, run_exchanges};
+use crate::presence::{box_id, follow_boxes, keep_key};
+use crate::readiness;
+use crate::state::Relay;
+use http1::Listener;
+use peers::{FleetClients, Traffic};
+use platform::FleetStore;
+use prelude::{Clock, DataCentreId};
+use settings::FleetFile;
+use slog::Logger;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+use thiserror::Error;
+use tokio::net::TcpListener;
+use tokio::sync::{Notify, watch};
+use tokio::task::spawn_local;
+use tokio::time::{Instant, sleep, timeout_at};
+use tokio_util::sync::CancellationToken;
+
+/// How often what rests is looked over.
+const SWEEP_EACH: Duration = Duration::from_millis(1_000);
+/// How long a stopping box still takes channels: until the platform has asked twice whether it is ready,
+/// and what it sent before has come.
+const LAST_CHANNELS: Duration = Duration::from_millis(2_700);
+/// Left of the time until the process is killed.
+const STOP_MARGIN: Duration = Duration::from_millis(350);
+
+/// Why a box did not start.
+#[derive(Debug, Error)]
+pub enum StartError {
+    /// An address is taken or not ours.
+    #[error("cannot listen on {address} for {what}: {cause}")]
+    Listen {
+        /// For whom.
+        what: &'static str,
+        /// Where.
+        address: SocketAddr,
+        /// Why.
+        cause: io::Error,
+    },
+}
+
+fn listen(what: &'static str, address: SocketAddr) -> Result<Listener, StartError> {
+    Listener::bind(address).map_err(|cause| StartError::Listen {
+        what,
+        address,
+        cause,
+    })
+}
+
+/// A box that runs.
+#[derive(Clone)]
+pub struct Running(Rc<Relay>);
+
+/// Starts a box in the local set that it is called in.
+///
+/// # Errors
+/// [`StartError`].
+pub async fn start(file: FleetFile, log: Logger) -> Result<Running, StartError> {
+    let identity = &file.identity;
+    let callers = listen("callers", identity.callers_address)?;
+    let readiness = listen("readiness", identity.readiness_address)?;
+    let peers_address = identity.peers_address;
+    let peers = TcpListener::bind(peers_address)
+        .await
+        .map_err(|cause| StartError::Listen {
+            what: "peers",
+            address: peers_address,
+            cause,
+        })?;
+    let traffic = Arc::new(Traffic::default());
+    let id = box_id(&identity.name);
+    let relay = Rc::new(Relay {
+        log: log.new(slog::o!("box" => identity.name.clone())),
+        clock: Clock::new(),
+        id,
+        life: rand::random(),
+        data_centre: DataCentreId::from_name(&identity.data_centre),
+        store: FleetStore::new(file.store.address),
+        peers: FleetClients::new(&file.peer_keys, traffic.clone()),
+        declared: RefCell::default(),
+        targets: RefCell::default(),
+        target_changes: watch::Sender::new(0),
+        channels: RefCell::default(),
+        resends: RefCell::default(),
+        members: RefCell::new(Members::new(id)),
+        dispatchers: RefCell::new(HashMap::new()),
+        runs: RefCell::default(),
+        runs_changed: Notify::new(),
+        store_doubted: Notify::new(),
+        in_progress: Cell::new(0),
+        requests_ended: Notify::new(),
+        stopping: CancellationToken::new(),
+        closed: CancellationToken::new(),
+        file,
+    });
+    let handler = Handler(relay.clone());
+    let keys = relay.file.peer_keys.clone();
+    let closed = relay.closed.clone();
+    spawn_local(peers::serve_fleet(peers, keys, handler, traffic, closed));
+    spawn_local(readiness::serve(relay.clone(), readiness));
+    spawn_local(ingress::serve(relay.clone(), callers));
+    spawn_local(follow_declarations(relay.clone()));
+    spawn_local(follow_targets(relay.clone()));
+    spawn_local(follow_boxes(relay.clone()));
+    spawn_local(keep_key(relay.clone()));
+    spawn_local(run_exchanges(relay.clone()));
+    spawn_local(relay.clone().run_telling());
+    let looked = relay.clone();
+    spawn_local(async move { looked.run_dispatchers().await });
+    spawn_local(run_sweeps(relay.clone()));
+    slog::info!(relay.log, "box started"; "callers" => %relay.file.identity.callers_address,
+        "peers" => %peers_address, "store" => %relay.file.store.address, "life" => relay.life);
+    Ok(Running(relay))
+}
+
+async fn run_sweeps(relay: Rc<Relay>) {
+    loop {
+        sleep(SWEEP_EACH).await;
+        let now_ms = relay.now_ms();
+        relay.channels.borrow_mut().sweep(now_ms);
+        metrics::gauge!("shuntpier_generations_open").set(relay.runs.borrow().count() as f64);
+        metrics::gauge!("shuntpier_requests_open").set(relay.in_progress.get() as f64);
+    }
+}
+
+impl Running {
+    /// Notes that the settings file may have changed. What a box can take over while it runs comes from the
+    /// store; its name and addresses hold for its life.
+    pub fn reload(&self) {
+        slog::info!(self.0.log, "asked to reload"; "note" => "declarations come from the store");
+        self.0.store_doubted.notify_waiters();
+    }
+
+    /// Stops by plan: takes no new channels, answers what is in progress, and returns when nothing is, or
+    /// when the time until the process is killed is nearly over.
+    pub async fn stop(&self) {
+        let relay = &self.0;
+        let grace = Duration::from_secs_f64(relay.file.promises.stop_grace_s);
+        let until = Instant::now() + grace.saturating_sub(STOP_MARGIN);
+        slog::info!(relay.log, "stopping"; "in_progress" => relay.in_progress.get());
+        relay.stopping.cancel();
+        sleep(LAST_CHANNELS.min(grace / 2)).await;
+        while relay.in_progress.get() > 0 {
+            let ended = relay.requests_ended.notified();
+            if timeout_at(until, ended).await.is_err() {
+                break;
+            }
+        }
+        slog::info!(relay.log, "stopped"; "in_progress" => relay.in_progress.get());
+        relay.closed.cancel();
+        tokio::task::yield_now().await;
+    }
+}
--- /dev/null
+++ b/components/relay/src/state.rs
@@ -0,0 +1,214 @@
+//! What one box holds. All of it is used by one thread.
+
+use crate::channels::Channels;
+use crate::dispatch::Dispatcher;
+use crate::members::Members;
+use crate::runs::Runs;
+use crate::targets::{Change, TargetBook};
+use peers::{FleetCard, FleetClients, FleetDigest};
+use platform::FleetStore;
+use policy::{ResendBound, ResendWindow};
+use prelude::{BoxId, Clock, DataCentreId, ModelId, PoolId};
+use routing::RoutingTable;
+use settings::FleetFile;
+use slog::Logger;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use tokio::sync::{Notify, watch};
+use tokio_util::sync::CancellationToken;
+
+/// One version of the operators' declarations, with the text that peers are given.
+#[derive(Debug)]
+pub struct Declared {
+    /// As it is used.
+    pub table: RoutingTable,
+    /// As it lies in the store.
+    pub text: Vec<u8>,
+}
+
+/// What one box holds.
+pub struct Relay {
+    pub(crate) file: FleetFile,
+    pub(crate) log: Logger,
+    pub(crate) clock: Clock,
+    pub(crate) id: BoxId,
+    /// Drawn at each start of the process.
+    pub(crate) life: u32,
+    pub(crate) data_centre: DataCentreId,
+    pub(crate) store: FleetStore,
+    pub(crate) peers: FleetClients,
+    pub(crate) declared: RefCell<Option<Rc<Declared>>>,
+    pub(crate) targets: RefCell<TargetBook>,
+    /// Rises with each change of targets that matters.
+    pub(crate) target_changes: watch::Sender<u64>,
+    pub(crate) channels: RefCell<Channels>,
+    pub(crate) resends: RefCell<HashMap<Box<str>, ResendWindow>>,
+    pub(crate) members: RefCell<Members>,
+    pub(crate) dispatchers: RefCell<HashMap<PoolId, Dispatcher>>,
+    pub(crate) runs: RefCell<Runs>,
+    /// Something of [`Relay::runs`] is to be told to a dispatcher.
+    pub(crate) runs_changed: Notify,
+    /// The store failed: its open watches may hang.
+    pub(crate) store_doubted: Notify,
+    /// Requests that are being read or answered.
+    pub(crate) in_progress: Cell<usize>,
+    pub(crate) requests_ended: Notify,
+    /// A planned stop has begun.
+    pub(crate) stopping: CancellationToken,
+    /// The process ends.
+    pub(crate) closed: CancellationToken,
+}
+
+/// Counts a request as in progress while it lives.
+pub(crate) struct InProgress(Rc<Relay>);
+
+impl Drop for InProgress {
+    fn drop(&mut self) {
+        self.0.in_progress.set(self.0.in_progress.get() - 1);
+        self.0.requests_ended.notify_waiters();
+    }
+}
+
+/// The pool of a service's engines.
+pub(crate) fn pool_of(service: &str) -> PoolId {
+    PoolId {
+        model: ModelId::from_name(service),
+        ..PoolId::default()
+    }
+}
+
+impl Relay {
+    pub(crate) fn begin(self: &Rc<Self>) -> InProgress {
+        self.in_progress.set(self.in_progress.get() + 1);
+        InProgress(self.clone())
+    }
+
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
+    pub(crate) fn is_stopping(&self) -> bool {
+        self.stopping.is_cancelled()
+    }
+
+    /// The declarations in force; none before any were read.
+    pub(crate) fn declared(&self) -> Option<Rc<Declared>> {
+        self.declared.borrow().clone()
+    }
+
+    /// Whether this box takes new channels: it knows what operators declared and where targets are.
+    pub(crate) fn is_ready(&self) -> bool {
+        let knows_targets = self.targets.borrow().confirmed_ms.is_some();
+        !self.is_stopping() && knows_targets && self.declared.borrow().is_some()
+    }
+
+    pub(crate) fn card(&self) -> FleetCard {
+        FleetCard {
+            id: self.id,
+            life: self.life,
+            name: self.file.identity.name.as_str().into(),
+            address: self.file.identity.peers_address,
+            data_centre: self.file.identity.data_centre.as_str().into(),
+            leaving: self.is_stopping(),
+        }
+    }
+
+    pub(crate) fn digest(&self) -> FleetDigest {
+        let targets = self.targets.borrow();
+        FleetDigest {
+            from: self.card(),
+            table_version: self.declared().map_or(0, |held| held.table.version),
+            targets_changed_at: targets.changed_at,
+            targets_current_to: targets.current_to,
+        }
+    }
+
+    /// Puts declarations into force, where they are newer than those in force.
+    pub(crate) fn declare(&self, text: Vec<u8>, source: &'static str) {
+        let table = match platform::decode_table(&text) {
+            Ok(table) => table,
+            Err(error) => {
+                slog::error!(self.log, "declarations not used"; "source" => source,
+                    "error" => %error);
+                return;
+            }
+        };
+        let held = self.declared().map_or(0, |held| held.table.version);
+        if table.version <= held {
+            return;
+        }
+        slog::info!(self.log, "declarations in force"; "version" => table.version,
+            "before" => held, "source" => source, "routes" => table.routes.len(),
+            "accounts" => table.accounts.len());
+        metrics::gauge!("shuntpier_table_version").set(table.version as f64);
+        *self.declared.borrow_mut() = Some(Rc::new(Declared { table, text }));
+        self.targets_changed();
+    }
+
+    /// Acts on changes of targets.
+    pub(crate) fn took_changes(&self, changes: &[Change], source: &'static str) {
+        for change in changes {
+            let (slot, word) = match change {
+                Change::Came(slot) => (*slot, "came"),
+                Change::Leaves(slot) => (*slot, "leaves"),
+                Change::Went(slot) => (*slot, "went"),
+            };
+            let targets = self.targets.borrow();
+            if let Some(target) = targets.get(slot) {
+                slog::info!(self.log, "target"; "change" => word, "source" => source,
+                    "instance" => &*target.entry.instance, "service" => &*target.entry.service,
+                    "address" => %target.entry.address, "revision" => target.entry.revision,
+                    "open" => target.open);
+            }
+            drop(targets);
+            if !matches!(change, Change::Came(_)) {
+                self.channels.borrow_mut().close(slot);
+                self.targets.borrow_mut().sweep(slot);
+            }
+        }
+        if !changes.is_empty() {
+            self.targets_changed();
+        }
+    }
+
+    fn targets_changed(&self) {
+        self.sync_dispatchers();
+        self.target_changes.send_modify(|count| *count += 1);
+    }
+
+    /// Second sends to a service, counted over the window.
+    pub(crate) fn resend_window<T>(
+        &self,
+        service: &str,
+        act: impl FnOnce(&mut ResendWindow, u64) -> T,
+    ) -> T {
+        let mut windows = self.resends.borrow_mut();
+        if !windows.contains_key(service) {
+            let promises = &self.file.promises;
+            let bound = ResendBound {
+                share: promises.resend_share,
+                spare: promises.resend_spare,
+                window_ms: (promises.resend_window_s * 1000.0) as u64,
+            };
+            windows.insert(service.into(), ResendWindow::new(bound));
+        }
+        let now_ms = self.now_ms();
+        match windows.get_mut(service) {
+            Some(window) => act(window, now_ms),
+            None => unreachable!("the window was just made"),
+        }
+    }
+
+    /// Takes one second send to a service from the budget.
+    pub(crate) fn take_resend(&self, service: &str) -> bool {
+        let boxes = self.members.borrow().budget_share();
+        let taken = self.resend_window(service, |window, now_ms| window.take(boxes, now_ms));
+        let name = match taken {
+            true => "shuntpier_resends",
+            false => "shuntpier_resends_denied",
+        };
+        metrics::counter!(name).increment(1);
+        taken
+    }
+}
--- /dev/null
+++ b/components/relay/src/targets.rs
@@ -0,0 +1,305 @@
+//! The targets that this box knows, and what it has on each. Whether a target leaves is kept for each of
+//! its lives, never for its address.
+
+use platform::WorkerLoad;
+use policy::Suspicion;
+use prelude::{DataCentreId, TargetId};
+use routing::{TargetEntry, TargetPhase};
+use slotmap::{SlotMap, new_key_type};
+use std::collections::{HashMap, HashSet};
+
+new_key_type! {
+    /// A target in this box's arena.
+    pub struct TargetSlot;
+}
+
+/// What a box believes of one life of a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Belief {
+    /// It takes new work.
+    Ready,
+    /// It serves what it has.
+    Leaving,
+    /// It is listed no more. It may still serve what it has.
+    Gone,
+}
+
+/// One life of a target.
+#[derive(Clone, Debug)]
+pub struct Target {
+    /// As it is listed.
+    pub entry: TargetEntry,
+    /// Its key in the policies.
+    pub id: TargetId,
+    /// Its data centre.
+    pub data_centre: DataCentreId,
+    /// Whether it takes new work.
+    pub belief: Belief,
+    /// Until when it is slow from its start.
+    pub cold_until_ms: u64,
+    /// Requests that this box has there.
+    pub open: u32,
+    /// What it last said of its load, and when.
+    pub load: Option<(WorkerLoad, u64)>,
+    /// Its latest failures.
+    pub suspicion: Suspicion,
+    /// Until when it counts as full, by its own word.
+    pub full_until_ms: u64,
+}
+
+/// How long a target's word that it is full is believed.
+const FULL_MS: u64 = 100;
+/// How long its word on its load counts.
+const LOAD_LIFE_MS: u64 = 1_000;
+/// What a target in another data centre must be emptier by, as a share of its slots.
+const FAR_SHARE: f64 = 0.3;
+/// Slots of a target that does not say how many it has.
+const SLOTS_UNKNOWN: f64 = 8.0;
+/// What a target that has just started is taken to have on it, as a share of its slots.
+const COLD_SHARE: f64 = 0.5;
+
+impl Target {
+    /// How full it is, as a share of its slots, by its last word and our own requests.
+    pub fn fullness(&self, now_ms: u64) -> f64 {
+        let slots = f64::from(self.entry.slots).max(1.0);
+        let slots = match self.entry.slots {
+            0 => SLOTS_UNKNOWN,
+            _ => slots,
+        };
+        let told = self
+            .load
+            .filter(|(_, at_ms)| now_ms < at_ms + LOAD_LIFE_MS)
+            .map_or(0.0, |(load, at_ms)| {
+                let age = (now_ms - at_ms) as f64 / LOAD_LIFE_MS as f64;
+                f64::from(load.running + load.waiting) * (1.0 - age)
+            });
+        told.max(f64::from(self.open)) / slots
+    }
+}
+
+/// All targets.
+#[derive(Debug, Default)]
+pub struct TargetBook {
+    targets: SlotMap<TargetSlot, Target>,
+    by_instance: HashMap<Box<str>, TargetSlot>,
+    by_id: HashMap<TargetId, TargetSlot>,
+    /// The store's revision up to which everything is known.
+    pub current_to: u64,
+    /// The revision of the last change that matters: a target came, leaves, or went.
+    pub changed_at: u64,
+    /// When it was last confirmed that the book is current.
+    pub confirmed_ms: Option<u64>,
+}
+
+/// What a change of the book means for the rest of the box.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// A target may be used from now on.
+    Came(TargetSlot),
+    /// It takes no new work from now on.
+    Leaves(TargetSlot),
+    /// It is listed no more.
+    Went(TargetSlot),
+}
+
+impl TargetBook {
+    /// One target.
+    pub fn get(&self, slot: TargetSlot) -> Option<&Target> {
+        self.targets.get(slot)
+    }
+
+    /// One target.
+    pub fn get_mut(&mut self, slot: TargetSlot) -> Option<&mut Target> {
+        self.targets.get_mut(slot)
+    }
+
+    /// The target of a key.
+    pub fn slot_of(&self, id: TargetId) -> Option<TargetSlot> {
+        self.by_id.get(&id).copied()
+    }
+
+    /// All targets that are still listed.
+    pub fn entries(&self) -> Vec<TargetEntry> {
+        let listed = self.targets.values().filter(|t| t.belief != Belief::Gone);
+        listed.map(|target| target.entry.clone()).collect()
+    }
+
+    /// The targets of a service.
+    pub fn of_service<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = (TargetSlot, &'a Target)> {
+        self.targets
+            .iter()
+            .filter(move |(_, target)| &*target.entry.service == service)
+    }
+
+    /// Takes the entry of one target in.
+    pub fn listed(&mut self, entry: TargetEntry, now_ms: u64) -> Option<Change> {
+        let leaving = entry.phase == TargetPhase::Leaving;
+        if let Some(slot) = self.by_instance.get(&entry.instance).copied() {
+            let target = self.targets.get_mut(slot)?;
+            if entry.revision < target.entry.revision {
+                return None;
+            }
+            let was = target.belief;
+            // A life that was seen to leave never takes work again; one that vanished may come back,
+            // as the platform drops entries while its store is in trouble.
+            target.belief = match (was, leaving) {
+                (Belief::Leaving, _) | (_, true) => Belief::Leaving,
+                _ => Belief::Ready,
+            };
+            let now = target.belief;
+            let revision = entry.revision;
+            target.entry = entry;
+            if was == now {
+                return None;
+            }
+            self.changed_at = self.changed_at.max(revision);
+            return Some(match now {
+                Belief::Ready => Change::Came(slot),
+                _ => Change::Leaves(slot),
+            });
+        }
+        let id = TargetId::from_name(&entry.instance);
+        self.changed_at = self.changed_at.max(entry.revision);
+        let target = Target {
+            id,
+            data_centre: DataCentreId::from_name(&entry.data_centre),
+            belief: match leaving {
+                true => Belief::Leaving,
+                false => Belief::Ready,
+            },
+            cold_until_ms: now_ms + u64::from(entry.cold_left_ms),
+            open: 0,
+            load: None,
+            suspicion: Suspicion::default(),
+            full_until_ms: 0,
+            entry,
+        };
+        let instance = target.entry.instance.clone();
+        let slot = self.targets.insert(target);
+        self.by_instance.insert(instance, slot);
+        self.by_id.insert(id, slot);
+        Some(match leaving {
+            true => Change::Leaves(slot),
+            false => Change::Came(slot),
+        })
+    }
+
+    /// Notes that a target is listed no more.
+    pub fn unlisted(&mut self, instance: &str, revision: u64) -> Option<Change> {
+        let slot = *self.by_instance.get(instance)?;
+        let target = self.targets.get_mut(slot)?;
+        if target.belief == Belief::Gone || revision < target.entry.revision {
+            return None;
+        }
+        target.belief = Belief::Gone;
+        target.entry.revision = revision;
+        self.changed_at = self.changed_at.max(revision);
+        Some(Change::Went(slot))
+    }
+
+    /// Takes a whole list in, as it was at `revision`.
+    pub fn replace(
+        &mut self,
+        entries: Vec<TargetEntry>,
+        revision: u64,
+        now_ms: u64,
+    ) -> Vec<Change> {
+        let listed: HashSet<Box<str>> = entries.iter().map(|e| e.instance.clone()).collect();
+        let mut changes: Vec<Change> = Vec::new();
+        for entry in entries {
+            changes.extend(self.listed(entry, now_ms));
+        }
+        let missing: Vec<Box<str>> = self
+            .targets
+            .values()
+            .filter(|target| !listed.contains(&target.entry.instance))
+            .map(|target| target.entry.instance.clone())
+            .collect();
+        for instance in missing {
+            changes.extend(self.unlisted(&instance, revision));
+        }
+        self.current_to = self.current_to.max(revision);
+        changes
+    }
+
+    /// Believes a target's own word that it leaves.
+    pub fn leaves(&mut self, slot: TargetSlot) -> Option<Change> {
+        let target = self.targets.get_mut(slot)?;
+        if target.belief != Belief::Ready {
+            return None;
+        }
+        target.belief = Belief::Leaving;
+        Some(Change::Leaves(slot))
+    }
+
+    /// Notes that a target said that it is full.
+    pub fn full(&mut self, slot: TargetSlot, now_ms: u64) {
+        if let Some(target) = self.targets.get_mut(slot) {
+            target.full_until_ms = now_ms + FULL_MS;
+        }
+    }
+
+    /// Notes a request that was sent to a target.
+    pub fn opened(&mut self, slot: TargetSlot) {
+        if let Some(target) = self.targets.get_mut(slot) {
+            target.open += 1;
+        }
+    }
+
+    /// Notes that a request ended, and forgets a target that is gone with its last one.
+    pub fn closed(&mut self, slot: TargetSlot) {
+        let Some(target) = self.targets.get_mut(slot) else {
+            return;
+        };
+        target.open = target.open.saturating_sub(1);
+        self.sweep(slot);
+    }
+
+    /// Forgets a target that is gone and has nothing of ours.
+    pub fn sweep(&mut self, slot: TargetSlot) {
+        let idle = |target: &Target| target.belief == Belief::Gone && target.open == 0;
+        if !self.targets.get(slot).is_some_and(idle) {
+            return;
+        }
+        if let Some(target) = self.targets.remove(slot) {
+            self.by_instance.remove(&target.entry.instance);
+            self.by_id.remove(&target.id);
+        }
+    }
+
+    /// The best target for a plain request: the emptiest, near ones first. Those in `tried` are only
+    /// taken where there is no other.
+    pub fn choose(
+        &self,
+        service: &str,
+        near: DataCentreId,
+        tried: &[TargetSlot],
+        now_ms: u64,
+    ) -> Option<TargetSlot> {
+        let rank = |(slot, target): (TargetSlot, &Target)| {
+            let far = f64::from(u8::from(target.data_centre != near)) * FAR_SHARE;
+            let cold = f64::from(u8::from(now_ms < target.cold_until_ms)) * COLD_SHARE;
+            let passed_over = target.suspicion.is_passed_over(now_ms);
+            let full = now_ms < target.full_until_ms;
+            let doubt = target.suspicion.failed_share();
+            let order = (
+                tried.contains(&slot),
+                passed_over,
+                full,
+                target.fullness(now_ms) + far + cold + doubt,
+            );
+            (order, slot)
+        };
+        let ready = self
+            .of_service(service)
+            .filter(|(_, target)| target.belief == Belief::Ready);
+        let best = ready.map(rank).min_by(|(a, _), (b, _)| {
+            let doubts = (a.0, a.1, a.2).cmp(&(b.0, b.1, b.2));
+            doubts.then(a.3.total_cmp(&b.3))
+        });
+        best.map(|(_, slot)| slot)
+    }
+}
--- a/components/services/src/batch.rs
+++ b/components/services/src/batch.rs
@@ -2,8 +2,8 @@
 //! platform's service. Two writers at once are safe, since each claim carries its own condition.
 
 use crate::claim::{Claim, claim_key};
-use platform::{Compare, KeyValue, StoreError, Transaction, TransactionResult, Versioned, Write};
 use std::collections::HashMap;
+use store::{Compare, KeyValue, StoreError, Transaction, TransactionResult, Versioned, Write};
 
 /// Claims in one transaction; etcd takes 128 operations.
 const BATCH_MAX: usize = 100;
@@ -81,7 +81,7 @@
                     resolve(pending, &open, &current, &mut verdicts);
                     doubt = false;
                 }
-                Err(StoreError::NotDone(_)) => {}
+                Err(StoreError::NotDone(_) | StoreError::HistoryGone) => {}
                 Err(StoreError::Unclear(_)) => doubt = true,
             }
         }
--- a/components/services/src/batch_tests.rs
+++ b/components/services/src/batch_tests.rs
@@ -1,8 +1,8 @@
 use super::*;
-use platform::Watch;
 use prelude::{BoxId, BoxIncarnation};
 use std::collections::{BTreeMap, VecDeque};
 use std::sync::{Arc, Mutex};
+use store::Watch;
 
 /// What the store shall do with the next transactions.
 #[derive(Clone, Copy)]
@@ -24,6 +24,8 @@
 struct Memory(Arc<Mutex<Values>>);
 
 impl KeyValue for Memory {
+    type Watch = Watch;
+
     async fn get(&self, key: &str) -> Result<Option<Versioned>, StoreError> {
         let held = self.0.lock().unwrap();
         let found = held.values.get(key).cloned();
@@ -79,6 +81,10 @@
         Ok(TransactionResult::Conflict { current })
     }
 
+    async fn renew_lease(&self, _: u64) -> Result<bool, StoreError> {
+        Ok(true)
+    }
+
     async fn grant_lease(&self, _: u64) -> Result<u64, StoreError> {
         Ok(1)
     }
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -2,6 +2,7 @@
 
 use crate::boxfile::BoxFile;
 use crate::branch::{Branch, TargetKind};
+use crate::fleetfile::FleetFile;
 use crate::locate::{Located, Step, byte_offset};
 use jsonschema::error::ValidationErrorKind;
 use jsonschema::paths::LocationSegment;
@@ -63,6 +64,47 @@
     })
 }
 
+/// Parses and checks the settings file of a box of a platform's fleet.
+///
+/// # Errors
+/// Every mistake that was found.
+pub fn parse_fleet_file(name: &str, text: &str) -> Result<FleetFile, Box<Mistakes>> {
+    parse(name, text, fleet_mistakes)
+}
+
+/// The mistakes of a fleet box's file; none where it is right.
+pub fn check_fleet_file(name: &str, text: &str) -> Option<Box<Mistakes>> {
+    parse_fleet_file(name, text).err()
+}
+
+fn fleet_mistakes(file: &FleetFile) -> Vec<Found> {
+    let mut found = Vec::new();
+    let identity = &file.identity;
+    if identity.callers_address == identity.readiness_address {
+        found.push(Found::new(
+            &["box", "readiness_address"],
+            "callers and readiness share an address".into(),
+            Some("give each an address of its own".into()),
+        ));
+    }
+    let promises = &file.promises;
+    if !(0.0..=1.0).contains(&promises.resend_share) {
+        found.push(Found::new(
+            &["promises", "resend_share"],
+            format!("{} is not between 0 and 1", promises.resend_share),
+            Some("a share of 0.2 allows one second send for five requests".into()),
+        ));
+    }
+    if promises.resend_window_s <= 0.0 {
+        found.push(Found::new(
+            &["promises", "resend_window_s"],
+            "a window of no length".into(),
+            None,
+        ));
+    }
+    found
+}
+
 /// The mistakes of a branch; none where it is right.
 pub fn check_branch(name: &str, text: &str) -> Option<Box<Mistakes>> {
     parse_branch(name, text).err()
--- /dev/null
+++ b/components/settings/src/fleetfile.rs
@@ -0,0 +1,118 @@
+//! The settings file of one box of a platform's fleet: who it is, where the platform's store is, and what
+//! the users were promised. Routes, services and accounts come from the store.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// What `shuntpier relay --settings FILE` reads.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct FleetFile {
+    /// Who this box is.
+    #[serde(rename = "box")]
+    pub identity: FleetIdentity,
+    /// The platform's store.
+    pub store: FleetStoreSettings,
+    /// What the users were promised.
+    #[serde(default)]
+    pub promises: FleetPromises,
+    /// What the box may use.
+    #[serde(default)]
+    pub limits: FleetLimits,
+    /// Boxes that may be asked before any is known from the store.
+    #[serde(default)]
+    #[schemars(with = "Vec<String>")]
+    pub seeds: Vec<SocketAddr>,
+    /// Keys by which boxes know each other; the first is used, the others are accepted.
+    #[schemars(length(min = 1))]
+    pub peer_keys: Vec<String>,
+}
+
+/// A box's name, place and addresses.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct FleetIdentity {
+    /// Its name, unique among all boxes.
+    #[schemars(length(min = 1))]
+    pub name: String,
+    /// The data centre it stands in.
+    pub data_centre: String,
+    /// Where callers connect.
+    #[schemars(with = "String")]
+    pub callers_address: SocketAddr,
+    /// Where the platform asks whether the box takes new channels.
+    #[schemars(with = "String")]
+    pub readiness_address: SocketAddr,
+    /// Where other boxes connect.
+    #[schemars(with = "String")]
+    pub peers_address: SocketAddr,
+    /// Where counters are read; left out for none.
+    #[serde(default)]
+    #[schemars(with = "Option<String>")]
+    pub metrics_address: Option<SocketAddr>,
+}
+
+/// The platform's store.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct FleetStoreSettings {
+    /// Where it listens.
+    #[schemars(with = "String")]
+    pub address: SocketAddr,
+    /// The shortest lease that it grants.
+    #[serde(default = "shortest_lease_ms")]
+    pub shortest_lease_ms: f64,
+}
+
+/// What the platform's pages name where they say nothing else.
+fn shortest_lease_ms() -> f64 {
+    1000.0
+}
+
+/// What the users were promised. The defaults are those of the smallest deployments.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct FleetPromises {
+    /// Time after which a leaving target gets no new work.
+    pub leaving_ms: f64,
+    /// Time from SIGTERM to the end of the process.
+    pub stop_grace_s: f64,
+    /// Second sends as a share of requests, over all boxes.
+    pub resend_share: f64,
+    /// Second sends that are allowed beyond that share in each window, over all boxes.
+    pub resend_spare: f64,
+    /// Length of that window.
+    pub resend_window_s: f64,
+}
+
+impl Default for FleetPromises {
+    fn default() -> Self {
+        Self {
+            leaving_ms: 2_000.0,
+            stop_grace_s: 8.0,
+            resend_share: 0.2,
+            resend_spare: 50.0,
+            resend_window_s: 10.0,
+        }
+    }
+}
+
+/// What the box may use.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct FleetLimits {
+    /// Memory of the process.
+    pub memory_mb: f64,
+    /// Descriptors of the process.
+    pub descriptors: u64,
+}
+
+impl Default for FleetLimits {
+    fn default() -> Self {
+        Self {
+            memory_mb: 128.0,
+            descriptors: 4096,
+        }
+    }
+}
--- a/components/platform/src/etcd.rs
+++ b/components/store/src/etcd.rs
@@ -5,9 +5,9 @@
 };
 use crate::watch::Watch;
 use crate::wire::{
-    Base64, CompareRequest, DeleteRequest, KeyValueMessage, LeaseRequest, LeaseResponse, Number,
-    Operation, PutRequest, RangeRequest, RangeResponse, TxnRequest, TxnResponse, WatchCreate,
-    WatchRequest,
+    Base64, CompareRequest, DeleteRequest, KeepAliveRequest, KeepAliveResponse, KeyValueMessage,
+    LeaseRequest, LeaseResponse, Number, Operation, PutRequest, RangeRequest, RangeResponse,
+    TxnRequest, TxnResponse, WatchCreate, WatchRequest,
 };
 use reqwest::{Client, Response, StatusCode};
 use serde::Serialize;
@@ -93,6 +93,8 @@
 }
 
 impl KeyValue for Etcd {
+    type Watch = Watch;
+
     async fn get(&self, key: &str) -> Result<Option<Versioned>, StoreError> {
         let request = RangeRequest {
             key: Base64::text(key),
@@ -137,6 +139,12 @@
         Ok(response.id.0)
     }
 
+    async fn renew_lease(&self, lease: u64) -> Result<bool, StoreError> {
+        let request = KeepAliveRequest { id: Number(lease) };
+        let response: KeepAliveResponse = self.call("/v3/lease/keepalive", &request).await?;
+        Ok(response.result.ttl.0 > 0)
+    }
+
     async fn watch(&self, prefix: &str, from_revision: u64) -> Result<Watch, StoreError> {
         let request = WatchRequest {
             create_request: WatchCreate {
--- a/components/platform/src/keyvalue.rs
+++ b/components/store/src/keyvalue.rs
@@ -1,6 +1,6 @@
 //! What is asked of the key-value service.
 
-use crate::watch::Watch;
+use crate::watch::WatchEvent;
 use std::future::Future;
 use thiserror::Error;
 
@@ -76,10 +76,25 @@
     /// No clear answer came: a write may have taken effect.
     #[error("the key-value service gave no clear answer: {0}")]
     Unclear(String),
+    /// The writes that a watch was to begin with are forgotten: everything must be read anew.
+    #[error("the key-value service has forgotten its history")]
+    HistoryGone,
+}
+
+/// An open watch.
+pub trait WatchStream: Send {
+    /// Waits for the next writes. The list may be empty.
+    ///
+    /// # Errors
+    /// [`StoreError`], where the watch ended. What it missed must be read.
+    fn next(&mut self) -> impl Future<Output = Result<Vec<WatchEvent>, StoreError>> + Send;
 }
 
 /// The key-value service.
 pub trait KeyValue: Clone + Send + Sync + 'static {
+    /// Its watches.
+    type Watch: WatchStream;
+
     /// Reads one key.
     fn get(&self, key: &str) -> impl Future<Output = Result<Option<Versioned>, StoreError>> + Send;
 
@@ -98,10 +113,13 @@
     /// Grants a lease of `ttl_s` seconds.
     fn grant_lease(&self, ttl_s: u64) -> impl Future<Output = Result<u64, StoreError>> + Send;
 
+    /// Renews a lease. False where it is over.
+    fn renew_lease(&self, lease: u64) -> impl Future<Output = Result<bool, StoreError>> + Send;
+
     /// Watches all keys that begin with `prefix`, from a revision on.
     fn watch(
         &self,
         prefix: &str,
         from_revision: u64,
-    ) -> impl Future<Output = Result<Watch, StoreError>> + Send;
+    ) -> impl Future<Output = Result<Self::Watch, StoreError>> + Send;
 }
--- a/components/platform/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -1,5 +1,5 @@
-//! The platform's services: the key-value service, through etcd v3's JSON gateway, and the box list,
-//! through Prometheus' HTTP service-discovery JSON.
+//! What boxes keep outside themselves: the key-value service, of which etcd v3's JSON gateway is one form,
+//! and the box list, through Prometheus' HTTP service-discovery JSON.
 
 mod boxes;
 mod budget;
@@ -13,7 +13,7 @@
 pub use budget::CallBudget;
 pub use etcd::Etcd;
 pub use keyvalue::{
-    Compare, KeyValue, StoreError, Transaction, TransactionResult, Versioned, Write,
+    Compare, KeyValue, StoreError, Transaction, TransactionResult, Versioned, WatchStream, Write,
 };
 pub use settings::{
     ApplyError, ApplyOutcome, BranchText, HistoryEntry, SETTINGS_PREFIX, apply_branch,
--- a/components/platform/src/settings.rs
+++ b/components/store/src/settings.rs
@@ -128,7 +128,7 @@
             Ok(TransactionResult::Conflict { current }) => {
                 return settle(store, partner, entry, current).await;
             }
-            Err(error @ StoreError::NotDone(_)) => last = error,
+            Err(error @ (StoreError::NotDone(_) | StoreError::HistoryGone)) => last = error,
             Err(error @ StoreError::Unclear(_)) => {
                 doubt = Some(());
                 last = error;
--- a/components/platform/src/watch.rs
+++ b/components/store/src/watch.rs
@@ -1,6 +1,6 @@
 //! A watch: the writes to some keys, in order, as they take effect.
 
-use crate::keyvalue::StoreError;
+use crate::keyvalue::{StoreError, WatchStream};
 use crate::wire::WatchLine;
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
@@ -34,11 +34,14 @@
         }
     }
 
-    /// Waits for the next writes. The list may be empty.
-    ///
-    /// # Errors
-    /// [`StoreError`], where the watch ended. What it missed must be read.
-    pub async fn next(&mut self) -> Result<Vec<WatchEvent>, StoreError> {
+    fn take_line(&mut self) -> Option<BytesMut> {
+        let end = self.read.iter().position(|byte| *byte == b'\n')?;
+        Some(self.read.split_to(end + 1))
+    }
+}
+
+impl WatchStream for Watch {
+    async fn next(&mut self) -> Result<Vec<WatchEvent>, StoreError> {
         loop {
             if let Some(line) = self.take_line() {
                 return parse_line(&line);
@@ -53,11 +56,6 @@
             }
         }
     }
-
-    fn take_line(&mut self) -> Option<BytesMut> {
-        let end = self.read.iter().position(|byte| *byte == b'\n')?;
-        Some(self.read.split_to(end + 1))
-    }
 }
 
 fn parse_line(line: &[u8]) -> Result<Vec<WatchEvent>, StoreError> {
--- a/components/platform/src/wire.rs
+++ b/components/store/src/wire.rs
@@ -151,6 +151,24 @@
     pub id: Number,
 }
 
+#[derive(Serialize)]
+pub(crate) struct KeepAliveRequest {
+    #[serde(rename = "ID")]
+    pub id: Number,
+}
+
+#[derive(Deserialize)]
+pub(crate) struct KeepAliveResponse {
+    pub result: KeepAliveResult,
+}
+
+#[derive(Deserialize)]
+pub(crate) struct KeepAliveResult {
+    /// Seconds that the lease has left; 0 or absent where it is over.
+    #[serde(rename = "TTL", default)]
+    pub ttl: Number,
+}
+
 #[derive(Serialize)]
 pub(crate) struct WatchRequest {
     pub create_request: WatchCreate,
--- a/components/trial/src/cluster.rs
+++ b/components/trial/src/cluster.rs
@@ -2,11 +2,11 @@
 
 use crate::plan::{ANY_PORT, DATA_CENTRE, PARTNER, REGION, TrialPlan, engine_name};
 use node::{Addresses, Node};
-use platform::SETTINGS_PREFIX;
 use settings::{BoxFile, BoxIdentity, Branch, KeySettings, PlatformSettings};
 use standins::{BoxEntry, BoxList, Host, HostError, StandinEngine, StandinService, StandinStore};
 use std::net::SocketAddr;
 use std::time::Duration;
+use store::SETTINGS_PREFIX;
 use thiserror::Error;
 
 /// Why a trial did not start.
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -33,6 +33,10 @@
     /// Runs one entry box until it is told to stop
     Serve(#[bpaf(external(serve_options))] ServeOptions),
 
+    #[bpaf(command("relay"))]
+    /// Runs one box of a platform's fleet until it is told to stop
+    Relay(#[bpaf(external(relay_options))] RelayOptions),
+
     #[bpaf(command("standins"))]
     /// Runs stand-ins of engines, services and the platform, for trials
     Standins(#[bpaf(external(standin_options))] StandinOptions),
@@ -68,6 +72,13 @@
     pub log_format: LogFormat,
 }
 
+#[derive(Clone, Debug, Bpaf)]
+pub struct RelayOptions {
+    /// Settings file of this box; where the platform laid it, if left out
+    #[bpaf(argument("FILE"), optional)]
+    pub settings: Option<PathBuf>,
+}
+
 #[derive(Clone, Debug, Bpaf)]
 pub struct StandinOptions {
     /// Settings file of the stand-ins
--- a/src/cmd/settings.rs
+++ b/src/cmd/settings.rs
@@ -4,15 +4,15 @@
 use crate::cmd::{ask_box, read_file, runtime};
 use miette::{IntoDiagnostic, WrapErr, bail};
 use operators::NodeView;
-use platform::{
-    ApplyOutcome, BranchText, Etcd, HistoryEntry, apply_branch, read_branches, read_history,
-};
 use prelude::unix_ms;
 use settings::parse_branch;
 use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::process::ExitCode;
 use std::time::Duration;
+use store::{
+    ApplyOutcome, BranchText, Etcd, HistoryEntry, apply_branch, read_branches, read_history,
+};
 use uuid::Uuid;
 
 /// Longest wait of `apply --wait`.
--- a/src/cmd/standins.rs
+++ b/src/cmd/standins.rs
@@ -91,7 +91,7 @@
     let branch =
         settings::parse_branch(&name, &text).map_err(|mistakes| miette::Report::new(*mistakes))?;
     store.seed(
-        &format!("{}{}", platform::SETTINGS_PREFIX, branch.partner),
+        &format!("{}{}", store::SETTINGS_PREFIX, branch.partner),
         text.as_bytes(),
     );
     Ok(())
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -22,6 +22,12 @@
     }
 }
 
+/// A logger that writes a JSON object a line to standard output.
+pub fn output_logger() -> Logger {
+    let drain = Mutex::new(slog_json::Json::default(std::io::stdout())).fuse();
+    wrap(drain)
+}
+
 fn wrap<D>(drain: D) -> Logger
 where
     D: Drain<Err = slog::Never, Ok = ()> + Send + 'static,
--- a/src/main.rs
+++ b/src/main.rs
@@ -10,6 +10,7 @@
 fn main() -> miette::Result<ExitCode> {
     match cli::command().run() {
         Command::Serve(options) => cmd::serve::run(&options),
+        Command::Relay(options) => cmd::relay::run(&options),
         Command::Standins(options) => cmd::standins::run(&options),
         Command::Check(options) => cmd::check::run(&options),
         Command::Settings(options) => cmd::settings::run(&options),
--- a/tests/settings.rs
+++ b/tests/settings.rs
@@ -5,8 +5,8 @@
 use common::{trial, wait_for};
 use futures::future::join_all;
 use operators::{Console, NodeView};
-use platform::{ApplyOutcome, Etcd, HistoryEntry, apply_branch, read_branches, read_history};
 use std::sync::atomic::Ordering;
+use store::{ApplyOutcome, Etcd, HistoryEntry, apply_branch, read_branches, read_history};
 use trial::{Trial, TrialPlan};
 
 fn entry(id: &str, text: String) -> HistoryEntry {
