--- a/src/cmd/relay.rs
+++ b/src/cmd/relay.rs
@@ -6,6 +6,8 @@
 use miette::{IntoDiagnostic, WrapErr, miette};
 use relay::Running;
 use settings::parse_fleet_file;
+use slog::Logger;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
 use tokio::runtime::Builder;
@@ -35,10 +37,7 @@
     LocalSet::new().block_on(&runtime, async move {
         let mut signals = Signals::new()?;
         if let Some(address) = file.identity.metrics_address {
-            if let Err(error) = operators::serve_metrics(address).await {
-                slog::warn!(log, "metrics are not served"; "address" => %address,
-                    "error" => %error);
-            }
+            serve_metrics(address, &log).await;
         }
         let running = relay::start(file, log)
             .await
@@ -52,6 +51,13 @@
     })
 }
 
+/// Serves counters; a box without them still serves callers.
+async fn serve_metrics(address: SocketAddr, log: &Logger) {
+    if let Err(error) = operators::serve_metrics(address).await {
+        slog::warn!(log, "metrics are not served"; "address" => %address, "error" => %error);
+    }
+}
+
 struct Signals {
     terminate: Signal,
     interrupt: Signal,
