Generations leave an engine one after another

Cause: all first copies of an engine's generations were begun at once; the last part of each, for which the generation stands still, waited behind the others on the engine's link: pauses of 0.2 to 1.1 s. Ruled out: the take-up at the other engine (14 to 31 ms).

--- a/components/peers/src/fleet.rs
+++ b/components/peers/src/fleet.rs
@@ -61,6 +61,32 @@
     pub boxes: Vec<FleetCard>,
 }
 
+/// A running generation is to go on elsewhere.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RelocateRequest {
+    /// The pool.
+    pub pool: PoolId,
+    /// Its permit.
+    pub permit: PermitId,
+    /// The engine that it runs on and that leaves.
+    pub from: TargetId,
+    /// Engines that had no room or no way.
+    pub avoid: Vec<TargetId>,
+}
+
+/// A dispatcher's word on it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum RelocateReply {
+    /// It goes there, now.
+    Go(TargetId),
+    /// Others go first.
+    Wait,
+    /// No engine has room.
+    NoRoom,
+    /// The permit is not known here.
+    NotKnown,
+}
+
 /// What each box of a fleet answers.
 #[tarpc::service]
 pub trait Fleet {
@@ -76,8 +102,12 @@
     /// Takes back a request for a permit.
     async fn withdraw(pool: PoolId, permit: PermitId);
 
-    /// Asks where a running generation can go on; its permit moves there.
-    async fn relocate(pool: PoolId, permit: PermitId, avoid: Vec<TargetId>) -> Option<TargetId>;
+    /// Asks where a running generation can go on; its permit moves there. Waits for its turn on the link
+    /// of the engine that it leaves.
+    async fn relocate(request: RelocateRequest) -> RelocateReply;
+
+    /// Says that a generation's turn on the link of an engine is over.
+    async fn relocated(pool: PoolId, permit: PermitId, from: TargetId);
 
     /// Reports progress and ends of generations.
     async fn update(request: UpdateRequest) -> UpdateReply;
@@ -101,12 +131,11 @@
     fn withdraw(&self, pool: PoolId, permit: PermitId) -> impl Future<Output = ()>;
 
     /// See [`Fleet::relocate`].
-    fn relocate(
-        &self,
-        pool: PoolId,
-        permit: PermitId,
-        avoid: Vec<TargetId>,
-    ) -> impl Future<Output = Option<TargetId>>;
+    fn relocate(&self, request: RelocateRequest) -> impl Future<Output = RelocateReply>;
+
+    /// See [`Fleet::relocated`].
+    fn relocated(&self, pool: PoolId, permit: PermitId, from: TargetId)
+    -> impl Future<Output = ()>;
 
     /// See [`Fleet::update`].
     fn update(&self, request: UpdateRequest) -> impl Future<Output = UpdateReply>;
@@ -141,14 +170,12 @@
         self.0.withdraw(pool, permit).await;
     }
 
-    async fn relocate(
-        self,
-        _: Context,
-        pool: PoolId,
-        permit: PermitId,
-        avoid: Vec<TargetId>,
-    ) -> Option<TargetId> {
-        self.0.relocate(pool, permit, avoid).await
+    async fn relocate(self, _: Context, request: RelocateRequest) -> RelocateReply {
+        self.0.relocate(request).await
+    }
+
+    async fn relocated(self, _: Context, pool: PoolId, permit: PermitId, from: TargetId) {
+        self.0.relocated(pool, permit, from).await;
     }
 
     async fn update(self, _: Context, request: UpdateRequest) -> UpdateReply {
--- a/components/peers/src/lib.rs
+++ b/components/peers/src/lib.rs
@@ -13,7 +13,10 @@
 
 pub use client::{FleetClients, LinkClient, LinkFrames, Links, PeerClients, PeerError};
 pub use counted::{Counted, Traffic};
-pub use fleet::{FleetCard, FleetClient, FleetDigest, FleetHandler, FleetNews, SharedTable};
+pub use fleet::{
+    FleetCard, FleetClient, FleetDigest, FleetHandler, FleetNews, RelocateReply, RelocateRequest,
+    SharedTable,
+};
 pub use messages::{
     AcquireRequest, AdoptedStream, BoxCard, ClaimRequest, ClaimResult, Digest, EndedStream,
     KeyOutcome, Notice, OutcomeRecord, PermitReply, SettingsValue, StateOfTarget, StreamProgress,
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -17,6 +17,7 @@
 mod resend;
 mod retry;
 mod suspicion;
+mod turns;
 mod view;
 
 pub use demand::{Adopted, Demand, Submitted, Verdict};
@@ -28,9 +29,9 @@
 pub use local::{LocalPool, LocalTarget};
 pub use pool::Pool;
 pub use prefixes::PrefixIndex;
-pub use relocate::Relocation;
 pub use rendezvous::{ranked, winner};
 pub use resend::{ResendBound, ResendWindow};
 pub use retry::RetryBudget;
 pub use suspicion::Suspicion;
+pub use turns::Turns;
 pub use view::{EngineView, PoolView};
--- a/components/policy/src/relocate.rs
+++ b/components/policy/src/relocate.rs
@@ -9,61 +9,30 @@
 /// takes twice as long.
 const NEAR_COPY_TOKENS: f64 = 4000.0;
 
-/// A generation that is to go on elsewhere.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Relocation {
-    /// Where it goes on.
-    pub target: TargetId,
-    /// Where it ran.
-    pub from: TargetId,
-}
+/// A copy that arrives at an engine holds up the next one there; so much memory is such an engine taken to
+/// have less.
+const ARRIVAL_TOKENS: f64 = 6000.0;
 
 impl Pool {
-    /// Finds another engine for a running generation and moves its permit there, so that its room is
-    /// taken from now on. None where no engine can take it; its permit then stays where it is.
+    /// Finds another engine for a running generation that leaves `from`, and moves its permit there, so that
+    /// its room is taken from now on. `arriving` are engines to which copies are on their way. None where no
+    /// engine can take it; its permit then stays where it is.
     pub fn relocate(
         &mut self,
         permit: PermitId,
+        from: TargetId,
         avoid: &[TargetId],
+        arriving: &[TargetId],
         now_ms: u64,
-    ) -> Option<Relocation> {
+    ) -> Option<TargetId> {
         let key = *self.by_permit.get(&permit)?;
         let stream = self.streams.get(key)?;
-        let from = stream.target;
+        let current = stream.target;
         let held = f64::from(stream.prompt_tokens) + f64::from(stream.generated_tokens);
         let generated = f64::from(stream.generated_tokens);
         let mut more = Forecast::default();
         more.add(held, stream.survival(&self.lengths, generated));
         let place = self.data_centre_of(from);
-        let target = self.roomiest(&more, place, from, avoid, now_ms)?;
-        if let Some(ledger) = self.engine_mut(from) {
-            ledger.remove(key);
-        }
-        if let Some(ledger) = self.engine_mut(target) {
-            ledger.add(key, &more);
-        }
-        if let Some(stream) = self.streams.get_mut(key) {
-            stream.target = target;
-        }
-        Some(Relocation { target, from })
-    }
-
-    fn data_centre_of(&self, target: TargetId) -> Option<DataCentreId> {
-        let ledger = self
-            .engines
-            .iter()
-            .find(|ledger| ledger.info.id == target)?;
-        Some(ledger.info.data_centre)
-    }
-
-    fn roomiest(
-        &mut self,
-        more: &Forecast,
-        place: Option<DataCentreId>,
-        from: TargetId,
-        avoid: &[TargetId],
-        now_ms: u64,
-    ) -> Option<TargetId> {
         let margin = self.margin_in_use();
         let mut best: Option<(f64, TargetId)> = None;
         for ledger in &mut self.engines {
@@ -73,18 +42,43 @@
             }
             let pace = self.tokens_per_ms;
             let forecast = ledger.forecast(&self.streams, &self.lengths, pace, now_ms);
-            let peak = forecast.plus(more).peak_tokens(margin);
+            let peak = forecast.plus(&more).peak_tokens(margin);
             let usable = ledger.info.capacity_tokens as f64 * self.settings.memory_share;
             let left = usable - ledger.foreign_tokens - peak;
             if left < 0.0 {
                 continue;
             }
             let near = f64::from(u8::from(place == Some(ledger.info.data_centre)));
-            let score = left + near * NEAR_COPY_TOKENS;
+            let busy = arriving.iter().filter(|other| **other == id).count() as f64;
+            let score = left + near * NEAR_COPY_TOKENS - busy * ARRIVAL_TOKENS;
             if best.is_none_or(|(other, _)| score > other) {
                 best = Some((score, id));
             }
         }
-        best.map(|(_, target)| target)
+        let (_, target) = best?;
+        if let Some(ledger) = self.engine_mut(current) {
+            ledger.remove(key);
+        }
+        if let Some(ledger) = self.engine_mut(target) {
+            ledger.add(key, &more);
+        }
+        if let Some(stream) = self.streams.get_mut(key) {
+            stream.target = target;
+        }
+        Some(target)
+    }
+
+    /// What a generation holds, and whether it goes before others; none where its permit is not known.
+    pub fn held_tokens(&self, permit: PermitId) -> Option<u32> {
+        let stream = self.streams.get(*self.by_permit.get(&permit)?)?;
+        Some(stream.prompt_tokens + stream.generated_tokens)
+    }
+
+    fn data_centre_of(&self, target: TargetId) -> Option<DataCentreId> {
+        let ledger = self
+            .engines
+            .iter()
+            .find(|ledger| ledger.info.id == target)?;
+        Some(ledger.info.data_centre)
     }
 }
--- a/components/relay/src/dispatch.rs
+++ b/components/relay/src/dispatch.rs
@@ -4,10 +4,13 @@
 
 use crate::state::{Relay, pool_of};
 use crate::targets::Belief;
-use peers::{AcquireRequest, AdoptedStream, PermitReply, UpdateReply, UpdateRequest};
+use peers::{
+    AcquireRequest, AdoptedStream, PermitReply, RelocateReply, RelocateRequest, UpdateReply,
+    UpdateRequest,
+};
 use policy::{
     Adopted, Demand, End, EngineInfo, EngineState, LengthClass, Pool, PoolSettings, Share,
-    Submitted, Verdict,
+    Submitted, Turns, Verdict,
 };
 use prelude::{
     BoxId, DataCentreId, OwnerId, PartnerId, PermitId, PoolId, Refusal, RefusalReason, TargetId,
@@ -20,6 +23,10 @@
 
 /// How often the requests that wait are looked over.
 const LOOK_EACH: Duration = Duration::from_millis(20);
+/// How long a generation waits here for its turn on a link before it asks again.
+const TURN_WAIT: Duration = Duration::from_millis(150);
+/// How often it looks whether it is its turn.
+const TURN_LOOK_EACH: Duration = Duration::from_millis(8);
 /// Prompt tokens that one engine may have waiting for their first token. A longer row holds the tokens of
 /// all that runs there up; measured in `docs/design/platform.md`.
 const PREFILL_TOKENS: u32 = 7_000;
@@ -34,6 +41,7 @@
 pub(crate) struct Dispatcher {
     pool: Pool,
     waiting: HashMap<PermitId, oneshot::Sender<Verdict>>,
+    turns: Turns,
 }
 
 fn pool_settings() -> PoolSettings {
@@ -50,6 +58,31 @@
         Self {
             pool: Pool::new(pool_settings()),
             waiting: HashMap::new(),
+            turns: Turns::default(),
+        }
+    }
+
+    fn relocate(&mut self, request: &RelocateRequest, now_ms: u64) -> RelocateReply {
+        let (permit, from) = (request.permit, request.from);
+        let Some(held_tokens) = self.pool.held_tokens(permit) else {
+            return RelocateReply::NotKnown;
+        };
+        if !self.turns.ask(from, permit, held_tokens, now_ms) {
+            return RelocateReply::Wait;
+        }
+        let arriving = self.turns.arriving(now_ms);
+        let found = self
+            .pool
+            .relocate(permit, from, &request.avoid, &arriving, now_ms);
+        match found {
+            Some(target) => {
+                self.turns.begin(from, permit, target, now_ms);
+                RelocateReply::Go(target)
+            }
+            None => {
+                self.turns.end(from, permit);
+                RelocateReply::NoRoom
+            }
         }
     }
 
@@ -222,19 +255,26 @@
         });
     }
 
-    /// Decides where a running generation goes on.
-    pub(crate) fn relocate_here(
-        &self,
-        pool: PoolId,
-        permit: PermitId,
-        avoid: &[TargetId],
-    ) -> Option<TargetId> {
-        let moved = self.with_dispatcher(pool, |dispatcher, now_ms| {
-            dispatcher.pool.relocate(permit, avoid, now_ms)
-        });
-        slog::info!(self.log, "relocation"; "permit" => permit.serial, "box" => permit.entry.0,
-            "from" => moved.map(|moved| moved.from.0), "to" => moved.map(|moved| moved.target.0));
-        moved.map(|moved| moved.target)
+    /// Decides where a running generation goes on, once it is its turn.
+    pub(crate) async fn relocate_here(&self, request: &RelocateRequest) -> RelocateReply {
+        let until = Instant::now() + TURN_WAIT;
+        loop {
+            let reply = self.with_dispatcher(request.pool, |dispatcher, now_ms| {
+                dispatcher.relocate(request, now_ms)
+            });
+            if reply != RelocateReply::Wait || Instant::now() >= until {
+                slog::info!(self.log, "relocation"; "box" => request.permit.entry.0,
+                    "permit" => request.permit.serial, "from" => request.from.0,
+                    "word" => ?reply);
+                return reply;
+            }
+            sleep(TURN_LOOK_EACH).await;
+        }
+    }
+
+    /// Ends the turn of a generation.
+    pub(crate) fn relocated_here(&self, pool: PoolId, permit: PermitId, from: TargetId) {
+        self.with_dispatcher(pool, |dispatcher, _| dispatcher.turns.end(from, permit));
     }
 
     /// Takes progress and ends in.
--- a/components/relay/src/moving.rs
+++ b/components/relay/src/moving.rs
@@ -5,6 +5,7 @@
 use crate::state::Relay;
 use crate::targets::{Belief, TargetSlot};
 use http1::{Channel, exchange};
+use peers::RelocateReply;
 use platform::{CopyReply, copy_call, drop_copy_call, read_copy_reply};
 use prelude::{PoolId, TargetId};
 use routing::EngineTraits;
@@ -22,7 +23,7 @@
 /// Pause before a copy is asked for again.
 const AGAIN: Duration = Duration::from_millis(60);
 /// Tries to move one generation.
-const TRIES_MAX: u32 = 20;
+const TRIES_MAX: u32 = 30;
 /// How long the source's stream may take to close after the stop.
 const SOURCE_CLOSE_LIMIT: Duration = Duration::from_millis(150);
 /// Generations with fewer tokens left than this end sooner than they move.
@@ -56,6 +57,7 @@
     serial: u64,
     id: Box<str>,
     source: TargetSlot,
+    source_id: TargetId,
     source_address: SocketAddr,
 }
 
@@ -157,6 +159,7 @@
             serial: permit.serial,
             id: id.into(),
             source: permit.slot,
+            source_id: target.id,
             source_address: target.entry.address,
         };
         let (sender, steps) = mpsc::unbounded_channel();
@@ -168,63 +171,108 @@
     }
 }
 
+/// A turn on the link of an engine; it is over when this is dropped.
+struct Turn<'a> {
+    relay: &'a Rc<Relay>,
+    job: &'a Job,
+}
+
+impl Drop for Turn<'_> {
+    fn drop(&mut self) {
+        let job = self.job;
+        self.relay
+            .tell_relocated(job.pool, job.serial, job.source_id);
+    }
+}
+
+/// What became of one try to move a generation.
+enum Try {
+    /// It is over, one way or the other.
+    Over,
+    /// It is tried again, elsewhere where an engine is named.
+    Again(&'static str, Option<TargetId>),
+}
+
 impl Job {
     async fn run(&self, relay: &Rc<Relay>, steps: &mpsc::UnboundedSender<Step>) {
         let mut avoid: Vec<TargetId> = Vec::new();
         for tries in 0..TRIES_MAX {
-            if tries > 0 {
-                sleep(AGAIN).await;
-            }
-            let run = relay.runs.borrow().get(self.serial);
-            let Some(run) = run else {
+            let Some(run) = relay.runs.borrow().get(self.serial) else {
                 return;
             };
             if run.tokens > 0 && run.request.max_tokens < run.tokens + TOKENS_LEFT_MIN {
                 return self.note(relay, "it ends sooner", tries);
             }
-            let Some(to) = relay.relocate(self.pool, self.serial, &avoid).await else {
-                self.note(relay, "no engine has room", tries);
-                continue;
-            };
-            let first = match self.copy(relay, to, false).await {
-                CopyReply::Done { copy, .. } => copy,
-                CopyReply::NotRunning => {
-                    self.note(relay, "it does not run yet, or no more", tries);
-                    continue;
-                }
-                CopyReply::UnderWay => continue,
-                reply => {
-                    slog::info!(relay.log, "copy failed"; "id" => &*self.id, "reply" => ?reply);
-                    avoid.extend(relay.targets.borrow().get(to).map(|target| target.id));
+            let found = relay
+                .relocate(self.pool, self.serial, self.source_id, &avoid)
+                .await;
+            let to = match found {
+                Ok(to) => to,
+                Err(RelocateReply::Wait) => continue,
+                Err(reply) => {
+                    slog::info!(relay.log, "not moved"; "id" => &*self.id, "why" => ?reply,
+                        "tries" => tries);
+                    sleep(AGAIN).await;
                     continue;
                 }
             };
-            if steps.send(Step::Stopping).is_err() {
-                return;
-            }
-            match self.copy(relay, to, true).await {
-                CopyReply::Done { copy, events_made } => {
-                    slog::info!(relay.log, "generation stopped to be moved"; "id" => &*self.id,
-                        "events" => events_made, "tries" => tries);
-                    self.goes_on(to, copy, steps);
-                    return;
-                }
-                CopyReply::NoRoom { kept: Some(copy) } => {
-                    slog::info!(relay.log, "generation goes on at its source"; "id" => &*self.id);
-                    self.goes_on(self.source, copy, steps);
-                    return;
+            match self.try_to(relay, to, steps).await {
+                Try::Over => return,
+                Try::Again(why, other) => {
+                    self.note(relay, why, tries);
+                    avoid.extend(other);
+                    sleep(AGAIN).await;
                 }
-                CopyReply::NotRunning => {
-                    // It came to its own end meanwhile.
-                    free_copy(relay, self.source_address, &first);
-                    return;
-                }
-                reply => {
-                    slog::info!(relay.log, "stop failed"; "id" => &*self.id, "reply" => ?reply);
-                    if steps.send(Step::Failed).is_err() {
-                        return;
-                    }
-                    avoid.extend(relay.targets.borrow().get(to).map(|target| target.id));
+            }
+        }
+    }
+
+    /// Copies the generation to an engine, stops it, and has it go on there.
+    async fn try_to(
+        &self,
+        relay: &Rc<Relay>,
+        to: TargetSlot,
+        steps: &mpsc::UnboundedSender<Step>,
+    ) -> Try {
+        let _turn = Turn { relay, job: self };
+        let began_ms = relay.now_ms();
+        let to_id = relay.targets.borrow().get(to).map(|target| target.id);
+        let first = match self.copy(relay, to, false).await {
+            CopyReply::Done { copy, .. } => copy,
+            CopyReply::NotRunning => return Try::Again("it does not run yet, or no more", None),
+            CopyReply::UnderWay => return Try::Again("another copy is under way", None),
+            reply => {
+                slog::info!(relay.log, "copy failed"; "id" => &*self.id, "reply" => ?reply);
+                return Try::Again("the copy failed", to_id);
+            }
+        };
+        let copied_ms = relay.now_ms();
+        if steps.send(Step::Stopping).is_err() {
+            return Try::Over;
+        }
+        match self.copy(relay, to, true).await {
+            CopyReply::Done { copy, events_made } => {
+                slog::info!(relay.log, "generation stopped to be moved"; "id" => &*self.id,
+                    "events" => events_made, "copied_in_ms" => copied_ms - began_ms,
+                    "stopped_in_ms" => relay.now_ms() - copied_ms);
+                self.goes_on(to, copy, steps);
+                Try::Over
+            }
+            CopyReply::NoRoom { kept: Some(copy) } => {
+                slog::info!(relay.log, "generation goes on at its source"; "id" => &*self.id);
+                self.goes_on(self.source, copy, steps);
+                Try::Over
+            }
+            CopyReply::NotRunning => {
+                // It came to its own end meanwhile.
+                free_copy(relay, self.source_address, &first);
+                Try::Over
+            }
+            reply => {
+                slog::info!(relay.log, "stop failed"; "id" => &*self.id, "reply" => ?reply);
+                match steps.send(Step::Failed) {
+                    Ok(()) => Try::Again("the stop failed", to_id),
+                    Err(_) => Try::Over,
                 }
             }
         }
--- a/components/relay/src/news.rs
+++ b/components/relay/src/news.rs
@@ -3,8 +3,10 @@
 
 use crate::members::Met;
 use crate::state::Relay;
-use peers::{AcquireRequest, AdoptedStream, PermitReply, UpdateReply, UpdateRequest};
-use peers::{FleetCard, FleetDigest, FleetHandler, FleetNews, SharedTable};
+use peers::{
+    AcquireRequest, AdoptedStream, FleetCard, FleetDigest, FleetHandler, FleetNews, PermitReply,
+    RelocateReply, RelocateRequest, SharedTable, UpdateReply, UpdateRequest,
+};
 use prelude::{BoxId, PermitId, PoolId, TargetId};
 use std::rc::Rc;
 use std::time::Duration;
@@ -195,13 +197,12 @@
         self.0.withdraw_here(pool, permit);
     }
 
-    async fn relocate(
-        &self,
-        pool: PoolId,
-        permit: PermitId,
-        avoid: Vec<TargetId>,
-    ) -> Option<TargetId> {
-        self.0.relocate_here(pool, permit, &avoid)
+    async fn relocate(&self, request: RelocateRequest) -> RelocateReply {
+        self.0.relocate_here(&request).await
+    }
+
+    async fn relocated(&self, pool: PoolId, permit: PermitId, from: TargetId) {
+        self.0.relocated_here(pool, permit, from);
     }
 
     async fn update(&self, request: UpdateRequest) -> UpdateReply {
--- a/components/relay/src/permits.rs
+++ b/components/relay/src/permits.rs
@@ -5,7 +5,9 @@
 use crate::dispatch::refusal;
 use crate::state::{Relay, pool_of};
 use crate::targets::TargetSlot;
-use peers::{AcquireRequest, AdoptedStream, PermitReply, UpdateRequest};
+use peers::{
+    AcquireRequest, AdoptedStream, PermitReply, RelocateReply, RelocateRequest, UpdateRequest,
+};
 use prelude::{BoxId, PermitId, PoolId, Refusal, RefusalReason, TargetId};
 use std::rc::Rc;
 use std::time::Duration;
@@ -229,30 +231,79 @@
         });
     }
 
-    /// Asks where a running generation can go on. Its permit then is for that engine.
+    /// Asks where a running generation can go on. Its permit then is for that engine. Where no dispatcher
+    /// answers, this box decides by what it knows of its own generations.
     pub(crate) async fn relocate(
         self: &Rc<Self>,
         pool: PoolId,
         serial: u64,
+        from: TargetId,
         avoid: &[TargetId],
-    ) -> Option<TargetSlot> {
-        let id = self.permit_id(serial);
-        let dispatcher = self.dispatchers_of(pool).first().copied()?;
-        let target = if dispatcher == self.id {
-            self.relocate_here(pool, id, avoid)
-        } else {
-            let avoid = avoid.to_vec();
-            let call = self
+    ) -> Result<TargetSlot, RelocateReply> {
+        let request = RelocateRequest {
+            pool,
+            permit: self.permit_id(serial),
+            from,
+            avoid: avoid.to_vec(),
+        };
+        let dispatcher = self.dispatchers_of(pool).first().copied();
+        let mut reply = match dispatcher {
+            Some(id) if id != self.id => self.relocate_at(id, request.clone()).await,
+            _ => None,
+        };
+        if reply == Some(RelocateReply::NotKnown) {
+            // A dispatcher that is new to the role is told first.
+            let open = self.runs.borrow().open_in(pool);
+            if let Some(id) = dispatcher {
+                self.tell_all_runs(id, pool, open).await;
+                reply = self.relocate_at(id, request.clone()).await;
+            }
+        }
+        let reply = match reply {
+            Some(reply) => reply,
+            None => {
+                let open = self.runs.borrow().open_in(pool);
+                self.adopt_here(self.id, pool, &open);
+                self.relocate_here(&request).await
+            }
+        };
+        let RelocateReply::Go(target) = reply else {
+            return Err(reply);
+        };
+        let slot = self.targets.borrow().slot_of(target);
+        let slot = slot.ok_or(RelocateReply::NoRoom)?;
+        self.runs.borrow_mut().moved(serial, target);
+        Ok(slot)
+    }
+
+    async fn relocate_at(&self, id: BoxId, request: RelocateRequest) -> Option<RelocateReply> {
+        let call = self
+            .peers
+            .call(id, CALL_LIMIT, |client, context| async move {
+                client.relocate(context, request).await
+            });
+        self.heard_from(id, call.await, "relocate")
+    }
+
+    /// Says that a generation's turn on a link is over, without waiting for the answer.
+    pub(crate) fn tell_relocated(self: &Rc<Self>, pool: PoolId, serial: u64, from: TargetId) {
+        let permit = self.permit_id(serial);
+        let Some(dispatcher) = self.dispatchers_of(pool).first().copied() else {
+            return;
+        };
+        if dispatcher == self.id {
+            self.relocated_here(pool, permit, from);
+            return;
+        }
+        let relay = self.clone();
+        tokio::task::spawn_local(async move {
+            let call = relay
                 .peers
                 .call(dispatcher, CALL_LIMIT, |client, context| async move {
-                    client.relocate(context, pool, id, avoid).await
+                    client.relocated(context, pool, permit, from).await
                 });
-            self.heard_from(dispatcher, call.await, "relocate")
-                .flatten()
-        }?;
-        let slot = self.targets.borrow().slot_of(target)?;
-        self.runs.borrow_mut().moved(serial, target);
-        Some(slot)
+            relay.heard_from(dispatcher, call.await, "relocated");
+        });
     }
 
     /// Tells dispatchers what this box has open, for as long as the box lives.
