--- a/components/peers/src/fleet.rs
+++ b/components/peers/src/fleet.rs
@@ -53,6 +53,8 @@
 pub struct FleetNews {
     /// What the sender knows, in short.
     pub digest: FleetDigest,
+    /// Whether the sender follows targets in the store at this moment.
+    pub follows_targets: bool,
     /// The declarations, where the other has none or older ones.
     pub table: Option<SharedTable>,
     /// All targets that are listed, where the other knows less of them.
--- a/components/relay/src/follow.rs
+++ b/components/relay/src/follow.rs
@@ -2,28 +2,30 @@
 //! turn it is. The others learn of targets from that box, and look themselves when it says nothing.
 
 use crate::backoff::Backoff;
-use crate::news::spread;
+use crate::news::{spread, tell_current};
 use crate::state::Relay;
 use platform::{CONFIG_KEY, OPERATOR_PREFIX, TARGET_PREFIX, decode_target};
 use prelude::BoxId;
 use routing::TargetEntry;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use store::{KeyValue, StoreError, Versioned, WatchEvent, WatchStream};
 use tokio::time::sleep;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Pause between two answers of the watch on targets: each answer is paid for, and targets write to their
-/// entries without pause.
-const TARGETS_PACE: Duration = Duration::from_millis(200);
+/// Pause between two answers of the watch on targets, so that changes at one time cost one call.
+const TARGETS_PACE: Duration = Duration::from_millis(30);
+/// A store that answered nothing for this long may be gone: boxes renew their leases more often.
+const STORE_QUIET_MS: u64 = 2_500;
 /// A box whose view of targets was not confirmed for this long looks itself.
 const TARGETS_QUIET_MS: u64 = 900;
 /// Each further box in rank leaves it this much longer to those before it.
 const TARGETS_TURN_MS: u64 = 300;
 /// How often a box that does not watch looks whether it must.
 const TURN_CHECK: Duration = Duration::from_millis(100);
-/// The box that watches says so at least this often.
-const CONFIRM_EACH_MS: u64 = 400;
+/// How often the box that watches says that nothing has changed.
+const CONFIRM_EACH: Duration = Duration::from_millis(400);
 
 /// Follows the declarations for as long as the box lives.
 pub(crate) async fn follow_declarations(relay: Rc<Relay>) {
@@ -123,6 +125,7 @@
                 Err(StoreError::NotDone("the store is in doubt".into())),
         };
         if let Err(error) = ended {
+            relay.targets_doubted.set(true);
             metrics::counter!("shuntpier_store_failures", "of" => "targets").increment(1);
             slog::info!(relay.log, "targets not followed"; "error" => %error);
             backoff.pause().await;
@@ -157,35 +160,48 @@
         .replace(entries, revision, now_ms);
     confirm(relay, revision);
     relay.took_changes(&changes, "store");
-    let mut told_ms = now_ms;
     spread(relay);
     let mut watch = relay.store.watch(TARGET_PREFIX, revision + 1).await?;
-    let mut watched_from_ms = now_ms;
+    let began_ms = now_ms;
     loop {
-        sleep(TARGETS_PACE).await;
-        let events = watch.next().await?;
+        let events = {
+            let mut answer = pin!(watch.next());
+            loop {
+                tokio::select! {
+                    events = &mut answer => break events?,
+                    () = sleep(CONFIRM_EACH) => {}
+                }
+                // An open watch on a store that answers says that nothing has changed.
+                if relay.store_answered_ms.get() + STORE_QUIET_MS > relay.now_ms() {
+                    confirm(relay, 0);
+                    tell_current(relay);
+                }
+                if is_relieved(relay, began_ms) {
+                    return Ok(());
+                }
+            }
+        };
         metrics::counter!("shuntpier_store_calls", "of" => "targets").increment(1);
-        let changed = take_events(relay, events, watch.revision());
-        let now_ms = relay.now_ms();
-        if changed || now_ms >= told_ms + CONFIRM_EACH_MS {
-            told_ms = now_ms;
+        relay.store_answered_ms.set(relay.now_ms());
+        if take_events(relay, events, watch.revision()) {
             spread(relay);
         }
-        // Whoever is first in rank goes on; the others stop when the first speaks again.
-        if quiet_limit_ms(relay) > 0 && now_ms > watched_from_ms + TARGETS_QUIET_MS {
-            if relay.members.borrow().heard_watcher_ms() > watched_from_ms {
-                return Ok(());
-            }
-            watched_from_ms = now_ms;
-        }
+        sleep(TARGETS_PACE).await;
     }
 }
 
+/// Whether a box that goes before this one follows targets again.
+fn is_relieved(relay: &Relay, began_ms: u64) -> bool {
+    let heard_ms = relay.members.borrow().heard_watcher_ms();
+    quiet_limit_ms(relay) > 0 && heard_ms > began_ms + TARGETS_QUIET_MS
+}
+
 fn confirm(relay: &Relay, revision: u64) {
     let now_ms = relay.now_ms();
     let mut targets = relay.targets.borrow_mut();
     targets.current_to = targets.current_to.max(revision);
     targets.confirmed_ms = Some(now_ms);
+    relay.targets_doubted.set(false);
 }
 
 fn take_events(relay: &Rc<Relay>, events: Vec<WatchEvent>, revision: u64) -> bool {
--- a/components/relay/src/news.rs
+++ b/components/relay/src/news.rs
@@ -8,6 +8,7 @@
     RelocateReply, RelocateRequest, SharedTable, UpdateReply, UpdateRequest,
 };
 use prelude::{BoxId, PermitId, PoolId, TargetId};
+use routing::TargetEntry;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -50,6 +51,7 @@
     };
     FleetNews {
         digest,
+        follows_targets: false,
         table: table.map(|held| SharedTable {
             version: held.table.version,
             text: held.text.clone(),
@@ -60,8 +62,8 @@
     }
 }
 
-/// Takes what another box tells.
-fn take_news(relay: &Relay, news: FleetNews) {
+/// Takes what another box tells; one that follows targets also confirms what is known of them.
+fn take_news(relay: &Relay, news: FleetNews, confirms: bool) {
     meet(relay, &news.digest.from, false);
     for card in &news.boxes {
         let known = relay.members.borrow().card(card.id).is_some();
@@ -80,24 +82,43 @@
         let newer = current_to > targets.current_to || targets.confirmed_ms.is_none();
         if let Some(entries) = news.targets.filter(|_| newer) {
             changes = targets.replace(entries, current_to, now_ms);
-            targets.confirmed_ms = Some(now_ms);
-        } else if newer && targets.changed_at >= news.digest.targets_changed_at {
+            targets.changed_at = targets.changed_at.max(news.digest.targets_changed_at);
+        } else if targets.changed_at >= news.digest.targets_changed_at {
             // Nothing has changed up to there.
-            targets.current_to = current_to;
+            targets.current_to = targets.current_to.max(current_to);
+        }
+        if confirms && targets.changed_at >= news.digest.targets_changed_at {
             targets.confirmed_ms = Some(now_ms);
+            relay.targets_doubted.set(false);
         }
         changes.extend(targets.told_leaving(&news.leaving));
     }
     relay.took_changes(&changes, "peer");
 }
 
-/// Tells all boxes what this box has just learnt of targets.
+/// Tells all boxes what this box has just learnt of targets from the store.
 pub(crate) fn spread(relay: &Rc<Relay>) {
+    let entries = relay.targets.borrow().entries();
+    tell_all(relay, Some(entries), true);
+}
+
+/// Tells all boxes that nothing has changed in the store.
+pub(crate) fn tell_current(relay: &Rc<Relay>) {
+    tell_all(relay, None, true);
+}
+
+/// Tells all boxes which targets leave, by another word than the store's.
+pub(crate) fn tell_leaving(relay: &Rc<Relay>) {
+    tell_all(relay, None, false);
+}
+
+fn tell_all(relay: &Rc<Relay>, targets: Option<Vec<TargetEntry>>, follows: bool) {
     let others = relay.members.borrow().others();
     let news = FleetNews {
         digest: relay.digest(),
+        follows_targets: follows,
         table: None,
-        targets: Some(relay.targets.borrow().entries()),
+        targets,
         leaving: relay.targets.borrow().leaving(),
         boxes: Vec::new(),
     };
@@ -144,7 +165,8 @@
         });
     match relay.heard_from(id, call.await, "exchange") {
         Some(news) => {
-            take_news(relay, news);
+            let knows = relay.targets.borrow().confirmed_ms.is_some();
+            take_news(relay, news, !knows);
             true
         }
         None => false,
@@ -167,7 +189,7 @@
                 client.exchange(context, digest).await
             });
         match call.await {
-            Ok(news) => take_news(relay, news),
+            Ok(news) => take_news(relay, news, true),
             Err(error) => {
                 slog::info!(relay.log, "seed did not answer"; "address" => %seed, "error" => %error);
             }
@@ -187,9 +209,12 @@
     }
 
     async fn tell(&self, news: FleetNews) {
-        let now_ms = self.0.now_ms();
-        self.0.members.borrow_mut().heard_watcher(now_ms);
-        take_news(&self.0, news);
+        let follows = news.follows_targets;
+        if follows {
+            let now_ms = self.0.now_ms();
+            self.0.members.borrow_mut().heard_watcher(now_ms);
+        }
+        take_news(&self.0, news, follows);
     }
 
     async fn acquire(&self, request: AcquireRequest, wait_ms: u32) -> PermitReply {
--- a/components/relay/src/presence.rs
+++ b/components/relay/src/presence.rs
@@ -27,6 +27,7 @@
         let pause = match kept {
             Ok(()) => {
                 backoff.reset();
+                relay.store_answered_ms.set(relay.now_ms());
                 RENEW_EACH
             }
             Err(error) => {
--- a/components/relay/src/reports.rs
+++ b/components/relay/src/reports.rs
@@ -15,15 +15,21 @@
 /// How often engines are asked. Notice of an engine's end may be as short as 1.5 s.
 const ASK_EACH: Duration = Duration::from_millis(300);
 /// A view of targets that was not confirmed for this long is no base for leaving engines alone.
-const UNCONFIRMED_MS: u64 = 700;
+const UNCONFIRMED_MS: u64 = 1_200;
 
 /// Asks engines while the view of targets is not confirmed and it is this box's turn to follow them.
 pub(crate) async fn run_reports(relay: Rc<Relay>) {
+    let mut asks = false;
     loop {
         sleep(ASK_EACH).await;
         let confirmed_ms = relay.targets.borrow().confirmed_ms;
         let unconfirmed = confirmed_ms.is_some_and(|at_ms| at_ms + UNCONFIRMED_MS < relay.now_ms());
-        if unconfirmed && watches_targets(&relay) {
+        let asked = std::mem::replace(&mut asks, unconfirmed && watches_targets(&relay));
+        if asked != asks {
+            slog::info!(relay.log, "engines asked themselves"; "asked" => asks,
+                "confirmed_ms" => confirmed_ms, "now_ms" => relay.now_ms());
+        }
+        if asks {
             for (slot, address) in engines(&relay) {
                 tokio::task::spawn_local(ask(relay.clone(), slot, address));
             }
--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -97,6 +97,8 @@
         dispatchers: RefCell::new(HashMap::new()),
         runs: RefCell::default(),
         runs_changed: Notify::new(),
+        store_answered_ms: Cell::new(0),
+        targets_doubted: Cell::new(false),
         store_doubted: Notify::new(),
         in_progress: Cell::new(0),
         requests_ended: Notify::new(),
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -49,6 +49,10 @@
     pub(crate) runs: RefCell<Runs>,
     /// Something of [`Relay::runs`] is to be told to a dispatcher.
     pub(crate) runs_changed: Notify,
+    /// When the store last answered a call in good order.
+    pub(crate) store_answered_ms: Cell<u64>,
+    /// Following targets failed, and has not succeeded since.
+    pub(crate) targets_doubted: Cell<bool>,
     /// The store failed: its open watches may hang.
     pub(crate) store_doubted: Notify,
     /// Requests that are being read or answered.
