--- a/components/peers/src/fleet.rs
+++ b/components/peers/src/fleet.rs
@@ -37,6 +37,8 @@
     pub targets_changed_at: u64,
     /// The store's revision up to which it knows all targets.
     pub targets_current_to: u64,
+    /// Other boxes that it knows.
+    pub boxes: u32,
 }
 
 /// The operators' declarations as they lie in the store.
@@ -62,7 +64,7 @@
     /// Lives of targets that the sender knows to leave, from the store, from themselves or because nothing
     /// listens there any more.
     pub leaving: Vec<Box<str>>,
-    /// Boxes that the sender knows; empty where the other is not new.
+    /// Boxes that the sender knows; empty where the other knows as many.
     pub boxes: Vec<FleetCard>,
 }
 
--- a/components/relay/src/members.rs
+++ b/components/relay/src/members.rs
@@ -7,10 +7,11 @@
 use prelude::BoxId;
 use std::collections::HashMap;
 
-/// A box that did not answer holds no role for this long.
+/// A box that did not answer holds no role for this long; twice as long with each further failure.
 const DOUBT_MS: u64 = 1_000;
+const DOUBT_MAX_MS: u64 = 16_000;
 /// A box whose key is gone and that says nothing is forgotten after this time.
-const SILENT_MS: u64 = 6_000;
+const SILENT_MS: u64 = 8_000;
 /// The number of boxes among which the budget is shared falls only after this time.
 const SHARE_KEPT_MS: u64 = 15_000;
 
@@ -20,6 +21,7 @@
     keyed: bool,
     heard_ms: u64,
     doubted_until_ms: u64,
+    failures: u32,
 }
 
 /// The boxes of a fleet.
@@ -66,12 +68,14 @@
             keyed,
             heard_ms: now_ms,
             doubted_until_ms: 0,
+            failures: 0,
         });
         member.card = card;
         member.keyed |= keyed;
         if !keyed || !same {
             member.heard_ms = now_ms;
             member.doubted_until_ms = 0;
+            member.failures = 0;
         }
         self.count(now_ms);
         match same {
@@ -80,13 +84,6 @@
         }
     }
 
-    /// Notes that the key of a box is gone.
-    pub(crate) fn key_gone(&mut self, id: BoxId) {
-        if let Some(member) = self.others.get_mut(&id) {
-            member.keyed = false;
-        }
-    }
-
     /// Keeps the keys of just these boxes.
     pub(crate) fn keys_are(&mut self, ids: &[BoxId]) {
         for (id, member) in &mut self.others {
@@ -99,13 +96,16 @@
         if let Some(member) = self.others.get_mut(&id) {
             member.heard_ms = now_ms;
             member.doubted_until_ms = 0;
+            member.failures = 0;
         }
     }
 
     /// Notes that a box did not answer.
     pub(crate) fn doubted(&mut self, id: BoxId, now_ms: u64) {
         if let Some(member) = self.others.get_mut(&id) {
-            member.doubted_until_ms = now_ms + DOUBT_MS;
+            let doubt_ms = (DOUBT_MS << member.failures.min(8)).min(DOUBT_MAX_MS);
+            member.failures += 1;
+            member.doubted_until_ms = now_ms + doubt_ms;
         }
     }
 
@@ -144,7 +144,8 @@
     /// The boxes in the order in which they hold `role`. Those that stop or do not answer hold none.
     pub(crate) fn ranked(&self, role: u64, leaving: bool, now_ms: u64) -> Vec<BoxId> {
         let able = |member: &&Member| {
-            !member.card.leaving && member.doubted_until_ms <= now_ms && member.keyed
+            let known = member.keyed || member.heard_ms + SILENT_MS > now_ms;
+            !member.card.leaving && member.doubted_until_ms <= now_ms && known
         };
         let others = self
             .others
--- a/components/relay/src/news.rs
+++ b/components/relay/src/news.rs
@@ -44,8 +44,8 @@
             && other.targets_current_to < digest.targets_current_to
     });
     let targets = knows_less.then(|| relay.targets.borrow().entries());
-    let is_new = other.is_none_or(|other| other.table_version == 0);
-    let boxes = match is_new {
+    let knows_fewer = other.is_none_or(|other| other.boxes < digest.boxes);
+    let boxes = match knows_fewer {
         true => relay.members.borrow().cards(),
         false => Vec::new(),
     };
@@ -156,6 +156,13 @@
     }
 }
 
+/// Makes this box known to all others.
+pub(crate) async fn greet_all(relay: &Rc<Relay>) {
+    let others = relay.members.borrow().others();
+    let greetings = others.into_iter().map(|id| exchange_with(relay, id));
+    futures::future::join_all(greetings).await;
+}
+
 async fn exchange_with(relay: &Rc<Relay>, id: BoxId) -> bool {
     let digest = relay.digest();
     let call = relay
--- a/components/relay/src/presence.rs
+++ b/components/relay/src/presence.rs
@@ -2,19 +2,21 @@
 //! named anywhere.
 
 use crate::backoff::Backoff;
-use crate::news::meet;
+use crate::news::{greet_all, meet};
 use crate::state::Relay;
 use peers::FleetCard;
 use prelude::BoxId;
 use std::rc::Rc;
 use std::time::Duration;
-use store::{KeyValue, StoreError, Transaction, Versioned, WatchStream, Write};
+use store::{KeyValue, StoreError, Transaction, Versioned, Write};
 use tokio::time::sleep;
 
 /// What begins the keys of boxes.
 const BOX_PREFIX: &str = "boxes/";
 /// Time after which the key of a box that says nothing goes.
 const LEASE_S: u64 = 6;
+/// How often the keys of all boxes are read: a tenth of a call's price each time.
+const READ_EACH: Duration = Duration::from_secs(5);
 /// How often the lease is renewed.
 const RENEW_EACH: Duration = Duration::from_millis(1_500);
 
@@ -79,60 +81,44 @@
     Ok(())
 }
 
-/// Follows the keys of all boxes for as long as this one lives.
-pub(crate) async fn follow_boxes(relay: Rc<Relay>) {
+/// Reads the keys of all boxes, at first at once and then now and then, as they were some seconds ago. No
+/// box watches them: each new box makes itself known to all that it finds.
+pub(crate) async fn read_boxes(relay: Rc<Relay>) {
     let mut backoff = Backoff::new();
+    let mut begun = false;
+    // Boxes that start together find each other at the second look.
+    let mut pause = RENEW_EACH;
     loop {
-        let ended = tokio::select! {
-            ended = follow_once(&relay, &mut backoff) => ended,
-            () = relay.store_doubted.notified() => StoreError::NotDone("the store is in doubt".into()),
+        let listed = match begun {
+            false => relay.store.list(BOX_PREFIX).await,
+            true => relay.store.list_stale(BOX_PREFIX).await,
         };
-        slog::info!(relay.log, "boxes not followed"; "error" => %ended);
-        backoff.pause().await;
+        metrics::counter!("shuntpier_store_calls", "of" => "boxes").increment(1);
+        match listed {
+            Ok((items, _)) => {
+                backoff.reset();
+                take_keys(&relay, &items);
+                if !std::mem::replace(&mut begun, true) {
+                    greet_all(&relay).await;
+                }
+                sleep(pause).await;
+                pause = READ_EACH;
+            }
+            Err(error) => {
+                slog::info!(relay.log, "boxes not read"; "error" => %error);
+                backoff.pause().await;
+            }
+        }
     }
 }
 
-async fn follow_once(relay: &Rc<Relay>, backoff: &mut Backoff) -> StoreError {
-    let (items, revision) = match relay.store.list(BOX_PREFIX).await {
-        Ok(listed) => listed,
-        Err(error) => return error,
-    };
-    backoff.reset();
+fn take_keys(relay: &Relay, items: &[Versioned]) {
     let cards: Vec<FleetCard> = items.iter().filter_map(|item| card(relay, item)).collect();
     let ids: Vec<BoxId> = cards.iter().map(|card| card.id).collect();
     relay.members.borrow_mut().keys_are(&ids);
     for card in &cards {
         meet(relay, card, true);
     }
-    let mut watch = match relay.store.watch(BOX_PREFIX, revision + 1).await {
-        Ok(watch) => watch,
-        Err(error) => return error,
-    };
-    loop {
-        let events = match watch.next().await {
-            Ok(events) => events,
-            Err(error) => return error,
-        };
-        metrics::counter!("shuntpier_store_calls", "of" => "boxes").increment(1);
-        for event in events {
-            match event.value {
-                Some(value) => {
-                    let item = Versioned {
-                        key: event.key,
-                        value,
-                        revision: event.revision,
-                    };
-                    if let Some(card) = card(relay, &item) {
-                        meet(relay, &card, true);
-                    }
-                }
-                None => {
-                    let name = event.key.strip_prefix(BOX_PREFIX).unwrap_or_default();
-                    relay.members.borrow_mut().key_gone(box_id(name));
-                }
-            }
-        }
-    }
 }
 
 /// The key of a box in the policies, made from its name.
--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -4,7 +4,7 @@
 use crate::ingress;
 use crate::members::Members;
 use crate::news::{Handler, run_exchanges};
-use crate::presence::{box_id, follow_boxes, keep_key};
+use crate::presence::{box_id, keep_key, read_boxes};
 use crate::readiness;
 use crate::state::Relay;
 use http1::Listener;
@@ -115,7 +115,7 @@
     spawn_local(ingress::serve(relay.clone(), callers));
     spawn_local(follow_declarations(relay.clone()));
     spawn_local(follow_targets(relay.clone()));
-    spawn_local(follow_boxes(relay.clone()));
+    spawn_local(read_boxes(relay.clone()));
     spawn_local(keep_key(relay.clone()));
     spawn_local(run_exchanges(relay.clone()));
     spawn_local(relay.clone().run_telling());
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -133,6 +133,7 @@
             table_version: self.declared().map_or(0, |held| held.table.version),
             targets_changed_at: targets.changed_at,
             targets_current_to: targets.current_to,
+            boxes: self.members.borrow().others().len() as u32,
         }
     }
 
