--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -11,7 +11,7 @@
 use peers::{FleetClients, Traffic};
 use platform::FleetStore;
 use prelude::{Clock, DataCentreId};
-use settings::FleetFile;
+use settings::{FleetFile, FleetIdentity};
 use slog::Logger;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -66,8 +66,8 @@
 ///
 /// # Errors
 /// [`StartError`].
-pub async fn start(file: FleetFile, log: Logger) -> Result<Running, StartError> {
-    let identity = &file.identity;
+pub async fn start(mut file: FleetFile, log: Logger) -> Result<Running, StartError> {
+    let identity = &mut file.identity;
     let callers = listen("callers", identity.callers_address)?;
     let readiness = listen("readiness", identity.readiness_address)?;
     let peers_address = identity.peers_address;
@@ -78,6 +78,11 @@
             address: peers_address,
             cause,
         })?;
+    // Port 0 asks for any free one: what is told to peers is the address that was got.
+    identity.callers_address = callers.address().unwrap_or(identity.callers_address);
+    identity.readiness_address = readiness.address().unwrap_or(identity.readiness_address);
+    identity.peers_address = peers.local_addr().unwrap_or(identity.peers_address);
+    let peers_address = identity.peers_address;
     let traffic = Arc::new(Traffic::default());
     let id = box_id(&identity.name);
     let relay = Rc::new(Relay {
@@ -139,6 +144,11 @@
 }
 
 impl Running {
+    /// Who the box is, with the addresses that it listens on.
+    pub fn identity(&self) -> &FleetIdentity {
+        &self.0.file.identity
+    }
+
     /// Notes that the settings file may have changed. What a box can take over while it runs comes from the
     /// store; its name and addresses hold for its life.
     pub fn reload(&self) {
--- /dev/null
+++ b/components/relay/tests/targets.rs
@@ -0,0 +1,100 @@
+//! What a box believes of targets, one life at a time.
+
+use prelude::DataCentreId;
+use relay::{Belief, Change, TargetBook};
+use routing::{TargetEntry, TargetPhase};
+
+fn entry(instance: &str, phase: TargetPhase, revision: u64) -> TargetEntry {
+    TargetEntry {
+        instance: instance.into(),
+        service: "records".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        data_centre: "hall".into(),
+        slots: 4,
+        phase,
+        cold_left_ms: 0,
+        revision,
+    }
+}
+
+fn near() -> DataCentreId {
+    DataCentreId::from_name("hall")
+}
+
+#[test]
+fn a_life_that_leaves_never_takes_work_again() {
+    let mut book = TargetBook::default();
+    assert!(matches!(
+        book.listed(entry("a", TargetPhase::Ready, 1), 0),
+        Some(Change::Came(_))
+    ));
+    assert!(matches!(
+        book.listed(entry("a", TargetPhase::Leaving, 2), 0),
+        Some(Change::Leaves(_))
+    ));
+    assert_eq!(book.listed(entry("a", TargetPhase::Ready, 3), 0), None);
+    assert_eq!(book.choose("records", near(), &[], 0), None);
+}
+
+#[test]
+fn an_older_word_changes_nothing() {
+    let mut book = TargetBook::default();
+    book.listed(entry("a", TargetPhase::Ready, 5), 0);
+    assert_eq!(book.listed(entry("a", TargetPhase::Leaving, 4), 0), None);
+    assert_eq!(book.unlisted("a", 4), None);
+    assert!(book.choose("records", near(), &[], 0).is_some());
+}
+
+#[test]
+fn an_entry_that_vanished_may_come_back() {
+    let mut book = TargetBook::default();
+    book.listed(entry("a", TargetPhase::Ready, 1), 0);
+    let slot = book.choose("records", near(), &[], 0).unwrap();
+    book.opened(slot);
+    assert_eq!(book.replace(Vec::new(), 3, 0), [Change::Went(slot)]);
+    assert_eq!(book.get(slot).unwrap().belief, Belief::Gone);
+    assert_eq!(
+        book.listed(entry("a", TargetPhase::Ready, 4), 0),
+        Some(Change::Came(slot))
+    );
+}
+
+#[test]
+fn a_life_that_is_gone_is_kept_while_it_serves_something() {
+    let mut book = TargetBook::default();
+    book.listed(entry("a", TargetPhase::Ready, 1), 0);
+    let slot = book.choose("records", near(), &[], 0).unwrap();
+    book.opened(slot);
+    book.unlisted("a", 2);
+    book.sweep(slot);
+    assert!(book.get(slot).is_some());
+    book.closed(slot);
+    assert!(book.get(slot).is_none());
+}
+
+#[test]
+fn a_peers_word_that_a_life_leaves_is_believed() {
+    let mut book = TargetBook::default();
+    book.listed(entry("a", TargetPhase::Ready, 1), 0);
+    book.listed(entry("b", TargetPhase::Ready, 1), 0);
+    assert_eq!(book.told_leaving(&["a".into(), "unknown".into()]).len(), 1);
+    assert_eq!(book.leaving(), ["a".into()]);
+    let slot = book.choose("records", near(), &[], 0).unwrap();
+    assert_eq!(&*book.get(slot).unwrap().entry.instance, "b");
+}
+
+#[test]
+fn the_emptier_target_is_chosen_and_a_failing_one_is_passed_over() {
+    let mut book = TargetBook::default();
+    book.listed(entry("a", TargetPhase::Ready, 1), 0);
+    book.listed(entry("b", TargetPhase::Ready, 1), 0);
+    let first = book.choose("records", near(), &[], 0).unwrap();
+    book.opened(first);
+    let second = book.choose("records", near(), &[], 0).unwrap();
+    assert_ne!(first, second);
+    for at_ms in 0..3 {
+        book.get_mut(second).unwrap().suspicion.failed(at_ms);
+    }
+    assert_eq!(book.choose("records", near(), &[], 10), Some(first));
+    assert_eq!(book.choose("records", near(), &[first], 10), Some(second));
+}
