A stopping box takes nothing whose answer may be due after its end

Now such calls are told that they were not run, and a box with nothing left refuses for 80 ms before it closes.

--- a/components/relay/src/generation.rs
+++ b/components/relay/src/generation.rs
@@ -3,7 +3,7 @@
 
 use crate::dispatch::refusal;
 use crate::events::EventSplitter;
-use crate::ingress::{After, count, write_reply};
+use crate::ingress::{After, STOP_RETRY_MS, count, write_reply};
 use crate::judge::Word;
 use crate::moving::{Mover, Step};
 use crate::permits::{Permit, Want};
@@ -31,8 +31,6 @@
 /// its load.
 const BEGIN_MS: u64 = 700;
 const TOKEN_MS: u64 = 9;
-/// When a caller is told to come back that a stopping box does not take: other boxes serve it at once.
-const STOP_RETRY_MS: u64 = 20;
 /// Weight of a generation without a guess.
 const KIND_UNKNOWN: u8 = 255;
 
--- a/components/relay/src/ingress.rs
+++ b/components/relay/src/ingress.rs
@@ -28,6 +28,9 @@
 /// When a caller is told to come back while this box knows no declarations.
 const NO_TABLE_RETRY_MS: u64 = 200;
 
+/// When a caller is told to come back that a stopping box does not take: other boxes serve it at once.
+pub(crate) const STOP_RETRY_MS: u64 = 20;
+
 /// What follows an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum After {
@@ -258,6 +261,13 @@
     if way.route().kind == RouteKind::Generation {
         return generate(relay, channel, incoming, way).await;
     }
+    if let Some(own) = stop_refusal(relay, incoming, way) {
+        slog::info!(relay.log, "request refused"; "id" => incoming.id(), "status" => own.status(),
+            "why" => own.why());
+        count(own.status(), "own");
+        let reply = Reply::own(own, incoming.facts.request_id.as_deref());
+        return write_reply(relay, channel, reply, true).await;
+    }
     let reply = tokio::select! {
         reply = call(relay, incoming, way) => reply,
         () = channel.gone() => {
@@ -279,6 +289,16 @@
     write_reply(relay, channel, reply, false).await
 }
 
+/// Why a stopping box does not take a request: its last answer may be due after the box is gone.
+fn stop_refusal(relay: &Relay, incoming: &Incoming, way: &Way) -> Option<Own> {
+    let left_ms = relay.stop_left_ms()?;
+    let due_in_ms = incoming.due_ms(way.route()).saturating_sub(relay.now_ms());
+    (due_in_ms > left_ms).then_some(Own::NotRun {
+        why: "this box stops before it would answer",
+        retry_after_ms: STOP_RETRY_MS,
+    })
+}
+
 /// The status in the first line of a reply's head.
 fn status_of(reply: &Reply) -> u16 {
     let digits = reply.head.get(9..12).unwrap_or_default();
--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -33,7 +33,9 @@
 /// and what it sent before has come.
 const LAST_CHANNELS: Duration = Duration::from_millis(2_700);
 /// Left of the time until the process is killed.
-const STOP_MARGIN: Duration = Duration::from_millis(350);
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// How long a box with nothing left refuses what is on its way, before it closes.
+const LAST_REFUSALS: Duration = Duration::from_millis(80);
 
 /// Why a box did not start.
 #[derive(Debug, Error)]
@@ -174,6 +176,9 @@
                 break;
             }
         }
+        // From here on nothing is taken: what comes while the process ends is told so, and not sent on.
+        relay.stop_until_ms.set(Some(relay.now_ms()));
+        sleep(LAST_REFUSALS).await;
         slog::info!(relay.log, "stopped"; "in_progress" => relay.in_progress.get());
         relay.closed.cancel();
         tokio::task::yield_now().await;
