--- a/components/relay/src/call.rs
+++ b/components/relay/src/call.rs
@@ -50,6 +50,7 @@
     while let Some(slot) = next_offer(relay, way, &story, due_ms) {
         story.offered.push(slot);
         let offer = offer(relay, incoming, way, slot, &story).await;
+        offer.note(relay, incoming, slot);
         relay.judge(slot, offer.word());
         story.arrivals += u32::from(offer.arrived());
         match offer {
@@ -179,6 +180,18 @@
         }
     }
 
+    /// Writes an offer that failed to the log.
+    fn note(&self, relay: &Relay, incoming: &Incoming, slot: TargetSlot) {
+        let outcome = match self {
+            Self::Answered { status, .. } if *status < 500 => return,
+            Self::Answered { status, .. } => format!("answered {status}"),
+            Self::NotRun(why) => format!("not run: {why:?}"),
+            Self::MayHaveRun(why) => format!("may have run: {why}"),
+        };
+        slog::info!(relay.log, "offer failed"; "id" => incoming.id(), "outcome" => outcome,
+            "target" => relay.name_of(slot), "after_ms" => relay.now_ms() - incoming.came_ms);
+    }
+
     /// Whether the target got the request.
     fn arrived(&self) -> bool {
         !matches!(self, Self::NotRun(why) if !why.arrived())
--- a/components/relay/src/generation.rs
+++ b/components/relay/src/generation.rs
@@ -197,7 +197,15 @@
         };
         relay.judge(slot, word_of(&tried));
         match tried {
-            Tried::Answered(opened) => return Started::Opened(opened, permit),
+            Tried::Answered(opened) => {
+                slog::info!(relay.log, "generation begun"; "id" => incoming.id(),
+                    "engine" => relay.name_of(slot), "permit" => permit.serial,
+                    "prompt_tokens" => generation.prompt_tokens,
+                    "most_tokens" => generation.most_tokens, "guess" => generation.guess_tokens,
+                    "version" => way.declared.table.version,
+                    "after_ms" => relay.now_ms() - incoming.came_ms);
+                return Started::Opened(opened, permit);
+            }
             Tried::MayHaveRun(why) => return Started::Own(Own::MayHaveRun(why)),
             Tried::NotRun(why) => {
                 avoid = relay.targets.borrow().get(slot).map(|target| target.id);
--- a/components/relay/src/presence.rs
+++ b/components/relay/src/presence.rs
@@ -2,6 +2,7 @@
 //! named anywhere.
 
 use crate::backoff::Backoff;
+use crate::follow::watches_targets;
 use crate::news::{greet_all, meet};
 use crate::state::Relay;
 use peers::FleetCard;
@@ -19,6 +20,8 @@
 const READ_EACH: Duration = Duration::from_secs(5);
 /// How often the lease is renewed.
 const RENEW_EACH: Duration = Duration::from_millis(1_500);
+/// The same on the box that follows targets: it notices by this that the store is away.
+const RENEW_WATCHING: Duration = Duration::from_millis(500);
 
 /// Keeps this box's key for as long as it lives, and takes it away when it stops.
 pub(crate) async fn keep_key(relay: Rc<Relay>) {
@@ -26,11 +29,15 @@
     let mut backoff = Backoff::new();
     loop {
         let kept = keep_once(&relay, &mut lease).await;
+        relay.store_fails.set(kept.is_err());
         let pause = match kept {
             Ok(()) => {
                 backoff.reset();
                 relay.store_answered_ms.set(relay.now_ms());
-                RENEW_EACH
+                match watches_targets(&relay) {
+                    true => RENEW_WATCHING,
+                    false => RENEW_EACH,
+                }
             }
             Err(error) => {
                 slog::info!(relay.log, "own key not kept"; "error" => %error);
--- a/components/relay/src/reports.rs
+++ b/components/relay/src/reports.rs
@@ -16,35 +16,51 @@
 const ASK_EACH: Duration = Duration::from_millis(300);
 /// A view of targets that was not confirmed for this long is no base for leaving engines alone.
 const UNCONFIRMED_MS: u64 = 1_200;
+/// The same where this box's own calls to the store fail: the box that follows targets says every 0.4 s that
+/// nothing changed.
+const UNCONFIRMED_FAILING_MS: u64 = 700;
 
-/// Asks engines while the view of targets is not confirmed and it is this box's turn to follow them.
+/// Asks engines while the view of targets is not confirmed: all of them where it is this box's turn to
+/// follow targets, and those that run something of its own where nobody's turn may be known yet.
 pub(crate) async fn run_reports(relay: Rc<Relay>) {
     let mut asks = false;
     loop {
         sleep(ASK_EACH).await;
-        let confirmed_ms = relay.targets.borrow().confirmed_ms;
-        let unconfirmed = confirmed_ms.is_some_and(|at_ms| at_ms + UNCONFIRMED_MS < relay.now_ms());
-        let asked = std::mem::replace(&mut asks, unconfirmed && watches_targets(&relay));
+        let doubt = doubt(&relay);
+        let asked = std::mem::replace(&mut asks, doubt);
         if asked != asks {
             slog::info!(relay.log, "engines asked themselves"; "asked" => asks,
-                "confirmed_ms" => confirmed_ms, "now_ms" => relay.now_ms());
+                "confirmed_ms" => relay.targets.borrow().confirmed_ms,
+                "now_ms" => relay.now_ms());
         }
         if asks {
-            for (slot, address) in engines(&relay) {
+            let all = watches_targets(&relay);
+            for (slot, address) in engines(&relay, all) {
                 tokio::task::spawn_local(ask(relay.clone(), slot, address));
             }
         }
     }
 }
 
-fn engines(relay: &Relay) -> Vec<(TargetSlot, SocketAddr)> {
+/// Whether a target may leave without this box hearing of it.
+fn doubt(relay: &Relay) -> bool {
+    let Some(confirmed_ms) = relay.targets.borrow().confirmed_ms else {
+        return false;
+    };
+    let age_ms = relay.now_ms().saturating_sub(confirmed_ms);
+    let store_fails = relay.store_fails.get() && age_ms > UNCONFIRMED_FAILING_MS;
+    relay.targets_doubted.get() || store_fails || age_ms > UNCONFIRMED_MS
+}
+
+fn engines(relay: &Relay, all: bool) -> Vec<(TargetSlot, SocketAddr)> {
     let Some(held) = relay.declared() else {
         return Vec::new();
     };
     let targets = relay.targets.borrow();
     let with_engines = held.table.services.iter().filter(|s| s.engine.is_some());
-    let all = with_engines.flat_map(|service| targets.of_service(&service.name));
-    all.filter(|(_, target)| target.belief == Belief::Ready)
+    let engines = with_engines.flat_map(|service| targets.of_service(&service.name));
+    engines
+        .filter(|(_, target)| target.belief == Belief::Ready && (all || target.open > 0))
         .map(|(slot, target)| (slot, target.entry.address))
         .collect()
 }
--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -105,6 +105,7 @@
         runs: RefCell::default(),
         runs_changed: Notify::new(),
         store_answered_ms: Cell::new(0),
+        store_fails: Cell::new(false),
         targets_doubted: Cell::new(false),
         store_doubted: Notify::new(),
         in_progress: Cell::new(0),
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -51,6 +51,8 @@
     pub(crate) runs_changed: Notify,
     /// When the store last answered a call in good order.
     pub(crate) store_answered_ms: Cell<u64>,
+    /// This box's last call for its own key failed.
+    pub(crate) store_fails: Cell<bool>,
     /// Following targets failed, and has not succeeded since.
     pub(crate) targets_doubted: Cell<bool>,
     /// The store failed: its open watches may hang.
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -57,6 +57,10 @@
     /// Shows how fast accounts use up what their objectives allow
     Burn(#[bpaf(external(report_options))] ReportOptions),
 
+    #[bpaf(command("explain"))]
+    /// Prints the story of one request from the log files of boxes
+    Explain(#[bpaf(external(explain_options))] ExplainOptions),
+
     #[bpaf(command("demo"))]
     /// Runs everything in one process on loopback, with stand-ins
     Demo(#[bpaf(external(demo_options))] DemoOptions),
@@ -93,6 +97,16 @@
     pub file: PathBuf,
 }
 
+#[derive(Clone, Debug, Bpaf)]
+pub struct ExplainOptions {
+    /// Name of the request, as its caller sent it
+    #[bpaf(positional("ID"))]
+    pub id: String,
+    /// Log files of boxes, in any order; standard input if left out
+    #[bpaf(positional("FILE"), many)]
+    pub files: Vec<PathBuf>,
+}
+
 #[derive(Clone, Debug, Bpaf)]
 pub struct ReportOptions {
     /// Operators' address of a box; may be given several times
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -3,6 +3,7 @@
 pub mod burn;
 pub mod check;
 pub mod demo;
+pub mod explain;
 pub mod relay;
 pub mod serve;
 pub mod settings;
