--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -2,17 +2,18 @@
 
 use crate::cli::CheckOptions;
 use crate::cmd::read_file;
-use settings::{check_box_file, check_branch};
+use settings::{check_box_file, check_branch, check_fleet_file};
 use std::process::ExitCode;
 
 /// Exits with 0 where the file is right, with 1 where it is not.
 pub fn run(options: &CheckOptions) -> miette::Result<ExitCode> {
     let name = options.file.display().to_string();
     let text = read_file(&options.file)?;
-    let is_box_file = text.lines().any(|line| line.starts_with("box:"));
-    let mistakes = match is_box_file {
-        true => check_box_file(&name, &text),
-        false => check_branch(&name, &text),
+    let has = |key: &str| text.lines().any(|line| line.starts_with(key));
+    let mistakes = match (has("box:"), has("store:")) {
+        (true, true) => check_fleet_file(&name, &text),
+        (true, false) => check_box_file(&name, &text),
+        (false, _) => check_branch(&name, &text),
     };
     match mistakes {
         Some(mistakes) => Err(miette::Report::new(*mistakes)),
