--- a/components/relay/src/dispatch.rs
+++ b/components/relay/src/dispatch.rs
@@ -265,7 +265,10 @@
             let reply = self.with_dispatcher(request.pool, |dispatcher, now_ms| {
                 dispatcher.relocate(request, now_ms)
             });
-            if reply != RelocateReply::Wait || Instant::now() >= until {
+            if reply == RelocateReply::Wait && Instant::now() >= until {
+                return reply;
+            }
+            if reply != RelocateReply::Wait {
                 slog::info!(self.log, "relocation"; "box" => request.permit.entry.0,
                     "permit" => request.permit.serial, "from" => request.from.0,
                     "word" => ?reply);
--- a/components/relay/src/follow.rs
+++ b/components/relay/src/follow.rs
@@ -16,6 +16,10 @@
 
 /// Pause between two answers of the watch on targets, so that changes at one time cost one call.
 const TARGETS_PACE: Duration = Duration::from_millis(30);
+/// The same on a box that has just started and may take itself for the only one: when all start at once, all
+/// watch until they have met.
+const STARTING_PACE: Duration = Duration::from_millis(400);
+const STARTING_MS: u64 = 4_000;
 /// A store that answered nothing for this long may be gone: boxes renew their leases more often.
 const STORE_QUIET_MS: u64 = 2_500;
 /// A box whose view of targets was not confirmed for this long looks itself.
@@ -86,18 +90,20 @@
     xxh3_64(b"targets")
 }
 
+/// This box's place among those that may follow targets; none where it stops.
+fn rank(relay: &Relay) -> Option<usize> {
+    let members = relay.members.borrow();
+    let ranks = members.ranked(targets_role(), relay.is_stopping(), relay.now_ms());
+    ranks.iter().position(|id: &BoxId| *id == relay.id)
+}
+
 /// How long this box leaves it to others to say that the view of targets is current.
 fn quiet_limit_ms(relay: &Relay) -> u64 {
-    let now_ms = relay.now_ms();
-    let ranks = relay
-        .members
-        .borrow()
-        .ranked(targets_role(), relay.is_stopping(), now_ms);
-    let rank = ranks.iter().position(|id: &BoxId| *id == relay.id);
-    match rank {
+    let others = relay.members.borrow().others().len();
+    match rank(relay) {
         Some(0) => 0,
         Some(rank) => TARGETS_QUIET_MS + TARGETS_TURN_MS * rank as u64,
-        None => TARGETS_QUIET_MS + TARGETS_TURN_MS * ranks.len() as u64,
+        None => TARGETS_QUIET_MS + TARGETS_TURN_MS * others as u64,
     }
 }
 
@@ -119,6 +125,15 @@
             sleep(TURN_CHECK).await;
             continue;
         }
+        if relay.targets.borrow().confirmed_ms.is_none() {
+            if let Err(error) = read_targets(&relay).await {
+                slog::info!(relay.log, "targets not read"; "error" => %error);
+                backoff.pause().await;
+            }
+            continue;
+        }
+        slog::info!(relay.log, "targets followed by this box"; "rank" => rank(&relay),
+            "confirmed_ms" => relay.targets.borrow().confirmed_ms, "now_ms" => relay.now_ms());
         let ended = tokio::select! {
             ended = follow_targets_once(&relay, &mut backoff) => ended,
             () = relay.store_doubted.notified() =>
@@ -144,25 +159,32 @@
     }
 }
 
-/// Reads all targets, then watches them until it is another box's turn.
-async fn follow_targets_once(relay: &Rc<Relay>, backoff: &mut Backoff) -> Result<(), StoreError> {
+/// Reads all targets as they are now, and says at which revision.
+async fn read_targets(relay: &Rc<Relay>) -> Result<u64, StoreError> {
     let (items, revision) = relay.store.list(TARGET_PREFIX).await?;
     metrics::counter!("shuntpier_store_calls", "of" => "targets").increment(1);
-    backoff.reset();
     let entries = items
         .iter()
         .filter_map(|item| decoded(relay, item))
         .collect();
     let now_ms = relay.now_ms();
+    relay.store_answered_ms.set(now_ms);
     let changes = relay
         .targets
         .borrow_mut()
         .replace(entries, revision, now_ms);
     confirm(relay, revision);
     relay.took_changes(&changes, "store");
+    Ok(revision)
+}
+
+/// Reads all targets, then watches them until it is another box's turn.
+async fn follow_targets_once(relay: &Rc<Relay>, backoff: &mut Backoff) -> Result<(), StoreError> {
+    let revision = read_targets(relay).await?;
+    backoff.reset();
     spread(relay);
     let mut watch = relay.store.watch(TARGET_PREFIX, revision + 1).await?;
-    let began_ms = now_ms;
+    let began_ms = relay.now_ms();
     loop {
         let events = {
             let mut answer = pin!(watch.next());
@@ -186,7 +208,8 @@
         if take_events(relay, events, watch.revision()) {
             spread(relay);
         }
-        sleep(TARGETS_PACE).await;
+        let is_new = relay.now_ms() < STARTING_MS;
+        sleep(if is_new { STARTING_PACE } else { TARGETS_PACE }).await;
     }
 }
 
--- a/components/relay/src/members.rs
+++ b/components/relay/src/members.rs
@@ -11,7 +11,7 @@
 const DOUBT_MS: u64 = 1_000;
 const DOUBT_MAX_MS: u64 = 16_000;
 /// A box whose key is gone and that says nothing is forgotten after this time.
-const SILENT_MS: u64 = 8_000;
+const SILENT_MS: u64 = 10_000;
 /// The number of boxes among which the budget is shared falls only after this time.
 const SHARE_KEPT_MS: u64 = 15_000;
 
--- a/components/relay/src/presence.rs
+++ b/components/relay/src/presence.rs
@@ -15,11 +15,13 @@
 /// What begins the keys of boxes.
 const BOX_PREFIX: &str = "boxes/";
 /// Time after which the key of a box that says nothing goes.
-const LEASE_S: u64 = 6;
+const LEASE_S: u64 = 8;
 /// How often the keys of all boxes are read: a tenth of a call's price each time.
-const READ_EACH: Duration = Duration::from_secs(5);
+const READ_EACH: Duration = Duration::from_secs(8);
+/// When a box that has just started looks again.
+const SECOND_LOOK: Duration = Duration::from_millis(1_500);
 /// How often the lease is renewed.
-const RENEW_EACH: Duration = Duration::from_millis(1_500);
+const RENEW_EACH: Duration = Duration::from_millis(2_500);
 /// The same on the box that follows targets: it notices by this that the store is away.
 const RENEW_WATCHING: Duration = Duration::from_millis(500);
 
@@ -94,7 +96,7 @@
     let mut backoff = Backoff::new();
     let mut begun = false;
     // Boxes that start together find each other at the second look.
-    let mut pause = RENEW_EACH;
+    let mut pause = SECOND_LOOK;
     loop {
         let listed = match begun {
             false => relay.store.list(BOX_PREFIX).await,
