--- a/components/relay/src/generation.rs
+++ b/components/relay/src/generation.rs
@@ -26,11 +26,16 @@
 /// Answer tokens that a caller's guess is rounded to: this many steps for each doubling.
 const GUESS_STEPS: f64 = 2.0;
 /// Guesses are right in the median; a generation that must end in time is taken to be this much longer.
-const GUESS_SAFETY: u32 = 2;
+const GUESS_SAFETY: u64 = 2;
 /// Time until the first token, and for each token, that a generation is taken to need: an engine at half
 /// its load.
 const BEGIN_MS: u64 = 700;
 const TOKEN_MS: u64 = 9;
+/// The same at a full engine.
+const SLOW_TOKEN_MS: u64 = 20;
+/// From SIGTERM on, so long a guess is trusted: what callers send before they can know of the stop may be
+/// cut at its end.
+const STOP_GUESSES_MS: u64 = 2_500;
 /// Weight of a generation without a guess.
 const KIND_UNKNOWN: u8 = 255;
 
@@ -79,17 +84,19 @@
     write_reply(relay, caller, reply, false).await
 }
 
-/// Why a stopping box does not begin a generation: it would be cut off.
+/// Why a stopping box does not begin a generation: it would be cut off. At first its likely length counts;
+/// later nothing may be cut any more, and the longest counts.
 fn stop_refusal(relay: &Relay, incoming: &Incoming, way: &Way) -> Option<Own> {
     let left_ms = relay.stop_left_ms()?;
-    let generation = incoming.facts.generation.as_ref();
-    let likely = generation.map_or(u32::MAX, |generation| {
-        let guess = generation.guess_tokens.unwrap_or(generation.most_tokens);
-        guess
-            .saturating_mul(GUESS_SAFETY)
-            .min(generation.most_tokens)
-    });
-    let needed_ms = BEGIN_MS.saturating_add(u64::from(likely) * TOKEN_MS);
+    let generation = incoming.facts.generation.clone().unwrap_or_default();
+    let most = u64::from(generation.most_tokens);
+    let grace_ms = (relay.file.promises.stop_grace_s * 1000.0) as u64;
+    let began = left_ms + STOP_GUESSES_MS > grace_ms;
+    let needed_ms = match (began, generation.guess_tokens) {
+        (true, Some(guess)) => BEGIN_MS + most.min(u64::from(guess) * GUESS_SAFETY) * TOKEN_MS,
+        (true, None) => BEGIN_MS + most * TOKEN_MS,
+        (false, _) => BEGIN_MS + most * SLOW_TOKEN_MS,
+    };
     let due_ms = incoming.due_ms(way.route());
     let needed_ms = needed_ms.min(due_ms.saturating_sub(relay.now_ms()));
     (needed_ms > left_ms).then_some(Own::NotRun {
