--- a/components/http1/src/head.rs
+++ b/components/http1/src/head.rs
@@ -67,6 +67,15 @@
     Ok(None)
 }
 
+/// The same, for a head of at most so many bytes.
+fn whole_length(bytes: &[u8], most_bytes: usize) -> Result<Option<usize>, HeadError> {
+    let length = head_length(bytes)?;
+    match length.unwrap_or(bytes.len()) > most_bytes {
+        true => Err(HeadError::TooLong(most_bytes)),
+        false => Ok(length),
+    }
+}
+
 fn fields(parsed: &[httparse::Header]) -> Headers {
     let mut headers = Headers::default();
     for field in parsed {
@@ -125,11 +134,7 @@
     bytes: &[u8],
     most_bytes: usize,
 ) -> Result<Option<(RequestHead, usize)>, HeadError> {
-    let length = head_length(bytes)?;
-    if length.unwrap_or(bytes.len()) > most_bytes {
-        return Err(HeadError::TooLong(most_bytes));
-    }
-    let Some(length) = length else {
+    let Some(length) = whole_length(bytes, most_bytes)? else {
         return Ok(None);
     };
     let mut parsed = [httparse::EMPTY_HEADER; FIELDS_MAX];
@@ -171,11 +176,7 @@
     bytes: &[u8],
     most_bytes: usize,
 ) -> Result<Option<(ResponseHead, usize)>, HeadError> {
-    let length = head_length(bytes)?;
-    if length.unwrap_or(bytes.len()) > most_bytes {
-        return Err(HeadError::TooLong(most_bytes));
-    }
-    let Some(length) = length else {
+    let Some(length) = whole_length(bytes, most_bytes)? else {
         return Ok(None);
     };
     let mut parsed = [httparse::EMPTY_HEADER; FIELDS_MAX];
--- a/components/relay/src/call.rs
+++ b/components/relay/src/call.rs
@@ -110,12 +110,7 @@
 ) -> Offer {
     let route = way.route();
     let left_ms = incoming.left_ms(route, relay.now_ms());
-    let instance = relay
-        .targets
-        .borrow()
-        .get(slot)
-        .map(|target| target.entry.instance.clone());
-    let Some(instance) = instance else {
+    let Some(instance) = relay.instance_of(slot) else {
         return Offer::NotRun(NotRun::Unreachable);
     };
     let forwarding = Forwarding {
--- a/components/relay/src/generation.rs
+++ b/components/relay/src/generation.rs
@@ -2,21 +2,22 @@
 //! goes on at another (see [`crate::moving`]).
 
 use crate::dispatch::refusal;
-use crate::events::EventSplitter;
 use crate::ingress::{After, STOP_RETRY_MS, count, write_reply};
 use crate::judge::Word;
-use crate::moving::{Mover, Step};
+use crate::news::tell_leaving;
 use crate::permits::{Permit, Want};
+use crate::pump::Pump;
 use crate::request::{Incoming, Own, Reply, Way};
 use crate::send::{Message, NotRun, Opened, Tried};
 use crate::state::Relay;
-use http1::{Channel, Framing, push_chunk};
+use crate::targets::TargetSlot;
+use http1::Channel;
 use platform::{Continuation, Forwarding, PRIORITY_MOST, forward, relayed_head};
 use prelude::{Refusal, RefusalReason, TargetId};
-use routing::{EngineTraits, GenerationRequest};
+use routing::GenerationRequest;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep_until, timeout_at};
+use tokio::time::{Instant, timeout_at};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Part of the goal for which a request waits for a permit: beyond it a refusal costs the caller less.
@@ -198,6 +199,12 @@
         };
         let until = Instant::now() + Duration::from_millis(due_ms.saturating_sub(now_ms));
         let slot = permit.slot;
+        if !relay.takes_work(slot) {
+            // The dispatcher has not heard yet that it leaves.
+            avoid = relay.id_of(slot);
+            tell_leaving(relay);
+            continue;
+        }
         let trying = send(relay, incoming, way, slot, None);
         let Ok(tried) = timeout_at(until, trying).await else {
             return Started::Own(Own::TimeOver);
@@ -215,7 +222,7 @@
             }
             Tried::MayHaveRun(why) => return Started::Own(Own::MayHaveRun(why)),
             Tried::NotRun(why) => {
-                avoid = relay.targets.borrow().get(slot).map(|target| target.id);
+                avoid = relay.id_of(slot);
                 arrived |= why.arrived();
                 slog::info!(relay.log, "engine did not take it"; "id" => incoming.id(),
                     "engine" => relay.name_of(slot), "why" => ?why);
@@ -229,7 +236,7 @@
 }
 
 /// What a try says of its engine.
-fn word_of(tried: &Tried) -> Word {
+pub(crate) fn word_of(tried: &Tried) -> Word {
     match tried {
         Tried::Answered(_) => Word::Well,
         Tried::NotRun(why) => Word::from(*why),
@@ -242,15 +249,10 @@
     relay: &Rc<Relay>,
     incoming: &Incoming,
     way: &Way,
-    slot: crate::targets::TargetSlot,
+    slot: TargetSlot,
     continuation: Option<&Continuation>,
 ) -> Tried {
-    let instance = relay
-        .targets
-        .borrow()
-        .get(slot)
-        .map(|target| target.entry.instance.clone());
-    let Some(instance) = instance else {
+    let Some(instance) = relay.instance_of(slot) else {
         return Tried::NotRun(NotRun::Unreachable);
     };
     let forwarding = Forwarding {
@@ -270,245 +272,3 @@
     };
     relay.try_at(slot, message).await
 }
-
-/// Whether only the end of its channel ends an answer.
-fn is_unframed(opened: &Opened) -> bool {
-    opened.head.framing == Framing::UntilClose
-}
-
-/// How a stream ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Ended {
-    /// With its last event.
-    Whole,
-    /// The caller left.
-    CallerLeft,
-    /// Its time is over.
-    TimeOver,
-    /// Early.
-    Broken(&'static str),
-}
-
-/// Passes the events of one generation on.
-struct Pump<'a> {
-    relay: &'a Rc<Relay>,
-    incoming: &'a Incoming,
-    way: &'a Way,
-    permit: Permit,
-    engine: Option<EngineTraits>,
-    splitter: EventSplitter,
-    last_event: Option<Box<str>>,
-    events: u32,
-    head_written: bool,
-    first_event_ms: Option<u64>,
-    longest_pause_ms: u64,
-    last_event_ms: u64,
-    moves: u32,
-}
-
-impl<'a> Pump<'a> {
-    fn new(relay: &'a Rc<Relay>, incoming: &'a Incoming, way: &'a Way, permit: Permit) -> Self {
-        Self {
-            relay,
-            incoming,
-            way,
-            permit,
-            engine: way.service().engine,
-            splitter: EventSplitter::default(),
-            last_event: None,
-            events: 0,
-            head_written: false,
-            first_event_ms: None,
-            longest_pause_ms: 0,
-            last_event_ms: 0,
-            moves: 0,
-        }
-    }
-
-    async fn run(mut self, caller: &mut Channel, opened: Opened) -> After {
-        let closes = self.relay.is_stopping() || self.incoming.head.old;
-        let ended = self.pump(caller, opened, closes).await;
-        let finished = ended == Ended::Whole;
-        if finished {
-            self.permit.finished();
-        }
-        slog::info!(self.relay.log, "generation ended"; "id" => self.incoming.id(),
-            "end" => ?ended, "events" => self.events, "moves" => self.moves,
-            "first_event_ms" => self.first_event_ms, "longest_pause_ms" => self.longest_pause_ms,
-            "after_ms" => self.relay.now_ms() - self.incoming.came_ms);
-        let word = match ended {
-            Ended::Whole => "whole",
-            Ended::CallerLeft => "caller_left",
-            Ended::TimeOver => "time_over",
-            Ended::Broken(_) => "broken",
-        };
-        metrics::counter!("shuntpier_generations", "end" => word).increment(1);
-        match ended {
-            Ended::Whole if self.incoming.head.old => After::Close,
-            Ended::Whole => match caller.write(b"0\r\n\r\n").await {
-                Ok(()) if closes => After::Close,
-                Ok(()) => After::Keep,
-                Err(_) => After::Drop,
-            },
-            Ended::CallerLeft => After::Drop,
-            _ if self.head_written => After::Drop,
-            Ended::TimeOver => self.answer_own(caller, Own::TimeOver).await,
-            Ended::Broken(why) => self.answer_own(caller, Own::MayHaveRun(why)).await,
-        }
-    }
-
-    async fn answer_own(&self, caller: &mut Channel, own: Own) -> After {
-        count(own.status(), "own");
-        let reply = Reply::own(own, self.incoming.facts.request_id.as_deref());
-        write_reply(self.relay, caller, reply, false).await
-    }
-
-    async fn pump(&mut self, caller: &mut Channel, mut opened: Opened, closes: bool) -> Ended {
-        let due_ms = self.incoming.due_ms(self.way.route());
-        let left_ms = due_ms.saturating_sub(self.relay.now_ms());
-        let due = Instant::now() + Duration::from_millis(left_ms);
-        let head = relayed_head(&opened.head);
-        let mut mover = Mover::new(self.relay, self.engine);
-        loop {
-            let step = tokio::select! {
-                biased;
-                () = caller.gone() => return Ended::CallerLeft,
-                () = sleep_until(due) => return Ended::TimeOver,
-                step = mover.next(&self.permit, self.incoming.id()) => Some(step),
-                piece = opened.next(), if mover.reads_source() => match piece {
-                    Ok(Some(data)) => {
-                        match self.pass(caller, &head, &data, closes).await {
-                            Ok(()) => None,
-                            Err(ended) => return ended,
-                        }
-                    }
-                    Ok(None) if !(mover.stops_source() && is_unframed(&opened)) => {
-                        return self.whole(opened);
-                    }
-                    Ok(None) => {
-                        mover.source_ended();
-                        None
-                    }
-                    Err(why) if mover.stops_source() => {
-                        slog::debug!(self.relay.log, "source closed"; "why" => why);
-                        mover.source_ended();
-                        None
-                    }
-                    Err(why) => return Ended::Broken(why),
-                },
-            };
-            let from = match step {
-                Some(Step::Continue(from)) => from,
-                Some(Step::Failed) if !mover.reads_source() => {
-                    return Ended::Broken("it was stopped and could not be moved");
-                }
-                _ => continue,
-            };
-            match self.go_on(from, due).await {
-                Ok(next) => opened = next,
-                Err(ended) => return ended,
-            }
-            mover = Mover::new(self.relay, self.engine);
-        }
-    }
-
-    /// Whether a stream that came to its end is whole.
-    fn whole(&mut self, opened: Opened) -> Ended {
-        if self.splitter.is_within_event() {
-            return Ended::Broken("the stream ended within an event");
-        }
-        if self.events == 0 {
-            return Ended::Broken("the stream ended without an event");
-        }
-        opened.finish(self.relay);
-        Ended::Whole
-    }
-
-    async fn pass(
-        &mut self,
-        caller: &mut Channel,
-        head: &[u8],
-        data: &[u8],
-        closes: bool,
-    ) -> Result<(), Ended> {
-        let events = self
-            .splitter
-            .push(data)
-            .map_err(|_| Ended::Broken("an event does not end"))?;
-        if events.count == 0 {
-            return Ok(());
-        }
-        let now_ms = self.relay.now_ms();
-        if self.events > 0 {
-            let pause_ms = now_ms.saturating_sub(self.last_event_ms);
-            self.longest_pause_ms = self.longest_pause_ms.max(pause_ms);
-        } else {
-            self.first_event_ms = Some(now_ms - self.incoming.came_ms);
-        }
-        self.last_event_ms = now_ms;
-        self.events += events.count;
-        if events.last_id.is_some() {
-            self.last_event = events.last_id;
-        }
-        let per_event = self.engine.map_or(1, |engine| engine.tokens_per_event);
-        self.permit.grew(self.events * per_event);
-        let mut out = Vec::with_capacity(events.bytes.len() + 512);
-        let chunked = !self.incoming.head.old;
-        if !std::mem::replace(&mut self.head_written, true) {
-            out.extend_from_slice(head);
-            if chunked {
-                out.extend_from_slice(b"Transfer-Encoding: chunked\r\n");
-            }
-            if closes {
-                out.extend_from_slice(b"Connection: close\r\n");
-            }
-            out.extend_from_slice(b"\r\n");
-        }
-        match chunked {
-            true => push_chunk(&mut out, &events.bytes),
-            false => out.extend_from_slice(&events.bytes),
-        }
-        caller.write(&out).await.map_err(|_| Ended::CallerLeft)
-    }
-
-    /// Has the generation go on where its copy lies.
-    async fn go_on(&mut self, from: crate::moving::Moved, due: Instant) -> Result<Opened, Ended> {
-        // What was cut off with the source's stream comes again from the copy.
-        self.splitter = EventSplitter::default();
-        let continuation = Continuation {
-            source: from.source,
-            copy: from.copy,
-            last_event: self.last_event.clone(),
-        };
-        for slot in [from.to, from.source_slot] {
-            let trying = send(
-                self.relay,
-                self.incoming,
-                self.way,
-                slot,
-                Some(&continuation),
-            );
-            let Ok(tried) = timeout_at(due, trying).await else {
-                return Err(Ended::TimeOver);
-            };
-            self.relay.judge(slot, word_of(&tried));
-            match tried {
-                Tried::Answered(opened) if opened.head.status == 200 && opened.is_vouched() => {
-                    self.permit.slot = slot;
-                    self.moves += 1;
-                    metrics::counter!("shuntpier_moves", "end" => "done").increment(1);
-                    slog::info!(self.relay.log, "generation goes on"; "id" => self.incoming.id(),
-                        "events" => self.events, "copy" => &*continuation.copy);
-                    return Ok(*opened);
-                }
-                Tried::Answered(_) | Tried::MayHaveRun(_) => break,
-                Tried::NotRun(why) => {
-                    slog::info!(self.relay.log, "copy not taken up"; "id" => self.incoming.id(),
-                        "why" => ?why);
-                }
-            }
-        }
-        metrics::counter!("shuntpier_moves", "end" => "lost").increment(1);
-        Err(Ended::Broken("its copy was not taken up"))
-    }
-}
--- a/components/relay/src/judge.rs
+++ b/components/relay/src/judge.rs
@@ -3,7 +3,8 @@
 use crate::news::tell_leaving;
 use crate::send::NotRun;
 use crate::state::Relay;
-use crate::targets::TargetSlot;
+use crate::targets::{Belief, TargetSlot};
+use prelude::TargetId;
 use std::rc::Rc;
 
 /// What a target showed of itself.
@@ -71,10 +72,29 @@
         }
     }
 
+    /// Whether this box believes that a target takes new work.
+    pub(crate) fn takes_work(&self, slot: TargetSlot) -> bool {
+        let targets = self.targets.borrow();
+        targets
+            .get(slot)
+            .is_some_and(|target| target.belief == Belief::Ready)
+    }
+
+    /// The name of a target's life; none where it is forgotten.
+    pub(crate) fn instance_of(&self, slot: TargetSlot) -> Option<Box<str>> {
+        let targets = self.targets.borrow();
+        targets
+            .get(slot)
+            .map(|target| target.entry.instance.clone())
+    }
+
+    /// A target's key in the policies; none where it is forgotten.
+    pub(crate) fn id_of(&self, slot: TargetSlot) -> Option<TargetId> {
+        self.targets.borrow().get(slot).map(|target| target.id)
+    }
+
     /// The name of a target's life, for logs.
     pub(crate) fn name_of(&self, slot: TargetSlot) -> String {
-        let targets = self.targets.borrow();
-        let target = targets.get(slot);
-        target.map_or_else(String::new, |target| target.entry.instance.to_string())
+        self.instance_of(slot).unwrap_or_default().into()
     }
 }
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -17,6 +17,7 @@
 mod news;
 mod permits;
 mod presence;
+mod pump;
 mod readiness;
 mod reports;
 mod request;
@@ -25,6 +26,7 @@
 mod start;
 mod state;
 mod targets;
+mod telling;
 
 pub use events::{EventError, EventSplitter, Events};
 pub use start::{Running, StartError, start};
--- a/components/relay/src/moving.rs
+++ b/components/relay/src/moving.rs
@@ -203,7 +203,13 @@
                 .relocate(self.pool, self.serial, self.source_id, &avoid)
                 .await;
             let to = match found {
-                Ok(to) => to,
+                Ok(to) if relay.takes_work(to) => to,
+                Ok(to) => {
+                    // The dispatcher has not heard yet that it leaves too.
+                    avoid.extend(relay.id_of(to));
+                    relay.tell_relocated(self.pool, self.serial, self.source_id);
+                    continue;
+                }
                 Err(RelocateReply::Wait) => continue,
                 Err(reply) => {
                     slog::info!(relay.log, "not moved"; "id" => &*self.id, "why" => ?reply,
@@ -232,7 +238,7 @@
     ) -> Try {
         let _turn = Turn { relay, job: self };
         let began_ms = relay.now_ms();
-        let to_id = relay.targets.borrow().get(to).map(|target| target.id);
+        let to_id = relay.id_of(to);
         let first = match self.copy(relay, to, false).await {
             CopyReply::Done { copy, .. } => copy,
             CopyReply::NotRunning => return Try::Again("it does not run yet, or no more", None),
--- a/components/relay/src/permits.rs
+++ b/components/relay/src/permits.rs
@@ -5,13 +5,11 @@
 use crate::dispatch::refusal;
 use crate::state::{Relay, pool_of};
 use crate::targets::TargetSlot;
-use peers::{
-    AcquireRequest, AdoptedStream, PermitReply, RelocateReply, RelocateRequest, UpdateRequest,
-};
+use peers::{AcquireRequest, PermitReply, RelocateReply, RelocateRequest};
 use prelude::{BoxId, PermitId, PoolId, Refusal, RefusalReason, TargetId};
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep};
+use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Longest time for a dispatcher's first word. Boxes are some milliseconds apart; a box at a fifth of its
@@ -21,14 +19,12 @@
 const WAIT_EACH_MS: u32 = 200;
 /// What an answer may take beyond that.
 const WAIT_SLACK: Duration = Duration::from_millis(120);
+/// How long a box waits for the news of a target that its dispatcher already names.
+const NEWS_LIMIT: Duration = Duration::from_millis(100);
 /// Longest time for other calls to a dispatcher.
-const CALL_LIMIT: Duration = Duration::from_millis(250);
+pub(crate) const CALL_LIMIT: Duration = Duration::from_millis(250);
 /// Dispatchers that are asked before a box decides by its own view.
 const ASKED_MAX: usize = 2;
-/// What is to be told is gathered for this long.
-const GATHER: Duration = Duration::from_millis(20);
-/// A dispatcher is told at least this often, so that it notices what it missed.
-const TELL_EACH: Duration = Duration::from_millis(1_000);
 
 /// What a generation needs.
 #[derive(Clone, Copy, Debug)]
@@ -82,7 +78,7 @@
 }
 
 impl Relay {
-    fn permit_id(&self, serial: u64) -> PermitId {
+    pub(crate) fn permit_id(&self, serial: u64) -> PermitId {
         PermitId {
             entry: self.id,
             life: self.life,
@@ -91,7 +87,7 @@
     }
 
     /// The boxes that dispatch a pool, the first in rank first.
-    fn dispatchers_of(&self, pool: PoolId) -> Vec<BoxId> {
+    pub(crate) fn dispatchers_of(&self, pool: PoolId) -> Vec<BoxId> {
         let members = self.members.borrow();
         members.ranked(role_of(pool), self.is_stopping(), self.now_ms())
     }
@@ -116,9 +112,7 @@
             avoid: want.avoid,
         };
         let target = self.ask(request, want.wait_left_ms).await?;
-        let slot = self.targets.borrow().slot_of(target);
-        let Some(slot) = slot else {
-            // A dispatcher may know a target some milliseconds before we do.
+        let Some(slot) = self.slot_soon(target).await else {
             self.tell_withdrawn(request.pool, request.permit);
             return Err(refusal(RefusalReason::NoTarget));
         };
@@ -132,6 +126,22 @@
         })
     }
 
+    /// A target that a dispatcher names, which it may know some milliseconds before this box does.
+    async fn slot_soon(&self, target: TargetId) -> Option<TargetSlot> {
+        let mut changes = self.target_changes.subscribe();
+        let until = Instant::now() + NEWS_LIMIT;
+        loop {
+            let slot = self.targets.borrow().slot_of(target);
+            if slot.is_some() {
+                return slot;
+            }
+            let changed = tokio::time::timeout_at(until, changes.changed()).await;
+            if !matches!(changed, Ok(Ok(()))) {
+                return None;
+            }
+        }
+    }
+
     async fn ask(
         self: &Rc<Self>,
         request: AcquireRequest,
@@ -188,49 +198,6 @@
         self.heard_from(dispatcher, call.await, "acquire")
     }
 
-    /// Notes whether a peer answered.
-    pub(crate) fn heard_from<T>(
-        &self,
-        id: BoxId,
-        answered: Result<T, peers::PeerError>,
-        call: &'static str,
-    ) -> Option<T> {
-        let now_ms = self.now_ms();
-        match answered {
-            Ok(value) => {
-                self.members.borrow_mut().heard(id, now_ms);
-                Some(value)
-            }
-            Err(error) => {
-                self.members.borrow_mut().doubted(id, now_ms);
-                slog::info!(self.log, "peer did not answer"; "call" => call, "box" => id.0,
-                    "error" => %error);
-                metrics::counter!("shuntpier_peer_failures").increment(1);
-                None
-            }
-        }
-    }
-
-    /// Takes a request or a permit back, without waiting for the answer.
-    fn tell_withdrawn(self: &Rc<Self>, pool: PoolId, permit: PermitId) {
-        let Some(dispatcher) = self.dispatchers_of(pool).first().copied() else {
-            return;
-        };
-        if dispatcher == self.id {
-            self.withdraw_here(pool, permit);
-            return;
-        }
-        let relay = self.clone();
-        tokio::task::spawn_local(async move {
-            let call = relay
-                .peers
-                .call(dispatcher, CALL_LIMIT, |client, context| async move {
-                    client.withdraw(context, pool, permit).await
-                });
-            relay.heard_from(dispatcher, call.await, "withdraw");
-        });
-    }
-
     /// Asks where a running generation can go on. Its permit then is for that engine. Where no dispatcher
     /// answers, this box decides by what it knows of its own generations.
     pub(crate) async fn relocate(
@@ -270,7 +237,7 @@
         let RelocateReply::Go(target) = reply else {
             return Err(reply);
         };
-        let slot = self.targets.borrow().slot_of(target);
+        let slot = self.slot_soon(target).await;
         let slot = slot.ok_or(RelocateReply::NoRoom)?;
         self.runs.borrow_mut().moved(serial, target);
         Ok(slot)
@@ -284,82 +251,6 @@
             });
         self.heard_from(id, call.await, "relocate")
     }
-
-    /// Says that a generation's turn on a link is over, without waiting for the answer.
-    pub(crate) fn tell_relocated(self: &Rc<Self>, pool: PoolId, serial: u64, from: TargetId) {
-        let permit = self.permit_id(serial);
-        let Some(dispatcher) = self.dispatchers_of(pool).first().copied() else {
-            return;
-        };
-        if dispatcher == self.id {
-            self.relocated_here(pool, permit, from);
-            return;
-        }
-        let relay = self.clone();
-        tokio::task::spawn_local(async move {
-            let call = relay
-                .peers
-                .call(dispatcher, CALL_LIMIT, |client, context| async move {
-                    client.relocated(context, pool, permit, from).await
-                });
-            relay.heard_from(dispatcher, call.await, "relocated");
-        });
-    }
-
-    /// Tells dispatchers what this box has open, for as long as the box lives.
-    pub(crate) async fn run_telling(self: Rc<Self>) {
-        loop {
-            let changed = self.runs_changed.notified();
-            if tokio::time::timeout(TELL_EACH, changed).await.is_ok() {
-                sleep(GATHER).await;
-            }
-            let pools = self.runs.borrow().pools();
-            for pool in pools {
-                self.tell_runs(pool).await;
-            }
-        }
-    }
-
-    async fn tell_runs(self: &Rc<Self>, pool: PoolId) {
-        let Some(dispatcher) = self.dispatchers_of(pool).first().copied() else {
-            return;
-        };
-        let (progress, ended) = self.runs.borrow_mut().untold(pool);
-        let open = self.runs.borrow().open_in(pool);
-        let update = UpdateRequest {
-            pool,
-            progress,
-            ended,
-            from: self.id,
-            life: self.life,
-            open_streams: open.len() as u32,
-        };
-        if dispatcher == self.id {
-            if self.update_here(&update).resync {
-                self.adopt_here(self.id, pool, &open);
-            }
-            return;
-        }
-        let call = self
-            .peers
-            .call(dispatcher, CALL_LIMIT, |client, context| async move {
-                client.update(context, update).await
-            });
-        let reply = self.heard_from(dispatcher, call.await, "update");
-        if reply.is_some_and(|reply| reply.resync) {
-            self.tell_all_runs(dispatcher, pool, open).await;
-        }
-    }
-
-    async fn tell_all_runs(&self, dispatcher: BoxId, pool: PoolId, open: Vec<AdoptedStream>) {
-        let me = self.id;
-        let call = self
-            .peers
-            .call(dispatcher, CALL_LIMIT, |client, context| async move {
-                client.adopt(context, me, pool, open).await
-            });
-        self.heard_from(dispatcher, call.await, "adopt");
-    }
 }
 
 /// Takes a request back when whoever waits for it leaves.
--- /dev/null
+++ b/components/relay/src/telling.rs
@@ -0,0 +1,140 @@
+//! What a box tells the dispatchers of its generations: how far they are, which ended, and what it takes back.
+
+use crate::permits::CALL_LIMIT;
+use crate::state::Relay;
+use peers::{AdoptedStream, UpdateRequest};
+use prelude::{BoxId, PermitId, PoolId, TargetId};
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::sleep;
+
+/// What is to be told is gathered for this long.
+const GATHER: Duration = Duration::from_millis(20);
+/// A dispatcher is told at least this often, so that it notices what it missed.
+const TELL_EACH: Duration = Duration::from_millis(1_000);
+
+impl Relay {
+    /// Notes whether a peer answered.
+    pub(crate) fn heard_from<T>(
+        &self,
+        id: BoxId,
+        answered: Result<T, peers::PeerError>,
+        call: &'static str,
+    ) -> Option<T> {
+        let now_ms = self.now_ms();
+        match answered {
+            Ok(value) => {
+                self.members.borrow_mut().heard(id, now_ms);
+                Some(value)
+            }
+            Err(error) => {
+                self.members.borrow_mut().doubted(id, now_ms);
+                slog::info!(self.log, "peer did not answer"; "call" => call, "box" => id.0,
+                    "error" => %error);
+                metrics::counter!("shuntpier_peer_failures").increment(1);
+                None
+            }
+        }
+    }
+
+    /// Takes a request or a permit back, without waiting for the answer.
+    pub(crate) fn tell_withdrawn(self: &Rc<Self>, pool: PoolId, permit: PermitId) {
+        let Some(dispatcher) = self.dispatchers_of(pool).first().copied() else {
+            return;
+        };
+        if dispatcher == self.id {
+            self.withdraw_here(pool, permit);
+            return;
+        }
+        let relay = self.clone();
+        tokio::task::spawn_local(async move {
+            let call = relay
+                .peers
+                .call(dispatcher, CALL_LIMIT, |client, context| async move {
+                    client.withdraw(context, pool, permit).await
+                });
+            relay.heard_from(dispatcher, call.await, "withdraw");
+        });
+    }
+
+    /// Says that a generation's turn on a link is over, without waiting for the answer.
+    pub(crate) fn tell_relocated(self: &Rc<Self>, pool: PoolId, serial: u64, from: TargetId) {
+        let permit = self.permit_id(serial);
+        let Some(dispatcher) = self.dispatchers_of(pool).first().copied() else {
+            return;
+        };
+        if dispatcher == self.id {
+            self.relocated_here(pool, permit, from);
+            return;
+        }
+        let relay = self.clone();
+        tokio::task::spawn_local(async move {
+            let call = relay
+                .peers
+                .call(dispatcher, CALL_LIMIT, |client, context| async move {
+                    client.relocated(context, pool, permit, from).await
+                });
+            relay.heard_from(dispatcher, call.await, "relocated");
+        });
+    }
+
+    /// Tells dispatchers what this box has open, for as long as the box lives.
+    pub(crate) async fn run_telling(self: Rc<Self>) {
+        loop {
+            let changed = self.runs_changed.notified();
+            if tokio::time::timeout(TELL_EACH, changed).await.is_ok() {
+                sleep(GATHER).await;
+            }
+            let pools = self.runs.borrow().pools();
+            for pool in pools {
+                self.tell_runs(pool).await;
+            }
+        }
+    }
+
+    async fn tell_runs(self: &Rc<Self>, pool: PoolId) {
+        let Some(dispatcher) = self.dispatchers_of(pool).first().copied() else {
+            return;
+        };
+        let (progress, ended) = self.runs.borrow_mut().untold(pool);
+        let open = self.runs.borrow().open_in(pool);
+        let update = UpdateRequest {
+            pool,
+            progress,
+            ended,
+            from: self.id,
+            life: self.life,
+            open_streams: open.len() as u32,
+        };
+        if dispatcher == self.id {
+            if self.update_here(&update).resync {
+                self.adopt_here(self.id, pool, &open);
+            }
+            return;
+        }
+        let call = self
+            .peers
+            .call(dispatcher, CALL_LIMIT, |client, context| async move {
+                client.update(context, update).await
+            });
+        let reply = self.heard_from(dispatcher, call.await, "update");
+        if reply.is_some_and(|reply| reply.resync) {
+            self.tell_all_runs(dispatcher, pool, open).await;
+        }
+    }
+
+    pub(crate) async fn tell_all_runs(
+        &self,
+        dispatcher: BoxId,
+        pool: PoolId,
+        open: Vec<AdoptedStream>,
+    ) {
+        let me = self.id;
+        let call = self
+            .peers
+            .call(dispatcher, CALL_LIMIT, |client, context| async move {
+                client.adopt(context, me, pool, open).await
+            });
+        self.heard_from(dispatcher, call.await, "adopt");
+    }
+}
