Callers who read slowly are not cut off

Cause, found by reading: the system's time-out for unacknowledged bytes, 2.5 s for targets and peers behind a cut, also counts a window that stays closed; a caller who paused lost its stream. Now 20 s towards callers; a blocked write ends with the request's time.

--- a/components/http1/src/channel.rs
+++ b/components/http1/src/channel.rs
@@ -16,9 +16,12 @@
 const AHEAD_BYTES_MAX: usize = 64 * 1024;
 /// Longest head of an answer.
 const ANSWER_HEAD_BYTES_MAX: usize = 32 * 1024;
-/// Written bytes that are not acknowledged for this long end the channel. A peer behind a cut says
-/// nothing, and the system's own time is many minutes.
-const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(2500);
+/// Written bytes that are not acknowledged for this long end a channel that this side opened. A peer behind
+/// a cut says nothing, and the system's own time is many minutes.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(2_500);
+/// The same for a channel that was taken: whoever opened it may read slowly, and a window that stays closed
+/// counts as not acknowledged.
+const SLOW_READER_LIMIT: Duration = Duration::from_secs(20);
 /// A silent channel is probed after this time, and at this interval.
 const PROBE_AFTER: Duration = Duration::from_secs(2);
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
@@ -47,14 +50,14 @@
     pub buffer: BytesMut,
 }
 
-fn tune(io: &TcpStream) -> io::Result<()> {
+fn tune(io: &TcpStream, unacknowledged: Duration) -> io::Result<()> {
     io.set_nodelay(true)?;
     let socket = SockRef::from(io);
     let probes = TcpKeepalive::new()
         .with_time(PROBE_AFTER)
         .with_interval(PROBE_INTERVAL);
     socket.set_tcp_keepalive(&probes)?;
-    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))
+    socket.set_tcp_user_timeout(Some(unacknowledged))
 }
 
 /// Takes channels.
@@ -90,17 +93,13 @@
     /// The system's, where descriptors are used up or a channel ended before it was taken.
     pub async fn accept(&self) -> io::Result<Channel> {
         let (io, _) = self.0.accept().await?;
-        Channel::new(io)
+        Channel::new(io, SLOW_READER_LIMIT)
     }
 }
 
 impl Channel {
-    /// A channel over an open socket.
-    ///
-    /// # Errors
-    /// The system's, where the socket cannot be set up.
-    pub fn new(io: TcpStream) -> io::Result<Self> {
-        tune(&io)?;
+    fn new(io: TcpStream, unacknowledged: Duration) -> io::Result<Self> {
+        tune(&io, unacknowledged)?;
         Ok(Self {
             io,
             buffer: BytesMut::new(),
@@ -114,7 +113,7 @@
     pub async fn connect(address: SocketAddr, limit: Duration) -> io::Result<Self> {
         let connecting = TcpStream::connect(address);
         match tokio::time::timeout(limit, connecting).await {
-            Ok(io) => Self::new(io?),
+            Ok(io) => Self::new(io?, UNACKNOWLEDGED_LIMIT),
             Err(_) => Err(io::ErrorKind::TimedOut.into()),
         }
     }
--- a/components/relay/src/pump.rs
+++ b/components/relay/src/pump.rs
@@ -126,9 +126,12 @@
                 step = mover.next(&self.permit, self.incoming.id()) => Some(step),
                 piece = opened.next(), if mover.reads_source() => match piece {
                     Ok(Some(data)) => {
-                        match self.pass(caller, &head, &data, closes).await {
-                            Ok(()) => None,
-                            Err(ended) => return ended,
+                        let passing = self.pass(caller, &head, &data, closes);
+                        // A caller that does not read holds this up, but not beyond the request's time.
+                        match timeout_at(due, passing).await {
+                            Ok(Ok(())) => None,
+                            Ok(Err(ended)) => return ended,
+                            Err(_) => return Ended::TimeOver,
                         }
                     }
                     Ok(None) if !(mover.stops_source() && is_unframed(&opened)) => {
