News to many boxes goes by groups; a new box greets those that may follow targets

Cause: at 300 boxes the one that follows targets told 299 others every 0.4 s, and each new box greeted all. Now twelve groups, whose first box passes on; up to 24 are told one by one as before.

--- a/components/peers/src/fleet.rs
+++ b/components/peers/src/fleet.rs
@@ -64,6 +64,8 @@
     /// Lives of targets that the sender knows to leave, from the store, from themselves or because nothing
     /// listens there any more.
     pub leaving: Vec<Box<str>>,
+    /// Boxes that the receiver is to pass this on to.
+    pub pass_on: Vec<BoxId>,
     /// Boxes that the sender knows; empty where the other knows as many.
     pub boxes: Vec<FleetCard>,
 }
--- a/components/relay/src/follow.rs
+++ b/components/relay/src/follow.rs
@@ -86,7 +86,7 @@
 }
 
 /// The role of following targets, for rendezvous hashing.
-fn targets_role() -> u64 {
+pub(crate) fn targets_role() -> u64 {
     xxh3_64(b"targets")
 }
 
--- a/components/relay/src/news.rs
+++ b/components/relay/src/news.rs
@@ -1,6 +1,7 @@
 //! What boxes tell each other: the declarations, the targets, and which boxes there are. News goes to all
 //! at once; what was missed is found by an exchange with one box at a time.
 
+use crate::follow::targets_role;
 use crate::members::Met;
 use crate::state::Relay;
 use peers::{
@@ -15,6 +16,12 @@
 
 /// How often a box exchanges what it knows with one other.
 const EXCHANGE_EACH: Duration = Duration::from_millis(500);
+/// Up to so many boxes are told one by one; more are told by groups, so that what one box sends grows with the
+/// root of their number.
+const TOLD_DIRECTLY_MAX: usize = 24;
+const GROUPS: usize = 12;
+/// Boxes that a new box greets.
+const GREETED_MAX: usize = 24;
 /// Longest time for a call.
 const CALL_LIMIT: Duration = Duration::from_millis(400);
 
@@ -58,6 +65,7 @@
         }),
         targets,
         leaving: relay.targets.borrow().leaving(),
+        pass_on: Vec::new(),
         boxes,
     }
 }
@@ -113,25 +121,46 @@
 }
 
 fn tell_all(relay: &Rc<Relay>, targets: Option<Vec<TargetEntry>>, follows: bool) {
-    let others = relay.members.borrow().others();
     let news = FleetNews {
         digest: relay.digest(),
         follows_targets: follows,
         table: None,
         targets,
         leaving: relay.targets.borrow().leaving(),
+        pass_on: Vec::new(),
         boxes: Vec::new(),
     };
-    for id in others {
-        let (relay, news) = (relay.clone(), news.clone());
-        tokio::task::spawn_local(async move {
-            let call = relay
-                .peers
-                .call(id, CALL_LIMIT, |client, context| async move {
-                    client.tell(context, news).await
-                });
-            relay.heard_from(id, call.await, "tell");
-        });
+    let others = relay.members.borrow().others();
+    for group in groups(&others) {
+        tokio::task::spawn_local(tell_group(relay.clone(), news.clone(), group));
+    }
+}
+
+/// The boxes that are told, each first one passing on to the others of its group.
+fn groups(others: &[BoxId]) -> Vec<Vec<BoxId>> {
+    let count = match others.len() <= TOLD_DIRECTLY_MAX {
+        true => others.len(),
+        false => GROUPS,
+    };
+    let size = others.len().div_ceil(count.max(1)).max(1);
+    others.chunks(size).map(<[BoxId]>::to_vec).collect()
+}
+
+/// Tells the first box of a group, or the next where that one does not answer.
+async fn tell_group(relay: Rc<Relay>, mut news: FleetNews, group: Vec<BoxId>) {
+    let mut rest = &group[..];
+    while let Some((first, others)) = rest.split_first() {
+        rest = others;
+        news.pass_on = others.to_vec();
+        let (first, news) = (*first, news.clone());
+        let call = relay
+            .peers
+            .call(first, CALL_LIMIT, |client, context| async move {
+                client.tell(context, news).await
+            });
+        if relay.heard_from(first, call.await, "tell").is_some() {
+            return;
+        }
     }
 }
 
@@ -156,9 +185,11 @@
     }
 }
 
-/// Makes this box known to all others.
-pub(crate) async fn greet_all(relay: &Rc<Relay>) {
-    let others = relay.members.borrow().others();
+/// Makes this box known to others: to those that may follow targets, who tell all they know, and to some more.
+pub(crate) async fn greet(relay: &Rc<Relay>) {
+    let now_ms = relay.now_ms();
+    let others = relay.members.borrow().ranked(targets_role(), true, now_ms);
+    let others: Vec<BoxId> = others.into_iter().take(GREETED_MAX).collect();
     let greetings = others.into_iter().map(|id| exchange_with(relay, id));
     futures::future::join_all(greetings).await;
 }
@@ -215,7 +246,12 @@
         news_for(&self.0, Some(&digest))
     }
 
-    async fn tell(&self, news: FleetNews) {
+    async fn tell(&self, mut news: FleetNews) {
+        let pass_on = std::mem::take(&mut news.pass_on);
+        for id in pass_on {
+            let relay = self.0.clone();
+            tokio::task::spawn_local(tell_group(relay, news.clone(), vec![id]));
+        }
         let follows = news.follows_targets;
         if follows {
             let now_ms = self.0.now_ms();
@@ -248,3 +284,7 @@
         self.0.adopt_here(from, pool, &streams);
     }
 }
+
+#[cfg(test)]
+#[path = "news_tests.rs"]
+mod tests;
--- a/components/relay/src/presence.rs
+++ b/components/relay/src/presence.rs
@@ -3,7 +3,7 @@
 
 use crate::backoff::Backoff;
 use crate::follow::watches_targets;
-use crate::news::{greet_all, meet};
+use crate::news::{greet, meet};
 use crate::state::Relay;
 use peers::FleetCard;
 use prelude::BoxId;
@@ -108,7 +108,7 @@
                 backoff.reset();
                 take_keys(&relay, &items);
                 if !std::mem::replace(&mut begun, true) {
-                    greet_all(&relay).await;
+                    greet(&relay).await;
                 }
                 sleep(pause).await;
                 pause = READ_EACH;
