--- a/components/relay/src/call.rs
+++ b/components/relay/src/call.rs
@@ -22,7 +22,7 @@
 
 /// What one offer led to.
 enum Offer {
-    Answered { reply: Reply, status: u16 },
+    Answered(Reply),
     NotRun(NotRun),
     MayHaveRun(&'static str),
 }
@@ -54,8 +54,8 @@
         relay.judge(slot, offer.word());
         story.arrivals += u32::from(offer.arrived());
         match offer {
-            Offer::Answered { reply, status } => {
-                let may_improve = status >= 500 && way.route().kind == RouteKind::Repeatable;
+            Offer::Answered(reply) => {
+                let may_improve = reply.status >= 500 && way.route().kind == RouteKind::Repeatable;
                 if !may_improve {
                     return reply;
                 }
@@ -158,19 +158,21 @@
     };
     let status = opened.head.status;
     let reply = Reply {
+        status,
         head: relayed_head(&opened.head),
         body,
+        own: None,
     };
     opened.finish(relay);
-    Offer::Answered { reply, status }
+    Offer::Answered(reply)
 }
 
 impl Offer {
     /// What it says of its target.
     fn word(&self) -> Word {
         match self {
-            Self::Answered { status, .. } if *status < 500 => Word::Well,
-            Self::Answered { .. } | Self::MayHaveRun(_) => Word::Failed,
+            Self::Answered(reply) if reply.status < 500 => Word::Well,
+            Self::Answered(_) | Self::MayHaveRun(_) => Word::Failed,
             Self::NotRun(why) => Word::from(*why),
         }
     }
@@ -178,8 +180,8 @@
     /// Writes an offer that failed to the log.
     fn note(&self, relay: &Relay, incoming: &Incoming, slot: TargetSlot) {
         let outcome = match self {
-            Self::Answered { status, .. } if *status < 500 => return,
-            Self::Answered { status, .. } => format!("answered {status}"),
+            Self::Answered(reply) if reply.status < 500 => return,
+            Self::Answered(reply) => format!("answered {}", reply.status),
             Self::NotRun(why) => format!("not run: {why:?}"),
             Self::MayHaveRun(why) => format!("may have run: {why}"),
         };
--- a/components/relay/src/generation.rs
+++ b/components/relay/src/generation.rs
@@ -24,8 +24,12 @@
 const WAIT_SHARE: f64 = 0.22;
 /// Engines that one generation is offered to, those that refuse it counted.
 const OFFERS_MAX: usize = 3;
-/// Answer tokens that a caller's guess is rounded to: this many steps for each doubling.
+/// A caller's guess is rounded to this many steps for each doubling.
 const GUESS_STEPS: f64 = 2.0;
+/// The longest guess that is told from longer ones, in such steps.
+const GUESS_STEP_MOST: u8 = 31;
+/// Ranks that are told apart; less urgent ones count as the last.
+const RANKS: u8 = 7;
 /// Guesses are right in the median; a generation that must end in time is taken to be this much longer.
 const GUESS_SAFETY: u64 = 2;
 /// Time until the first token, and for each token, that a generation is taken to need: an engine at half
@@ -37,7 +41,7 @@
 /// From SIGTERM on, so long a guess is trusted: what callers send before they can know of the stop may be
 /// cut at its end.
 const STOP_GUESSES_MS: u64 = 2_500;
-/// Weight of a generation without a guess.
+/// The kind of generations without a guess; their ranks count down from here.
 const KIND_UNKNOWN: u8 = 255;
 
 /// Serves a generation.
@@ -120,7 +124,12 @@
         Ok(body) if vouched => {
             let head = relayed_head(&opened.head);
             opened.finish(relay);
-            Reply { head, body }
+            Reply {
+                status,
+                head,
+                body,
+                own: None,
+            }
         }
         _ => {
             let own = Own::MayHaveRun("the answer is not the target's own");
@@ -148,10 +157,10 @@
 /// Which generations have answers of like length: those of like rank and guess.
 fn kind_of(generation: &GenerationRequest, rank: u8) -> u8 {
     let Some(guess) = generation.guess_tokens else {
-        return KIND_UNKNOWN - rank.min(7);
+        return KIND_UNKNOWN - rank.min(RANKS);
     };
     let step = (f64::from(guess.max(1)).log2() * GUESS_STEPS) as u8;
-    step.min(31) * 7 + rank.min(6)
+    step.min(GUESS_STEP_MOST) * RANKS + rank.min(RANKS - 1)
 }
 
 /// The part of a prompt that other requests may share.
--- a/components/relay/src/ingress.rs
+++ b/components/relay/src/ingress.rs
@@ -278,13 +278,13 @@
         }
     };
     let took_ms = relay.now_ms() - incoming.came_ms;
-    let status = status_of(&reply);
-    if status >= 400 {
-        slog::info!(relay.log, "request failed"; "id" => incoming.id(), "status" => status,
-            "route" => &*way.route().name, "version" => way.declared.table.version,
-            "after_ms" => took_ms, "body" => own_words(&reply));
+    if reply.status >= 400 {
+        slog::info!(relay.log, "request failed"; "id" => incoming.id(),
+            "status" => reply.status, "route" => &*way.route().name,
+            "version" => way.declared.table.version, "after_ms" => took_ms,
+            "why" => reply.own.map(Own::why));
     }
-    count(status, "call");
+    count(reply.status, "call");
     metrics::histogram!("shuntpier_call_ms").record(took_ms as f64);
     write_reply(relay, channel, reply, false).await
 }
@@ -299,21 +299,6 @@
     })
 }
 
-/// The status in the first line of a reply's head.
-fn status_of(reply: &Reply) -> u16 {
-    let digits = reply.head.get(9..12).unwrap_or_default();
-    let text = std::str::from_utf8(digits).unwrap_or_default();
-    text.parse().unwrap_or_default()
-}
-
-/// The body of a failure of ours, for the log; targets' bodies are not logged.
-fn own_words(reply: &Reply) -> String {
-    match reply.body.starts_with(b"{\"error\"") {
-        true => String::from_utf8_lossy(&reply.body).into_owned(),
-        false => String::new(),
-    }
-}
-
 pub(crate) async fn write_reply(
     relay: &Relay,
     channel: &mut Channel,
--- a/components/relay/src/request.rs
+++ b/components/relay/src/request.rs
@@ -153,16 +153,21 @@
 /// A whole answer.
 #[derive(Clone, Debug)]
 pub(crate) struct Reply {
+    pub status: u16,
     /// Status line and fields, without framing and empty line.
     pub head: Vec<u8>,
     pub body: Bytes,
+    /// Why it is an answer of this box's own; none for a target's.
+    pub own: Option<Own>,
 }
 
 impl Reply {
     pub(crate) fn own(own: Own, request_id: Option<&str>) -> Self {
         Self {
+            status: own.status(),
             head: platform::refusal_head(own.status(), request_id, own.retry_after_ms()),
             body: own.body(),
+            own: Some(own),
         }
     }
 
