--- a/components/policy/src/relocate.rs
+++ b/components/policy/src/relocate.rs
@@ -7,7 +7,7 @@
 
 /// What copying within a data centre is preferred by, in tokens of memory: between data centres a copy
 /// takes twice as long.
-const NEAR_COPY_TOKENS: f64 = 4000.0;
+const NEAR_COPY_TOKENS: f64 = 12_000.0;
 
 /// A copy that arrives at an engine holds up the next one there; so much memory is such an engine taken to
 /// have less.
