--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -2,7 +2,6 @@
 
 use crate::boxfile::BoxFile;
 use crate::branch::{Branch, TargetKind};
-use crate::fleetfile::FleetFile;
 use crate::locate::{Located, Step, byte_offset};
 use jsonschema::error::ValidationErrorKind;
 use jsonschema::paths::LocationSegment;
@@ -64,60 +63,6 @@
     })
 }
 
-/// Parses and checks the settings file of a box of a platform's fleet.
-///
-/// # Errors
-/// Every mistake that was found.
-pub fn parse_fleet_file(name: &str, text: &str) -> Result<FleetFile, Box<Mistakes>> {
-    parse(name, text, fleet_mistakes)
-}
-
-/// Reads the settings file of a fleet box without naming all its mistakes: a box that starts pays for its
-/// memory at its peak, and the schema that finds every mistake takes most of it.
-///
-/// # Errors
-/// The first mistake; [`parse_fleet_file`] names all.
-pub fn read_fleet_file(text: &str) -> Result<FleetFile, String> {
-    let file: FleetFile = serde_saphyr::from_str(text).map_err(|error| error.to_string())?;
-    match fleet_mistakes(&file).into_iter().next() {
-        None => Ok(file),
-        Some(found) => Err(found.message),
-    }
-}
-
-/// The mistakes of a fleet box's file; none where it is right.
-pub fn check_fleet_file(name: &str, text: &str) -> Option<Box<Mistakes>> {
-    parse_fleet_file(name, text).err()
-}
-
-fn fleet_mistakes(file: &FleetFile) -> Vec<Found> {
-    let mut found = Vec::new();
-    let identity = &file.identity;
-    if identity.callers_address == identity.readiness_address {
-        found.push(Found::new(
-            &["box", "readiness_address"],
-            "callers and readiness share an address".into(),
-            Some("give each an address of its own".into()),
-        ));
-    }
-    let promises = &file.promises;
-    if !(0.0..=1.0).contains(&promises.resend_share) {
-        found.push(Found::new(
-            &["promises", "resend_share"],
-            format!("{} is not between 0 and 1", promises.resend_share),
-            Some("a share of 0.2 allows one second send for five requests".into()),
-        ));
-    }
-    if promises.resend_window_s <= 0.0 {
-        found.push(Found::new(
-            &["promises", "resend_window_s"],
-            "a window of no length".into(),
-            None,
-        ));
-    }
-    found
-}
-
 /// The mistakes of a branch; none where it is right.
 pub fn check_branch(name: &str, text: &str) -> Option<Box<Mistakes>> {
     parse_branch(name, text).err()
@@ -129,14 +74,14 @@
 }
 
 /// A mistake that is known by its path, before its place in the text is.
-struct Found {
+pub(crate) struct Found {
     path: Vec<Step>,
-    message: String,
+    pub(crate) message: String,
     advice: Option<String>,
 }
 
 impl Found {
-    fn new(path: &[&str], message: String, advice: Option<String>) -> Self {
+    pub(crate) fn new(path: &[&str], message: String, advice: Option<String>) -> Self {
         let path = path.iter().map(|key| Step::Key((*key).into())).collect();
         Self {
             path,
@@ -146,7 +91,7 @@
     }
 }
 
-fn parse<T, F>(name: &str, text: &str, semantic: F) -> Result<T, Box<Mistakes>>
+pub(crate) fn parse<T, F>(name: &str, text: &str, semantic: F) -> Result<T, Box<Mistakes>>
 where
     T: DeserializeOwned + JsonSchema,
     F: Fn(&T) -> Vec<Found>,
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -3,6 +3,7 @@
 mod boxfile;
 mod branch;
 mod check;
+mod fleetcheck;
 mod fleetfile;
 mod locate;
 mod resolve;
@@ -11,10 +12,8 @@
 pub use branch::{
     Account, Branch, Limits, Node, ObjectiveSettings, ServiceSettings, TargetKind, TargetSettings,
 };
-pub use check::{
-    Mistake, Mistakes, check_box_file, check_branch, check_fleet_file, parse_box_file,
-    parse_branch, parse_fleet_file, read_fleet_file,
-};
+pub use check::{Mistake, Mistakes, check_box_file, check_branch, parse_box_file, parse_branch};
+pub use fleetcheck::{check_fleet_file, parse_fleet_file, read_fleet_file};
 pub use fleetfile::{FleetFile, FleetIdentity, FleetLimits, FleetPromises, FleetStoreSettings};
 pub use resolve::{
     Resolved, ResolvedAccount, ResolvedModel, ResolvedService, ResolvedTarget, key_sha256,
