--- /dev/null
+++ b/components/policy/src/choose.rs
@@ -0,0 +1,99 @@
+//! Which engine a request of a pool goes to, and which are kept for those that have waited too long.
+
+use crate::demand::Demand;
+use crate::kind::PoolSettings;
+use crate::ledger::{EngineLedger, EngineState, Streams};
+use crate::pool::{Pool, demand_forecast};
+use crate::queue::Place;
+use prelude::TargetId;
+
+/// Where a request can go.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Choice {
+    /// The engine with the most room left, where it fits.
+    pub fits: Option<TargetId>,
+    /// The engines where it does not fit, the one nearest to having room first.
+    pub nearest: Vec<TargetId>,
+}
+
+impl Pool {
+    /// The engine for the first request of a place. Engines in `reserved` are kept for others.
+    pub(crate) fn choose(&mut self, place: Place, now_ms: u64, reserved: &[TargetId]) -> Choice {
+        let Some(demand) = self.queue.front(place) else {
+            return Choice::default();
+        };
+        let new = demand_forecast(&self.lengths, demand, self.settings.policy);
+        let margin = self.margin_in_use();
+        let began_ms = *self.began_ms.get_or_insert(now_ms);
+        // Until an engine's first report the dispatcher does not know what runs there, and would fill it
+        // a second time.
+        let needs_report = now_ms < began_ms + self.settings.first_report_ms;
+        let mut best: Option<(f64, TargetId)> = None;
+        let mut nearest: Vec<(f64, TargetId)> = Vec::new();
+        for ledger in &mut self.engines {
+            let limit = self.settings.running_limit as usize;
+            let at_limit = limit > 0 && ledger.streams.len() >= limit;
+            let takes = ledger.state == EngineState::Live
+                && !reserved.contains(&ledger.info.id)
+                && (ledger.report.is_some() || !needs_report)
+                && demand.avoid != Some(ledger.info.id)
+                && !at_limit
+                && !ledger.is_backed_up(now_ms);
+            if !takes || !prefill_fits(ledger, &self.streams, demand, &self.settings) {
+                continue;
+            }
+            let pace = self.tokens_per_ms;
+            let forecast = ledger.forecast(&self.streams, &self.lengths, pace, now_ms);
+            let peak = forecast.plus(&new).peak_tokens(margin);
+            let usable = ledger.info.capacity_tokens as f64 * self.settings.memory_share;
+            let left = usable - ledger.foreign_tokens - peak;
+            let empty = ledger.streams.is_empty() && ledger.foreign_tokens == 0.0;
+            if left < 0.0 && !empty {
+                nearest.push((left, ledger.info.id));
+                continue;
+            }
+            let affinity = demand.prefix.map_or(0.0, |(prefix, tokens)| {
+                let tokens = tokens.min(self.settings.affinity_tokens);
+                self.prefixes.worth(ledger.info.id, prefix, now_ms) * f64::from(tokens)
+            });
+            let is_near = demand.near == Some(ledger.info.data_centre);
+            let near = f64::from(u8::from(is_near)) * f64::from(self.settings.near_tokens);
+            let score = left + affinity + near;
+            if best.is_none_or(|(other, _)| score > other) {
+                best = Some((score, ledger.info.id));
+            }
+        }
+        nearest.sort_by(|a, b| b.0.total_cmp(&a.0));
+        Choice {
+            fits: best.map(|(_, target)| target),
+            nearest: nearest.into_iter().map(|(_, target)| target).collect(),
+        }
+    }
+
+    /// Keeps an engine for each request of a place that has waited past the limit, within the share
+    /// of engines that may be kept: those that are nearest to having room.
+    pub(crate) fn reserve(
+        &self,
+        place: Place,
+        nearest: &[TargetId],
+        reserved: &mut Vec<TargetId>,
+        now_ms: u64,
+    ) {
+        let most = (self.engines.len() as f64 * self.settings.reserve_share).ceil() as usize;
+        let room = most.saturating_sub(reserved.len());
+        let late_ms = now_ms.saturating_sub(self.settings.pass_limit_ms);
+        let late = self.queue.count_since(place, late_ms, room);
+        reserved.extend(nearest.iter().take(late));
+    }
+}
+
+fn prefill_fits(
+    ledger: &EngineLedger,
+    streams: &Streams,
+    demand: &Demand,
+    settings: &PoolSettings,
+) -> bool {
+    let waiting = ledger.prefill_tokens(streams);
+    let with = waiting + u64::from(demand.prompt_tokens);
+    waiting == 0 || with <= u64::from(settings.prefill_tokens)
+}
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -1,6 +1,7 @@
 //! The decisions: which target, when to wait, when to refuse. Nothing here opens a socket, starts a
 //! task or reads a clock.
 
+mod choose;
 mod demand;
 mod fairness;
 mod forecast;
