Two boxes follow the store for all, declarations too; one box asks engines while it is away

Ruled out: watching by all with a longer hold (the calls are one for each change), keys of boxes (a fifth of the calls).

--- a/components/peers/src/fleet.rs
+++ b/components/peers/src/fleet.rs
@@ -24,6 +24,9 @@
     pub data_centre: Box<str>,
     /// Whether it stops.
     pub leaving: bool,
+    /// Bandwidth of its link, in Mbit/s.
+    #[serde(default)]
+    pub link_mbps: u32,
 }
 
 /// What a box knows, in short.
@@ -35,8 +38,12 @@
     pub table_version: u64,
     /// The store's revision of the last change of targets that it knows.
     pub targets_changed_at: u64,
+    /// How long ago it was confirmed that these declarations are the newest, in ms; none where it was not.
+    pub table_age_ms: Option<u32>,
     /// The store's revision up to which it knows all targets.
     pub targets_current_to: u64,
+    /// How long ago it was confirmed that its view of targets is current, in ms; none where it was not.
+    pub targets_age_ms: Option<u32>,
     /// Other boxes that it knows.
     pub boxes: u32,
 }
@@ -46,8 +53,19 @@
 pub struct SharedTable {
     /// Their version.
     pub version: u64,
-    /// Their text.
-    pub text: Vec<u8>,
+    /// Their text, packed by DEFLATE.
+    pub packed: Vec<u8>,
+}
+
+/// Changes of the list of targets, for boxes that know all that came before them.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TargetChanges {
+    /// The store's revision of the last change before these that matters.
+    pub after_revision: u64,
+    /// Entries that are new or say something new.
+    pub listed: Vec<TargetEntry>,
+    /// Lives that are listed no more, with the revision of that.
+    pub unlisted: Vec<(Box<str>, u64)>,
 }
 
 /// What a box tells another.
@@ -55,12 +73,16 @@
 pub struct FleetNews {
     /// What the sender knows, in short.
     pub digest: FleetDigest,
-    /// Whether the sender follows targets in the store at this moment.
-    pub follows_targets: bool,
+    /// Whether the sender follows the store at this moment.
+    pub follows_store: bool,
+    /// Whether the sender asks all engines whether they leave, because the store does not say.
+    pub asks_engines: bool,
     /// The declarations, where the other has none or older ones.
     pub table: Option<SharedTable>,
     /// All targets that are listed, where the other knows less of them.
     pub targets: Option<Vec<TargetEntry>>,
+    /// What the sender has just learnt of targets.
+    pub target_changes: Option<TargetChanges>,
     /// Lives of targets that the sender knows to leave, from the store, from themselves or because nothing
     /// listens there any more.
     pub leaving: Vec<Box<str>>,
--- a/components/peers/src/lib.rs
+++ b/components/peers/src/lib.rs
@@ -15,7 +15,7 @@
 pub use counted::{Counted, Traffic};
 pub use fleet::{
     FleetCard, FleetClient, FleetDigest, FleetHandler, FleetNews, RelocateReply, RelocateRequest,
-    SharedTable,
+    SharedTable, TargetChanges,
 };
 pub use messages::{
     AcquireRequest, AdoptedStream, BoxCard, ClaimRequest, ClaimResult, Digest, EndedStream,
--- a/components/relay/src/dispatch.rs
+++ b/components/relay/src/dispatch.rs
@@ -172,7 +172,7 @@
         }
     }
 
-    fn data_centre_of(&self, id: BoxId) -> DataCentreId {
+    pub(crate) fn data_centre_of(&self, id: BoxId) -> DataCentreId {
         if id == self.id {
             return self.data_centre;
         }
--- a/components/relay/src/generation.rs
+++ b/components/relay/src/generation.rs
@@ -4,7 +4,7 @@
 use crate::dispatch::refusal;
 use crate::ingress::{After, count, stop_retry_ms, write_reply};
 use crate::judge::Word;
-use crate::news::tell_leaving;
+use crate::news::tell_current;
 use crate::permits::{Permit, Want};
 use crate::pump::Pump;
 use crate::request::{Incoming, Own, Reply, Way};
@@ -216,7 +216,7 @@
         if !relay.takes_work(slot) {
             // The dispatcher has not heard yet that it leaves.
             avoid = relay.id_of(slot);
-            tell_leaving(relay);
+            tell_current(relay);
             continue;
         }
         let trying = send(relay, incoming, way, slot, None);
--- a/components/relay/src/judge.rs
+++ b/components/relay/src/judge.rs
@@ -1,6 +1,6 @@
 //! What a try says of its target, for the requests that come after it.
 
-use crate::news::tell_leaving;
+use crate::news::tell_current;
 use crate::send::NotRun;
 use crate::state::Relay;
 use crate::targets::{Belief, TargetSlot};
@@ -64,7 +64,7 @@
         drop(targets);
         if let Some(change) = left {
             self.took_changes(&[change], "answer");
-            tell_leaving(self);
+            tell_current(self);
         }
         if doubted {
             slog::info!(self.log, "target passed over"; "target" => self.name_of(slot));
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -15,6 +15,7 @@
 mod members;
 mod moving;
 mod news;
+mod packed;
 mod permits;
 mod presence;
 mod pump;
@@ -27,6 +28,7 @@
 mod state;
 mod targets;
 mod telling;
+mod turn;
 
 pub use events::{EventError, EventSplitter, Events};
 pub use start::{Running, StartError, start};
--- a/components/relay/src/members.rs
+++ b/components/relay/src/members.rs
@@ -12,6 +12,8 @@
 const DOUBT_MAX_MS: u64 = 16_000;
 /// A box whose key is gone and that says nothing is forgotten after this time.
 const SILENT_MS: u64 = 10_000;
+/// A link is wide where it has this part of the widest one's bandwidth or more.
+const WIDE_PARTS: u64 = 2;
 /// The number of boxes among which the budget is shared falls only after this time.
 const SHARE_KEPT_MS: u64 = 15_000;
 
@@ -28,10 +30,12 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Members {
     me: BoxId,
+    my_link_mbps: u32,
     others: HashMap<BoxId, Member>,
     most: usize,
     most_ms: u64,
-    watcher_ms: u64,
+    follower_ms: u64,
+    any_ms: u64,
 }
 
 /// What a card changed.
@@ -44,13 +48,15 @@
 }
 
 impl Members {
-    pub(crate) fn new(me: BoxId) -> Self {
+    pub(crate) fn new(me: BoxId, my_link_mbps: u32) -> Self {
         Self {
             me,
+            my_link_mbps,
             others: HashMap::new(),
             most: 1,
             most_ms: 0,
-            watcher_ms: 0,
+            follower_ms: 0,
+            any_ms: 0,
         }
     }
 
@@ -72,6 +78,9 @@
         });
         member.card = card;
         member.keyed |= keyed;
+        if !keyed {
+            self.any_ms = now_ms;
+        }
         if !keyed || !same {
             member.heard_ms = now_ms;
             member.doubted_until_ms = 0;
@@ -93,6 +102,7 @@
 
     /// Notes that a box answered.
     pub(crate) fn heard(&mut self, id: BoxId, now_ms: u64) {
+        self.any_ms = now_ms;
         if let Some(member) = self.others.get_mut(&id) {
             member.heard_ms = now_ms;
             member.doubted_until_ms = 0;
@@ -141,7 +151,8 @@
         self.others.get(&id).map(|member| &member.card)
     }
 
-    /// The boxes in the order in which they hold `role`. Those that stop or do not answer hold none.
+    /// The boxes in the order in which they hold `role`: whoever holds one tells many others, so those with
+    /// wide links come first. Those that stop or do not answer hold none.
     pub(crate) fn ranked(&self, role: u64, leaving: bool, now_ms: u64) -> Vec<BoxId> {
         let able = |member: &&Member| {
             let known = member.keyed || member.heard_ms + SILENT_MS > now_ms;
@@ -151,19 +162,32 @@
             .others
             .values()
             .filter(able)
-            .map(|member| member.card.id);
-        let me = (!leaving).then_some(self.me);
-        ranked(role, others.chain(me))
+            .map(|member| (member.card.id, member.card.link_mbps));
+        let me = (!leaving).then_some((self.me, self.my_link_mbps));
+        let able: Vec<(BoxId, u32)> = others.chain(me).collect();
+        let widest = able.iter().map(|(_, link)| *link).max().unwrap_or_default();
+        let (wide, narrow): (Vec<_>, Vec<_>) = able
+            .into_iter()
+            .partition(|(_, link)| u64::from(*link) * WIDE_PARTS >= u64::from(widest));
+        let in_order = |boxes: Vec<(BoxId, u32)>| ranked(role, boxes.into_iter().map(|b| b.0));
+        let mut order = in_order(wide);
+        order.extend(in_order(narrow));
+        order
+    }
+
+    /// Notes that a box that follows the store said so.
+    pub(crate) fn heard_follower(&mut self, now_ms: u64) {
+        self.follower_ms = now_ms;
     }
 
-    /// Notes that a box that watches targets told of them.
-    pub(crate) fn heard_watcher(&mut self, now_ms: u64) {
-        self.watcher_ms = now_ms;
+    /// When a box that follows the store last said so.
+    pub(crate) fn heard_follower_ms(&self) -> u64 {
+        self.follower_ms
     }
 
-    /// When a box that watches targets last told of them.
-    pub(crate) fn heard_watcher_ms(&self) -> u64 {
-        self.watcher_ms
+    /// When any box last answered or called this one.
+    pub(crate) fn heard_any_ms(&self) -> u64 {
+        self.any_ms
     }
 
     /// Whether most of the other boxes stop, so that a caller who comes back finds one that stops too.
--- a/components/relay/src/members_tests.rs
+++ b/components/relay/src/members_tests.rs
@@ -10,11 +10,12 @@
         address: "127.0.0.1:1".parse().unwrap(),
         data_centre: "hall".into(),
         leaving,
+        link_mbps: 1_000,
     }
 }
 
 fn three() -> Members {
-    let mut members = Members::new(BoxId(1));
+    let mut members = Members::new(BoxId(1), 1_000);
     members.met(card(2, 1, false), true, 0);
     members.met(card(3, 1, false), true, 0);
     members
@@ -68,3 +69,21 @@
     members.met(card(3, 2, false), false, 0);
     assert!(!members.most_stop());
 }
+
+#[test]
+fn roles_go_to_boxes_with_wide_links_first() {
+    let mut members = Members::new(BoxId(1), 10);
+    for id in 2..20 {
+        let wide = id % 6 == 0;
+        let card = FleetCard {
+            link_mbps: if wide { 200 } else { 10 },
+            ..card(id, 1, false)
+        };
+        members.met(card, true, 0);
+    }
+    let order = members.ranked(ROLE, false, 0);
+    let mut first: Vec<u32> = order[..3].iter().map(|id| id.0).collect();
+    first.sort();
+    assert_eq!(first, [6, 12, 18]);
+    assert_eq!(order.len(), 19);
+}
--- a/components/relay/src/news.rs
+++ b/components/relay/src/news.rs
@@ -1,12 +1,14 @@
 //! What boxes tell each other: the declarations, the targets, and which boxes there are. News goes to all
 //! at once; what was missed is found by an exchange with one box at a time.
 
-use crate::follow::targets_role;
 use crate::members::Met;
+use crate::packed::unpack;
 use crate::state::Relay;
+use crate::targets::Change;
+use crate::turn::{View, follower_role};
 use peers::{
     AcquireRequest, AdoptedStream, FleetCard, FleetDigest, FleetHandler, FleetNews, PermitReply,
-    RelocateReply, RelocateRequest, SharedTable, UpdateReply, UpdateRequest,
+    RelocateReply, RelocateRequest, SharedTable, TargetChanges, UpdateReply, UpdateRequest,
 };
 use prelude::{BoxId, PermitId, PoolId, TargetId};
 use routing::TargetEntry;
@@ -58,20 +60,22 @@
     };
     FleetNews {
         digest,
-        follows_targets: false,
+        follows_store: relay.following.get() > 0,
+        asks_engines: relay.asking.get(),
         table: table.map(|held| SharedTable {
             version: held.table.version,
-            text: held.text.clone(),
+            packed: held.packed.clone(),
         }),
         targets,
+        target_changes: None,
         leaving: relay.targets.borrow().leaving(),
         pass_on: Vec::new(),
         boxes,
     }
 }
 
-/// Takes what another box tells; one that follows targets also confirms what is known of them.
-fn take_news(relay: &Relay, news: FleetNews, confirms: bool) {
+/// Takes what another box tells.
+fn take_news(relay: &Rc<Relay>, news: FleetNews) {
     meet(relay, &news.digest.from, false);
     for card in &news.boxes {
         let known = relay.members.borrow().card(card.id).is_some();
@@ -80,56 +84,134 @@
         }
     }
     if let Some(table) = news.table {
-        relay.declare(table.text, "peer");
+        match unpack(&table.packed) {
+            Ok(text) => {
+                relay.declare(&text, "peer");
+            }
+            Err(error) => slog::warn!(relay.log, "declarations of a peer not used";
+                "version" => table.version, "error" => %error),
+        }
+    }
+    if news.asks_engines {
+        relay.heard_asker_ms.set(relay.now_ms());
     }
-    let current_to = news.digest.targets_current_to;
+    let mut changes = take_targets(relay, &news.digest, news.targets);
+    if let Some(told) = news.target_changes {
+        changes.extend(take_changes(relay, &news.digest, told));
+    }
+    let left = relay.targets.borrow_mut().told_leaving(&news.leaving);
+    changes.extend(left);
+    relay.took_changes(&changes, "peer");
+    take_confirmations(relay, &news.digest);
+    fetch_what_lacks(relay, &news.digest);
+}
+
+fn take_targets(
+    relay: &Relay,
+    digest: &FleetDigest,
+    entries: Option<Vec<TargetEntry>>,
+) -> Vec<Change> {
+    let current_to = digest.targets_current_to;
     let now_ms = relay.now_ms();
     let mut changes = Vec::new();
-    {
-        let mut targets = relay.targets.borrow_mut();
-        let newer = current_to > targets.current_to || targets.confirmed_ms.is_none();
-        if let Some(entries) = news.targets.filter(|_| newer) {
-            changes = targets.replace(entries, current_to, now_ms);
-            targets.changed_at = targets.changed_at.max(news.digest.targets_changed_at);
-        } else if targets.changed_at >= news.digest.targets_changed_at {
-            // Nothing has changed up to there.
-            targets.current_to = targets.current_to.max(current_to);
-        }
-        if confirms && targets.changed_at >= news.digest.targets_changed_at {
-            targets.confirmed_ms = Some(now_ms);
-            relay.targets_doubted.set(false);
-        }
-        changes.extend(targets.told_leaving(&news.leaving));
+    let mut targets = relay.targets.borrow_mut();
+    let newer = current_to > targets.current_to || targets.confirmed_ms.is_none();
+    if let Some(entries) = entries.filter(|_| newer) {
+        changes = targets.replace(entries, current_to, now_ms);
+        targets.changed_at = targets.changed_at.max(digest.targets_changed_at);
+    } else if targets.changed_at >= digest.targets_changed_at {
+        // Nothing has changed up to there.
+        targets.current_to = targets.current_to.max(current_to);
     }
-    relay.took_changes(&changes, "peer");
+    changes
+}
+
+/// Takes changes in, where all that came before them is known.
+fn take_changes(relay: &Relay, digest: &FleetDigest, told: TargetChanges) -> Vec<Change> {
+    let now_ms = relay.now_ms();
+    let mut targets = relay.targets.borrow_mut();
+    if targets.confirmed_ms.is_none() || targets.changed_at < told.after_revision {
+        return Vec::new();
+    }
+    let mut changes = Vec::new();
+    for entry in told.listed {
+        changes.extend(targets.listed(entry, now_ms));
+    }
+    for (instance, revision) in told.unlisted {
+        changes.extend(targets.unlisted(&instance, revision));
+    }
+    targets.changed_at = targets.changed_at.max(digest.targets_changed_at);
+    targets.current_to = targets.current_to.max(digest.targets_current_to);
+    changes
+}
+
+/// Believes another box that what both know is the newest.
+fn take_confirmations(relay: &Relay, digest: &FleetDigest) {
+    let now_ms = relay.now_ms();
+    let held = relay.declared().map_or(0, |held| held.table.version);
+    if let Some(age_ms) = digest.table_age_ms.filter(|_| held == digest.table_version) {
+        relay.confirm_at(View::Declarations, now_ms.saturating_sub(age_ms.into()));
+    }
+    let knows_all = relay.targets.borrow().changed_at >= digest.targets_changed_at;
+    if let Some(age_ms) = digest.targets_age_ms.filter(|_| knows_all) {
+        relay.confirm_at(View::Targets, now_ms.saturating_sub(age_ms.into()));
+    }
+}
+
+/// Asks a box that knows more for what this one lacks.
+fn fetch_what_lacks(relay: &Rc<Relay>, digest: &FleetDigest) {
+    let held = relay.digest();
+    let lacks_table = held.table_version < digest.table_version;
+    let lacks_targets = held.targets_changed_at < digest.targets_changed_at
+        && held.targets_current_to < digest.targets_current_to;
+    if !(lacks_table || lacks_targets) || relay.fetching.replace(true) {
+        return;
+    }
+    let (relay, id) = (relay.clone(), digest.from.id);
+    tokio::task::spawn_local(async move {
+        exchange_with(&relay, id).await;
+        relay.fetching.set(false);
+    });
 }
 
 /// Tells all boxes what this box has just learnt of targets from the store.
-pub(crate) fn spread(relay: &Rc<Relay>) {
-    let entries = relay.targets.borrow().entries();
-    tell_all(relay, Some(entries), true);
+pub(crate) fn spread_targets(relay: &Rc<Relay>, changes: TargetChanges) {
+    let mut news = news(relay);
+    news.target_changes = Some(changes);
+    tell_all(relay, news);
 }
 
-/// Tells all boxes that nothing has changed in the store.
-pub(crate) fn tell_current(relay: &Rc<Relay>) {
-    tell_all(relay, None, true);
+/// Tells all boxes the declarations that this box has just read in the store.
+pub(crate) fn spread_table(relay: &Rc<Relay>) {
+    let mut news = news(relay);
+    news.table = relay.declared().map(|held| SharedTable {
+        version: held.table.version,
+        packed: held.packed.clone(),
+    });
+    tell_all(relay, news);
 }
 
-/// Tells all boxes which targets leave, by another word than the store's.
-pub(crate) fn tell_leaving(relay: &Rc<Relay>) {
-    tell_all(relay, None, false);
+/// Tells all boxes what this one stands for now: how current its view is, and which targets are known to leave.
+pub(crate) fn tell_current(relay: &Rc<Relay>) {
+    tell_all(relay, news(relay));
 }
 
-fn tell_all(relay: &Rc<Relay>, targets: Option<Vec<TargetEntry>>, follows: bool) {
-    let news = FleetNews {
+/// What all boxes are told.
+fn news(relay: &Relay) -> FleetNews {
+    FleetNews {
         digest: relay.digest(),
-        follows_targets: follows,
+        follows_store: relay.following.get() > 0,
+        asks_engines: relay.asking.get(),
         table: None,
-        targets,
+        targets: None,
+        target_changes: None,
         leaving: relay.targets.borrow().leaving(),
         pass_on: Vec::new(),
         boxes: Vec::new(),
-    };
+    }
+}
+
+fn tell_all(relay: &Rc<Relay>, news: FleetNews) {
     let others = relay.members.borrow().others();
     for group in groups(&others) {
         tokio::task::spawn_local(tell_group(relay.clone(), news.clone(), group));
@@ -188,7 +270,7 @@
 /// Makes this box known to others: to those that may follow targets, who tell all they know, and to some more.
 pub(crate) async fn greet(relay: &Rc<Relay>) {
     let now_ms = relay.now_ms();
-    let others = relay.members.borrow().ranked(targets_role(), true, now_ms);
+    let others = relay.members.borrow().ranked(follower_role(), true, now_ms);
     let others: Vec<BoxId> = others.into_iter().take(GREETED_MAX).collect();
     let greetings = others.into_iter().map(|id| exchange_with(relay, id));
     futures::future::join_all(greetings).await;
@@ -203,8 +285,7 @@
         });
     match relay.heard_from(id, call.await, "exchange") {
         Some(news) => {
-            let knows = relay.targets.borrow().confirmed_ms.is_some();
-            take_news(relay, news, !knows);
+            take_news(relay, news);
             true
         }
         None => false,
@@ -227,7 +308,7 @@
                 client.exchange(context, digest).await
             });
         match call.await {
-            Ok(news) => take_news(relay, news, true),
+            Ok(news) => take_news(relay, news),
             Err(error) => {
                 slog::info!(relay.log, "seed did not answer"; "address" => %seed, "error" => %error);
             }
@@ -243,6 +324,8 @@
 impl FleetHandler for Handler {
     async fn exchange(&self, digest: FleetDigest) -> FleetNews {
         meet(&self.0, &digest.from, false);
+        take_confirmations(&self.0, &digest);
+        fetch_what_lacks(&self.0, &digest);
         news_for(&self.0, Some(&digest))
     }
 
@@ -252,12 +335,11 @@
             let relay = self.0.clone();
             tokio::task::spawn_local(tell_group(relay, news.clone(), vec![id]));
         }
-        let follows = news.follows_targets;
-        if follows {
+        if news.follows_store {
             let now_ms = self.0.now_ms();
-            self.0.members.borrow_mut().heard_watcher(now_ms);
+            self.0.members.borrow_mut().heard_follower(now_ms);
         }
-        take_news(&self.0, news, follows);
+        take_news(&self.0, news);
     }
 
     async fn acquire(&self, request: AcquireRequest, wait_ms: u32) -> PermitReply {
--- a/components/relay/src/presence.rs
+++ b/components/relay/src/presence.rs
@@ -2,7 +2,6 @@
 //! named anywhere.
 
 use crate::backoff::Backoff;
-use crate::follow::watches_targets;
 use crate::news::{greet, meet};
 use crate::state::Relay;
 use peers::FleetCard;
@@ -22,8 +21,8 @@
 const SECOND_LOOK: Duration = Duration::from_millis(1_500);
 /// How often the lease is renewed.
 const RENEW_EACH: Duration = Duration::from_millis(2_500);
-/// The same on the box that follows targets: it notices by this that the store is away.
-const RENEW_WATCHING: Duration = Duration::from_millis(500);
+/// The same on a box that follows the store: it notices by this that the store is away.
+const RENEW_FOLLOWING: Duration = Duration::from_millis(500);
 
 /// Keeps this box's key for as long as it lives, and takes it away when it stops.
 pub(crate) async fn keep_key(relay: Rc<Relay>) {
@@ -36,8 +35,8 @@
             Ok(()) => {
                 backoff.reset();
                 relay.store_answered_ms.set(relay.now_ms());
-                match watches_targets(&relay) {
-                    true => RENEW_WATCHING,
+                match relay.following.get() > 0 {
+                    true => RENEW_FOLLOWING,
                     false => RENEW_EACH,
                 }
             }
--- a/components/relay/src/reports.rs
+++ b/components/relay/src/reports.rs
@@ -2,10 +2,10 @@
 //! asks: all load on engines is known without it, and each question is paid for.
 
 use crate::control::control;
-use crate::follow::watches_targets;
 use crate::judge::Word;
 use crate::state::Relay;
 use crate::targets::{Belief, TargetSlot};
+use crate::turn::{is_its_turn, rank};
 use platform::{read_report, report_call};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -14,34 +14,57 @@
 
 /// How often engines are asked. Notice of an engine's end may be as short as 1.5 s.
 const ASK_EACH: Duration = Duration::from_millis(300);
+/// A box that asks all engines says so every 0.4 s; one that was not heard for this long asks no more.
+const ASKER_QUIET_MS: u64 = 1_000;
 /// A view of targets that was not confirmed for this long is no base for leaving engines alone.
 const UNCONFIRMED_MS: u64 = 1_200;
 /// The same where this box's own calls to the store fail: the box that follows targets says every 0.4 s that
 /// nothing changed.
 const UNCONFIRMED_FAILING_MS: u64 = 700;
 
-/// Asks engines while the view of targets is not confirmed: all of them where it is this box's turn to
-/// follow targets, and those that run something of its own where nobody's turn may be known yet.
+/// Which engines a box asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Asks {
+    None,
+    /// Those that run something of its own: no other box is heard that asks all.
+    Own,
+    All,
+}
+
+/// Asks engines while the view of targets is not confirmed: all of them where it is this box's turn to follow
+/// the store, and those that run something of its own where no box is heard that asks all.
 pub(crate) async fn run_reports(relay: Rc<Relay>) {
-    let mut asks = false;
+    let mut asks = Asks::None;
     loop {
         sleep(ASK_EACH).await;
-        let doubt = doubt(&relay);
-        let asked = std::mem::replace(&mut asks, doubt);
-        if asked != asks {
-            slog::info!(relay.log, "engines asked themselves"; "asked" => asks,
+        let now = whom_to_ask(&relay);
+        let before = std::mem::replace(&mut asks, now);
+        if before != asks {
+            slog::info!(relay.log, "engines asked themselves"; "asked" => ?asks,
                 "confirmed_ms" => relay.targets.borrow().confirmed_ms,
                 "now_ms" => relay.now_ms());
         }
-        if asks {
-            let all = watches_targets(&relay);
-            for (slot, address) in engines(&relay, all) {
+        relay.asking.set(asks == Asks::All);
+        if asks != Asks::None {
+            for (slot, address) in engines(&relay, asks == Asks::All) {
                 tokio::task::spawn_local(ask(relay.clone(), slot, address));
             }
         }
     }
 }
 
+fn whom_to_ask(relay: &Relay) -> Asks {
+    let another_asks = relay.heard_asker_ms.get() + ASKER_QUIET_MS > relay.now_ms();
+    match doubt(relay) {
+        false => Asks::None,
+        // The first in rank asks whatever others do, so that two never wait for each other.
+        true if rank(relay) == Some(0) => Asks::All,
+        true if another_asks => Asks::None,
+        true if is_its_turn(relay) => Asks::All,
+        true => Asks::Own,
+    }
+}
+
 /// Whether a target may leave without this box hearing of it.
 fn doubt(relay: &Relay) -> bool {
     let Some(confirmed_ms) = relay.targets.borrow().confirmed_ms else {
--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -1,12 +1,13 @@
 //! Starts and stops a box.
 
-use crate::follow::{follow_declarations, follow_targets};
+use crate::follow::{follow, run_confirming};
 use crate::ingress;
 use crate::members::Members;
 use crate::news::{Handler, greet, run_exchanges};
 use crate::presence::{box_id, keep_key, read_boxes};
 use crate::readiness;
 use crate::state::Relay;
+use crate::turn::View;
 use http1::Listener;
 use peers::{FleetClients, Traffic};
 use platform::FleetStore;
@@ -96,17 +97,22 @@
         store: FleetStore::new(file.store.address),
         peers: FleetClients::new(&file.peer_keys, traffic.clone()),
         declared: RefCell::default(),
+        declared_confirmed_ms: Cell::new(None),
         targets: RefCell::default(),
         target_changes: watch::Sender::new(0),
         channels: RefCell::default(),
         resends: RefCell::default(),
-        members: RefCell::new(Members::new(id)),
+        members: RefCell::new(Members::new(id, file.limits.link_mbps as u32)),
         dispatchers: RefCell::new(HashMap::new()),
         runs: RefCell::default(),
         runs_changed: Notify::new(),
         store_answered_ms: Cell::new(0),
         store_fails: Cell::new(false),
         targets_doubted: Cell::new(false),
+        following: Cell::new(0),
+        asking: Cell::new(false),
+        heard_asker_ms: Cell::new(0),
+        fetching: Cell::new(false),
         store_doubted: Notify::new(),
         in_progress: Cell::new(0),
         requests_ended: Notify::new(),
@@ -121,8 +127,9 @@
     spawn_local(peers::serve_fleet(peers, keys, handler, traffic, closed));
     spawn_local(readiness::serve(relay.clone(), readiness));
     spawn_local(ingress::serve(relay.clone(), callers));
-    spawn_local(follow_declarations(relay.clone()));
-    spawn_local(follow_targets(relay.clone()));
+    spawn_local(follow(relay.clone(), View::Declarations));
+    spawn_local(follow(relay.clone(), View::Targets));
+    spawn_local(run_confirming(relay.clone()));
     spawn_local(read_boxes(relay.clone()));
     spawn_local(keep_key(relay.clone()));
     spawn_local(run_exchanges(relay.clone()));
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -3,8 +3,10 @@
 use crate::channels::Channels;
 use crate::dispatch::Dispatcher;
 use crate::members::Members;
+use crate::packed::pack;
 use crate::runs::Runs;
 use crate::targets::{Change, TargetBook};
+use crate::turn::View;
 use peers::{FleetCard, FleetClients, FleetDigest};
 use platform::FleetStore;
 use policy::{ResendBound, ResendWindow};
@@ -23,8 +25,8 @@
 pub struct Declared {
     /// As it is used.
     pub table: RoutingTable,
-    /// As it lies in the store.
-    pub text: Vec<u8>,
+    /// As it lies in the store, packed as peers are given it.
+    pub packed: Vec<u8>,
 }
 
 /// What one box holds.
@@ -39,6 +41,8 @@
     pub(crate) store: FleetStore,
     pub(crate) peers: FleetClients,
     pub(crate) declared: RefCell<Option<Rc<Declared>>>,
+    /// When it was last confirmed that these declarations are the newest.
+    pub(crate) declared_confirmed_ms: Cell<Option<u64>>,
     pub(crate) targets: RefCell<TargetBook>,
     /// Rises with each change of targets that matters.
     pub(crate) target_changes: watch::Sender<u64>,
@@ -55,6 +59,13 @@
     pub(crate) store_fails: Cell<bool>,
     /// Following targets failed, and has not succeeded since.
     pub(crate) targets_doubted: Cell<bool>,
+    /// Views of the store that this box follows now.
+    pub(crate) following: Cell<u32>,
+    /// This box asks all engines whether they leave, and when it last heard another one that does.
+    pub(crate) asking: Cell<bool>,
+    pub(crate) heard_asker_ms: Cell<u64>,
+    /// What another box knows more is being asked for.
+    pub(crate) fetching: Cell<bool>,
     /// The store failed: its open watches may hang.
     pub(crate) store_doubted: Notify,
     /// Requests that are being read or answered.
@@ -125,40 +136,84 @@
             address: self.file.identity.peers_address,
             data_centre: self.file.identity.data_centre.as_str().into(),
             leaving: self.is_stopping(),
+            link_mbps: self.file.limits.link_mbps as u32,
         }
     }
 
     pub(crate) fn digest(&self) -> FleetDigest {
         let targets = self.targets.borrow();
+        let now_ms = self.now_ms();
+        let age_ms = |confirmed_ms: Option<u64>| {
+            let age_ms = now_ms.saturating_sub(confirmed_ms?);
+            Some(u32::try_from(age_ms).unwrap_or(u32::MAX))
+        };
         FleetDigest {
             from: self.card(),
             table_version: self.declared().map_or(0, |held| held.table.version),
+            table_age_ms: age_ms(self.declared_confirmed_ms.get()),
             targets_changed_at: targets.changed_at,
             targets_current_to: targets.current_to,
+            targets_age_ms: age_ms(targets.confirmed_ms),
             boxes: self.members.borrow().others().len() as u32,
         }
     }
 
-    /// Puts declarations into force, where they are newer than those in force.
-    pub(crate) fn declare(&self, text: Vec<u8>, source: &'static str) {
-        let table = match platform::decode_table(&text) {
+    /// When it was last confirmed that this box knows the newest of a view.
+    pub(crate) fn confirmed_ms(&self, view: View) -> Option<u64> {
+        match view {
+            View::Declarations => self.declared_confirmed_ms.get(),
+            View::Targets => self.targets.borrow().confirmed_ms,
+        }
+    }
+
+    /// Notes that this box knows the newest of a view now.
+    pub(crate) fn confirm(&self, view: View) {
+        self.confirm_at(view, self.now_ms());
+    }
+
+    /// Notes that this box knows what was the newest of a view at a time, by its own clock.
+    pub(crate) fn confirm_at(&self, view: View, at_ms: u64) {
+        let before_ms = self.confirmed_ms(view);
+        if before_ms.is_some_and(|before_ms| before_ms >= at_ms) {
+            return;
+        }
+        match view {
+            View::Declarations => self.declared_confirmed_ms.set(Some(at_ms)),
+            View::Targets => {
+                self.targets.borrow_mut().confirmed_ms = Some(at_ms);
+                self.targets_doubted.set(false);
+            }
+        }
+        if before_ms.is_none() {
+            // Requests may wait for this since the box started.
+            self.target_changes.send_modify(|count| *count += 1);
+        }
+    }
+
+    /// Puts declarations into force, where they are newer than those in force. Says whether they are.
+    pub(crate) fn declare(&self, text: &[u8], source: &'static str) -> bool {
+        let table = match platform::decode_table(text) {
             Ok(table) => table,
             Err(error) => {
                 slog::error!(self.log, "declarations not used"; "source" => source,
                     "error" => %error);
-                return;
+                return false;
             }
         };
         let held = self.declared().map_or(0, |held| held.table.version);
         if table.version <= held {
-            return;
+            return false;
         }
         slog::info!(self.log, "declarations in force"; "version" => table.version,
             "before" => held, "source" => source, "routes" => table.routes.len(),
             "accounts" => table.accounts.len());
         metrics::gauge!("shuntpier_table_version").set(table.version as f64);
-        *self.declared.borrow_mut() = Some(Rc::new(Declared { table, text }));
+        *self.declared.borrow_mut() = Some(Rc::new(Declared {
+            table,
+            packed: pack(text),
+        }));
         self.targets_changed();
+        true
     }
 
     /// Acts on changes of targets.
--- /dev/null
+++ b/components/relay/src/turn.rs
@@ -0,0 +1,123 @@
+//! Whose turn it is to follow the platform's store. Two boxes follow it for all: the first in rank, and the
+//! first of another data centre. The others hear from them that their view is current, and look themselves
+//! when nobody says so.
+
+use crate::state::Relay;
+use prelude::BoxId;
+use std::rc::Rc;
+use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// How often a box that does not follow the store looks whether it must.
+pub(crate) const TURN_CHECK: Duration = Duration::from_millis(100);
+/// How often a box that follows the store says that its view is current.
+pub(crate) const CONFIRM_EACH: Duration = Duration::from_millis(400);
+/// A box whose view was not confirmed for this long looks itself: two words of those that follow were missed.
+const QUIET_MS: u64 = 900;
+/// Each further box in rank leaves it this much longer to those before it.
+const TURN_MS: u64 = 200;
+/// Beyond this rank boxes wait no longer: changes must be known within the users' bounds.
+const TURNS_MAX: u64 = 4;
+/// A box that no peer has answered or called for this long is alone, and leaves nothing to others.
+const ALONE_MS: u64 = 1_200;
+/// So long after its start a box does not know yet whose turn it is.
+const SETTLE_MS: u64 = 800;
+
+/// What is followed in the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum View {
+    /// What the operators declare.
+    Declarations,
+    /// The targets that list themselves.
+    Targets,
+}
+
+impl View {
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Declarations => "declarations",
+            Self::Targets => "targets",
+        }
+    }
+}
+
+/// The role of following the store, for rendezvous hashing.
+pub(crate) fn follower_role() -> u64 {
+    xxh3_64(b"targets")
+}
+
+/// The boxes that may follow the store, the first in rank first.
+fn ranks(relay: &Relay) -> Vec<BoxId> {
+    let members = relay.members.borrow();
+    members.ranked(follower_role(), relay.is_stopping(), relay.now_ms())
+}
+
+/// This box's place among those that may follow the store; none where it stops.
+pub(crate) fn rank(relay: &Relay) -> Option<usize> {
+    ranks(relay).iter().position(|id| *id == relay.id)
+}
+
+/// Whether it is this box's turn: it is the first in rank, or the first outside the first one's data centre.
+pub(crate) fn is_its_turn(relay: &Relay) -> bool {
+    let ranks = ranks(relay);
+    let Some(first) = ranks.first().copied() else {
+        return false;
+    };
+    let home = relay.data_centre_of(first);
+    let elsewhere = |id: &BoxId| relay.data_centre_of(*id) != home;
+    let second = ranks.iter().copied().find(elsewhere);
+    let second = second.or(ranks.get(1).copied());
+    first == relay.id || second == Some(relay.id)
+}
+
+/// How long this box leaves it to others to say that its view is current.
+pub(crate) fn quiet_limit_ms(relay: &Relay) -> u64 {
+    if is_its_turn(relay) {
+        return 0;
+    }
+    let heard_ms = relay.members.borrow().heard_any_ms();
+    if heard_ms + ALONE_MS < relay.now_ms() {
+        return QUIET_MS;
+    }
+    let turns = rank(relay).map_or(TURNS_MAX, |rank| TURNS_MAX.min(rank as u64));
+    QUIET_MS + TURN_MS * turns
+}
+
+/// Whether this box must follow a view itself: it is its turn, or nobody says that the view is current.
+pub(crate) fn must_follow(relay: &Relay, view: View) -> bool {
+    let now_ms = relay.now_ms();
+    let Some(confirmed_ms) = relay.confirmed_ms(view) else {
+        return true;
+    };
+    if now_ms < SETTLE_MS {
+        return false;
+    }
+    let limit_ms = quiet_limit_ms(relay);
+    limit_ms == 0 || confirmed_ms + limit_ms < now_ms
+}
+
+/// Whether others follow the store again, so that a box whose turn it is not can leave it to them.
+pub(crate) fn is_relieved(relay: &Relay, began_ms: u64) -> bool {
+    let heard_ms = relay.members.borrow().heard_follower_ms();
+    !is_its_turn(relay) && heard_ms > began_ms + QUIET_MS
+}
+
+/// Notes that a box follows a view, for as long as this lives.
+pub(crate) struct Following {
+    relay: Rc<Relay>,
+}
+
+impl Following {
+    pub(crate) fn begin(relay: &Rc<Relay>) -> Self {
+        relay.following.set(relay.following.get() + 1);
+        Self {
+            relay: relay.clone(),
+        }
+    }
+}
+
+impl Drop for Following {
+    fn drop(&mut self) {
+        self.relay.following.set(self.relay.following.get() - 1);
+    }
+}
--- a/components/settings/src/fleetfile.rs
+++ b/components/settings/src/fleetfile.rs
@@ -106,6 +106,8 @@
     pub memory_mb: f64,
     /// Descriptors of the process.
     pub descriptors: u64,
+    /// Bandwidth of the box's link. Roles that tell many boxes go to those with wide links.
+    pub link_mbps: f64,
 }
 
 impl Default for FleetLimits {
@@ -113,6 +115,7 @@
         Self {
             memory_mb: 128.0,
             descriptors: 4096,
+            link_mbps: 1_000.0,
         }
     }
 }
