A starting box asks its seeds before the store; keys of boxes are renewed every 6 s

Ruled out: the watches (two boxes now). Changed: seeds are asked first, all at once, for 0.15 s; leases of 20 s; pauses up to 6.4 s for a box's own key; boxes beyond the fifth in rank wait longer while another box asks engines.

--- a/components/relay/src/backoff.rs
+++ b/components/relay/src/backoff.rs
@@ -8,13 +8,30 @@
 /// The longest: news from peers fills the gap, and each call is paid for, refused ones too.
 const PAUSE_MAX: Duration = Duration::from_millis(1_600);
 
+/// The longest for what can wait: a box whose key lapses is still known to its peers.
+const PATIENT_PAUSE_MAX: Duration = Duration::from_millis(6_400);
+
 /// Pauses that double with each failure.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Backoff(Duration);
+pub(crate) struct Backoff {
+    pause: Duration,
+    longest: Duration,
+}
 
 impl Backoff {
     pub(crate) fn new() -> Self {
-        Self(PAUSE_MIN)
+        Self {
+            pause: PAUSE_MIN,
+            longest: PAUSE_MAX,
+        }
+    }
+
+    /// Pauses that grow longer, for what can wait.
+    pub(crate) fn patient() -> Self {
+        Self {
+            longest: PATIENT_PAUSE_MAX,
+            ..Self::new()
+        }
     }
 
     /// Waits, and makes the next pause longer.
@@ -24,18 +41,18 @@
 
     /// The next pause.
     pub(crate) fn next(&mut self) -> Duration {
-        let pause = self.0;
-        self.0 = (pause * 2).min(PAUSE_MAX);
+        let pause = self.pause;
+        self.pause = (pause * 2).min(self.longest);
         pause
     }
 
     /// Whether nothing has failed since the last success.
     pub(crate) fn is_fresh(&self) -> bool {
-        self.0 == PAUSE_MIN
+        self.pause == PAUSE_MIN
     }
 
     /// Begins anew, after a success.
     pub(crate) fn reset(&mut self) {
-        self.0 = PAUSE_MIN;
+        self.pause = PAUSE_MIN;
     }
 }
--- a/components/relay/src/follow.rs
+++ b/components/relay/src/follow.rs
@@ -26,6 +26,7 @@
 /// Follows a view for as long as the box lives, while it must.
 pub(crate) async fn follow(relay: Rc<Relay>, view: View) {
     let mut backoff = Backoff::new();
+    relay.seeds_asked().await;
     loop {
         if !must_follow(&relay, view) {
             sleep(TURN_CHECK).await;
--- a/components/relay/src/news.rs
+++ b/components/relay/src/news.rs
@@ -12,6 +12,7 @@
 };
 use prelude::{BoxId, PermitId, PoolId, TargetId};
 use routing::TargetEntry;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -294,27 +295,30 @@
 
 /// Asks the boxes that the settings name, which may be gone.
 async fn meet_seeds(relay: &Rc<Relay>) {
-    for (at, seed) in relay.file.seeds.iter().enumerate() {
-        if *seed == relay.file.identity.peers_address {
-            continue;
-        }
-        // Seeds have addresses and no names: they are asked under numbers that no box has.
-        let id = BoxId(u32::MAX - at as u32);
-        relay.peers.set_address(id, *seed);
-        let digest = relay.digest();
-        let call = relay
-            .peers
-            .call(id, CALL_LIMIT, |client, context| async move {
-                client.exchange(context, digest).await
-            });
-        match call.await {
-            Ok(news) => take_news(relay, news),
-            Err(error) => {
-                slog::info!(relay.log, "seed did not answer"; "address" => %seed, "error" => %error);
-            }
+    let seeds = relay.file.seeds.iter().enumerate();
+    let others = seeds.filter(|(_, seed)| **seed != relay.file.identity.peers_address);
+    let asked = others.map(|(at, seed)| meet_seed(relay, at, *seed));
+    futures::future::join_all(asked).await;
+    relay.seeds_asked.send_replace(true);
+}
+
+async fn meet_seed(relay: &Rc<Relay>, at: usize, seed: SocketAddr) {
+    // Seeds have addresses and no names: they are asked under numbers that no box has.
+    let id = BoxId(u32::MAX - at as u32);
+    relay.peers.set_address(id, seed);
+    let digest = relay.digest();
+    let call = relay
+        .peers
+        .call(id, CALL_LIMIT, |client, context| async move {
+            client.exchange(context, digest).await
+        });
+    match call.await {
+        Ok(news) => take_news(relay, news),
+        Err(error) => {
+            slog::info!(relay.log, "seed did not answer"; "address" => %seed, "error" => %error);
         }
-        relay.peers.forget(id);
     }
+    relay.peers.forget(id);
 }
 
 /// A box, as its peers call it.
--- a/components/relay/src/presence.rs
+++ b/components/relay/src/presence.rs
@@ -14,20 +14,20 @@
 /// What begins the keys of boxes.
 const BOX_PREFIX: &str = "boxes/";
 /// Time after which the key of a box that says nothing goes.
-const LEASE_S: u64 = 8;
+const LEASE_S: u64 = 20;
 /// How often the keys of all boxes are read: a tenth of a call's price each time.
-const READ_EACH: Duration = Duration::from_secs(8);
+const READ_EACH: Duration = Duration::from_secs(16);
 /// When a box that has just started looks again.
 const SECOND_LOOK: Duration = Duration::from_millis(1_500);
 /// How often the lease is renewed.
-const RENEW_EACH: Duration = Duration::from_millis(2_500);
+const RENEW_EACH: Duration = Duration::from_millis(6_000);
 /// The same on a box that follows the store: it notices by this that the store is away.
 const RENEW_FOLLOWING: Duration = Duration::from_millis(500);
 
 /// Keeps this box's key for as long as it lives, and takes it away when it stops.
 pub(crate) async fn keep_key(relay: Rc<Relay>) {
     let mut lease = None;
-    let mut backoff = Backoff::new();
+    let mut backoff = Backoff::patient();
     loop {
         let kept = keep_once(&relay, &mut lease).await;
         relay.store_fails.set(kept.is_err());
@@ -89,11 +89,16 @@
     Ok(())
 }
 
-/// Reads the keys of all boxes, at first at once and then now and then, as they were some seconds ago. No
-/// box watches them: each new box makes itself known to all that it finds.
+/// Reads the keys of all boxes: at once where no seed named others, and then now and then, as they were some
+/// seconds ago. No box watches them: each new box makes itself known to all that it finds.
 pub(crate) async fn read_boxes(relay: Rc<Relay>) {
-    let mut backoff = Backoff::new();
-    let mut begun = false;
+    let mut backoff = Backoff::patient();
+    relay.seeds_asked().await;
+    let mut begun = !relay.members.borrow().others().is_empty();
+    if begun {
+        greet(&relay).await;
+        sleep(SECOND_LOOK).await;
+    }
     // Boxes that start together find each other at the second look.
     let mut pause = SECOND_LOOK;
     loop {
--- a/components/relay/src/reports.rs
+++ b/components/relay/src/reports.rs
@@ -5,7 +5,7 @@
 use crate::judge::Word;
 use crate::state::Relay;
 use crate::targets::{Belief, TargetSlot};
-use crate::turn::{is_its_turn, rank};
+use crate::turn::{another_asks, is_its_turn, rank};
 use platform::{read_report, report_call};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -14,8 +14,6 @@
 
 /// How often engines are asked. Notice of an engine's end may be as short as 1.5 s.
 const ASK_EACH: Duration = Duration::from_millis(300);
-/// A box that asks all engines says so every 0.4 s; one that was not heard for this long asks no more.
-const ASKER_QUIET_MS: u64 = 1_000;
 /// A view of targets that was not confirmed for this long is no base for leaving engines alone.
 const UNCONFIRMED_MS: u64 = 1_200;
 /// The same where this box's own calls to the store fail: the box that follows targets says every 0.4 s that
@@ -54,12 +52,11 @@
 }
 
 fn whom_to_ask(relay: &Relay) -> Asks {
-    let another_asks = relay.heard_asker_ms.get() + ASKER_QUIET_MS > relay.now_ms();
     match doubt(relay) {
         false => Asks::None,
         // The first in rank asks whatever others do, so that two never wait for each other.
         true if rank(relay) == Some(0) => Asks::All,
-        true if another_asks => Asks::None,
+        true if another_asks(relay) => Asks::None,
         true if is_its_turn(relay) => Asks::All,
         true => Asks::Own,
     }
--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -112,6 +112,7 @@
         following: Cell::new(0),
         asking: Cell::new(false),
         heard_asker_ms: Cell::new(0),
+        seeds_asked: watch::Sender::new(false),
         fetching: Cell::new(false),
         store_doubted: Notify::new(),
         in_progress: Cell::new(0),
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -17,9 +17,14 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 use tokio::sync::{Notify, watch};
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
+/// How long a box that starts waits for the word of its seeds, before it asks the store.
+const SEEDS_LIMIT: Duration = Duration::from_millis(150);
+
 /// One version of the operators' declarations, with the text that peers are given.
 #[derive(Debug)]
 pub struct Declared {
@@ -64,6 +69,8 @@
     /// This box asks all engines whether they leave, and when it last heard another one that does.
     pub(crate) asking: Cell<bool>,
     pub(crate) heard_asker_ms: Cell<u64>,
+    /// The boxes that the settings name were asked what they know, or are silent.
+    pub(crate) seeds_asked: watch::Sender<bool>,
     /// What another box knows more is being asked for.
     pub(crate) fetching: Cell<bool>,
     /// The store failed: its open watches may hang.
@@ -158,6 +165,13 @@
         }
     }
 
+    /// Waits until the boxes that the settings name were asked, for a short time at the most.
+    pub(crate) async fn seeds_asked(&self) {
+        let mut asked = self.seeds_asked.subscribe();
+        // A seed that is silent is not waited for: the store knows what it would say.
+        let _ = timeout(SEEDS_LIMIT, asked.wait_for(|asked| *asked)).await;
+    }
+
     /// When it was last confirmed that this box knows the newest of a view.
     pub(crate) fn confirmed_ms(&self, view: View) -> Option<u64> {
         match view {
--- a/components/relay/src/turn.rs
+++ b/components/relay/src/turn.rs
@@ -18,6 +18,11 @@
 const TURN_MS: u64 = 200;
 /// Beyond this rank boxes wait no longer: changes must be known within the users' bounds.
 const TURNS_MAX: u64 = 4;
+/// Boxes beyond that rank leave this much more to those before them while one of these asks engines instead of
+/// the store: calls to a store that is away are paid for too.
+const AWAY_MS: u64 = 2_000;
+/// A box that asks all engines says so every 0.4 s; one that was not heard for this long asks no more.
+const ASKER_QUIET_MS: u64 = 1_000;
 /// A box that no peer has answered or called for this long is alone, and leaves nothing to others.
 const ALONE_MS: u64 = 1_200;
 /// So long after its start a box does not know yet whose turn it is.
@@ -79,8 +84,18 @@
     if heard_ms + ALONE_MS < relay.now_ms() {
         return QUIET_MS;
     }
-    let turns = rank(relay).map_or(TURNS_MAX, |rank| TURNS_MAX.min(rank as u64));
-    QUIET_MS + TURN_MS * turns
+    let turn = rank(relay).map_or(u64::MAX, |rank| rank as u64);
+    let away_ms = match turn > TURNS_MAX && another_asks(relay) {
+        true => AWAY_MS,
+        false => 0,
+    };
+    QUIET_MS + TURN_MS * turn.min(TURNS_MAX) + away_ms
+}
+
+/// Whether another box asks all engines whether they leave.
+pub(crate) fn another_asks(relay: &Relay) -> bool {
+    let heard_ms = relay.heard_asker_ms.get();
+    heard_ms > 0 && heard_ms + ASKER_QUIET_MS > relay.now_ms()
 }
 
 /// Whether this box must follow a view itself: it is its turn, or nobody says that the view is current.
