An engine that broke a generation off takes nothing from any box until it has answered a question

Cause: a flapping engine accepts a channel and resets it; it is the emptiest of the pool and draws what comes. Ruled out: sending again (it may have run), stale channels (the channels were new). Changed: the box tells the pool's dispatcher at once; the engine is on trial (0.3 s, doubling) until it has answered whoever asks, or made an event; engines silent for 1.5 s in a stream, 2.5 s at its start, are told too.

--- a/components/peers/src/fleet.rs
+++ b/components/peers/src/fleet.rs
@@ -140,6 +140,9 @@
     /// Says that a generation's turn on the link of an engine is over.
     async fn relocated(pool: PoolId, permit: PermitId, from: TargetId);
 
+    /// Says that an engine broke a generation off, or is silent.
+    async fn engine_failed(pool: PoolId, target: TargetId);
+
     /// Reports progress and ends of generations.
     async fn update(request: UpdateRequest) -> UpdateReply;
 
@@ -168,6 +171,9 @@
     fn relocated(&self, pool: PoolId, permit: PermitId, from: TargetId)
     -> impl Future<Output = ()>;
 
+    /// See [`Fleet::engine_failed`].
+    fn engine_failed(&self, pool: PoolId, target: TargetId) -> impl Future<Output = ()>;
+
     /// See [`Fleet::update`].
     fn update(&self, request: UpdateRequest) -> impl Future<Output = UpdateReply>;
 
@@ -209,6 +215,10 @@
         self.0.relocated(pool, permit, from).await;
     }
 
+    async fn engine_failed(self, _: Context, pool: PoolId, target: TargetId) {
+        self.0.engine_failed(pool, target).await;
+    }
+
     async fn update(self, _: Context, request: UpdateRequest) -> UpdateReply {
         self.0.update(request).await
     }
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -18,6 +18,7 @@
 mod resend;
 mod retry;
 mod suspicion;
+mod trial;
 mod turns;
 mod view;
 
@@ -34,5 +35,6 @@
 pub use resend::{ResendBound, ResendWindow};
 pub use retry::RetryBudget;
 pub use suspicion::Suspicion;
+pub use trial::Trial;
 pub use turns::Turns;
 pub use view::{EngineView, PoolView};
--- /dev/null
+++ b/components/policy/src/trial.rs
@@ -0,0 +1,61 @@
+//! An engine that broke a request off before its first event takes nothing new until it has answered a
+//! question. One that fails everything at once is the emptiest of all, and would draw all that comes.
+
+/// How long an engine is on trial after its first failure; the time doubles with each further one.
+const TRIAL_MS: u64 = 300;
+/// The longest time.
+const TRIAL_MAX_MS: u64 = 4_800;
+/// An engine that does not answer whoever asks is tried again after this much more: the path to it may be
+/// what fails.
+const UNANSWERED_MS: u64 = 3_000;
+/// Events that come so soon after a failure were under way before it.
+const UNDER_WAY_MS: u64 = 200;
+
+/// What one engine did lately, as its pool's dispatcher hears it from all boxes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Trial {
+    failures: u32,
+    failed_ms: u64,
+    until_ms: u64,
+    answered: bool,
+}
+
+impl Trial {
+    /// Notes that the engine failed a request. Failures at one time count once.
+    pub fn failed(&mut self, now_ms: u64) {
+        if self.failures == 0 || now_ms >= self.until_ms {
+            self.failures = self.failures.saturating_add(1);
+        }
+        let doublings = self.failures.saturating_sub(1).min(8);
+        self.failed_ms = now_ms;
+        self.until_ms = now_ms + (TRIAL_MS << doublings).min(TRIAL_MAX_MS);
+        self.answered = false;
+    }
+
+    /// Notes that it answered a question.
+    pub fn answered(&mut self) {
+        self.answered = true;
+    }
+
+    /// Notes that it made an event: what failed before is forgotten.
+    pub fn made_event(&mut self, now_ms: u64) {
+        if now_ms > self.failed_ms + UNDER_WAY_MS {
+            *self = Self::default();
+        }
+    }
+
+    /// Whether it takes nothing new now.
+    pub fn is_on(&self, now_ms: u64) -> bool {
+        let silent = !self.answered && now_ms < self.until_ms + UNANSWERED_MS;
+        self.failures > 0 && (now_ms < self.until_ms || silent)
+    }
+
+    /// Whether it is to be asked.
+    pub fn is_open(&self, now_ms: u64) -> bool {
+        self.is_on(now_ms) && !self.answered
+    }
+}
+
+#[cfg(test)]
+#[path = "trial_tests.rs"]
+mod tests;
--- a/components/relay/src/dispatch.rs
+++ b/components/relay/src/dispatch.rs
@@ -3,7 +3,7 @@
 //! runs where.
 
 use crate::state::{Relay, pool_of};
-use crate::targets::Belief;
+use crate::targets::{Belief, Target, TargetSlot};
 use peers::{
     AcquireRequest, AdoptedStream, PermitReply, RelocateReply, RelocateRequest, UpdateReply,
     UpdateRequest,
@@ -101,6 +101,13 @@
     }
 }
 
+/// Whether trials count: where most engines seem to fail, it is not they that do.
+fn trials_count<'a>(engines: impl Iterator<Item = (TargetSlot, &'a Target)>, now_ms: u64) -> bool {
+    let ready = engines.filter(|(_, target)| target.belief == Belief::Ready);
+    let (on, off): (Vec<_>, Vec<_>) = ready.partition(|(_, target)| target.trial.is_on(now_ms));
+    on.len() <= off.len()
+}
+
 fn granted(target: TargetId) -> PermitReply {
     PermitReply::Granted {
         target: TargetKey {
@@ -140,14 +147,17 @@
             let Some(engine) = service.engine else {
                 continue;
             };
+            let on_trial = trials_count(targets.of_service(&service.name), now_ms);
             for (_, target) in targets.of_service(&service.name) {
                 infos.push(EngineInfo {
                     id: target.id,
                     capacity_tokens: u64::from(engine.memory_tokens),
                     data_centre: target.data_centre,
                 });
+                let doubted = target.suspicion.is_passed_over(now_ms)
+                    || (on_trial && target.trial.is_on(now_ms));
                 let state = match target.belief {
-                    Belief::Ready if !target.suspicion.is_passed_over(now_ms) => EngineState::Live,
+                    Belief::Ready if !doubted => EngineState::Live,
                     _ => EngineState::Leaving,
                 };
                 states.push((target.id, state));
@@ -294,7 +304,9 @@
             let pool = &mut dispatcher.pool;
             let mut known = true;
             for progress in &request.progress {
-                known &= pool.progress(permit(progress.serial), progress.tokens, now_ms);
+                let permit = permit(progress.serial);
+                known &= pool.progress(permit, progress.tokens, now_ms);
+                self.made_event(pool.target_of(permit), now_ms);
             }
             for ended in &request.ended {
                 let end = match ended.finished {
@@ -310,6 +322,29 @@
         })
     }
 
+    /// Puts an engine that failed a generation on trial.
+    pub(crate) fn engine_failed_here(&self, pool: PoolId, target: TargetId) {
+        let now_ms = self.now_ms();
+        {
+            let mut targets = self.targets.borrow_mut();
+            let slot = targets.slot_of(target);
+            if let Some(target) = slot.and_then(|slot| targets.get_mut(slot)) {
+                target.trial.failed(now_ms);
+            }
+        }
+        // The pool may not have been dispatched here before.
+        self.with_dispatcher(pool, |_, _| ());
+        self.sync_dispatchers();
+    }
+
+    fn made_event(&self, target: Option<TargetId>, now_ms: u64) {
+        let mut targets = self.targets.borrow_mut();
+        let slot = target.and_then(|target| targets.slot_of(target));
+        if let Some(target) = slot.and_then(|slot| targets.get_mut(slot)) {
+            target.trial.made_event(now_ms);
+        }
+    }
+
     /// Takes over the generations of a box.
     pub(crate) fn adopt_here(&self, from: BoxId, pool: PoolId, streams: &[AdoptedStream]) {
         let now_ms = self.now_ms();
--- a/components/relay/src/generation.rs
+++ b/components/relay/src/generation.rs
@@ -15,9 +15,11 @@
 use platform::{Continuation, Forwarding, PRIORITY_MOST, forward, relayed_head};
 use prelude::{Refusal, RefusalReason, TargetId};
 use routing::GenerationRequest;
+use std::future::Future;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::{Instant, sleep, timeout_at};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// Part of the goal for which a request waits for a permit: beyond it a refusal costs the caller less.
@@ -41,6 +43,8 @@
 /// From SIGTERM on, so long a guess is trusted: what callers send before they can know of the stop may be
 /// cut at its end.
 const STOP_GUESSES_MS: u64 = 2_500;
+/// An engine that has not begun to answer after this time is doubted: some three times what a full one takes.
+const SILENT_START_LIMIT: Duration = Duration::from_millis(2_500);
 /// The kind of generations without a guess; their ranks count down from here.
 const KIND_UNKNOWN: u8 = 255;
 
@@ -220,10 +224,14 @@
             continue;
         }
         let trying = send(relay, incoming, way, slot, None);
-        let Ok(tried) = timeout_at(until, trying).await else {
+        let watched = with_doubt(relay, &permit, SILENT_START_LIMIT, trying);
+        let Ok(tried) = timeout_at(until, watched).await else {
             return Started::Own(Own::TimeOver);
         };
         relay.judge(slot, word_of(&tried));
+        if word_of(&tried) == Word::Failed {
+            relay.tell_engine_failed(permit.pool, slot);
+        }
         match tried {
             Tried::Answered(opened) => {
                 slog::info!(relay.log, "generation begun"; "id" => incoming.id(),
@@ -249,6 +257,22 @@
     Started::Own(not_run(last))
 }
 
+/// Waits for an engine. One that says nothing for `limit` is told to the dispatcher, once.
+async fn with_doubt<T>(
+    relay: &Rc<Relay>,
+    permit: &Permit,
+    limit: Duration,
+    waiting: impl Future<Output = T>,
+) -> T {
+    let mut waiting = pin!(waiting);
+    tokio::select! {
+        biased;
+        done = &mut waiting => return done,
+        () = sleep(limit) => relay.tell_engine_failed(permit.pool, permit.slot),
+    }
+    waiting.await
+}
+
 /// What a try says of its engine.
 pub(crate) fn word_of(tried: &Tried) -> Word {
     match tried {
--- a/components/relay/src/news.rs
+++ b/components/relay/src/news.rs
@@ -362,6 +362,10 @@
         self.0.relocated_here(pool, permit, from);
     }
 
+    async fn engine_failed(&self, pool: PoolId, target: TargetId) {
+        self.0.engine_failed_here(pool, target);
+    }
+
     async fn update(&self, request: UpdateRequest) -> UpdateReply {
         self.0.update_here(&request)
     }
--- a/components/relay/src/pump.rs
+++ b/components/relay/src/pump.rs
@@ -20,6 +20,10 @@
     opened.head.framing == Framing::UntilClose
 }
 
+/// An engine that makes no event for this long in the middle of a stream is doubted: many times the pace of a full
+/// one.
+const SILENT_LIMIT: Duration = Duration::from_millis(1_500);
+
 /// How a stream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Ended {
@@ -118,14 +122,22 @@
         let due = Instant::now() + Duration::from_millis(left_ms);
         let head = relayed_head(&opened.head);
         let mut mover = Mover::new(self.relay, self.engine);
+        let mut silent_at = Instant::now() + SILENT_LIMIT;
+        let mut doubted = false;
         loop {
             let step = tokio::select! {
                 biased;
                 () = caller.gone() => return Ended::CallerLeft,
                 () = sleep_until(due) => return Ended::TimeOver,
                 step = mover.next(&self.permit, self.incoming.id()) => Some(step),
+                () = sleep_until(silent_at), if !doubted => {
+                    doubted = true;
+                    self.relay.tell_engine_failed(self.permit.pool, self.permit.slot);
+                    None
+                }
                 piece = opened.next(), if mover.reads_source() => match piece {
                     Ok(Some(data)) => {
+                        silent_at = Instant::now() + SILENT_LIMIT;
                         let passing = self.pass(caller, &head, &data, closes);
                         // A caller that does not read holds this up, but not beyond the request's time.
                         match timeout_at(due, passing).await {
@@ -146,7 +158,10 @@
                         mover.source_ended();
                         None
                     }
-                    Err(why) => return Ended::Broken(why),
+                    Err(why) => {
+                        self.relay.tell_engine_failed(self.permit.pool, self.permit.slot);
+                        return Ended::Broken(why);
+                    }
                 },
             };
             let from = match step {
--- a/components/relay/src/reports.rs
+++ b/components/relay/src/reports.rs
@@ -4,7 +4,7 @@
 use crate::control::control;
 use crate::judge::Word;
 use crate::state::Relay;
-use crate::targets::{Belief, TargetSlot};
+use crate::targets::{Belief, Target, TargetSlot};
 use crate::turn::{another_asks, is_its_turn, rank};
 use platform::{read_report, report_call};
 use std::net::SocketAddr;
@@ -14,6 +14,8 @@
 
 /// How often engines are asked. Notice of an engine's end may be as short as 1.5 s.
 const ASK_EACH: Duration = Duration::from_millis(300);
+/// How often an engine on trial is asked.
+const TRY_EACH: Duration = Duration::from_millis(200);
 /// A view of targets that was not confirmed for this long is no base for leaving engines alone.
 const UNCONFIRMED_MS: u64 = 1_200;
 /// The same where this box's own calls to the store fail: the box that follows targets says every 0.4 s that
@@ -62,6 +64,26 @@
     }
 }
 
+/// Asks the engines that are on trial here, for as long as the box lives.
+pub(crate) async fn run_trials(relay: Rc<Relay>) {
+    loop {
+        sleep(TRY_EACH).await;
+        let now_ms = relay.now_ms();
+        let open = {
+            let targets = relay.targets.borrow();
+            let open = |(_, target): &(TargetSlot, &Target)| {
+                target.belief == Belief::Ready && target.trial.is_open(now_ms)
+            };
+            let open = targets.all().filter(open);
+            let open = open.map(|(slot, target)| (slot, target.entry.address));
+            open.collect::<Vec<_>>()
+        };
+        for (slot, address) in open {
+            tokio::task::spawn_local(ask(relay.clone(), slot, address));
+        }
+    }
+}
+
 /// Whether a target may leave without this box hearing of it.
 fn doubt(relay: &Relay) -> bool {
     let Some(confirmed_ms) = relay.targets.borrow().confirmed_ms else {
@@ -89,6 +111,11 @@
     metrics::counter!("shuntpier_engine_reports").increment(1);
     let answer = control(&relay, address, &report_call(address)).await;
     let report = answer.and_then(|(status, body)| read_report(status, &body));
+    if report.is_some()
+        && let Some(target) = relay.targets.borrow_mut().get_mut(slot)
+    {
+        target.trial.answered();
+    }
     if let Some(report) = report.filter(|report| report.is_leaving) {
         slog::info!(relay.log, "engine says that it leaves"; "engine" => relay.name_of(slot),
             "gone_in_ms" => report.gone_in_ms, "running" => report.running);
--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -6,6 +6,7 @@
 use crate::news::{Handler, greet, run_exchanges};
 use crate::presence::{box_id, keep_key, read_boxes};
 use crate::readiness;
+use crate::reports::{run_reports, run_trials};
 use crate::state::Relay;
 use crate::turn::View;
 use http1::Listener;
@@ -137,7 +138,8 @@
     spawn_local(relay.clone().run_telling());
     let looked = relay.clone();
     spawn_local(async move { looked.run_dispatchers().await });
-    spawn_local(crate::reports::run_reports(relay.clone()));
+    spawn_local(run_reports(relay.clone()));
+    spawn_local(run_trials(relay.clone()));
     spawn_local(run_sweeps(relay.clone()));
     slog::info!(relay.log, "box started"; "callers" => %relay.file.identity.callers_address,
         "peers" => %peers_address, "store" => %relay.file.store.address, "life" => relay.life);
--- a/components/relay/src/targets.rs
+++ b/components/relay/src/targets.rs
@@ -2,7 +2,7 @@
 //! its lives, never for its address.
 
 use platform::WorkerLoad;
-use policy::Suspicion;
+use policy::{Suspicion, Trial};
 use prelude::{DataCentreId, TargetId};
 use routing::{TargetEntry, TargetPhase};
 use slotmap::{SlotMap, new_key_type};
@@ -43,6 +43,8 @@
     pub load: Option<(WorkerLoad, u64)>,
     /// Its latest failures.
     pub suspicion: Suspicion,
+    /// Whether it may be given work after it failed some, on the box that dispatches to it.
+    pub trial: Trial,
     /// Until when it counts as full, by its own word.
     pub full_until_ms: u64,
 }
@@ -124,6 +126,11 @@
         listed.map(|target| target.entry.clone()).collect()
     }
 
+    /// All targets.
+    pub fn all(&self) -> impl Iterator<Item = (TargetSlot, &Target)> {
+        self.targets.iter()
+    }
+
     /// The targets of a service.
     pub fn of_service<'a>(
         &'a self,
@@ -174,6 +181,7 @@
             open: 0,
             load: None,
             suspicion: Suspicion::default(),
+            trial: Trial::default(),
             full_until_ms: 0,
             entry,
         };
--- a/components/relay/src/telling.rs
+++ b/components/relay/src/telling.rs
@@ -2,10 +2,14 @@
 
 use crate::permits::CALL_LIMIT;
 use crate::state::Relay;
-use peers::{AdoptedStream, UpdateRequest};
+use crate::targets::TargetSlot;
+use peers::{AdoptedStream, FleetClient, UpdateRequest};
 use prelude::{BoxId, PermitId, PoolId, TargetId};
+use std::future::Future;
 use std::rc::Rc;
 use std::time::Duration;
+use tarpc::client::RpcError;
+use tarpc::context::Context;
 use tokio::time::sleep;
 
 /// What is to be told is gathered for this long.
@@ -37,45 +41,66 @@
         }
     }
 
-    /// Takes a request or a permit back, without waiting for the answer.
-    pub(crate) fn tell_withdrawn(self: &Rc<Self>, pool: PoolId, permit: PermitId) {
+    /// Tells a pool's dispatcher something, without waiting for the answer.
+    fn tell_dispatcher<F, Fut>(
+        self: &Rc<Self>,
+        pool: PoolId,
+        name: &'static str,
+        here: impl FnOnce(&Self),
+        there: F,
+    ) where
+        F: FnOnce(FleetClient, Context) -> Fut + 'static,
+        Fut: Future<Output = Result<(), RpcError>> + 'static,
+    {
         let Some(dispatcher) = self.dispatchers_of(pool).first().copied() else {
             return;
         };
         if dispatcher == self.id {
-            self.withdraw_here(pool, permit);
+            here(self);
             return;
         }
         let relay = self.clone();
         tokio::task::spawn_local(async move {
-            let call = relay
-                .peers
-                .call(dispatcher, CALL_LIMIT, |client, context| async move {
-                    client.withdraw(context, pool, permit).await
-                });
-            relay.heard_from(dispatcher, call.await, "withdraw");
+            let call = relay.peers.call(dispatcher, CALL_LIMIT, there);
+            relay.heard_from(dispatcher, call.await, name);
         });
     }
 
-    /// Says that a generation's turn on a link is over, without waiting for the answer.
+    /// Takes a request or a permit back.
+    pub(crate) fn tell_withdrawn(self: &Rc<Self>, pool: PoolId, permit: PermitId) {
+        self.tell_dispatcher(
+            pool,
+            "withdraw",
+            |relay| relay.withdraw_here(pool, permit),
+            move |client, context| async move { client.withdraw(context, pool, permit).await },
+        );
+    }
+
+    /// Says that a generation's turn on a link is over.
     pub(crate) fn tell_relocated(self: &Rc<Self>, pool: PoolId, serial: u64, from: TargetId) {
         let permit = self.permit_id(serial);
-        let Some(dispatcher) = self.dispatchers_of(pool).first().copied() else {
+        self.tell_dispatcher(
+            pool,
+            "relocated",
+            |relay| relay.relocated_here(pool, permit, from),
+            move |client, context| async move {
+                client.relocated(context, pool, permit, from).await
+            },
+        );
+    }
+
+    /// Says that an engine broke a generation off, or is silent.
+    pub(crate) fn tell_engine_failed(self: &Rc<Self>, pool: PoolId, slot: TargetSlot) {
+        let Some(target) = self.id_of(slot) else {
             return;
         };
-        if dispatcher == self.id {
-            self.relocated_here(pool, permit, from);
-            return;
-        }
-        let relay = self.clone();
-        tokio::task::spawn_local(async move {
-            let call = relay
-                .peers
-                .call(dispatcher, CALL_LIMIT, |client, context| async move {
-                    client.relocated(context, pool, permit, from).await
-                });
-            relay.heard_from(dispatcher, call.await, "relocated");
-        });
+        slog::info!(self.log, "engine failed"; "engine" => self.name_of(slot));
+        self.tell_dispatcher(
+            pool,
+            "engine_failed",
+            |relay| relay.engine_failed_here(pool, target),
+            move |client, context| async move { client.engine_failed(context, pool, target).await },
+        );
     }
 
     /// Tells dispatchers what this box has open, for as long as the box lives.
