--- a/components/relay/src/follow.rs
+++ b/components/relay/src/follow.rs
@@ -19,9 +19,6 @@
 /// The same for declarations: a storm of changes travels as one in this time, which each box learns of well
 /// within the users' bound of some seconds.
 const DECLARATIONS_PACE: Duration = Duration::from_millis(250);
-/// A store that answered nothing for this long may be gone: an open watch on it confirms nothing. A box that
-/// follows renews its lease every 0.5 s.
-const STORE_QUIET_MS: u64 = 1_000;
 
 /// Follows a view for as long as the box lives, while it must.
 pub(crate) async fn follow(relay: Rc<Relay>, view: View) {
@@ -63,7 +60,7 @@
     }
     slog::info!(relay.log, "store followed by this box"; "view" => view.name(),
         "rank" => rank(relay), "revision" => revision);
-    let _following = Following::begin(relay);
+    let _following = Following::begin(relay, view);
     let watch = relay.store.watch(prefix_of(view), revision + 1).await?;
     keep_watching(relay, view, watch).await
 }
@@ -89,17 +86,12 @@
                     events = &mut answer => break events?,
                     () = sleep(CONFIRM_EACH) => {}
                 }
-                // An open watch on a store that answers says that nothing has changed.
-                if relay.store_answered_ms.get() + STORE_QUIET_MS > relay.now_ms() {
-                    relay.confirm(view);
-                }
                 if is_relieved(relay, began_ms) {
                     return Ok(());
                 }
             }
         };
         metrics::counter!("shuntpier_store_calls", "of" => view.name()).increment(1);
-        relay.store_answered_ms.set(relay.now_ms());
         match view {
             View::Declarations => take_declared(relay, events),
             View::Targets => take_targets(relay, events, watch.revision()),
@@ -113,12 +105,11 @@
     }
 }
 
-/// Says to all boxes, for as long as this one lives and follows the store or asks engines, how current its view
-/// is.
-pub(crate) async fn run_confirming(relay: Rc<Relay>) {
+/// Says to all boxes, while this one asks engines instead of the store, that it does.
+pub(crate) async fn run_asking(relay: Rc<Relay>) {
     loop {
         sleep(CONFIRM_EACH).await;
-        if relay.following.get() > 0 || relay.asking.get() {
+        if relay.asking.get() && !relay.following.get().any() {
             tell_current(&relay);
         }
     }
@@ -128,7 +119,6 @@
 async fn read(relay: &Rc<Relay>, view: View) -> Result<u64, StoreError> {
     let (items, revision) = relay.store.list(prefix_of(view)).await?;
     metrics::counter!("shuntpier_store_calls", "of" => view.name()).increment(1);
-    relay.store_answered_ms.set(relay.now_ms());
     match view {
         View::Declarations => {
             let config = items.into_iter().find(|item| item.key == CONFIG_KEY);
--- a/components/relay/src/news.rs
+++ b/components/relay/src/news.rs
@@ -61,7 +61,7 @@
     };
     FleetNews {
         digest,
-        follows_store: relay.following.get() > 0,
+        follows_store: relay.following.get().any(),
         asks_engines: relay.asking.get(),
         table: table.map(|held| SharedTable {
             version: held.table.version,
@@ -201,7 +201,7 @@
 fn news(relay: &Relay) -> FleetNews {
     FleetNews {
         digest: relay.digest(),
-        follows_store: relay.following.get() > 0,
+        follows_store: relay.following.get().any(),
         asks_engines: relay.asking.get(),
         table: None,
         targets: None,
--- a/components/relay/src/presence.rs
+++ b/components/relay/src/presence.rs
@@ -2,8 +2,9 @@
 //! named anywhere.
 
 use crate::backoff::Backoff;
-use crate::news::{greet, meet};
+use crate::news::{greet, meet, tell_current};
 use crate::state::Relay;
+use crate::turn::CONFIRM_EACH;
 use peers::FleetCard;
 use prelude::BoxId;
 use std::rc::Rc;
@@ -21,8 +22,6 @@
 const SECOND_LOOK: Duration = Duration::from_millis(1_500);
 /// How often the lease is renewed.
 const RENEW_EACH: Duration = Duration::from_millis(6_000);
-/// The same on a box that follows the store: it notices by this that the store is away.
-const RENEW_FOLLOWING: Duration = Duration::from_millis(500);
 
 /// Keeps this box's key for as long as it lives, and takes it away when it stops.
 pub(crate) async fn keep_key(relay: Rc<Relay>) {
@@ -34,9 +33,8 @@
         let pause = match kept {
             Ok(()) => {
                 backoff.reset();
-                relay.store_answered_ms.set(relay.now_ms());
-                match relay.following.get() > 0 {
-                    true => RENEW_FOLLOWING,
+                match confirm_followed(&relay) {
+                    true => CONFIRM_EACH,
                     false => RENEW_EACH,
                 }
             }
@@ -52,6 +50,8 @@
         };
         tokio::select! {
             () = sleep(pause) => {}
+            // What it begins to follow is to be confirmed soon.
+            () = relay.begins_to_follow.notified() => {}
             () = relay.stopping.cancelled() => {
                 if let Some(lease) = lease {
                     let ended = relay.store.end_lease(lease).await;
@@ -65,6 +65,19 @@
     }
 }
 
+/// Says to all boxes, on one that follows the store, that nothing has changed: the store has just answered, and
+/// an open watch on it would have told. False where this box follows nothing.
+fn confirm_followed(relay: &Rc<Relay>) -> bool {
+    let followed = relay.following.get();
+    for view in followed.views() {
+        relay.confirm(view);
+    }
+    if followed.any() {
+        tell_current(relay);
+    }
+    followed.any()
+}
+
 async fn keep_once(relay: &Relay, lease: &mut Option<u64>) -> Result<(), StoreError> {
     if let Some(held) = *lease {
         if relay.store.renew_lease(held).await? {
--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -1,6 +1,6 @@
 //! Starts and stops a box.
 
-use crate::follow::{follow, run_confirming};
+use crate::follow::{follow, run_asking};
 use crate::ingress;
 use crate::members::Members;
 use crate::news::{Handler, greet, run_exchanges};
@@ -107,10 +107,10 @@
         dispatchers: RefCell::new(HashMap::new()),
         runs: RefCell::default(),
         runs_changed: Notify::new(),
-        store_answered_ms: Cell::new(0),
         store_fails: Cell::new(false),
         targets_doubted: Cell::new(false),
-        following: Cell::new(0),
+        following: Cell::default(),
+        begins_to_follow: Notify::new(),
         asking: Cell::new(false),
         heard_asker_ms: Cell::new(0),
         seeds_asked: watch::Sender::new(false),
@@ -131,7 +131,7 @@
     spawn_local(ingress::serve(relay.clone(), callers));
     spawn_local(follow(relay.clone(), View::Declarations));
     spawn_local(follow(relay.clone(), View::Targets));
-    spawn_local(run_confirming(relay.clone()));
+    spawn_local(run_asking(relay.clone()));
     spawn_local(read_boxes(relay.clone()));
     spawn_local(keep_key(relay.clone()));
     spawn_local(run_exchanges(relay.clone()));
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -6,7 +6,7 @@
 use crate::packed::pack;
 use crate::runs::Runs;
 use crate::targets::{Change, TargetBook};
-use crate::turn::View;
+use crate::turn::{Followed, View};
 use peers::{FleetCard, FleetClients, FleetDigest};
 use platform::FleetStore;
 use policy::{ResendBound, ResendWindow};
@@ -58,14 +58,14 @@
     pub(crate) runs: RefCell<Runs>,
     /// Something of [`Relay::runs`] is to be told to a dispatcher.
     pub(crate) runs_changed: Notify,
-    /// When the store last answered a call in good order.
-    pub(crate) store_answered_ms: Cell<u64>,
     /// This box's last call for its own key failed.
     pub(crate) store_fails: Cell<bool>,
     /// Following targets failed, and has not succeeded since.
     pub(crate) targets_doubted: Cell<bool>,
     /// Views of the store that this box follows now.
-    pub(crate) following: Cell<u32>,
+    pub(crate) following: Cell<Followed>,
+    /// This box begins to follow a view.
+    pub(crate) begins_to_follow: Notify,
     /// This box asks all engines whether they leave, and when it last heard another one that does.
     pub(crate) asking: Cell<bool>,
     pub(crate) heard_asker_ms: Cell<u64>,
--- a/components/relay/src/turn.rs
+++ b/components/relay/src/turn.rs
@@ -10,7 +10,8 @@
 
 /// How often a box that does not follow the store looks whether it must.
 pub(crate) const TURN_CHECK: Duration = Duration::from_millis(100);
-/// How often a box that follows the store says that its view is current.
+/// How often a box that follows the store renews its lease there, and says that its view is current when that was
+/// answered. A box that asks engines instead says so as often.
 pub(crate) const CONFIRM_EACH: Duration = Duration::from_millis(400);
 /// A box whose view was not confirmed for this long looks itself: two words of those that follow were missed.
 const QUIET_MS: u64 = 900;
@@ -117,22 +118,65 @@
     !is_its_turn(relay) && heard_ms > began_ms + QUIET_MS
 }
 
+/// The views that a box follows at a moment.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Followed {
+    declarations: bool,
+    targets: bool,
+}
+
+impl Followed {
+    fn set(&mut self, view: View, follows: bool) {
+        match view {
+            View::Declarations => self.declarations = follows,
+            View::Targets => self.targets = follows,
+        }
+    }
+
+    /// Whether there is any.
+    pub(crate) fn any(self) -> bool {
+        self.declarations || self.targets
+    }
+
+    /// All of them.
+    pub(crate) fn views(self) -> impl Iterator<Item = View> {
+        let declarations = self.declarations.then_some(View::Declarations);
+        let targets = self.targets.then_some(View::Targets);
+        declarations.into_iter().chain(targets)
+    }
+}
+
 /// Notes that a box follows a view, for as long as this lives.
 pub(crate) struct Following {
     relay: Rc<Relay>,
+    view: View,
 }
 
 impl Following {
-    pub(crate) fn begin(relay: &Rc<Relay>) -> Self {
-        relay.following.set(relay.following.get() + 1);
+    pub(crate) fn begin(relay: &Rc<Relay>, view: View) -> Self {
+        relay.note_following(view, true);
+        relay.begins_to_follow.notify_one();
         Self {
             relay: relay.clone(),
+            view,
         }
     }
 }
 
 impl Drop for Following {
     fn drop(&mut self) {
-        self.relay.following.set(self.relay.following.get() - 1);
+        self.relay.note_following(self.view, false);
     }
 }
+
+impl Relay {
+    fn note_following(&self, view: View, follows: bool) {
+        let mut followed = self.following.get();
+        followed.set(view, follows);
+        self.following.set(followed);
+    }
+}
+
+#[cfg(test)]
+#[path = "turn_tests.rs"]
+mod tests;
