What cannot be repeated goes out on channels that hardly rested; engines that fail again stay on trial longer

Ruled out: learning from the first failure (78 boxes with 7 targets each learn one by one: as many failures). Changed: unrepeatable requests, generations and second tries take a channel that rested 0.2 s at the most, or a new one. Changed: failures are remembered for 8 s, the question is asked at the end of the trial, and an event ends only a first one; an engine silent at its start is told after 1.5 s (2.5 s).

--- a/components/policy/src/trial.rs
+++ b/components/policy/src/trial.rs
@@ -5,6 +5,10 @@
 const TRIAL_MS: u64 = 300;
 /// The longest time.
 const TRIAL_MAX_MS: u64 = 4_800;
+/// Failures so long ago are forgotten. One that is down and up by turns fails again within some seconds.
+const FORGET_MS: u64 = 8_000;
+/// An engine is asked from so long before the end of its trial on, so that its answer is of that time.
+const ASKED_BEFORE_MS: u64 = 300;
 /// An engine that does not answer whoever asks is tried again after this much more: the path to it may be
 /// what fails.
 const UNANSWERED_MS: u64 = 3_000;
@@ -23,6 +27,9 @@
 impl Trial {
     /// Notes that the engine failed a request. Failures at one time count once.
     pub fn failed(&mut self, now_ms: u64) {
+        if self.failures > 0 && now_ms > self.failed_ms + FORGET_MS {
+            self.failures = 0;
+        }
         if self.failures == 0 || now_ms >= self.until_ms {
             self.failures = self.failures.saturating_add(1);
         }
@@ -33,14 +40,15 @@
     }
 
     /// Notes that it answered a question.
-    pub fn answered(&mut self) {
-        self.answered = true;
+    pub fn answered(&mut self, now_ms: u64) {
+        self.answered |= self.is_open(now_ms);
     }
 
-    /// Notes that it made an event: what failed before is forgotten.
+    /// Notes that it made an event. A first failure is over with it; one that has failed again serves its time.
     pub fn made_event(&mut self, now_ms: u64) {
-        if now_ms > self.failed_ms + UNDER_WAY_MS {
-            *self = Self::default();
+        if self.failures == 1 && now_ms > self.failed_ms + UNDER_WAY_MS {
+            self.until_ms = now_ms;
+            self.answered = true;
         }
     }
 
@@ -52,7 +60,7 @@
 
     /// Whether it is to be asked.
     pub fn is_open(&self, now_ms: u64) -> bool {
-        self.is_on(now_ms) && !self.answered
+        self.is_on(now_ms) && !self.answered && now_ms + ASKED_BEFORE_MS >= self.until_ms
     }
 }
 
--- a/components/policy/src/trial_tests.rs
+++ b/components/policy/src/trial_tests.rs
@@ -11,7 +11,7 @@
     let mut trial = failed_once();
     assert!(trial.is_on(1_000) && trial.is_open(1_000));
     assert!(trial.is_on(1_000 + TRIAL_MS + 1));
-    trial.answered();
+    trial.answered(1_100);
     assert!(trial.is_on(1_000 + TRIAL_MS - 1));
     assert!(!trial.is_on(1_000 + TRIAL_MS));
 }
@@ -19,6 +19,7 @@
 #[test]
 fn an_engine_that_never_answers_is_tried_again_in_the_end() {
     let trial = failed_once();
+    assert!(trial.is_on(1_000 + TRIAL_MS + UNANSWERED_MS - 1));
     assert!(!trial.is_on(1_000 + TRIAL_MS + UNANSWERED_MS));
 }
 
@@ -26,19 +27,47 @@
 fn each_further_failure_takes_longer_and_those_of_one_moment_count_once() {
     let mut trial = failed_once();
     trial.failed(1_010);
-    trial.answered();
+    trial.answered(1_020);
     assert!(!trial.is_on(1_010 + TRIAL_MS));
     trial.failed(2_000);
-    trial.answered();
+    trial.answered(2_000 + TRIAL_MS);
     assert!(trial.is_on(2_000 + TRIAL_MS));
     assert!(!trial.is_on(2_000 + 2 * TRIAL_MS));
 }
 
 #[test]
-fn an_event_made_after_the_failure_ends_the_trial() {
+fn an_answer_long_before_the_end_of_a_trial_says_nothing() {
+    let mut trial = failed_once();
+    trial.failed(2_000);
+    trial.failed(3_000);
+    trial.answered(3_010);
+    assert!(trial.is_on(3_000 + 4 * TRIAL_MS));
+    assert!(trial.is_open(3_000 + 4 * TRIAL_MS));
+}
+
+#[test]
+fn an_event_made_after_the_first_failure_ends_the_trial() {
     let mut trial = failed_once();
     trial.made_event(1_000 + UNDER_WAY_MS);
     assert!(trial.is_on(1_250));
     trial.made_event(1_000 + UNDER_WAY_MS + 1);
     assert!(!trial.is_on(1_250));
 }
+
+#[test]
+fn an_engine_that_fails_again_soon_serves_its_time_whatever_it_makes() {
+    let mut trial = failed_once();
+    trial.made_event(1_300);
+    trial.failed(3_000);
+    trial.made_event(3_300);
+    assert!(trial.is_on(3_000 + 2 * TRIAL_MS - 1));
+}
+
+#[test]
+fn failures_of_long_ago_are_forgotten() {
+    let mut trial = failed_once();
+    let later = 1_000 + FORGET_MS + 1;
+    trial.failed(later);
+    trial.answered(later);
+    assert!(!trial.is_on(later + TRIAL_MS));
+}
--- a/components/relay/src/call.rs
+++ b/components/relay/src/call.rs
@@ -3,7 +3,7 @@
 
 use crate::judge::Word;
 use crate::request::{Incoming, Own, Reply, Way};
-use crate::send::{Message, NotRun, Opened, Tried};
+use crate::send::{Message, NotRun, Opened, Tried, UNREPEATABLE_REST_MS};
 use crate::state::Relay;
 use crate::targets::TargetSlot;
 use bytes::Bytes;
@@ -125,6 +125,11 @@
         head: &head,
         body: &incoming.body,
         bodiless: &*incoming.head.method == "HEAD",
+        rested_most_ms: match route.kind {
+            // Where a channel that rested failed, the second is not chosen by that.
+            RouteKind::Repeatable if story.runs == 0 => u64::MAX,
+            _ => UNREPEATABLE_REST_MS,
+        },
     };
     let patience_ms = (route.answer_goal_ms as f64 * PATIENCE_SHARE) as u64;
     let another = route.kind == RouteKind::Repeatable && story.runs + 1 < route.runs_most;
--- a/components/relay/src/channels.rs
+++ b/components/relay/src/channels.rs
@@ -14,6 +14,7 @@
 #[derive(Debug)]
 struct Resting {
     channel: Channel,
+    since_ms: u64,
     until_ms: u64,
 }
 
@@ -22,10 +23,15 @@
 pub struct Channels(HashMap<TargetSlot, Vec<Resting>>);
 
 impl Channels {
-    /// A resting channel to a target, which is open and has nothing to read.
-    pub fn take(&mut self, slot: TargetSlot, now_ms: u64) -> Option<Channel> {
+    /// A resting channel to a target, which is open, has nothing to read, and has rested for `most_ms` at the most.
+    pub fn take(&mut self, slot: TargetSlot, most_ms: u64, now_ms: u64) -> Option<Channel> {
         let resting = self.0.get_mut(&slot)?;
         while let Some(mut kept) = resting.pop() {
+            if now_ms - kept.since_ms > most_ms {
+                // Those below have rested longer.
+                resting.push(kept);
+                return None;
+            }
             if now_ms < kept.until_ms && kept.channel.is_quiet() {
                 return Some(kept.channel);
             }
@@ -42,6 +48,7 @@
         }
         resting.push(Resting {
             channel,
+            since_ms: now_ms,
             until_ms: now_ms + limit_ms,
         });
     }
--- a/components/relay/src/generation.rs
+++ b/components/relay/src/generation.rs
@@ -8,7 +8,7 @@
 use crate::permits::{Permit, Want};
 use crate::pump::Pump;
 use crate::request::{Incoming, Own, Reply, Way};
-use crate::send::{Message, NotRun, Opened, Tried};
+use crate::send::{Message, NotRun, Opened, Tried, UNREPEATABLE_REST_MS};
 use crate::state::Relay;
 use crate::targets::TargetSlot;
 use http1::Channel;
@@ -43,8 +43,8 @@
 /// From SIGTERM on, so long a guess is trusted: what callers send before they can know of the stop may be
 /// cut at its end.
 const STOP_GUESSES_MS: u64 = 2_500;
-/// An engine that has not begun to answer after this time is doubted: some three times what a full one takes.
-const SILENT_START_LIMIT: Duration = Duration::from_millis(2_500);
+/// An engine that has not begun to answer after this time is doubted: three times what half of them take.
+const SILENT_START_LIMIT: Duration = Duration::from_millis(1_500);
 /// The kind of generations without a guess; their ranks count down from here.
 const KIND_UNKNOWN: u8 = 255;
 
@@ -307,6 +307,7 @@
         head: &head,
         body: &incoming.body,
         bodiless: false,
+        rested_most_ms: UNREPEATABLE_REST_MS,
     };
     relay.try_at(slot, message).await
 }
--- a/components/relay/src/reports.rs
+++ b/components/relay/src/reports.rs
@@ -15,7 +15,7 @@
 /// How often engines are asked. Notice of an engine's end may be as short as 1.5 s.
 const ASK_EACH: Duration = Duration::from_millis(300);
 /// How often an engine on trial is asked.
-const TRY_EACH: Duration = Duration::from_millis(200);
+const TRY_EACH: Duration = Duration::from_millis(150);
 /// A view of targets that was not confirmed for this long is no base for leaving engines alone.
 const UNCONFIRMED_MS: u64 = 1_200;
 /// The same where this box's own calls to the store fail: the box that follows targets says every 0.4 s that
@@ -111,10 +111,11 @@
     metrics::counter!("shuntpier_engine_reports").increment(1);
     let answer = control(&relay, address, &report_call(address)).await;
     let report = answer.and_then(|(status, body)| read_report(status, &body));
+    let now_ms = relay.now_ms();
     if report.is_some()
         && let Some(target) = relay.targets.borrow_mut().get_mut(slot)
     {
-        target.trial.answered();
+        target.trial.answered(now_ms);
     }
     if let Some(report) = report.filter(|report| report.is_leaving) {
         slog::info!(relay.log, "engine says that it leaves"; "engine" => relay.name_of(slot),
--- a/components/relay/src/send.rs
+++ b/components/relay/src/send.rs
@@ -74,6 +74,10 @@
     }
 }
 
+/// How long a channel may have rested for a request that cannot be repeated. A target may drop a channel that rests
+/// without a word, some 0.3 s after its last answer and later; what is then sent on it may have run.
+pub(crate) const UNREPEATABLE_REST_MS: u64 = 200;
+
 /// What is sent.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Message<'a> {
@@ -82,12 +86,18 @@
     pub body: &'a Bytes,
     /// The answer has no body, whatever its head says.
     pub bodiless: bool,
+    /// How long the channel may have rested.
+    pub rested_most_ms: u64,
 }
 
 impl Relay {
-    async fn channel_to(&self, slot: TargetSlot) -> Result<Channel, NotRun> {
+    async fn channel_to(&self, slot: TargetSlot, rested_most_ms: u64) -> Result<Channel, NotRun> {
         let now_ms = self.now_ms();
-        if let Some(channel) = self.channels.borrow_mut().take(slot, now_ms) {
+        let resting = self
+            .channels
+            .borrow_mut()
+            .take(slot, rested_most_ms, now_ms);
+        if let Some(channel) = resting {
             return Ok(channel);
         }
         let address = self.targets.borrow().get(slot).map(|t| t.entry.address);
@@ -110,7 +120,7 @@
     /// Sends a request to a target and reads the head of its answer.
     pub(crate) async fn try_at(self: &Rc<Self>, slot: TargetSlot, message: Message<'_>) -> Tried {
         let open = OpenRequest::new(self, slot);
-        let mut channel = match self.channel_to(slot).await {
+        let mut channel = match self.channel_to(slot, message.rested_most_ms).await {
             Ok(channel) => channel,
             Err(why) => return Tried::NotRun(why),
         };
