--- a/src/cmd/relay.rs
+++ b/src/cmd/relay.rs
@@ -2,7 +2,6 @@
 
 use crate::cli::RelayOptions;
 use crate::cmd::read_file;
-use crate::logs::output_logger;
 use miette::{IntoDiagnostic, WrapErr, miette};
 use relay::Running;
 use settings::{check_fleet_file, read_fleet_file};
@@ -34,7 +33,7 @@
             |mistakes| miette::Report::new(*mistakes),
         ));
     };
-    let log = output_logger();
+    let log = logs::to_output();
     let runtime = Builder::new_current_thread()
         .enable_all()
         .build()
