Links between boxes end when nothing is acknowledged for 1.5 s

Cause: a link over which a cut went stays open and its bytes are sent again at growing pauses, so that calls between two boxes fail for seconds after the cut is over; callers' and targets' channels had a bound, links had none. Ruled out: doubt of boxes (it ends with the next answer). Test: a_link_ends_where_nothing_is_acknowledged.

--- a/components/peers/src/client.rs
+++ b/components/peers/src/client.rs
@@ -6,6 +6,7 @@
 use crate::server::codec;
 use crate::service::PeerClient;
 use prelude::BoxId;
+use socket2::SockRef;
 use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -45,6 +46,16 @@
 
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 
+/// Bytes on a link that are not acknowledged for this long end it: behind a cut nothing is said, and the system's
+/// own pauses grow to many seconds, which would go on when the cut is long over.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1_500);
+
+/// Sets what every link has.
+pub(crate) fn tune(link: &TcpStream) -> std::io::Result<()> {
+    link.set_nodelay(true)?;
+    SockRef::from(link).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))
+}
+
 /// A link whose both sides know each other, cut into messages.
 pub type LinkFrames = Framed<Counted<TcpStream>, LengthDelimitedCodec>;
 
@@ -167,7 +178,7 @@
     async fn connect(&self, address: SocketAddr) -> std::io::Result<C> {
         let connecting = async {
             let mut link = TcpStream::connect(address).await?;
-            link.set_nodelay(true)?;
+            tune(&link)?;
             handshake::connect(&mut link, &self.keys).await?;
             Ok::<_, std::io::Error>(link)
         };
@@ -176,3 +187,7 @@
         Ok(C::start(framed))
     }
 }
+
+#[cfg(test)]
+#[path = "client_tests.rs"]
+mod tests;
--- a/components/peers/src/server.rs
+++ b/components/peers/src/server.rs
@@ -1,6 +1,6 @@
 //! Serves a box's peers.
 
-use crate::client::LinkFrames;
+use crate::client::{LinkFrames, tune};
 use crate::counted::{Counted, Traffic};
 use crate::fleet::{Fleet, FleetHandler, FleetServer};
 use crate::handshake;
@@ -100,7 +100,7 @@
     keys: &[String],
     traffic: Arc<Traffic>,
 ) -> Option<LinkFrames> {
-    let _ = link.set_nodelay(true);
+    tune(&link).ok()?;
     handshake::accept(&mut link, keys).await.ok()?;
     Some(Framed::new(Counted::new(link, traffic), codec()))
 }
