--- a/components/relay/src/dispatch.rs
+++ b/components/relay/src/dispatch.rs
@@ -2,15 +2,13 @@
 //! that wait for its word. It is soft state; a box that takes the role over is told by the others what
 //! runs where.
 
-use crate::state::{Relay, pool_of};
-use crate::targets::{Belief, Target, TargetSlot};
+use crate::state::Relay;
 use peers::{
     AcquireRequest, AdoptedStream, PermitReply, RelocateReply, RelocateRequest, UpdateReply,
     UpdateRequest,
 };
 use policy::{
-    Adopted, Demand, End, EngineInfo, EngineState, LengthClass, Pool, PoolSettings, Share,
-    Submitted, Turns, Verdict,
+    Adopted, Demand, End, LengthClass, Pool, PoolSettings, Share, Submitted, Turns, Verdict,
 };
 use prelude::{
     BoxId, DataCentreId, OwnerId, PartnerId, PermitId, PoolId, Refusal, RefusalReason, TargetId,
@@ -41,7 +39,7 @@
 /// A pool, and who waits for its word.
 #[derive(Debug)]
 pub(crate) struct Dispatcher {
-    pool: Pool,
+    pub(crate) pool: Pool,
     waiting: HashMap<PermitId, oneshot::Sender<Verdict>>,
     turns: Turns,
 }
@@ -88,7 +86,7 @@
         }
     }
 
-    fn decide(&mut self, now_ms: u64) {
+    pub(crate) fn decide(&mut self, now_ms: u64) {
         for (permit, verdict) in self.pool.run(now_ms) {
             let Some(asker) = self.waiting.remove(&permit) else {
                 continue;
@@ -101,13 +99,6 @@
     }
 }
 
-/// Whether trials count: where most engines seem to fail, it is not they that do.
-fn trials_count<'a>(engines: impl Iterator<Item = (TargetSlot, &'a Target)>, now_ms: u64) -> bool {
-    let ready = engines.filter(|(_, target)| target.belief == Belief::Ready);
-    let (on, off): (Vec<_>, Vec<_>) = ready.partition(|(_, target)| target.trial.is_on(now_ms));
-    on.len() <= off.len()
-}
-
 fn granted(target: TargetId) -> PermitReply {
     PermitReply::Granted {
         target: TargetKey {
@@ -118,55 +109,11 @@
 }
 
 impl Relay {
-    /// Brings the engines of each pool that is dispatched here up to date.
-    pub(crate) fn sync_dispatchers(&self) {
-        let pools: Vec<PoolId> = self.dispatchers.borrow().keys().copied().collect();
-        for pool in pools {
-            let (infos, states) = self.engines_of(pool);
-            let now_ms = self.now_ms();
-            if let Some(dispatcher) = self.dispatchers.borrow_mut().get_mut(&pool) {
-                dispatcher.pool.set_engines(&infos);
-                for (target, state) in states {
-                    dispatcher.pool.set_state(target, state);
-                }
-                dispatcher.decide(now_ms);
-            }
-        }
-    }
-
-    fn engines_of(&self, pool: PoolId) -> (Vec<EngineInfo>, Vec<(TargetId, EngineState)>) {
-        let Some(held) = self.declared() else {
-            return (Vec::new(), Vec::new());
-        };
-        let now_ms = self.now_ms();
-        let mut infos = Vec::new();
-        let mut states = Vec::new();
-        let targets = self.targets.borrow();
-        let of_pool = |service: &&routing::Service| pool_of(&service.name) == pool;
-        for service in held.table.services.iter().filter(of_pool) {
-            let Some(engine) = service.engine else {
-                continue;
-            };
-            let on_trial = trials_count(targets.of_service(&service.name), now_ms);
-            for (_, target) in targets.of_service(&service.name) {
-                infos.push(EngineInfo {
-                    id: target.id,
-                    capacity_tokens: u64::from(engine.memory_tokens),
-                    data_centre: target.data_centre,
-                });
-                let doubted = target.suspicion.is_passed_over(now_ms)
-                    || (on_trial && target.trial.is_on(now_ms));
-                let state = match target.belief {
-                    Belief::Ready if !doubted => EngineState::Live,
-                    _ => EngineState::Leaving,
-                };
-                states.push((target.id, state));
-            }
-        }
-        (infos, states)
-    }
-
-    fn with_dispatcher<T>(&self, pool: PoolId, act: impl FnOnce(&mut Dispatcher, u64) -> T) -> T {
+    pub(crate) fn with_dispatcher<T>(
+        &self,
+        pool: PoolId,
+        act: impl FnOnce(&mut Dispatcher, u64) -> T,
+    ) -> T {
         if !self.dispatchers.borrow().contains_key(&pool) {
             self.dispatchers
                 .borrow_mut()
@@ -322,29 +269,6 @@
         })
     }
 
-    /// Puts an engine that failed a generation on trial.
-    pub(crate) fn engine_failed_here(&self, pool: PoolId, target: TargetId) {
-        let now_ms = self.now_ms();
-        {
-            let mut targets = self.targets.borrow_mut();
-            let slot = targets.slot_of(target);
-            if let Some(target) = slot.and_then(|slot| targets.get_mut(slot)) {
-                target.trial.failed(now_ms);
-            }
-        }
-        // The pool may not have been dispatched here before.
-        self.with_dispatcher(pool, |_, _| ());
-        self.sync_dispatchers();
-    }
-
-    fn made_event(&self, target: Option<TargetId>, now_ms: u64) {
-        let mut targets = self.targets.borrow_mut();
-        let slot = target.and_then(|target| targets.slot_of(target));
-        if let Some(target) = slot.and_then(|slot| targets.get_mut(slot)) {
-            target.trial.made_event(now_ms);
-        }
-    }
-
     /// Takes over the generations of a box.
     pub(crate) fn adopt_here(&self, from: BoxId, pool: PoolId, streams: &[AdoptedStream]) {
         let now_ms = self.now_ms();
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -7,6 +7,7 @@
 mod channels;
 mod control;
 mod dispatch;
+mod engines;
 mod events;
 mod follow;
 mod generation;
--- a/components/relay/src/news.rs
+++ b/components/relay/src/news.rs
@@ -3,7 +3,7 @@
 
 use crate::members::Met;
 use crate::packed::unpack;
-use crate::state::Relay;
+use crate::state::{Declared, Relay};
 use crate::targets::Change;
 use crate::turn::{View, follower_role};
 use peers::{
@@ -44,34 +44,24 @@
 }
 
 /// What this box tells one that knows what `other` says.
-fn news_for(relay: &Relay, other: Option<&FleetDigest>) -> FleetNews {
-    let digest = relay.digest();
-    let table = relay
-        .declared()
-        .filter(|held| other.is_none_or(|other| other.table_version < held.table.version));
-    let knows_less = other.is_none_or(|other| {
-        other.targets_changed_at < digest.targets_changed_at
-            && other.targets_current_to < digest.targets_current_to
-    });
-    let targets = knows_less.then(|| relay.targets.borrow().entries());
-    let knows_fewer = other.is_none_or(|other| other.boxes < digest.boxes);
-    let boxes = match knows_fewer {
-        true => relay.members.borrow().cards(),
-        false => Vec::new(),
-    };
-    FleetNews {
-        digest,
-        follows_store: relay.following.get().any(),
-        asks_engines: relay.asking.get(),
-        table: table.map(|held| SharedTable {
-            version: held.table.version,
-            packed: held.packed.clone(),
-        }),
-        targets,
-        target_changes: None,
-        leaving: relay.targets.borrow().leaving(),
-        pass_on: Vec::new(),
-        boxes,
+fn news_for(relay: &Relay, other: &FleetDigest) -> FleetNews {
+    let mut told = news(relay);
+    let declared = relay.declared();
+    let newer = declared.filter(|held| other.table_version < held.table.version);
+    told.table = newer.map(|held| shared(&held));
+    let knows_less = other.targets_changed_at < told.digest.targets_changed_at
+        && other.targets_current_to < told.digest.targets_current_to;
+    told.targets = knows_less.then(|| relay.targets.borrow().entries());
+    if other.boxes < told.digest.boxes {
+        told.boxes = relay.members.borrow().cards();
+    }
+    told
+}
+
+fn shared(held: &Declared) -> SharedTable {
+    SharedTable {
+        version: held.table.version,
+        packed: held.packed.clone(),
     }
 }
 
@@ -185,10 +175,7 @@
 /// Tells all boxes the declarations that this box has just read in the store.
 pub(crate) fn spread_table(relay: &Rc<Relay>) {
     let mut news = news(relay);
-    news.table = relay.declared().map(|held| SharedTable {
-        version: held.table.version,
-        packed: held.packed.clone(),
-    });
+    news.table = relay.declared().map(|held| shared(&held));
     tell_all(relay, news);
 }
 
@@ -330,7 +317,7 @@
         meet(&self.0, &digest.from, false);
         take_confirmations(&self.0, &digest);
         fetch_what_lacks(&self.0, &digest);
-        news_for(&self.0, Some(&digest))
+        news_for(&self.0, &digest)
     }
 
     async fn tell(&self, mut news: FleetNews) {
