--- a/components/relay/src/ingress.rs
+++ b/components/relay/src/ingress.rs
@@ -23,8 +23,6 @@
 /// Callers rest for up to four fifths of the idle limit; this much longer a channel stays open, for what
 /// is on its way.
 const IDLE_SLACK_MS: u64 = 500;
-/// How long a request waits for a box that has just started to learn the declarations and targets.
-const INFORMED_LIMIT: Duration = Duration::from_millis(150);
 /// When a caller is told to come back while this box knows no declarations.
 const NO_TABLE_RETRY_MS: u64 = 200;
 
@@ -114,7 +112,7 @@
         Err(Some(own)) => return refuse(relay, channel, own, None).await,
         Err(None) => return After::Drop,
     };
-    wait_until_informed(relay).await;
+    relay.wait_until_informed().await;
     let closes = head.old || head.headers.has_word("connection", "close");
     let answered = match admit(relay, head, body, came_ms) {
         Ok((incoming, way)) => answer(relay, channel, &incoming, &way).await,
@@ -132,22 +130,6 @@
     }
 }
 
-/// Gives a box that has just started the moment that it needs to read the store: a refusal would cost the
-/// caller more.
-async fn wait_until_informed(relay: &Relay) {
-    let informed = || relay.declared().is_some() && relay.targets.borrow().confirmed_ms.is_some();
-    let mut changes = relay.target_changes.subscribe();
-    let waiting = async {
-        while !informed() {
-            if changes.changed().await.is_err() {
-                return;
-            }
-        }
-    };
-    // After the limit the request is answered by what is known, which may be nothing.
-    let _ = timeout(INFORMED_LIMIT, waiting).await;
-}
-
 pub(crate) fn count(status: u16, by: &'static str) {
     metrics::counter!("shuntpier_answers", "status" => status.to_string(), "by" => by).increment(1);
 }
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -11,6 +11,7 @@
 mod events;
 mod follow;
 mod generation;
+mod informed;
 mod ingress;
 mod judge;
 mod members;
--- a/components/relay/src/news.rs
+++ b/components/relay/src/news.rs
@@ -334,6 +334,8 @@
     }
 
     async fn acquire(&self, request: AcquireRequest, wait_ms: u32) -> PermitReply {
+        // A dispatcher that has just started would refuse for want of engines that it does not know yet.
+        self.0.wait_until_informed().await;
         self.0.acquire_here(request, wait_ms).await
     }
 
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -17,14 +17,9 @@
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Duration;
 use tokio::sync::{Notify, watch};
-use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
-/// How long a box that starts waits for the word of its seeds, before it asks the store.
-const SEEDS_LIMIT: Duration = Duration::from_millis(150);
-
 /// One version of the operators' declarations, with the text that peers are given.
 #[derive(Debug)]
 pub struct Declared {
@@ -133,8 +128,7 @@
 
     /// Whether this box takes new channels: it knows what operators declared and where targets are.
     pub(crate) fn is_ready(&self) -> bool {
-        let knows_targets = self.targets.borrow().confirmed_ms.is_some();
-        !self.is_stopping() && knows_targets && self.declared.borrow().is_some()
+        !self.is_stopping() && self.is_informed()
     }
 
     pub(crate) fn card(&self) -> FleetCard {
@@ -167,13 +161,6 @@
         }
     }
 
-    /// Waits until the boxes that the settings name were asked, for a short time at the most.
-    pub(crate) async fn seeds_asked(&self) {
-        let mut asked = self.seeds_asked.subscribe();
-        // A seed that is silent is not waited for: the store knows what it would say.
-        let _ = timeout(SEEDS_LIMIT, asked.wait_for(|asked| *asked)).await;
-    }
-
     /// When it was last confirmed that this box knows the newest of a view.
     pub(crate) fn confirmed_ms(&self, view: View) -> Option<u64> {
         match view {
