shuntpier losses FILE...: lost and late requests summed by cause, from the logs of all boxes

A generation that is begun and never ended was cut by its box's death or planned stop; the others name their cause. The line of a generation's end says whether its first token was late or a pause too long. Tests: a_generation_without_an_end_is_lost_with_its_box, tells_what_targets_failed_from_what_boxes_refused.

--- a/src/cli.rs
+++ b/src/cli.rs
@@ -61,6 +61,10 @@
     /// Prints the story of one request from the log files of boxes
     Explain(#[bpaf(external(explain_options))] ExplainOptions),
 
+    #[bpaf(command("losses"))]
+    /// Sums lost and late requests by cause, from the log files of boxes
+    Losses(#[bpaf(external(losses_options))] LossesOptions),
+
     #[bpaf(command("demo"))]
     /// Runs everything in one process on loopback, with stand-ins
     Demo(#[bpaf(external(demo_options))] DemoOptions),
@@ -107,6 +111,13 @@
     pub files: Vec<PathBuf>,
 }
 
+#[derive(Clone, Debug, Bpaf)]
+pub struct LossesOptions {
+    /// Log files of boxes, in any order; standard input if left out
+    #[bpaf(positional("FILE"), many)]
+    pub files: Vec<PathBuf>,
+}
+
 #[derive(Clone, Debug, Bpaf)]
 pub struct ReportOptions {
     /// Operators' address of a box; may be given several times
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -1,9 +1,8 @@
 //! `explain`: the story of one request, from the log files of all boxes, in the order in which it happened.
 
 use crate::cli::ExplainOptions;
-use crate::cmd::read_file;
-use miette::{IntoDiagnostic, WrapErr, miette};
-use serde_json::{Map, Value};
+use crate::cmd::lines::{Fields, fields, read_logs, text};
+use miette::miette;
 use std::process::ExitCode;
 
 /// Fields that stand at the beginning of a line of the story.
@@ -20,16 +19,11 @@
 
 /// Prints every line that names the request; exits with 1 where there is none.
 pub fn run(options: &ExplainOptions) -> miette::Result<ExitCode> {
-    let mut lines = Vec::new();
-    for file in &options.files {
-        lines.extend(lines_of(&read_file(file)?, &options.id));
-    }
-    if options.files.is_empty() {
-        let text = std::io::read_to_string(std::io::stdin())
-            .into_diagnostic()
-            .wrap_err("cannot read standard input")?;
-        lines.extend(lines_of(&text, &options.id));
-    }
+    let logs = read_logs(&options.files)?;
+    let mut lines: Vec<Line> = logs
+        .iter()
+        .flat_map(|log| lines_of(log, &options.id))
+        .collect();
     lines.sort_by(|a, b| a.at.cmp(&b.at));
     if lines.is_empty() {
         return Err(miette!(
@@ -44,21 +38,19 @@
     Ok(ExitCode::SUCCESS)
 }
 
-/// The lines of a log that name a request. What stands before the JSON of a line is passed over.
-fn lines_of(text: &str, id: &str) -> Vec<Line> {
-    let naming = text.lines().filter(|line| line.contains(id));
+/// The lines of a log that name a request.
+fn lines_of(log: &str, id: &str) -> Vec<Line> {
+    let naming = log.lines().filter(|line| line.contains(id));
     naming
-        .filter_map(|line| line.find('{').map(|at| &line[at..]))
-        .filter_map(|line| serde_json::from_str::<Map<String, Value>>(line).ok())
-        .filter(|fields| fields.get("id").and_then(Value::as_str) == Some(id))
+        .filter_map(fields)
+        .filter(|fields| text(fields, "id") == id)
         .map(|fields| story_line(&fields))
         .collect()
 }
 
-fn story_line(fields: &Map<String, Value>) -> Line {
-    let text = |name: &str| fields.get(name).and_then(Value::as_str).unwrap_or_default();
-    let at = text("ts").to_owned();
-    let mut line = format!("{at}  {}  {}", text("box"), text("msg"));
+fn story_line(fields: &Fields) -> Line {
+    let at = text(fields, "ts").to_owned();
+    let mut line = format!("{at}  {}  {}", text(fields, "box"), text(fields, "msg"));
     for (name, value) in fields {
         let passed_over = LEADING.contains(&name.as_str()) || LEFT_OUT.contains(&name.as_str());
         if passed_over || value.is_null() {
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -4,6 +4,8 @@
 pub mod check;
 pub mod demo;
 pub mod explain;
+pub mod lines;
+pub mod losses;
 pub mod relay;
 pub mod serve;
 pub mod settings;
--- a/src/main.rs
+++ b/src/main.rs
@@ -17,6 +17,7 @@
         Command::Targets(options) => cmd::targets::run(&options),
         Command::Burn(options) => cmd::burn::run(&options),
         Command::Explain(options) => cmd::explain::run(&options),
+        Command::Losses(options) => cmd::losses::run(&options),
         Command::Demo(options) => cmd::demo::run(&options),
     }
 }
--- /dev/null
+++ b/tests/losses.rs
@@ -0,0 +1,81 @@
+//! Lost requests by cause, from the logs of boxes.
+
+use std::io::Write;
+use std::process::{Command, Stdio};
+
+fn line(second: u32, at: &str, message: &str, rest: &str) -> String {
+    format!(
+        "{{\"msg\":\"{message}\",\"ts\":\"2026-01-01T00:00:{second:02}Z\",\"box\":\"{at}\"{rest}}}\n"
+    )
+}
+
+fn losses(log: &str) -> Vec<String> {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_shuntpier"))
+        .arg("losses")
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut input = child.stdin.take().unwrap();
+    input.write_all(log.as_bytes()).unwrap();
+    drop(input);
+    let output = child.wait_with_output().unwrap();
+    assert!(output.status.success());
+    let text = String::from_utf8(output.stdout).unwrap();
+    text.lines().map(|line| line.trim().to_owned()).collect()
+}
+
+#[test]
+fn a_generation_without_an_end_is_lost_with_its_box() {
+    let log = [
+        line(1, "a", "generation begun", ",\"id\":\"1\""),
+        line(1, "a", "generation begun", ",\"id\":\"2\""),
+        line(
+            2,
+            "a",
+            "generation ended",
+            ",\"id\":\"2\",\"end\":\"Whole\"",
+        ),
+        line(3, "b", "generation begun", ",\"id\":\"3\""),
+        line(4, "b", "stopping", ""),
+        line(9, "a", "box started", ""),
+        line(9, "b", "box started", ""),
+    ];
+    let lines = losses(&log.concat());
+    assert_eq!(lines[0], "3 generations begun, 1 whole");
+    assert!(lines.contains(&"1  generation  cut by its box's death (first: 1)".to_owned()));
+    assert!(lines.contains(&"1  generation  cut by its box's planned stop (first: 3)".to_owned()));
+}
+
+#[test]
+fn tells_what_targets_failed_from_what_boxes_refused() {
+    let log = [
+        line(
+            1,
+            "a",
+            "request failed",
+            ",\"id\":\"1\",\"status\":500,\"why\":null",
+        ),
+        line(
+            2,
+            "a",
+            "request failed",
+            ",\"id\":\"2\",\"status\":500,\"why\":null",
+        ),
+        line(
+            3,
+            "a",
+            "generation not begun",
+            ",\"id\":\"3\",\"status\":503,\"why\":\"crowded\"",
+        ),
+    ];
+    let lines = losses(&log.concat());
+    assert_eq!(
+        lines[1],
+        "2  call        failed by its target, 500 (first: 1)"
+    );
+    assert_eq!(
+        lines[2],
+        "1  generation  answered 503 by the box: crowded (first: 3)"
+    );
+}
