Each mechanism of decision can be switched off in a box's settings, to measure what it is worth

`without: [turns, ...]`; room at engines is worked out in one place (`EngineLedger::room_left`) instead of two. A weight for prompts that wait at an engine is there and 0: no decision changes. Tests of the ledger moved to a file.

--- a/components/policy/src/choose.rs
+++ b/components/policy/src/choose.rs
@@ -2,7 +2,7 @@
 
 use crate::demand::Demand;
 use crate::kind::PoolSettings;
-use crate::ledger::{EngineLedger, EngineState, Streams};
+use crate::ledger::{EngineLedger, EngineState, RoomView, Streams};
 use crate::pool::{Pool, demand_forecast};
 use crate::queue::Place;
 use prelude::TargetId;
@@ -28,6 +28,14 @@
         // Until an engine's first report the dispatcher does not know what runs there, and would fill it
         // a second time.
         let needs_report = now_ms < began_ms + self.settings.first_report_ms;
+        let view = RoomView {
+            streams: &self.streams,
+            lengths: &self.lengths,
+            settings: &self.settings,
+            tokens_per_ms: self.tokens_per_ms,
+            margin,
+            now_ms,
+        };
         let mut best: Option<(f64, TargetId)> = None;
         let mut nearest: Vec<(f64, TargetId)> = Vec::new();
         for ledger in &mut self.engines {
@@ -42,11 +50,7 @@
             if !takes || !prefill_fits(ledger, &self.streams, demand, &self.settings) {
                 continue;
             }
-            let pace = self.tokens_per_ms;
-            let forecast = ledger.forecast(&self.streams, &self.lengths, pace, now_ms);
-            let peak = forecast.plus(&new).peak_tokens(margin);
-            let usable = ledger.info.capacity_tokens as f64 * self.settings.memory_share;
-            let left = usable - ledger.foreign_tokens - peak;
+            let left = ledger.room_left(&view, &new);
             let empty = ledger.streams.is_empty() && ledger.foreign_tokens == 0.0;
             if left < 0.0 && !empty {
                 nearest.push((left, ledger.info.id));
@@ -58,7 +62,9 @@
             });
             let is_near = demand.near == Some(ledger.info.data_centre);
             let near = f64::from(u8::from(is_near)) * f64::from(self.settings.near_tokens);
-            let score = left + affinity + near;
+            let reading =
+                ledger.prefill_tokens(&self.streams) as f64 * self.settings.waiting_weight;
+            let score = left + affinity + near - reading;
             if best.is_none_or(|(other, _)| score > other) {
                 best = Some((score, ledger.info.id));
             }
--- a/components/policy/src/forecast.rs
+++ b/components/policy/src/forecast.rs
@@ -35,6 +35,11 @@
         sum
     }
 
+    /// The memory in use at the first horizon, as it is expected.
+    pub fn now_tokens(&self) -> f64 {
+        self.mean_tokens[0]
+    }
+
     /// The most memory in use at any horizon, `margin` standard deviations above the mean.
     pub fn peak_tokens(&self, margin: f64) -> f64 {
         let at_horizon = |(mean, variance): (&f64, &f64)| mean + margin * variance.sqrt();
--- a/components/policy/src/kind.rs
+++ b/components/policy/src/kind.rs
@@ -66,6 +66,18 @@
     pub reserve_share: f64,
     /// What an engine in the data centre of the caller's box is preferred by, in tokens of memory.
     pub near_tokens: u32,
+    /// What copying within a data centre is preferred by, in tokens of memory: between data centres a copy takes
+    /// twice as long.
+    pub near_copy_tokens: u32,
+    /// What a prompt token that waits at an engine for its first token counts for beyond its memory, in tokens: it
+    /// holds up the prompts behind it.
+    pub waiting_weight: f64,
+    /// Whether memory is forecast; otherwise what is held now counts.
+    pub forecast: bool,
+    /// Whether lengths of answers are learnt.
+    pub learns_lengths: bool,
+    /// Whether accounts share by what they had; otherwise who came first goes first.
+    pub fair: bool,
     /// How long a new dispatcher waits for an engine's first report; 0 where all load is its own.
     pub first_report_ms: u64,
     /// Retries as a share of fresh requests.
@@ -91,6 +103,11 @@
             pass_limit_ms: 500,
             reserve_share: 0.45,
             near_tokens: 0,
+            near_copy_tokens: 12_000,
+            waiting_weight: 0.0,
+            forecast: true,
+            learns_lengths: true,
+            fair: true,
             first_report_ms: 500,
             retry_share: 0.1,
         }
--- a/components/policy/src/ledger.rs
+++ b/components/policy/src/ledger.rs
@@ -3,6 +3,7 @@
 
 use crate::fairness::Share;
 use crate::forecast::Forecast;
+use crate::kind::PoolSettings;
 use crate::length::{LengthClass, LengthModel};
 use prelude::{BoxId, DataCentreId, PermitId, TargetId, TargetIncarnation};
 use slotmap::{SlotMap, new_key_type};
@@ -104,6 +105,23 @@
 /// All streams of a pool.
 pub type Streams = SlotMap<StreamKey, Stream>;
 
+/// What the room at engines is worked out from.
+#[derive(Clone, Copy, Debug)]
+pub struct RoomView<'a> {
+    /// All streams of the pool.
+    pub streams: &'a Streams,
+    /// How long answers get.
+    pub lengths: &'a LengthModel,
+    /// The pool's settings.
+    pub settings: &'a PoolSettings,
+    /// Pace of a stream, in tokens per millisecond.
+    pub tokens_per_ms: f64,
+    /// Standard deviations of the forecast that are kept free.
+    pub margin: f64,
+    /// The time.
+    pub now_ms: u64,
+}
+
 /// How long a forecast is used before it is made anew.
 const FORECAST_LIFE_MS: u64 = 25;
 /// How long the ledger's own past is kept.
@@ -210,6 +228,19 @@
         &self.forecast
     }
 
+    /// Memory left once `more` is here too, in tokens; less than none where it does not fit.
+    pub fn room_left(&mut self, view: &RoomView<'_>, more: &Forecast) -> f64 {
+        let settings = view.settings;
+        let forecast = self.forecast(view.streams, view.lengths, view.tokens_per_ms, view.now_ms);
+        let with = forecast.plus(more);
+        let peak = match settings.forecast {
+            true => with.peak_tokens(view.margin),
+            false => with.now_tokens(),
+        };
+        let usable = self.info.capacity_tokens as f64 * settings.memory_share;
+        usable - self.foreign_tokens - peak
+    }
+
     /// Keeps the ledger's own past, against which late reports are held.
     pub fn remember(&mut self, own_tokens: f64, now_ms: u64) {
         self.own_past.push_back((now_ms, own_tokens));
@@ -277,76 +308,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn ledger() -> EngineLedger {
-        EngineLedger::new(EngineInfo {
-            id: TargetId(1),
-            capacity_tokens: 1000,
-            data_centre: DataCentreId(0),
-        })
-    }
-
-    fn report(memory_share: f64) -> EngineReport {
-        EngineReport {
-            memory_share,
-            ..EngineReport::default()
-        }
-    }
-
-    #[test]
-    fn sees_load_that_others_placed() {
-        let mut ledger = ledger();
-        for at_ms in 0..40 {
-            ledger.remember(200.0, at_ms * 100);
-            ledger.reported(report(0.7), 200, at_ms * 100);
-        }
-        assert!((ledger.foreign_tokens - 500.0).abs() < 20.0);
-    }
-
-    #[test]
-    fn forgets_load_of_others_that_has_gone() {
-        let mut ledger = ledger();
-        ledger.reported(report(0.9), 0, 0);
-        for at_ms in 1..20 {
-            ledger.remember(0.0, at_ms);
-            ledger.reported(report(0.0), 0, at_ms);
-        }
-        assert_eq!(ledger.foreign_tokens, 0.0);
-    }
-
-    #[test]
-    fn does_not_take_its_own_past_for_others_load() {
-        let mut ledger = ledger();
-        ledger.remember(900.0, 0);
-        ledger.remember(100.0, 300);
-        ledger.reported(report(0.9), 250, 300);
-        assert_eq!(ledger.foreign_tokens, 0.0);
-    }
-
-    #[test]
-    fn takes_requests_between_two_steps_for_no_backlog() {
-        let mut ledger = ledger();
-        let mut between_steps = report(0.2);
-        between_steps.waiting = 3;
-        ledger.reported(between_steps, 0, 0);
-        assert!(!ledger.is_backed_up(1));
-        between_steps.memory_share = 0.99;
-        ledger.reported(between_steps, 0, 2);
-        assert!(ledger.is_backed_up(3));
-    }
-
-    #[test]
-    fn counts_preemptions_of_one_life() {
-        let mut ledger = ledger();
-        let with = |preemptions, life| EngineReport {
-            preemptions,
-            incarnation: TargetIncarnation(life),
-            ..EngineReport::default()
-        };
-        assert_eq!(ledger.reported(with(5, 1), 0, 0), 0);
-        assert_eq!(ledger.reported(with(7, 1), 0, 1), 2);
-        assert_eq!(ledger.reported(with(1, 2), 0, 2), 0);
-    }
-}
+#[path = "ledger_tests.rs"]
+mod tests;
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -3,13 +3,13 @@
 //! or doubled.
 
 use crate::demand::{Adopted, Demand, Submitted, Verdict};
-use crate::fairness::FairTree;
+use crate::fairness::{FairTree, Share};
 use crate::forecast::Forecast;
 use crate::kind::{PolicyKind, PoolSettings};
 use crate::ledger::{
     EngineInfo, EngineLedger, EngineReport, EngineState, Stream, StreamKey, Streams,
 };
-use crate::length::{End, LengthModel};
+use crate::length::{End, LengthClass, LengthModel};
 use crate::pace::GrantPace;
 use crate::prefixes::PrefixIndex;
 use crate::queue::Queue;
@@ -201,8 +201,8 @@
             let pace = f64::from(tokens - before) / elapsed_ms as f64;
             self.tokens_per_ms += PACE_WEIGHT * (pace - self.tokens_per_ms);
         }
-        self.lengths.grew(class, before, tokens);
-        self.tree.charge_output(&share, tokens - before);
+        self.learn(class, before, tokens, None);
+        self.charge_output(&share, tokens - before);
         true
     }
 
@@ -219,12 +219,27 @@
         }
         let before = stream.generated_tokens;
         let tokens = tokens.max(before);
-        self.lengths.grew(stream.class, before, tokens);
-        self.lengths.ended(stream.class, tokens, end);
-        self.tree.charge_output(&stream.share, tokens - before);
+        self.learn(stream.class, before, tokens, Some(end));
+        self.charge_output(&stream.share, tokens - before);
         self.tree.ends(&stream.share);
     }
 
+    fn learn(&mut self, class: LengthClass, before: u32, tokens: u32, end: Option<End>) {
+        if !self.settings.learns_lengths {
+            return;
+        }
+        self.lengths.grew(class, before, tokens);
+        if let Some(end) = end {
+            self.lengths.ended(class, tokens, end);
+        }
+    }
+
+    fn charge_output(&mut self, share: &Share, tokens: u32) {
+        if self.settings.fair {
+            self.tree.charge_output(share, tokens);
+        }
+    }
+
     /// Takes over a stream that another dispatcher, or none, had placed.
     pub fn adopt(&mut self, adopted: Adopted, now_ms: u64) {
         let permit = adopted.demand.permit;
@@ -428,7 +443,9 @@
         }
         self.tree.runs(&demand.share);
         self.tree.leaves(&demand.share);
-        self.tree.charge_prompt(&demand.share, demand.prompt_tokens);
+        if self.settings.fair {
+            self.tree.charge_prompt(&demand.share, demand.prompt_tokens);
+        }
         if let Some((prefix, _)) = demand.prefix {
             self.prefixes.note(target, prefix, now_ms);
         }
--- a/components/policy/src/relocate.rs
+++ b/components/policy/src/relocate.rs
@@ -1,14 +1,10 @@
 //! A generation goes on at another engine: which one has room for what it holds and will still make.
 
 use crate::forecast::Forecast;
-use crate::ledger::EngineState;
+use crate::ledger::{EngineState, RoomView};
 use crate::pool::Pool;
 use prelude::{DataCentreId, PermitId, TargetId};
 
-/// What copying within a data centre is preferred by, in tokens of memory: between data centres a copy
-/// takes twice as long.
-const NEAR_COPY_TOKENS: f64 = 12_000.0;
-
 /// A copy that arrives at an engine holds up the next one there; so much memory is such an engine taken to
 /// have less.
 const ARRIVAL_TOKENS: f64 = 6000.0;
@@ -34,23 +30,28 @@
         more.add(held, stream.survival(&self.lengths, generated));
         let place = self.data_centre_of(from);
         let margin = self.margin_in_use();
+        let near_copy = f64::from(self.settings.near_copy_tokens);
+        let view = RoomView {
+            streams: &self.streams,
+            lengths: &self.lengths,
+            settings: &self.settings,
+            tokens_per_ms: self.tokens_per_ms,
+            margin,
+            now_ms,
+        };
         let mut best: Option<(f64, TargetId)> = None;
         for ledger in &mut self.engines {
             let id = ledger.info.id;
             if ledger.state != EngineState::Live || id == from || avoid.contains(&id) {
                 continue;
             }
-            let pace = self.tokens_per_ms;
-            let forecast = ledger.forecast(&self.streams, &self.lengths, pace, now_ms);
-            let peak = forecast.plus(&more).peak_tokens(margin);
-            let usable = ledger.info.capacity_tokens as f64 * self.settings.memory_share;
-            let left = usable - ledger.foreign_tokens - peak;
+            let left = ledger.room_left(&view, &more);
             if left < 0.0 {
                 continue;
             }
             let near = f64::from(u8::from(place == Some(ledger.info.data_centre)));
             let busy = arriving.iter().filter(|other| **other == id).count() as f64;
-            let score = left + near * NEAR_COPY_TOKENS - busy * ARRIVAL_TOKENS;
+            let score = left + near * near_copy - busy * ARRIVAL_TOKENS;
             if best.is_none_or(|(other, _)| score > other) {
                 best = Some((score, id));
             }
--- a/components/relay/src/call.rs
+++ b/components/relay/src/call.rs
@@ -9,6 +9,7 @@
 use bytes::Bytes;
 use platform::{Forwarding, forward, relayed_head};
 use routing::RouteKind;
+use settings::Mechanism;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -81,7 +82,9 @@
 fn next_offer(relay: &Rc<Relay>, way: &Way, story: &Story, due_ms: u64) -> Option<TargetSlot> {
     let route = way.route();
     let now_ms = relay.now_ms();
-    let may_run_again = route.kind == RouteKind::Repeatable && story.runs < route.runs_most;
+    let may_run_again = route.kind == RouteKind::Repeatable
+        && story.runs < route.runs_most
+        && relay.file.has(Mechanism::SecondSends);
     if now_ms >= due_ms || story.offered.len() >= OFFERS_MAX {
         return None;
     }
@@ -215,5 +218,5 @@
         _ if relay.now_ms() >= due_ms => Own::TimeOver,
         _ => Own::MayHaveRun(story.last),
     };
-    Reply::own(own, incoming.facts.request_id.as_deref())
+    Reply::own(relay.as_told(own), incoming.facts.request_id.as_deref())
 }
--- a/components/relay/src/dispatch.rs
+++ b/components/relay/src/dispatch.rs
@@ -14,6 +14,7 @@
     BoxId, DataCentreId, OwnerId, PartnerId, PermitId, PoolId, Refusal, RefusalReason, TargetId,
     TargetIncarnation, TargetKey,
 };
+use settings::{FleetFile, Mechanism};
 use std::collections::{HashMap, HashSet};
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -28,6 +29,9 @@
 /// Prompt tokens that one engine may have waiting for their first token. A longer row holds the tokens of
 /// all that runs there up; measured in `docs/design/platform.md`.
 const PREFILL_TOKENS: u32 = 7_000;
+/// What a prompt token that waits at an engine counts for beyond its memory: prompts at one engine are read one after
+/// another.
+const WAITING_WEIGHT: f64 = 0.0;
 /// What an engine near the caller's box is preferred by, in tokens of memory: bytes between data centres
 /// are paid for.
 const NEAR_TOKENS: u32 = 1_500;
@@ -41,24 +45,47 @@
 pub(crate) struct Dispatcher {
     pub(crate) pool: Pool,
     waiting: HashMap<PermitId, oneshot::Sender<Verdict>>,
-    turns: Turns,
+    /// None where copies do not go one after another.
+    turns: Option<Turns>,
 }
 
-fn pool_settings() -> PoolSettings {
+fn pool_settings(file: &FleetFile) -> PoolSettings {
+    let on = |mechanism, value| if file.has(mechanism) { value } else { 0 };
+    let usual = PoolSettings::default();
     PoolSettings {
-        prefill_tokens: PREFILL_TOKENS,
-        near_tokens: NEAR_TOKENS,
+        prefill_tokens: match file.has(Mechanism::ReadingBound) {
+            true => PREFILL_TOKENS,
+            false => u32::MAX,
+        },
+        near_tokens: on(Mechanism::NearEngines, NEAR_TOKENS),
+        waiting_weight: match file.has(Mechanism::SpreadReading) {
+            true => WAITING_WEIGHT,
+            false => 0.0,
+        },
+        near_copy_tokens: on(Mechanism::NearCopies, usual.near_copy_tokens),
+        affinity_tokens: on(Mechanism::SharedParts, usual.affinity_tokens),
+        forecast: file.has(Mechanism::Forecast),
+        learns_lengths: file.has(Mechanism::Lengths),
+        fair: file.has(Mechanism::Fairness),
+        margin_max: match file.has(Mechanism::Margin) {
+            true => usual.margin_max,
+            false => 0.0,
+        },
+        margin_initial: match file.has(Mechanism::Margin) {
+            true => usual.margin_initial,
+            false => 0.0,
+        },
         first_report_ms: 0,
-        ..PoolSettings::default()
+        ..usual
     }
 }
 
 impl Dispatcher {
-    fn new() -> Self {
+    fn new(file: &FleetFile) -> Self {
         Self {
-            pool: Pool::new(pool_settings()),
+            pool: Pool::new(pool_settings(file)),
             waiting: HashMap::new(),
-            turns: Turns::default(),
+            turns: file.has(Mechanism::Turns).then(Turns::default),
         }
     }
 
@@ -67,23 +94,21 @@
         let Some(held_tokens) = self.pool.held_tokens(permit) else {
             return RelocateReply::NotKnown;
         };
-        if !self.turns.ask(from, permit, held_tokens, now_ms) {
+        let asked = self.turns.as_mut();
+        if asked.is_some_and(|turns| !turns.ask(from, permit, held_tokens, now_ms)) {
             return RelocateReply::Wait;
         }
-        let arriving = self.turns.arriving(now_ms);
+        let arriving = self.turns.as_ref();
+        let arriving = arriving.map_or(Vec::new(), |turns| turns.arriving(now_ms));
         let found = self
             .pool
             .relocate(permit, from, &request.avoid, &arriving, now_ms);
-        match found {
-            Some(target) => {
-                self.turns.begin(from, permit, target, now_ms);
-                RelocateReply::Go(target)
-            }
-            None => {
-                self.turns.end(from, permit);
-                RelocateReply::NoRoom
-            }
+        match (found, &mut self.turns) {
+            (Some(target), Some(turns)) => turns.begin(from, permit, target, now_ms),
+            (None, Some(turns)) => turns.end(from, permit),
+            (_, None) => {}
         }
+        found.map_or(RelocateReply::NoRoom, RelocateReply::Go)
     }
 
     pub(crate) fn decide(&mut self, now_ms: u64) {
@@ -117,7 +142,7 @@
         if !self.dispatchers.borrow().contains_key(&pool) {
             self.dispatchers
                 .borrow_mut()
-                .insert(pool, Dispatcher::new());
+                .insert(pool, Dispatcher::new(&self.file));
             slog::info!(self.log, "dispatching"; "pool" => %pool.model);
             self.sync_dispatchers();
         }
@@ -237,7 +262,11 @@
 
     /// Ends the turn of a generation.
     pub(crate) fn relocated_here(&self, pool: PoolId, permit: PermitId, from: TargetId) {
-        self.with_dispatcher(pool, |dispatcher, _| dispatcher.turns.end(from, permit));
+        self.with_dispatcher(pool, |dispatcher, _| {
+            if let Some(turns) = &mut dispatcher.turns {
+                turns.end(from, permit);
+            }
+        });
     }
 
     /// Takes progress and ends in.
--- a/components/relay/src/engines.rs
+++ b/components/relay/src/engines.rs
@@ -4,6 +4,7 @@
 use crate::targets::{Belief, Target, TargetSlot};
 use policy::{EngineInfo, EngineState};
 use prelude::{PoolId, TargetId};
+use settings::Mechanism;
 
 /// Whether trials count: where most engines seem to fail, it is not they that do.
 fn trials_count<'a>(engines: impl Iterator<Item = (TargetSlot, &'a Target)>, now_ms: u64) -> bool {
@@ -63,6 +64,9 @@
 
     /// Puts an engine that failed a generation on trial.
     pub(crate) fn engine_failed_here(&self, pool: PoolId, target: TargetId) {
+        if !self.file.has(Mechanism::Trials) {
+            return;
+        }
         let now_ms = self.now_ms();
         {
             let mut targets = self.targets.borrow_mut();
--- a/components/relay/src/generation.rs
+++ b/components/relay/src/generation.rs
@@ -16,6 +16,7 @@
 use platform::{Continuation, Forwarding, PRIORITY_MOST, forward, relayed_head};
 use prelude::{Refusal, RefusalReason, TargetId};
 use routing::GenerationRequest;
+use settings::Mechanism;
 use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
@@ -75,6 +76,7 @@
     incoming: &Incoming,
     own: Own,
 ) -> After {
+    let own = relay.as_told(own);
     slog::info!(relay.log, "generation not begun"; "id" => incoming.id(),
         "status" => own.status(), "why" => own.why(), "retry_after_ms" => own.retry_after_ms(),
         "after_ms" => relay.now_ms() - incoming.came_ms);
@@ -128,8 +130,8 @@
 }
 
 /// Which generations have answers of like length: those of like rank and guess.
-fn kind_of(generation: &GenerationRequest, rank: u8) -> u8 {
-    let Some(guess) = generation.guess_tokens else {
+fn kind_of(guess_tokens: Option<u32>, rank: u8) -> u8 {
+    let Some(guess) = guess_tokens else {
         return KIND_UNKNOWN - rank.min(RANKS);
     };
     let step = (f64::from(guess.max(1)).log2() * GUESS_STEPS) as u8;
@@ -154,6 +156,9 @@
 async fn start(relay: &Rc<Relay>, incoming: &Incoming, way: &Way) -> Started {
     let route = way.route();
     let generation = incoming.facts.generation.clone().unwrap_or_default();
+    let told_guess = generation
+        .guess_tokens
+        .filter(|_| relay.file.has(Mechanism::Guesses));
     let due_ms = incoming.due_ms(route);
     let wait_until_ms = incoming.came_ms + (route.answer_goal_ms as f64 * WAIT_SHARE) as u64;
     let mut avoid: Option<TargetId> = None;
@@ -164,7 +169,7 @@
         let want = Want {
             service: &way.service().name,
             account: way.account_id(),
-            kind: kind_of(&generation, way.rank()),
+            kind: kind_of(told_guess, way.rank()),
             prompt_tokens: generation.prompt_tokens,
             most_tokens: generation.most_tokens,
             urgent: way.rank() == 0,
--- a/components/relay/src/informed.rs
+++ b/components/relay/src/informed.rs
@@ -2,6 +2,7 @@
 //! declarations and the list of targets.
 
 use crate::state::Relay;
+use settings::Mechanism;
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -29,6 +30,9 @@
     /// Gives a box that has just started the moment that it needs to learn what it decides by: a refusal would
     /// cost the caller more.
     pub(crate) async fn wait_until_informed(&self) {
+        if !self.file.has(Mechanism::HeldStarts) {
+            return;
+        }
         let mut changes = self.target_changes.subscribe();
         let waiting = async {
             while !self.is_informed() {
--- a/components/relay/src/judge.rs
+++ b/components/relay/src/judge.rs
@@ -5,6 +5,7 @@
 use crate::state::Relay;
 use crate::targets::{Belief, TargetSlot};
 use prelude::TargetId;
+use settings::Mechanism;
 use std::rc::Rc;
 
 /// What a target showed of itself.
@@ -53,12 +54,12 @@
         if let Some(target) = targets.get_mut(slot) {
             match word {
                 Word::Well => target.suspicion.succeeded(),
-                Word::Failed => {
+                Word::Failed if self.file.has(Mechanism::Suspicion) => {
                     let before = target.suspicion.is_passed_over(now_ms);
                     target.suspicion.failed(now_ms);
                     doubted = target.suspicion.is_passed_over(now_ms) && !before;
                 }
-                Word::Full | Word::Left => {}
+                Word::Failed | Word::Full | Word::Left => {}
             }
         }
         drop(targets);
--- a/components/relay/src/moving.rs
+++ b/components/relay/src/moving.rs
@@ -9,6 +9,7 @@
 use platform::{CopyReply, copy_call, drop_copy_call, read_copy_reply};
 use prelude::{PoolId, TargetId};
 use routing::EngineTraits;
+use settings::Mechanism;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -84,7 +85,7 @@
             relay: relay.clone(),
             changes: relay.target_changes.subscribe(),
             looked: false,
-            moves: engine.is_some_and(|engine| engine.moves),
+            moves: engine.is_some_and(|engine| engine.moves) && relay.file.has(Mechanism::Moves),
             steps: None,
             task: None,
             stopping: false,
--- a/components/relay/src/pump.rs
+++ b/components/relay/src/pump.rs
@@ -90,6 +90,7 @@
         slog::info!(self.relay.log, "generation ended"; "id" => self.incoming.id(),
             "end" => ?ended, "events" => self.events, "moves" => self.moves,
             "first_event_ms" => self.first_event_ms, "longest_pause_ms" => self.longest_pause_ms,
+            "late" => self.is_late(), "paused" => self.is_paused(),
             "after_ms" => self.relay.now_ms() - self.incoming.came_ms);
         let word = match ended {
             Ended::Whole => "whole",
@@ -124,6 +125,19 @@
         self.relay.outlook.borrow_mut().ended(ended);
     }
 
+    /// Whether the first event came after the route's goal.
+    fn is_late(&self) -> bool {
+        let goal_ms = self.way.route().answer_goal_ms;
+        self.first_event_ms
+            .is_some_and(|first_ms| first_ms > goal_ms)
+    }
+
+    /// Whether a pause was longer than the route's goal allows.
+    fn is_paused(&self) -> bool {
+        let goal_ms = self.way.route().pause_goal_ms;
+        goal_ms.is_some_and(|goal_ms| self.longest_pause_ms > goal_ms)
+    }
+
     fn tokens_per_event(&self) -> u32 {
         self.engine.map_or(1, |engine| engine.tokens_per_event)
     }
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -5,6 +5,7 @@
 use crate::members::Members;
 use crate::outlook::Outlook;
 use crate::packed::pack;
+use crate::request::Own;
 use crate::runs::Runs;
 use crate::targets::{Change, TargetBook};
 use crate::turn::{Followed, View};
@@ -13,7 +14,7 @@
 use policy::{ResendBound, ResendWindow};
 use prelude::{BoxId, Clock, DataCentreId, ModelId, PoolId};
 use routing::RoutingTable;
-use settings::FleetFile;
+use settings::{FleetFile, Mechanism};
 use slog::Logger;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -21,6 +22,9 @@
 use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
+/// When a refused caller is told to come back where no time is worked out.
+const RETRY_AFTER_MS: u64 = 1_000;
+
 /// One version of the operators' declarations, with the text that peers are given.
 #[derive(Debug)]
 pub struct Declared {
@@ -253,6 +257,17 @@
         self.target_changes.send_modify(|count| *count += 1);
     }
 
+    /// An answer of this box's own, as its caller is told it.
+    pub(crate) fn as_told(&self, own: Own) -> Own {
+        match own {
+            Own::NotRun { why, .. } if !self.file.has(Mechanism::TimesToComeBack) => Own::NotRun {
+                why,
+                retry_after_ms: RETRY_AFTER_MS,
+            },
+            own => own,
+        }
+    }
+
     /// Second sends to a service, counted over the window.
     pub(crate) fn resend_window<T>(
         &self,
@@ -278,7 +293,10 @@
 
     /// Takes one second send to a service from the budget.
     pub(crate) fn take_resend(&self, service: &str) -> bool {
-        let boxes = self.members.borrow().budget_share();
+        let boxes = match self.file.has(Mechanism::BudgetShares) {
+            true => self.members.borrow().budget_share(),
+            false => 1,
+        };
         let taken = self.resend_window(service, |window, now_ms| window.take(boxes, now_ms));
         let name = match taken {
             true => "shuntpier_resends",
--- a/components/relay/src/stopping.rs
+++ b/components/relay/src/stopping.rs
@@ -2,6 +2,7 @@
 
 use crate::request::{Incoming, Own, Way};
 use crate::state::Relay;
+use settings::Mechanism;
 
 /// When a caller is told to come back that a stopping box does not take, where another may serve it at once.
 const STOP_RETRY_MS: u64 = 20;
@@ -42,7 +43,8 @@
     if longest_ms.min(due_in_ms) <= left_ms {
         return None;
     }
-    let is_early = left_ms + STOP_CHANCES_MS > grace_ms(relay);
+    let is_early =
+        relay.file.has(Mechanism::StopChances) && left_ms + STOP_CHANCES_MS > grace_ms(relay);
     let outlook = relay.outlook.borrow();
     let ends = outlook.end_chance(generation.guess_tokens, generation.most_tokens, left_ms);
     let elsewhere = relay.members.borrow().elsewhere_chance(relay.now_ms());
--- a/components/settings/src/fleetfile.rs
+++ b/components/settings/src/fleetfile.rs
@@ -1,6 +1,7 @@
 //! The settings file of one box of a platform's fleet: who it is, where the platform's store is, and what
 //! the users were promised. Routes, services and accounts come from the store.
 
+use crate::mechanism::Mechanism;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -20,6 +21,9 @@
     /// What the box may use.
     #[serde(default)]
     pub limits: FleetLimits,
+    /// Mechanisms of decision that are off, for measurements; usually none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub without: Vec<Mechanism>,
     /// Boxes that may be asked before any is known from the store.
     #[serde(default)]
     #[schemars(with = "Vec<String>")]
@@ -29,6 +33,13 @@
     pub peer_keys: Vec<String>,
 }
 
+impl FleetFile {
+    /// Whether a mechanism of decision is on.
+    pub fn has(&self, mechanism: Mechanism) -> bool {
+        !self.without.contains(&mechanism)
+    }
+}
+
 /// A box's name, place and addresses.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(deny_unknown_fields)]
--- /dev/null
+++ b/components/settings/src/mechanism.rs
@@ -0,0 +1,48 @@
+//! Mechanisms of decision that a box can be run without, to measure what each is worth.
+
+use schemars::JsonSchema;
+use serde::{Deserialize, Serialize};
+
+/// A mechanism of decision. Listed under `without` in a box's settings file, it is off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum Mechanism {
+    /// An engine's memory is forecast; without it, what is held now counts.
+    Forecast,
+    /// Lengths of answers are learnt; without it, the prior holds.
+    Lengths,
+    /// Callers' guesses tell kinds of answers apart.
+    Guesses,
+    /// Engines near the caller's box go first.
+    NearEngines,
+    /// Copies go to engines near their source first.
+    NearCopies,
+    /// Engines that hold a prompt's shared part go first.
+    SharedParts,
+    /// Prompts keep away from engines that read others.
+    SpreadReading,
+    /// One engine has so many prompt tokens waiting at the most.
+    ReadingBound,
+    /// Room is kept for what the forecast does not know.
+    Margin,
+    /// Generations leave engines that leave.
+    Moves,
+    /// Copies from one engine go one after another.
+    Turns,
+    /// An engine that failed a generation is on trial for all boxes.
+    Trials,
+    /// Accounts share by what they had.
+    Fairness,
+    /// Targets that failed lately are passed over by this box.
+    Suspicion,
+    /// What may be repeated is sent a second time.
+    SecondSends,
+    /// The budget of second sends is divided among the boxes.
+    BudgetShares,
+    /// Requests wait for what a box that starts learns.
+    HeldStarts,
+    /// A stopping box begins what likely ends.
+    StopChances,
+    /// Refused callers are told a time worked out for them; without it, one second.
+    TimesToComeBack,
+}
