--- a/components/policy/src/choose.rs
+++ b/components/policy/src/choose.rs
@@ -62,9 +62,7 @@
             });
             let is_near = demand.near == Some(ledger.info.data_centre);
             let near = f64::from(u8::from(is_near)) * f64::from(self.settings.near_tokens);
-            let reading =
-                ledger.prefill_tokens(&self.streams) as f64 * self.settings.waiting_weight;
-            let score = left + affinity + near - reading;
+            let score = left + affinity + near;
             if best.is_none_or(|(other, _)| score > other) {
                 best = Some((score, ledger.info.id));
             }
--- a/components/policy/src/kind.rs
+++ b/components/policy/src/kind.rs
@@ -69,9 +69,6 @@
     /// What copying within a data centre is preferred by, in tokens of memory: between data centres a copy takes
     /// twice as long.
     pub near_copy_tokens: u32,
-    /// What a prompt token that waits at an engine for its first token counts for beyond its memory, in tokens: it
-    /// holds up the prompts behind it.
-    pub waiting_weight: f64,
     /// Whether memory is forecast; otherwise what is held now counts.
     pub forecast: bool,
     /// Whether lengths of answers are learnt.
@@ -104,7 +101,6 @@
             reserve_share: 0.45,
             near_tokens: 0,
             near_copy_tokens: 12_000,
-            waiting_weight: 0.0,
             forecast: true,
             learns_lengths: true,
             fair: true,
--- a/components/relay/src/dispatch.rs
+++ b/components/relay/src/dispatch.rs
@@ -29,9 +29,6 @@
 /// Prompt tokens that one engine may have waiting for their first token. A longer row holds the tokens of
 /// all that runs there up; measured in `docs/design/platform.md`.
 const PREFILL_TOKENS: u32 = 7_000;
-/// What a prompt token that waits at an engine counts for beyond its memory: prompts at one engine are read one after
-/// another.
-const WAITING_WEIGHT: f64 = 0.0;
 /// What an engine near the caller's box is preferred by, in tokens of memory: bytes between data centres
 /// are paid for.
 const NEAR_TOKENS: u32 = 1_500;
@@ -58,12 +55,7 @@
             false => u32::MAX,
         },
         near_tokens: on(Mechanism::NearEngines, NEAR_TOKENS),
-        waiting_weight: match file.has(Mechanism::SpreadReading) {
-            true => WAITING_WEIGHT,
-            false => 0.0,
-        },
         near_copy_tokens: on(Mechanism::NearCopies, usual.near_copy_tokens),
-        affinity_tokens: on(Mechanism::SharedParts, usual.affinity_tokens),
         forecast: file.has(Mechanism::Forecast),
         learns_lengths: file.has(Mechanism::Lengths),
         fair: file.has(Mechanism::Fairness),
--- a/components/relay/src/generation.rs
+++ b/components/relay/src/generation.rs
@@ -15,14 +15,12 @@
 use http1::Channel;
 use platform::{Continuation, Forwarding, PRIORITY_MOST, forward, relayed_head};
 use prelude::{Refusal, RefusalReason, TargetId};
-use routing::GenerationRequest;
 use settings::Mechanism;
 use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout_at};
-use xxhash_rust::xxh3::xxh3_64;
 
 /// Part of the goal for which a request waits for a permit: beyond it a refusal costs the caller less.
 const WAIT_SHARE: f64 = 0.22;
@@ -138,20 +136,6 @@
     step.min(GUESS_STEP_MOST) * RANKS + rank.min(RANKS - 1)
 }
 
-/// The part of a prompt that other requests may share.
-fn shared_prefix(generation: &GenerationRequest) -> Option<(u64, u32)> {
-    let shared = generation.parts.split_last()?.1;
-    if shared.is_empty() {
-        return None;
-    }
-    let mut name = Vec::with_capacity(shared.len() * 8);
-    for part in shared {
-        name.extend_from_slice(&part.id.to_le_bytes());
-    }
-    let tokens = shared.iter().map(|part| part.tokens).sum();
-    Some((xxh3_64(&name), tokens))
-}
-
 /// Gets a permit and has an engine begin.
 async fn start(relay: &Rc<Relay>, incoming: &Incoming, way: &Way) -> Started {
     let route = way.route();
@@ -173,7 +157,6 @@
             prompt_tokens: generation.prompt_tokens,
             most_tokens: generation.most_tokens,
             urgent: way.rank() == 0,
-            prefix: shared_prefix(&generation),
             wait_left_ms: wait_until_ms.min(due_ms).saturating_sub(now_ms).max(1),
             avoid,
         };
--- a/components/relay/src/permits.rs
+++ b/components/relay/src/permits.rs
@@ -36,7 +36,6 @@
     pub prompt_tokens: u32,
     pub most_tokens: u32,
     pub urgent: bool,
-    pub prefix: Option<(u64, u32)>,
     pub wait_left_ms: u64,
     pub avoid: Option<TargetId>,
 }
@@ -107,7 +106,7 @@
             max_tokens: want.most_tokens,
             urgent: want.urgent,
             wait_left_ms: want.wait_left_ms as u32,
-            prefix: want.prefix,
+            prefix: None,
             told_tokens: None,
             avoid: want.avoid,
         };
--- a/components/settings/src/mechanism.rs
+++ b/components/settings/src/mechanism.rs
@@ -17,10 +17,6 @@
     NearEngines,
     /// Copies go to engines near their source first.
     NearCopies,
-    /// Engines that hold a prompt's shared part go first.
-    SharedParts,
-    /// Prompts keep away from engines that read others.
-    SpreadReading,
     /// One engine has so many prompt tokens waiting at the most.
     ReadingBound,
     /// Room is kept for what the forecast does not know.
