--- a/deploy/days/paired.py
+++ b/deploy/days/paired.py
@@ -3,13 +3,19 @@
 
     deploy/days/paired.py play BENCH SITE OUT [--jobs N] [--seeds N] [--mixes N] [--days DAY.toml,...]
     deploy/days/paired.py compare BEFORE AFTER
-    deploy/days/paired.py binds OUT
+    deploy/days/paired.py binds OUT [--open SHARE]
 
 The paired days are each standard day with trouble on its own seed and more, one calm day, and mixes; the same seeds
 each time; with --days, just these days on so many seeds. Processor time is not counted, so that a run repeats. OUT
 gets one line of JSON a run.
+
+binds lists the runs, the worst first, with what was not served and a bound: the worth of the day if every request that
+a decision lost were served in time, and generations were open for only SHARE of the time that they are (an engine that
+reads nothing beside), so that as many fewer are cut where boxes die. What targets fail by themselves, what is sent
+while no box is there, and prices stay as they are.
 """
 import json
+import math
 import subprocess
 import sys
 import tempfile
@@ -100,7 +106,30 @@
         print(f"{name}: rules broken or not played: {broken or 'none'}")
 
 
-def binds(path):
+DECIDED = ("503", "502", "504", "cut, no answer")
+
+
+def bound(run, share):
+    """The worth of a run if all that can be decided were decided ideally."""
+    lost = {why: count for why, count, *_ in run["unserved_by"]}
+    every = sum(kind["n"] - kind["not_owed"] for kind in run["classes"])
+    streams = sum(kind["failed"] for kind in run["classes"] if kind["p50_ms"] and kind["p50_ms"] > 200)
+    cut = min(streams, lost.get("cut in the answer", 0) + lost.get("deadline", 0))
+    decided = sum(lost.get(why, 0) for why in DECIDED)
+    stays = sum(lost.values()) - decided - cut * (1 - share)
+    of_streams = share * cut / max(cut + decided, 1)
+    worth = 0.0
+    for name, weight, value in run["parts"]:
+        if name == "nines":
+            worth += weight * min(1.0, math.log10(max(stays, 0.5) / every) / -3)
+        elif name == "worst class" and value > 0.88:
+            worth += weight * value
+        else:
+            worth += weight * (1 - (1 - value) * of_streams)
+    return worth - sum(value for _, _, value in run["prices"])
+
+
+def binds(path, share):
     for key, run in sorted(read(path).items(), key=lambda item: item[1].get("G", -1)):
         if "G" not in run:
             print(key, run.get("error"))
@@ -108,7 +137,7 @@
         lost = ", ".join(f"{why} {count}" for why, count, *_ in run["unserved_by"])
         parts = ", ".join(f"{name} {value:.3f}" for name, _, value in run["parts"])
         prices = ", ".join(f"{name} {value:.3f}" for name, _, value in run["prices"] if value > 0.002)
-        print(f"{run['G']:.3f} {key[0]} {key[1]}: {parts}; prices {prices}; not served: {lost}")
+        print(f"{run['G']:.3f} (bound {bound(run, share):.3f}) {key[0]} {key[1]}: {parts}; prices {prices}; not served: {lost}")
 
 
 def main(args):
@@ -125,8 +154,8 @@
             print(f"{kind:8} {len(keys):3} runs, mean worth {mean(f for f in figures if f is not None):.4f}")
     elif len(args) == 3 and args[0] == "compare":
         compare(args[1], args[2])
-    elif len(args) == 2 and args[0] == "binds":
-        binds(args[1])
+    elif len(args) >= 2 and args[0] == "binds":
+        binds(args[1], float(args[args.index("--open") + 1]) if "--open" in args else 1.0)
     else:
         sys.exit(__doc__)
 
