--- a/components/bench/src/main.rs
+++ b/components/bench/src/main.rs
@@ -6,6 +6,7 @@
 mod placement;
 mod process;
 mod roles;
+mod soak;
 mod spread;
 mod stats;
 
@@ -28,6 +29,10 @@
     /// The promises under faults drawn at random, checked by histories
     Faults(#[bpaf(external(faults::options))] faults::Options),
 
+    #[bpaf(command("soak"))]
+    /// The promises of a fleet's boxes under faults, each box a process of its own
+    Soak(#[bpaf(external(soak::options))] soak::Options),
+
     #[bpaf(command("spread"))]
     /// How news reach all boxes
     Spread(#[bpaf(external(spread::options))] spread::Options),
@@ -45,6 +50,7 @@
         Command::Path(options) => path::run(&options),
         Command::Placement(options) => placement::run(&options),
         Command::Faults(options) => faults::run(&options),
+        Command::Soak(options) => soak::run(&options),
         Command::Spread(options) => spread::run(&options),
         Command::Capacity(options) => capacity::run(&options),
         Command::Role(role) => roles::run(&role),
--- /dev/null
+++ b/components/soak/src/history.rs
@@ -0,0 +1,141 @@
+//! What callers saw, what was done to boxes, and what came out.
+
+use fleet::caller::Got;
+use serde::Serialize;
+
+/// What a caller asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Kind {
+    /// A call that may run again.
+    Repeatable,
+    /// A call that may run once.
+    Once,
+    /// A generation.
+    Stream,
+}
+
+/// Whose key a call carries.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Key {
+    /// One that always holds.
+    Kept,
+    /// One that the operator takes away and gives back.
+    Toggled,
+}
+
+/// What became of a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Outcome {
+    /// Nobody listened.
+    NoChannel,
+    /// The channel was closed, or silent for too long, before an answer began.
+    Cut,
+    /// An answer began.
+    Answered(Got),
+}
+
+/// One call of one caller. Times are since the run began.
+#[derive(Clone, Debug)]
+pub(crate) struct Call {
+    pub id: String,
+    pub kind: Kind,
+    pub key: Key,
+    /// The box it was sent to.
+    pub at: usize,
+    pub sent_ms: u64,
+    pub ended_ms: u64,
+    pub outcome: Outcome,
+}
+
+/// What was done to a box.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Trouble {
+    /// It was killed, or paused.
+    Broken,
+    /// It had ended by plan, and was not started again yet.
+    Ended,
+    /// Its way to the store was troubled.
+    Store,
+}
+
+/// A time in which something was done to a box.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Disturbed {
+    pub trouble: Trouble,
+    /// Which box; all where none is named.
+    pub at: Option<usize>,
+    pub from_ms: u64,
+    pub to_ms: u64,
+}
+
+/// A request that a target began on, as the checks need it.
+#[derive(Clone, Debug)]
+pub(crate) struct Arrival {
+    pub id: String,
+    pub target: String,
+    pub kind: Kind,
+    pub at_ms: u64,
+    pub ran: bool,
+}
+
+/// A target of which the store said that it leaves.
+#[derive(Clone, Debug)]
+pub(crate) struct Leaving {
+    pub target: String,
+    pub told_ms: u64,
+}
+
+/// Whether the toggled key holds, from a time on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct KeyChange {
+    pub holds: bool,
+    pub told_ms: u64,
+}
+
+/// All that one run left behind.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct History {
+    pub calls: Vec<Call>,
+    pub arrivals: Vec<Arrival>,
+    pub disturbed: Vec<Disturbed>,
+    /// Planned stops: the box, and when it was asked to stop.
+    pub stops: Vec<(usize, u64)>,
+    /// Times in which engines broke streams off.
+    pub crashes: Vec<(u64, u64)>,
+    pub leaving: Vec<Leaving>,
+    pub key_changes: Vec<KeyChange>,
+    /// Callers that met an answer that cannot be read.
+    pub unreadable: usize,
+    /// Events of a whole stream.
+    pub events: u32,
+    /// Whether calls were served within the time after the loss of all boxes.
+    pub served_again: bool,
+    /// What a machine that stalls is allowed beyond each bound, in milliseconds.
+    pub slack_ms: u64,
+}
+
+/// A promise that was broken.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Broken {
+    /// Which.
+    pub promise: &'static str,
+    /// How.
+    pub what: String,
+}
+
+/// What one run came to.
+#[derive(Clone, Debug, Serialize)]
+pub struct Report {
+    /// Its seed.
+    pub seed: u64,
+    /// Calls that were made.
+    pub calls: usize,
+    /// Calls that were answered with success.
+    pub served: usize,
+    /// What was done, in words.
+    pub steps: Vec<String>,
+    /// What was broken.
+    pub broken: Vec<Broken>,
+    /// Where the logs of the boxes lie; none where nothing was broken.
+    pub logs: Option<String>,
+}
--- /dev/null
+++ b/components/soak/src/lib.rs
@@ -0,0 +1,14 @@
+//! A fault soak of a fleet's boxes: real programs over loopback, faults drawn from a seed, and a check for each
+//! promise by what callers and targets saw.
+
+mod boxes;
+mod callers;
+mod checks;
+mod history;
+mod plan;
+mod plant;
+mod play;
+
+pub use history::{Broken, Report};
+pub use plant::Plant;
+pub use play::{Soak, play};
--- /dev/null
+++ b/components/soak/src/plan.rs
@@ -0,0 +1,175 @@
+//! What is done in one run, drawn from its seed: the same plan for the same seed.
+
+use fleet::link;
+use fleet::store;
+use fleet::target::Act;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+/// When the first fault comes.
+const FIRST_MS: u64 = 800;
+/// Faults of one run.
+const STEPS: std::ops::RangeInclusive<usize> = 9..=16;
+/// Longest time that a fault lasts.
+const LASTS_MS: std::ops::RangeInclusive<u64> = 300..=2_500;
+
+/// What is done to the world.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) enum Step {
+    /// A box is killed, and started again after a time.
+    Kill { at: usize, down_ms: u64 },
+    /// A box is stopped by plan, and started again once it has ended.
+    Stop { at: usize },
+    /// A box is paused.
+    Pause { at: usize, lasts_ms: u64 },
+    /// The settings file of a box may have changed.
+    Reload { at: usize },
+    /// The store has trouble, for one box or for all.
+    Store {
+        at: Option<usize>,
+        trouble: store::Trouble,
+        lasts_ms: u64,
+    },
+    /// The store forgets its history.
+    Compact,
+    /// The operator takes a key away, or gives it back.
+    ToggleKey,
+    /// Operators change what changes nothing, several times in a row.
+    Storm { changes: u64 },
+    /// A plain target leaves, and another comes.
+    TargetLeaves { at: usize },
+    /// A plain target does these with its next requests.
+    Acts { at: usize, acts: Vec<Act> },
+    /// The link before a plain target has trouble.
+    Link {
+        at: usize,
+        trouble: link::Trouble,
+        lasts_ms: u64,
+    },
+    /// An engine leaves, and another comes.
+    EngineLeaves { at: usize },
+    /// An engine breaks streams off within an event.
+    EngineCrash { at: usize, lasts_ms: u64 },
+}
+
+/// A step and when it comes, in milliseconds since the run began.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Timed {
+    pub at_ms: u64,
+    pub step: Step,
+}
+
+/// How much there is of what.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sizes {
+    pub boxes: usize,
+    pub targets: usize,
+    pub engines: usize,
+    pub span_ms: u64,
+}
+
+/// The plan of a seed.
+pub(crate) fn plan(seed: u64, sizes: Sizes) -> Vec<Timed> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let count = rng.random_range(STEPS);
+    let mut steps: Vec<Timed> = (0..count)
+        .map(|_| Timed {
+            at_ms: rng.random_range(FIRST_MS..sizes.span_ms),
+            step: step(&mut rng, sizes),
+        })
+        .collect();
+    // Some faults come in a row: boxes are stopped one after another.
+    if rng.random_bool(0.4) {
+        let began_ms = rng.random_range(FIRST_MS..sizes.span_ms / 2);
+        steps.extend((0..sizes.boxes).map(|at| Timed {
+            at_ms: began_ms + at as u64 * 900,
+            step: Step::Stop { at },
+        }));
+    }
+    steps.sort_by_key(|timed| timed.at_ms);
+    steps
+}
+
+fn step(rng: &mut ChaCha8Rng, sizes: Sizes) -> Step {
+    let at = rng.random_range(0..sizes.boxes);
+    let lasts_ms = rng.random_range(LASTS_MS);
+    match rng.random_range(0..14) {
+        0 => Step::Kill {
+            at,
+            down_ms: rng.random_range(100..1_500),
+        },
+        1 | 2 => Step::Stop { at },
+        3 => Step::Pause { at, lasts_ms },
+        4 => Step::Reload { at },
+        5 | 6 => Step::Store {
+            at: rng.random_bool(0.6).then_some(at),
+            trouble: store_trouble(rng),
+            lasts_ms,
+        },
+        7 => Step::Compact,
+        8 => Step::ToggleKey,
+        9 => Step::Storm {
+            changes: rng.random_range(2..8),
+        },
+        10 => Step::TargetLeaves {
+            at: rng.random_range(0..sizes.targets),
+        },
+        11 => Step::Acts {
+            at: rng.random_range(0..sizes.targets),
+            acts: acts(rng),
+        },
+        12 => Step::Link {
+            at: rng.random_range(0..sizes.targets),
+            trouble: link_trouble(rng),
+            lasts_ms,
+        },
+        _ if rng.random_bool(0.5) => Step::EngineLeaves {
+            at: rng.random_range(0..sizes.engines),
+        },
+        _ => Step::EngineCrash {
+            at: rng.random_range(0..sizes.engines),
+            lasts_ms,
+        },
+    }
+}
+
+fn store_trouble(rng: &mut ChaCha8Rng) -> store::Trouble {
+    use store::Trouble::*;
+    let slow = Slow(rng.random_range(20..300));
+    let all = [Busy, Many, Reset, Silent, LosesWrites, slow];
+    *all.choose(rng).unwrap_or(&Busy)
+}
+
+fn link_trouble(rng: &mut ChaCha8Rng) -> link::Trouble {
+    use link::Trouble::*;
+    let late = Late(rng.random_range(5..120));
+    let all = [late, Reset, Silent, OneWay];
+    *all.choose(rng).unwrap_or(&Reset)
+}
+
+fn acts(rng: &mut ChaCha8Rng) -> Vec<Act> {
+    use Act::*;
+    let all = [
+        Fails,
+        Full,
+        CutsOff,
+        Unsigned,
+        Twice,
+        OtherFirst,
+        Unframed,
+        Mute,
+        Closes,
+        Garbage,
+        Forgets,
+        Slow(250),
+    ];
+    let count = rng.random_range(3..12);
+    (0..count)
+        .filter_map(|_| all.choose(rng).copied())
+        .collect()
+}
+
+#[cfg(test)]
+#[path = "plan_tests.rs"]
+mod tests;
--- /dev/null
+++ b/tests/soak.rs
@@ -0,0 +1,42 @@
+//! A short soak of a fleet's boxes as processes, on fixed seeds, and one of each promise broken on purpose.
+
+use rstest::rstest;
+use soak::{Plant, Soak, play};
+
+fn soak(plant: Option<Plant>) -> Soak {
+    Soak {
+        program: env!("CARGO_BIN_EXE_shuntpier").into(),
+        folder: std::env::temp_dir().join(format!("shuntpier-soak-test-{}", std::process::id())),
+        boxes: 2,
+        callers: 3,
+        span_ms: 5_000,
+        // A machine that also builds may stall for seconds; bounds are checked by hand with less.
+        slack_ms: 4_000,
+        plant,
+    }
+}
+
+#[rstest]
+#[case(11)]
+#[case(12)]
+fn no_promise_is_broken(#[case] seed: u64) {
+    let report = play(&soak(None), seed).unwrap();
+    assert!(report.broken.is_empty(), "{report:#?}");
+    assert!(report.served > 0, "{report:#?}");
+}
+
+/// Plants that show whatever the seed's plan is.
+#[rstest]
+#[case(Plant::Twice)]
+#[case(Plant::NotRun)]
+#[case(Plant::Mixed)]
+#[case(Plant::Order)]
+#[case(Plant::TwoRuns)]
+fn a_promise_broken_on_purpose_is_found(#[case] plant: Plant) {
+    let report = play(&soak(Some(plant)), 11).unwrap();
+    let found = report
+        .broken
+        .iter()
+        .any(|broken| broken.promise == plant.promise());
+    assert!(found, "{plant}: {report:#?}");
+}
