--- /dev/null
+++ b/components/policy/src/admission.rs
@@ -0,0 +1,72 @@
+//! Which requests are refused: at once where they would wait too long, or when their deadline passes.
+
+use crate::demand::{Demand, Verdict};
+use crate::ledger::EngineState;
+use crate::pool::Pool;
+use prelude::{PermitId, Refusal, RefusalReason};
+
+/// How often waiting requests are looked over for passed deadlines.
+const EXPIRY_CHECK_MS: u64 = 20;
+/// Least time after which a refused caller is told to come back.
+const RETRY_AFTER_MIN_MS: u64 = 100;
+
+impl Pool {
+    /// Why a request that just came must be refused, if it must.
+    pub(crate) fn refusal(&self, demand: &Demand, now_ms: u64) -> Option<Refusal> {
+        let live = self
+            .engines
+            .iter()
+            .filter(|ledger| ledger.state == EngineState::Live);
+        let largest = live.map(|ledger| ledger.info.capacity_tokens).max();
+        let Some(largest) = largest else {
+            return Some(Refusal {
+                reason: RefusalReason::NoTarget,
+                retry_after_ms: Some(1000),
+            });
+        };
+        if u64::from(demand.prompt_tokens) >= largest {
+            return Some(Refusal {
+                reason: RefusalReason::TooLarge,
+                retry_after_ms: None,
+            });
+        }
+        let wait_ms = self.expected_wait_ms(demand)?;
+        let left_ms = demand.deadline_ms.saturating_sub(now_ms);
+        (wait_ms > left_ms).then(|| Refusal {
+            reason: RefusalReason::Crowded,
+            retry_after_ms: Some((wait_ms - left_ms).max(RETRY_AFTER_MIN_MS)),
+        })
+    }
+
+    /// How long a new request would wait, from the pace of grants; none where none is known.
+    fn expected_wait_ms(&self, demand: &Demand) -> Option<u64> {
+        if self.queue.len() == 0 {
+            return Some(0);
+        }
+        let ms_per_grant = self.pace.ms_per_grant()?;
+        let part = self.queue.weight_part(&demand.share);
+        let own_ahead = self.queue.len_of(demand.share.account) as f64 / part;
+        let ahead = own_ahead.min(self.queue.len() as f64);
+        Some((ahead * ms_per_grant) as u64)
+    }
+
+    /// Refuses what has waited until its deadline.
+    pub(crate) fn expire(&mut self, now_ms: u64) -> Vec<(PermitId, Verdict)> {
+        if now_ms < self.expiry_ms {
+            return Vec::new();
+        }
+        self.expiry_ms = now_ms + EXPIRY_CHECK_MS;
+        let expired = self.queue.take_if(|demand| demand.deadline_ms <= now_ms);
+        let mut verdicts = Vec::with_capacity(expired.len());
+        for demand in expired {
+            self.tree.leaves(&demand.share);
+            let wait_ms = self.expected_wait_ms(&demand).unwrap_or(0);
+            let refusal = Refusal {
+                reason: RefusalReason::DeadlinePassed,
+                retry_after_ms: Some(wait_ms.max(RETRY_AFTER_MIN_MS)),
+            };
+            verdicts.push((demand.permit, Verdict::Refused(refusal)));
+        }
+        verdicts
+    }
+}
--- /dev/null
+++ b/components/policy/src/holders.rs
@@ -0,0 +1,75 @@
+//! Boxes that hold permits: what a dispatcher that is new to its role is told of theirs, and what becomes of the
+//! permits of those that fall silent.
+
+use crate::demand::Adopted;
+use crate::length::End;
+use crate::pool::Pool;
+use prelude::{BoxId, PermitId};
+use std::collections::HashSet;
+
+/// A box that says nothing for this long holds no permits any more.
+pub(crate) const SILENT_BOX_MS: u64 = 10_000;
+
+impl Pool {
+    /// Takes over a stream that another dispatcher, or none, had placed.
+    pub fn adopt(&mut self, adopted: Adopted, now_ms: u64) {
+        let permit = adopted.demand.permit;
+        self.heard_ms.insert(permit.entry, now_ms);
+        if self.by_permit.contains_key(&permit) {
+            self.progress(permit, adopted.generated_tokens, now_ms);
+            return;
+        }
+        if let Some(waiting) = self.queue.remove(permit) {
+            self.tree.leaves(&waiting.share);
+        }
+        self.tree.runs(&adopted.demand.share);
+        let generated_tokens = adopted.generated_tokens;
+        self.place(adopted.demand, adopted.target, generated_tokens, now_ms);
+    }
+
+    /// Drops the permits of a box that are not among those it says it has.
+    pub fn keep_only(&mut self, entry: BoxId, permits: &HashSet<PermitId>) {
+        let of_box = self
+            .streams
+            .values()
+            .filter(|stream| stream.entry() == entry);
+        let extra = of_box.filter(|stream| !permits.contains(&stream.permit));
+        let extra: Vec<(PermitId, u32)> = extra
+            .map(|stream| (stream.permit, stream.generated_tokens))
+            .collect();
+        for (permit, tokens) in extra {
+            self.release(permit, tokens, End::Censored);
+        }
+    }
+
+    /// Drops the permits of boxes that have said nothing for long.
+    pub fn forget_silent(&mut self, now_ms: u64) {
+        let silent = |heard_ms: &u64| heard_ms + SILENT_BOX_MS < now_ms;
+        let boxes: HashSet<BoxId> = self
+            .heard_ms
+            .iter()
+            .filter(|(_, heard_ms)| silent(heard_ms))
+            .map(|(id, _)| *id)
+            .collect();
+        if boxes.is_empty() {
+            return;
+        }
+        let lost = self
+            .streams
+            .values()
+            .filter(|stream| boxes.contains(&stream.entry()));
+        let lost: Vec<(PermitId, u32)> = lost
+            .map(|stream| (stream.permit, stream.generated_tokens))
+            .collect();
+        for (permit, tokens) in lost {
+            self.release(permit, tokens, End::Censored);
+        }
+        for demand in self
+            .queue
+            .take_if(|demand| boxes.contains(&demand.permit.entry))
+        {
+            self.tree.leaves(&demand.share);
+        }
+        self.heard_ms.retain(|id, _| !boxes.contains(id));
+    }
+}
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -1,10 +1,12 @@
 //! The decisions: which target, when to wait, when to refuse. Nothing here opens a socket, starts a
 //! task or reads a clock.
 
+mod admission;
 mod choose;
 mod demand;
 mod fairness;
 mod forecast;
+mod holders;
 mod kind;
 mod ledger;
 mod length;
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -2,7 +2,7 @@
 //! it is wrong, or when two boxes each believe that they dispatch, an engine preempts; nothing is lost
 //! or doubled.
 
-use crate::demand::{Adopted, Demand, Submitted, Verdict};
+use crate::demand::{Demand, Submitted, Verdict};
 use crate::fairness::{FairTree, Share};
 use crate::forecast::Forecast;
 use crate::kind::{PolicyKind, PoolSettings};
@@ -13,24 +13,17 @@
 use crate::pace::GrantPace;
 use crate::prefixes::PrefixIndex;
 use crate::queue::Queue;
-use crate::view::{EngineView, PoolView};
-use prelude::{BoxId, PermitId, Refusal, RefusalReason, TargetId};
+use prelude::{BoxId, PermitId, TargetId};
 use std::collections::{HashMap, HashSet, VecDeque};
 
 /// Candidates that are tried in one run when the first does not fit.
 const CANDIDATES: usize = 6;
 /// Window over which grants are counted.
-const GRANT_WINDOW_MS: u64 = 5000;
-/// How often waiting requests are looked over for passed deadlines.
-const EXPIRY_CHECK_MS: u64 = 20;
+pub(crate) const GRANT_WINDOW_MS: u64 = 5000;
 /// How often the ledger's own past is noted.
 const REMEMBER_MS: u64 = 25;
-/// A box that says nothing for this long holds no permits any more.
-const SILENT_BOX_MS: u64 = 10_000;
 /// Preemptions of one report that raise the margin.
 const PREEMPTIONS_COUNTED: u64 = 2;
-/// Least time after which a refused caller is told to come back.
-const RETRY_AFTER_MIN_MS: u64 = 100;
 /// Pace of a stream before any was measured, in tokens per millisecond.
 const PACE_INITIAL: f64 = 0.03;
 /// Weight of one measured pace.
@@ -44,19 +37,19 @@
     pub(crate) streams: Streams,
     pub(crate) by_permit: HashMap<PermitId, StreamKey>,
     pub(crate) queue: Queue,
-    tree: FairTree,
+    pub(crate) tree: FairTree,
     pub(crate) lengths: LengthModel,
     pub(crate) prefixes: PrefixIndex,
-    margin: f64,
+    pub(crate) margin: f64,
     margin_ms: u64,
     pub(crate) tokens_per_ms: f64,
-    grants: VecDeque<u64>,
-    pace: GrantPace,
+    pub(crate) grants: VecDeque<u64>,
+    pub(crate) pace: GrantPace,
     /// When the first request came; grants wait for engines' reports from then on, but not for ever.
     pub(crate) began_ms: Option<u64>,
-    expiry_ms: u64,
+    pub(crate) expiry_ms: u64,
     remembered_ms: u64,
-    heard_ms: HashMap<BoxId, u64>,
+    pub(crate) heard_ms: HashMap<BoxId, u64>,
 }
 
 impl Pool {
@@ -224,7 +217,7 @@
         self.tree.ends(&stream.share);
     }
 
-    fn learn(&mut self, class: LengthClass, before: u32, tokens: u32, end: Option<End>) {
+    pub(crate) fn learn(&mut self, class: LengthClass, before: u32, tokens: u32, end: Option<End>) {
         if !self.settings.learns_lengths {
             return;
         }
@@ -240,37 +233,6 @@
         }
     }
 
-    /// Takes over a stream that another dispatcher, or none, had placed.
-    pub fn adopt(&mut self, adopted: Adopted, now_ms: u64) {
-        let permit = adopted.demand.permit;
-        self.heard_ms.insert(permit.entry, now_ms);
-        if self.by_permit.contains_key(&permit) {
-            self.progress(permit, adopted.generated_tokens, now_ms);
-            return;
-        }
-        if let Some(waiting) = self.queue.remove(permit) {
-            self.tree.leaves(&waiting.share);
-        }
-        self.tree.runs(&adopted.demand.share);
-        let generated_tokens = adopted.generated_tokens;
-        self.place(adopted.demand, adopted.target, generated_tokens, now_ms);
-    }
-
-    /// Drops the permits of a box that are not among those it says it has.
-    pub fn keep_only(&mut self, entry: BoxId, permits: &HashSet<PermitId>) {
-        let of_box = self
-            .streams
-            .values()
-            .filter(|stream| stream.entry() == entry);
-        let extra = of_box.filter(|stream| !permits.contains(&stream.permit));
-        let extra: Vec<(PermitId, u32)> = extra
-            .map(|stream| (stream.permit, stream.generated_tokens))
-            .collect();
-        for (permit, tokens) in extra {
-            self.release(permit, tokens, End::Censored);
-        }
-    }
-
     /// The engine of a permit that is held.
     pub fn target_of(&self, permit: PermitId) -> Option<TargetId> {
         let key = self.by_permit.get(&permit)?;
@@ -316,114 +278,12 @@
         self.prefixes.last_seq(target)
     }
 
-    /// Drops the permits of boxes that have said nothing for long.
-    pub fn forget_silent(&mut self, now_ms: u64) {
-        let silent = |heard_ms: &u64| heard_ms + SILENT_BOX_MS < now_ms;
-        let boxes: HashSet<BoxId> = self
-            .heard_ms
-            .iter()
-            .filter(|(_, heard_ms)| silent(heard_ms))
-            .map(|(id, _)| *id)
-            .collect();
-        if boxes.is_empty() {
-            return;
-        }
-        let lost = self
-            .streams
-            .values()
-            .filter(|stream| boxes.contains(&stream.entry()));
-        let lost: Vec<(PermitId, u32)> = lost
-            .map(|stream| (stream.permit, stream.generated_tokens))
-            .collect();
-        for (permit, tokens) in lost {
-            self.release(permit, tokens, End::Censored);
-        }
-        for demand in self
-            .queue
-            .take_if(|demand| boxes.contains(&demand.permit.entry))
-        {
-            self.tree.leaves(&demand.share);
-        }
-        self.heard_ms.retain(|id, _| !boxes.contains(id));
-    }
-
-    /// The pool as operators see it.
-    pub fn view(&self, now_ms: u64) -> PoolView {
-        let engines = self
-            .engines
-            .iter()
-            .map(|ledger| self.engine_view(ledger, now_ms));
-        PoolView {
-            waiting: self.queue.len() as u32,
-            margin: self.margin,
-            grants_per_s: self.grants.len() as f64 * 1000.0 / GRANT_WINDOW_MS as f64,
-            engines: engines.collect(),
-        }
-    }
-
-    fn engine_view(&self, ledger: &EngineLedger, now_ms: u64) -> EngineView {
-        let report = ledger.report.map(|(report, _)| report).unwrap_or_default();
-        let capacity = ledger.info.capacity_tokens as f64;
-        let own = ledger.own_tokens(&self.streams, self.tokens_per_ms, now_ms);
-        EngineView {
-            target: ledger.info.id,
-            takes_work: ledger.state == EngineState::Live,
-            capacity_tokens: ledger.info.capacity_tokens,
-            streams: ledger.streams.len() as u32,
-            ledger_tokens: own as u64,
-            reported_tokens: (report.memory_share * capacity) as u64,
-            foreign_tokens: ledger.foreign_tokens as u64,
-            reported_waiting: report.waiting,
-            reported_running: report.running,
-            preemptions: ledger.preemptions_seen,
-        }
-    }
-
     pub(crate) fn engine_mut(&mut self, target: TargetId) -> Option<&mut EngineLedger> {
         self.engines
             .iter_mut()
             .find(|ledger| ledger.info.id == target)
     }
 
-    /// Why a request that just came must be refused, if it must.
-    fn refusal(&self, demand: &Demand, now_ms: u64) -> Option<Refusal> {
-        let live = self
-            .engines
-            .iter()
-            .filter(|ledger| ledger.state == EngineState::Live);
-        let largest = live.map(|ledger| ledger.info.capacity_tokens).max();
-        let Some(largest) = largest else {
-            return Some(Refusal {
-                reason: RefusalReason::NoTarget,
-                retry_after_ms: Some(1000),
-            });
-        };
-        if u64::from(demand.prompt_tokens) >= largest {
-            return Some(Refusal {
-                reason: RefusalReason::TooLarge,
-                retry_after_ms: None,
-            });
-        }
-        let wait_ms = self.expected_wait_ms(demand)?;
-        let left_ms = demand.deadline_ms.saturating_sub(now_ms);
-        (wait_ms > left_ms).then(|| Refusal {
-            reason: RefusalReason::Crowded,
-            retry_after_ms: Some((wait_ms - left_ms).max(RETRY_AFTER_MIN_MS)),
-        })
-    }
-
-    /// How long a new request would wait, from the pace of grants; none where none is known.
-    fn expected_wait_ms(&self, demand: &Demand) -> Option<u64> {
-        if self.queue.len() == 0 {
-            return Some(0);
-        }
-        let ms_per_grant = self.pace.ms_per_grant()?;
-        let part = self.queue.weight_part(&demand.share);
-        let own_ahead = self.queue.len_of(demand.share.account) as f64 / part;
-        let ahead = own_ahead.min(self.queue.len() as f64);
-        Some((ahead * ms_per_grant) as u64)
-    }
-
     pub(crate) fn margin_in_use(&self) -> f64 {
         match self.settings.policy {
             PolicyKind::Oracle => 0.0,
@@ -452,7 +312,13 @@
         self.place(demand, target, 0, now_ms);
     }
 
-    fn place(&mut self, demand: Demand, target: TargetId, generated_tokens: u32, now_ms: u64) {
+    pub(crate) fn place(
+        &mut self,
+        demand: Demand,
+        target: TargetId,
+        generated_tokens: u32,
+        now_ms: u64,
+    ) {
         let forecast = demand_forecast(&self.lengths, &demand, self.settings.policy);
         let stream = Stream {
             permit: demand.permit,
@@ -473,25 +339,6 @@
         }
     }
 
-    fn expire(&mut self, now_ms: u64) -> Vec<(PermitId, Verdict)> {
-        if now_ms < self.expiry_ms {
-            return Vec::new();
-        }
-        self.expiry_ms = now_ms + EXPIRY_CHECK_MS;
-        let expired = self.queue.take_if(|demand| demand.deadline_ms <= now_ms);
-        let mut verdicts = Vec::with_capacity(expired.len());
-        for demand in expired {
-            self.tree.leaves(&demand.share);
-            let wait_ms = self.expected_wait_ms(&demand).unwrap_or(0);
-            let refusal = Refusal {
-                reason: RefusalReason::DeadlinePassed,
-                retry_after_ms: Some(wait_ms.max(RETRY_AFTER_MIN_MS)),
-            };
-            verdicts.push((demand.permit, Verdict::Refused(refusal)));
-        }
-        verdicts
-    }
-
     fn keep_past(&mut self, now_ms: u64) {
         if now_ms < self.remembered_ms + REMEMBER_MS {
             return;
--- a/components/policy/src/pool_tests.rs
+++ b/components/policy/src/pool_tests.rs
@@ -1,7 +1,9 @@
 use super::*;
+use crate::demand::Adopted;
 use crate::fairness::Share;
+use crate::holders::SILENT_BOX_MS;
 use crate::length::LengthClass;
-use prelude::{AccountId, DataCentreId, OwnerId, PartnerId, TargetIncarnation};
+use prelude::{AccountId, DataCentreId, OwnerId, PartnerId, RefusalReason, TargetIncarnation};
 
 const ENGINE: TargetId = TargetId(1);
 const OTHER_ENGINE: TargetId = TargetId(2);
--- a/components/policy/src/view.rs
+++ b/components/policy/src/view.rs
@@ -1,5 +1,7 @@
 //! A pool as operators see it.
 
+use crate::ledger::{EngineLedger, EngineState};
+use crate::pool::{GRANT_WINDOW_MS, Pool};
 use prelude::TargetId;
 use serde::{Deserialize, Serialize};
 
@@ -40,3 +42,37 @@
     /// Its engines.
     pub engines: Vec<EngineView>,
 }
+
+impl Pool {
+    /// The pool as operators see it.
+    pub fn view(&self, now_ms: u64) -> PoolView {
+        let engines = self
+            .engines
+            .iter()
+            .map(|ledger| self.engine_view(ledger, now_ms));
+        PoolView {
+            waiting: self.queue.len() as u32,
+            margin: self.margin,
+            grants_per_s: self.grants.len() as f64 * 1000.0 / GRANT_WINDOW_MS as f64,
+            engines: engines.collect(),
+        }
+    }
+
+    fn engine_view(&self, ledger: &EngineLedger, now_ms: u64) -> EngineView {
+        let report = ledger.report.map(|(report, _)| report).unwrap_or_default();
+        let capacity = ledger.info.capacity_tokens as f64;
+        let own = ledger.own_tokens(&self.streams, self.tokens_per_ms, now_ms);
+        EngineView {
+            target: ledger.info.id,
+            takes_work: ledger.state == EngineState::Live,
+            capacity_tokens: ledger.info.capacity_tokens,
+            streams: ledger.streams.len() as u32,
+            ledger_tokens: own as u64,
+            reported_tokens: (report.memory_share * capacity) as u64,
+            foreign_tokens: ledger.foreign_tokens as u64,
+            reported_waiting: report.waiting,
+            reported_running: report.running,
+            preemptions: ledger.preemptions_seen,
+        }
+    }
+}
--- a/components/soak/src/lib.rs
+++ b/components/soak/src/lib.rs
@@ -8,6 +8,7 @@
 mod plan;
 mod plant;
 mod play;
+mod world;
 
 pub use history::{Broken, Report};
 pub use plant::Plant;
--- a/components/soak/src/play.rs
+++ b/components/soak/src/play.rs
@@ -1,29 +1,20 @@
 //! Plays one run: a platform in small, boxes as processes, callers, and the plan of a seed.
 
-use crate::boxes::{BoxProcess, Common, free_addresses};
+use crate::boxes::BoxProcess;
 use crate::callers::Callers;
-use crate::checks::{RESEND_SHARE, RESEND_SPARE, check};
-use crate::history::{
-    Arrival, Disturbed, History, KeyChange, Kind, Leaving, Outcome, Report, Trouble,
-};
+use crate::checks::check;
+use crate::history::{Leaving, Outcome, Report, Trouble};
 use crate::plan::{Sizes, Step, Timed, plan};
 use crate::plant::Plant;
+use crate::world::{LOOK_EACH, Later, World};
 use fleet::caller::{Caller, fresh_id, plain};
-use fleet::config::toggled;
-use fleet::engine::{EngineTarget, Fabric};
-use fleet::link::{self, Link};
-use fleet::store::{self, Store};
-use fleet::target::{Act, Record, Target};
+use fleet::{link, store};
 use miette::{IntoDiagnostic, miette};
 use std::net::SocketAddr;
-use std::path::{Path, PathBuf};
-use std::sync::atomic::Ordering;
+use std::path::PathBuf;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-/// How often the world is looked over.
-const LOOK_EACH: Duration = Duration::from_millis(10);
-/// Longest time for the first boxes to be ready.
-const READY_LIMIT: Duration = Duration::from_secs(30);
 /// Pause between the end of a box and its next start.
 const RESTART_MS: u64 = 300;
 /// A target that leaves serves on for this long.
@@ -34,14 +25,12 @@
 const RECOVERY_MS: u64 = 12_000;
 /// Calls in a row that count as served again.
 const SERVED_IN_A_ROW: usize = 5;
-/// Events of a stream, and the pause between them.
-const EVENTS: u32 = 40;
-const EVENT_PAUSE_MS: u32 = 10;
-/// Acts that a target is given where it breaks its word throughout.
-const PLANTED_ACTS: usize = 50_000;
 /// A stopping box ends within its grace; longer, and it hangs.
 const STOP_LIMIT_MS: u64 = 10_000;
 
+/// Runs that this process has begun.
+static RUNS: AtomicU64 = AtomicU64::new(0);
+
 /// How runs are played.
 #[derive(Clone, Debug)]
 pub struct Soak {
@@ -66,7 +55,9 @@
 /// # Errors
 /// The world could not be set up; that says nothing of the promises.
 pub fn play(soak: &Soak, seed: u64) -> miette::Result<Report> {
-    let folder = soak.folder.join(format!("seed-{seed}"));
+    // Runs of one seed may be played at one time, with promises broken on purpose and without.
+    let run = RUNS.fetch_add(1, Ordering::Relaxed);
+    let folder = soak.folder.join(format!("seed-{seed}-run-{run}"));
     std::fs::create_dir_all(&folder).into_diagnostic()?;
     let sizes = Sizes {
         boxes: soak.boxes,
@@ -109,156 +100,7 @@
     format!("{} ms: {:?}", timed.at_ms, timed.step)
 }
 
-/// Something that ends, or comes, at a time.
-enum Later {
-    StartBox(usize),
-    Resume { at: usize, from_ms: u64 },
-    StoreWell { at: Option<usize>, from_ms: u64 },
-    LinkWell(usize),
-    EngineWell { at: usize, from_ms: u64 },
-    ListTarget(String, &'static str, SocketAddr),
-    TargetGone(usize),
-    EngineGone(usize),
-}
-
-struct Plain {
-    target: Target,
-    link: Link,
-}
-
-struct World<'a> {
-    soak: &'a Soak,
-    began: Instant,
-    store: Store,
-    version: u64,
-    key_holds: bool,
-    boxes: Vec<BoxProcess>,
-    stopping: Vec<Option<u64>>,
-    plain: Vec<Plain>,
-    engines: Vec<EngineTarget>,
-    fabric: Fabric,
-    started: usize,
-    records: Vec<(Record, bool)>,
-    retired: Vec<Plain>,
-    retired_engines: Vec<EngineTarget>,
-    later: Vec<(u64, Later)>,
-    history: History,
-}
-
-impl<'a> World<'a> {
-    fn start(soak: &'a Soak, folder: &Path, sizes: Sizes) -> miette::Result<Self> {
-        let store = Store::default();
-        store.put("op/config", &toggled(1, true));
-        let addresses: Result<Vec<Vec<SocketAddr>>, _> =
-            (0..sizes.boxes).map(|_| free_addresses(3)).collect();
-        let addresses = addresses?;
-        let seeds: Vec<SocketAddr> = addresses.iter().filter_map(|a| a.get(2).copied()).collect();
-        let loose = soak.plant == Some(Plant::Budget);
-        let common = Common {
-            program: &soak.program,
-            folder,
-            seeds: &seeds,
-            resend_share: if loose { 1.0 } else { RESEND_SHARE },
-            resend_spare: if loose { 50_000.0 } else { RESEND_SPARE },
-        };
-        let boxes: Result<Vec<BoxProcess>, _> = addresses
-            .iter()
-            .enumerate()
-            .map(|(at, addresses)| {
-                BoxProcess::new(&format!("box-{at}"), addresses, &store, &common)
-            })
-            .collect();
-        let mut world = Self {
-            soak,
-            began: Instant::now(),
-            store,
-            version: 1,
-            key_holds: true,
-            boxes: boxes?,
-            stopping: vec![None; sizes.boxes],
-            plain: Vec::new(),
-            engines: Vec::new(),
-            fabric: Fabric::default(),
-            started: 0,
-            records: Vec::new(),
-            retired: Vec::new(),
-            retired_engines: Vec::new(),
-            later: Vec::new(),
-            history: History {
-                events: EVENTS,
-                slack_ms: soak.slack_ms,
-                ..History::default()
-            },
-        };
-        for _ in 0..sizes.targets {
-            let plain = world.new_target();
-            world.plain.push(plain);
-        }
-        for _ in 0..sizes.engines {
-            let engine = world.new_engine();
-            world.engines.push(engine);
-        }
-        for one in &mut world.boxes {
-            one.start()?;
-        }
-        let until = Instant::now() + READY_LIMIT;
-        while !world.boxes.iter().all(BoxProcess::is_ready) {
-            if Instant::now() > until {
-                return Err(miette!("the boxes were not ready in {READY_LIMIT:?}"));
-            }
-            std::thread::sleep(LOOK_EACH);
-        }
-        world.began = Instant::now();
-        world.note_key();
-        Ok(world)
-    }
-
-    fn now_ms(&self) -> u64 {
-        self.began.elapsed().as_millis() as u64
-    }
-
-    fn addresses(&self) -> Vec<SocketAddr> {
-        self.boxes.iter().map(|one| one.callers).collect()
-    }
-
-    fn name(&mut self, kind: &str) -> String {
-        self.started += 1;
-        format!("{kind}-{}", self.started)
-    }
-
-    fn new_target(&mut self) -> Plain {
-        let target = Target::start(&self.name("t"));
-        let planted = match self.soak.plant {
-            Some(Plant::Twice) => Some(Act::RunsTwice),
-            Some(Plant::NotRun) => Some(Act::DeniesRun),
-            Some(Plant::Mixed) => Some(Act::OtherBody),
-            Some(Plant::Budget) => Some(Act::Fails),
-            _ => None,
-        };
-        if let Some(act) = planted {
-            target.record.will(&vec![act; PLANTED_ACTS]);
-        }
-        let link = Link::start(target.address);
-        self.store
-            .list_target(&target.instance, "records", link.address, "ready");
-        self.records.push((target.record.clone(), false));
-        Plain { target, link }
-    }
-
-    fn new_engine(&mut self) -> EngineTarget {
-        let engine = EngineTarget::start(&self.name("e"), &self.fabric);
-        let pace = &engine.pace;
-        pace.events.store(EVENTS, Ordering::Relaxed);
-        pace.pause_ms.store(EVENT_PAUSE_MS, Ordering::Relaxed);
-        let is = |plant| self.soak.plant == Some(plant);
-        pace.skips.store(is(Plant::Order), Ordering::Relaxed);
-        pace.runs_twice.store(is(Plant::TwoRuns), Ordering::Relaxed);
-        self.store
-            .list_target(&engine.instance, "model", engine.address, "ready");
-        self.records.push((engine.record.clone(), true));
-        engine
-    }
-
+impl World<'_> {
     fn play(&mut self, steps: &[Timed]) -> miette::Result<()> {
         let mut steps = steps.iter().peekable();
         while self.now_ms() < self.soak.span_ms || !self.later.is_empty() || self.any_stops() {
@@ -299,15 +141,6 @@
         Ok(())
     }
 
-    fn disturb(&mut self, trouble: Trouble, at: Option<usize>, from_ms: u64, to_ms: u64) {
-        self.history.disturbed.push(Disturbed {
-            trouble,
-            at,
-            from_ms,
-            to_ms,
-        });
-    }
-
     /// Whether a box runs and nothing is under way with it.
     fn is_free(&mut self, at: usize) -> bool {
         let waits = |later: &Later| matches!(later, Later::StartBox(other) | Later::Resume { at: other, .. } if *other == at);
@@ -392,8 +225,7 @@
     /// Declares the same again, under a higher version.
     fn declare(&mut self) {
         self.version += 1;
-        let text = toggled(self.version, self.key_holds);
-        self.store.put("op/config", &text);
+        self.store.declare_toggled(self.version, self.key_holds);
     }
 
     fn toggle_key(&mut self) {
@@ -404,14 +236,6 @@
         self.note_key();
     }
 
-    fn note_key(&mut self) {
-        let change = KeyChange {
-            holds: self.key_holds,
-            told_ms: self.now_ms(),
-        };
-        self.history.key_changes.push(change);
-    }
-
     /// Has a target leave, in the store's words or, where that is planted, only in the history's.
     fn say_leaving(&mut self, instance: &str, service: &'static str, address: SocketAddr) {
         let now_ms = self.now_ms();
@@ -473,11 +297,11 @@
             }
             Later::TargetGone(at) => {
                 let instance = self.retired[at].target.instance.clone();
-                self.store.remove(&format!("servers/{instance}"));
+                self.store.unlist_target(&instance);
             }
             Later::EngineGone(at) => {
                 let instance = self.retired_engines[at].instance.clone();
-                self.store.remove(&format!("servers/{instance}"));
+                self.store.unlist_target(&instance);
             }
         }
         Ok(())
@@ -508,29 +332,6 @@
         self.history.served_again = in_a_row >= SERVED_IN_A_ROW;
         Ok(())
     }
-
-    fn end(mut self) -> History {
-        self.boxes.iter_mut().for_each(BoxProcess::kill);
-        let mut history = std::mem::take(&mut self.history);
-        for (record, is_engine) in &self.records {
-            for seen in record.seen() {
-                let kind = match (is_engine, seen.path.starts_with("/unsafe/")) {
-                    (true, _) => Kind::Stream,
-                    (false, true) => Kind::Once,
-                    (false, false) => Kind::Repeatable,
-                };
-                history.arrivals.push(Arrival {
-                    id: seen.id,
-                    target: seen.target,
-                    kind,
-                    at_ms: seen.at.saturating_duration_since(self.began).as_millis() as u64,
-                    ran: seen.ran,
-                });
-            }
-        }
-        history.arrivals.sort_by_key(|arrival| arrival.at_ms);
-        history
-    }
 }
 
 /// Whether a box serves a call now.
--- /dev/null
+++ b/components/soak/src/world.rs
@@ -0,0 +1,226 @@
+//! The world of one run: a platform in small, and boxes as processes.
+
+use crate::boxes::{BoxProcess, Common, free_addresses};
+use crate::checks::{RESEND_SHARE, RESEND_SPARE};
+use crate::history::{Arrival, Disturbed, History, KeyChange, Kind, Trouble};
+use crate::plan::Sizes;
+use crate::plant::Plant;
+use crate::play::Soak;
+use fleet::engine::{EngineTarget, Fabric};
+use fleet::link::Link;
+use fleet::store::Store;
+use fleet::target::{Act, Record, Target};
+use miette::miette;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::atomic::Ordering;
+use std::time::{Duration, Instant};
+
+/// How often the world is looked over.
+pub(crate) const LOOK_EACH: Duration = Duration::from_millis(10);
+/// Longest time for the first boxes to be ready.
+const READY_LIMIT: Duration = Duration::from_secs(30);
+/// Events of a stream, and the pause between them.
+const EVENTS: u32 = 40;
+const EVENT_PAUSE_MS: u32 = 10;
+/// Acts that a target is given where it breaks its word throughout.
+const PLANTED_ACTS: usize = 50_000;
+
+/// Something that ends, or comes, at a time.
+pub(crate) enum Later {
+    StartBox(usize),
+    Resume { at: usize, from_ms: u64 },
+    StoreWell { at: Option<usize>, from_ms: u64 },
+    LinkWell(usize),
+    EngineWell { at: usize, from_ms: u64 },
+    ListTarget(String, &'static str, SocketAddr),
+    TargetGone(usize),
+    EngineGone(usize),
+}
+
+/// A plain target behind its link.
+pub(crate) struct Plain {
+    pub target: Target,
+    pub link: Link,
+}
+
+/// All that one run has.
+pub(crate) struct World<'a> {
+    pub soak: &'a Soak,
+    pub began: Instant,
+    pub store: Store,
+    pub version: u64,
+    pub key_holds: bool,
+    pub boxes: Vec<BoxProcess>,
+    pub stopping: Vec<Option<u64>>,
+    pub plain: Vec<Plain>,
+    pub engines: Vec<EngineTarget>,
+    pub fabric: Fabric,
+    pub started: usize,
+    pub records: Vec<(Record, bool)>,
+    pub retired: Vec<Plain>,
+    pub retired_engines: Vec<EngineTarget>,
+    pub later: Vec<(u64, Later)>,
+    pub history: History,
+}
+
+impl<'a> World<'a> {
+    pub(crate) fn start(soak: &'a Soak, folder: &Path, sizes: Sizes) -> miette::Result<Self> {
+        let store = Store::default();
+        store.declare_toggled(1, true);
+        let addresses: Result<Vec<Vec<SocketAddr>>, _> =
+            (0..sizes.boxes).map(|_| free_addresses(3)).collect();
+        let addresses = addresses?;
+        let seeds: Vec<SocketAddr> = addresses.iter().filter_map(|a| a.get(2).copied()).collect();
+        let loose = soak.plant == Some(Plant::Budget);
+        let common = Common {
+            program: &soak.program,
+            folder,
+            seeds: &seeds,
+            resend_share: if loose { 1.0 } else { RESEND_SHARE },
+            resend_spare: if loose { 50_000.0 } else { RESEND_SPARE },
+        };
+        let boxes: Result<Vec<BoxProcess>, _> = addresses
+            .iter()
+            .enumerate()
+            .map(|(at, addresses)| {
+                BoxProcess::new(&format!("box-{at}"), addresses, &store, &common)
+            })
+            .collect();
+        let mut world = Self {
+            soak,
+            began: Instant::now(),
+            store,
+            version: 1,
+            key_holds: true,
+            boxes: boxes?,
+            stopping: vec![None; sizes.boxes],
+            plain: Vec::new(),
+            engines: Vec::new(),
+            fabric: Fabric::default(),
+            started: 0,
+            records: Vec::new(),
+            retired: Vec::new(),
+            retired_engines: Vec::new(),
+            later: Vec::new(),
+            history: History {
+                events: EVENTS,
+                slack_ms: soak.slack_ms,
+                ..History::default()
+            },
+        };
+        for _ in 0..sizes.targets {
+            let plain = world.new_target();
+            world.plain.push(plain);
+        }
+        for _ in 0..sizes.engines {
+            let engine = world.new_engine();
+            world.engines.push(engine);
+        }
+        for one in &mut world.boxes {
+            one.start()?;
+        }
+        let until = Instant::now() + READY_LIMIT;
+        while !world.boxes.iter().all(BoxProcess::is_ready) {
+            if Instant::now() > until {
+                return Err(miette!("the boxes were not ready in {READY_LIMIT:?}"));
+            }
+            std::thread::sleep(LOOK_EACH);
+        }
+        world.began = Instant::now();
+        world.note_key();
+        Ok(world)
+    }
+
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.began.elapsed().as_millis() as u64
+    }
+
+    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
+        self.boxes.iter().map(|one| one.callers).collect()
+    }
+
+    pub(crate) fn name(&mut self, kind: &str) -> String {
+        self.started += 1;
+        format!("{kind}-{}", self.started)
+    }
+
+    pub(crate) fn new_target(&mut self) -> Plain {
+        let target = Target::start(&self.name("t"));
+        let planted = match self.soak.plant {
+            Some(Plant::Twice) => Some(Act::RunsTwice),
+            Some(Plant::NotRun) => Some(Act::DeniesRun),
+            Some(Plant::Mixed) => Some(Act::OtherBody),
+            Some(Plant::Budget) => Some(Act::Fails),
+            _ => None,
+        };
+        if let Some(act) = planted {
+            target.record.will(&vec![act; PLANTED_ACTS]);
+        }
+        let link = Link::start(target.address);
+        self.store
+            .list_target(&target.instance, "records", link.address, "ready");
+        self.records.push((target.record.clone(), false));
+        Plain { target, link }
+    }
+
+    pub(crate) fn new_engine(&mut self) -> EngineTarget {
+        let engine = EngineTarget::start(&self.name("e"), &self.fabric);
+        let pace = &engine.pace;
+        pace.events.store(EVENTS, Ordering::Relaxed);
+        pace.pause_ms.store(EVENT_PAUSE_MS, Ordering::Relaxed);
+        let is = |plant| self.soak.plant == Some(plant);
+        pace.skips.store(is(Plant::Order), Ordering::Relaxed);
+        pace.runs_twice.store(is(Plant::TwoRuns), Ordering::Relaxed);
+        self.store
+            .list_target(&engine.instance, "model", engine.address, "ready");
+        self.records.push((engine.record.clone(), true));
+        engine
+    }
+
+    pub(crate) fn disturb(
+        &mut self,
+        trouble: Trouble,
+        at: Option<usize>,
+        from_ms: u64,
+        to_ms: u64,
+    ) {
+        self.history.disturbed.push(Disturbed {
+            trouble,
+            at,
+            from_ms,
+            to_ms,
+        });
+    }
+
+    pub(crate) fn note_key(&mut self) {
+        let change = KeyChange {
+            holds: self.key_holds,
+            told_ms: self.now_ms(),
+        };
+        self.history.key_changes.push(change);
+    }
+
+    pub(crate) fn end(mut self) -> History {
+        self.boxes.iter_mut().for_each(BoxProcess::kill);
+        let mut history = std::mem::take(&mut self.history);
+        for (record, is_engine) in &self.records {
+            for seen in record.seen() {
+                let kind = match (is_engine, seen.path.starts_with("/unsafe/")) {
+                    (true, _) => Kind::Stream,
+                    (false, true) => Kind::Once,
+                    (false, false) => Kind::Repeatable,
+                };
+                history.arrivals.push(Arrival {
+                    id: seen.id,
+                    target: seen.target,
+                    kind,
+                    at_ms: seen.at.saturating_duration_since(self.began).as_millis() as u64,
+                    ran: seen.ran,
+                });
+            }
+        }
+        history.arrivals.sort_by_key(|arrival| arrival.at_ms);
+        history
+    }
+}
