--- a/components/policy/src/relocate.rs
+++ b/components/policy/src/relocate.rs
@@ -5,9 +5,9 @@
 use crate::pool::Pool;
 use prelude::{DataCentreId, PermitId, TargetId};
 
-/// A copy that arrives at an engine holds up the next one there; so much memory is such an engine taken to
-/// have less.
-const ARRIVAL_TOKENS: f64 = 6000.0;
+/// A copy that arrives at an engine and the next one there each take twice as long; so much memory is such an engine
+/// taken to have less: twice what a copy to another data centre counts for, which takes twice as long by itself.
+const ARRIVAL_TOKENS: f64 = 24_000.0;
 
 impl Pool {
     /// Finds another engine for a running generation that leaves `from`, and moves its permit there, so that
@@ -83,3 +83,7 @@
         Some(ledger.info.data_centre)
     }
 }
+
+#[cfg(test)]
+#[path = "relocate_tests.rs"]
+mod tests;
