--- a/components/peers/src/client.rs
+++ b/components/peers/src/client.rs
@@ -6,7 +6,7 @@
 use crate::server::codec;
 use crate::service::PeerClient;
 use prelude::BoxId;
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddr;
@@ -50,10 +50,19 @@
 /// own pauses grow to many seconds, which would go on when the cut is long over.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(1_500);
 
+/// A link that rests is probed after this time, and at this interval: a link may fall silent for good without a word,
+/// and the first call on it would be lost.
+const PROBE_EACH: Duration = Duration::from_secs(1);
+
 /// Sets what every link has.
 pub(crate) fn tune(link: &TcpStream) -> std::io::Result<()> {
     link.set_nodelay(true)?;
-    SockRef::from(link).set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))
+    let socket = SockRef::from(link);
+    let probes = TcpKeepalive::new()
+        .with_time(PROBE_EACH)
+        .with_interval(PROBE_EACH);
+    socket.set_tcp_keepalive(&probes)?;
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT))
 }
 
 /// A link whose both sides know each other, cut into messages.
@@ -84,9 +93,33 @@
 /// Links of the boxes of a platform's fleet.
 pub type FleetClients = Links<FleetClient>;
 
+/// A link that carried no call for this long is closed. A box calls many others once and few of them often; a link that
+/// rests takes some 25 KB at each side.
+const IDLE_LIMIT: Duration = Duration::from_secs(8);
+
 struct Slot<C> {
     address: SocketAddr,
     client: tokio::sync::Mutex<Option<C>>,
+    used: Mutex<Instant>,
+}
+
+impl<C> Slot<C> {
+    fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            client: tokio::sync::Mutex::new(None),
+            used: Mutex::new(Instant::now()),
+        }
+    }
+
+    fn note_use(&self) {
+        *self.used.lock().unwrap_or_else(PoisonError::into_inner) = Instant::now();
+    }
+
+    fn is_idle(&self) -> bool {
+        let used = *self.used.lock().unwrap_or_else(PoisonError::into_inner);
+        used.elapsed() > IDLE_LIMIT
+    }
 }
 
 type Slots<C> = Arc<Mutex<HashMap<BoxId, Arc<Slot<C>>>>>;
@@ -115,11 +148,18 @@
         if slots.get(&id).is_some_and(|slot| slot.address == address) {
             return;
         }
-        let slot = Slot {
-            address,
-            client: tokio::sync::Mutex::new(None),
-        };
-        slots.insert(id, Arc::new(slot));
+        slots.insert(id, Arc::new(Slot::new(address)));
+    }
+
+    /// Closes links that carried no call lately; they are made again when they are needed.
+    pub fn drop_idle(&self) {
+        let slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
+        for slot in slots.values().filter(|slot| slot.is_idle()) {
+            // A link that is being made is not idle.
+            if let Ok(mut client) = slot.client.try_lock() {
+                *client = None;
+            }
+        }
     }
 
     /// Forgets a box and drops its link.
@@ -143,6 +183,7 @@
             let slots = self.slots.lock().unwrap_or_else(PoisonError::into_inner);
             slots.get(&id).cloned().ok_or(PeerError::NotKnown(id))?
         };
+        slot.note_use();
         let client = self.client(id, &slot).await?;
         let mut context = context::current();
         context.deadline = Instant::now() + limit;
--- a/components/peers/src/fleet.rs
+++ b/components/peers/src/fleet.rs
@@ -2,8 +2,9 @@
 //! targets and of boxes, and permits for generations.
 
 use crate::messages::{AcquireRequest, AdoptedStream, PermitReply, UpdateReply, UpdateRequest};
+use crate::targets::{TargetChanges, TargetPatch, TargetSummary};
 use prelude::{BoxId, PermitId, PoolId, TargetId};
-use routing::{Evacuations, TargetEntry};
+use routing::Evacuations;
 use serde::{Deserialize, Serialize};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -59,17 +60,6 @@
     pub packed: Vec<u8>,
 }
 
-/// Changes of the list of targets, for boxes that know all that came before them.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct TargetChanges {
-    /// The store's revision of the last change before these that matters.
-    pub after_revision: u64,
-    /// Entries that are new or say something new.
-    pub listed: Vec<TargetEntry>,
-    /// Lives that are listed no more, with the revision of that.
-    pub unlisted: Vec<(Box<str>, u64)>,
-}
-
 /// What a box tells another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct FleetNews {
@@ -81,8 +71,8 @@
     pub asks_engines: bool,
     /// The declarations, where the other has none or older ones.
     pub table: Option<SharedTable>,
-    /// All targets that are listed, where the other knows less of them.
-    pub targets: Option<Vec<TargetEntry>>,
+    /// Where the sender's list of targets differs from the other's, which knows less.
+    pub target_patch: Option<TargetPatch>,
     /// What the sender has just learnt of targets.
     pub target_changes: Option<TargetChanges>,
     /// Lives of targets that the sender knows to leave, from the store, from themselves or because nothing
@@ -90,10 +80,19 @@
     pub leaving: Vec<Box<str>>,
     /// Boxes that the receiver is to pass this on to.
     pub pass_on: Vec<BoxId>,
-    /// Boxes that the sender knows; empty where the other knows as many.
+    /// Boxes that the sender knows, or some of them; empty where the other knows as many.
     pub boxes: Vec<FleetCard>,
 }
 
+/// Asks a box for what the asker lacks.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct FetchRequest {
+    /// What the asker knows.
+    pub digest: FleetDigest,
+    /// Its list of targets, in short.
+    pub targets: TargetSummary,
+}
+
 /// A running generation is to go on elsewhere.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelocateRequest {
@@ -125,9 +124,12 @@
 /// What each box of a fleet answers.
 #[tarpc::service]
 pub trait Fleet {
-    /// Says what the caller knows, and gets what it lacks.
+    /// Says in short what the caller knows, and gets the same.
     async fn exchange(digest: FleetDigest) -> FleetNews;
 
+    /// Gets what the caller lacks.
+    async fn fetch(request: FetchRequest) -> FleetNews;
+
     /// Tells news that the caller just learnt.
     async fn tell(news: FleetNews);
 
@@ -159,6 +161,9 @@
     /// See [`Fleet::exchange`].
     fn exchange(&self, digest: FleetDigest) -> impl Future<Output = FleetNews>;
 
+    /// See [`Fleet::fetch`].
+    fn fetch(&self, request: FetchRequest) -> impl Future<Output = FleetNews>;
+
     /// See [`Fleet::tell`].
     fn tell(&self, news: FleetNews) -> impl Future<Output = ()>;
 
@@ -199,6 +204,10 @@
         self.0.exchange(digest).await
     }
 
+    async fn fetch(self, _: Context, request: FetchRequest) -> FleetNews {
+        self.0.fetch(request).await
+    }
+
     async fn tell(self, _: Context, news: FleetNews) {
         self.0.tell(news).await;
     }
--- a/components/peers/src/lib.rs
+++ b/components/peers/src/lib.rs
@@ -10,12 +10,13 @@
 mod server;
 mod service;
 mod spread;
+mod targets;
 
 pub use client::{FleetClients, LinkClient, LinkFrames, Links, PeerClients, PeerError};
 pub use counted::{Counted, Traffic};
 pub use fleet::{
-    FleetCard, FleetClient, FleetDigest, FleetHandler, FleetNews, RelocateReply, RelocateRequest,
-    SharedTable, TargetChanges,
+    FetchRequest, FleetCard, FleetClient, FleetDigest, FleetHandler, FleetNews, RelocateReply,
+    RelocateRequest, SharedTable,
 };
 pub use messages::{
     AcquireRequest, AdoptedStream, BoxCard, ClaimRequest, ClaimResult, Digest, EndedStream,
@@ -26,3 +27,4 @@
 pub use server::{serve, serve_fleet};
 pub use service::{PeerClient, PeerHandler};
 pub use spread::{Topology, next_hops};
+pub use targets::{TargetChanges, TargetList, TargetPatch, TargetSummary};
--- /dev/null
+++ b/components/relay/src/broadcast_tests.rs
@@ -0,0 +1,55 @@
+use super::*;
+use rstest::rstest;
+use std::collections::HashMap;
+
+/// So many boxes, evenly over some data centres.
+fn boxes(count: u32, places: u32) -> Vec<(BoxId, DataCentreId)> {
+    let mut boxes: Vec<_> = (0..count)
+        .map(|at| (BoxId(at), DataCentreId(u64::from(at % places))))
+        .collect();
+    boxes.sort_by_key(|(_, place)| *place);
+    boxes
+}
+
+#[test]
+fn tells_a_few_boxes_one_by_one() {
+    assert_eq!(groups(&boxes(0, 1)).len(), 0);
+    assert_eq!(groups(&boxes(24, 3)).len(), 24);
+}
+
+#[rstest]
+#[case(25, 1)]
+#[case(77, 3)]
+#[case(195, 5)]
+#[case(361, 5)]
+#[case(1_000, 7)]
+fn tells_many_boxes_by_groups_that_hold_each_of_them_once(#[case] count: u32, #[case] places: u32) {
+    let groups = groups(&boxes(count, places));
+    let mut told = groups.concat();
+    told.sort();
+    assert_eq!(told, (0..count).map(BoxId).collect::<Vec<_>>());
+    assert!(
+        groups.len() <= 12 * places as usize,
+        "{} groups",
+        groups.len()
+    );
+}
+
+#[test]
+fn what_is_passed_on_stays_in_its_data_centre() {
+    let boxes = boxes(361, 5);
+    let place: HashMap<BoxId, DataCentreId> = boxes.iter().copied().collect();
+    for group in groups(&boxes) {
+        assert!(group.iter().all(|id| place[id] == place[&group[0]]));
+    }
+}
+
+#[test]
+fn the_first_boxes_of_a_data_centre_pass_on() {
+    let boxes = boxes(60, 1);
+    let heads: Vec<BoxId> = groups(&boxes).iter().map(|group| group[0]).collect();
+    assert_eq!(
+        heads,
+        (0..heads.len() as u32).map(BoxId).collect::<Vec<_>>()
+    );
+}
--- a/components/relay/src/follow.rs
+++ b/components/relay/src/follow.rs
@@ -2,11 +2,13 @@
 //! What is learnt is told to the other boxes at once.
 
 use crate::backoff::Backoff;
-use crate::news::{spread_table, spread_targets, tell_current};
+use crate::gossip::{spread_table, spread_targets, tell_current};
 use crate::state::Relay;
 use crate::targets::Missing;
-use crate::turn::{CONFIRM_EACH, Following, TURN_CHECK, View, is_relieved, must_follow, rank};
-use peers::TargetChanges;
+use crate::turn::{
+    CONFIRM_EACH, Following, TURN_CHECK, View, is_relieved, must_follow, pause_before_trying, rank,
+};
+use peers::{TargetChanges, TargetList};
 use platform::{
     CONFIG_KEY, FleetWatch, OPERATOR_PREFIX, TARGET_PREFIX, decode_target, evacuated_data_centre,
 };
@@ -19,7 +21,12 @@
 
 /// Pause between two answers of the watch on targets, so that changes at one time cost one call.
 const TARGETS_PACE: Duration = Duration::from_millis(30);
-/// The same for declarations: a storm of changes travels as one in this time, which each box learns of well
+/// The same for the second box that follows them, while the first is heard, which tells all boxes at once. An answer is a
+/// call, whoever gets it: on a calm day of 195 boxes 760 of 1,350 calls were answers of these two watches.
+const STANDBY_PACE: Duration = Duration::from_millis(1_000);
+/// The first is heard while it has said that it follows the store within this time; it says so every 0.4 s.
+const STANDS_BY_MS: u64 = 900;
+/// The pause for declarations: a storm of changes travels as one in this time, which each box learns of well
 /// within the users' bound of some seconds.
 const DECLARATIONS_PACE: Duration = Duration::from_millis(250);
 
@@ -35,6 +42,7 @@
 pub(crate) async fn follow(relay: Rc<Relay>, view: View) {
     let mut backoff = Backoff::new();
     relay.seeds_asked().await;
+    learn(&relay, view).await;
     loop {
         if !must_follow(&relay, view) {
             sleep(TURN_CHECK).await;
@@ -51,7 +59,29 @@
             }
             metrics::counter!("shuntpier_store_failures", "of" => view.name()).increment(1);
             slog::info!(relay.log, "store not followed"; "view" => view.name(), "error" => %error);
-            backoff.pause().await;
+            pause_before_trying(&relay, backoff.next()).await;
+        }
+    }
+}
+
+/// Reads a view that no seed told, as it was up to some seconds ago: that costs a tenth, and whoever follows the store
+/// tells what is newer within a second.
+async fn learn(relay: &Rc<Relay>, view: View) {
+    let mut backoff = Backoff::new();
+    while !relay.knows(view) {
+        match relay.store.list_stale(prefix_of(view)).await {
+            Ok((items, revision)) => {
+                metrics::counter!("shuntpier_store_calls", "of" => view.name()).increment(1);
+                // A peer that told it meanwhile knew better.
+                if !relay.knows(view) {
+                    take_list(relay, view, &items, revision);
+                }
+                return;
+            }
+            Err(error) => {
+                slog::info!(relay.log, "store not read"; "view" => view.name(), "error" => %error);
+                backoff.pause().await;
+            }
         }
     }
 }
@@ -108,11 +138,18 @@
             View::Targets => take_targets(relay, events, watch.revision()),
         }
         relay.confirm(view);
-        sleep(match view {
-            View::Declarations => DECLARATIONS_PACE,
-            View::Targets => TARGETS_PACE,
-        })
-        .await;
+        sleep(pace(relay, view)).await;
+    }
+}
+
+/// The pause before the next answer of a watch is asked for.
+fn pace(relay: &Relay, view: View) -> Duration {
+    let heard_ms = relay.members.borrow().heard_follower_ms();
+    let is_second = rank(relay) != Some(0) && heard_ms + STANDS_BY_MS > relay.now_ms();
+    match view {
+        View::Declarations => DECLARATIONS_PACE,
+        View::Targets if is_second => STANDBY_PACE,
+        View::Targets => TARGETS_PACE,
     }
 }
 
@@ -131,19 +168,28 @@
     let (items, revision) = relay.store.list(prefix_of(view)).await?;
     note_return(relay);
     metrics::counter!("shuntpier_store_calls", "of" => view.name()).increment(1);
+    let newer = take_list(relay, view, &items, revision);
+    relay.confirm(view);
+    if newer {
+        match view {
+            View::Declarations => spread_table(relay),
+            // Its revision is in what this box says next; whoever lacks something asks for it.
+            View::Targets => tell_current(relay),
+        }
+    }
+    Ok(revision)
+}
+
+/// Takes a view in as it was read. Says whether that told something new.
+fn take_list(relay: &Rc<Relay>, view: View, items: &[Versioned], revision: u64) -> bool {
     match view {
         View::Declarations => {
-            read_evacuations(relay, &items, revision);
-            let config = items.into_iter().find(|item| item.key == CONFIG_KEY);
-            let newer = config.is_some_and(|item| relay.declare(&item.value, "store"));
-            relay.confirm(view);
-            if newer {
-                spread_table(relay);
-            }
+            read_evacuations(relay, items, revision);
+            let config = items.iter().find(|item| item.key == CONFIG_KEY);
+            config.is_some_and(|item| relay.declare(&item.value, "store"))
         }
-        View::Targets => read_targets(relay, &items, revision),
+        View::Targets => read_targets(relay, items, revision),
     }
-    Ok(revision)
 }
 
 /// Notes that the store answers again after trouble.
@@ -230,11 +276,12 @@
         key: event.key,
         value,
         revision: event.revision,
+        lease: 0,
     };
     decoded(relay, &item).map(Listing::Listed)
 }
 
-fn read_targets(relay: &Rc<Relay>, items: &[Versioned], revision: u64) {
+fn read_targets(relay: &Rc<Relay>, items: &[Versioned], revision: u64) -> bool {
     let entries = items
         .iter()
         .filter_map(|item| decoded(relay, item))
@@ -245,8 +292,8 @@
         .targets
         .borrow_mut()
         .replace(entries, revision, missing_until_ms, now_ms);
-    relay.confirm(View::Targets);
     relay.took_changes(&changes, "store");
+    !changes.is_empty()
 }
 
 fn take_targets(relay: &Rc<Relay>, events: Vec<WatchEvent>, revision: u64) {
@@ -263,11 +310,8 @@
 fn take_listings(relay: &Rc<Relay>, listings: Vec<Listing>, missing_until_ms: Option<u64>) {
     let now_ms = relay.now_ms();
     let mut changes = Vec::new();
-    let mut told = TargetChanges {
-        after_revision: relay.targets.borrow().changed_at,
-        listed: Vec::new(),
-        unlisted: Vec::new(),
-    };
+    let after_revision = relay.targets.borrow().changed_at;
+    let (mut listed, mut unlisted) = (Vec::new(), Vec::new());
     for listing in listings {
         let mut targets = relay.targets.borrow_mut();
         let change = match &listing {
@@ -282,13 +326,18 @@
         };
         match listing {
             _ if change.is_none() => {}
-            Listing::Listed(entry) => told.listed.push(entry),
-            Listing::Unlisted(instance, at) => told.unlisted.push((instance, at)),
+            Listing::Listed(entry) => listed.push(entry),
+            Listing::Unlisted(instance, at) => unlisted.push((instance, at)),
         }
         changes.extend(change);
     }
     relay.took_changes(&changes, "store");
     if !changes.is_empty() {
+        let told = TargetChanges {
+            after_revision,
+            listed: TargetList::new(&listed),
+            unlisted,
+        };
         spread_targets(relay, told);
     }
 }
--- a/components/relay/src/generation.rs
+++ b/components/relay/src/generation.rs
@@ -2,9 +2,9 @@
 //! goes on at another (see [`crate::moving`]).
 
 use crate::dispatch::refusal;
+use crate::gossip::tell_current;
 use crate::ingress::{After, count, write_reply};
 use crate::judge::Word;
-use crate::news::tell_current;
 use crate::permits::{Permit, Want};
 use crate::pump::Pump;
 use crate::request::{Incoming, Own, Reply, Way};
--- a/components/relay/src/news.rs
+++ b/components/relay/src/gossip.rs
@@ -1,32 +1,26 @@
-//! What boxes tell each other: the declarations, the targets, and which boxes there are. News goes to all
-//! at once; what was missed is found by an exchange with one box at a time.
+//! What boxes tell each other, as it is made and taken in: the operators' declarations, the targets, which data centres
+//! are evacuated, and which boxes there are. How it gets around is in [`crate::broadcast`] and [`crate::exchange`].
 
+use crate::broadcast::{pass_on, tell_all};
+use crate::exchange::fetch_from;
 use crate::members::Met;
 use crate::packed::unpack;
 use crate::state::{Declared, Relay};
 use crate::targets::Change;
-use crate::turn::{View, follower_role};
+use crate::turn::View;
 use peers::{
-    AcquireRequest, AdoptedStream, FleetCard, FleetDigest, FleetHandler, FleetNews, PermitReply,
-    RelocateReply, RelocateRequest, SharedTable, TargetChanges, UpdateReply, UpdateRequest,
+    AcquireRequest, AdoptedStream, FetchRequest, FleetCard, FleetDigest, FleetHandler, FleetNews,
+    PermitReply, RelocateReply, RelocateRequest, SharedTable, TargetChanges, TargetPatch,
+    UpdateReply, UpdateRequest,
 };
 use prelude::{BoxId, PermitId, PoolId, TargetId};
-use routing::TargetEntry;
-use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
-use tokio::time::sleep;
 
-/// How often a box exchanges what it knows with one other.
-const EXCHANGE_EACH: Duration = Duration::from_millis(500);
-/// Up to so many boxes are told one by one; more are told by groups, so that what one box sends grows with the
-/// root of their number.
-const TOLD_DIRECTLY_MAX: usize = 24;
-const GROUPS: usize = 12;
-/// Boxes that a new box greets.
-const GREETED_MAX: usize = 24;
-/// Longest time for a call.
-const CALL_LIMIT: Duration = Duration::from_millis(400);
+/// Boxes that one answer names, those with wide links first: the others are learnt from the store and by their own word.
+/// Naming all 195 in each of some twenty answers took 20 KB an answer while all boxes start.
+const BOXES_NAMED_MAX: usize = 48;
+/// A box that knows fewer than this share of what another knows asks it for more.
+const BOXES_KNOWN_SHARE: f64 = 0.9;
 
 /// Takes the card of a box in.
 pub(crate) fn meet(relay: &Relay, card: &FleetCard, keyed: bool) {
@@ -43,21 +37,43 @@
     relay.peers.set_address(card.id, card.address);
 }
 
-/// What this box tells one that knows what `other` says.
-fn news_for(relay: &Relay, other: &FleetDigest) -> FleetNews {
+/// What every box is told in short.
+pub(crate) fn news(relay: &Relay) -> FleetNews {
+    FleetNews {
+        digest: relay.digest(),
+        follows_store: relay.following.get().any(),
+        asks_engines: relay.asking.get(),
+        table: None,
+        target_patch: None,
+        target_changes: None,
+        leaving: relay.targets.borrow().leaving(),
+        pass_on: Vec::new(),
+        boxes: Vec::new(),
+    }
+}
+
+/// What a box lacks that asks for it.
+fn lacking(relay: &Relay, request: &FetchRequest) -> FleetNews {
     let mut told = news(relay);
-    let declared = relay.declared();
-    let newer = declared.filter(|held| other.table_version < held.table.version);
+    let other = &request.digest;
+    let newer = relay
+        .declared()
+        .filter(|held| other.table_version < held.table.version);
     told.table = newer.map(|held| shared(&held));
-    let knows_less = other.targets_changed_at < told.digest.targets_changed_at
-        && other.targets_current_to < told.digest.targets_current_to;
-    told.targets = knows_less.then(|| relay.targets.borrow().entries());
-    if other.boxes < told.digest.boxes {
-        told.boxes = relay.members.borrow().cards();
+    let targets = relay.targets.borrow();
+    if targets.is_known() && targets.current_to >= other.targets_current_to {
+        told.target_patch = targets.patch_for(&request.targets, relay.now_ms());
+    }
+    if lacks_boxes(other.boxes, told.digest.boxes) {
+        told.boxes = relay.members.borrow().cards(BOXES_NAMED_MAX);
     }
     told
 }
 
+fn lacks_boxes(knows: u32, other_knows: u32) -> bool {
+    f64::from(knows) < f64::from(other_knows) * BOXES_KNOWN_SHARE
+}
+
 fn shared(held: &Declared) -> SharedTable {
     SharedTable {
         version: held.table.version,
@@ -66,8 +82,13 @@
 }
 
 /// Takes what another box tells.
-fn take_news(relay: &Rc<Relay>, news: FleetNews) {
+pub(crate) fn take_news(relay: &Rc<Relay>, news: FleetNews) {
     meet(relay, &news.digest.from, false);
+    let now_ms = relay.now_ms();
+    relay
+        .members
+        .borrow_mut()
+        .told_count(news.digest.boxes, now_ms);
     take_evacuations(relay, &news.digest);
     for card in &news.boxes {
         let known = relay.members.borrow().card(card.id).is_some();
@@ -87,7 +108,7 @@
     if news.asks_engines {
         relay.heard_asker_ms.set(relay.now_ms());
     }
-    let mut changes = take_targets(relay, &news.digest, news.targets);
+    let mut changes = take_patch(relay, &news.digest, news.target_patch);
     if let Some(told) = news.target_changes {
         changes.extend(take_changes(relay, &news.digest, told));
     }
@@ -98,20 +119,16 @@
     fetch_what_lacks(relay, &news.digest);
 }
 
-fn take_targets(
-    relay: &Relay,
-    digest: &FleetDigest,
-    entries: Option<Vec<TargetEntry>>,
-) -> Vec<Change> {
+fn take_patch(relay: &Relay, digest: &FleetDigest, patch: Option<TargetPatch>) -> Vec<Change> {
     let current_to = digest.targets_current_to;
     let now_ms = relay.now_ms();
     let mut changes = Vec::new();
     let mut targets = relay.targets.borrow_mut();
-    let newer = current_to > targets.current_to || targets.confirmed_ms.is_none();
-    if let Some(entries) = entries.filter(|_| newer) {
-        changes = targets.replace(entries, current_to, None, now_ms);
+    let newer = current_to > targets.current_to || !targets.is_known();
+    if let Some(patch) = patch.filter(|_| newer) {
+        changes = targets.patch(patch, current_to, now_ms);
         targets.changed_at = targets.changed_at.max(digest.targets_changed_at);
-    } else if targets.changed_at >= digest.targets_changed_at {
+    } else if targets.is_known() && targets.changed_at >= digest.targets_changed_at {
         // Nothing has changed up to there.
         targets.current_to = targets.current_to.max(current_to);
     }
@@ -122,11 +139,11 @@
 fn take_changes(relay: &Relay, digest: &FleetDigest, told: TargetChanges) -> Vec<Change> {
     let now_ms = relay.now_ms();
     let mut targets = relay.targets.borrow_mut();
-    if targets.confirmed_ms.is_none() || targets.changed_at < told.after_revision {
+    if !targets.is_known() || targets.changed_at < told.after_revision {
         return Vec::new();
     }
     let mut changes = Vec::new();
-    for entry in told.listed {
+    for entry in told.listed.entries() {
         changes.extend(targets.listed(entry, now_ms));
     }
     for (instance, revision) in told.unlisted {
@@ -160,18 +177,19 @@
 }
 
 /// Asks a box that knows more for what this one lacks.
-fn fetch_what_lacks(relay: &Rc<Relay>, digest: &FleetDigest) {
+pub(crate) fn fetch_what_lacks(relay: &Rc<Relay>, digest: &FleetDigest) {
     let held = relay.digest();
     let lacks_table = held.table_version < digest.table_version;
     let lacks_targets = held.targets_changed_at < digest.targets_changed_at
         && held.targets_current_to < digest.targets_current_to;
-    if !(lacks_table || lacks_targets) || relay.fetching.replace(true) {
+    let lacks = lacks_table || lacks_targets || lacks_boxes(held.boxes, digest.boxes);
+    if !lacks || relay.fetching.send_replace(true) {
         return;
     }
     let (relay, id) = (relay.clone(), digest.from.id);
     tokio::task::spawn_local(async move {
-        exchange_with(&relay, id).await;
-        relay.fetching.set(false);
+        fetch_from(&relay, id).await;
+        relay.fetching.send_replace(false);
     });
 }
 
@@ -179,143 +197,19 @@
 pub(crate) fn spread_targets(relay: &Rc<Relay>, changes: TargetChanges) {
     let mut news = news(relay);
     news.target_changes = Some(changes);
-    tell_all(relay, news);
+    tell_all(relay, &news);
 }
 
 /// Tells all boxes the declarations that this box has just read in the store.
 pub(crate) fn spread_table(relay: &Rc<Relay>) {
     let mut news = news(relay);
     news.table = relay.declared().map(|held| shared(&held));
-    tell_all(relay, news);
+    tell_all(relay, &news);
 }
 
 /// Tells all boxes what this one stands for now: how current its view is, and which targets are known to leave.
 pub(crate) fn tell_current(relay: &Rc<Relay>) {
-    tell_all(relay, news(relay));
-}
-
-/// What all boxes are told.
-fn news(relay: &Relay) -> FleetNews {
-    FleetNews {
-        digest: relay.digest(),
-        follows_store: relay.following.get().any(),
-        asks_engines: relay.asking.get(),
-        table: None,
-        targets: None,
-        target_changes: None,
-        leaving: relay.targets.borrow().leaving(),
-        pass_on: Vec::new(),
-        boxes: Vec::new(),
-    }
-}
-
-fn tell_all(relay: &Rc<Relay>, news: FleetNews) {
-    let others = relay.members.borrow().others();
-    for group in groups(&others) {
-        tokio::task::spawn_local(tell_group(relay.clone(), news.clone(), group));
-    }
-}
-
-/// The boxes that are told, each first one passing on to the others of its group.
-fn groups(others: &[BoxId]) -> Vec<Vec<BoxId>> {
-    let count = match others.len() <= TOLD_DIRECTLY_MAX {
-        true => others.len(),
-        false => GROUPS,
-    };
-    let size = others.len().div_ceil(count.max(1)).max(1);
-    others.chunks(size).map(<[BoxId]>::to_vec).collect()
-}
-
-/// Tells the first box of a group, or the next where that one does not answer.
-async fn tell_group(relay: Rc<Relay>, mut news: FleetNews, group: Vec<BoxId>) {
-    let mut rest = &group[..];
-    while let Some((first, others)) = rest.split_first() {
-        rest = others;
-        news.pass_on = others.to_vec();
-        let (first, news) = (*first, news.clone());
-        let call = relay
-            .peers
-            .call(first, CALL_LIMIT, |client, context| async move {
-                client.tell(context, news).await
-            });
-        if relay.heard_from(first, call.await, "tell").is_some() {
-            return;
-        }
-    }
-}
-
-/// Exchanges what this box knows with one other after another, for as long as it lives.
-pub(crate) async fn run_exchanges(relay: Rc<Relay>) {
-    meet_seeds(&relay).await;
-    let mut turn = usize::from(relay.life as u16);
-    loop {
-        sleep(EXCHANGE_EACH).await;
-        let gone = relay.members.borrow_mut().forget_silent(relay.now_ms());
-        for id in gone {
-            slog::info!(relay.log, "box forgotten"; "box" => id.0);
-            relay.peers.forget(id);
-        }
-        let others = relay.members.borrow().others();
-        if others.is_empty() {
-            meet_seeds(&relay).await;
-            continue;
-        }
-        turn = turn.wrapping_add(1);
-        exchange_with(&relay, others[turn % others.len()]).await;
-    }
-}
-
-/// Makes this box known to others: to those that may follow targets, who tell all they know, and to some more.
-pub(crate) async fn greet(relay: &Rc<Relay>) {
-    let now_ms = relay.now_ms();
-    let others = relay.members.borrow().ranked(follower_role(), true, now_ms);
-    let others: Vec<BoxId> = others.into_iter().take(GREETED_MAX).collect();
-    let greetings = others.into_iter().map(|id| exchange_with(relay, id));
-    futures::future::join_all(greetings).await;
-}
-
-async fn exchange_with(relay: &Rc<Relay>, id: BoxId) -> bool {
-    let digest = relay.digest();
-    let call = relay
-        .peers
-        .call(id, CALL_LIMIT, |client, context| async move {
-            client.exchange(context, digest).await
-        });
-    match relay.heard_from(id, call.await, "exchange") {
-        Some(news) => {
-            take_news(relay, news);
-            true
-        }
-        None => false,
-    }
-}
-
-/// Asks the boxes that the settings name, which may be gone.
-async fn meet_seeds(relay: &Rc<Relay>) {
-    let seeds = relay.file.seeds.iter().enumerate();
-    let others = seeds.filter(|(_, seed)| **seed != relay.file.identity.peers_address);
-    let asked = others.map(|(at, seed)| meet_seed(relay, at, *seed));
-    futures::future::join_all(asked).await;
-    relay.seeds_asked.send_replace(true);
-}
-
-async fn meet_seed(relay: &Rc<Relay>, at: usize, seed: SocketAddr) {
-    // Seeds have addresses and no names: they are asked under numbers that no box has.
-    let id = BoxId(u32::MAX - at as u32);
-    relay.peers.set_address(id, seed);
-    let digest = relay.digest();
-    let call = relay
-        .peers
-        .call(id, CALL_LIMIT, |client, context| async move {
-            client.exchange(context, digest).await
-        });
-    match call.await {
-        Ok(news) => take_news(relay, news),
-        Err(error) => {
-            slog::info!(relay.log, "seed did not answer"; "address" => %seed, "error" => %error);
-        }
-    }
-    relay.peers.forget(id);
+    tell_all(relay, &news(relay));
 }
 
 /// A box, as its peers call it.
@@ -328,15 +222,16 @@
         take_evacuations(&self.0, &digest);
         take_confirmations(&self.0, &digest);
         fetch_what_lacks(&self.0, &digest);
-        news_for(&self.0, &digest)
+        news(&self.0)
+    }
+
+    async fn fetch(&self, request: FetchRequest) -> FleetNews {
+        meet(&self.0, &request.digest.from, false);
+        lacking(&self.0, &request)
     }
 
     async fn tell(&self, mut news: FleetNews) {
-        let pass_on = std::mem::take(&mut news.pass_on);
-        for id in pass_on {
-            let relay = self.0.clone();
-            tokio::task::spawn_local(tell_group(relay, news.clone(), vec![id]));
-        }
+        pass_on(&self.0, &mut news);
         if news.follows_store {
             let now_ms = self.0.now_ms();
             self.0.members.borrow_mut().heard_follower(now_ms);
@@ -374,7 +269,3 @@
         self.0.adopt_here(from, pool, &streams);
     }
 }
-
-#[cfg(test)]
-#[path = "news_tests.rs"]
-mod tests;
--- a/components/relay/src/informed.rs
+++ b/components/relay/src/informed.rs
@@ -2,6 +2,7 @@
 //! declarations and the list of targets.
 
 use crate::state::Relay;
+use crate::turn::View;
 use settings::Mechanism;
 use std::time::Duration;
 use tokio::time::timeout;
@@ -24,7 +25,15 @@
 
     /// Whether this box knows what operators declared and where targets are.
     pub(crate) fn is_informed(&self) -> bool {
-        self.declared.borrow().is_some() && self.targets.borrow().confirmed_ms.is_some()
+        self.knows(View::Declarations) && self.knows(View::Targets)
+    }
+
+    /// Whether this box knows a view, perhaps as it was some seconds ago.
+    pub(crate) fn knows(&self, view: View) -> bool {
+        match view {
+            View::Declarations => self.declared.borrow().is_some(),
+            View::Targets => self.targets.borrow().is_known(),
+        }
     }
 
     /// Gives a box that has just started the moment that it needs to learn what it decides by: a refusal would
--- a/components/relay/src/judge.rs
+++ b/components/relay/src/judge.rs
@@ -1,6 +1,6 @@
 //! What a try says of its target, for the requests that come after it.
 
-use crate::news::tell_current;
+use crate::gossip::tell_current;
 use crate::send::NotRun;
 use crate::state::Relay;
 use crate::targets::TargetSlot;
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -3,6 +3,7 @@
 //! from its peers.
 
 mod backoff;
+mod broadcast;
 mod call;
 mod channels;
 mod control;
@@ -10,20 +11,22 @@
 mod engines;
 mod evacuation;
 mod events;
+mod exchange;
 mod follow;
 mod generation;
+mod gossip;
 mod informed;
 mod ingress;
 mod judge;
 mod members;
 mod moving;
-mod news;
 mod outlook;
 mod packed;
 mod permits;
 mod presence;
 mod pump;
 mod readiness;
+mod reconcile;
 mod reports;
 mod request;
 mod runs;
--- a/components/relay/src/members.rs
+++ b/components/relay/src/members.rs
@@ -4,7 +4,9 @@
 
 use peers::FleetCard;
 use policy::ranked;
-use prelude::BoxId;
+use prelude::{BoxId, DataCentreId};
+use rand::seq::SliceRandom;
+use std::cmp::Reverse;
 use std::collections::HashMap;
 
 /// A box that did not answer holds no role for this long; twice as long with each further failure.
@@ -12,6 +14,8 @@
 const DOUBT_MAX_MS: u64 = 16_000;
 /// A box whose key is gone and that says nothing is forgotten after this time.
 const SILENT_MS: u64 = 10_000;
+/// The life in a box's key, which may have been written by another one.
+pub(crate) const LIFE_UNKNOWN: u32 = 0;
 /// A link is wide where it has this part of the widest one's bandwidth or more.
 const WIDE_PARTS: u64 = 2;
 /// How long the platform may still send channels to a box that stops: it asks each second, and believes the second
@@ -52,6 +56,12 @@
     New,
 }
 
+fn is_same_life(known: &FleetCard, card: &FleetCard) -> bool {
+    let lives = [known.life, card.life];
+    let is_told = !lives.contains(&LIFE_UNKNOWN);
+    known.address == card.address && (!is_told || known.life == card.life)
+}
+
 impl Members {
     pub(crate) fn new(me: BoxId, my_link_mbps: u32) -> Self {
         Self {
@@ -71,9 +81,8 @@
             return Met::Known;
         }
         let known = self.others.get(&card.id);
-        let same = known.is_some_and(|known| {
-            known.card.life == card.life && known.card.address == card.address
-        });
+        let same = known.is_some_and(|known| is_same_life(&known.card, &card));
+        let before = known.map(|known| (known.card.life, known.card.leaving));
         let member = self.others.entry(card.id).or_insert_with(|| Member {
             card: card.clone(),
             keyed,
@@ -88,6 +97,12 @@
             false => stops,
         };
         member.card = card;
+        if let Some((life, leaving)) = before.filter(|_| same)
+            && member.card.life == LIFE_UNKNOWN
+        {
+            member.card.life = life;
+            member.card.leaving |= leaving;
+        }
         member.keyed |= keyed;
         if !keyed {
             self.any_ms = now_ms;
@@ -149,14 +164,56 @@
         ids
     }
 
-    /// The cards of all other boxes.
-    pub(crate) fn cards(&self) -> Vec<FleetCard> {
-        self.others
-            .values()
-            .map(|member| member.card.clone())
+    /// The other boxes of a data centre.
+    pub(crate) fn others_in(&self, data_centre: &str) -> Vec<BoxId> {
+        let there = |member: &&Member| &*member.card.data_centre == data_centre;
+        let near = self.others.values().filter(there);
+        let mut ids: Vec<BoxId> = near.map(|member| member.card.id).collect();
+        ids.sort();
+        ids
+    }
+
+    /// All other boxes with their data centres, those of one together, and in each first those that answer and have
+    /// the widest links: they pass on what they are told.
+    pub(crate) fn in_telling_order(&self, now_ms: u64) -> Vec<(BoxId, DataCentreId)> {
+        let mut members: Vec<&Member> = self.others.values().collect();
+        members.sort_by_key(|member| {
+            let card = &member.card;
+            let is_doubted = member.doubted_until_ms > now_ms;
+            (
+                &card.data_centre,
+                is_doubted,
+                Reverse(card.link_mbps),
+                card.id,
+            )
+        });
+        let place = |member: &Member| DataCentreId::from_name(&member.card.data_centre);
+        members
+            .into_iter()
+            .map(|member| (member.card.id, place(member)))
             .collect()
     }
 
+    /// The cards of other boxes, `most` of them: half of these with the widest links, who hold roles, the others drawn.
+    pub(crate) fn cards(&self, most: usize) -> Vec<FleetCard> {
+        let mut cards: Vec<&FleetCard> = self.others.values().map(|member| &member.card).collect();
+        if cards.len() > most {
+            cards.sort_by_key(|card| Reverse(card.link_mbps));
+            cards[most / 2..].shuffle(&mut rand::rng());
+            cards.truncate(most);
+        }
+        cards.into_iter().cloned().collect()
+    }
+
+    /// Notes how many others another box knows: this one may not have met them all yet.
+    pub(crate) fn told_count(&mut self, others: u32, now_ms: u64) {
+        let count = others as usize + 1;
+        if count >= self.most {
+            self.most = count;
+            self.most_ms = now_ms;
+        }
+    }
+
     /// The card of one box.
     pub(crate) fn card(&self, id: BoxId) -> Option<&FleetCard> {
         self.others.get(&id).map(|member| &member.card)
--- a/components/relay/src/members_tests.rs
+++ b/components/relay/src/members_tests.rs
@@ -41,6 +41,50 @@
     assert_eq!(members.ranked(ROLE, true, 20), [BoxId(3)]);
 }
 
+#[test]
+fn a_key_that_a_former_life_wrote_takes_nothing_back() {
+    let mut members = three();
+    members.met(card(2, 5, true), false, 10);
+    assert_eq!(
+        members.met(card(2, LIFE_UNKNOWN, false), true, 20),
+        Met::Known
+    );
+    let known = members.card(BoxId(2)).unwrap();
+    assert_eq!((known.life, known.leaving), (5, true));
+    assert_eq!(members.met(card(2, 6, false), false, 30), Met::New);
+    assert!(!members.card(BoxId(2)).unwrap().leaving);
+}
+
+#[test]
+fn a_box_known_by_its_key_is_the_same_when_it_speaks() {
+    let mut members = Members::new(BoxId(1), 1_000);
+    assert_eq!(members.met(card(2, LIFE_UNKNOWN, false), true, 0), Met::New);
+    assert_eq!(members.met(card(2, 9, false), false, 5), Met::Known);
+    assert_eq!(members.card(BoxId(2)).unwrap().life, 9);
+}
+
+#[test]
+fn the_budget_is_shared_among_the_boxes_that_another_knows() {
+    let mut members = three();
+    members.told_count(40, 10);
+    assert_eq!(members.budget_share(), 41);
+}
+
+#[test]
+fn those_that_pass_on_answer_and_have_wide_links() {
+    let mut members = Members::new(BoxId(1), 1_000);
+    for (id, link_mbps) in [(2, 20), (3, 200), (4, 100), (5, 400)] {
+        let card = FleetCard {
+            link_mbps,
+            ..card(id, 1, false)
+        };
+        members.met(card, true, 0);
+    }
+    members.doubted(BoxId(5), 0);
+    let order: Vec<u32> = members.in_telling_order(10).iter().map(|b| b.0.0).collect();
+    assert_eq!(order, [3, 4, 2, 5]);
+}
+
 #[test]
 fn a_box_with_a_key_is_kept_and_one_without_a_word_is_forgotten() {
     let mut members = three();
--- a/components/relay/src/presence.rs
+++ b/components/relay/src/presence.rs
@@ -2,7 +2,9 @@
 //! named anywhere.
 
 use crate::backoff::Backoff;
-use crate::news::{greet, meet, tell_current};
+use crate::exchange::greet;
+use crate::gossip::{meet, tell_current};
+use crate::members::LIFE_UNKNOWN;
 use crate::state::Relay;
 use crate::turn::CONFIRM_EACH;
 use peers::FleetCard;
@@ -10,27 +12,49 @@
 use std::rc::Rc;
 use std::time::Duration;
 use store::{KeyValue, StoreError, Transaction, Versioned, Write};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// What begins the keys of boxes.
 const BOX_PREFIX: &str = "boxes/";
-/// Time after which the key of a box that says nothing goes.
-const LEASE_S: u64 = 20;
+/// Time after which the key of a box that says nothing goes. Whether a box is there is told by its peers, who call it;
+/// its key only lets those find it that know nobody yet.
+const LEASE_S: u64 = 60;
 /// How often the keys of all boxes are read: a tenth of a call's price each time.
-const READ_EACH: Duration = Duration::from_secs(16);
+const READ_EACH: Duration = Duration::from_secs(30);
+/// A box that peers know writes its key at a moment within this time: all boxes may start at once.
+const FIRST_KEY_WITHIN: Duration = Duration::from_millis(2_000);
 /// When a box that has just started looks again.
 const SECOND_LOOK: Duration = Duration::from_millis(1_500);
 /// How often the lease is renewed.
-const RENEW_EACH: Duration = Duration::from_millis(6_000);
+const RENEW_EACH: Duration = Duration::from_millis(20_000);
+/// How long a box that knows nobody waits for the keys of all boxes, before it writes its own.
+const FIRST_LOOK_LIMIT: Duration = Duration::from_millis(300);
+/// The shortest pause before a call that failed is made again, where nothing is followed by that call.
+const AGAIN_EACH_MIN: Duration = Duration::from_millis(1_600);
 
 /// Keeps this box's key for as long as it lives, and takes it away when it stops.
 pub(crate) async fn keep_key(relay: Rc<Relay>) {
     let mut lease = None;
     let mut backoff = Backoff::patient();
+    let mut pause = first_pause(&relay).await;
     loop {
+        tokio::select! {
+            () = sleep(pause) => {}
+            // What it begins to follow is to be confirmed soon.
+            () = relay.begins_to_follow.notified() => {}
+            () = relay.stopping.cancelled() => {
+                if let Some(lease) = lease {
+                    let ended = relay.store.end_lease(lease).await;
+                    if let Err(error) = ended {
+                        slog::info!(relay.log, "own key not taken away"; "error" => %error);
+                    }
+                }
+                return;
+            }
+        }
         let kept = keep_once(&relay, &mut lease).await;
         relay.store_fails.set(kept.is_err());
-        let pause = match kept {
+        pause = match kept {
             Ok(()) => {
                 backoff.reset();
                 match confirm_followed(&relay) {
@@ -45,26 +69,28 @@
                     // Watches that hang on a dead channel are opened anew.
                     relay.store_doubted.notify_waiters();
                 }
-                backoff.next()
-            }
-        };
-        tokio::select! {
-            () = sleep(pause) => {}
-            // What it begins to follow is to be confirmed soon.
-            () = relay.begins_to_follow.notified() => {}
-            () = relay.stopping.cancelled() => {
-                if let Some(lease) = lease {
-                    let ended = relay.store.end_lease(lease).await;
-                    if let Err(error) = ended {
-                        slog::info!(relay.log, "own key not taken away"; "error" => %error);
-                    }
+                let next = backoff.next();
+                match relay.following.get().any() {
+                    true => next,
+                    false => next.max(AGAIN_EACH_MIN),
                 }
-                return;
             }
-        }
+        };
     }
 }
 
+/// How long a box that has just started leaves its key: not at all where no peer knows it.
+async fn first_pause(relay: &Relay) -> Duration {
+    relay.seeds_asked().await;
+    if !relay.members.borrow().others().is_empty() {
+        return SECOND_LOOK + FIRST_KEY_WITHIN.mul_f64(rand::random());
+    }
+    let mut read = relay.boxes_read.subscribe();
+    // Where the store does not answer, the key cannot be written either.
+    let _ = timeout(FIRST_LOOK_LIMIT, read.wait_for(|read| *read)).await;
+    Duration::ZERO
+}
+
 /// Says to all boxes, on one that follows the store, that nothing has changed: the store has just answered, and
 /// an open watch on it would have told. False where this box follows nothing.
 fn confirm_followed(relay: &Rc<Relay>) -> bool {
@@ -79,14 +105,19 @@
 }
 
 async fn keep_once(relay: &Relay, lease: &mut Option<u64>) -> Result<(), StoreError> {
-    if let Some(held) = *lease {
-        if relay.store.renew_lease(held).await? {
+    // A box that has just started finds the key of its former life: two writes less.
+    let held = lease.take().or_else(|| relay.former_lease.take());
+    if let Some(held) = held {
+        let renewed = relay.store.renew_lease(held).await;
+        if !matches!(renewed, Ok(false)) {
+            *lease = Some(held);
+        }
+        if renewed? {
             return Ok(());
         }
-        *lease = None;
     }
     let granted = relay.store.grant_lease(LEASE_S).await?;
-    let value = serde_json::to_vec(&relay.card())
+    let value = serde_json::to_vec(&lasting_card(relay))
         .map_err(|error| StoreError::NotDone(error.to_string()))?;
     let transaction = Transaction {
         compare: Vec::new(),
@@ -102,6 +133,15 @@
     Ok(())
 }
 
+/// What the key says, which may outlast this life of the box.
+fn lasting_card(relay: &Relay) -> FleetCard {
+    FleetCard {
+        life: LIFE_UNKNOWN,
+        leaving: false,
+        ..relay.card()
+    }
+}
+
 /// Reads the keys of all boxes: at once where no seed named others, and then now and then, as they were some
 /// seconds ago. No box watches them: each new box makes itself known to all that it finds.
 pub(crate) async fn read_boxes(relay: Rc<Relay>) {
@@ -115,15 +155,13 @@
     // Boxes that start together find each other at the second look.
     let mut pause = SECOND_LOOK;
     loop {
-        let listed = match begun {
-            false => relay.store.list(BOX_PREFIX).await,
-            true => relay.store.list_stale(BOX_PREFIX).await,
-        };
+        let listed = relay.store.list_stale(BOX_PREFIX).await;
         metrics::counter!("shuntpier_store_calls", "of" => "boxes").increment(1);
         match listed {
             Ok((items, _)) => {
                 backoff.reset();
                 take_keys(&relay, &items);
+                relay.boxes_read.send_replace(true);
                 if !std::mem::replace(&mut begun, true) {
                     greet(&relay).await;
                 }
@@ -132,13 +170,20 @@
             }
             Err(error) => {
                 slog::info!(relay.log, "boxes not read"; "error" => %error);
-                backoff.pause().await;
+                let pause = backoff.next();
+                sleep(if begun {
+                    pause.max(AGAIN_EACH_MIN)
+                } else {
+                    pause
+                })
+                .await;
             }
         }
     }
 }
 
 fn take_keys(relay: &Relay, items: &[Versioned]) {
+    note_former_lease(relay, items);
     let cards: Vec<FleetCard> = items.iter().filter_map(|item| card(relay, item)).collect();
     let ids: Vec<BoxId> = cards.iter().map(|card| card.id).collect();
     relay.members.borrow_mut().keys_are(&ids);
@@ -147,6 +192,19 @@
     }
 }
 
+/// Notes the lease of the key that a former life of this box has left, where it still says the truth.
+fn note_former_lease(relay: &Relay, items: &[Versioned]) {
+    let is_own = |item: &&Versioned| {
+        let name = item.key.strip_prefix(BOX_PREFIX);
+        name == Some(relay.file.identity.name.as_str())
+    };
+    let own = items.iter().find(is_own).filter(|item| item.lease != 0);
+    let says_this = |item: &&Versioned| card(relay, item) == Some(lasting_card(relay));
+    if let Some(item) = own.filter(says_this) {
+        relay.former_lease.set(Some(item.lease));
+    }
+}
+
 /// The key of a box in the policies, made from its name.
 pub(crate) fn box_id(name: &str) -> BoxId {
     BoxId(xxhash_rust::xxh3::xxh3_64(name.as_bytes()) as u32)
--- /dev/null
+++ b/components/relay/src/reconcile.rs
@@ -0,0 +1,84 @@
+//! Finds where the target lists of two boxes differ, without either sending its list: targets fall into buckets by
+//! their names, and only buckets whose hashes differ are sent (range-based set reconciliation; compare the hash trees
+//! of DeCandia et al., "Dynamo", SOSP 2007, with one level).
+
+use crate::targets::{Belief, Change, Target, TargetBook};
+use peers::{TargetList, TargetPatch, TargetSummary};
+use routing::TargetEntry;
+use std::collections::HashSet;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Targets that fall into one bucket on average: a summary of 3,000 targets takes 1.5 KB, and a change of one costs
+/// some 600 bytes.
+const BUCKET_TARGETS: usize = 16;
+/// The most buckets that are made, or taken from another box.
+const BUCKETS_MAX: usize = 1_024;
+
+fn bucket_of(instance: &str, count: usize) -> usize {
+    (xxh3_64(instance.as_bytes()) % count as u64) as usize
+}
+
+/// What one target adds to the hash of its bucket.
+fn hash_of(target: &Target) -> u64 {
+    let name = xxh3_64(target.entry.instance.as_bytes());
+    match target.belief {
+        Belief::Leaving => !name.rotate_left(1),
+        _ => name.rotate_left(2),
+    }
+}
+
+fn is_listed(target: &Target) -> bool {
+    target.belief != Belief::Gone
+}
+
+impl TargetBook {
+    fn bucket_hashes(&self, count: usize) -> Vec<u64> {
+        let mut hashes = vec![0; count];
+        for (_, target) in self.all().filter(|(_, target)| is_listed(target)) {
+            hashes[bucket_of(&target.entry.instance, count)] ^= hash_of(target);
+        }
+        hashes
+    }
+
+    /// This list in short; empty where none is known.
+    pub fn summary(&self) -> TargetSummary {
+        if !self.is_known() {
+            return TargetSummary::default();
+        }
+        let listed = self.all().filter(|(_, target)| is_listed(target)).count();
+        let count = (listed / BUCKET_TARGETS).next_power_of_two();
+        TargetSummary {
+            buckets: self.bucket_hashes(count.min(BUCKETS_MAX)),
+        }
+    }
+
+    /// What a box with that summary has to change to have this list; none where nothing differs.
+    pub fn patch_for(&self, other: &TargetSummary, now_ms: u64) -> Option<TargetPatch> {
+        let count = other.buckets.len().clamp(1, BUCKETS_MAX);
+        let own = self.bucket_hashes(count);
+        let differs = |at: &usize| other.buckets.get(*at) != Some(&own[*at]);
+        let buckets: HashSet<usize> = (0..count).filter(differs).collect();
+        if buckets.is_empty() {
+            return None;
+        }
+        let is_in = |entry: &TargetEntry| buckets.contains(&bucket_of(&entry.instance, count));
+        let listed: Vec<TargetEntry> = self.entries(now_ms).into_iter().filter(is_in).collect();
+        Some(TargetPatch {
+            bucket_count: count as u32,
+            buckets: buckets.into_iter().map(|at| at as u32).collect(),
+            listed: TargetList::new(&listed),
+        })
+    }
+
+    /// Takes another box's buckets in, as its list was at `revision`.
+    pub fn patch(&mut self, patch: TargetPatch, revision: u64, now_ms: u64) -> Vec<Change> {
+        let count = (patch.bucket_count as usize).clamp(1, BUCKETS_MAX);
+        let buckets: HashSet<usize> = patch.buckets.iter().map(|at| *at as usize).collect();
+        let is_in = |instance: &str| buckets.contains(&bucket_of(instance, count));
+        self.replace_part(patch.listed.entries(), &is_in, revision, None, now_ms)
+    }
+}
+
+#[cfg(test)]
+#[path = "reconcile_tests.rs"]
+mod tests;
--- /dev/null
+++ b/components/relay/src/reconcile_tests.rs
@@ -0,0 +1,79 @@
+use super::*;
+use proptest::prelude::*;
+use routing::TargetPhase;
+
+fn entry(at: usize, phase: TargetPhase) -> TargetEntry {
+    TargetEntry {
+        instance: format!("i-{at:08x}").into(),
+        service: ["model", "records"][at % 2].into(),
+        address: ([10, 0, 0, at as u8], 80).into(),
+        data_centre: ["east", "west", "north"][at % 3].into(),
+        slots: 24,
+        phase,
+        cold_left_ms: 0,
+        revision: at as u64 + 1,
+    }
+}
+
+fn book(listed: &[(usize, bool)], revision: u64) -> TargetBook {
+    let mut book = TargetBook::default();
+    let phase = |leaves| match leaves {
+        true => TargetPhase::Leaving,
+        false => TargetPhase::Ready,
+    };
+    let entries = listed.iter().map(|(at, leaves)| entry(*at, phase(*leaves)));
+    book.replace(entries.collect(), revision, None, 0);
+    book
+}
+
+fn names(book: &TargetBook) -> Vec<Box<str>> {
+    let mut names: Vec<Box<str>> = book.entries(0).into_iter().map(|e| e.instance).collect();
+    names.sort();
+    names
+}
+
+#[test]
+fn a_box_that_knows_nothing_gets_the_whole_list() {
+    let all: Vec<(usize, bool)> = (0..200).map(|at| (at, false)).collect();
+    let known = book(&all, 500);
+    let mut new = TargetBook::default();
+    let patch = known.patch_for(&new.summary(), 0).unwrap();
+    assert_eq!(patch.listed.len(), 200);
+    new.patch(patch, 500, 0);
+    assert_eq!(names(&new), names(&known));
+}
+
+#[test]
+fn equal_lists_need_nothing() {
+    let all: Vec<(usize, bool)> = (0..50).map(|at| (at, at % 7 == 0)).collect();
+    assert_eq!(book(&all, 60).patch_for(&book(&all, 70).summary(), 0), None);
+}
+
+#[test]
+fn one_change_in_three_thousand_targets_costs_a_few_of_them() {
+    let all: Vec<(usize, bool)> = (0..3_000).map(|at| (at, false)).collect();
+    let known = book(&all, 9_000);
+    let patch = known
+        .patch_for(&book(&all[1..], 8_000).summary(), 0)
+        .unwrap();
+    assert!(patch.listed.len() < 60, "{} targets", patch.listed.len());
+    assert_eq!(patch.buckets.len(), 1);
+}
+
+proptest! {
+    /// Whatever two boxes know, the one that takes the other's patch ends with its list.
+    #[test]
+    fn a_patch_leads_to_the_other_boxes_list(
+        mine in prop::collection::btree_set(0..400_usize, 0..80),
+        theirs in prop::collection::btree_set(0..400_usize, 0..80),
+    ) {
+        let listed = |set: &std::collections::BTreeSet<usize>| {
+            set.iter().map(|at| (*at, false)).collect::<Vec<_>>()
+        };
+        let (mut mine, theirs) = (book(&listed(&mine), 1_000), book(&listed(&theirs), 2_000));
+        if let Some(patch) = theirs.patch_for(&mine.summary(), 0) {
+            mine.patch(patch, 2_000, 0);
+        }
+        prop_assert_eq!(names(&mine), names(&theirs));
+    }
+}
--- a/components/relay/src/reports.rs
+++ b/components/relay/src/reports.rs
@@ -5,7 +5,7 @@
 use crate::judge::Word;
 use crate::state::Relay;
 use crate::targets::{Belief, Target, TargetSlot};
-use crate::turn::{another_asks, is_its_turn, rank};
+use crate::turn::{View, another_asks, is_its_turn, rank};
 use platform::{read_report, report_call};
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -86,9 +86,11 @@
 
 /// Whether a target may leave without this box hearing of it.
 fn doubt(relay: &Relay) -> bool {
-    let Some(confirmed_ms) = relay.targets.borrow().confirmed_ms else {
+    if !relay.knows(View::Targets) {
         return false;
-    };
+    }
+    // A list that was read at the start and that nobody has confirmed since is as old as the box.
+    let confirmed_ms = relay.confirmed_ms(View::Targets).unwrap_or_default();
     let age_ms = relay.now_ms().saturating_sub(confirmed_ms);
     let store_fails = relay.store_fails.get() && age_ms > UNCONFIRMED_FAILING_MS;
     relay.targets_doubted.get() || store_fails || age_ms > UNCONFIRMED_MS
--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -1,10 +1,11 @@
 //! Starts and stops a box.
 
 use crate::evacuation::run_evacuation;
+use crate::exchange::{greet, run_exchanges};
 use crate::follow::{follow, run_asking, run_missing};
+use crate::gossip::Handler;
 use crate::ingress;
-use crate::members::Members;
-use crate::news::{Handler, greet, run_exchanges};
+use crate::members::{LIFE_UNKNOWN, Members};
 use crate::presence::{box_id, keep_key, read_boxes};
 use crate::readiness;
 use crate::reports::{run_reports, run_trials};
@@ -94,7 +95,7 @@
         log: log.new(slog::o!("box" => identity.name.clone())),
         clock: Clock::new(),
         id,
-        life: rand::random(),
+        life: rand::random_range(LIFE_UNKNOWN + 1..=u32::MAX),
         data_centre: DataCentreId::from_name(&identity.data_centre),
         store: FleetStore::new(file.store.address),
         peers: FleetClients::new(&file.peer_keys, traffic.clone()),
@@ -118,7 +119,9 @@
         asking: Cell::new(false),
         heard_asker_ms: Cell::new(0),
         seeds_asked: watch::Sender::new(false),
-        fetching: Cell::new(false),
+        former_lease: Cell::new(None),
+        boxes_read: watch::Sender::new(false),
+        fetching: watch::Sender::new(false),
         store_doubted: Notify::new(),
         in_progress: Cell::new(0),
         requests_ended: Notify::new(),
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -77,8 +77,12 @@
     pub(crate) heard_asker_ms: Cell<u64>,
     /// The boxes that the settings name were asked what they know, or are silent.
     pub(crate) seeds_asked: watch::Sender<bool>,
+    /// The lease of the key that a former life of this box has left.
+    pub(crate) former_lease: Cell<Option<u64>>,
+    /// The keys of all boxes were read since this box started.
+    pub(crate) boxes_read: watch::Sender<bool>,
     /// What another box knows more is being asked for.
-    pub(crate) fetching: Cell<bool>,
+    pub(crate) fetching: watch::Sender<bool>,
     /// The store failed: its open watches may hang.
     pub(crate) store_doubted: Notify,
     /// Requests that are being read or answered.
@@ -236,6 +240,7 @@
                 Change::Came(slot) => (*slot, "came"),
                 Change::Leaves(slot) => (*slot, "leaves"),
                 Change::Went(slot) => (*slot, "went"),
+                Change::Cold(slot) => (*slot, "cold"),
             };
             let targets = self.targets.borrow();
             if let Some(target) = targets.get(slot) {
@@ -245,7 +250,7 @@
                     "open" => target.open);
             }
             drop(targets);
-            if !matches!(change, Change::Came(_)) {
+            if matches!(change, Change::Leaves(_) | Change::Went(_)) {
                 self.channels.borrow_mut().close(slot);
                 self.targets.borrow_mut().sweep(slot);
             }
--- a/components/relay/src/targets.rs
+++ b/components/relay/src/targets.rs
@@ -59,10 +59,15 @@
     pub trial: Trial,
     /// Until when it counts as full, by its own word.
     pub full_until_ms: u64,
+    /// That it leaves is known from itself or from a box that it told; the store has not said so.
+    pub leaves_by_word: bool,
 }
 
 /// How long a target's word that it is full is believed.
 const FULL_MS: u64 = 100;
+/// A target that will be cold for so much longer than was known has turned cold anew; what is less is the spread of
+/// its own word.
+const COLD_LONGER_MS: u64 = 500;
 /// How long its word on its load counts.
 const LOAD_LIFE_MS: u64 = 1_000;
 /// What a target in another data centre must be emptier by, as a share of its slots.
@@ -103,6 +108,8 @@
     pub changed_at: u64,
     /// When it was last confirmed that the book is current.
     pub confirmed_ms: Option<u64>,
+    /// A list was taken in: from the store, perhaps as it was some seconds ago, or from a peer.
+    known: bool,
     evacuated: HashSet<DataCentreId>,
 }
 
@@ -115,6 +122,8 @@
     Leaves(TargetSlot),
     /// It is listed no more.
     Went(TargetSlot),
+    /// It takes work, and is slow for a time.
+    Cold(TargetSlot),
 }
 
 impl TargetBook {
@@ -148,10 +157,19 @@
         target.belief == Belief::Ready && !self.is_evacuated(target)
     }
 
-    /// All targets that are still listed.
-    pub fn entries(&self) -> Vec<TargetEntry> {
+    /// Whether any list of targets is known.
+    pub fn is_known(&self) -> bool {
+        self.known
+    }
+
+    /// All targets that are still listed, cold for what is left of that.
+    pub fn entries(&self, now_ms: u64) -> Vec<TargetEntry> {
         let listed = self.targets.values().filter(|t| t.belief != Belief::Gone);
-        listed.map(|target| target.entry.clone()).collect()
+        let entry = |target: &Target| TargetEntry {
+            cold_left_ms: target.cold_until_ms.saturating_sub(now_ms) as u32,
+            ..target.entry.clone()
+        };
+        listed.map(entry).collect()
     }
 
     /// All targets.
@@ -185,14 +203,22 @@
                 _ => Belief::Ready,
             };
             target.missing = None;
+            target.leaves_by_word &= !leaving;
             let now = target.belief;
             let revision = entry.revision;
+            let cold_until_ms = now_ms + u64::from(entry.cold_left_ms);
+            let turned_cold =
+                entry.cold_left_ms > 0 && cold_until_ms > target.cold_until_ms + COLD_LONGER_MS;
+            if turned_cold {
+                target.cold_until_ms = cold_until_ms;
+            }
             target.entry = entry;
-            if was == now {
+            if was == now && !(turned_cold && now == Belief::Ready) {
                 return None;
             }
             self.changed_at = self.changed_at.max(revision);
             return Some(match now {
+                Belief::Ready if was == now => Change::Cold(slot),
                 Belief::Ready => Change::Came(slot),
                 _ => Change::Leaves(slot),
             });
@@ -213,6 +239,7 @@
             suspicion: Suspicion::default(),
             trial: Trial::default(),
             full_until_ms: 0,
+            leaves_by_word: false,
             entry,
         };
         let instance = target.entry.instance.clone();
@@ -270,16 +297,29 @@
         revision: u64,
         missing_until_ms: Option<u64>,
         now_ms: u64,
+    ) -> Vec<Change> {
+        self.replace_part(entries, &|_| true, revision, missing_until_ms, now_ms)
+    }
+
+    /// The same for a part of the list: the targets whose names `is_in`.
+    pub(crate) fn replace_part(
+        &mut self,
+        entries: Vec<TargetEntry>,
+        is_in: &impl Fn(&str) -> bool,
+        revision: u64,
+        missing_until_ms: Option<u64>,
+        now_ms: u64,
     ) -> Vec<Change> {
         let listed: HashSet<Box<str>> = entries.iter().map(|e| e.instance.clone()).collect();
         let mut changes: Vec<Change> = Vec::new();
         for entry in entries {
             changes.extend(self.listed(entry, now_ms));
         }
+        let is_missing = |instance: &str| is_in(instance) && !listed.contains(instance);
         let missing: Vec<Box<str>> = self
             .targets
             .values()
-            .filter(|target| !listed.contains(&target.entry.instance))
+            .filter(|target| is_missing(&target.entry.instance))
             .map(|target| target.entry.instance.clone())
             .collect();
         for instance in missing {
@@ -289,6 +329,7 @@
             });
         }
         self.current_to = self.current_to.max(revision);
+        self.known = true;
         changes
     }
 
@@ -300,15 +341,16 @@
         }
         target.belief = Belief::Leaving;
         target.entry.phase = TargetPhase::Leaving;
+        target.leaves_by_word = true;
         Some(Change::Leaves(slot))
     }
 
-    /// The lives that are known to leave.
+    /// The lives that leave by their own word. What the store says of leaving travels with its changes.
     pub fn leaving(&self) -> Vec<Box<str>> {
         let leaving = self
             .targets
             .values()
-            .filter(|t| t.belief == Belief::Leaving);
+            .filter(|t| t.belief == Belief::Leaving && t.leaves_by_word);
         leaving
             .map(|target| target.entry.instance.clone())
             .collect()
--- a/components/relay/src/turn.rs
+++ b/components/relay/src/turn.rs
@@ -6,6 +6,7 @@
 use prelude::BoxId;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::time::{Instant, sleep};
 use xxhash_rust::xxh3::xxh3_64;
 
 /// How often a box that does not follow the store looks whether it must.
@@ -22,6 +23,13 @@
 /// Boxes beyond that rank leave this much more to those before them while one of these asks engines instead of
 /// the store: calls to a store that is away are paid for too.
 const AWAY_MS: u64 = 2_000;
+/// And each further one in rank so much more, up to so many: the first that the store answers tells the others.
+const AWAY_TURN_MS: u64 = 50;
+const AWAY_TURNS_MAX: u64 = 40;
+/// Pause of boxes beyond that rank between two tries to follow a store that does not answer, and where another box
+/// says that it is away.
+const LATE_RANK_PAUSE: Duration = Duration::from_millis(1_600);
+const AWAY_PAUSE: Duration = Duration::from_millis(6_400);
 /// A box that asks all engines says so every 0.4 s; one that was not heard for this long asks no more.
 const ASKER_QUIET_MS: u64 = 1_000;
 /// A box that no peer has answered or called for this long is alone, and leaves nothing to others.
@@ -63,6 +71,25 @@
     ranks(relay).iter().position(|id| *id == relay.id)
 }
 
+/// Whether this box is among the first in rank, who look for a store that is away as often as they may.
+pub(crate) fn is_early_in_rank(relay: &Relay) -> bool {
+    rank(relay).is_some_and(|rank| rank as u64 <= TURNS_MAX)
+}
+
+/// Waits before the store is tried again. 190 of 195 boxes leave it to the first in rank: in an outage of 10 s all of
+/// them together made some 2,500 calls where each tried as often.
+pub(crate) async fn pause_before_trying(relay: &Relay, pause: Duration) {
+    let began = Instant::now();
+    let late_pause = match another_asks(relay) {
+        true => AWAY_PAUSE,
+        false => LATE_RANK_PAUSE,
+    };
+    sleep(pause).await;
+    while began.elapsed() < late_pause && !is_early_in_rank(relay) {
+        sleep(TURN_CHECK).await;
+    }
+}
+
 /// Whether it is this box's turn: it is the first in rank, or the first outside the first one's data centre.
 pub(crate) fn is_its_turn(relay: &Relay) -> bool {
     let ranks = ranks(relay);
@@ -87,7 +114,7 @@
     }
     let turn = rank(relay).map_or(u64::MAX, |rank| rank as u64);
     let away_ms = match turn > TURNS_MAX && another_asks(relay) {
-        true => AWAY_MS,
+        true => AWAY_MS + AWAY_TURN_MS * (turn - TURNS_MAX).min(AWAY_TURNS_MAX),
         false => 0,
     };
     QUIET_MS + TURN_MS * turn.min(TURNS_MAX) + away_ms
@@ -102,7 +129,9 @@
 /// Whether this box must follow a view itself: it is its turn, or nobody says that the view is current.
 pub(crate) fn must_follow(relay: &Relay, view: View) -> bool {
     let now_ms = relay.now_ms();
-    let Some(confirmed_ms) = relay.confirmed_ms(view) else {
+    // What was read as it was some seconds ago counts as confirmed when it is known whose turn it is.
+    let learnt_ms = relay.knows(view).then_some(SETTLE_MS);
+    let Some(confirmed_ms) = relay.confirmed_ms(view).or(learnt_ms) else {
         return true;
     };
     if now_ms < SETTLE_MS {
--- a/components/services/src/batch_tests.rs
+++ b/components/services/src/batch_tests.rs
@@ -33,6 +33,7 @@
             key: key.to_owned(),
             value,
             revision,
+            lease: 0,
         }))
     }
 
@@ -75,6 +76,7 @@
                 key,
                 value,
                 revision,
+                lease: 0,
             })
         });
         let current = current.collect();
--- a/components/store/src/etcd.rs
+++ b/components/store/src/etcd.rs
@@ -163,6 +163,7 @@
         key: String::from_utf8_lossy(&message.key.0).into_owned(),
         value: message.value.0,
         revision: message.mod_revision.0,
+        lease: message.lease.0,
     }
 }
 
--- a/components/store/src/keyvalue.rs
+++ b/components/store/src/keyvalue.rs
@@ -13,6 +13,8 @@
     pub value: Vec<u8>,
     /// Revision of its last write.
     pub revision: u64,
+    /// The lease with which it ends; 0 where there is none, or where the service does not say.
+    pub lease: u64,
 }
 
 /// A condition: the key was last written at `revision`; 0 for a key that does not exist.
--- a/components/store/src/wire.rs
+++ b/components/store/src/wire.rs
@@ -115,6 +115,8 @@
     pub value: Base64,
     #[serde(default)]
     pub mod_revision: Number,
+    #[serde(default)]
+    pub lease: Number,
 }
 
 #[derive(Deserialize)]
