--- a/components/bench/src/spread/relays.rs
+++ b/components/bench/src/spread/relays.rs
@@ -5,8 +5,8 @@
 use miette::IntoDiagnostic;
 use peers::{
     AcquireRequest, AdoptedStream, ClaimRequest, ClaimResult, Digest, EndedStream, KeyOutcome,
-    Notice, OutcomeRecord, PeerClients, PeerHandler, PermitReply, SettingsValue, Topology, Traffic,
-    UpdateReply, UpdateRequest, next_hops, serve,
+    KeyRing, Notice, OutcomeRecord, PeerClients, PeerHandler, PermitReply, SettingsValue, Topology,
+    Traffic, UpdateReply, UpdateRequest, next_hops, serve,
 };
 use prelude::{BoxId, BoxIncarnation, PermitId, PoolId};
 use std::collections::HashMap;
@@ -67,6 +67,8 @@
 
 /// A relay takes notices only; the other calls are never made.
 impl PeerHandler for Relay {
+    fn link_refused(&self, _: Option<SocketAddr>) {}
+
     async fn notice(&self, origin: BoxId, notice: Notice) {
         self.take(origin, &notice);
     }
@@ -121,7 +123,7 @@
             silent.push(listener);
             continue;
         }
-        let clients = PeerClients::new(&[KEY.to_owned()], traffic.clone());
+        let clients = PeerClients::new(KeyRing::new(&[KEY.to_owned()]), traffic.clone());
         for (id, address) in members.iter().zip(&addresses) {
             clients.set_address(*id, *address);
         }
@@ -133,7 +135,7 @@
             heard: Arc::default(),
         };
         let uncounted = Arc::new(Traffic::default());
-        let keys = vec![KEY.to_owned()];
+        let keys = KeyRing::new(&[KEY.to_owned()]);
         tokio::spawn(serve(
             listener,
             keys,
--- a/components/logs/src/lib.rs
+++ b/components/logs/src/lib.rs
@@ -2,12 +2,14 @@
 //! counted. No key and no prompt is ever written.
 
 mod bounded;
+mod level;
 mod sampled;
 
 pub use bounded::Bounded;
+pub use level::set_level;
 pub use sampled::{LINES_A_SECOND, Sampled};
 
-use slog::{Drain, LevelFilter, Logger, Never, o};
+use slog::{Drain, Logger, Never, o};
 use std::sync::Mutex;
 
 /// A logger for a person, to standard error.
@@ -31,5 +33,5 @@
     D: Drain<Ok = (), Err = Never> + Send + 'static,
 {
     let sampled = Sampled::new(Bounded::new(drain));
-    Logger::root(LevelFilter::new(sampled, slog::Level::Info).fuse(), o!())
+    Logger::root(level::Leveled(sampled).fuse(), o!())
 }
--- a/components/node/src/claims.rs
+++ b/components/node/src/claims.rs
@@ -98,7 +98,7 @@
     let held =
         (0..CLAIM_SLOTS).filter(|slot| winner(slot_role(*slot), members.clone()) == Some(own));
     let held = held.count().max(1) as f64;
-    f64::from(shared.limits.claim_writes_per_s) * held / CLAIM_SLOTS as f64
+    f64::from(shared.limits().claim_writes_per_s) * held / CLAIM_SLOTS as f64
 }
 
 /// Answers the jobs whose time is over without recording them.
--- a/components/node/src/console.rs
+++ b/components/node/src/console.rs
@@ -2,7 +2,7 @@
 
 use crate::dispatch::View;
 use crate::shared::{Node, lock};
-use operators::{BurnReport, Console, MemberView, NodeView, TargetView};
+use operators::{BurnReport, Console, MemberView, NodeView, SettingsView, TargetView};
 use policy::{EngineState, PoolView};
 use prelude::PoolId;
 use std::collections::BTreeMap;
@@ -25,6 +25,10 @@
         }
     }
 
+    fn settings(&self) -> SettingsView {
+        SettingsView::of(&self.0.settings_file.load())
+    }
+
     async fn burn(&self) -> BurnReport {
         let shared = &self.0;
         lock(&shared.burn).report(shared.clock.unix_ms(), |target| shared.target_name(target))
--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -332,7 +332,7 @@
     async fn handle(&mut self, _: Tick, context: &mut Context<Self>) -> bool {
         let now_ms = self.shared.now_ms();
         let in_use = now_ms < self.used_ms + IDLE_MS;
-        if in_use && now_ms >= self.polled_ms + self.shared.limits.load_interval_ms {
+        if in_use && now_ms >= self.polled_ms + self.shared.limits().load_interval_ms {
             if let Some(address) = context.mailbox().address().try_upgrade() {
                 self.poll(address, now_ms);
             }
--- a/components/node/src/handler.rs
+++ b/components/node/src/handler.rs
@@ -9,6 +9,7 @@
     Notice, OutcomeRecord, PeerHandler, PermitReply, UpdateReply, UpdateRequest,
 };
 use prelude::{BoxId, BoxIncarnation, PermitId, PoolId};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 /// Longest time for which a peer is kept waiting.
@@ -19,6 +20,11 @@
 }
 
 impl PeerHandler for Node {
+    fn link_refused(&self, from: Option<SocketAddr>) {
+        metrics::counter!("shuntpier_links_refused").increment(1);
+        slog::warn!(self.0.log, "link refused: its box holds none of the keys"; "from" => ?from);
+    }
+
     async fn acquire(
         &self,
         request: AcquireRequest,
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -27,4 +27,4 @@
 
 pub use poller::decision_times_ns;
 pub use shared::Node;
-pub use start::{Addresses, StartError, start};
+pub use start::{Addresses, StartError, start, start_live};
--- a/components/node/src/poller.rs
+++ b/components/node/src/poller.rs
@@ -108,7 +108,7 @@
         for desk in &desks {
             desk.run_local(now_ms);
         }
-        if now_ms < polled_ms + shared.limits.load_interval_ms {
+        if now_ms < polled_ms + shared.limits().load_interval_ms {
             continue;
         }
         polled_ms = now_ms;
--- a/components/node/src/pump.rs
+++ b/components/node/src/pump.rs
@@ -235,7 +235,7 @@
 /// it over meanwhile.
 async fn outlive_caller(run: Run) {
     let generation = run.started.generation.as_u128();
-    let grace = Duration::from_millis(run.shared.limits.resume_grace_ms);
+    let grace = Duration::from_millis(run.shared.limits().resume_grace_ms);
     let taken = run.shared.taken_over.wait(generation);
     let _ = tokio::time::timeout(grace, taken).await;
     cancel(&run).await;
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -13,8 +13,9 @@
 use operators::{BurnRecorder, Objective, Sample};
 use peers::{BoxCard, PeerClients, SettingsValue, Topology, Traffic};
 use prelude::{AccountId, BoxId, Clock, PermitId, PoolId, RegionId, TargetId};
+use reload::Live;
 use services::ServiceClient;
-use settings::{LimitSettings, Resolved, ResolvedAccount, ResolvedTarget};
+use settings::{BoxFile, LimitSettings, Resolved, ResolvedAccount, ResolvedTarget};
 use slog::Logger;
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -33,7 +34,7 @@
 pub(crate) struct Shared {
     pub card: BoxCard,
     pub region: RegionId,
-    pub limits: LimitSettings,
+    pub settings_file: Arc<Live<BoxFile>>,
     pub log: Logger,
     pub clock: Clock,
     pub resolved: ArcSwap<Resolved>,
@@ -205,10 +206,15 @@
         metrics::counter!("shuntpier_requests_total", "outcome" => outcome).increment(1);
     }
 
+    /// The bounds in force.
+    pub fn limits(&self) -> LimitSettings {
+        self.settings_file.load().limits.clone()
+    }
+
     /// Counts a stream of an account, within the bounds of the box and the account.
     pub fn open_stream(self: &Arc<Self>, account: &ResolvedAccount) -> Option<OpenStreamGuard> {
         let open = self.open_streams.fetch_add(1, Ordering::Relaxed);
-        if open >= u64::from(self.limits.open_streams) {
+        if open >= u64::from(self.limits().open_streams) {
             self.open_streams.fetch_sub(1, Ordering::Relaxed);
             return None;
         }
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -15,8 +15,9 @@
     ChatAnswer, ChatRequest, Front, ResumeSeal, ServeLimits, ServiceAnswer, ServiceCall,
 };
 use engines::EngineClient;
-use peers::{BoxCard, PeerClients, SettingsValue, Topology, Traffic};
+use peers::{BoxCard, KeyRing, PeerClients, SettingsValue, Topology, Traffic};
 use prelude::{AccountId, BoxId, BoxIncarnation, Clock, DataCentreId, RegionId, unix_ms};
+use reload::Live;
 use services::ServiceClient;
 use settings::{BoxFile, Resolved};
 use slog::Logger;
@@ -86,6 +87,19 @@
 /// # Errors
 /// [`StartError`].
 pub async fn start(file: BoxFile, log: Logger) -> Result<(Node, Addresses), StartError> {
+    start_live(Arc::new(Live::new(file)), log).await
+}
+
+/// The same, with settings that may change while the box runs.
+///
+/// # Errors
+/// [`StartError`].
+pub async fn start_live(
+    settings: Arc<Live<BoxFile>>,
+    log: Logger,
+) -> Result<(Node, Addresses), StartError> {
+    let file = settings.load().value.clone();
+    let keys = KeyRing::new(&file.keys.peer);
     let identity = &file.identity;
     let callers = listen("callers", identity.callers_address).await?;
     let peers = listen("peers", identity.peers_address).await?;
@@ -116,7 +130,7 @@
     let shared = Arc::new(Shared {
         card,
         region: RegionId::from_name(&identity.region),
-        limits: file.limits.clone(),
+        settings_file: settings.clone(),
         log,
         clock: Clock::new(),
         resolved: ArcSwap::from_pointee(Resolved::default()),
@@ -125,7 +139,7 @@
         changes: watch::Sender::new(0),
         members: Mutex::new(Members::new(card)),
         targets: Mutex::new(TargetTable::default()),
-        peers: PeerClients::new(&file.keys.peer, traffic.clone()),
+        peers: PeerClients::new(keys.clone(), traffic.clone()),
         traffic: traffic.clone(),
         topology: TOPOLOGY,
         engines: EngineClient::new(file.limits.engine_silence_ms)?,
@@ -160,7 +174,7 @@
     }
     tokio::spawn(peers::serve(
         peers,
-        file.keys.peer.clone(),
+        keys.clone(),
         node.clone(),
         traffic,
         shared.closed.clone(),
@@ -170,6 +184,7 @@
         tokio::spawn(run_orders(shared.clone(), store.clone()));
         tokio::spawn(run_writer(shared.clone(), store, claim_jobs));
     }
+    tokio::spawn(take_keys(settings, keys));
     tokio::spawn(run_digests(shared.clone()));
     tokio::spawn(run_local_views(shared.clone()));
     tokio::spawn(refresh_desks(shared.clone()));
@@ -193,6 +208,14 @@
     Ok((node, addresses))
 }
 
+/// Takes changes of the keys between boxes over. All other live fields are loaded where they are used.
+async fn take_keys(settings: Arc<Live<BoxFile>>, keys: KeyRing) {
+    let mut generations = settings.subscribe();
+    while generations.changed().await.is_ok() {
+        keys.set(&settings.load().keys.peer);
+    }
+}
+
 /// Branches that stand in the box's own file are in force at revision 0, below any of the service's.
 fn offer_file_branches(shared: &Shared, file: &BoxFile) {
     for branch in &file.branches {
--- a/components/node/src/stop.rs
+++ b/components/node/src/stop.rs
@@ -20,10 +20,10 @@
         lock(&shared.members).set_leaving();
         spread_own_card(shared);
         // The balancer still sends requests until it has seen that this box is not ready.
-        tokio::time::sleep(Duration::from_millis(shared.limits.balancer_delay_ms)).await;
+        tokio::time::sleep(Duration::from_millis(shared.limits().balancer_delay_ms)).await;
         shared.stop.cancel();
         shared.work.close();
-        let limit = Duration::from_millis(shared.limits.stop_limit_ms);
+        let limit = Duration::from_millis(shared.limits().stop_limit_ms);
         if tokio::time::timeout(limit, shared.work.wait())
             .await
             .is_err()
--- a/components/operators/src/console.rs
+++ b/components/operators/src/console.rs
@@ -3,6 +3,7 @@
 use crate::burn::BurnReport;
 use crate::metrics::metrics_text;
 use crate::page::burn_page;
+use crate::settings::SettingsView;
 use policy::PoolView;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -62,6 +63,9 @@
     /// The box as it sees itself.
     fn view(&self) -> impl Future<Output = NodeView> + Send;
 
+    /// Its settings in force.
+    fn settings(&self) -> SettingsView;
+
     /// Its burn report.
     fn burn(&self) -> impl Future<Output = BurnReport> + Send;
 }
@@ -77,13 +81,16 @@
     let view = warp::path!("node")
         .and(with.clone())
         .then(|console: C| async move { warp::reply::json(&console.view().await) });
+    let settings = warp::path!("settings")
+        .and(with.clone())
+        .map(|console: C| warp::reply::json(&console.settings()));
     let burn = warp::path!("burn")
         .and(with.clone())
         .then(|console: C| async move { warp::reply::json(&console.burn().await) });
     let page = warp::path!("burn.html")
         .and(with)
         .then(|console: C| async move { warp::reply::html(burn_page(&console.burn().await)) });
-    let routes = metrics.or(view).or(burn).or(page);
+    let routes = metrics.or(view).or(settings).or(burn).or(page);
     warp::serve(routes)
         .incoming(listener)
         .graceful(stopped)
--- a/components/operators/src/lib.rs
+++ b/components/operators/src/lib.rs
@@ -2,11 +2,15 @@
 
 mod burn;
 mod console;
+mod fleet;
 mod metrics;
 mod page;
+mod settings;
 
 pub use burn::{
     AccountBurn, BadReason, BurnRecorder, BurnReport, Objective, Sample, WindowBurn, merge,
 };
 pub use console::{Console, MemberView, NodeView, TargetView, serve};
-pub use metrics::{install_metrics, serve_metrics};
+pub use fleet::{EvacuationView, FleetConsole, FleetTargetView, FleetView, serve_fleet};
+pub use metrics::install_metrics;
+pub use settings::{FieldView, SettingsView};
--- a/components/peers/src/client.rs
+++ b/components/peers/src/client.rs
@@ -3,6 +3,7 @@
 use crate::counted::{Counted, Traffic};
 use crate::fleet::FleetClient;
 use crate::handshake;
+use crate::keys::KeyRing;
 use crate::server::codec;
 use crate::service::PeerClient;
 use prelude::BoxId;
@@ -97,9 +98,15 @@
 /// rests takes some 25 KB at each side.
 const IDLE_LIMIT: Duration = Duration::from_secs(8);
 
+/// An open link, and the key that it was made with.
+struct Held<C> {
+    client: C,
+    key: String,
+}
+
 struct Slot<C> {
     address: SocketAddr,
-    client: tokio::sync::Mutex<Option<C>>,
+    client: tokio::sync::Mutex<Option<Held<C>>>,
     used: Mutex<Instant>,
 }
 
@@ -127,16 +134,17 @@
 /// Links to all peers. Cheap to clone.
 #[derive(Clone)]
 pub struct Links<C> {
-    keys: Arc<[String]>,
+    keys: KeyRing,
     slots: Slots<C>,
     traffic: Arc<Traffic>,
 }
 
 impl<C: LinkClient> Links<C> {
-    /// No links yet; the first of `keys` is used to prove who we are.
-    pub fn new(keys: &[String], traffic: Arc<Traffic>) -> Self {
+    /// No links yet; the first of `keys` is used to prove who we are, and the others where that one is refused, as
+    /// boxes get new keys one after another.
+    pub fn new(keys: KeyRing, traffic: Arc<Traffic>) -> Self {
         Self {
-            keys: keys.into(),
+            keys,
             slots: Arc::default(),
             traffic,
         }
@@ -205,27 +213,36 @@
 
     async fn client(&self, id: BoxId, slot: &Slot<C>) -> Result<C, PeerError> {
         let mut held = slot.client.lock().await;
-        if let Some(client) = held.as_ref() {
-            return Ok(client.clone());
+        if let Some(open) = held.as_ref().filter(|open| self.keys.has(&open.key)) {
+            return Ok(open.client.clone());
         }
-        let client = self
+        let open = self
             .connect(slot.address)
             .await
             .map_err(|cause| PeerError::NotReached { id, cause })?;
-        *held = Some(client.clone());
+        let client = open.client.clone();
+        *held = Some(open);
         Ok(client)
     }
 
-    async fn connect(&self, address: SocketAddr) -> std::io::Result<C> {
+    async fn connect(&self, address: SocketAddr) -> std::io::Result<Held<C>> {
         let connecting = async {
-            let mut link = TcpStream::connect(address).await?;
-            tune(&link)?;
-            handshake::connect(&mut link, &self.keys).await?;
-            Ok::<_, std::io::Error>(link)
+            let mut refused = Err(std::io::ErrorKind::PermissionDenied.into());
+            for key in self.keys.now().iter() {
+                let mut link = TcpStream::connect(address).await?;
+                tune(&link)?;
+                match handshake::connect(&mut link, key).await {
+                    Ok(()) => return Ok((link, key.clone())),
+                    Err(error) if handshake::is_refusal(&error) => refused = Err(error),
+                    Err(error) => return Err(error),
+                }
+            }
+            refused
         };
-        let link = tokio::time::timeout(CONNECT_LIMIT, connecting).await??;
+        let (link, key) = tokio::time::timeout(CONNECT_LIMIT, connecting).await??;
         let framed = Framed::new(Counted::new(link, self.traffic.clone()), codec());
-        Ok(C::start(framed))
+        let client = C::start(framed);
+        Ok(Held { client, key })
     }
 }
 
--- a/components/peers/src/fleet.rs
+++ b/components/peers/src/fleet.rs
@@ -158,6 +158,9 @@
 
 /// What a box does on each call of [`Fleet`]. All its work is done in one thread.
 pub trait FleetHandler: Clone + 'static {
+    /// A box asked for a link and does not hold a key: it got nothing.
+    fn link_refused(&self, from: Option<SocketAddr>);
+
     /// See [`Fleet::exchange`].
     fn exchange(&self, digest: FleetDigest) -> impl Future<Output = FleetNews>;
 
--- a/components/peers/src/handshake.rs
+++ b/components/peers/src/handshake.rs
@@ -39,13 +39,21 @@
     )
 }
 
-/// Proves and checks, as the side that connected. The first key is used.
-pub(crate) async fn connect(link: &mut TcpStream, keys: &[String]) -> io::Result<()> {
-    timeout(LIMIT, connect_now(link, keys)).await?
+/// Whether the other side may not hold the key: it says so by closing the link.
+pub(crate) fn is_refusal(error: &io::Error) -> bool {
+    use io::ErrorKind::{ConnectionReset, PermissionDenied, UnexpectedEof};
+    matches!(
+        error.kind(),
+        PermissionDenied | UnexpectedEof | ConnectionReset
+    )
+}
+
+/// Proves and checks, as the side that connected.
+pub(crate) async fn connect(link: &mut TcpStream, key: &str) -> io::Result<()> {
+    timeout(LIMIT, connect_now(link, key)).await?
 }
 
-async fn connect_now(link: &mut TcpStream, keys: &[String]) -> io::Result<()> {
-    let key = keys.first().ok_or_else(refused)?;
+async fn connect_now(link: &mut TcpStream, key: &str) -> io::Result<()> {
     let mut theirs = [0; NONCE_BYTES];
     link.read_exact(&mut theirs).await?;
     let ours = nonce();
@@ -60,12 +68,12 @@
     expected.verify_slice(&answer).map_err(|_| refused())
 }
 
-/// Proves and checks, as the side that was connected to. Any of the keys is accepted.
-pub(crate) async fn accept(link: &mut TcpStream, keys: &[String]) -> io::Result<()> {
+/// Proves and checks, as the side that was connected to. Any of the keys is accepted; gives the one that was used.
+pub(crate) async fn accept(link: &mut TcpStream, keys: &[String]) -> io::Result<String> {
     timeout(LIMIT, accept_now(link, keys)).await?
 }
 
-async fn accept_now(link: &mut TcpStream, keys: &[String]) -> io::Result<()> {
+async fn accept_now(link: &mut TcpStream, keys: &[String]) -> io::Result<String> {
     let ours = nonce();
     link.write_all(&ours).await?;
     let mut theirs = [0; NONCE_BYTES];
@@ -78,43 +86,13 @@
             let answer = keyed(key, SERVER_ROLE, &theirs, &ours)?
                 .finalize()
                 .into_bytes();
-            return link.write_all(&answer).await;
+            link.write_all(&answer).await?;
+            return Ok(key.clone());
         }
     }
     Err(refused())
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use tokio::net::TcpListener;
-
-    async fn shake(client: &[&str], server: &[&str]) -> (bool, bool) {
-        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
-        let address = listener.local_addr().unwrap();
-        let owned = |keys: &[&str]| keys.iter().map(|key| (*key).to_owned()).collect::<Vec<_>>();
-        let (client, server) = (owned(client), owned(server));
-        let accepting = tokio::spawn(async move {
-            let (mut link, _) = listener.accept().await.unwrap();
-            accept(&mut link, &server).await.is_ok()
-        });
-        let mut link = TcpStream::connect(address).await.unwrap();
-        let connected = connect(&mut link, &client).await.is_ok();
-        (connected, accepting.await.unwrap())
-    }
-
-    #[tokio::test]
-    async fn accepts_a_box_with_the_key() {
-        assert_eq!(shake(&["k"], &["k"]).await, (true, true));
-    }
-
-    #[tokio::test]
-    async fn accepts_the_old_key_during_rotation() {
-        assert_eq!(shake(&["old", "new"], &["new", "old"]).await, (true, true));
-    }
-
-    #[tokio::test]
-    async fn refuses_a_box_without_the_key() {
-        assert_eq!(shake(&["other"], &["k"]).await, (false, false));
-    }
-}
+#[path = "handshake_tests.rs"]
+mod tests;
--- a/components/peers/src/lib.rs
+++ b/components/peers/src/lib.rs
@@ -5,6 +5,7 @@
 mod counted;
 mod fleet;
 mod handshake;
+mod keys;
 mod messages;
 mod patch;
 mod server;
@@ -18,6 +19,7 @@
     FetchRequest, FleetCard, FleetClient, FleetDigest, FleetHandler, FleetNews, RelocateReply,
     RelocateRequest, SharedTable,
 };
+pub use keys::KeyRing;
 pub use messages::{
     AcquireRequest, AdoptedStream, BoxCard, ClaimRequest, ClaimResult, Digest, EndedStream,
     KeyOutcome, Notice, OutcomeRecord, PermitReply, SettingsValue, StateOfTarget, StreamProgress,
--- a/components/peers/src/service.rs
+++ b/components/peers/src/service.rs
@@ -6,6 +6,7 @@
 };
 use prelude::{BoxId, BoxIncarnation, PermitId, PoolId};
 use std::future::Future;
+use std::net::SocketAddr;
 use tarpc::context::Context;
 
 /// What each box answers.
@@ -48,6 +49,9 @@
 /// What a box does on each call of [`Peer`]. `tarpc` does not say that its futures are `Send`; these
 /// are.
 pub trait PeerHandler: Clone + Send + Sync + 'static {
+    /// A box asked for a link and does not hold a key: it got nothing.
+    fn link_refused(&self, from: Option<SocketAddr>);
+
     /// See [`Peer::acquire`].
     fn acquire(
         &self,
--- a/components/policy/src/resend.rs
+++ b/components/policy/src/resend.rs
@@ -42,6 +42,11 @@
         }
     }
 
+    /// Changes what was promised; what was counted stays.
+    pub fn set_bound(&mut self, bound: ResendBound) {
+        self.bound = bound;
+    }
+
     /// Counts a request that came.
     pub fn request(&mut self, now_ms: u64) {
         self.part(now_ms).requests += 1;
--- a/components/relay/src/call.rs
+++ b/components/relay/src/call.rs
@@ -84,7 +84,7 @@
     let now_ms = relay.now_ms();
     let may_run_again = route.kind == RouteKind::Repeatable
         && story.runs < route.runs_most
-        && relay.file.has(Mechanism::SecondSends);
+        && relay.file().has(Mechanism::SecondSends);
     if now_ms >= due_ms || story.offered.len() >= OFFERS_MAX {
         return None;
     }
--- a/components/relay/src/dispatch.rs
+++ b/components/relay/src/dispatch.rs
@@ -82,6 +82,13 @@
         }
     }
 
+    /// Takes over which mechanisms are on.
+    pub(crate) fn reconfigure(&mut self, file: &FleetFile) {
+        self.pool.set_settings(pool_settings(file));
+        let has_turns = file.has(Mechanism::Turns);
+        self.turns = has_turns.then(|| self.turns.take().unwrap_or_default());
+    }
+
     fn relocate(&mut self, request: &RelocateRequest, now_ms: u64) -> RelocateReply {
         let (permit, from) = (request.permit, request.from);
         let Some(held_tokens) = self.pool.held_tokens(permit) else {
@@ -140,7 +147,7 @@
         if !self.dispatchers.borrow().contains_key(&pool) {
             self.dispatchers
                 .borrow_mut()
-                .insert(pool, Dispatcher::new(&self.file));
+                .insert(pool, Dispatcher::new(&self.file()));
             slog::info!(self.log, "dispatching"; "pool" => %pool.model);
             self.sync_dispatchers();
         }
--- a/components/relay/src/engines.rs
+++ b/components/relay/src/engines.rs
@@ -64,7 +64,7 @@
 
     /// Puts an engine that failed a generation on trial.
     pub(crate) fn engine_failed_here(&self, pool: PoolId, target: TargetId) {
-        if !self.file.has(Mechanism::Trials) {
+        if !self.file().has(Mechanism::Trials) {
             return;
         }
         let now_ms = self.now_ms();
--- a/components/relay/src/evacuation.rs
+++ b/components/relay/src/evacuation.rs
@@ -42,6 +42,14 @@
         &self.known
     }
 
+    /// Since when each data centre is known to be evacuated.
+    pub(crate) fn since_ms(&self) -> Vec<(Box<str>, u64)> {
+        let evacuated = self.evacuated.iter();
+        evacuated
+            .map(|(name, state)| (name.clone(), state.since_ms))
+            .collect()
+    }
+
     /// Changes what is known; none where the set stays.
     fn change(
         &mut self,
@@ -117,7 +125,7 @@
     }
 
     /// Requests that this box has open at targets of a data centre.
-    fn open_in(&self, data_centre: &str) -> u32 {
+    pub(crate) fn open_in(&self, data_centre: &str) -> u32 {
         let id = DataCentreId::from_name(data_centre);
         let targets = self.targets.borrow();
         let there = targets.all().filter(|(_, target)| target.data_centre == id);
--- a/components/relay/src/exchange.rs
+++ b/components/relay/src/exchange.rs
@@ -52,7 +52,7 @@
 /// Whose turn it is to be asked; none where no other box is known.
 fn partner(relay: &Relay, turn: usize) -> Option<BoxId> {
     let members = relay.members.borrow();
-    let near = members.others_in(&relay.file.identity.data_centre);
+    let near = members.others_in(&relay.identity.data_centre);
     let boxes = match turn.is_multiple_of(ANYWHERE_EACH) || near.is_empty() {
         true => members.others(),
         false => near,
@@ -101,9 +101,10 @@
 
 /// Asks the boxes that the settings name, which may be gone.
 async fn meet_seeds(relay: &Rc<Relay>) {
-    let seeds = relay.file.seeds.iter().enumerate();
-    let others = seeds.filter(|(_, seed)| **seed != relay.file.identity.peers_address);
-    let asked = others.map(|(at, seed)| meet_seed(relay, at, *seed));
+    let seeds = relay.file().seeds.clone();
+    let own = relay.identity.peers_address;
+    let others = seeds.into_iter().filter(|seed| *seed != own).enumerate();
+    let asked = others.map(|(at, seed)| meet_seed(relay, at, seed));
     futures::future::join_all(asked).await;
     relay.seeds_asked.send_replace(true);
 }
--- a/components/relay/src/generation.rs
+++ b/components/relay/src/generation.rs
@@ -140,7 +140,7 @@
     let generation = incoming.facts.generation.clone().unwrap_or_default();
     let told_guess = generation
         .guess_tokens
-        .filter(|_| relay.file.has(Mechanism::Guesses));
+        .filter(|_| relay.file().has(Mechanism::Guesses));
     let due_ms = incoming.due_ms(route);
     let wait_ms = relay.outlook.borrow().wait_ms(route.answer_goal_ms);
     let wait_until_ms = incoming.came_ms + wait_ms;
--- a/components/relay/src/gossip.rs
+++ b/components/relay/src/gossip.rs
@@ -14,6 +14,7 @@
     UpdateReply, UpdateRequest,
 };
 use prelude::{BoxId, PermitId, PoolId, TargetId};
+use std::net::SocketAddr;
 use std::rc::Rc;
 
 /// Boxes that one answer names, those with wide links first: the others are learnt from the store and by their own word.
@@ -217,6 +218,11 @@
 pub(crate) struct Handler(pub Rc<Relay>);
 
 impl FleetHandler for Handler {
+    fn link_refused(&self, from: Option<SocketAddr>) {
+        metrics::counter!("shuntpier_links_refused").increment(1);
+        slog::warn!(self.0.log, "link refused: its box holds none of the keys"; "from" => ?from);
+    }
+
     async fn exchange(&self, digest: FleetDigest) -> FleetNews {
         meet(&self.0, &digest.from, false);
         take_evacuations(&self.0, &digest);
--- a/components/relay/src/informed.rs
+++ b/components/relay/src/informed.rs
@@ -39,7 +39,7 @@
     /// Gives a box that has just started the moment that it needs to learn what it decides by: a refusal would
     /// cost the caller more.
     pub(crate) async fn wait_until_informed(&self) {
-        if !self.file.has(Mechanism::HeldStarts) {
+        if !self.file().has(Mechanism::HeldStarts) {
             return;
         }
         let mut changes = self.target_changes.subscribe();
--- a/components/relay/src/judge.rs
+++ b/components/relay/src/judge.rs
@@ -57,7 +57,7 @@
         if let Some(target) = targets.get_mut(slot) {
             match word {
                 Word::Well => target.suspicion.succeeded(),
-                Word::Failed if self.file.has(Mechanism::Suspicion) => {
+                Word::Failed if self.file().has(Mechanism::Suspicion) => {
                     let before = target.suspicion.is_passed_over(now_ms);
                     target.suspicion.failed(now_ms);
                     doubted = target.suspicion.is_passed_over(now_ms) && !before;
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -27,6 +27,7 @@
 mod pump;
 mod readiness;
 mod reconcile;
+mod reconfigure;
 mod reports;
 mod request;
 mod runs;
@@ -37,6 +38,7 @@
 mod targets;
 mod telling;
 mod turn;
+mod view;
 
 pub use events::{EventError, EventSplitter, Events};
 pub use start::{Running, StartError, start};
--- a/components/relay/src/members.rs
+++ b/components/relay/src/members.rs
@@ -75,6 +75,11 @@
         }
     }
 
+    /// Sets the bandwidth of this box's own link.
+    pub(crate) fn set_link(&mut self, link_mbps: u32) {
+        self.my_link_mbps = link_mbps;
+    }
+
     /// Takes the card of a box in, from its key or from its own word.
     pub(crate) fn met(&mut self, card: FleetCard, keyed: bool, now_ms: u64) -> Met {
         if card.id == self.me {
--- a/components/relay/src/moving.rs
+++ b/components/relay/src/moving.rs
@@ -111,7 +111,7 @@
             relay: relay.clone(),
             changes: relay.target_changes.subscribe(),
             looked: false,
-            moves: engine.is_some_and(|engine| engine.moves) && relay.file.has(Mechanism::Moves),
+            moves: engine.is_some_and(|engine| engine.moves) && relay.file().has(Mechanism::Moves),
             steps: None,
             task: None,
             stopping: false,
@@ -184,7 +184,7 @@
         };
         let cause = match target.belief {
             Belief::Ready if !targets.is_evacuated(target) || self.stays_evacuated => return,
-            Belief::Ready if !self.relay.file.has(Mechanism::EvacuationMoves) => return,
+            Belief::Ready if !self.relay.file().has(Mechanism::EvacuationMoves) => return,
             Belief::Ready => Cause::Evacuated,
             _ => Cause::Leaves,
         };
--- a/components/relay/src/presence.rs
+++ b/components/relay/src/presence.rs
@@ -122,7 +122,7 @@
     let transaction = Transaction {
         compare: Vec::new(),
         writes: vec![Write::Put {
-            key: format!("{BOX_PREFIX}{}", relay.file.identity.name),
+            key: format!("{BOX_PREFIX}{}", relay.identity.name),
             value,
             lease: granted,
         }],
@@ -196,7 +196,7 @@
 fn note_former_lease(relay: &Relay, items: &[Versioned]) {
     let is_own = |item: &&Versioned| {
         let name = item.key.strip_prefix(BOX_PREFIX);
-        name == Some(relay.file.identity.name.as_str())
+        name == Some(relay.identity.name.as_str())
     };
     let own = items.iter().find(is_own).filter(|item| item.lease != 0);
     let says_this = |item: &&Versioned| card(relay, item) == Some(lasting_card(relay));
--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -8,13 +8,16 @@
 use crate::members::{LIFE_UNKNOWN, Members};
 use crate::presence::{box_id, keep_key, read_boxes};
 use crate::readiness;
+use crate::reconfigure::run_settings;
 use crate::reports::{run_reports, run_trials};
 use crate::state::Relay;
 use crate::turn::View;
 use http1::Listener;
-use peers::{FleetClients, Traffic};
+use operators::FleetView;
+use peers::{FleetClients, KeyRing, Traffic};
 use platform::FleetStore;
 use prelude::{Clock, DataCentreId};
+use reload::Live;
 use settings::{FleetFile, FleetIdentity};
 use slog::Logger;
 use std::cell::{Cell, RefCell};
@@ -72,8 +75,9 @@
 ///
 /// # Errors
 /// [`StartError`].
-pub async fn start(mut file: FleetFile, log: Logger) -> Result<Running, StartError> {
-    let identity = &mut file.identity;
+pub async fn start(settings: Arc<Live<FleetFile>>, log: Logger) -> Result<Running, StartError> {
+    let file = settings.load();
+    let mut identity = file.identity.clone();
     let callers = listen("callers", identity.callers_address)?;
     let readiness = listen("readiness", identity.readiness_address)?;
     let peers_address = identity.peers_address;
@@ -90,6 +94,7 @@
     identity.peers_address = peers.local_addr().unwrap_or(identity.peers_address);
     let peers_address = identity.peers_address;
     let traffic = Arc::new(Traffic::default());
+    let keys = KeyRing::new(&file.peer_keys);
     let id = box_id(&identity.name);
     let relay = Rc::new(Relay {
         log: log.new(slog::o!("box" => identity.name.clone())),
@@ -98,7 +103,7 @@
         life: rand::random_range(LIFE_UNKNOWN + 1..=u32::MAX),
         data_centre: DataCentreId::from_name(&identity.data_centre),
         store: FleetStore::new(file.store.address),
-        peers: FleetClients::new(&file.peer_keys, traffic.clone()),
+        peers: FleetClients::new(keys.clone(), traffic.clone()),
         declared: RefCell::default(),
         declared_confirmed_ms: Cell::new(None),
         evacuation: RefCell::default(),
@@ -128,10 +133,12 @@
         stopping: CancellationToken::new(),
         stop_until_ms: Cell::new(None),
         closed: CancellationToken::new(),
-        file,
+        identity,
+        keys: keys.clone(),
+        settings: settings.clone(),
     });
+    drop(file);
     let handler = Handler(relay.clone());
-    let keys = relay.file.peer_keys.clone();
     let closed = relay.closed.clone();
     spawn_local(peers::serve_fleet(peers, keys, handler, traffic, closed));
     spawn_local(readiness::serve(relay.clone(), readiness));
@@ -148,10 +155,11 @@
     spawn_local(async move { looked.run_dispatchers().await });
     spawn_local(run_reports(relay.clone()));
     spawn_local(run_trials(relay.clone()));
+    spawn_local(run_settings(relay.clone()));
     spawn_local(run_evacuation(relay.clone()));
     spawn_local(run_sweeps(relay.clone()));
-    slog::info!(relay.log, "box started"; "callers" => %relay.file.identity.callers_address,
-        "peers" => %peers_address, "store" => %relay.file.store.address, "life" => relay.life);
+    slog::info!(relay.log, "box started"; "callers" => %relay.identity.callers_address,
+        "peers" => %peers_address, "store" => %relay.file().store.address, "life" => relay.life);
     Ok(Running(relay))
 }
 
@@ -168,21 +176,19 @@
 impl Running {
     /// Who the box is, with the addresses that it listens on.
     pub fn identity(&self) -> &FleetIdentity {
-        &self.0.file.identity
+        &self.0.identity
     }
 
-    /// Notes that the settings file may have changed. What a box can take over while it runs comes from the
-    /// store; its name and addresses hold for its life.
-    pub fn reload(&self) {
-        slog::info!(self.0.log, "asked to reload"; "note" => "declarations come from the store");
-        self.0.store_doubted.notify_waiters();
+    /// The box as operators see it.
+    pub fn view(&self) -> FleetView {
+        self.0.view()
     }
 
     /// Stops by plan: takes no new channels, answers what is in progress, and returns when nothing is, or
     /// when the time until the process is killed is nearly over.
     pub async fn stop(&self) {
         let relay = &self.0;
-        let grace = Duration::from_secs_f64(relay.file.promises.stop_grace_s);
+        let grace = Duration::from_secs_f64(relay.file().promises.stop_grace_s);
         let time = grace.saturating_sub(STOP_MARGIN);
         let until = Instant::now() + time;
         let until_ms = relay.now_ms() + time.as_millis() as u64;
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -10,16 +10,19 @@
 use crate::runs::Runs;
 use crate::targets::{Change, TargetBook};
 use crate::turn::{Followed, View};
-use peers::{FleetCard, FleetClients, FleetDigest};
+use arc_swap::Guard;
+use peers::{FleetCard, FleetClients, FleetDigest, KeyRing};
 use platform::FleetStore;
 use policy::{ResendBound, ResendWindow};
 use prelude::{BoxId, Clock, DataCentreId, ModelId, PoolId};
+use reload::{Live, Snapshot};
 use routing::RoutingTable;
-use settings::{FleetFile, Mechanism};
+use settings::{FleetFile, FleetIdentity, FleetPromises, Mechanism};
 use slog::Logger;
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::sync::Arc;
 use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
@@ -37,7 +40,11 @@
 
 /// What one box holds.
 pub struct Relay {
-    pub(crate) file: FleetFile,
+    /// Who this box is, for its life.
+    pub(crate) identity: FleetIdentity,
+    pub(crate) settings: Arc<Live<FleetFile>>,
+    /// The keys by which boxes know each other.
+    pub(crate) keys: KeyRing,
     pub(crate) log: Logger,
     pub(crate) clock: Clock,
     pub(crate) id: BoxId,
@@ -106,6 +113,15 @@
     }
 }
 
+/// What the users were promised of second sends.
+pub(crate) fn resend_bound(promises: &FleetPromises) -> ResendBound {
+    ResendBound {
+        share: promises.resend_share,
+        spare: promises.resend_spare,
+        window_ms: (promises.resend_window_s * 1000.0) as u64,
+    }
+}
+
 /// The pool of a service's engines.
 pub(crate) fn pool_of(service: &str) -> PoolId {
     PoolId {
@@ -148,11 +164,11 @@
         FleetCard {
             id: self.id,
             life: self.life,
-            name: self.file.identity.name.as_str().into(),
-            address: self.file.identity.peers_address,
-            data_centre: self.file.identity.data_centre.as_str().into(),
+            name: self.identity.name.as_str().into(),
+            address: self.identity.peers_address,
+            data_centre: self.identity.data_centre.as_str().into(),
             leaving: self.is_stopping(),
-            link_mbps: self.file.limits.link_mbps as u32,
+            link_mbps: self.file().limits.link_mbps as u32,
         }
     }
 
@@ -265,13 +281,20 @@
         self.target_changes.send_modify(|count| *count += 1);
     }
 
+    /// The settings in force.
+    pub(crate) fn file(&self) -> Guard<Arc<Snapshot<FleetFile>>> {
+        self.settings.load()
+    }
+
     /// An answer of this box's own, as its caller is told it.
     pub(crate) fn as_told(&self, own: Own) -> Own {
         match own {
-            Own::NotRun { why, .. } if !self.file.has(Mechanism::TimesToComeBack) => Own::NotRun {
-                why,
-                retry_after_ms: RETRY_AFTER_MS,
-            },
+            Own::NotRun { why, .. } if !self.file().has(Mechanism::TimesToComeBack) => {
+                Own::NotRun {
+                    why,
+                    retry_after_ms: RETRY_AFTER_MS,
+                }
+            }
             own => own,
         }
     }
@@ -284,12 +307,7 @@
     ) -> T {
         let mut windows = self.resends.borrow_mut();
         if !windows.contains_key(service) {
-            let promises = &self.file.promises;
-            let bound = ResendBound {
-                share: promises.resend_share,
-                spare: promises.resend_spare,
-                window_ms: (promises.resend_window_s * 1000.0) as u64,
-            };
+            let bound = resend_bound(&self.file().promises);
             windows.insert(service.into(), ResendWindow::new(bound));
         }
         let now_ms = self.now_ms();
@@ -301,7 +319,7 @@
 
     /// Takes one second send to a service from the budget.
     pub(crate) fn take_resend(&self, service: &str) -> bool {
-        let boxes = match self.file.has(Mechanism::BudgetShares) {
+        let boxes = match self.file().has(Mechanism::BudgetShares) {
             true => self.members.borrow().budget_share(),
             false => 1,
         };
--- a/components/relay/src/stopping.rs
+++ b/components/relay/src/stopping.rs
@@ -29,7 +29,7 @@
 }
 
 fn grace_ms(relay: &Relay) -> u64 {
-    (relay.file.promises.stop_grace_s * 1000.0) as u64
+    (relay.file().promises.stop_grace_s * 1000.0) as u64
 }
 
 /// Why a stopping box does not begin a generation: it is less likely to end here in time than its caller is to find
@@ -44,7 +44,7 @@
         return None;
     }
     let is_early =
-        relay.file.has(Mechanism::StopChances) && left_ms + STOP_CHANCES_MS > grace_ms(relay);
+        relay.file().has(Mechanism::StopChances) && left_ms + STOP_CHANCES_MS > grace_ms(relay);
     let outlook = relay.outlook.borrow();
     let ends = outlook.end_chance(generation.guess_tokens, generation.most_tokens, left_ms);
     let elsewhere = relay.members.borrow().elsewhere_chance(relay.now_ms());
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -50,17 +50,34 @@
 /// # Errors
 /// Every mistake that was found.
 pub fn parse_box_file(name: &str, text: &str) -> Result<BoxFile, Box<Mistakes>> {
-    parse(name, text, |file: &BoxFile| {
-        let mut found = Vec::new();
-        for (index, branch) in file.branches.iter().enumerate() {
-            let prefix = [Step::Key("branches".into()), Step::Item(index)];
-            for mut item in branch_mistakes(branch) {
-                item.path.splice(0..0, prefix.iter().cloned());
-                found.push(item);
-            }
+    parse(name, text, box_mistakes)
+}
+
+/// The mistakes of what a box file says.
+pub(crate) fn box_mistakes(file: &BoxFile) -> Vec<Found> {
+    let mut found = Vec::new();
+    for (index, branch) in file.branches.iter().enumerate() {
+        let prefix = [Step::Key("branches".into()), Step::Item(index)];
+        for mut item in branch_mistakes(branch) {
+            item.path.splice(0..0, prefix.iter().cloned());
+            found.push(item);
         }
-        found
-    })
+    }
+    for (name, keys) in [("peer", &file.keys.peer), ("resume", &file.keys.resume)] {
+        if keys.is_empty() {
+            found.push(no_keys(&["keys", name]));
+        }
+    }
+    found
+}
+
+/// A list of keys that holds none.
+pub(crate) fn no_keys(path: &[&str]) -> Found {
+    Found::new(
+        path,
+        "no key: boxes could not know each other".into(),
+        Some("name at least one key".into()),
+    )
 }
 
 /// The mistakes of a branch; none where it is right.
@@ -81,6 +98,10 @@
 }
 
 impl Found {
+    pub(crate) fn path(&self) -> &[Step] {
+        &self.path
+    }
+
     pub(crate) fn new(path: &[&str], message: String, advice: Option<String>) -> Self {
         let path = path.iter().map(|key| Step::Key((*key).into())).collect();
         Self {
--- a/components/settings/src/fleetcheck.rs
+++ b/components/settings/src/fleetcheck.rs
@@ -1,6 +1,6 @@
 //! Checks of the settings file of a fleet box.
 
-use crate::check::{Found, Mistakes, parse};
+use crate::check::{Found, Mistakes, no_keys, parse};
 use crate::fleetfile::FleetFile;
 
 /// Parses and checks the settings file of a box of a platform's fleet.
@@ -11,28 +11,18 @@
     parse(name, text, fleet_mistakes)
 }
 
-/// Reads the settings file of a fleet box without naming all its mistakes: a box that starts pays for its
-/// memory at its peak, and the schema that finds every mistake takes most of it.
-///
-/// # Errors
-/// The first mistake; [`parse_fleet_file`] names all.
-pub fn read_fleet_file(text: &str) -> Result<FleetFile, String> {
-    let file: FleetFile = serde_saphyr::from_str(text).map_err(|error| error.to_string())?;
-    match fleet_mistakes(&file).into_iter().next() {
-        None => Ok(file),
-        Some(found) => Err(found.message),
-    }
-}
-
 /// The mistakes of a fleet box's file; none where it is right.
 pub fn check_fleet_file(name: &str, text: &str) -> Option<Box<Mistakes>> {
     parse_fleet_file(name, text).err()
 }
 
-fn fleet_mistakes(file: &FleetFile) -> Vec<Found> {
+/// The mistakes of what a fleet box's file says.
+pub(crate) fn fleet_mistakes(file: &FleetFile) -> Vec<Found> {
     let mut found = Vec::new();
     let identity = &file.identity;
-    if identity.callers_address == identity.readiness_address {
+    let callers = identity.callers_address;
+    // Port 0 asks for any free one.
+    if callers == identity.readiness_address && callers.port() != 0 {
         found.push(Found::new(
             &["box", "readiness_address"],
             "callers and readiness share an address".into(),
@@ -54,6 +44,16 @@
             None,
         ));
     }
+    if promises.stop_grace_s <= 0.0 {
+        found.push(Found::new(
+            &["promises", "stop_grace_s"],
+            "no time to stop in".into(),
+            Some("the platform ends a process so long after SIGTERM".into()),
+        ));
+    }
+    if file.peer_keys.is_empty() {
+        found.push(no_keys(&["peer_keys"]));
+    }
     found
 }
 
--- a/components/settings/src/fleetcheck_tests.rs
+++ b/components/settings/src/fleetcheck_tests.rs
@@ -1,10 +1,11 @@
 use super::*;
+use crate::field::LiveSettings;
 
 #[test]
 fn takes_the_example_of_a_fleet_box() {
     let text = include_str!("../../../examples/fleet-box.yaml");
     assert!(check_fleet_file("fleet-box.yaml", text).is_none());
-    assert!(read_fleet_file(text).is_ok());
+    assert!(FleetFile::read(text).is_ok());
 }
 
 #[test]
@@ -15,7 +16,9 @@
         peer_keys: [k]\n";
     let mistakes = check_fleet_file("f", text).unwrap();
     assert_eq!(mistakes.mistakes.len(), 3);
-    assert!(read_fleet_file(text).is_err());
+    let read = FleetFile::read(text).unwrap_err();
+    let lines: Vec<usize> = read.iter().map(|mistake| mistake.line).collect();
+    assert_eq!(lines, [1, 3, 3]);
     let unknown = check_fleet_file("f", &text.replace("peer_keys", "peers_keys")).unwrap();
     assert!(
         unknown
--- a/components/settings/src/fleetfile.rs
+++ b/components/settings/src/fleetfile.rs
@@ -31,6 +31,24 @@
     /// Keys by which boxes know each other; the first is used, the others are accepted.
     #[schemars(length(min = 1))]
     pub peer_keys: Vec<String>,
+    /// The least level that is logged.
+    #[serde(default)]
+    pub log_level: LogLevel,
+}
+
+/// How much is logged.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum LogLevel {
+    /// Everything.
+    Debug,
+    /// Each decision and each change of what a box believes.
+    #[default]
+    Info,
+    /// What an operator should look at.
+    Warning,
+    /// What went wrong.
+    Error,
 }
 
 impl FleetFile {
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -96,6 +96,8 @@
 
 #[derive(Clone, Debug, Bpaf)]
 pub struct CheckOptions {
+    /// Print all fields of a box's settings file, and how a change of each is taken over
+    pub explain: bool,
     /// A partner's branch, or the settings file of a box
     #[bpaf(positional("FILE"))]
     pub file: PathBuf,
@@ -144,15 +146,15 @@
 #[derive(Clone, Debug, Bpaf)]
 pub enum SettingsOptions {
     #[bpaf(command("show"))]
-    /// Prints the branch in force
-    Show(#[bpaf(external(store_options))] StoreOptions),
+    /// Prints the branch in force, or the settings file of a running box
+    Show(#[bpaf(external(show_options))] ShowOptions),
 
     #[bpaf(command("history"))]
     /// Lists the accepted changes
     History(#[bpaf(external(store_options))] StoreOptions),
 
     #[bpaf(command("diff"))]
-    /// Shows how a file differs from the branch in force
+    /// Shows how a file differs from the branch in force, or from what a running box has
     Diff(#[bpaf(external(diff_options))] DiffOptions),
 
     #[bpaf(command("apply"))]
@@ -160,11 +162,24 @@
     Apply(#[bpaf(external(apply_options))] ApplyOptions),
 }
 
+/// What settings are looked at.
+#[derive(Clone, Debug, Bpaf)]
+pub enum ShowOptions {
+    /// Those of a running box
+    Box {
+        /// Operators' address of a box; of a fleet's box the address of its metrics
+        #[bpaf(long("box"), argument("ADDRESS"))]
+        address: std::net::SocketAddr,
+    },
+    /// A partner's branch
+    Store(#[bpaf(external(store_options))] StoreOptions),
+}
+
 #[derive(Clone, Debug, Bpaf)]
 pub struct DiffOptions {
-    #[bpaf(external(store_options))]
-    pub store: StoreOptions,
-    /// The branch as it shall be
+    #[bpaf(external(show_options))]
+    pub from: ShowOptions,
+    /// The branch, or the settings file of a box, as it shall be
     #[bpaf(positional("FILE"))]
     pub file: PathBuf,
 }
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,5 +1,6 @@
 //! A file for each subcommand.
 
+pub mod box_settings;
 pub mod burn;
 pub mod check;
 pub mod demo;
--- a/src/cmd/relay.rs
+++ b/src/cmd/relay.rs
@@ -3,15 +3,21 @@
 use crate::cli::RelayOptions;
 use crate::cmd::read_file;
 use miette::{IntoDiagnostic, WrapErr, miette};
+use operators::{FleetConsole, FleetView, SettingsView};
 use relay::Running;
-use settings::{check_fleet_file, read_fleet_file};
+use reload::Live;
+use settings::{FleetFile, LogLevel, check_fleet_file};
 use slog::Logger;
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::sync::Arc;
 use tokio::runtime::Builder;
 use tokio::signal::unix::{Signal, SignalKind, signal};
-use tokio::task::LocalSet;
+use tokio::sync::{Notify, mpsc, oneshot};
+use tokio::task::{LocalSet, spawn_local};
+
+/// Questions of operators that may wait.
+const QUESTIONS_MAX: usize = 8;
 
 /// The settings file: as named on the command line, or where the platform laid it.
 fn settings_path(options: &RelayOptions) -> miette::Result<PathBuf> {
@@ -26,7 +32,7 @@
     let path = settings_path(options)?;
     let name = path.display().to_string();
     let text = read_file(&path)?;
-    let Ok(file) = read_fleet_file(&text) else {
+    let Ok(live) = Live::<FleetFile>::read(&text) else {
         let mistakes = check_fleet_file(&name, &text);
         return Err(mistakes.map_or_else(
             || miette!("{name} cannot be used"),
@@ -39,53 +45,120 @@
         .build()
         .into_diagnostic()
         .wrap_err("cannot start the runtime")?;
-    LocalSet::new().block_on(&runtime, async move {
-        let mut signals = Signals::new()?;
-        if let Some(address) = file.identity.metrics_address {
-            serve_metrics(address, &log).await;
-        }
-        let running = relay::start(file, log)
-            .await
-            .into_diagnostic()
-            .wrap_err("the box cannot start")?;
-        signals.stop(&running).await;
-        tokio::select! {
-            () = running.stop() => Ok(ExitCode::SUCCESS),
-            () = signals.stop(&running) => Ok(ExitCode::FAILURE),
-        }
+    LocalSet::new().block_on(&runtime, serve(Arc::new(live), path, text, log))
+}
+
+async fn serve(
+    live: Arc<Live<FleetFile>>,
+    path: PathBuf,
+    text: String,
+    log: Logger,
+) -> miette::Result<ExitCode> {
+    let mut signals = Signals::new()?;
+    if let Err(error) = operators::install_metrics() {
+        slog::warn!(log, "metrics are not counted"; "error" => %error);
+    }
+    let running = relay::start(live.clone(), log.clone())
+        .await
+        .into_diagnostic()
+        .wrap_err("the box cannot start")?;
+    serve_operators(&running, &live, &log).await;
+    let hung_up = signals.hung_up.clone();
+    spawn_local(follow_level(live.clone()));
+    spawn_local(async move { reload::follow(&live, path, text, &hung_up, &log).await });
+    signals.stop().await;
+    Ok(tokio::select! {
+        () = running.stop() => ExitCode::SUCCESS,
+        () = signals.stop() => ExitCode::FAILURE,
     })
 }
 
-/// Serves counters; a box without them still serves callers.
-async fn serve_metrics(address: SocketAddr, log: &Logger) {
-    if let Err(error) = operators::serve_metrics(address).await {
+/// Keeps the level of the log as the settings have it.
+async fn follow_level(live: Arc<Live<FleetFile>>) {
+    let mut generations = live.subscribe();
+    loop {
+        logs::set_level(match live.load().log_level {
+            LogLevel::Debug => slog::Level::Debug,
+            LogLevel::Info => slog::Level::Info,
+            LogLevel::Warning => slog::Level::Warning,
+            LogLevel::Error => slog::Level::Error,
+        });
+        if generations.changed().await.is_err() {
+            return;
+        }
+    }
+}
+
+/// What the operators' pages ask the box, whose state belongs to one thread.
+#[derive(Clone)]
+struct Console {
+    questions: mpsc::Sender<oneshot::Sender<FleetView>>,
+    live: Arc<Live<FleetFile>>,
+}
+
+impl FleetConsole for Console {
+    async fn view(&self) -> Option<FleetView> {
+        let (asker, answer) = oneshot::channel();
+        self.questions.send(asker).await.ok()?;
+        answer.await.ok()
+    }
+
+    fn settings(&self) -> SettingsView {
+        SettingsView::of(&self.live.load())
+    }
+}
+
+/// Serves operators; a box without their pages still serves callers.
+async fn serve_operators(running: &Running, live: &Arc<Live<FleetFile>>, log: &Logger) {
+    let Some(address) = running.identity().metrics_address else {
+        return;
+    };
+    let (questions, mut asked) = mpsc::channel::<oneshot::Sender<FleetView>>(QUESTIONS_MAX);
+    let console = Console {
+        questions,
+        live: live.clone(),
+    };
+    if let Err(error) = operators::serve_fleet(address, console).await {
         slog::warn!(log, "metrics are not served"; "address" => %address, "error" => %error);
     }
+    let running = running.clone();
+    spawn_local(async move {
+        while let Some(asker) = asked.recv().await {
+            // Whoever asked may have left.
+            let _ = asker.send(running.view());
+        }
+    });
 }
 
 struct Signals {
     terminate: Signal,
     interrupt: Signal,
-    reload: Signal,
+    /// The settings file may have changed.
+    hung_up: Arc<Notify>,
 }
 
 impl Signals {
     fn new() -> miette::Result<Self> {
+        let mut hang_up = signal(SignalKind::hangup()).into_diagnostic()?;
+        let hung_up = Arc::new(Notify::new());
+        let told = hung_up.clone();
+        spawn_local(async move {
+            while hang_up.recv().await.is_some() {
+                told.notify_one();
+            }
+        });
         Ok(Self {
             terminate: signal(SignalKind::terminate()).into_diagnostic()?,
             interrupt: signal(SignalKind::interrupt()).into_diagnostic()?,
-            reload: signal(SignalKind::hangup()).into_diagnostic()?,
+            hung_up,
         })
     }
 
     /// Waits for the next order to stop.
-    async fn stop(&mut self, running: &Running) {
-        loop {
-            tokio::select! {
-                _ = self.terminate.recv() => return,
-                _ = self.interrupt.recv() => return,
-                _ = self.reload.recv() => running.reload(),
-            }
+    async fn stop(&mut self) {
+        tokio::select! {
+            _ = self.terminate.recv() => {}
+            _ = self.interrupt.recv() => {}
         }
     }
 }
--- a/src/cmd/settings.rs
+++ b/src/cmd/settings.rs
@@ -1,6 +1,7 @@
-//! `settings`: shows, compares and changes the branch of a partner.
+//! `settings`: shows, compares and changes the branch of a partner, and shows and compares what a running box has.
 
-use crate::cli::{ApplyOptions, DiffOptions, SettingsOptions, StoreOptions};
+use crate::cli::{ApplyOptions, DiffOptions, SettingsOptions, ShowOptions, StoreOptions};
+use crate::cmd::box_settings as boxed;
 use crate::cmd::{ask_box, read_file, runtime};
 use miette::{IntoDiagnostic, WrapErr, bail};
 use operators::NodeView;
@@ -27,7 +28,8 @@
 pub fn run(options: &SettingsOptions) -> miette::Result<ExitCode> {
     runtime()?.block_on(async {
         match options {
-            SettingsOptions::Show(store) => show(store).await,
+            SettingsOptions::Show(ShowOptions::Store(store)) => show(store).await,
+            SettingsOptions::Show(ShowOptions::Box { address }) => boxed::show(*address).await,
             SettingsOptions::History(store) => history(store).await,
             SettingsOptions::Diff(options) => diff(options).await,
             SettingsOptions::Apply(options) => apply(options).await,
@@ -81,8 +83,12 @@
 }
 
 async fn diff(options: &DiffOptions) -> miette::Result<ExitCode> {
+    let store = match &options.from {
+        ShowOptions::Box { address } => return boxed::diff(*address, &options.file).await,
+        ShowOptions::Store(store) => store,
+    };
     let new = read_file(&options.file)?;
-    let old = branch_in_force(&options.store).await?;
+    let old = branch_in_force(store).await?;
     print_difference(
         old.map(|branch| branch.text).unwrap_or_default().as_str(),
         &new,
--- a/src/cmd/targets.rs
+++ b/src/cmd/targets.rs
@@ -2,7 +2,9 @@
 
 use crate::cli::ReportOptions;
 use crate::cmd::{ask_box, runtime};
-use operators::NodeView;
+use operators::{FleetView, NodeView};
+use serde::Serialize;
+use std::net::SocketAddr;
 use std::process::ExitCode;
 
 /// Prints a table, or JSON.
@@ -10,7 +12,7 @@
     runtime()?.block_on(async {
         let mut views = Vec::new();
         for address in &options.boxes {
-            match ask_box::<NodeView>(*address, "node").await {
+            match view_of(*address).await {
                 Ok(view) => views.push(view),
                 Err(error) => eprintln!("box at {address}: {error}"),
             }
@@ -21,7 +23,12 @@
                 serde_json::to_string_pretty(&views).unwrap_or_default()
             );
         } else {
-            views.iter().for_each(print_view);
+            for view in &views {
+                match view {
+                    View::Node(view) => print_view(view),
+                    View::Fleet(view) => print_fleet_view(view),
+                }
+            }
         }
         Ok(match views.len() == options.boxes.len() {
             true => ExitCode::SUCCESS,
@@ -30,6 +37,48 @@
     })
 }
 
+/// A box of either kind.
+#[derive(Serialize)]
+#[serde(untagged)]
+enum View {
+    Node(NodeView),
+    Fleet(FleetView),
+}
+
+async fn view_of(address: SocketAddr) -> Result<View, String> {
+    if let Ok(view) = ask_box::<NodeView>(address, "node").await {
+        return Ok(View::Node(view));
+    }
+    ask_box::<FleetView>(address, "fleet")
+        .await
+        .map(View::Fleet)
+}
+
+fn print_fleet_view(view: &FleetView) {
+    println!(
+        "box {} in {}: {} open generations, {} open requests, declarations {}, {} boxes known",
+        view.name,
+        view.data_centre,
+        view.generations_open,
+        view.requests_open,
+        view.declarations,
+        view.boxes
+    );
+    for evacuated in &view.evacuations {
+        println!(
+            "  evacuated: {} for {:.1} s, {} requests of this box still there",
+            evacuated.data_centre, evacuated.for_s, evacuated.open
+        );
+    }
+    for target in &view.targets {
+        let cold = if target.cold { " cold" } else { "" };
+        println!(
+            "  {:24} {:16} {:16} {}{cold}, own {}",
+            target.name, target.service, target.data_centre, target.state, target.own_open
+        );
+    }
+}
+
 fn print_view(view: &NodeView) {
     println!("box {}: {} open streams", view.id, view.open_streams);
     for target in &view.targets {
