A cold target gets what it bears, over all boxes together

Cause: cold_per_s was read by nobody, and that a known target turned cold (cold_remaining_ms rises) was not taken in; FAILBACK was kept only because prompts wait at engines anyway.

--- a/components/bench/src/capacity/dispatch.rs
+++ b/components/bench/src/capacity/dispatch.rs
@@ -91,6 +91,7 @@
         id: TargetId(id),
         capacity_tokens,
         data_centre: DataCentreId(0),
+        cold_rate_per_s: None,
     };
     pool.set_engines(&(0..ENGINES).map(engine).collect::<Vec<_>>());
     for serial in 0..streams {
--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -123,6 +123,7 @@
                 id: engine.id,
                 capacity_tokens: engine.kv_capacity_tokens,
                 data_centre: DataCentreId::default(),
+                cold_rate_per_s: None,
             })
             .collect();
         self.pool.set_engines(&infos);
--- a/components/policy/src/choose.rs
+++ b/components/policy/src/choose.rs
@@ -46,6 +46,7 @@
                 && (ledger.report.is_some() || !needs_report)
                 && demand.avoid != Some(ledger.info.id)
                 && !at_limit
+                && ledger.bears_one_more(now_ms)
                 && !ledger.is_backed_up(now_ms);
             if !takes || !prefill_fits(ledger, &self.streams, demand, &self.settings) {
                 continue;
--- a/components/policy/src/ledger.rs
+++ b/components/policy/src/ledger.rs
@@ -15,7 +15,7 @@
 }
 
 /// An engine of the pool.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct EngineInfo {
     /// Its key.
     pub id: TargetId,
@@ -23,6 +23,8 @@
     pub capacity_tokens: u64,
     /// Where it stands.
     pub data_centre: DataCentreId,
+    /// Requests a second that it bears; none where it is not cold, or bears as many as come.
+    pub cold_rate_per_s: Option<f64>,
 }
 
 /// Whether an engine takes new work.
@@ -122,6 +124,10 @@
     pub now_ms: u64,
 }
 
+/// The span over which requests to a cold engine are counted.
+const COLD_WINDOW_MS: u64 = 1_000;
+/// Share of what a cold engine bears that its dispatcher places: for a moment two boxes may dispatch.
+const COLD_SHARE: f64 = 0.6;
 /// How long a forecast is used before it is made anew.
 const FORECAST_LIFE_MS: u64 = 25;
 /// How long the ledger's own past is kept.
@@ -155,6 +161,8 @@
     forecast: Forecast,
     forecast_ms: Option<u64>,
     own_past: VecDeque<(u64, f64)>,
+    /// When requests were placed here, in the last second.
+    placed_ms: VecDeque<u64>,
 }
 
 impl EngineLedger {
@@ -170,9 +178,32 @@
             forecast: Forecast::default(),
             forecast_ms: None,
             own_past: VecDeque::new(),
+            placed_ms: VecDeque::new(),
+        }
+    }
+
+    /// Notes that a request is placed here.
+    pub fn placed(&mut self, now_ms: u64) {
+        self.placed_ms.push_back(now_ms);
+        while self
+            .placed_ms
+            .front()
+            .is_some_and(|at_ms| at_ms + COLD_WINDOW_MS < now_ms)
+        {
+            self.placed_ms.pop_front();
         }
     }
 
+    /// Whether it may get one more request now, as far as it is cold.
+    pub fn bears_one_more(&self, now_ms: u64) -> bool {
+        let Some(rate_per_s) = self.info.cold_rate_per_s else {
+            return true;
+        };
+        let lately = |at_ms: &&u64| **at_ms + COLD_WINDOW_MS > now_ms;
+        let placed = self.placed_ms.iter().filter(lately).count() as f64;
+        placed + 1.0 <= (rate_per_s * COLD_SHARE).max(1.0)
+    }
+
     /// Adds a stream that was just placed here.
     pub fn add(&mut self, key: StreamKey, forecast: &Forecast) {
         self.streams.push(key);
--- a/components/policy/src/ledger_tests.rs
+++ b/components/policy/src/ledger_tests.rs
@@ -5,6 +5,7 @@
         id: TargetId(1),
         capacity_tokens: 1000,
         data_centre: DataCentreId(0),
+        cold_rate_per_s: None,
     })
 }
 
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -23,6 +23,7 @@
 mod trial;
 mod turns;
 mod view;
+mod warmup;
 
 pub use demand::{Adopted, Demand, Submitted, Verdict};
 pub use fairness::{FairTree, Share};
@@ -41,3 +42,4 @@
 pub use trial::Trial;
 pub use turns::Turns;
 pub use view::{EngineView, PoolView};
+pub use warmup::Warmup;
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -309,6 +309,9 @@
         if let Some((prefix, _)) = demand.prefix {
             self.prefixes.note(target, prefix, now_ms);
         }
+        if let Some(ledger) = self.engine_mut(target) {
+            ledger.placed(now_ms);
+        }
         self.place(demand, target, 0, now_ms);
     }
 
--- a/components/policy/src/pool_tests.rs
+++ b/components/policy/src/pool_tests.rs
@@ -16,6 +16,7 @@
             id: *id,
             capacity_tokens: *capacity_tokens,
             data_centre: DataCentreId(0),
+            cold_rate_per_s: None,
         })
         .collect();
     pool.set_engines(&infos);
@@ -127,6 +128,7 @@
         id: ENGINE,
         capacity_tokens: 1000,
         data_centre: DataCentreId(0),
+        cold_rate_per_s: None,
     };
     pool.set_engines(&[info]);
     pool.submit(demand(1, 1, 100), 0);
--- a/components/policy/src/relocate.rs
+++ b/components/policy/src/relocate.rs
@@ -60,7 +60,8 @@
         let mut best: Option<(f64, TargetId)> = None;
         for ledger in &mut self.engines {
             let id = ledger.info.id;
-            if ledger.state != EngineState::Live || id == from || avoid.contains(&id) {
+            let takes = ledger.state == EngineState::Live && ledger.bears_one_more(now_ms);
+            if !takes || id == from || avoid.contains(&id) {
                 continue;
             }
             let left = ledger.room_left(&view, &more);
@@ -83,6 +84,7 @@
             ledger.remove(key);
         }
         if let Some(ledger) = self.engine_mut(target) {
+            ledger.placed(now_ms);
             ledger.add(key, &more);
         }
         if let Some(stream) = self.streams.get_mut(key) {
--- a/components/policy/src/relocate_tests.rs
+++ b/components/policy/src/relocate_tests.rs
@@ -49,6 +49,7 @@
         id,
         capacity_tokens: 30_000,
         data_centre: DataCentreId(place),
+        cold_rate_per_s: None,
     };
     pool.set_engines(&[engine(FROM, 0), engine(NEAR, 0), engine(FAR, 1)]);
     pool.adopt(running(PERMIT.serial, FROM, 3_000), 0);
--- a/components/relay/src/call.rs
+++ b/components/relay/src/call.rs
@@ -5,7 +5,7 @@
 use crate::request::{Incoming, Own, Reply, Way};
 use crate::send::{Message, NotRun, Opened, Tried, UNREPEATABLE_REST_MS};
 use crate::state::Relay;
-use crate::targets::TargetSlot;
+use crate::targets::{ColdRate, TargetSlot};
 use bytes::Bytes;
 use platform::{Forwarding, forward, relayed_head};
 use routing::RouteKind;
@@ -92,16 +92,22 @@
         return None;
     }
     let service = &way.service().name;
+    let cold = ColdRate {
+        rate_per_s: way.service().cold_rate_per_s,
+        boxes: relay.members.borrow().budget_share(),
+    };
     let near = relay.data_centre;
-    let slot = relay
-        .targets
-        .borrow()
-        .choose(service, near, &story.offered, now_ms)?;
+    let mut targets = relay.targets.borrow_mut();
+    let slot = targets.choose(service, near, &story.offered, cold, now_ms)?;
     if story.offered.contains(&slot) {
         return None;
     }
     let again = story.arrivals > 0;
-    (!again || relay.take_resend(service)).then_some(slot)
+    if again && !relay.take_resend(service) {
+        return None;
+    }
+    targets.chosen(slot, cold, now_ms);
+    Some(slot)
 }
 
 async fn offer(
--- a/components/relay/src/engines.rs
+++ b/components/relay/src/engines.rs
@@ -49,6 +49,9 @@
                     id: target.id,
                     capacity_tokens: u64::from(engine.memory_tokens),
                     data_centre: target.data_centre,
+                    cold_rate_per_s: service
+                        .cold_rate_per_s
+                        .filter(|_| now_ms < target.cold_until_ms),
                 });
                 let doubted = target.suspicion.is_passed_over(now_ms)
                     || (on_trial && target.trial.is_on(now_ms));
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -42,4 +42,4 @@
 
 pub use events::{EventError, EventSplitter, Events};
 pub use start::{Running, StartError, start};
-pub use targets::{Belief, Change, Target, TargetBook, TargetSlot};
+pub use targets::{Belief, Change, ColdRate, Target, TargetBook, TargetSlot};
--- a/components/relay/src/targets.rs
+++ b/components/relay/src/targets.rs
@@ -2,7 +2,7 @@
 //! its lives, never for its address.
 
 use platform::WorkerLoad;
-use policy::{Suspicion, Trial};
+use policy::{Suspicion, Trial, Warmup};
 use prelude::{DataCentreId, TargetId};
 use routing::{TargetEntry, TargetPhase};
 use slotmap::{SlotMap, new_key_type};
@@ -49,6 +49,8 @@
     pub missing: Option<Missing>,
     /// Until when it is slow from its start.
     pub cold_until_ms: u64,
+    /// This box's part of what it bears until then.
+    pub warmup: Warmup,
     /// Requests that this box has there.
     pub open: u32,
     /// What it last said of its load, and when.
@@ -77,6 +79,29 @@
 /// What a target that has just started is taken to have on it, as a share of its slots.
 const COLD_SHARE: f64 = 0.5;
 
+/// What cold targets of a service bear, as one box may use it.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ColdRate {
+    /// Requests a second at one target, from all boxes together; none where it bears as many as come.
+    pub rate_per_s: Option<f64>,
+    /// Among how many boxes that is divided.
+    pub boxes: usize,
+}
+
+impl ColdRate {
+    fn allows(self, target: &Target, now_ms: u64) -> bool {
+        let is_cold = now_ms < target.cold_until_ms;
+        let rate_per_s = self.rate_per_s.filter(|_| is_cold);
+        rate_per_s.is_none_or(|rate| target.warmup.allows(rate, self.boxes, now_ms))
+    }
+
+    fn sent(self, target: &mut Target, now_ms: u64) {
+        if let Some(rate_per_s) = self.rate_per_s.filter(|_| now_ms < target.cold_until_ms) {
+            target.warmup.sent(rate_per_s, self.boxes, now_ms);
+        }
+    }
+}
+
 impl Target {
     /// How full it is, as a share of its slots, by its last word and our own requests.
     pub fn fullness(&self, now_ms: u64) -> f64 {
@@ -211,6 +236,7 @@
                 entry.cold_left_ms > 0 && cold_until_ms > target.cold_until_ms + COLD_LONGER_MS;
             if turned_cold {
                 target.cold_until_ms = cold_until_ms;
+                target.warmup = Warmup::new(rand::random(), now_ms);
             }
             target.entry = entry;
             if was == now && !(turned_cold && now == Belief::Ready) {
@@ -234,6 +260,7 @@
             },
             missing: None,
             cold_until_ms: now_ms + u64::from(entry.cold_left_ms),
+            warmup: Warmup::new(rand::random(), now_ms),
             open: 0,
             load: None,
             suspicion: Suspicion::default(),
@@ -375,6 +402,13 @@
         }
     }
 
+    /// Notes that a target was chosen for a request.
+    pub fn chosen(&mut self, slot: TargetSlot, cold: ColdRate, now_ms: u64) {
+        if let Some(target) = self.targets.get_mut(slot) {
+            cold.sent(target, now_ms);
+        }
+    }
+
     /// Notes a request that was sent to a target.
     pub fn opened(&mut self, slot: TargetSlot) {
         if let Some(target) = self.targets.get_mut(slot) {
@@ -404,12 +438,13 @@
     }
 
     /// The best target for a plain request: the emptiest, near ones first. Those in `tried` are only
-    /// taken where there is no other.
+    /// taken where there is no other, and cold ones as far as `cold` says that they bear it.
     pub fn choose(
         &self,
         service: &str,
         near: DataCentreId,
         tried: &[TargetSlot],
+        cold: ColdRate,
         now_ms: u64,
     ) -> Option<TargetSlot> {
         let rank = |(slot, target): (TargetSlot, &Target)| {
@@ -428,7 +463,7 @@
         };
         let ready = self
             .of_service(service)
-            .filter(|(_, target)| self.takes_work(target));
+            .filter(|(_, target)| self.takes_work(target) && cold.allows(target, now_ms));
         let best = ready.map(rank).min_by(|(a, _), (b, _)| {
             let doubts = (a.0, a.1, a.2).cmp(&(b.0, b.1, b.2));
             doubts.then(a.3.total_cmp(&b.3))
--- a/components/relay/tests/targets.rs
+++ b/components/relay/tests/targets.rs
@@ -1,7 +1,7 @@
 //! What a box believes of targets, one life at a time.
 
 use prelude::DataCentreId;
-use relay::{Belief, Change, TargetBook};
+use relay::{Belief, Change, ColdRate, TargetBook};
 use routing::{TargetEntry, TargetPhase};
 
 fn entry(instance: &str, phase: TargetPhase, revision: u64) -> TargetEntry {
@@ -17,6 +17,12 @@
     }
 }
 
+/// A service whose cold targets bear as many requests as come.
+const WARM: ColdRate = ColdRate {
+    rate_per_s: None,
+    boxes: 1,
+};
+
 fn near() -> DataCentreId {
     DataCentreId::from_name("hall")
 }
@@ -33,7 +39,7 @@
         Some(Change::Leaves(_))
     ));
     assert_eq!(book.listed(entry("a", TargetPhase::Ready, 3), 0), None);
-    assert_eq!(book.choose("records", near(), &[], 0), None);
+    assert_eq!(book.choose("records", near(), &[], WARM, 0), None);
 }
 
 #[test]
@@ -42,7 +48,7 @@
     book.listed(entry("a", TargetPhase::Ready, 5), 0);
     assert_eq!(book.listed(entry("a", TargetPhase::Leaving, 4), 0), None);
     assert_eq!(book.unlisted("a", 4), None);
-    assert!(book.choose("records", near(), &[], 0).is_some());
+    assert!(book.choose("records", near(), &[], WARM, 0).is_some());
 }
 
 #[test]
@@ -51,7 +57,7 @@
     book.listed(entry("a", TargetPhase::Ready, 1), 0);
     book.listed(entry("b", TargetPhase::Ready, 2), 0);
     assert!(book.replace(Vec::new(), 5, Some(2_000), 0).is_empty());
-    assert!(book.choose("records", near(), &[], 0).is_some());
+    assert!(book.choose("records", near(), &[], WARM, 0).is_some());
     assert!(book.still_missing(1_999).is_empty());
     book.listed(entry("a", TargetPhase::Ready, 6), 1_000);
     assert_eq!(book.still_missing(2_000), [("b".into(), 5)]);
@@ -70,7 +76,7 @@
 fn an_entry_that_vanished_may_come_back() {
     let mut book = TargetBook::default();
     book.listed(entry("a", TargetPhase::Ready, 1), 0);
-    let slot = book.choose("records", near(), &[], 0).unwrap();
+    let slot = book.choose("records", near(), &[], WARM, 0).unwrap();
     book.opened(slot);
     assert_eq!(book.replace(Vec::new(), 3, None, 0), [Change::Went(slot)]);
     assert_eq!(book.get(slot).unwrap().belief, Belief::Gone);
@@ -84,7 +90,7 @@
 fn a_life_that_is_gone_is_kept_while_it_serves_something() {
     let mut book = TargetBook::default();
     book.listed(entry("a", TargetPhase::Ready, 1), 0);
-    let slot = book.choose("records", near(), &[], 0).unwrap();
+    let slot = book.choose("records", near(), &[], WARM, 0).unwrap();
     book.opened(slot);
     book.unlisted("a", 2);
     book.sweep(slot);
@@ -100,7 +106,7 @@
     book.listed(entry("b", TargetPhase::Ready, 1), 0);
     assert_eq!(book.told_leaving(&["a".into(), "unknown".into()]).len(), 1);
     assert_eq!(book.leaving(), ["a".into()]);
-    let slot = book.choose("records", near(), &[], 0).unwrap();
+    let slot = book.choose("records", near(), &[], WARM, 0).unwrap();
     assert_eq!(&*book.get(slot).unwrap().entry.instance, "b");
 }
 
@@ -109,13 +115,52 @@
     let mut book = TargetBook::default();
     book.listed(entry("a", TargetPhase::Ready, 1), 0);
     book.listed(entry("b", TargetPhase::Ready, 1), 0);
-    let first = book.choose("records", near(), &[], 0).unwrap();
+    let first = book.choose("records", near(), &[], WARM, 0).unwrap();
     book.opened(first);
-    let second = book.choose("records", near(), &[], 0).unwrap();
+    let second = book.choose("records", near(), &[], WARM, 0).unwrap();
     assert_ne!(first, second);
     for at_ms in 0..3 {
         book.get_mut(second).unwrap().suspicion.failed(at_ms);
     }
-    assert_eq!(book.choose("records", near(), &[], 10), Some(first));
-    assert_eq!(book.choose("records", near(), &[first], 10), Some(second));
+    assert_eq!(book.choose("records", near(), &[], WARM, 10), Some(first));
+    assert_eq!(
+        book.choose("records", near(), &[first], WARM, 10),
+        Some(second)
+    );
+}
+
+#[test]
+fn a_target_that_turns_cold_gets_what_it_bears() {
+    let cold = ColdRate {
+        rate_per_s: Some(10.0),
+        boxes: 1,
+    };
+    let mut book = TargetBook::default();
+    book.listed(entry("a", TargetPhase::Ready, 1), 0);
+    let slot = book.choose("records", near(), &[], cold, 0).unwrap();
+    let turned = TargetEntry {
+        cold_left_ms: 4_000,
+        ..entry("a", TargetPhase::Ready, 2)
+    };
+    assert_eq!(book.listed(turned, 0), Some(Change::Cold(slot)));
+    let mut sent = 0;
+    for now_ms in (0..2_000).step_by(5) {
+        if let Some(slot) = book.choose("records", near(), &[], cold, now_ms) {
+            book.chosen(slot, cold, now_ms);
+            sent += 1;
+        }
+    }
+    assert!((10..=20).contains(&sent), "{sent} in two seconds");
+    assert!(book.choose("records", near(), &[], cold, 4_001).is_some());
+    assert!(book.choose("records", near(), &[], cold, 4_001).is_some());
+}
+
+#[test]
+fn an_evacuated_target_is_never_chosen() {
+    let mut book = TargetBook::default();
+    book.listed(entry("a", TargetPhase::Ready, 1), 0);
+    book.evacuate([near()].into());
+    assert_eq!(book.choose("records", near(), &[], WARM, 0), None);
+    book.evacuate([].into());
+    assert!(book.choose("records", near(), &[], WARM, 0).is_some());
 }
