--- a/components/soak/src/boxes.rs
+++ b/components/soak/src/boxes.rs
@@ -1,9 +1,10 @@
 //! Boxes as processes of their own, started and ended by their ids.
 
+use crate::plan::FileChange;
 use fleet::caller::get;
 use fleet::store::{Door, Store};
 use miette::{IntoDiagnostic, WrapErr, miette};
-use serde_json::json;
+use serde_json::{Value, json};
 use std::fs::{File, OpenOptions};
 use std::net::{SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
@@ -14,6 +15,8 @@
 pub(crate) struct BoxProcess {
     program: PathBuf,
     settings: PathBuf,
+    /// What its settings file says where it is right.
+    file: Value,
     log: PathBuf,
     pub callers: SocketAddr,
     readiness: SocketAddr,
@@ -25,6 +28,8 @@
 /// Ports below those that the system hands out by itself: a box keeps its addresses when it is started again, and
 /// nothing that asks for any free port may take them meanwhile.
 const PORTS: std::ops::Range<u16> = 20_000..32_000;
+/// The key by which boxes know each other, among others that come and go.
+const PEER_KEY: &str = "soak";
 /// The next port to try, by this process.
 static NEXT_PORT: AtomicU16 = AtomicU16::new(0);
 
@@ -76,15 +81,12 @@
             "store": { "address": door.address },
             "promises": { "resend_share": common.resend_share, "resend_spare": common.resend_spare },
             "seeds": common.seeds,
-            "peer_keys": ["soak"],
+            "peer_keys": [PEER_KEY],
         });
-        let settings = common.folder.join(format!("{name}.yaml"));
-        std::fs::write(&settings, file.to_string())
-            .into_diagnostic()
-            .wrap_err("cannot write a box's settings")?;
         Ok(Self {
             program: common.program.to_owned(),
-            settings,
+            settings: common.folder.join(format!("{name}.yaml")),
+            file,
             log: common.folder.join(format!("{name}.log")),
             callers: *callers,
             readiness: *readiness,
@@ -94,8 +96,45 @@
         })
     }
 
-    /// Starts the process.
+    /// Lays the settings file, as it is where it is right.
+    pub fn write_file(&self) {
+        self.write_text(self.file.to_string().as_bytes());
+    }
+
+    fn write_text(&self, text: &[u8]) {
+        // A folder that cannot be written to shows when the process starts.
+        let _ = std::fs::write(&self.settings, text);
+    }
+
+    /// Changes the settings file; `count` tells this change from others.
+    pub fn change_file(&mut self, change: FileChange, count: u64) {
+        match change {
+            FileChange::None => {}
+            FileChange::Away => {
+                // It may be away already.
+                let _ = std::fs::remove_file(&self.settings);
+            }
+            FileChange::Bad => {
+                let mut bad = self.file.clone();
+                bad["promises"]["resend_share"] = json!(7.0);
+                self.write_text(bad.to_string().as_bytes());
+            }
+            FileChange::Good | FileChange::Half => {
+                self.file["limits"] = json!({ "link_mbps": 100 + count });
+                self.file["peer_keys"] = json!([PEER_KEY, format!("soak-{count}")]);
+                let text = self.file.to_string();
+                let length = match change {
+                    FileChange::Half => text.len() / 2,
+                    _ => text.len(),
+                };
+                self.write_text(&text.as_bytes()[..length]);
+            }
+        }
+    }
+
+    /// Starts the process, with a settings file that is right.
     pub fn start(&mut self) -> miette::Result<()> {
+        self.write_file();
         let log: File = OpenOptions::new()
             .create(true)
             .append(true)
--- a/components/soak/src/checks.rs
+++ b/components/soak/src/checks.rs
@@ -3,6 +3,7 @@
 use crate::history::{Arrival, Broken, Call, Disturbed, History, Key, Kind, Outcome, Trouble};
 use fleet::caller::{Got, events};
 use std::collections::HashMap;
+use std::ops::Range;
 
 /// A leaving target gets no new work after this time.
 const LEAVING_MS: u64 = 2_000;
@@ -22,13 +23,17 @@
 /// What was broken in one run.
 pub(crate) fn check(history: &History) -> Vec<Broken> {
     let arrivals = by_id(history);
-    let checks: [(&'static str, Vec<String>); 9] = [
+    let checks: [(&'static str, Vec<String>); 10] = [
         ("its own whole answer", whole_answers(history, &arrivals)),
         ("each event once, in order", ordered_events(history)),
         ("one generation", one_generation(&arrivals)),
         ("at most once", at_most_once(&arrivals)),
         ("not run is true", not_run_is_true(history, &arrivals)),
         ("no work to a leaving target", no_late_work(history)),
+        (
+            "no work to an evacuated data centre",
+            no_work_to_evacuated(history),
+        ),
         ("a planned stop cuts nothing", stops_cut_nothing(history)),
         ("declarations in force", in_force(history)),
         ("budget of second sends", budget(history)),
@@ -178,36 +183,60 @@
 }
 
 fn no_late_work(history: &History) -> Vec<String> {
-    let sent_by: HashMap<&str, &Call> = history
-        .calls
-        .iter()
-        .map(|call| (call.id.as_str(), call))
-        .collect();
     let mut broken = Vec::new();
     for leaving in &history.leaving {
+        let is_there = |arrival: &Arrival| arrival.target == leaving.target && arrival.ran;
         let bound_ms = leaving.told_ms + LEAVING_MS + history.slack_ms;
-        let late = history
-            .arrivals
-            .iter()
-            .filter(|arrival| arrival.target == leaving.target && arrival.ran)
-            .filter(|arrival| arrival.at_ms > bound_ms);
-        for arrival in late {
-            let Some(call) = sent_by.get(arrival.id.as_str()) else {
-                continue;
-            };
-            let sent_late = call.sent_ms > bound_ms;
-            if sent_late && !was_disturbed(history, call, arrival.at_ms) {
-                let late_ms = arrival.at_ms - leaving.told_ms;
-                broken.push(format!(
-                    "{} ran at {} after {late_ms} ms",
-                    arrival.id, leaving.target
-                ));
-            }
-        }
+        let late = late_work(history, is_there, bound_ms..u64::MAX);
+        broken.extend(late.map(|arrival| {
+            let late_ms = arrival.at_ms - leaving.told_ms;
+            let (id, target) = (&arrival.id, &leaving.target);
+            format!("{id} ran at {target} after {late_ms} ms")
+        }));
+    }
+    broken
+}
+
+/// An evacuated data centre gets nothing new, by boxes in touch, and nothing that is moved there.
+fn no_work_to_evacuated(history: &History) -> Vec<String> {
+    let mut broken = Vec::new();
+    for evacuated in &history.evacuated {
+        let place = evacuated.data_centre;
+        let is_there = |arrival: &Arrival| history.places.get(&arrival.target) == Some(&place);
+        let bound_ms = evacuated.from_ms + LEAVING_MS + history.slack_ms;
+        let late = late_work(history, is_there, bound_ms..evacuated.until_ms);
+        broken.extend(late.map(|arrival| {
+            let late_ms = arrival.at_ms - evacuated.from_ms;
+            format!(
+                "{} came to {place} {late_ms} ms after its evacuation",
+                arrival.id
+            )
+        }));
     }
     broken
 }
 
+/// Work that came to targets within a time, of calls that were sent in it by boxes in touch.
+fn late_work<'a>(
+    history: &'a History,
+    is_there: impl Fn(&Arrival) -> bool + 'a,
+    within_ms: Range<u64>,
+) -> impl Iterator<Item = &'a Arrival> {
+    let sent_by: HashMap<&str, &Call> = history
+        .calls
+        .iter()
+        .map(|call| (call.id.as_str(), call))
+        .collect();
+    let is_late = move |arrival: &&Arrival| {
+        let call = sent_by.get(arrival.id.as_str());
+        let was_bound = |call: &&Call| {
+            within_ms.contains(&call.sent_ms) && !was_disturbed(history, call, arrival.at_ms)
+        };
+        is_there(arrival) && within_ms.contains(&arrival.at_ms) && call.is_some_and(was_bound)
+    };
+    history.arrivals.iter().filter(is_late)
+}
+
 /// What was under way at a box when it was asked to stop is answered whole.
 fn stops_cut_nothing(history: &History) -> Vec<String> {
     let mut broken = Vec::new();
--- a/components/soak/src/checks_tests.rs
+++ b/components/soak/src/checks_tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::history::{KeyChange, Leaving};
+use crate::history::{Evacuated, KeyChange, Leaving};
 
 fn answered(status: u16, body: &str, whole: bool) -> Outcome {
     Outcome::Answered(Got {
@@ -130,6 +130,26 @@
     assert!(promises(&late).is_empty());
 }
 
+#[test]
+fn finds_work_in_an_evacuated_data_centre_until_it_is_taken_back() {
+    let calls = [2_600, 9_100].map(|sent_ms| {
+        let answer = answered(200, &format!("answer to {sent_ms} by t"), true);
+        call(&sent_ms.to_string(), Kind::Once, sent_ms, answer)
+    });
+    let arrivals = [2_600, 9_100].map(|at_ms| arrival(&at_ms.to_string(), Kind::Once, at_ms + 9));
+    let mut late = history(calls.into(), arrivals.into());
+    late.places.insert("t".into(), "annex");
+    late.evacuated = vec![Evacuated {
+        data_centre: "annex",
+        from_ms: 500,
+        until_ms: 9_000,
+    }];
+    let promise = "no work to an evacuated data centre";
+    assert_eq!(promises(&late), [promise]);
+    late.places.insert("t".into(), "hall");
+    assert!(promises(&late).is_empty());
+}
+
 #[test]
 fn finds_what_a_planned_stop_cut() {
     let mut cut = history(vec![call("1", Kind::Once, 90, Outcome::Cut)], Vec::new());
--- a/components/soak/src/history.rs
+++ b/components/soak/src/history.rs
@@ -2,6 +2,7 @@
 
 use fleet::caller::Got;
 use serde::Serialize;
+use std::collections::HashMap;
 
 /// What a caller asked for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -85,6 +86,14 @@
     pub told_ms: u64,
 }
 
+/// A data centre to whose targets nothing new was to go, for a time.
+#[derive(Clone, Debug)]
+pub(crate) struct Evacuated {
+    pub data_centre: &'static str,
+    pub from_ms: u64,
+    pub until_ms: u64,
+}
+
 /// Whether the toggled key holds, from a time on.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct KeyChange {
@@ -103,6 +112,9 @@
     /// Times in which engines broke streams off.
     pub crashes: Vec<(u64, u64)>,
     pub leaving: Vec<Leaving>,
+    pub evacuated: Vec<Evacuated>,
+    /// Where each target stands.
+    pub places: HashMap<String, &'static str>,
     pub key_changes: Vec<KeyChange>,
     /// Callers that met an answer that cannot be read.
     pub unreadable: usize,
--- a/components/soak/src/plan.rs
+++ b/components/soak/src/plan.rs
@@ -14,6 +14,26 @@
 /// Longest time that a fault lasts.
 const LASTS_MS: std::ops::RangeInclusive<u64> = 300..=2_500;
 
+/// How a settings file changes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum FileChange {
+    /// It says something new.
+    Good,
+    /// It says what cannot be; the last good one comes back after a time.
+    Bad,
+    /// Half of it is written, and the other half a moment later.
+    Half,
+    /// It is away for a time.
+    Away,
+    /// It does not change.
+    None,
+}
+
+/// The data centres in which targets stand.
+pub(crate) const PLACES: [&str; 2] = ["hall", "annex"];
+/// How long a data centre stays evacuated: longer than the bound for it.
+const EVACUATED_MS: std::ops::RangeInclusive<u64> = 3_000..=6_000;
+
 /// What is done to the world.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Step {
@@ -23,8 +43,15 @@
     Stop { at: usize },
     /// A box is paused.
     Pause { at: usize, lasts_ms: u64 },
-    /// The settings file of a box may have changed.
-    Reload { at: usize },
+    /// The settings file of a box changes.
+    Settings {
+        at: usize,
+        change: FileChange,
+        /// It is told by a signal.
+        hangs_up: bool,
+    },
+    /// A data centre is evacuated, and taken back after a time.
+    Evacuate { place: usize, lasts_ms: u64 },
     /// The store has trouble, for one box or for all.
     Store {
         at: Option<usize>,
@@ -94,14 +121,22 @@
 fn step(rng: &mut ChaCha8Rng, sizes: Sizes) -> Step {
     let at = rng.random_range(0..sizes.boxes);
     let lasts_ms = rng.random_range(LASTS_MS);
-    match rng.random_range(0..14) {
+    match rng.random_range(0..16) {
         0 => Step::Kill {
             at,
             down_ms: rng.random_range(100..1_500),
         },
         1 | 2 => Step::Stop { at },
         3 => Step::Pause { at, lasts_ms },
-        4 => Step::Reload { at },
+        4 | 14 => Step::Settings {
+            at,
+            change: file_change(rng),
+            hangs_up: rng.random_bool(0.5),
+        },
+        15 => Step::Evacuate {
+            place: rng.random_range(0..PLACES.len()),
+            lasts_ms: rng.random_range(EVACUATED_MS),
+        },
         5 | 6 => Step::Store {
             at: rng.random_bool(0.6).then_some(at),
             trouble: store_trouble(rng),
@@ -141,6 +176,12 @@
     *all.choose(rng).unwrap_or(&Busy)
 }
 
+fn file_change(rng: &mut ChaCha8Rng) -> FileChange {
+    use FileChange::*;
+    let all = [Good, Bad, Half, Away, None];
+    *all.choose(rng).unwrap_or(&Good)
+}
+
 fn link_trouble(rng: &mut ChaCha8Rng) -> link::Trouble {
     use link::Trouble::*;
     let late = Late(rng.random_range(5..120));
--- a/components/soak/src/plant.rs
+++ b/components/soak/src/plant.rs
@@ -18,6 +18,8 @@
     TwoRuns,
     /// The store is told 4 s late that a target leaves.
     LateWork,
+    /// The store is not told that a data centre is evacuated.
+    Evacuation,
     /// Planned stops are kills.
     Cut,
     /// A key that is said to be taken away is not.
@@ -29,13 +31,18 @@
 }
 
 /// All of them, with the promise whose check finds each.
-pub const PLANTS: [(Plant, &str, &str); 10] = [
+pub const PLANTS: [(Plant, &str, &str); 11] = [
     (Plant::Twice, "twice", "at most once"),
     (Plant::NotRun, "not-run", "not run is true"),
     (Plant::Mixed, "mixed", "its own whole answer"),
     (Plant::Order, "order", "each event once, in order"),
     (Plant::TwoRuns, "two-runs", "one generation"),
     (Plant::LateWork, "late-work", "no work to a leaving target"),
+    (
+        Plant::Evacuation,
+        "evacuation",
+        "no work to an evacuated data centre",
+    ),
     (Plant::Cut, "cut", "a planned stop cuts nothing"),
     (Plant::Config, "config", "declarations in force"),
     (Plant::Budget, "budget", "budget of second sends"),
--- a/components/soak/src/play.rs
+++ b/components/soak/src/play.rs
@@ -3,8 +3,8 @@
 use crate::boxes::BoxProcess;
 use crate::callers::Callers;
 use crate::checks::check;
-use crate::history::{Leaving, Outcome, Report, Trouble};
-use crate::plan::{Sizes, Step, Timed, plan};
+use crate::history::{Evacuated, Leaving, Outcome, Report, Trouble};
+use crate::plan::{FileChange, PLACES, Sizes, Step, Timed, plan};
 use crate::plant::Plant;
 use crate::world::{LOOK_EACH, Later, World};
 use fleet::caller::{Caller, fresh_id, plain};
@@ -15,6 +15,9 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
+/// How long half of a settings file lies there, and how long a bad one or none.
+const HALF_MS: u64 = 120;
+const BAD_MS: u64 = 2_600;
 /// Pause between the end of a box and its next start.
 const RESTART_MS: u64 = 300;
 /// A target that leaves serves on for this long.
@@ -165,8 +168,13 @@
                 };
                 self.later.push((now_ms + lasts_ms, resume));
             }
-            Step::Reload { at } if self.is_free(*at) => self.boxes[*at].signal("HUP"),
-            Step::Kill { .. } | Step::Stop { .. } | Step::Pause { .. } | Step::Reload { .. } => {}
+            Step::Settings {
+                at,
+                change,
+                hangs_up,
+            } if self.is_free(*at) => self.change_file(*at, *change, *hangs_up, now_ms),
+            Step::Kill { .. } | Step::Stop { .. } | Step::Pause { .. } | Step::Settings { .. } => {}
+            Step::Evacuate { place, lasts_ms } => self.evacuate(PLACES[*place], *lasts_ms, now_ms),
             Step::Store {
                 at,
                 trouble,
@@ -216,6 +224,38 @@
         self.stopping[at] = Some(now_ms);
     }
 
+    fn change_file(&mut self, at: usize, change: FileChange, hangs_up: bool, now_ms: u64) {
+        self.files += 1;
+        self.boxes[at].change_file(change, self.files);
+        let good_in_ms = match change {
+            FileChange::Good | FileChange::None => None,
+            FileChange::Half => Some(HALF_MS),
+            FileChange::Bad | FileChange::Away => Some(BAD_MS),
+        };
+        if let Some(in_ms) = good_in_ms {
+            self.later.push((now_ms + in_ms, Later::GoodFile(at)));
+        }
+        if hangs_up {
+            self.boxes[at].signal("HUP");
+        }
+    }
+
+    fn evacuate(&mut self, place: &'static str, lasts_ms: u64, now_ms: u64) {
+        let is_back = |later: &(u64, Later)| matches!(later.1, Later::TakeBack(_));
+        if self.later.iter().any(is_back) {
+            return;
+        }
+        if self.soak.plant != Some(Plant::Evacuation) {
+            self.store.evacuate(place);
+        }
+        self.history.evacuated.push(Evacuated {
+            data_centre: place,
+            from_ms: now_ms,
+            until_ms: now_ms + lasts_ms,
+        });
+        self.later.push((now_ms + lasts_ms, Later::TakeBack(place)));
+    }
+
     fn trouble_store(&mut self, at: Option<usize>, trouble: store::Trouble) {
         let boxes = self.boxes.iter().enumerate();
         let doors = boxes.filter(|(other, _)| at.is_none_or(|at| at == *other));
@@ -247,8 +287,7 @@
             let later = Later::ListTarget(instance.to_owned(), service, address);
             self.later.push((now_ms + PLANTED_LATE_MS, later));
         } else {
-            self.store
-                .list_target(instance, service, address, "draining");
+            self.list(instance, service, address, "draining");
         }
     }
 
@@ -292,8 +331,15 @@
                 self.history.crashes.push((from_ms, now_ms));
             }
             Later::ListTarget(instance, service, address) => {
-                self.store
-                    .list_target(&instance, service, address, "draining");
+                self.list(&instance, service, address, "draining");
+            }
+            Later::GoodFile(at) => self.boxes[at].write_file(),
+            Later::TakeBack(place) => {
+                // What the check allows again from then on may be sent a moment later.
+                if let Some(evacuated) = self.history.evacuated.last_mut() {
+                    evacuated.until_ms = evacuated.until_ms.min(now_ms);
+                }
+                self.store.take_back(place);
             }
             Later::TargetGone(at) => {
                 let instance = self.retired[at].target.instance.clone();
--- a/components/soak/src/world.rs
+++ b/components/soak/src/world.rs
@@ -3,7 +3,7 @@
 use crate::boxes::{BoxProcess, Common, free_addresses};
 use crate::checks::{RESEND_SHARE, RESEND_SPARE};
 use crate::history::{Arrival, Disturbed, History, KeyChange, Kind, Trouble};
-use crate::plan::Sizes;
+use crate::plan::{PLACES, Sizes};
 use crate::plant::Plant;
 use crate::play::Soak;
 use fleet::engine::{EngineTarget, Fabric};
@@ -36,6 +36,8 @@
     ListTarget(String, &'static str, SocketAddr),
     TargetGone(usize),
     EngineGone(usize),
+    GoodFile(usize),
+    TakeBack(&'static str),
 }
 
 /// A plain target behind its link.
@@ -61,6 +63,8 @@
     pub retired: Vec<Plain>,
     pub retired_engines: Vec<EngineTarget>,
     pub later: Vec<(u64, Later)>,
+    /// Settings files that were changed.
+    pub files: u64,
     pub history: History,
 }
 
@@ -103,6 +107,7 @@
             retired: Vec::new(),
             retired_engines: Vec::new(),
             later: Vec::new(),
+            files: 0,
             history: History {
                 events: EVENTS,
                 slack_ms: soak.slack_ms,
@@ -158,8 +163,7 @@
             target.record.will(&vec![act; PLANTED_ACTS]);
         }
         let link = Link::start(target.address);
-        self.store
-            .list_target(&target.instance, "records", link.address, "ready");
+        self.list(&target.instance, "records", link.address, "ready");
         self.records.push((target.record.clone(), false));
         Plain { target, link }
     }
@@ -172,12 +176,19 @@
         let is = |plant| self.soak.plant == Some(plant);
         pace.skips.store(is(Plant::Order), Ordering::Relaxed);
         pace.runs_twice.store(is(Plant::TwoRuns), Ordering::Relaxed);
-        self.store
-            .list_target(&engine.instance, "model", engine.address, "ready");
+        self.list(&engine.instance, "model", engine.address, "ready");
         self.records.push((engine.record.clone(), true));
         engine
     }
 
+    /// Lists a target where it stands; a new one stands in the next data centre in turn.
+    pub(crate) fn list(&mut self, instance: &str, service: &str, address: SocketAddr, state: &str) {
+        let next = PLACES[self.history.places.len() % PLACES.len()];
+        let place = *self.history.places.entry(instance.into()).or_insert(next);
+        self.store
+            .list_target_in(place, instance, service, address, state);
+    }
+
     pub(crate) fn disturb(
         &mut self,
         trouble: Trouble,
