--- a/components/peers/src/fleet.rs
+++ b/components/peers/src/fleet.rs
@@ -78,8 +78,8 @@
     /// Lives of targets that the sender knows to leave, from the store, from themselves or because nothing
     /// listens there any more.
     pub leaving: Vec<Box<str>>,
-    /// Boxes that the receiver is to pass this on to.
-    pub pass_on: Vec<BoxId>,
+    /// Boxes that the receiver is to pass this on to, with their addresses: it may not have met them yet.
+    pub pass_on: Vec<(BoxId, SocketAddr)>,
     /// Boxes that the sender knows, or some of them; empty where the other knows as many.
     pub boxes: Vec<FleetCard>,
 }
--- a/components/relay/src/broadcast.rs
+++ b/components/relay/src/broadcast.rs
@@ -4,6 +4,7 @@
 use crate::state::Relay;
 use peers::FleetNews;
 use prelude::{BoxId, DataCentreId};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -24,7 +25,10 @@
 
 /// Passes news on to the boxes that its sender named.
 pub(crate) fn pass_on(relay: &Rc<Relay>, news: &mut FleetNews) {
-    for id in std::mem::take(&mut news.pass_on) {
+    for (id, address) in std::mem::take(&mut news.pass_on) {
+        if relay.members.borrow().card(id).is_none() {
+            relay.peers.set_address(id, address);
+        }
         let (relay, news) = (relay.clone(), news.clone());
         tokio::task::spawn_local(tell_group(relay, news, vec![id]));
     }
@@ -54,7 +58,7 @@
     let mut rest = &group[..];
     while let Some((first, others)) = rest.split_first() {
         rest = others;
-        news.pass_on = others.to_vec();
+        news.pass_on = addressed(&relay, others);
         let (first, news) = (*first, news.clone());
         let call = relay
             .peers
@@ -67,6 +71,13 @@
     }
 }
 
+/// Boxes with the addresses that this one knows of them.
+fn addressed(relay: &Relay, ids: &[BoxId]) -> Vec<(BoxId, SocketAddr)> {
+    let members = relay.members.borrow();
+    let address = |id: &BoxId| Some((*id, members.card(*id)?.address));
+    ids.iter().filter_map(address).collect()
+}
+
 #[cfg(test)]
 #[path = "broadcast_tests.rs"]
 mod tests;
--- a/components/relay/src/presence.rs
+++ b/components/relay/src/presence.rs
@@ -23,8 +23,9 @@
 const READ_EACH: Duration = Duration::from_secs(30);
 /// A box that peers know writes its key at a moment within this time: all boxes may start at once.
 const FIRST_KEY_WITHIN: Duration = Duration::from_millis(2_000);
-/// When a box that has just started looks again.
+/// When a box that has just started looks again, and once more when all that started with it have written their keys.
 const SECOND_LOOK: Duration = Duration::from_millis(1_500);
+const THIRD_LOOK: Duration = Duration::from_millis(3_000);
 /// How often the lease is renewed.
 const RENEW_EACH: Duration = Duration::from_millis(20_000);
 /// How long a box that knows nobody waits for the keys of all boxes, before it writes its own.
@@ -152,8 +153,8 @@
         greet(&relay).await;
         sleep(SECOND_LOOK).await;
     }
-    // Boxes that start together find each other at the second look.
-    let mut pause = SECOND_LOOK;
+    // Boxes that start together find each other at the second look and the third.
+    let mut pauses = [SECOND_LOOK, THIRD_LOOK].into_iter();
     loop {
         let listed = relay.store.list_stale(BOX_PREFIX).await;
         metrics::counter!("shuntpier_store_calls", "of" => "boxes").increment(1);
@@ -165,8 +166,7 @@
                 if !std::mem::replace(&mut begun, true) {
                     greet(&relay).await;
                 }
-                sleep(pause).await;
-                pause = READ_EACH;
+                sleep(pauses.next().unwrap_or(READ_EACH)).await;
             }
             Err(error) => {
                 slog::info!(relay.log, "boxes not read"; "error" => %error);
