--- a/components/settings/src/fleetfields_tests.rs
+++ b/components/settings/src/fleetfields_tests.rs
@@ -68,3 +68,23 @@
     let torn = FleetFile::read(&text[..text.len() / 2]).unwrap_err();
     assert_eq!(torn.len(), 1);
 }
+
+/// The row of the operators' page that each field has.
+fn rows(fields: &[Field]) -> Vec<String> {
+    let row = |field: &Field| {
+        let takes = field.takes.as_str();
+        format!("| `{}` | {takes} | {} |", field.path, field.about)
+    };
+    fields.iter().map(row).collect()
+}
+
+#[test]
+fn the_operators_page_has_just_the_fields_that_are_declared() {
+    let page = include_str!("../../../docs/operating/settings.md");
+    let entry_box = include_str!("../../../examples/trial-box-1.yaml");
+    let entry_box = crate::BoxFile::read(entry_box).unwrap();
+    let mut declared = rows(&example().fields());
+    declared.extend(rows(&entry_box.fields()));
+    let written: Vec<&str> = page.lines().filter(|line| line.starts_with("| `")).collect();
+    assert_eq!(written, declared);
+}
