--- a/components/settings/src/fleetfields_tests.rs
+++ b/components/settings/src/fleetfields_tests.rs
@@ -85,6 +85,9 @@
     let entry_box = crate::BoxFile::read(entry_box).unwrap();
     let mut declared = rows(&example().fields());
     declared.extend(rows(&entry_box.fields()));
-    let written: Vec<&str> = page.lines().filter(|line| line.starts_with("| `")).collect();
+    let written: Vec<&str> = page
+        .lines()
+        .filter(|line| line.starts_with("| `"))
+        .collect();
     assert_eq!(written, declared);
 }
