--- a/components/relay/src/broadcast_tests.rs
+++ b/components/relay/src/broadcast_tests.rs
@@ -28,11 +28,14 @@
     let mut told = groups.concat();
     told.sort();
     assert_eq!(told, (0..count).map(BoxId).collect::<Vec<_>>());
+    // What the first box sends, and what each head does, grows with the root of their number.
     assert!(
-        groups.len() <= 12 * places as usize,
+        groups.len().pow(2) <= 9 * count as usize,
         "{} groups",
         groups.len()
     );
+    let largest = groups.iter().map(Vec::len).max();
+    assert!(largest <= Some(GROUP_BOXES_MIN), "{largest:?} in a group");
 }
 
 #[test]
