Copies of generations that nobody goes on from are freed

A generation that ended, or whose caller left, while it was copied off a reclaimed engine took its task with it (abort), and the copy stayed until the engine let go of it. Ruled out: the forecast of lengths, prompts kept for others, rounding to blocks. Change: a move is not aborted; it sees that nobody waits, and frees its copy where it lies. A stop that failed, a copy that was not taken up, and the source of a generation that left an evacuated engine are freed too.

--- a/components/relay/src/moving.rs
+++ b/components/relay/src/moving.rs
@@ -14,7 +14,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
-use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
 /// Pause before a copy is asked for again.
@@ -39,6 +38,28 @@
     pub copy: Box<str>,
 }
 
+impl Moved {
+    /// Frees the copy, which nobody will use.
+    pub(crate) fn free(&self, relay: &Rc<Relay>) {
+        let to = relay.targets.borrow().get(self.to).map(|t| t.entry.address);
+        if let Some(to) = to {
+            free_copy(relay, to, &self.copy);
+        }
+    }
+
+    /// Frees what its source has kept of a generation that goes on elsewhere, where the source stays.
+    pub(crate) fn free_source(&self, relay: &Rc<Relay>) {
+        let stays = relay
+            .targets
+            .borrow()
+            .get(self.source_slot)
+            .is_some_and(|t| t.belief == Belief::Ready);
+        if stays {
+            free_copy(relay, self.source, &self.copy);
+        }
+    }
+}
+
 /// What a move tells whoever reads the generation's stream.
 pub(crate) enum Step {
     /// The generation is about to be stopped: the end of its stream says nothing.
@@ -67,8 +88,8 @@
     changes: watch::Receiver<u64>,
     looked: bool,
     moves: bool,
+    /// What the move under way tells. Once this is dropped, the move ends by itself: it frees the copy that it made.
     steps: Option<mpsc::UnboundedReceiver<Step>>,
-    task: Option<JoinHandle<()>>,
     stopping: bool,
     source_open: bool,
     waiting: Option<Moved>,
@@ -99,8 +120,17 @@
 
 impl Drop for Mover {
     fn drop(&mut self) {
-        if let Some(task) = &self.task {
-            task.abort();
+        let mut unused = self.waiting.take();
+        if let Some(steps) = &mut self.steps {
+            steps.close();
+            while let Ok(step) = steps.try_recv() {
+                if let Step::Continue(moved) = step {
+                    unused = Some(moved);
+                }
+            }
+        }
+        if let Some(moved) = unused {
+            moved.free(&self.relay);
         }
     }
 }
@@ -113,7 +143,6 @@
             looked: false,
             moves: engine.is_some_and(|engine| engine.moves) && relay.file().has(Mechanism::Moves),
             steps: None,
-            task: None,
             stopping: false,
             source_open: true,
             waiting: None,
@@ -140,12 +169,12 @@
     /// Waits for the next step. May be dropped and called again.
     pub(crate) async fn next(&mut self, permit: &Permit, id: &str) -> Step {
         loop {
-            if let Some(moved) = &self.waiting {
-                if self.source_open {
-                    sleep(SOURCE_CLOSE_LIMIT).await;
-                    self.source_open = false;
-                }
-                return Step::Continue(moved.clone());
+            if self.waiting.is_some() && self.source_open {
+                sleep(SOURCE_CLOSE_LIMIT).await;
+                self.source_open = false;
+            }
+            if let Some(moved) = self.waiting.take() {
+                return Step::Continue(moved);
             }
             if let Some(steps) = &mut self.steps {
                 match steps.recv().await {
@@ -204,9 +233,7 @@
         let (sender, steps) = mpsc::unbounded_channel();
         self.steps = Some(steps);
         let relay = self.relay.clone();
-        self.task = Some(tokio::task::spawn_local(async move {
-            job.run(&relay, &sender).await;
-        }));
+        tokio::task::spawn_local(async move { job.run(&relay, &sender).await });
     }
 }
 
@@ -239,6 +266,9 @@
             let Some(run) = relay.runs.borrow().get(self.serial) else {
                 return;
             };
+            if steps.is_closed() {
+                return;
+            }
             if run.tokens > 0 && run.request.max_tokens < run.tokens + TOKENS_LEFT_MIN {
                 return self.note(relay, "it ends sooner", tries);
             }
@@ -281,6 +311,9 @@
         steps: &mpsc::UnboundedSender<Step>,
     ) -> Try {
         let _turn = Turn { relay, job: self };
+        let Some(to_address) = relay.targets.borrow().get(to).map(|t| t.entry.address) else {
+            return Try::Again("the engine is gone", None);
+        };
         let began_ms = relay.now_ms();
         let to_id = relay.id_of(to);
         let first = match self.copy(relay, to, false).await {
@@ -294,6 +327,8 @@
         };
         let copied_ms = relay.now_ms();
         if steps.send(Step::Stopping).is_err() {
+            // It came to its own end, or its caller left, while it was copied.
+            free_copy(relay, to_address, &first);
             return Try::Over;
         }
         match self.copy(relay, to, true).await {
@@ -301,7 +336,9 @@
                 slog::info!(relay.log, "generation stopped to be moved"; "id" => &*self.id,
                     "events" => events_made, "copied_in_ms" => copied_ms - began_ms,
                     "stopped_in_ms" => relay.now_ms() - copied_ms);
-                self.goes_on(to, copy, steps);
+                if !self.goes_on(to, copy, steps) {
+                    free_copy(relay, to_address, &first);
+                }
                 Try::Over
             }
             CopyReply::NoRoom { kept: Some(copy) } => {
@@ -311,11 +348,12 @@
             }
             CopyReply::NotRunning => {
                 // It came to its own end meanwhile.
-                free_copy(relay, self.source_address, &first);
+                free_copy(relay, to_address, &first);
                 Try::Over
             }
             reply => {
                 slog::info!(relay.log, "stop failed"; "id" => &*self.id, "reply" => ?reply);
+                free_copy(relay, to_address, &first);
                 match steps.send(Step::Failed) {
                     Ok(()) => Try::Again("the stop failed", to_id),
                     Err(_) => Try::Over,
@@ -324,15 +362,15 @@
         }
     }
 
-    fn goes_on(&self, to: TargetSlot, copy: Box<str>, steps: &mpsc::UnboundedSender<Step>) {
+    /// Has the generation go on. False where nobody waits for that any more.
+    fn goes_on(&self, to: TargetSlot, copy: Box<str>, steps: &mpsc::UnboundedSender<Step>) -> bool {
         let moved = Moved {
             to,
             source: self.source_address,
             source_slot: self.source,
             copy,
         };
-        // Nobody listens where the caller has left; the copy then ends by itself.
-        let _ = steps.send(Step::Continue(moved));
+        steps.send(Step::Continue(moved)).is_ok()
     }
 
     fn note(&self, relay: &Relay, why: &'static str, tries: u32) {
@@ -352,10 +390,12 @@
     }
 }
 
-/// Frees a copy that nobody will use.
-fn free_copy(relay: &Rc<Relay>, source: SocketAddr, copy: &str) {
-    let (relay, call) = (relay.clone(), drop_copy_call(source, copy));
+/// Frees a copy that nobody will use, at the engine that holds it. Left alone it keeps some thousands of tokens for many
+/// seconds, of which no ledger knows: generations there are preempted.
+fn free_copy(relay: &Rc<Relay>, holder: SocketAddr, copy: &str) {
+    metrics::counter!("shuntpier_copies_freed").increment(1);
+    let (relay, call) = (relay.clone(), drop_copy_call(holder, copy));
     tokio::task::spawn_local(async move {
-        control(&relay, source, &call).await;
+        control(&relay, holder, &call).await;
     });
 }
--- a/components/relay/src/pump.rs
+++ b/components/relay/src/pump.rs
@@ -275,7 +275,7 @@
         self.splitter = EventSplitter::default();
         let continuation = Continuation {
             source: from.source,
-            copy: from.copy,
+            copy: from.copy.clone(),
             last_event: self.last_event.clone(),
         };
         for slot in [from.to, from.source_slot] {
@@ -293,6 +293,10 @@
             match tried {
                 Tried::Answered(opened) if opened.head.status == 200 && opened.is_vouched() => {
                     self.permit.slot = slot;
+                    match slot == from.to {
+                        true => from.free_source(self.relay),
+                        false => from.free(self.relay),
+                    }
                     self.moves += 1;
                     metrics::counter!("shuntpier_moves", "end" => "done").increment(1);
                     slog::info!(self.relay.log, "generation goes on"; "id" => self.incoming.id(),
@@ -306,6 +310,7 @@
                 }
             }
         }
+        from.free(self.relay);
         metrics::counter!("shuntpier_moves", "end" => "lost").increment(1);
         Err(Ended::Broken("its copy was not taken up"))
     }
