Reading of prompts is forecast and decides where a request goes; a crate that replays load patterns in virtual time

Cause: first tokens wait in engines. Change: policy::reading learns the rate of the pool and of each engine from first tokens and forecasts when an engine has read what it was sent; a millisecond of reading counts as 100 tokens of memory where a request is placed. The bound of 7,000 tokens stays as the other way (ReadingPolicy::Bound, mechanism reading_forecast). WaitingPolicy::FirstToken is built and not in use by boxes yet. What expires together is refused in an order that does not hang on chance, which the replay's own test found.

--- a/components/bench/src/capacity/dispatch.rs
+++ b/components/bench/src/capacity/dispatch.rs
@@ -73,6 +73,7 @@
         urgent: false,
         since_ms: 0,
         deadline_ms: u64::MAX,
+        leaves_ms: u64::MAX,
         prefix: None,
         told_tokens: None,
         avoid: None,
--- a/components/node/src/adopt.rs
+++ b/components/node/src/adopt.rs
@@ -65,6 +65,7 @@
             max_tokens: account.max_output_tokens,
             urgent: account.urgent,
             wait_left_ms: 0,
+            caller_left_ms: 0,
             prefix: None,
             told_tokens: None,
             avoid: None,
--- a/components/node/src/chat.rs
+++ b/components/node/src/chat.rs
@@ -181,6 +181,7 @@
         max_tokens,
         urgent: account.urgent,
         wait_left_ms: 0,
+        caller_left_ms: 0,
         prefix: request.prefix,
         told_tokens: request.told_output_tokens,
         avoid: None,
@@ -219,6 +220,7 @@
         request.permit = shared.next_permit();
         request.avoid = avoid;
         request.wait_left_ms = wanted.deadline_ms.saturating_sub(shared.now_ms()) as u32;
+        request.caller_left_ms = request.wait_left_ms;
         let permit = acquire(shared, desk, request)
             .await
             .map_err(|refusal| NotStarted::refused(refusal, may_have_begun))?;
--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -164,6 +164,7 @@
             urgent: request.urgent,
             since_ms: now_ms,
             deadline_ms: now_ms + u64::from(request.wait_left_ms),
+            leaves_ms: now_ms + u64::from(request.caller_left_ms),
             prefix: request.prefix,
             told_tokens: request.told_tokens,
             avoid: request.avoid,
--- a/components/peers/src/messages.rs
+++ b/components/peers/src/messages.rs
@@ -25,8 +25,10 @@
     pub max_tokens: u32,
     /// Whether it goes first.
     pub urgent: bool,
-    /// How long it may still wait.
+    /// How long until its first token is due.
     pub wait_left_ms: u32,
+    /// How long its caller stays.
+    pub caller_left_ms: u32,
     /// Hash and tokens of a prefix that engines may have cached.
     pub prefix: Option<(u64, u32)>,
     /// True length, for the oracle policy.
--- a/components/policy/src/admission.rs
+++ b/components/policy/src/admission.rs
@@ -1,9 +1,11 @@
 //! Which requests are refused: at once where they would wait too long, or when their deadline passes.
 
 use crate::demand::{Demand, Verdict};
+use crate::kind::WaitingPolicy;
 use crate::ledger::EngineState;
 use crate::pool::Pool;
 use prelude::{PermitId, Refusal, RefusalReason};
+use std::collections::HashSet;
 
 /// How often waiting requests are looked over for passed deadlines.
 const EXPIRY_CHECK_MS: u64 = 20;
@@ -30,6 +32,9 @@
                 retry_after_ms: None,
             });
         }
+        if self.settings.waiting == WaitingPolicy::FirstToken {
+            return self.too_late(demand, now_ms);
+        }
         let wait_ms = self.expected_wait_ms(demand)?;
         let left_ms = demand.deadline_ms.saturating_sub(now_ms);
         (wait_ms > left_ms).then(|| Refusal {
@@ -56,8 +61,23 @@
             return Vec::new();
         }
         self.expiry_ms = now_ms + EXPIRY_CHECK_MS;
-        let expired = self.queue.take_if(|demand| demand.deadline_ms <= now_ms);
-        let mut verdicts = Vec::with_capacity(expired.len());
+        let forecasts = self.settings.waiting == WaitingPolicy::FirstToken;
+        let mut verdicts = match forecasts {
+            true => self.refuse_early(now_ms),
+            false => Vec::new(),
+        };
+        let over = |demand: &Demand| match forecasts {
+            true => self.waits_until_ms(demand) <= now_ms,
+            false => demand.deadline_ms <= now_ms,
+        };
+        let over: HashSet<PermitId> = self
+            .queue
+            .in_order()
+            .into_iter()
+            .filter(|demand| over(demand))
+            .map(|demand| demand.permit)
+            .collect();
+        let expired = self.queue.take_if(|demand| over.contains(&demand.permit));
         for demand in expired {
             self.tree.leaves(&demand.share);
             let wait_ms = self.expected_wait_ms(&demand).unwrap_or(0);
--- a/components/policy/src/choose.rs
+++ b/components/policy/src/choose.rs
@@ -1,10 +1,11 @@
 //! Which engine a request of a pool goes to, and which are kept for those that have waited too long.
 
 use crate::demand::Demand;
-use crate::kind::PoolSettings;
-use crate::ledger::{EngineLedger, EngineState, RoomView, Streams};
+use crate::kind::ReadingPolicy;
+use crate::ledger::{EngineLedger, EngineState, RoomView};
 use crate::pool::{Pool, demand_forecast};
 use crate::queue::Place;
+use crate::reading::ReadingRate;
 use prelude::TargetId;
 
 /// Where a request can go.
@@ -48,7 +49,7 @@
                 && !at_limit
                 && ledger.bears_one_more(now_ms)
                 && !ledger.is_backed_up(now_ms);
-            if !takes || !prefill_fits(ledger, &self.streams, demand, &self.settings) {
+            if !takes || !reading_fits(ledger, &self.reading_rate, demand, &view) {
                 continue;
             }
             let left = ledger.room_left(&view, &new);
@@ -63,7 +64,7 @@
             });
             let is_near = demand.near == Some(ledger.info.data_centre);
             let near = f64::from(u8::from(is_near)) * f64::from(self.settings.near_tokens);
-            let score = left + affinity + near;
+            let score = left + affinity + near - reading_tokens(ledger, &self.reading_rate, &view);
             if best.is_none_or(|(other, _)| score > other) {
                 best = Some((score, ledger.info.id));
             }
@@ -92,13 +93,35 @@
     }
 }
 
-fn prefill_fits(
+/// Whether an engine may get one more prompt to read.
+fn reading_fits(
     ledger: &EngineLedger,
-    streams: &Streams,
+    rate: &ReadingRate,
     demand: &Demand,
-    settings: &PoolSettings,
+    view: &RoomView<'_>,
 ) -> bool {
-    let waiting = ledger.prefill_tokens(streams);
-    let with = waiting + u64::from(demand.prompt_tokens);
-    waiting == 0 || with <= u64::from(settings.prefill_tokens)
+    let (settings, reading) = (view.settings, &ledger.reading);
+    if reading.is_idle() {
+        return true;
+    }
+    match settings.reading {
+        ReadingPolicy::Bound => {
+            let with = reading.tokens() + u64::from(demand.prompt_tokens);
+            with <= u64::from(settings.prefill_tokens)
+        }
+        ReadingPolicy::FirstToken => {
+            reading.left_ms(rate, view.now_ms) <= f64::from(settings.reading_ahead_ms)
+        }
+    }
+}
+
+/// What the prompts that an engine has still to read count for, in tokens of memory.
+fn reading_tokens(ledger: &EngineLedger, rate: &ReadingRate, view: &RoomView<'_>) -> f64 {
+    match view.settings.reading {
+        ReadingPolicy::Bound => 0.0,
+        ReadingPolicy::FirstToken => {
+            let left_ms = ledger.reading.left_ms(rate, view.now_ms);
+            left_ms * f64::from(view.settings.reading_tokens_per_ms)
+        }
+    }
 }
--- a/components/policy/src/demand.rs
+++ b/components/policy/src/demand.rs
@@ -22,8 +22,10 @@
     pub urgent: bool,
     /// When it came to the pool.
     pub since_ms: u64,
-    /// When it is to be refused if it still waits.
+    /// When its first token is due; it is refused if it still waits then.
     pub deadline_ms: u64,
+    /// When its caller leaves.
+    pub leaves_ms: u64,
     /// Hash and tokens of a prefix that engines may have cached.
     pub prefix: Option<(u64, u32)>,
     /// Its true length, for the oracle policy.
--- a/components/policy/src/kind.rs
+++ b/components/policy/src/kind.rs
@@ -28,6 +28,28 @@
     }
 }
 
+/// How the reading of prompts counts where a request is placed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum ReadingPolicy {
+    /// An engine has a fixed number of prompt tokens waiting at the most; memory alone decides among the others.
+    Bound,
+    /// The time until an engine has read what it was sent is forecast, and counts beside memory.
+    #[default]
+    FirstToken,
+}
+
+/// How it is decided who waits.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
+#[serde(rename_all = "snake_case")]
+pub enum WaitingPolicy {
+    /// By the pace of grants; a request that still waits at its deadline is refused.
+    Pace,
+    /// By a forecast of the first token, which must come before the deadline.
+    #[default]
+    FirstToken,
+}
+
 /// Parameters of one pool. Every field has a default that suits the deployments of the brief.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
@@ -51,8 +73,16 @@
     pub margin_step: f64,
     /// Taken off the margin each second without a preemption.
     pub margin_decay_per_s: f64,
-    /// Prompt tokens that one engine may have waiting for their first token.
+    /// How it is decided who waits.
+    pub waiting: WaitingPolicy,
+    /// How reading counts.
+    pub reading: ReadingPolicy,
+    /// Prompt tokens that one engine may have waiting for their first token, under the fixed bound.
     pub prefill_tokens: u32,
+    /// An engine that will be reading for longer than this gets no further prompt, under the forecast.
+    pub reading_ahead_ms: u32,
+    /// What a millisecond of reading counts for, in tokens of memory, under the forecast.
+    pub reading_tokens_per_ms: u32,
     /// Open streams that one engine may have, whatever the forecast says; 0 for no limit.
     pub running_limit: u32,
     /// How old an engine's report of its load is when it is read.
@@ -93,7 +123,11 @@
             margin_max: 2.0,
             margin_step: 0.1,
             margin_decay_per_s: 0.05,
+            waiting: WaitingPolicy::FirstToken,
+            reading: ReadingPolicy::FirstToken,
             prefill_tokens: 4096,
+            reading_ahead_ms: 1_000,
+            reading_tokens_per_ms: 100,
             running_limit: 0,
             report_lag_ms: 250,
             affinity_tokens: 256,
--- a/components/policy/src/ledger.rs
+++ b/components/policy/src/ledger.rs
@@ -5,6 +5,7 @@
 use crate::forecast::Forecast;
 use crate::kind::PoolSettings;
 use crate::length::{LengthClass, LengthModel};
+use crate::reading::Reading;
 use prelude::{BoxId, DataCentreId, PermitId, TargetId, TargetIncarnation};
 use slotmap::{SlotMap, new_key_type};
 use std::collections::VecDeque;
@@ -158,6 +159,8 @@
     pub foreign_tokens: f64,
     /// Preemptions seen since this ledger began.
     pub preemptions_seen: u64,
+    /// Prompts that it has still to read.
+    pub reading: Reading,
     forecast: Forecast,
     forecast_ms: Option<u64>,
     own_past: VecDeque<(u64, f64)>,
@@ -175,6 +178,7 @@
             report: None,
             foreign_tokens: 0.0,
             preemptions_seen: 0,
+            reading: Reading::default(),
             forecast: Forecast::default(),
             forecast_ms: None,
             own_past: VecDeque::new(),
@@ -211,8 +215,9 @@
     }
 
     /// Takes a stream out.
-    pub fn remove(&mut self, key: StreamKey) {
+    pub fn remove(&mut self, key: StreamKey, now_ms: u64) {
         self.streams.retain(|other| *other != key);
+        self.reading.left(key, now_ms);
         self.forecast_ms = None;
     }
 
@@ -226,15 +231,6 @@
         self.streams.iter().filter_map(held).sum()
     }
 
-    /// Prompt tokens of streams that have not shown a first token.
-    pub fn prefill_tokens(&self, streams: &Streams) -> u64 {
-        let waiting = |key: &StreamKey| {
-            let stream = streams.get(*key)?;
-            (stream.generated_tokens == 0).then_some(u64::from(stream.prompt_tokens))
-        };
-        self.streams.iter().filter_map(waiting).sum()
-    }
-
     /// The forecast for the streams that are here.
     pub fn forecast(
         &mut self,
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -13,6 +13,7 @@
 use crate::pace::GrantPace;
 use crate::prefixes::PrefixIndex;
 use crate::queue::Queue;
+use crate::reading::ReadingRate;
 use prelude::{BoxId, PermitId, TargetId};
 use std::collections::{HashMap, HashSet, VecDeque};
 
@@ -43,8 +44,13 @@
     pub(crate) margin: f64,
     margin_ms: u64,
     pub(crate) tokens_per_ms: f64,
+    pub(crate) reading_rate: ReadingRate,
+    /// The last time that it was told.
+    pub(crate) now_ms: u64,
     pub(crate) grants: VecDeque<u64>,
     pub(crate) pace: GrantPace,
+    /// The same by rank, the urgent first.
+    pub(crate) paces: [GrantPace; 2],
     /// When the first request came; grants wait for engines' reports from then on, but not for ever.
     pub(crate) began_ms: Option<u64>,
     pub(crate) expiry_ms: u64,
@@ -67,8 +73,11 @@
             prefixes: PrefixIndex::default(),
             margin_ms: 0,
             tokens_per_ms: PACE_INITIAL,
+            reading_rate: ReadingRate::default(),
+            now_ms: 0,
             grants: VecDeque::new(),
             pace: GrantPace::default(),
+            paces: [GrantPace::default(); 2],
             began_ms: None,
             expiry_ms: 0,
             remembered_ms: 0,
@@ -123,6 +132,7 @@
 
     /// Takes a request in, or refuses it at once where its wait would pass its deadline.
     pub fn submit(&mut self, demand: Demand, now_ms: u64) -> Submitted {
+        self.now_ms = self.now_ms.max(now_ms);
         self.heard_ms.insert(demand.permit.entry, now_ms);
         if self.by_permit.contains_key(&demand.permit) || self.queue.contains(demand.permit) {
             return Submitted::Waits { place: 0 };
@@ -131,6 +141,8 @@
             return Submitted::Refused(refusal);
         }
         let place = self.queue.len() as u32;
+        // Before it counts as waiting: the time before it came says nothing of the pace.
+        self.pass(now_ms);
         self.tree.waits(&demand.share);
         self.queue.push(demand);
         Submitted::Waits { place }
@@ -147,7 +159,9 @@
 
     /// Grants what fits and refuses what waited too long.
     pub fn run(&mut self, now_ms: u64) -> Vec<(PermitId, Verdict)> {
+        self.now_ms = self.now_ms.max(now_ms);
         self.pace.pass(self.queue.len() > 0, now_ms);
+        self.pass(now_ms);
         let mut verdicts = self.expire(now_ms);
         self.keep_past(now_ms);
         self.decay_margin(now_ms);
@@ -172,14 +186,21 @@
         verdicts
     }
 
+    /// Notes whether requests of each rank wait.
+    fn pass(&mut self, now_ms: u64) {
+        for (at, pace) in self.paces.iter_mut().enumerate() {
+            pace.pass(self.queue.has(at == 0), now_ms);
+        }
+    }
+
     /// Notes how far a stream has come. False where its permit is not known here.
     pub fn progress(&mut self, permit: PermitId, tokens: u32, now_ms: u64) -> bool {
+        self.now_ms = self.now_ms.max(now_ms);
         self.heard_ms.insert(permit.entry, now_ms);
-        let Some(stream) = self
-            .by_permit
-            .get(&permit)
-            .and_then(|key| self.streams.get_mut(*key))
-        else {
+        let Some(key) = self.by_permit.get(&permit).copied() else {
+            return false;
+        };
+        let Some(stream) = self.streams.get_mut(key) else {
             return false;
         };
         let before = stream.generated_tokens;
@@ -189,7 +210,10 @@
         let elapsed_ms = now_ms.saturating_sub(stream.progress_ms);
         stream.generated_tokens = tokens;
         stream.progress_ms = now_ms;
-        let (share, class) = (stream.share, stream.class);
+        let (share, class, target) = (stream.share, stream.class, stream.target);
+        if before == 0 {
+            self.read(key, target);
+        }
         if before > 0 && elapsed_ms > 0 {
             let pace = f64::from(tokens - before) / elapsed_ms as f64;
             self.tokens_per_ms += PACE_WEIGHT * (pace - self.tokens_per_ms);
@@ -207,16 +231,30 @@
         let Some(stream) = self.streams.remove(key) else {
             return;
         };
-        if let Some(ledger) = self.engine_mut(stream.target) {
-            ledger.remove(key);
-        }
         let before = stream.generated_tokens;
         let tokens = tokens.max(before);
+        if before == 0 && tokens > 0 {
+            self.read(key, stream.target);
+        }
+        let now_ms = self.now_ms;
+        if let Some(ledger) = self.engine_mut(stream.target) {
+            ledger.remove(key, now_ms);
+        }
         self.learn(stream.class, before, tokens, Some(end));
         self.charge_output(&stream.share, tokens - before);
         self.tree.ends(&stream.share);
     }
 
+    /// Notes that an engine has read the prompt of a stream.
+    fn read(&mut self, key: StreamKey, target: TargetId) {
+        let now_ms = self.now_ms;
+        let mut rate = self.reading_rate;
+        if let Some(ledger) = self.engine_mut(target) {
+            ledger.reading.first_token(key, now_ms, &mut rate);
+        }
+        self.reading_rate = rate;
+    }
+
     pub(crate) fn learn(&mut self, class: LengthClass, before: u32, tokens: u32, end: Option<End>) {
         if !self.settings.learns_lengths {
             return;
@@ -293,6 +331,7 @@
 
     fn grant(&mut self, demand: Demand, target: TargetId, now_ms: u64) {
         self.pace.granted();
+        self.paces[usize::from(!demand.urgent)].granted();
         self.grants.push_back(now_ms);
         while self
             .grants
@@ -334,11 +373,14 @@
             max_tokens: demand.max_tokens,
             told_tokens: told(&demand, self.settings.policy),
         };
-        let permit = stream.permit;
+        let (permit, prompt_tokens) = (stream.permit, stream.prompt_tokens);
         let key = self.streams.insert(stream);
         self.by_permit.insert(permit, key);
         if let Some(ledger) = self.engine_mut(target) {
             ledger.add(key, &forecast);
+            if generated_tokens == 0 {
+                ledger.reading.sent(key, prompt_tokens, now_ms);
+            }
         }
     }
 
--- a/components/policy/src/pool_tests.rs
+++ b/components/policy/src/pool_tests.rs
@@ -54,6 +54,7 @@
         urgent: false,
         since_ms: 0,
         deadline_ms: 1000,
+        leaves_ms: u64::MAX,
         prefix: None,
         told_tokens: None,
         avoid: None,
--- a/components/policy/src/queue.rs
+++ b/components/policy/src/queue.rs
@@ -49,6 +49,14 @@
         self.len
     }
 
+    /// Whether any of a rank waits.
+    pub fn has(&self, urgent: bool) -> bool {
+        self.lines.values().any(|line| match urgent {
+            true => !line.urgent.is_empty(),
+            false => !line.plain.is_empty(),
+        })
+    }
+
     /// How many requests of an account wait.
     pub fn len_of(&self, account: AccountId) -> usize {
         self.lines.get(&account).map_or(0, Line::len)
@@ -66,6 +74,8 @@
         weight(share) / (weight(share) + others)
     }
 
+    /// Takes a request in, before those of its account and rank whose callers leave later: who comes back after a refusal
+    /// has the least time left.
     pub fn push(&mut self, demand: Demand) {
         let line = self
             .lines
@@ -76,11 +86,12 @@
                 plain: VecDeque::new(),
             });
         line.share = demand.share;
-        if demand.urgent {
-            line.urgent.push_back(demand);
-        } else {
-            line.plain.push_back(demand);
-        }
+        let waiting = match demand.urgent {
+            true => &mut line.urgent,
+            false => &mut line.plain,
+        };
+        let at = waiting.partition_point(|other| other.leaves_ms <= demand.leaves_ms);
+        waiting.insert(at, demand);
         self.len += 1;
     }
 
@@ -117,6 +128,18 @@
         }
     }
 
+    /// All requests that wait, in the order in which they are about to be served: the urgent first, then those whose
+    /// callers leave first.
+    pub fn in_order(&self) -> Vec<&Demand> {
+        let waiting = self
+            .lines
+            .values()
+            .flat_map(|line| line.urgent.iter().chain(&line.plain));
+        let mut waiting: Vec<&Demand> = waiting.collect();
+        waiting.sort_by_key(|demand| (!demand.urgent, demand.leaves_ms, demand.permit));
+        waiting
+    }
+
     /// How many requests of a place have waited since `since_ms` or longer, counted up to `most`.
     pub fn count_since(&self, place: Place, since_ms: u64, most: usize) -> usize {
         let Some(line) = self.lines.get(&place.account) else {
@@ -168,6 +191,8 @@
             }
         }
         self.lines.retain(|_, line| !line.is_empty());
+        // In an order that does not hang on chance.
+        taken.sort_by_key(|demand| (demand.since_ms, demand.permit));
         self.len -= taken.len();
         taken
     }
--- a/components/policy/src/relocate.rs
+++ b/components/policy/src/relocate.rs
@@ -42,6 +42,7 @@
         let key = *self.by_permit.get(&permit)?;
         let stream = self.streams.get(key)?;
         let current = stream.target;
+        let (prompt_tokens, generated_tokens) = (stream.prompt_tokens, stream.generated_tokens);
         let held = f64::from(stream.prompt_tokens) + f64::from(stream.generated_tokens);
         let generated = f64::from(stream.generated_tokens);
         let mut more = Forecast::default();
@@ -81,11 +82,14 @@
         }
         let (_, target) = best?;
         if let Some(ledger) = self.engine_mut(current) {
-            ledger.remove(key);
+            ledger.remove(key, now_ms);
         }
         if let Some(ledger) = self.engine_mut(target) {
             ledger.placed(now_ms);
             ledger.add(key, &more);
+            if generated_tokens == 0 {
+                ledger.reading.sent(key, prompt_tokens, now_ms);
+            }
         }
         if let Some(stream) = self.streams.get_mut(key) {
             stream.target = target;
--- a/components/policy/src/relocate_tests.rs
+++ b/components/policy/src/relocate_tests.rs
@@ -30,6 +30,7 @@
         urgent: false,
         since_ms: 0,
         deadline_ms: 1_000,
+        leaves_ms: u64::MAX,
         prefix: None,
         told_tokens: None,
         avoid: None,
--- /dev/null
+++ b/components/policy/src/waiting_tests.rs
@@ -0,0 +1,152 @@
+use crate::fairness::Share;
+use crate::ledger::EngineInfo;
+use crate::length::LengthClass;
+use crate::pool::Pool;
+use crate::{Demand, PoolSettings, Submitted, Verdict};
+use prelude::{
+    AccountId, BoxId, DataCentreId, OwnerId, PartnerId, PermitId, RefusalReason, TargetId,
+};
+
+/// One engine that reads 5 tokens a millisecond, by what a pool takes for known at first.
+fn pool() -> Pool {
+    let mut pool = Pool::new(PoolSettings {
+        first_report_ms: 0,
+        reading_ahead_ms: 100,
+        ..PoolSettings::default()
+    });
+    pool.set_engines(&[EngineInfo {
+        id: TargetId(1),
+        capacity_tokens: 100_000,
+        data_centre: DataCentreId(0),
+        cold_rate_per_s: None,
+    }]);
+    pool
+}
+
+fn demand(serial: u64, prompt_tokens: u32, deadline_ms: u64) -> Demand {
+    Demand {
+        permit: PermitId {
+            entry: BoxId(1),
+            life: 0,
+            serial,
+        },
+        share: Share {
+            partner: PartnerId(1),
+            owner: OwnerId(1),
+            account: AccountId(1),
+            partner_weight: 1.0,
+            owner_weight: 1.0,
+            account_weight: 1.0,
+        },
+        class: LengthClass::default(),
+        prompt_tokens,
+        max_tokens: 100,
+        urgent: false,
+        since_ms: 0,
+        deadline_ms,
+        leaves_ms: 10_000,
+        prefix: None,
+        told_tokens: None,
+        avoid: None,
+        near: None,
+    }
+}
+
+#[test]
+fn what_cannot_be_read_in_time_is_refused_when_it_comes() {
+    let mut pool = pool();
+    for serial in 0..3 {
+        pool.submit(demand(serial, 5_000, 5_000), 0);
+        pool.run(0);
+    }
+    // The fourth would be read after 4 s.
+    let Submitted::Refused(refusal) = pool.submit(demand(4, 5_000, 3_000), 0) else {
+        panic!("it waits");
+    };
+    assert_eq!(refusal.reason, RefusalReason::Crowded);
+    let back_ms = refusal.retry_after_ms.unwrap();
+    assert!((900..=1_100).contains(&back_ms), "{back_ms}");
+    assert!(matches!(
+        pool.submit(demand(5, 5_000, 4_500), 0),
+        Submitted::Waits { .. }
+    ));
+}
+
+#[test]
+fn a_request_that_nothing_is_before_is_not_refused_for_its_length() {
+    let mut pool = pool();
+    assert!(matches!(
+        pool.submit(demand(1, 50_000, 1_000), 0),
+        Submitted::Waits { .. }
+    ));
+    assert!(matches!(pool.run(0)[0].1, Verdict::Granted { .. }));
+}
+
+#[test]
+fn the_urgent_do_not_wait_for_those_that_are_less_urgent() {
+    let mut pool = pool();
+    for serial in 0..4 {
+        pool.submit(demand(serial, 5_000, 9_000), 0);
+        pool.run(0);
+    }
+    let urgent = Demand {
+        urgent: true,
+        ..demand(9, 5_000, 2_500)
+    };
+    assert!(matches!(pool.submit(urgent, 0), Submitted::Waits { .. }));
+}
+
+#[test]
+fn who_comes_back_goes_before_those_that_have_more_time_left() {
+    let mut pool = pool();
+    pool.submit(demand(1, 5_000, 9_000), 0);
+    pool.run(0);
+    for (serial, leaves_ms) in [(2, 10_000), (3, 6_000), (4, 12_000)] {
+        let next = Demand {
+            leaves_ms,
+            ..demand(serial, 5_000, 9_000)
+        };
+        pool.submit(next, 0);
+    }
+    let waiting: Vec<u64> = pool
+        .queue
+        .in_order()
+        .iter()
+        .map(|d| d.permit.serial)
+        .collect();
+    assert_eq!(waiting, [3, 2, 4]);
+}
+
+#[test]
+fn what_is_let_wait_is_refused_late_only_when_its_prompt_can_no_longer_be_read() {
+    let mut pool = pool();
+    pool.submit(demand(1, 5_000, 9_000), 0);
+    pool.run(0);
+    pool.submit(demand(2, 2_500, 2_000), 0);
+    // The first is overdue: from 1.5 s on the second could not be read before 2 s.
+    let refused = |pool: &mut Pool, at_ms| {
+        let verdicts = pool.run(at_ms);
+        verdicts
+            .iter()
+            .any(|(_, verdict)| matches!(verdict, Verdict::Refused(_)))
+    };
+    assert!(!refused(&mut pool, 800));
+    assert!(refused(&mut pool, 1_520));
+}
+
+#[test]
+fn absurd_token_counts_stop_nobody() {
+    let mut pool = pool();
+    assert!(matches!(
+        pool.submit(demand(1, u32::MAX, 1_000), 0),
+        Submitted::Refused(_)
+    ));
+    for (serial, max_tokens) in [(2, 0), (3, u32::MAX)] {
+        let next = Demand {
+            max_tokens,
+            ..demand(serial, 0, 1_000)
+        };
+        assert!(matches!(pool.submit(next, 0), Submitted::Waits { .. }));
+        assert!(matches!(pool.run(0)[0].1, Verdict::Granted { .. }));
+    }
+}
--- a/components/relay/src/dispatch.rs
+++ b/components/relay/src/dispatch.rs
@@ -8,8 +8,8 @@
     UpdateRequest,
 };
 use policy::{
-    Adopted, Demand, End, LengthClass, Pool, PoolSettings, Relocation, Share, Submitted, Turns,
-    Verdict,
+    Adopted, Demand, End, LengthClass, Pool, PoolSettings, ReadingPolicy, Relocation, Share,
+    Submitted, Turns, Verdict, WaitingPolicy,
 };
 use prelude::{
     BoxId, DataCentreId, OwnerId, PartnerId, PermitId, PoolId, Refusal, RefusalReason, TargetId,
@@ -51,6 +51,11 @@
     let on = |mechanism, value| if file.has(mechanism) { value } else { 0 };
     let usual = PoolSettings::default();
     PoolSettings {
+        waiting: WaitingPolicy::Pace,
+        reading: match file.has(Mechanism::ReadingForecast) {
+            true => ReadingPolicy::FirstToken,
+            false => ReadingPolicy::Bound,
+        },
         prefill_tokens: match file.has(Mechanism::ReadingBound) {
             true => PREFILL_TOKENS,
             false => u32::MAX,
@@ -190,6 +195,7 @@
             urgent: request.urgent,
             since_ms: now_ms,
             deadline_ms: now_ms + u64::from(request.wait_left_ms),
+            leaves_ms: now_ms + u64::from(request.caller_left_ms),
             prefix: request.prefix,
             told_tokens: request.told_tokens,
             avoid: request.avoid,
--- a/components/relay/src/generation.rs
+++ b/components/relay/src/generation.rs
@@ -157,6 +157,7 @@
             most_tokens: generation.most_tokens,
             urgent: way.rank() == 0,
             wait_left_ms: wait_until_ms.min(due_ms).saturating_sub(now_ms).max(1),
+            caller_left_ms: due_ms.saturating_sub(now_ms),
             avoid,
         };
         if arrived && !relay.take_resend(&way.service().name) {
--- a/components/relay/src/permits.rs
+++ b/components/relay/src/permits.rs
@@ -37,6 +37,7 @@
     pub most_tokens: u32,
     pub urgent: bool,
     pub wait_left_ms: u64,
+    pub caller_left_ms: u64,
     pub avoid: Option<TargetId>,
 }
 
@@ -106,6 +107,7 @@
             max_tokens: want.most_tokens,
             urgent: want.urgent,
             wait_left_ms: want.wait_left_ms as u32,
+            caller_left_ms: want.caller_left_ms as u32,
             prefix: None,
             told_tokens: None,
             avoid: want.avoid,
--- /dev/null
+++ b/components/replay/src/world.rs
@@ -0,0 +1,680 @@
+//! The events of a day in the order of their times: arrivals, steps of engines, words to the dispatcher, its decisions,
+//! faults, and callers who come back.
+
+use crate::arrivals::arrivals;
+use crate::engine::{Engine, Made, Run};
+use crate::figures::{Counts, Figures, is_early};
+use crate::load::{Happening, Load};
+use crate::moves::{Copying, Link, Move};
+use crate::request::{Phase, Request, Story};
+use policy::{
+    Demand, End, EngineInfo, EngineState, LengthClass, Pool, Relocation, Share, Submitted, Verdict,
+    WaitingPolicy,
+};
+use prelude::{AccountId, BoxId, DataCentreId, OwnerId, PartnerId, PermitId, Refusal, TargetId};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap};
+
+/// What a box takes for the way of a first token where its time is forecast.
+const WAY_MS: u64 = 40;
+/// What a box takes first tokens to take before it saw any, and the weight of one that it saw.
+const FIRST_INITIAL_MS: f64 = 500.0;
+const FIRST_WEIGHT: f64 = 0.02;
+/// From a grant to the engine.
+const SEND_US: u64 = 2_000;
+/// What a box gathers before it tells its dispatcher, and the way there.
+const TELL_US: u64 = 22_000;
+/// How often requests that wait are looked over.
+const LOOK_US: u64 = 20_000;
+/// Tokens after which a dispatcher is told how far a generation is.
+const TOLD_EACH_TOKENS: u32 = 128;
+/// Pause before a move that found no room is tried again.
+const AGAIN_US: u64 = 60_000;
+/// Tries to move one generation.
+const TRIES_MAX: u32 = 30;
+/// A copy between data centres takes so many times as long.
+const FAR_TIMES: f64 = 2.0;
+/// Steps of two in a caller's guess that tell kinds of answers apart.
+const GUESS_STEPS: f64 = 2.0;
+/// The day goes on so long after the last request has come.
+const AFTER_MS: u64 = 20_000;
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Occasion {
+    Comes(usize),
+    Arrives {
+        request: usize,
+        engine: usize,
+        life: u32,
+    },
+    StepEnds {
+        engine: usize,
+        life: u32,
+    },
+    Told {
+        request: usize,
+        serial: u64,
+        tokens: u32,
+        ended: bool,
+    },
+    Looks,
+    Reclaims,
+    Returns {
+        engine: usize,
+    },
+    Ends {
+        engine: usize,
+        life: u32,
+    },
+    Begins(usize),
+    IsOver(usize),
+    MoveAgain {
+        engine: usize,
+        life: u32,
+        order: (usize, u32),
+    },
+    Copied {
+        engine: usize,
+        life: u32,
+    },
+}
+
+struct Slot {
+    engine: Engine,
+    /// Its key in the policy; a new one for each life.
+    id: TargetId,
+    life: u32,
+    data_centre: u32,
+    is_there: bool,
+    leaves: bool,
+    steps: bool,
+    link: Link,
+}
+
+struct World<'a> {
+    load: &'a Load,
+    pool: Pool,
+    requests: Vec<Request>,
+    stories: Vec<Story>,
+    slots: Vec<Slot>,
+    by_id: HashMap<TargetId, usize>,
+    by_permit: HashMap<PermitId, usize>,
+    evacuated: Vec<u32>,
+    occasions: BinaryHeap<Reverse<(u64, u64, Occasion)>>,
+    sequence: u64,
+    now_us: u64,
+    next_serial: u64,
+    next_target: u64,
+    looks: bool,
+    counts: Counts,
+    /// What first tokens took of late, as boxes see it.
+    first_ms: f64,
+    rng: ChaCha8Rng,
+}
+
+fn slowness_of(load: &Load, engine: usize) -> f64 {
+    // Data centres go round by engine too: each has engines of every speed.
+    let group = engine / load.data_centres as usize;
+    load.slowness[group % load.slowness.len()]
+}
+
+/// Plays a load pattern from a seed.
+pub fn play(load: &Load, seed: u64) -> Figures {
+    let mut world = World::new(load, seed);
+    world.run();
+    Figures::of(load, &world.requests, &world.stories, world.counts)
+}
+
+impl<'a> World<'a> {
+    fn new(load: &'a Load, seed: u64) -> Self {
+        let requests = arrivals(load, seed);
+        let story = |request: &Request| Story {
+            phase: Phase::Away,
+            permit: PermitId::default(),
+            tried_ms: request.at_ms,
+            refusals: 0,
+            refused_after_ms: None,
+            held_ms: 0,
+            first_ms: None,
+            latest_ms: 0,
+            pause_ms: 0,
+            told_tokens: 0,
+        };
+        let mut world = Self {
+            load,
+            pool: Pool::new(load.settings.clone()),
+            stories: requests.iter().map(story).collect(),
+            requests,
+            slots: Vec::new(),
+            by_id: HashMap::new(),
+            by_permit: HashMap::new(),
+            evacuated: Vec::new(),
+            occasions: BinaryHeap::new(),
+            sequence: 0,
+            now_us: 0,
+            next_serial: 0,
+            next_target: 0,
+            looks: false,
+            counts: Counts::default(),
+            first_ms: FIRST_INITIAL_MS,
+            rng: ChaCha8Rng::seed_from_u64(seed ^ 0x5eed),
+        };
+        for at in 0..load.engines {
+            let slot = Slot {
+                engine: Engine::new(load.engine, slowness_of(load, at as usize)),
+                id: TargetId(0),
+                life: 0,
+                data_centre: at % load.data_centres,
+                is_there: true,
+                leaves: false,
+                steps: false,
+                link: Link::default(),
+            };
+            world.slots.push(slot);
+            world.give_id(at as usize);
+        }
+        world.sync();
+        for at in 0..world.requests.len() {
+            let at_us = world.requests[at].at_ms * 1_000;
+            world.push(at_us, Occasion::Comes(at));
+        }
+        if let Some(reclaims) = load.reclaims {
+            world.push(reclaims.each_ms * 500, Occasion::Reclaims);
+        }
+        for (at, event) in load.events.iter().enumerate() {
+            world.push(event.at_ms * 1_000, Occasion::Begins(at));
+            world.push((event.at_ms + event.for_ms) * 1_000, Occasion::IsOver(at));
+        }
+        world
+    }
+
+    fn push(&mut self, at_us: u64, occasion: Occasion) {
+        self.sequence += 1;
+        self.occasions
+            .push(Reverse((at_us, self.sequence, occasion)));
+    }
+
+    fn after(&mut self, us: u64, occasion: Occasion) {
+        self.push(self.now_us + us, occasion);
+    }
+
+    fn now_ms(&self) -> u64 {
+        self.now_us / 1_000
+    }
+
+    fn run(&mut self) {
+        let end_us = (self.load.length_ms + AFTER_MS) * 1_000;
+        while let Some(Reverse((at_us, _, occasion))) = self.occasions.pop() {
+            if at_us > end_us {
+                return;
+            }
+            self.now_us = at_us;
+            self.act(occasion);
+        }
+    }
+
+    fn act(&mut self, occasion: Occasion) {
+        match occasion {
+            Occasion::Comes(at) => self.comes(at),
+            Occasion::Arrives {
+                request,
+                engine,
+                life,
+            } => self.arrives(request, engine, life),
+            Occasion::StepEnds { engine, life } => self.step_ends(engine, life),
+            Occasion::Told {
+                request,
+                serial,
+                tokens,
+                ended,
+            } => {
+                self.told(request, serial, tokens, ended);
+            }
+            Occasion::Looks => {
+                self.looks = false;
+                self.decide();
+            }
+            Occasion::Reclaims => self.reclaims(),
+            Occasion::Returns { engine } => self.returns(engine),
+            Occasion::Ends { engine, life } => self.ends(engine, life),
+            Occasion::Begins(at) => self.happens(at, true),
+            Occasion::IsOver(at) => self.happens(at, false),
+            Occasion::MoveAgain {
+                engine,
+                life,
+                order,
+            } => {
+                if self.slots[engine].life == life {
+                    let (request, tries) = order;
+                    self.slots[engine]
+                        .link
+                        .waiting
+                        .push_back(Move { request, tries });
+                    self.next_move(engine);
+                }
+            }
+            Occasion::Copied { engine, life } => self.copied(engine, life),
+        }
+    }
+
+    fn demand(&self, at: usize) -> Demand {
+        let (request, story) = (&self.requests[at], &self.stories[at]);
+        let kind = &self.load.kinds[request.kind];
+        let steps = (f64::from(request.guess_tokens).log2() * GUESS_STEPS) as u8;
+        let now_ms = self.now_ms();
+        let reserve_ms = match self.load.settings.waiting {
+            WaitingPolicy::Pace => self.first_ms as u64,
+            WaitingPolicy::FirstToken => WAY_MS,
+        };
+        let first_due_ms = story.tried_ms + kind.goal_ms.saturating_sub(reserve_ms);
+        Demand {
+            permit: story.permit,
+            share: Share {
+                partner: PartnerId::default(),
+                owner: OwnerId::default(),
+                account: AccountId(u64::from(request.account)),
+                partner_weight: 1.0,
+                owner_weight: 1.0,
+                account_weight: 1.0,
+            },
+            class: LengthClass {
+                account: AccountId::default(),
+                kind: steps.min(31) * 7 + kind.rank.min(6),
+            },
+            prompt_tokens: request.prompt_tokens,
+            max_tokens: kind.answer_tokens.most,
+            urgent: kind.rank == 0,
+            since_ms: now_ms,
+            deadline_ms: first_due_ms.max(now_ms + kind.goal_ms / 10),
+            leaves_ms: request.at_ms + kind.stay_ms,
+            prefix: None,
+            told_tokens: None,
+            avoid: None,
+            near: Some(DataCentreId(u64::from(request.data_centre))),
+        }
+    }
+
+    fn comes(&mut self, at: usize) {
+        self.next_serial += 1;
+        let permit = PermitId {
+            entry: BoxId(self.requests[at].data_centre),
+            life: 0,
+            serial: self.next_serial,
+        };
+        let now_ms = self.now_ms();
+        self.stories[at].permit = permit;
+        self.stories[at].tried_ms = now_ms;
+        self.stories[at].phase = Phase::Waits;
+        self.by_permit.insert(permit, at);
+        let demand = self.demand(at);
+        match self.pool.submit(demand, now_ms) {
+            Submitted::Refused(refusal) => self.refused(at, refusal),
+            Submitted::Waits { .. } => self.decide(),
+        }
+    }
+
+    fn refused(&mut self, at: usize, refusal: Refusal) {
+        let kind = &self.load.kinds[self.requests[at].kind];
+        let now_ms = self.now_ms();
+        let story = &mut self.stories[at];
+        let after_ms = now_ms - story.tried_ms;
+        self.counts.refusals += 1;
+        self.counts.early_refusals += u64::from(is_early(kind, after_ms));
+        story.refused_after_ms.get_or_insert(after_ms);
+        story.held_ms = story.held_ms.max(after_ms);
+        story.refusals += 1;
+        let leaves_ms = self.requests[at].at_ms + kind.stay_ms;
+        let left_ms = leaves_ms.saturating_sub(now_ms);
+        if story.refusals > 1 || left_ms == 0 {
+            story.phase = Phase::Refused;
+            return;
+        }
+        story.phase = Phase::Away;
+        let back_ms = refusal.retry_after_ms.unwrap_or(1_000).min(left_ms / 3);
+        self.after(back_ms * 1_000, Occasion::Comes(at));
+    }
+
+    fn decide(&mut self) {
+        let now_ms = self.now_ms();
+        for (permit, verdict) in self.pool.run(now_ms) {
+            let Some(at) = self.by_permit.get(&permit).copied() else {
+                continue;
+            };
+            match verdict {
+                Verdict::Refused(refusal) => self.refused(at, refusal),
+                Verdict::Granted { target } => {
+                    let engine = self.by_id[&target];
+                    self.stories[at].phase = Phase::AtEngine(engine);
+                    let life = self.slots[engine].life;
+                    self.after(
+                        SEND_US,
+                        Occasion::Arrives {
+                            request: at,
+                            engine,
+                            life,
+                        },
+                    );
+                }
+            }
+        }
+        let waits = self.pool.view(now_ms).waiting > 0;
+        if waits && !self.looks {
+            self.looks = true;
+            self.after(LOOK_US, Occasion::Looks);
+        }
+    }
+
+    fn arrives(&mut self, at: usize, engine: usize, life: u32) {
+        let request = self.requests[at];
+        let slot = &mut self.slots[engine];
+        if slot.life != life || !slot.is_there {
+            return self.lost(at);
+        }
+        slot.engine.push(Run {
+            id: at,
+            rank: self.load.kinds[request.kind].rank,
+            prompt_tokens: request.prompt_tokens,
+            made_tokens: 0,
+            length_tokens: request.length_tokens,
+            to_read_tokens: request.prompt_tokens,
+        });
+        self.step(engine);
+    }
+
+    fn step(&mut self, engine: usize) {
+        let slot = &mut self.slots[engine];
+        if slot.steps || !slot.is_there {
+            return;
+        }
+        let life = slot.life;
+        if let Some(us) = slot.engine.begin_step() {
+            slot.steps = true;
+            self.after(us, Occasion::StepEnds { engine, life });
+        }
+    }
+
+    fn step_ends(&mut self, engine: usize, life: u32) {
+        if self.slots[engine].life != life || !self.slots[engine].is_there {
+            return;
+        }
+        self.slots[engine].steps = false;
+        for made in self.slots[engine].engine.end_step() {
+            match made {
+                Made::Token { id, made_tokens } => self.token(id, made_tokens, false),
+                Made::End { id, made_tokens } => self.token(id, made_tokens, true),
+                Made::Preempted { id } => {
+                    self.counts.preempted += 1;
+                    let held = self.requests[id].prompt_tokens + self.stories[id].told_tokens;
+                    self.counts.read_again_tokens += u64::from(held);
+                }
+            }
+        }
+        self.step(engine);
+    }
+
+    fn token(&mut self, at: usize, tokens: u32, ended: bool) {
+        let now_ms = self.now_ms();
+        let story = &mut self.stories[at];
+        let first = story.first_ms.is_none();
+        if !first {
+            story.pause_ms = story.pause_ms.max(now_ms - story.latest_ms);
+        }
+        story.first_ms.get_or_insert(now_ms);
+        if first {
+            let took_ms = (now_ms - story.tried_ms) as f64;
+            self.first_ms += FIRST_WEIGHT * (took_ms - self.first_ms);
+        }
+        story.latest_ms = now_ms;
+        if first || ended || tokens >= story.told_tokens + TOLD_EACH_TOKENS {
+            story.told_tokens = tokens;
+            let serial = story.permit.serial;
+            self.after(
+                TELL_US,
+                Occasion::Told {
+                    request: at,
+                    serial,
+                    tokens,
+                    ended,
+                },
+            );
+        }
+        if ended {
+            self.stories[at].phase = Phase::Whole;
+        }
+    }
+
+    fn told(&mut self, at: usize, serial: u64, tokens: u32, ended: bool) {
+        let permit = self.stories[at].permit;
+        if permit.serial != serial {
+            return;
+        }
+        let now_ms = self.now_ms();
+        self.pool.progress(permit, tokens, now_ms);
+        if ended {
+            self.pool.release(permit, tokens, End::Finished);
+        }
+        self.decide();
+    }
+
+    fn lost(&mut self, at: usize) {
+        self.stories[at].phase = Phase::Lost;
+        let story = &self.stories[at];
+        self.pool
+            .release(story.permit, story.told_tokens, End::Censored);
+    }
+
+    fn give_id(&mut self, engine: usize) {
+        self.next_target += 1;
+        let id = TargetId(self.next_target);
+        self.slots[engine].id = id;
+        self.by_id.insert(id, engine);
+    }
+
+    /// Tells the pool which engines there are and which take work.
+    fn sync(&mut self) {
+        let there = || self.slots.iter().filter(|slot| slot.is_there);
+        let info = |slot: &Slot| EngineInfo {
+            id: slot.id,
+            capacity_tokens: u64::from(self.load.engine.memory_tokens),
+            data_centre: DataCentreId(u64::from(slot.data_centre)),
+            cold_rate_per_s: None,
+        };
+        let infos: Vec<EngineInfo> = there().map(info).collect();
+        let state = |slot: &Slot| {
+            let evacuated = self.evacuated.contains(&slot.data_centre);
+            match slot.leaves || evacuated {
+                true => (slot.id, EngineState::Leaving),
+                false => (slot.id, EngineState::Live),
+            }
+        };
+        let states: Vec<(TargetId, EngineState)> = there().map(state).collect();
+        self.pool.set_engines(&infos);
+        for (id, state) in states {
+            self.pool.set_state(id, state);
+        }
+    }
+
+    fn draw(&mut self, share: f64) -> Vec<usize> {
+        let there = self.slots.iter().enumerate();
+        let there = there.filter(|(_, slot)| slot.is_there && !slot.leaves);
+        let mut there: Vec<usize> = there.map(|(at, _)| at).collect();
+        let count = (self.slots.len() as f64 * share) as usize;
+        let mut drawn = Vec::new();
+        while drawn.len() < count && !there.is_empty() {
+            let at = self.rng.random_range(0..there.len());
+            drawn.push(there.swap_remove(at));
+        }
+        drawn
+    }
+
+    fn reclaims(&mut self) {
+        let Some(reclaims) = self.load.reclaims else {
+            return;
+        };
+        for engine in self.draw(reclaims.share) {
+            let life = self.slots[engine].life;
+            self.slots[engine].leaves = true;
+            self.after(reclaims.notice_ms * 1_000, Occasion::Ends { engine, life });
+            self.after(reclaims.back_ms * 1_000, Occasion::Returns { engine });
+            let mut all = self.slots[engine].engine.all();
+            all.sort_by_key(|at| self.requests[*at].prompt_tokens);
+            let orders = all.into_iter().map(|request| Move { request, tries: 0 });
+            self.slots[engine].link.waiting.extend(orders);
+            self.sync();
+            self.next_move(engine);
+        }
+        if self.now_ms() < self.load.length_ms {
+            self.after(reclaims.each_ms * 1_000, Occasion::Reclaims);
+        }
+        self.decide();
+    }
+
+    fn ends(&mut self, engine: usize, life: u32) {
+        if self.slots[engine].life != life || !self.slots[engine].is_there {
+            return;
+        }
+        for at in self.slots[engine].engine.all() {
+            self.lost(at);
+        }
+        if let Some(copying) = self.slots[engine].link.copying.take() {
+            self.slots[copying.to].engine.free_copy(copying.tokens);
+        }
+        let slot = &mut self.slots[engine];
+        slot.is_there = false;
+        slot.steps = false;
+        slot.link = Link::default();
+        self.sync();
+        self.decide();
+    }
+
+    fn returns(&mut self, engine: usize) {
+        let spec = self.load.engine;
+        let slot = &mut self.slots[engine];
+        slot.engine = Engine::new(spec, slowness_of(self.load, engine));
+        slot.life += 1;
+        slot.is_there = true;
+        slot.leaves = false;
+        slot.steps = false;
+        slot.link = Link::default();
+        self.give_id(engine);
+        self.sync();
+        self.decide();
+    }
+
+    fn happens(&mut self, at: usize, begins: bool) {
+        match self.load.events[at].what {
+            Happening::Evacuate { data_centre } if begins => self.evacuated.push(data_centre),
+            Happening::Evacuate { data_centre } => self.evacuated.retain(|at| *at != data_centre),
+            Happening::Crash { share } if begins => {
+                let back_us = self.load.events[at].for_ms * 1_000;
+                for engine in self.draw(share) {
+                    let life = self.slots[engine].life;
+                    self.ends(engine, life);
+                    self.after(back_us, Occasion::Returns { engine });
+                }
+            }
+            Happening::Slow { share, times } if begins => {
+                for engine in self.draw(share) {
+                    self.slots[engine].engine.slowness *= times;
+                }
+            }
+            Happening::Slow { .. } => {
+                for (at, slot) in self.slots.iter_mut().enumerate() {
+                    slot.engine.slowness = slowness_of(self.load, at);
+                }
+            }
+            _ => return,
+        }
+        self.sync();
+        self.decide();
+    }
+
+    /// Begins the next copy on the link of an engine.
+    fn next_move(&mut self, engine: usize) {
+        while self.slots[engine].link.copying.is_none() {
+            let Some(order) = self.slots[engine].link.waiting.pop_front() else {
+                return;
+            };
+            let is_here = self.stories[order.request].phase == Phase::AtEngine(engine);
+            if !is_here || order.tries > TRIES_MAX {
+                continue;
+            }
+            if let Some(copying) = self.find_room(engine, order) {
+                let far = self.slots[engine].data_centre != self.slots[copying.to].data_centre;
+                let times = if far { FAR_TIMES } else { 1.0 };
+                let spec = self.load.engine;
+                let ms = f64::from(copying.tokens) * spec.token_bytes / spec.link_bytes_per_ms;
+                let life = self.slots[engine].life;
+                self.slots[engine].link.copying = Some(copying);
+                self.after(
+                    (ms * times * 1_000.0) as u64,
+                    Occasion::Copied { engine, life },
+                );
+            } else {
+                let life = self.slots[engine].life;
+                let order = (order.request, order.tries + 1);
+                self.after(
+                    AGAIN_US,
+                    Occasion::MoveAgain {
+                        engine,
+                        life,
+                        order,
+                    },
+                );
+            }
+        }
+    }
+
+    fn find_room(&mut self, engine: usize, order: Move) -> Option<Copying> {
+        let run = self.slots[engine].engine.runs(order.request)?;
+        let from = self.slots[engine].id;
+        let permit = self.stories[order.request].permit;
+        let links = self.slots.iter().filter_map(|slot| slot.link.copying);
+        let arriving: Vec<TargetId> = links.map(|copying| self.slots[copying.to].id).collect();
+        let relocation = Relocation {
+            permit,
+            from,
+            avoid: &[],
+            arriving: &arriving,
+            may_stay: false,
+        };
+        let target = self.pool.relocate(&relocation, self.now_us / 1_000)?;
+        let to = self.by_id[&target];
+        let tokens = run.prompt_tokens + run.made_tokens;
+        self.slots[to]
+            .engine
+            .hold_copy(tokens)
+            .then_some(Copying { order, to, tokens })
+    }
+
+    fn copied(&mut self, engine: usize, life: u32) {
+        if self.slots[engine].life != life {
+            return;
+        }
+        let Some(copying) = self.slots[engine].link.copying.take() else {
+            return;
+        };
+        let (at, to) = (copying.order.request, copying.to);
+        let run = match self.slots[engine].engine.runs(at) {
+            Some(_) => self.slots[engine].engine.take(at),
+            None => None,
+        };
+        match run {
+            Some(run) if self.slots[to].is_there => {
+                self.counts.moved += 1;
+                self.stories[at].phase = Phase::AtEngine(to);
+                self.slots[to].engine.resume(run, copying.tokens);
+                self.step(to);
+            }
+            Some(run) => {
+                // The other engine went meanwhile.
+                self.slots[engine].engine.resume(run, 0);
+            }
+            None => self.slots[to].engine.free_copy(copying.tokens),
+        }
+        self.step(engine);
+        self.next_move(engine);
+    }
+}
--- a/components/settings/src/mechanism.rs
+++ b/components/settings/src/mechanism.rs
@@ -19,6 +19,8 @@
     NearCopies,
     /// One engine has so many prompt tokens waiting at the most.
     ReadingBound,
+    /// The reading of prompts is forecast; without it, the bound alone counts.
+    ReadingForecast,
     /// Room is kept for what the forecast does not know.
     Margin,
     /// Generations leave engines that leave.
