A margin of memory that does not decay to nothing

Cause: the margin rises with preemptions that engines report, and boxes ask engines only while the store is away: it decayed to none within 15 s. Change: 1.25 deviations, always.

--- a/components/relay/src/dispatch.rs
+++ b/components/relay/src/dispatch.rs
@@ -30,6 +30,10 @@
 /// Prompt tokens that one engine may have waiting for their first token. A longer row holds the tokens of
 /// all that runs there up; measured in `docs/design/platform.md`.
 const PREFILL_TOKENS: u32 = 7_000;
+/// Standard deviations of the forecast of memory that are kept free. Boxes hear of no preemption, so that nothing raises a
+/// margin that decays: it ended at none, and 44 generations were preempted on a day with a third of the engines evacuated
+/// where 7 are with this. Replayed on seven load patterns, 1 to 1.5 are alike, 0 and 2 worse by 0.01 to 0.03 of the worth.
+const MARGIN: f64 = 1.25;
 /// What an engine near the caller's box is preferred by, in tokens of memory: bytes between data centres
 /// are paid for.
 const NEAR_TOKENS: u32 = 1_500;
@@ -50,6 +54,10 @@
 fn pool_settings(file: &FleetFile) -> PoolSettings {
     let on = |mechanism, value| if file.has(mechanism) { value } else { 0 };
     let usual = PoolSettings::default();
+    let margin = |deviations| match file.has(Mechanism::Margin) {
+        true => deviations,
+        false => 0.0,
+    };
     PoolSettings {
         waiting: WaitingPolicy::Pace,
         reading: match file.has(Mechanism::ReadingForecast) {
@@ -65,14 +73,9 @@
         forecast: file.has(Mechanism::Forecast),
         learns_lengths: file.has(Mechanism::Lengths),
         fair: file.has(Mechanism::Fairness),
-        margin_max: match file.has(Mechanism::Margin) {
-            true => usual.margin_max,
-            false => 0.0,
-        },
-        margin_initial: match file.has(Mechanism::Margin) {
-            true => usual.margin_initial,
-            false => 0.0,
-        },
+        margin_max: margin(usual.margin_max),
+        margin_initial: margin(MARGIN),
+        margin_min: margin(MARGIN),
         first_report_ms: 0,
         ..usual
     }
