Who waits is decided by a forecast of the first token

The guess was made of the pace of all grants: summaries that slip into small holes of memory made chats look quick, and boxes took the mean first token, waits within it, for what a first token takes. Change: a request's deadline is its first token's. The pace alone stays as the other way (mechanism wait_forecast).

--- a/components/relay/src/dispatch.rs
+++ b/components/relay/src/dispatch.rs
@@ -59,7 +59,10 @@
         false => 0.0,
     };
     PoolSettings {
-        waiting: WaitingPolicy::Pace,
+        waiting: match file.has(Mechanism::WaitForecast) {
+            true => WaitingPolicy::FirstToken,
+            false => WaitingPolicy::Pace,
+        },
         reading: match file.has(Mechanism::ReadingForecast) {
             true => ReadingPolicy::FirstToken,
             false => ReadingPolicy::Bound,
--- a/components/relay/src/generation.rs
+++ b/components/relay/src/generation.rs
@@ -24,6 +24,9 @@
 
 /// Engines that one generation is offered to, those that refuse it counted.
 const OFFERS_MAX: usize = 3;
+/// What the way of a first token takes, from its engine to the caller, and of a request to its engine: so much earlier it
+/// is due at the engine.
+const WAY_MS: u64 = 40;
 /// A caller's guess is rounded to this many steps for each doubling.
 const GUESS_STEPS: f64 = 2.0;
 /// The longest guess that is told from longer ones, in such steps.
@@ -142,7 +145,11 @@
         .guess_tokens
         .filter(|_| relay.file().has(Mechanism::Guesses));
     let due_ms = incoming.due_ms(route);
-    let wait_ms = relay.outlook.borrow().wait_ms(route.answer_goal_ms);
+    let goal_ms = route.answer_goal_ms;
+    let wait_ms = match relay.file().has(Mechanism::WaitForecast) {
+        true => goal_ms.saturating_sub(WAY_MS),
+        false => relay.outlook.borrow().wait_ms(goal_ms),
+    };
     let wait_until_ms = incoming.came_ms + wait_ms;
     let mut avoid: Option<TargetId> = None;
     let mut last = refusal(RefusalReason::Crowded);
--- a/components/settings/src/mechanism.rs
+++ b/components/settings/src/mechanism.rs
@@ -21,6 +21,8 @@
     ReadingBound,
     /// The reading of prompts is forecast; without it, the bound alone counts.
     ReadingForecast,
+    /// Who waits is decided by a forecast of the first token; without it, by the pace of grants.
+    WaitForecast,
     /// Room is kept for what the forecast does not know.
     Margin,
     /// Generations leave engines that leave.
