Boxes log how long a generation waited for its permit and for its engine

With both on the line of a generation that begins, explain tells whether a late first token waited for a permit or at the engine.

--- a/components/relay/src/generation.rs
+++ b/components/relay/src/generation.rs
@@ -170,6 +170,7 @@
         if arrived && !relay.take_resend(&way.service().name) {
             return Started::Own(not_run(refusal(RefusalReason::RetryBudgetSpent)));
         }
+        let asked_ms = now_ms;
         let permit = match relay.acquire(&want).await {
             Ok(permit) => permit,
             Err(refusal) => return Started::Own(not_run(refusal)),
@@ -182,6 +183,7 @@
             tell_current(relay);
             continue;
         }
+        let granted_ms = relay.now_ms();
         let trying = send(relay, incoming, way, slot, None);
         let watched = with_doubt(relay, &permit, SILENT_START_LIMIT, trying);
         let Ok(tried) = timeout_at(until, watched).await else {
@@ -198,6 +200,7 @@
                     "prompt_tokens" => generation.prompt_tokens,
                     "most_tokens" => generation.most_tokens, "guess" => generation.guess_tokens,
                     "version" => way.declared.table.version,
+                    "permit_ms" => granted_ms - asked_ms, "engine_ms" => relay.now_ms() - granted_ms,
                     "after_ms" => relay.now_ms() - incoming.came_ms);
                 return Started::Opened(opened, permit);
             }
