--- /dev/null
+++ b/components/policy/benches/decisions.rs
@@ -0,0 +1,99 @@
+//! What one decision of a dispatcher takes, at 63 engines and 400 open generations: a request comes, is placed or waits, and an
+//! older one ends.
+
+use criterion::{Criterion, criterion_group, criterion_main};
+use policy::{
+    Demand, End, EngineInfo, LengthClass, Pool, PoolSettings, ReadingPolicy, Share, WaitingPolicy,
+};
+use prelude::{AccountId, BoxId, DataCentreId, OwnerId, PartnerId, PermitId, TargetId};
+use std::hint::black_box;
+
+const ENGINES: u64 = 63;
+const OPEN: u64 = 400;
+const ENGINE_TOKENS: u64 = 21_878;
+
+fn demand(serial: u64, now_ms: u64) -> Demand {
+    Demand {
+        permit: PermitId {
+            entry: BoxId((serial % 62) as u32),
+            life: 1,
+            serial,
+        },
+        share: Share {
+            partner: PartnerId::default(),
+            owner: OwnerId::default(),
+            account: AccountId(serial % 24),
+            partner_weight: 1.0,
+            owner_weight: 1.0,
+            account_weight: 1.0,
+        },
+        class: LengthClass {
+            account: AccountId::default(),
+            kind: (serial % 20) as u8,
+        },
+        prompt_tokens: 1_500 + (serial * 37 % 1_500) as u32,
+        max_tokens: 1_756,
+        urgent: serial.is_multiple_of(3),
+        since_ms: now_ms,
+        deadline_ms: now_ms + 1_500,
+        leaves_ms: now_ms + 6_000,
+        prefix: None,
+        told_tokens: None,
+        avoid: None,
+        near: Some(DataCentreId(serial % 3)),
+    }
+}
+
+/// A pool with so many generations open, those that are older in the middle of their answers.
+fn filled(settings: PoolSettings) -> Pool {
+    let mut pool = Pool::new(settings);
+    let engine = |id| EngineInfo {
+        id: TargetId(id),
+        capacity_tokens: ENGINE_TOKENS,
+        data_centre: DataCentreId(id % 3),
+        cold_rate_per_s: None,
+    };
+    pool.set_engines(&(1..=ENGINES).map(engine).collect::<Vec<_>>());
+    for serial in 0..OPEN {
+        step(&mut pool, serial, serial * 12);
+    }
+    pool
+}
+
+fn step(pool: &mut Pool, serial: u64, now_ms: u64) {
+    black_box(pool.submit(demand(serial, now_ms), now_ms));
+    black_box(pool.run(now_ms));
+    let begun = serial.saturating_sub(30);
+    pool.progress(demand(begun, 0).permit, 1, now_ms);
+    let Some(ended) = serial.checked_sub(OPEN) else {
+        return;
+    };
+    pool.release(demand(ended, 0).permit, 300, End::Finished);
+}
+
+fn decisions(criterion: &mut Criterion) {
+    let now = PoolSettings {
+        first_report_ms: 0,
+        margin_min: 1.25,
+        ..PoolSettings::default()
+    };
+    let before = PoolSettings {
+        reading: ReadingPolicy::Bound,
+        waiting: WaitingPolicy::Pace,
+        prefill_tokens: 7_000,
+        ..now.clone()
+    };
+    for (name, settings) in [("bound_and_pace", before), ("first_token", now)] {
+        let mut pool = filled(settings);
+        let mut serial = OPEN;
+        criterion.bench_function(name, |bencher| {
+            bencher.iter(|| {
+                serial += 1;
+                step(&mut pool, serial, serial * 12);
+            });
+        });
+    }
+}
+
+criterion_group!(benches, decisions);
+criterion_main!(benches);
--- a/components/policy/src/choose.rs
+++ b/components/policy/src/choose.rs
@@ -52,19 +52,26 @@
             if !takes || !reading_fits(ledger, &self.reading_rate, demand, &view) {
                 continue;
             }
-            let left = ledger.room_left(&view, &new);
-            let empty = ledger.streams.is_empty() && ledger.foreign_tokens == 0.0;
-            if left < 0.0 && !empty {
-                nearest.push((left, ledger.info.id));
-                continue;
-            }
             let affinity = demand.prefix.map_or(0.0, |(prefix, tokens)| {
                 let tokens = tokens.min(self.settings.affinity_tokens);
                 self.prefixes.worth(ledger.info.id, prefix, now_ms) * f64::from(tokens)
             });
             let is_near = demand.near == Some(ledger.info.data_centre);
             let near = f64::from(u8::from(is_near)) * f64::from(self.settings.near_tokens);
-            let score = left + affinity + near - reading_tokens(ledger, &self.reading_rate, &view);
+            let without_room = affinity + near - reading_tokens(ledger, &self.reading_rate, &view);
+            // The forecast of its memory is most of the work of a decision; where even an empty engine would not be
+            // chosen, it is not made.
+            let most = ledger.info.capacity_tokens as f64 + without_room;
+            if best.is_some_and(|(other, _)| other >= most) {
+                continue;
+            }
+            let left = ledger.room_left(&view, &new);
+            let empty = ledger.streams.is_empty() && ledger.foreign_tokens == 0.0;
+            if left < 0.0 && !empty {
+                nearest.push((left, ledger.info.id));
+                continue;
+            }
+            let score = left + without_room;
             if best.is_none_or(|(other, _)| score > other) {
                 best = Some((score, ledger.info.id));
             }
