--- a/components/replay/src/world.rs
+++ b/components/replay/src/world.rs
@@ -38,8 +38,6 @@
 const FAR_TIMES: f64 = 2.0;
 /// Steps of two in a caller's guess that tell kinds of answers apart.
 const GUESS_STEPS: f64 = 2.0;
-/// The day goes on so long after the last request has come.
-const AFTER_MS: u64 = 20_000;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Occasion {
@@ -205,7 +203,9 @@
     }
 
     fn run(&mut self) {
-        let end_us = (self.load.length_ms + AFTER_MS) * 1_000;
+        // The last callers stay so long.
+        let stays_ms = self.load.kinds.iter().map(|kind| kind.stay_ms).max();
+        let end_us = (self.load.length_ms + stays_ms.unwrap_or_default()) * 1_000;
         while let Some(Reverse((at_us, _, occasion))) = self.occasions.pop() {
             if at_us > end_us {
                 return;
