--- a/components/replay/src/lib.rs
+++ b/components/replay/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod arrivals;
 mod engine;
+mod faults;
 mod figures;
 mod load;
 mod moves;
--- a/components/replay/src/world.rs
+++ b/components/replay/src/world.rs
@@ -4,15 +4,12 @@
 use crate::arrivals::arrivals;
 use crate::engine::{Engine, Made, Run};
 use crate::figures::{Counts, Figures, is_early};
-use crate::load::{Happening, Load};
-use crate::moves::{Copying, Link, Move};
+use crate::load::Load;
+use crate::moves::{Link, Move};
 use crate::request::{Phase, Request, Story};
-use policy::{
-    Demand, End, EngineInfo, EngineState, LengthClass, Pool, Relocation, Share, Submitted, Verdict,
-    WaitingPolicy,
-};
+use policy::{Demand, End, LengthClass, Pool, Share, Submitted, Verdict, WaitingPolicy};
 use prelude::{AccountId, BoxId, DataCentreId, OwnerId, PartnerId, PermitId, Refusal, TargetId};
-use rand::{Rng, SeedableRng};
+use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap};
@@ -30,17 +27,11 @@
 const LOOK_US: u64 = 20_000;
 /// Tokens after which a dispatcher is told how far a generation is.
 const TOLD_EACH_TOKENS: u32 = 128;
-/// Pause before a move that found no room is tried again.
-const AGAIN_US: u64 = 60_000;
-/// Tries to move one generation.
-const TRIES_MAX: u32 = 30;
-/// A copy between data centres takes so many times as long.
-const FAR_TIMES: f64 = 2.0;
 /// Steps of two in a caller's guess that tell kinds of answers apart.
 const GUESS_STEPS: f64 = 2.0;
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum Occasion {
+pub(crate) enum Occasion {
     Comes(usize),
     Arrives {
         request: usize,
@@ -79,40 +70,43 @@
     },
 }
 
-struct Slot {
-    engine: Engine,
+/// A place for an engine, with the one that is there.
+pub(crate) struct Slot {
+    pub(crate) engine: Engine,
     /// Its key in the policy; a new one for each life.
-    id: TargetId,
-    life: u32,
-    data_centre: u32,
-    is_there: bool,
-    leaves: bool,
-    steps: bool,
-    link: Link,
+    pub(crate) id: TargetId,
+    pub(crate) life: u32,
+    pub(crate) data_centre: u32,
+    pub(crate) is_there: bool,
+    pub(crate) leaves: bool,
+    pub(crate) steps: bool,
+    pub(crate) link: Link,
 }
 
-struct World<'a> {
-    load: &'a Load,
-    pool: Pool,
-    requests: Vec<Request>,
-    stories: Vec<Story>,
-    slots: Vec<Slot>,
-    by_id: HashMap<TargetId, usize>,
-    by_permit: HashMap<PermitId, usize>,
-    evacuated: Vec<u32>,
-    occasions: BinaryHeap<Reverse<(u64, u64, Occasion)>>,
-    sequence: u64,
-    now_us: u64,
-    next_serial: u64,
-    next_target: u64,
-    looks: bool,
-    counts: Counts,
+/// A day as it is played.
+pub(crate) struct World<'a> {
+    pub(crate) load: &'a Load,
+    pub(crate) pool: Pool,
+    pub(crate) requests: Vec<Request>,
+    pub(crate) stories: Vec<Story>,
+    pub(crate) slots: Vec<Slot>,
+    pub(crate) by_id: HashMap<TargetId, usize>,
+    pub(crate) by_permit: HashMap<PermitId, usize>,
+    pub(crate) evacuated: Vec<u32>,
+    pub(crate) occasions: BinaryHeap<Reverse<(u64, u64, Occasion)>>,
+    pub(crate) sequence: u64,
+    pub(crate) now_us: u64,
+    pub(crate) next_serial: u64,
+    pub(crate) next_target: u64,
+    pub(crate) looks: bool,
+    pub(crate) counts: Counts,
     /// What first tokens took of late, as boxes see it.
-    first_ms: f64,
-    rng: ChaCha8Rng,
+    pub(crate) first_ms: f64,
+    pub(crate) rng: ChaCha8Rng,
 }
 
-fn slowness_of(load: &Load, engine: usize) -> f64 {
+/// So many times slower than its kind an engine is.
+pub(crate) fn slowness_of(load: &Load, engine: usize) -> f64 {
     // Data centres go round by engine too: each has engines of every speed.
     let group = engine / load.data_centres as usize;
     load.slowness[group % load.slowness.len()]
@@ -126,7 +120,7 @@
 }
 
 impl<'a> World<'a> {
-    fn new(load: &'a Load, seed: u64) -> Self {
+    pub(crate) fn new(load: &'a Load, seed: u64) -> Self {
         let requests = arrivals(load, seed);
         let story = |request: &Request| Story {
             phase: Phase::Away,
@@ -188,21 +182,21 @@
         world
     }
 
-    fn push(&mut self, at_us: u64, occasion: Occasion) {
+    pub(crate) fn push(&mut self, at_us: u64, occasion: Occasion) {
         self.sequence += 1;
         self.occasions
             .push(Reverse((at_us, self.sequence, occasion)));
     }
 
-    fn after(&mut self, us: u64, occasion: Occasion) {
+    pub(crate) fn after(&mut self, us: u64, occasion: Occasion) {
         self.push(self.now_us + us, occasion);
     }
 
-    fn now_ms(&self) -> u64 {
+    pub(crate) fn now_ms(&self) -> u64 {
         self.now_us / 1_000
     }
 
-    fn run(&mut self) {
+    pub(crate) fn run(&mut self) {
         // The last callers stay so long.
         let stays_ms = self.load.kinds.iter().map(|kind| kind.stay_ms).max();
         let end_us = (self.load.length_ms + stays_ms.unwrap_or_default()) * 1_000;
@@ -215,7 +209,7 @@
         }
     }
 
-    fn act(&mut self, occasion: Occasion) {
+    pub(crate) fn act(&mut self, occasion: Occasion) {
         match occasion {
             Occasion::Comes(at) => self.comes(at),
             Occasion::Arrives {
@@ -259,7 +253,7 @@
         }
     }
 
-    fn demand(&self, at: usize) -> Demand {
+    pub(crate) fn demand(&self, at: usize) -> Demand {
         let (request, story) = (&self.requests[at], &self.stories[at]);
         let kind = &self.load.kinds[request.kind];
         let steps = (f64::from(request.guess_tokens).log2() * GUESS_STEPS) as u8;
@@ -296,7 +290,7 @@
         }
     }
 
-    fn comes(&mut self, at: usize) {
+    pub(crate) fn comes(&mut self, at: usize) {
         self.next_serial += 1;
         let permit = PermitId {
             entry: BoxId(self.requests[at].data_centre),
@@ -315,7 +309,7 @@
         }
     }
 
-    fn refused(&mut self, at: usize, refusal: Refusal) {
+    pub(crate) fn refused(&mut self, at: usize, refusal: Refusal) {
         let kind = &self.load.kinds[self.requests[at].kind];
         let now_ms = self.now_ms();
         let story = &mut self.stories[at];
@@ -336,7 +330,7 @@
         self.after(back_ms * 1_000, Occasion::Comes(at));
     }
 
-    fn decide(&mut self) {
+    pub(crate) fn decide(&mut self) {
         let now_ms = self.now_ms();
         for (permit, verdict) in self.pool.run(now_ms) {
             let Some(at) = self.by_permit.get(&permit).copied() else {
@@ -366,7 +360,7 @@
         }
     }
 
-    fn arrives(&mut self, at: usize, engine: usize, life: u32) {
+    pub(crate) fn arrives(&mut self, at: usize, engine: usize, life: u32) {
         let request = self.requests[at];
         let slot = &mut self.slots[engine];
         if slot.life != life || !slot.is_there {
@@ -383,7 +377,7 @@
         self.step(engine);
     }
 
-    fn step(&mut self, engine: usize) {
+    pub(crate) fn step(&mut self, engine: usize) {
         let slot = &mut self.slots[engine];
         if slot.steps || !slot.is_there {
             return;
@@ -395,7 +389,7 @@
         }
     }
 
-    fn step_ends(&mut self, engine: usize, life: u32) {
+    pub(crate) fn step_ends(&mut self, engine: usize, life: u32) {
         if self.slots[engine].life != life || !self.slots[engine].is_there {
             return;
         }
@@ -414,7 +408,7 @@
         self.step(engine);
     }
 
-    fn token(&mut self, at: usize, tokens: u32, ended: bool) {
+    pub(crate) fn token(&mut self, at: usize, tokens: u32, ended: bool) {
         let now_ms = self.now_ms();
         let story = &mut self.stories[at];
         let first = story.first_ms.is_none();
@@ -445,7 +439,7 @@
         }
     }
 
-    fn told(&mut self, at: usize, serial: u64, tokens: u32, ended: bool) {
+    pub(crate) fn told(&mut self, at: usize, serial: u64, tokens: u32, ended: bool) {
         let permit = self.stories[at].permit;
         if permit.serial != serial {
             return;
@@ -458,223 +452,17 @@
         self.decide();
     }
 
-    fn lost(&mut self, at: usize) {
+    pub(crate) fn lost(&mut self, at: usize) {
         self.stories[at].phase = Phase::Lost;
         let story = &self.stories[at];
         self.pool
             .release(story.permit, story.told_tokens, End::Censored);
     }
 
-    fn give_id(&mut self, engine: usize) {
+    pub(crate) fn give_id(&mut self, engine: usize) {
         self.next_target += 1;
         let id = TargetId(self.next_target);
         self.slots[engine].id = id;
         self.by_id.insert(id, engine);
     }
-
-    /// Tells the pool which engines there are and which take work.
-    fn sync(&mut self) {
-        let there = || self.slots.iter().filter(|slot| slot.is_there);
-        let info = |slot: &Slot| EngineInfo {
-            id: slot.id,
-            capacity_tokens: u64::from(self.load.engine.memory_tokens),
-            data_centre: DataCentreId(u64::from(slot.data_centre)),
-            cold_rate_per_s: None,
-        };
-        let infos: Vec<EngineInfo> = there().map(info).collect();
-        let state = |slot: &Slot| {
-            let evacuated = self.evacuated.contains(&slot.data_centre);
-            match slot.leaves || evacuated {
-                true => (slot.id, EngineState::Leaving),
-                false => (slot.id, EngineState::Live),
-            }
-        };
-        let states: Vec<(TargetId, EngineState)> = there().map(state).collect();
-        self.pool.set_engines(&infos);
-        for (id, state) in states {
-            self.pool.set_state(id, state);
-        }
-    }
-
-    fn draw(&mut self, share: f64) -> Vec<usize> {
-        let there = self.slots.iter().enumerate();
-        let there = there.filter(|(_, slot)| slot.is_there && !slot.leaves);
-        let mut there: Vec<usize> = there.map(|(at, _)| at).collect();
-        let count = (self.slots.len() as f64 * share) as usize;
-        let mut drawn = Vec::new();
-        while drawn.len() < count && !there.is_empty() {
-            let at = self.rng.random_range(0..there.len());
-            drawn.push(there.swap_remove(at));
-        }
-        drawn
-    }
-
-    fn reclaims(&mut self) {
-        let Some(reclaims) = self.load.reclaims else {
-            return;
-        };
-        for engine in self.draw(reclaims.share) {
-            let life = self.slots[engine].life;
-            self.slots[engine].leaves = true;
-            self.after(reclaims.notice_ms * 1_000, Occasion::Ends { engine, life });
-            self.after(reclaims.back_ms * 1_000, Occasion::Returns { engine });
-            let mut all = self.slots[engine].engine.all();
-            all.sort_by_key(|at| self.requests[*at].prompt_tokens);
-            let orders = all.into_iter().map(|request| Move { request, tries: 0 });
-            self.slots[engine].link.waiting.extend(orders);
-            self.sync();
-            self.next_move(engine);
-        }
-        if self.now_ms() < self.load.length_ms {
-            self.after(reclaims.each_ms * 1_000, Occasion::Reclaims);
-        }
-        self.decide();
-    }
-
-    fn ends(&mut self, engine: usize, life: u32) {
-        if self.slots[engine].life != life || !self.slots[engine].is_there {
-            return;
-        }
-        for at in self.slots[engine].engine.all() {
-            self.lost(at);
-        }
-        if let Some(copying) = self.slots[engine].link.copying.take() {
-            self.slots[copying.to].engine.free_copy(copying.tokens);
-        }
-        let slot = &mut self.slots[engine];
-        slot.is_there = false;
-        slot.steps = false;
-        slot.link = Link::default();
-        self.sync();
-        self.decide();
-    }
-
-    fn returns(&mut self, engine: usize) {
-        let spec = self.load.engine;
-        let slot = &mut self.slots[engine];
-        slot.engine = Engine::new(spec, slowness_of(self.load, engine));
-        slot.life += 1;
-        slot.is_there = true;
-        slot.leaves = false;
-        slot.steps = false;
-        slot.link = Link::default();
-        self.give_id(engine);
-        self.sync();
-        self.decide();
-    }
-
-    fn happens(&mut self, at: usize, begins: bool) {
-        match self.load.events[at].what {
-            Happening::Evacuate { data_centre } if begins => self.evacuated.push(data_centre),
-            Happening::Evacuate { data_centre } => self.evacuated.retain(|at| *at != data_centre),
-            Happening::Crash { share } if begins => {
-                let back_us = self.load.events[at].for_ms * 1_000;
-                for engine in self.draw(share) {
-                    let life = self.slots[engine].life;
-                    self.ends(engine, life);
-                    self.after(back_us, Occasion::Returns { engine });
-                }
-            }
-            Happening::Slow { share, times } if begins => {
-                for engine in self.draw(share) {
-                    self.slots[engine].engine.slowness *= times;
-                }
-            }
-            Happening::Slow { .. } => {
-                for (at, slot) in self.slots.iter_mut().enumerate() {
-                    slot.engine.slowness = slowness_of(self.load, at);
-                }
-            }
-            _ => return,
-        }
-        self.sync();
-        self.decide();
-    }
-
-    /// Begins the next copy on the link of an engine.
-    fn next_move(&mut self, engine: usize) {
-        while self.slots[engine].link.copying.is_none() {
-            let Some(order) = self.slots[engine].link.waiting.pop_front() else {
-                return;
-            };
-            let is_here = self.stories[order.request].phase == Phase::AtEngine(engine);
-            if !is_here || order.tries > TRIES_MAX {
-                continue;
-            }
-            if let Some(copying) = self.find_room(engine, order) {
-                let far = self.slots[engine].data_centre != self.slots[copying.to].data_centre;
-                let times = if far { FAR_TIMES } else { 1.0 };
-                let spec = self.load.engine;
-                let ms = f64::from(copying.tokens) * spec.token_bytes / spec.link_bytes_per_ms;
-                let life = self.slots[engine].life;
-                self.slots[engine].link.copying = Some(copying);
-                self.after(
-                    (ms * times * 1_000.0) as u64,
-                    Occasion::Copied { engine, life },
-                );
-            } else {
-                let life = self.slots[engine].life;
-                let order = (order.request, order.tries + 1);
-                self.after(
-                    AGAIN_US,
-                    Occasion::MoveAgain {
-                        engine,
-                        life,
-                        order,
-                    },
-                );
-            }
-        }
-    }
-
-    fn find_room(&mut self, engine: usize, order: Move) -> Option<Copying> {
-        let run = self.slots[engine].engine.runs(order.request)?;
-        let from = self.slots[engine].id;
-        let permit = self.stories[order.request].permit;
-        let links = self.slots.iter().filter_map(|slot| slot.link.copying);
-        let arriving: Vec<TargetId> = links.map(|copying| self.slots[copying.to].id).collect();
-        let relocation = Relocation {
-            permit,
-            from,
-            avoid: &[],
-            arriving: &arriving,
-            may_stay: false,
-        };
-        let target = self.pool.relocate(&relocation, self.now_us / 1_000)?;
-        let to = self.by_id[&target];
-        let tokens = run.prompt_tokens + run.made_tokens;
-        self.slots[to]
-            .engine
-            .hold_copy(tokens)
-            .then_some(Copying { order, to, tokens })
-    }
-
-    fn copied(&mut self, engine: usize, life: u32) {
-        if self.slots[engine].life != life {
-            return;
-        }
-        let Some(copying) = self.slots[engine].link.copying.take() else {
-            return;
-        };
-        let (at, to) = (copying.order.request, copying.to);
-        let run = match self.slots[engine].engine.runs(at) {
-            Some(_) => self.slots[engine].engine.take(at),
-            None => None,
-        };
-        match run {
-            Some(run) if self.slots[to].is_there => {
-                self.counts.moved += 1;
-                self.stories[at].phase = Phase::AtEngine(to);
-                self.slots[to].engine.resume(run, copying.tokens);
-                self.step(to);
-            }
-            Some(run) => {
-                // The other engine went meanwhile.
-                self.slots[engine].engine.resume(run, 0);
-            }
-            None => self.slots[to].engine.free_copy(copying.tokens),
-        }
-        self.step(engine);
-        self.next_move(engine);
-    }
 }
