relay and policy: modules stand in folders by owner

Cause: 40 files of relay in one row told a newcomer neither which task owns what nor where to look. No decision changes.

--- a/components/policy/src/queue.rs
+++ b/components/policy/src/admission/queue.rs
@@ -1,7 +1,7 @@
 //! Requests that wait for a permit, by account.
 
 use crate::demand::Demand;
-use crate::fairness::{FairTree, Share};
+use crate::fairness::tree::{FairTree, Share};
 use prelude::{AccountId, PermitId};
 use std::collections::{HashMap, HashSet, VecDeque};
 
--- a/components/policy/src/admission.rs
+++ b/components/policy/src/admission/refusal.rs
@@ -2,7 +2,7 @@
 
 use crate::demand::{Demand, Verdict};
 use crate::kind::WaitingPolicy;
-use crate::ledger::EngineState;
+use crate::placement::ledger::EngineState;
 use crate::pool::Pool;
 use prelude::{PermitId, Refusal, RefusalReason};
 use std::collections::HashSet;
--- a/components/policy/src/waiting.rs
+++ b/components/policy/src/admission/waiting.rs
@@ -8,9 +8,9 @@
 //! Load patterns that this answers: a burst while a third of the engines is evacuated, prompts that are suddenly twice
 //! as long, a flood of requests that are less urgent than the others.
 
+use crate::admission::forward::{ForwardRun, Reader};
 use crate::demand::{Demand, Verdict};
-use crate::forward::{ForwardRun, Reader};
-use crate::ledger::{EngineLedger, EngineState};
+use crate::placement::ledger::{EngineLedger, EngineState};
 use crate::pool::Pool;
 use prelude::{PermitId, Refusal, RefusalReason};
 
--- a/components/policy/src/waiting_tests.rs
+++ b/components/policy/src/admission/waiting_tests.rs
@@ -1,6 +1,6 @@
-use crate::fairness::Share;
-use crate::ledger::EngineInfo;
-use crate::length::LengthClass;
+use crate::fairness::tree::Share;
+use crate::placement::ledger::EngineInfo;
+use crate::placement::length::LengthClass;
 use crate::pool::Pool;
 use crate::{Demand, PoolSettings, Submitted, Verdict};
 use prelude::{
--- a/components/policy/src/demand.rs
+++ b/components/policy/src/demand.rs
@@ -1,7 +1,7 @@
 //! What a pool is asked, and what it says.
 
-use crate::fairness::Share;
-use crate::length::LengthClass;
+use crate::fairness::tree::Share;
+use crate::placement::length::LengthClass;
 use prelude::{DataCentreId, PermitId, Refusal, TargetId};
 use serde::{Deserialize, Serialize};
 
--- /dev/null
+++ b/components/policy/src/fairness/mod.rs
@@ -0,0 +1,3 @@
+//! Shares of client accounts.
+
+pub(crate) mod tree;
--- /dev/null
+++ b/components/policy/src/health/mod.rs
@@ -0,0 +1,4 @@
+//! Which targets failed lately.
+
+pub(crate) mod suspicion;
+pub(crate) mod trial;
--- a/components/policy/src/holders.rs
+++ b/components/policy/src/holders.rs
@@ -2,7 +2,7 @@
 //! permits of those that fall silent.
 
 use crate::demand::Adopted;
-use crate::length::End;
+use crate::placement::length::End;
 use crate::pool::Pool;
 use prelude::{BoxId, PermitId};
 use std::collections::HashSet;
--- a/components/policy/src/choose.rs
+++ b/components/policy/src/placement/choose.rs
@@ -1,11 +1,11 @@
 //! Which engine a request of a pool goes to, and which are kept for those that have waited too long.
 
+use crate::admission::queue::Place;
 use crate::demand::Demand;
 use crate::kind::ReadingPolicy;
-use crate::ledger::{EngineLedger, EngineState, RoomView};
+use crate::placement::ledger::{EngineLedger, EngineState, RoomView};
+use crate::placement::reading::ReadingRate;
 use crate::pool::{Pool, demand_forecast};
-use crate::queue::Place;
-use crate::reading::ReadingRate;
 use prelude::TargetId;
 
 /// Where a request can go.
--- a/components/policy/src/ledger.rs
+++ b/components/policy/src/placement/ledger.rs
@@ -1,11 +1,11 @@
 //! What a dispatcher knows of one engine: the streams that it placed there, what the engine reports,
 //! and from the difference the load that others placed there.
 
-use crate::fairness::Share;
-use crate::forecast::Forecast;
+use crate::fairness::tree::Share;
 use crate::kind::PoolSettings;
-use crate::length::{LengthClass, LengthModel};
-use crate::reading::Reading;
+use crate::placement::forecast::Forecast;
+use crate::placement::length::{LengthClass, LengthModel};
+use crate::placement::reading::Reading;
 use prelude::{BoxId, DataCentreId, PermitId, TargetId, TargetIncarnation};
 use slotmap::{SlotMap, new_key_type};
 use std::collections::VecDeque;
--- a/components/policy/src/turns.rs
+++ b/components/policy/src/placement/links.rs
@@ -95,5 +95,5 @@
 }
 
 #[cfg(test)]
-#[path = "turns_tests.rs"]
+#[path = "links_tests.rs"]
 mod tests;
--- a/components/policy/src/local.rs
+++ b/components/policy/src/placement/local.rs
@@ -3,7 +3,7 @@
 
 use crate::demand::Verdict;
 use crate::kind::PolicyKind;
-use crate::ledger::EngineState;
+use crate::placement::ledger::EngineState;
 use prelude::{PermitId, Refusal, RefusalReason, TargetId};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
--- /dev/null
+++ b/components/policy/src/placement/mod.rs
@@ -0,0 +1,14 @@
+//! Which target takes what: memory, reading, lengths, moves.
+
+pub(crate) mod choose;
+pub(crate) mod forecast;
+pub(crate) mod ledger;
+pub(crate) mod length;
+pub(crate) mod links;
+pub(crate) mod local;
+pub(crate) mod prefixes;
+pub(crate) mod reading;
+pub(crate) mod relocate;
+pub(crate) mod rendezvous;
+pub(crate) mod view;
+pub(crate) mod warmup;
--- a/components/policy/src/reading.rs
+++ b/components/policy/src/placement/reading.rs
@@ -6,7 +6,7 @@
 //! Load patterns that this answers: a calm wave on which prompts meet at one engine while others read nothing; bursts
 //! of long prompts; engines that are slower than others, cold, or that stand still.
 
-use crate::ledger::StreamKey;
+use crate::placement::ledger::StreamKey;
 use std::collections::VecDeque;
 
 /// Rate before any was observed, in tokens per millisecond: low, so that a pool that knows nothing does not gather
--- a/components/policy/src/relocate.rs
+++ b/components/policy/src/placement/relocate.rs
@@ -1,7 +1,7 @@
 //! A generation goes on at another engine: which one has room for what it holds and will still make.
 
-use crate::forecast::Forecast;
-use crate::ledger::{EngineState, RoomView};
+use crate::placement::forecast::Forecast;
+use crate::placement::ledger::{EngineState, RoomView};
 use crate::pool::Pool;
 use prelude::{DataCentreId, PermitId, TargetId};
 
--- a/components/policy/src/relocate_tests.rs
+++ b/components/policy/src/placement/relocate_tests.rs
@@ -1,4 +1,4 @@
-use crate::ledger::EngineInfo;
+use crate::placement::ledger::EngineInfo;
 use crate::pool::Pool;
 use crate::{Adopted, Demand, LengthClass, PoolSettings, Relocation, Share};
 use prelude::{AccountId, BoxId, DataCentreId, OwnerId, PartnerId, PermitId, TargetId};
--- a/components/policy/src/view.rs
+++ b/components/policy/src/placement/view.rs
@@ -1,6 +1,6 @@
 //! A pool as operators see it.
 
-use crate::ledger::{EngineLedger, EngineState};
+use crate::placement::ledger::{EngineLedger, EngineState};
 use crate::pool::{GRANT_WINDOW_MS, Pool};
 use prelude::TargetId;
 use serde::{Deserialize, Serialize};
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -2,18 +2,18 @@
 //! it is wrong, or when two boxes each believe that they dispatch, an engine preempts; nothing is lost
 //! or doubled.
 
+use crate::admission::grant_pace::GrantPace;
+use crate::admission::queue::Queue;
 use crate::demand::{Demand, Submitted, Verdict};
-use crate::fairness::{FairTree, Share};
-use crate::forecast::Forecast;
+use crate::fairness::tree::{FairTree, Share};
 use crate::kind::{PolicyKind, PoolSettings};
-use crate::ledger::{
+use crate::placement::forecast::Forecast;
+use crate::placement::ledger::{
     EngineInfo, EngineLedger, EngineReport, EngineState, Stream, StreamKey, Streams,
 };
-use crate::length::{End, LengthClass, LengthModel};
-use crate::pace::GrantPace;
-use crate::prefixes::PrefixIndex;
-use crate::queue::Queue;
-use crate::reading::ReadingRate;
+use crate::placement::length::{End, LengthClass, LengthModel};
+use crate::placement::prefixes::PrefixIndex;
+use crate::placement::reading::ReadingRate;
 use prelude::{BoxId, PermitId, TargetId};
 use std::collections::{HashMap, HashSet, VecDeque};
 
--- a/components/policy/src/pool_tests.rs
+++ b/components/policy/src/pool_tests.rs
@@ -1,8 +1,8 @@
 use super::*;
 use crate::demand::Adopted;
-use crate::fairness::Share;
+use crate::fairness::tree::Share;
 use crate::holders::SILENT_BOX_MS;
-use crate::length::LengthClass;
+use crate::placement::length::LengthClass;
 use prelude::{AccountId, DataCentreId, OwnerId, PartnerId, RefusalReason, TargetIncarnation};
 
 const ENGINE: TargetId = TargetId(1);
--- /dev/null
+++ b/components/policy/src/retries/mod.rs
@@ -0,0 +1,4 @@
+//! Budgets of second sends.
+
+pub(crate) mod resend;
+pub(crate) mod retry;
--- a/components/relay/src/outlook.rs
+++ b/components/relay/src/dispatch/completion.rs
@@ -19,7 +19,7 @@
 
 /// A generation that came to its end.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct Ended {
+pub(crate) struct CompletionSample {
     pub guess_tokens: Option<u32>,
     pub tokens: u32,
     pub first_ms: u64,
@@ -46,7 +46,7 @@
 
 impl Outlook {
     /// Takes in a generation that came to its own end.
-    pub(crate) fn ended(&mut self, ended: Ended) {
+    pub(crate) fn ended(&mut self, ended: CompletionSample) {
         self.begin_ms += WEIGHT * (ended.first_ms as f64 - self.begin_ms);
         if ended.tokens > 1 {
             let token_ms =
@@ -94,5 +94,5 @@
 }
 
 #[cfg(test)]
-#[path = "outlook_tests.rs"]
+#[path = "completion_tests.rs"]
 mod tests;
--- a/components/relay/src/outlook_tests.rs
+++ b/components/relay/src/dispatch/completion_tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
-fn seen(ratio: f64) -> Ended {
-    Ended {
+fn seen(ratio: f64) -> CompletionSample {
+    CompletionSample {
         guess_tokens: Some(100),
         tokens: (100.0 * ratio) as u32,
         first_ms: 500,
@@ -38,7 +38,7 @@
     let mut outlook = Outlook::default();
     assert_eq!(outlook.wait_ms(1_800), 1_300);
     for _ in 0..200 {
-        outlook.ended(Ended {
+        outlook.ended(CompletionSample {
             first_ms: 900,
             ..seen(1.0)
         });
--- a/components/relay/src/engines.rs
+++ b/components/relay/src/dispatch/engines.rs
@@ -1,7 +1,7 @@
 //! Which engines the pools that are dispatched here may use: those that take work, are not doubted and not on trial.
 
 use crate::state::{Relay, pool_of};
-use crate::targets::{Belief, Target, TargetSlot};
+use crate::watch::targets::{Belief, Target, TargetSlot};
 use policy::{EngineInfo, EngineState};
 use prelude::{PoolId, TargetId};
 use settings::Mechanism;
--- a/components/relay/src/telling.rs
+++ b/components/relay/src/dispatch/heartbeat.rs
@@ -1,8 +1,8 @@
 //! What a box tells the dispatchers of its generations: how far they are, which ended, and what it takes back.
 
-use crate::permits::CALL_LIMIT;
+use crate::dispatch::permits::CALL_LIMIT;
 use crate::state::Relay;
-use crate::targets::TargetSlot;
+use crate::watch::targets::TargetSlot;
 use peers::{AdoptedStream, FleetClient, UpdateRequest};
 use prelude::{BoxId, PermitId, PoolId, TargetId};
 use std::future::Future;
--- /dev/null
+++ b/components/relay/src/dispatch/mod.rs
@@ -0,0 +1,9 @@
+//! Permits for generations: the pool's dispatcher, and what a box asks it and tells it.
+
+pub(crate) mod completion;
+pub(crate) mod dispatcher;
+pub(crate) mod engines;
+pub(crate) mod heartbeat;
+pub(crate) mod open_generations;
+pub(crate) mod permits;
+pub(crate) mod reports;
--- a/components/relay/src/permits.rs
+++ b/components/relay/src/dispatch/permits.rs
@@ -2,9 +2,9 @@
 //! found by rendezvous hashing, from the next in rank where that one does not answer, and at the end from
 //! its own view.
 
-use crate::dispatch::refusal;
+use crate::dispatch::dispatcher::refusal;
 use crate::state::{Relay, pool_of};
-use crate::targets::TargetSlot;
+use crate::watch::targets::TargetSlot;
 use peers::{AcquireRequest, PermitReply, RelocateReply, RelocateRequest};
 use prelude::{BoxId, PermitId, PoolId, Refusal, RefusalReason, TargetId};
 use std::rc::Rc;
--- a/components/relay/src/reports.rs
+++ b/components/relay/src/dispatch/reports.rs
@@ -1,11 +1,11 @@
 //! While the store cannot be read, engines are asked themselves whether they leave. In quiet times nobody
 //! asks: all load on engines is known without it, and each question is paid for.
 
-use crate::control::control;
-use crate::judge::Word;
+use crate::forwarding::control::control;
+use crate::forwarding::outcome::Word;
 use crate::state::Relay;
-use crate::targets::{Belief, Target, TargetSlot};
-use crate::turn::{View, another_asks, is_its_turn, rank};
+use crate::watch::election::{View, another_asks, is_its_turn, rank};
+use crate::watch::targets::{Belief, Target, TargetSlot};
 use platform::{read_report, report_call};
 use std::net::SocketAddr;
 use std::rc::Rc;
--- a/components/relay/src/call.rs
+++ b/components/relay/src/forwarding/call.rs
@@ -1,11 +1,11 @@
 //! Plain requests: sent to the emptiest target, again where the route and the budget allow, and answered
 //! whole.
 
-use crate::judge::Word;
-use crate::request::{Incoming, Own, Reply, Way};
-use crate::send::{Message, NotRun, Opened, Tried, UNREPEATABLE_REST_MS};
+use crate::forwarding::outcome::Word;
+use crate::forwarding::send::{Message, NotRun, Opened, Tried, UNREPEATABLE_REST_MS};
+use crate::ingress::request::{Incoming, Own, Reply, Way};
 use crate::state::Relay;
-use crate::targets::{ColdRate, TargetSlot};
+use crate::watch::targets::{ColdRate, TargetSlot};
 use bytes::Bytes;
 use platform::{Forwarding, forward, relayed_head};
 use routing::RouteKind;
--- a/components/relay/src/channels.rs
+++ b/components/relay/src/forwarding/channels.rs
@@ -1,6 +1,6 @@
 //! Open channels to targets that rest between requests.
 
-use crate::targets::TargetSlot;
+use crate::watch::targets::TargetSlot;
 use http1::Channel;
 use std::collections::HashMap;
 
--- a/components/relay/src/generation.rs
+++ b/components/relay/src/forwarding/generation.rs
@@ -1,17 +1,17 @@
 //! Generations: a permit, one engine, and events passed on as they come. A generation whose engine leaves
-//! goes on at another (see [`crate::moving`]).
+//! goes on at another (see [`crate::migration::mover`]).
 
-use crate::dispatch::refusal;
-use crate::gossip::tell_current;
-use crate::ingress::{After, count, write_reply};
-use crate::judge::Word;
-use crate::permits::{Permit, Want};
-use crate::pump::Pump;
-use crate::request::{Incoming, Own, Reply, Way};
-use crate::send::{Message, NotRun, Opened, Tried, UNREPEATABLE_REST_MS};
+use crate::dispatch::dispatcher::refusal;
+use crate::dispatch::permits::{Permit, Want};
+use crate::forwarding::outcome::Word;
+use crate::forwarding::send::{Message, NotRun, Opened, Tried, UNREPEATABLE_REST_MS};
+use crate::forwarding::stream::Pump;
+use crate::ingress::accept::{After, count, write_reply};
+use crate::ingress::request::{Incoming, Own, Reply, Way};
+use crate::ingress::stopping::refusal_of_stopping;
+use crate::membership::gossip::tell_current;
 use crate::state::Relay;
-use crate::stopping::refusal_of_stopping;
-use crate::targets::TargetSlot;
+use crate::watch::targets::TargetSlot;
 use http1::Channel;
 use platform::{Continuation, Forwarding, PRIORITY_MOST, forward, relayed_head};
 use prelude::{Refusal, RefusalReason, TargetId};
--- /dev/null
+++ b/components/relay/src/forwarding/mod.rs
@@ -0,0 +1,10 @@
+//! Requests on their way to a target, and answers on their way back.
+
+pub(crate) mod call;
+pub(crate) mod channels;
+pub(crate) mod control;
+pub(crate) mod events;
+pub(crate) mod generation;
+pub(crate) mod outcome;
+pub(crate) mod send;
+pub(crate) mod stream;
--- a/components/relay/src/judge.rs
+++ b/components/relay/src/forwarding/outcome.rs
@@ -1,9 +1,9 @@
 //! What a try says of its target, for the requests that come after it.
 
-use crate::gossip::tell_current;
-use crate::send::NotRun;
+use crate::forwarding::send::NotRun;
+use crate::membership::gossip::tell_current;
 use crate::state::Relay;
-use crate::targets::TargetSlot;
+use crate::watch::targets::TargetSlot;
 use prelude::TargetId;
 use settings::Mechanism;
 use std::rc::Rc;
--- a/components/relay/src/send.rs
+++ b/components/relay/src/forwarding/send.rs
@@ -2,7 +2,7 @@
 //! channel, nothing written), answered, or it may have run.
 
 use crate::state::Relay;
-use crate::targets::TargetSlot;
+use crate::watch::targets::TargetSlot;
 use bytes::Bytes;
 use http1::{Channel, Decoder, Framing, Piece, ResponseHead};
 use platform::AnswerFacts;
--- a/components/relay/src/pump.rs
+++ b/components/relay/src/forwarding/stream.rs
@@ -1,13 +1,13 @@
 //! Passes the events of one generation on as they come, from one engine after another.
 
-use crate::events::EventSplitter;
-use crate::generation::{send, word_of};
-use crate::ingress::{After, count, write_reply};
-use crate::moving::{Moved, Mover, Step};
-use crate::outlook;
-use crate::permits::Permit;
-use crate::request::{Incoming, Own, Reply, Way};
-use crate::send::{Opened, Tried};
+use crate::dispatch::completion::CompletionSample;
+use crate::dispatch::permits::Permit;
+use crate::forwarding::events::EventSplitter;
+use crate::forwarding::generation::{send, word_of};
+use crate::forwarding::send::{Opened, Tried};
+use crate::ingress::accept::{After, count, write_reply};
+use crate::ingress::request::{Incoming, Own, Reply, Way};
+use crate::migration::mover::{Moved, Mover, Step};
 use crate::state::Relay;
 use http1::{Channel, Framing, push_chunk};
 use platform::{Continuation, relayed_head};
@@ -116,7 +116,7 @@
     /// Remembers how long the generation was and took, for those that come while this box stops.
     fn note_end(&self) {
         let generation = self.incoming.facts.generation.as_ref();
-        let ended = outlook::Ended {
+        let ended = CompletionSample {
             guess_tokens: generation.and_then(|generation| generation.guess_tokens),
             tokens: self.events * self.tokens_per_event(),
             first_ms: self.first_event_ms.unwrap_or_default(),
--- a/components/relay/src/ingress.rs
+++ b/components/relay/src/ingress/accept.rs
@@ -1,10 +1,10 @@
 //! Callers' channels: one request after another, each read whole before anything of it is sent on.
 
-use crate::call::call;
-use crate::generation::generate;
-use crate::request::{Incoming, Own, Reply, Way};
+use crate::forwarding::call::call;
+use crate::forwarding::generation::generate;
+use crate::ingress::request::{Incoming, Own, Reply, Way};
+use crate::ingress::stopping::stop_retry_ms;
 use crate::state::Relay;
-use crate::stopping::stop_retry_ms;
 use bytes::Bytes;
 use http1::{
     BodyError, Channel, ChannelError, Decoder, Framing, HeadError, Listener, Piece, RequestHead,
--- a/components/relay/src/stopping.rs
+++ b/components/relay/src/ingress/stopping.rs
@@ -1,6 +1,6 @@
 //! Which generations a box that stops by plan still begins, and when it has the others come back.
 
-use crate::request::{Incoming, Own, Way};
+use crate::ingress::request::{Incoming, Own, Way};
 use crate::state::Relay;
 use settings::Mechanism;
 
--- a/components/relay/src/exchange.rs
+++ b/components/relay/src/membership/exchange.rs
@@ -1,9 +1,9 @@
 //! Anti-entropy: each box compares what it knows with one other at a time, and asks whoever knows more for what it
 //! lacks. What a broadcast missed is found so, and a box that starts learns so what its seeds know.
 
-use crate::gossip::take_news;
+use crate::membership::gossip::take_news;
 use crate::state::Relay;
-use crate::turn::follower_role;
+use crate::watch::election::follower_role;
 use peers::FetchRequest;
 use prelude::BoxId;
 use std::net::SocketAddr;
--- a/components/relay/src/gossip.rs
+++ b/components/relay/src/membership/gossip.rs
@@ -1,13 +1,13 @@
 //! What boxes tell each other, as it is made and taken in: the operators' declarations, the targets, which data centres
-//! are evacuated, and which boxes there are. How it gets around is in [`crate::broadcast`] and [`crate::exchange`].
+//! are evacuated, and which boxes there are. How it gets around is in [`crate::membership::broadcast`] and [`crate::membership::exchange`].
 
-use crate::broadcast::{pass_on, tell_all};
-use crate::exchange::fetch_from;
-use crate::members::Met;
-use crate::packed::unpack;
+use crate::membership::broadcast::{pass_on, tell_all};
+use crate::membership::exchange::fetch_from;
+use crate::membership::members::Met;
+use crate::membership::snapshot::unpack;
 use crate::state::{Declared, Relay};
-use crate::targets::Change;
-use crate::turn::View;
+use crate::watch::election::View;
+use crate::watch::targets::Change;
 use peers::{
     AcquireRequest, AdoptedStream, FetchRequest, FleetCard, FleetDigest, FleetHandler, FleetNews,
     PermitReply, RelocateReply, RelocateRequest, SharedTable, TargetChanges, TargetPatch,
--- /dev/null
+++ b/components/relay/src/membership/mod.rs
@@ -0,0 +1,9 @@
+//! Which boxes there are, and how they tell each other what they know.
+
+pub(crate) mod broadcast;
+pub(crate) mod exchange;
+pub(crate) mod gossip;
+pub(crate) mod members;
+pub(crate) mod registration;
+pub(crate) mod snapshot;
+pub(crate) mod startup;
--- a/components/relay/src/presence.rs
+++ b/components/relay/src/membership/registration.rs
@@ -1,12 +1,12 @@
 //! This box's own key in the store, and the keys of the others: how boxes find each other without being
 //! named anywhere.
 
-use crate::backoff::Backoff;
-use crate::exchange::greet;
-use crate::gossip::{meet, tell_current};
-use crate::members::LIFE_UNKNOWN;
+use crate::membership::exchange::greet;
+use crate::membership::gossip::{meet, tell_current};
+use crate::membership::members::LIFE_UNKNOWN;
 use crate::state::Relay;
-use crate::turn::CONFIRM_EACH;
+use crate::watch::backoff::Backoff;
+use crate::watch::election::CONFIRM_EACH;
 use peers::FleetCard;
 use prelude::BoxId;
 use std::rc::Rc;
--- a/components/relay/src/packed.rs
+++ b/components/relay/src/membership/snapshot.rs
@@ -31,5 +31,5 @@
 }
 
 #[cfg(test)]
-#[path = "packed_tests.rs"]
+#[path = "snapshot_tests.rs"]
 mod tests;
--- a/components/relay/src/informed.rs
+++ b/components/relay/src/membership/startup.rs
@@ -2,7 +2,7 @@
 //! declarations and the list of targets.
 
 use crate::state::Relay;
-use crate::turn::View;
+use crate::watch::election::View;
 use settings::Mechanism;
 use std::time::Duration;
 use tokio::time::timeout;
--- a/components/relay/src/moving.rs
+++ b/components/relay/src/migration/mover.rs
@@ -1,10 +1,10 @@
 //! Moves a running generation off an engine that leaves: a first copy while it runs, then a stop with what
 //! is new, then on at the other engine. The decision where to is the dispatcher's.
 
-use crate::control::control;
-use crate::permits::Permit;
+use crate::dispatch::permits::Permit;
+use crate::forwarding::control::control;
 use crate::state::Relay;
-use crate::targets::{Belief, TargetSlot};
+use crate::watch::targets::{Belief, TargetSlot};
 use peers::RelocateReply;
 use platform::{CopyReply, copy_call, drop_copy_call, read_copy_reply};
 use prelude::{PoolId, TargetId};
--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -1,17 +1,17 @@
 //! Starts and stops a box.
 
-use crate::evacuation::run_evacuation;
-use crate::exchange::{greet, run_exchanges};
-use crate::follow::{follow, run_asking, run_missing};
-use crate::gossip::Handler;
-use crate::ingress;
-use crate::members::{LIFE_UNKNOWN, Members};
-use crate::presence::{box_id, keep_key, read_boxes};
-use crate::readiness;
+use crate::dispatch::reports::{run_reports, run_trials};
+use crate::ingress::accept;
+use crate::ingress::readiness;
+use crate::membership::exchange::{greet, run_exchanges};
+use crate::membership::gossip::Handler;
+use crate::membership::members::{LIFE_UNKNOWN, Members};
+use crate::membership::registration::{box_id, keep_key, read_boxes};
 use crate::reconfigure::run_settings;
-use crate::reports::{run_reports, run_trials};
 use crate::state::Relay;
-use crate::turn::View;
+use crate::watch::election::View;
+use crate::watch::evacuation::run_evacuation;
+use crate::watch::watcher::{follow, run_asking, run_missing};
 use http1::Listener;
 use operators::FleetView;
 use peers::{FleetClients, KeyRing, Traffic};
@@ -142,7 +142,7 @@
     let closed = relay.closed.clone();
     spawn_local(peers::serve_fleet(peers, keys, handler, traffic, closed));
     spawn_local(readiness::serve(relay.clone(), readiness));
-    spawn_local(ingress::serve(relay.clone(), callers));
+    spawn_local(accept::serve(relay.clone(), callers));
     spawn_local(follow(relay.clone(), View::Declarations));
     spawn_local(follow(relay.clone(), View::Targets));
     spawn_local(run_asking(relay.clone()));
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -1,15 +1,15 @@
 //! What one box holds. All of it is used by one thread.
 
-use crate::channels::Channels;
-use crate::dispatch::Dispatcher;
-use crate::evacuation::Evacuation;
-use crate::members::Members;
-use crate::outlook::Outlook;
-use crate::packed::pack;
-use crate::request::Own;
-use crate::runs::Runs;
-use crate::targets::{Change, TargetBook};
-use crate::turn::{Followed, View};
+use crate::dispatch::completion::Outlook;
+use crate::dispatch::dispatcher::Dispatcher;
+use crate::dispatch::open_generations::Runs;
+use crate::forwarding::channels::Channels;
+use crate::ingress::request::Own;
+use crate::membership::members::Members;
+use crate::membership::snapshot::pack;
+use crate::watch::election::{Followed, View};
+use crate::watch::evacuation::Evacuation;
+use crate::watch::targets::{Change, TargetBook};
 use arc_swap::Guard;
 use peers::{FleetCard, FleetClients, FleetDigest, KeyRing};
 use platform::FleetStore;
--- a/components/relay/src/view.rs
+++ b/components/relay/src/view.rs
@@ -1,7 +1,7 @@
 //! The box as operators see it.
 
 use crate::state::Relay;
-use crate::targets::{Belief, Target, TargetBook};
+use crate::watch::targets::{Belief, Target, TargetBook};
 use operators::{EvacuationView, FleetTargetView, FleetView};
 
 fn state_of(targets: &TargetBook, target: &Target) -> &'static str {
--- a/components/relay/src/turn.rs
+++ b/components/relay/src/watch/election.rs
@@ -207,5 +207,5 @@
 }
 
 #[cfg(test)]
-#[path = "turn_tests.rs"]
+#[path = "election_tests.rs"]
 mod tests;
--- a/components/relay/src/evacuation.rs
+++ b/components/relay/src/watch/evacuation.rs
@@ -1,8 +1,8 @@
 //! Data centres that operators have evacuated, on one box: since when, and how much of this box's work is still
-//! there. What follows from it for placement is decided in [`crate::targets::TargetBook::takes_work`] alone.
+//! there. What follows from it for placement is decided in [`crate::watch::targets::TargetBook::takes_work`] alone.
 
 use crate::state::Relay;
-use crate::targets::TargetSlot;
+use crate::watch::targets::TargetSlot;
 use prelude::DataCentreId;
 use routing::Evacuations;
 use std::collections::{BTreeMap, BTreeSet, HashSet};
--- /dev/null
+++ b/components/relay/src/watch/mod.rs
@@ -0,0 +1,8 @@
+//! What the platform's store says: the operators' declarations, targets, evacuations, and which boxes watch it for all.
+
+pub(crate) mod backoff;
+pub(crate) mod election;
+pub(crate) mod evacuation;
+pub(crate) mod reconcile;
+pub(crate) mod targets;
+pub(crate) mod watcher;
--- a/components/relay/src/reconcile.rs
+++ b/components/relay/src/watch/reconcile.rs
@@ -2,7 +2,7 @@
 //! their names, and only buckets whose hashes differ are sent (range-based set reconciliation; compare the hash trees
 //! of DeCandia et al., "Dynamo", SOSP 2007, with one level).
 
-use crate::targets::{Belief, Change, Target, TargetBook};
+use crate::watch::targets::{Belief, Change, Target, TargetBook};
 use peers::{TargetList, TargetPatch, TargetSummary};
 use routing::TargetEntry;
 use std::collections::HashSet;
--- a/components/relay/src/follow.rs
+++ b/components/relay/src/watch/watcher.rs
@@ -1,13 +1,13 @@
 //! Follows the platform's store, where it is this box's turn: the operators' declarations and the targets.
 //! What is learnt is told to the other boxes at once.
 
-use crate::backoff::Backoff;
-use crate::gossip::{spread_table, spread_targets, tell_current};
+use crate::membership::gossip::{spread_table, spread_targets, tell_current};
 use crate::state::Relay;
-use crate::targets::Missing;
-use crate::turn::{
+use crate::watch::backoff::Backoff;
+use crate::watch::election::{
     CONFIRM_EACH, Following, TURN_CHECK, View, is_relieved, must_follow, pause_before_trying, rank,
 };
+use crate::watch::targets::Missing;
 use peers::{TargetChanges, TargetList};
 use platform::{
     CONFIG_KEY, FleetWatch, OPERATOR_PREFIX, TARGET_PREFIX, decode_target, evacuated_data_centre,
