--- a/components/settings/src/resolve.rs
+++ b/components/settings/src/resolve.rs
@@ -47,6 +47,19 @@
     pub objectives: ObjectiveSettings,
 }
 
+/// Rank of accounts whose requests do not go first.
+const RANK_USUAL: u8 = 5;
+
+impl ResolvedAccount {
+    /// The rank of its requests, 0 for the most urgent.
+    pub fn rank(&self) -> u8 {
+        match self.urgent {
+            true => 0,
+            false => RANK_USUAL,
+        }
+    }
+}
+
 /// A target, with its key.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ResolvedTarget {
