--- a/components/node/src/desk.rs
+++ b/components/node/src/desk.rs
@@ -283,7 +283,6 @@
         open.told_tokens = open.tokens.load(Ordering::Relaxed);
         streams.push(AdoptedStream {
             request: open.request,
-            backup: None,
             target: open.target,
             tokens: open.told_tokens,
         });
--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -201,7 +201,6 @@
         for (permit, verdict) in verdicts {
             let reply = match verdict {
                 Verdict::Granted { target } => PermitReply::Granted {
-                    backup: None,
                     target: lock(&self.shared.targets).key(target),
                 },
                 Verdict::Refused(refusal) => PermitReply::Refused(refusal),
