--- a/components/node/src/permits.rs
+++ b/components/node/src/permits.rs
@@ -84,7 +84,7 @@
         };
         drop(asking);
         match reply {
-            Ok(PermitReply::Granted { target, .. }) => {
+            Ok(PermitReply::Granted { target }) => {
                 guard.disarm();
                 return Ok(desk.open(request, target, 0, false));
             }
--- a/components/peers/src/fleet.rs
+++ b/components/peers/src/fleet.rs
@@ -146,9 +146,6 @@
     /// Says that a generation's turn on the link of an engine is over.
     async fn relocated(pool: PoolId, permit: PermitId, from: TargetId);
 
-    /// Says that a generation goes on from its running copy, as its engine failed; its permit moves there.
-    async fn restored(pool: PoolId, permit: PermitId);
-
     /// Says that an engine broke a generation off, or is silent.
     async fn engine_failed(pool: PoolId, target: TargetId);
 
@@ -186,9 +183,6 @@
     fn relocated(&self, pool: PoolId, permit: PermitId, from: TargetId)
     -> impl Future<Output = ()>;
 
-    /// See [`Fleet::restored`].
-    fn restored(&self, pool: PoolId, permit: PermitId) -> impl Future<Output = ()>;
-
     /// See [`Fleet::engine_failed`].
     fn engine_failed(&self, pool: PoolId, target: TargetId) -> impl Future<Output = ()>;
 
@@ -237,10 +231,6 @@
         self.0.relocated(pool, permit, from).await;
     }
 
-    async fn restored(self, _: Context, pool: PoolId, permit: PermitId) {
-        self.0.restored(pool, permit).await;
-    }
-
     async fn engine_failed(self, _: Context, pool: PoolId, target: TargetId) {
         self.0.engine_failed(pool, target).await;
     }
--- a/components/peers/src/messages.rs
+++ b/components/peers/src/messages.rs
@@ -48,8 +48,6 @@
     Granted {
         /// The engine, in the life that its last report showed.
         target: TargetKey,
-        /// The engine that is to keep a running copy.
-        backup: Option<TargetId>,
     },
     /// It waits.
     Waiting {
@@ -111,8 +109,6 @@
     pub request: AcquireRequest,
     /// Where it runs.
     pub target: TargetId,
-    /// The engine that keeps a running copy.
-    pub backup: Option<TargetId>,
     /// Tokens generated.
     pub tokens: u32,
 }
--- a/components/policy/src/placement/ledger.rs
+++ b/components/policy/src/placement/ledger.rs
@@ -77,8 +77,6 @@
     pub max_tokens: u32,
     /// Its true length, where the oracle policy was told.
     pub told_tokens: Option<u32>,
-    /// The engine that keeps a running copy of its memory.
-    pub backup: Option<TargetId>,
 }
 
 impl Stream {
@@ -155,8 +153,6 @@
     pub state: EngineState,
     /// Its streams.
     pub streams: Vec<StreamKey>,
-    /// Streams that run elsewhere and of whose memory it keeps a copy.
-    copies: Vec<StreamKey>,
     /// Its last report and when it came.
     pub report: Option<(EngineReport, u64)>,
     /// Memory used by load that this ledger does not know.
@@ -179,7 +175,6 @@
             info,
             state: EngineState::Live,
             streams: Vec::new(),
-            copies: Vec::new(),
             report: None,
             foreign_tokens: 0.0,
             preemptions_seen: 0,
@@ -226,33 +221,14 @@
         self.forecast_ms = None;
     }
 
-    /// Adds the copy of a stream that runs elsewhere.
-    pub fn add_copy(&mut self, key: StreamKey, forecast: &Forecast) {
-        self.copies.push(key);
-        self.forecast = self.forecast.plus(forecast);
-    }
-
-    /// Takes the copy of a stream out.
-    pub fn remove_copy(&mut self, key: StreamKey) {
-        self.copies.retain(|other| *other != key);
-        self.forecast_ms = None;
-    }
-
-    /// Takes all copies out.
-    pub fn take_copies(&mut self) -> Vec<StreamKey> {
-        self.forecast_ms = None;
-        std::mem::take(&mut self.copies)
-    }
-
-    /// Memory that the ledger's own streams and copies hold.
+    /// Memory that the ledger's own streams hold.
     pub fn own_tokens(&self, streams: &Streams, tokens_per_ms: f64, now_ms: u64) -> f64 {
         let held = |key: &StreamKey| {
             let stream = streams.get(*key)?;
             let generated = carried_on(stream, tokens_per_ms, now_ms);
             Some(f64::from(stream.prompt_tokens) + generated)
         };
-        let all = self.streams.iter().chain(&self.copies);
-        all.filter_map(held).sum()
+        self.streams.iter().filter_map(held).sum()
     }
 
     /// The forecast for the streams that are here.
@@ -268,8 +244,7 @@
             .is_some_and(|at| now_ms < at + FORECAST_LIFE_MS);
         if !fresh {
             let mut forecast = Forecast::default();
-            let all = self.streams.iter().chain(&self.copies);
-            for stream in all.filter_map(|key| streams.get(*key)) {
+            for stream in self.streams.iter().filter_map(|key| streams.get(*key)) {
                 let generated = carried_on(stream, tokens_per_ms, now_ms);
                 let held = f64::from(stream.prompt_tokens) + generated;
                 forecast.add(held, stream.survival(lengths, generated));
--- a/components/policy/src/placement/mod.rs
+++ b/components/policy/src/placement/mod.rs
@@ -1,6 +1,5 @@
 //! Which target takes what: memory, reading, lengths, moves.
 
-pub(crate) mod backup;
 pub(crate) mod choose;
 pub(crate) mod forecast;
 pub(crate) mod ledger;
--- a/components/policy/src/placement/relocate.rs
+++ b/components/policy/src/placement/relocate.rs
@@ -81,14 +81,6 @@
             }
         }
         let (_, target) = best?;
-        // A copy that lies where it goes is used up by the move; another stays with its new engine.
-        if self
-            .streams
-            .get(key)
-            .is_some_and(|stream| stream.backup == Some(target))
-        {
-            self.drop_copy(key);
-        }
         if let Some(ledger) = self.engine_mut(current) {
             ledger.remove(key, now_ms);
         }
@@ -111,7 +103,7 @@
         Some(stream.prompt_tokens + stream.generated_tokens)
     }
 
-    pub(crate) fn data_centre_of(&self, target: TargetId) -> Option<DataCentreId> {
+    fn data_centre_of(&self, target: TargetId) -> Option<DataCentreId> {
         let ledger = self
             .engines
             .iter()
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -122,7 +122,6 @@
         ledger.report = None;
         ledger.foreign_tokens = 0.0;
         let lost: Vec<StreamKey> = ledger.streams.clone();
-        self.forget_copies(target);
         for key in lost {
             if let Some(stream) = self.streams.get(key) {
                 let (permit, tokens) = (stream.permit, stream.generated_tokens);
@@ -229,7 +228,6 @@
         let Some(key) = self.by_permit.remove(&permit) else {
             return;
         };
-        self.drop_copy(key);
         let Some(stream) = self.streams.remove(key) else {
             return;
         };
@@ -374,7 +372,6 @@
             progress_ms: now_ms,
             max_tokens: demand.max_tokens,
             told_tokens: told(&demand, self.settings.policy),
-            backup: None,
         };
         let (permit, prompt_tokens) = (stream.permit, stream.prompt_tokens);
         let key = self.streams.insert(stream);
--- a/components/relay/src/dispatch/dispatcher.rs
+++ b/components/relay/src/dispatch/dispatcher.rs
@@ -49,8 +49,6 @@
     waiting: HashMap<PermitId, oneshot::Sender<Verdict>>,
     /// None where copies do not go one after another.
     turns: Option<Turns>,
-    /// Whether engines keep running copies of generations.
-    keeps_copies: bool,
 }
 
 fn pool_settings(file: &FleetFile) -> PoolSettings {
@@ -92,23 +90,16 @@
             pool: Pool::new(pool_settings(file)),
             waiting: HashMap::new(),
             turns: file.has(Mechanism::Turns).then(Turns::default),
-            keeps_copies: file.has(Mechanism::RunningCopies),
         }
     }
 
     /// Takes over which mechanisms are on.
     pub(crate) fn reconfigure(&mut self, file: &FleetFile) {
         self.pool.set_settings(pool_settings(file));
-        self.keeps_copies = file.has(Mechanism::RunningCopies);
         let has_turns = file.has(Mechanism::Turns);
         self.turns = has_turns.then(|| self.turns.take().unwrap_or_default());
     }
 
-    fn back_up(&mut self, permit: PermitId, now_ms: u64) -> Option<TargetId> {
-        let wanted = self.keeps_copies.then_some(permit)?;
-        self.pool.back_up(wanted, now_ms)
-    }
-
     fn relocate(&mut self, request: &RelocateRequest, now_ms: u64) -> RelocateReply {
         let (permit, from) = (request.permit, request.from);
         let Some(held_tokens) = self.pool.held_tokens(permit) else {
@@ -149,13 +140,12 @@
     }
 }
 
-fn granted(target: TargetId, backup: Option<TargetId>) -> PermitReply {
+fn granted(target: TargetId) -> PermitReply {
     PermitReply::Granted {
         target: TargetKey {
             id: target,
             incarnation: TargetIncarnation::default(),
         },
-        backup,
     }
 }
 
@@ -226,8 +216,7 @@
         let (asker, mut word) = oneshot::channel();
         let early = self.with_dispatcher(request.pool, |dispatcher, now_ms| {
             if let Some(target) = dispatcher.pool.target_of(request.permit) {
-                let backup = dispatcher.back_up(request.permit, now_ms);
-                return Some(granted(target, backup));
+                return Some(granted(target));
             }
             dispatcher.waiting.insert(request.permit, asker);
             match dispatcher.pool.submit(demand, now_ms) {
@@ -247,38 +236,19 @@
         let until = Instant::now() + Duration::from_millis(u64::from(wait_ms));
         loop {
             if let Ok(verdict) = word.try_recv() {
-                return self.reply_of(&request, verdict);
+                return reply_of(verdict);
             }
             if Instant::now() >= until {
                 return PermitReply::Waiting { place: 0 };
             }
             let look = until.min(Instant::now() + LOOK_EACH);
             if let Ok(Ok(verdict)) = timeout_at(look, &mut word).await {
-                return self.reply_of(&request, verdict);
+                return reply_of(verdict);
             }
             self.with_dispatcher(request.pool, Dispatcher::decide);
         }
     }
 
-    fn reply_of(&self, request: &AcquireRequest, verdict: Verdict) -> PermitReply {
-        match verdict {
-            Verdict::Granted { target } => {
-                let backup = self.with_dispatcher(request.pool, |dispatcher, now_ms| {
-                    dispatcher.back_up(request.permit, now_ms)
-                });
-                granted(target, backup)
-            }
-            Verdict::Refused(refusal) => PermitReply::Refused(refusal),
-        }
-    }
-
-    /// Notes that a generation goes on from its running copy.
-    pub(crate) fn restored_here(&self, pool: PoolId, permit: PermitId) {
-        self.with_dispatcher(pool, |dispatcher, now_ms| {
-            dispatcher.pool.restore(permit, now_ms);
-        });
-    }
-
     /// Takes a request for a permit back, or releases the permit.
     pub(crate) fn withdraw_here(&self, pool: PoolId, permit: PermitId) {
         self.with_dispatcher(pool, |dispatcher, now_ms| {
@@ -362,11 +332,7 @@
                     target: stream.target,
                     generated_tokens: stream.tokens,
                 };
-                let permit = adopted.demand.permit;
                 dispatcher.pool.adopt(adopted, now_ms);
-                if let Some(holder) = stream.backup {
-                    dispatcher.pool.adopt_copy(permit, holder);
-                }
             }
             dispatcher.decide(now_ms);
         });
@@ -381,6 +347,13 @@
     }
 }
 
+fn reply_of(verdict: Verdict) -> PermitReply {
+    match verdict {
+        Verdict::Granted { target } => granted(target),
+        Verdict::Refused(refusal) => PermitReply::Refused(refusal),
+    }
+}
+
 /// A refusal where no dispatcher's word is known.
 pub(crate) fn refusal(reason: RefusalReason) -> Refusal {
     Refusal {
--- a/components/relay/src/dispatch/heartbeat.rs
+++ b/components/relay/src/dispatch/heartbeat.rs
@@ -89,17 +89,6 @@
         );
     }
 
-    /// Says that a generation goes on from its running copy.
-    pub(crate) fn tell_restored(self: &Rc<Self>, pool: PoolId, serial: u64) {
-        let permit = self.permit_id(serial);
-        self.tell_dispatcher(
-            pool,
-            "restored",
-            |relay| relay.restored_here(pool, permit),
-            move |client, context| async move { client.restored(context, pool, permit).await },
-        );
-    }
-
     /// Says that an engine broke a generation off, or is silent.
     pub(crate) fn tell_engine_failed(self: &Rc<Self>, pool: PoolId, slot: TargetSlot) {
         let Some(target) = self.id_of(slot) else {
--- a/components/relay/src/dispatch/open_generations.rs
+++ b/components/relay/src/dispatch/open_generations.rs
@@ -9,7 +9,6 @@
 pub(crate) struct OpenGeneration {
     pub request: AcquireRequest,
     pub target: TargetId,
-    pub backup: Option<TargetId>,
     pub tokens: u32,
     told_tokens: u32,
 }
@@ -31,16 +30,10 @@
         self.next_serial
     }
 
-    pub(crate) fn began(
-        &mut self,
-        request: AcquireRequest,
-        target: TargetId,
-        backup: Option<TargetId>,
-    ) {
+    pub(crate) fn began(&mut self, request: AcquireRequest, target: TargetId) {
         let run = OpenGeneration {
             request,
             target,
-            backup,
             tokens: 0,
             told_tokens: 0,
         };
@@ -54,7 +47,6 @@
     pub(crate) fn moved(&mut self, serial: u64, target: TargetId) {
         if let Some(run) = self.open.get_mut(&serial) {
             run.target = target;
-            run.backup = run.backup.filter(|backup| *backup != target);
         }
     }
 
@@ -115,7 +107,6 @@
             .map(|run| AdoptedStream {
                 request: run.request,
                 target: run.target,
-                backup: run.backup,
                 tokens: run.tokens,
             })
             .collect()
--- a/components/relay/src/dispatch/permits.rs
+++ b/components/relay/src/dispatch/permits.rs
@@ -40,8 +40,6 @@
     pub pause_goal_ms: Option<u64>,
     pub wait_left_ms: u64,
     pub caller_left_ms: u64,
-    /// Whether the engines keep running copies for each other.
-    pub takes_copies: bool,
     pub avoid: Option<TargetId>,
 }
 
@@ -51,8 +49,6 @@
     pub(crate) serial: u64,
     pub(crate) pool: PoolId,
     pub(crate) slot: TargetSlot,
-    /// The engine that keeps a running copy.
-    pub(crate) backup: Option<TargetId>,
     finished: bool,
 }
 
@@ -62,19 +58,6 @@
         self.finished = true;
     }
 
-    /// Notes that the generation goes on at the engine that kept its running copy.
-    pub(crate) fn restored(&mut self, holder: TargetSlot) {
-        self.slot = holder;
-        let target = self.relay.id_of(holder);
-        if let Some(target) = target {
-            self.relay
-                .open_generations
-                .borrow_mut()
-                .moved(self.serial, target);
-        }
-        self.relay.tell_restored(self.pool, self.serial);
-    }
-
     /// Notes how many tokens the generation has.
     pub(crate) fn grew(&self, tokens: u32) {
         if self
@@ -138,21 +121,17 @@
             told_tokens: None,
             avoid: want.avoid,
         };
-        let (target, backup) = self.ask(request, want.wait_left_ms).await?;
-        let backup = backup.filter(|_| want.takes_copies);
+        let target = self.ask(request, want.wait_left_ms).await?;
         let Some(slot) = self.slot_soon(target).await else {
             self.tell_withdrawn(request.pool, request.permit);
             return Err(refusal(RefusalReason::NoTarget));
         };
-        self.open_generations
-            .borrow_mut()
-            .began(request, target, backup);
+        self.open_generations.borrow_mut().began(request, target);
         Ok(Permit {
             relay: self.clone(),
             serial,
             pool: request.pool,
             slot,
-            backup,
             finished: false,
         })
     }
@@ -177,7 +156,7 @@
         self: &Rc<Self>,
         request: AcquireRequest,
         wait_left_ms: u64,
-    ) -> Result<(TargetId, Option<TargetId>), Refusal> {
+    ) -> Result<TargetId, Refusal> {
         let until = Instant::now() + Duration::from_millis(wait_left_ms);
         let mut withdrawal = Withdrawal {
             relay: self.clone(),
@@ -194,9 +173,9 @@
                 false => self.acquire_at(asked, request, wait_ms).await,
             };
             match reply {
-                Some(PermitReply::Granted { target, backup }) => {
+                Some(PermitReply::Granted { target }) => {
                     withdrawal.armed = false;
-                    return Ok((target.id, backup));
+                    return Ok(target.id);
                 }
                 Some(PermitReply::Refused(refusal)) => {
                     withdrawal.armed = false;
--- a/components/relay/src/forwarding/generation.rs
+++ b/components/relay/src/forwarding/generation.rs
@@ -167,7 +167,6 @@
             pause_goal_ms: route.pause_goal_ms,
             wait_left_ms: wait_until_ms.min(due_ms).saturating_sub(now_ms).max(1),
             caller_left_ms: due_ms.saturating_sub(now_ms),
-            takes_copies: way.service().engine.is_some_and(|engine| engine.backups),
             avoid,
         };
         if arrived && !relay.take_resend(&way.service().name) {
@@ -187,7 +186,7 @@
             continue;
         }
         let granted_ms = relay.now_ms();
-        let trying = send(relay, incoming, way, slot, permit.backup, None);
+        let trying = send(relay, incoming, way, slot, None);
         let watched = with_doubt(relay, &permit, SILENT_START_LIMIT, trying);
         let Ok(tried) = timeout_at(until, watched).await else {
             return Started::Own(Own::TimeOver);
@@ -253,19 +252,17 @@
     incoming: &Incoming,
     way: &Way,
     slot: TargetSlot,
-    backup: Option<TargetId>,
     continuation: Option<&Continuation>,
 ) -> Tried {
     let Some(instance) = relay.instance_of(slot) else {
         return Tried::NotRun(NotRun::Unreachable);
     };
-    let copy_to = backup.and_then(|backup| relay.copy_address(backup));
     let forwarding = Forwarding {
         instance: &instance,
         account: way.account_name(),
         left_ms: incoming.left_ms(way.route(), relay.now_ms()),
         priority: Some(way.rank().min(PRIORITY_MOST)),
-        copy_to,
+        copy_to: None,
         continuation,
     };
     let head = forward(&incoming.head, incoming.body.len(), &forwarding);
--- a/components/relay/src/forwarding/outcome.rs
+++ b/components/relay/src/forwarding/outcome.rs
@@ -100,13 +100,6 @@
         self.targets.borrow().get(slot).map(|target| target.id)
     }
 
-    /// Where an engine listens that is to keep a running copy; none where it takes nothing new.
-    pub(crate) fn copy_address(&self, holder: TargetId) -> Option<std::net::SocketAddr> {
-        let targets = self.targets.borrow();
-        let target = targets.get(targets.slot_of(holder)?)?;
-        targets.takes_work(target).then_some(target.entry.address)
-    }
-
     /// The name of a target's life, for logs.
     pub(crate) fn name_of(&self, slot: TargetSlot) -> String {
         self.instance_of(slot).unwrap_or_default().into()
--- a/components/relay/src/forwarding/stream.rs
+++ b/components/relay/src/forwarding/stream.rs
@@ -7,8 +7,7 @@
 use crate::forwarding::send::{Opened, Tried};
 use crate::ingress::accept::{After, count, write_reply};
 use crate::ingress::request::{Incoming, Own, Reply, Way};
-use crate::migration::mover::{Moved, Mover, Step, free_copy};
-use crate::migration::restore::{Restored, restore};
+use crate::migration::mover::{Moved, Mover, Step};
 use crate::state::Relay;
 use http1::{Channel, Framing, push_chunk};
 use platform::{Continuation, relayed_head};
@@ -87,8 +86,6 @@
         if finished {
             self.permit.finished();
             self.note_end();
-        } else {
-            self.free_backup();
         }
         slog::info!(self.relay.log, "generation ended"; "id" => self.incoming.id(),
             "end" => ?ended, "events" => self.events, "moves" => self.moves,
@@ -116,15 +113,6 @@
         }
     }
 
-    /// Frees the running copy of a generation that nobody goes on from: its engine keeps it for seconds otherwise.
-    fn free_backup(&mut self) {
-        let holder = self.permit.backup.take();
-        let address = holder.and_then(|holder| self.relay.copy_address(holder));
-        if let Some(address) = address {
-            free_copy(self.relay, address, self.incoming.id());
-        }
-    }
-
     /// Remembers how long the generation was and took, for those that come while this box stops.
     fn note_end(&self) {
         let generation = self.incoming.facts.generation.as_ref();
@@ -182,14 +170,6 @@
                 () = sleep_until(silent_at), if !doubted => {
                     doubted = true;
                     self.relay.tell_engine_failed(self.permit.pool, self.permit.slot);
-                    if self.permit.backup.is_some()
-                        && let Ok(next) = self.restore(due, "the engine is silent").await
-                    {
-                        opened = next;
-                        mover = Mover::new(self.relay, self.engine);
-                        silent_at = Instant::now() + SILENT_LIMIT;
-                        doubted = false;
-                    }
                     None
                 }
                 piece = opened.next(), if mover.reads_source() => match piece {
@@ -217,27 +197,14 @@
                     }
                     Err(why) => {
                         self.relay.tell_engine_failed(self.permit.pool, self.permit.slot);
-                        match self.restore(due, why).await {
-                            Ok(next) => opened = next,
-                            Err(ended) => return ended,
-                        }
-                        mover = Mover::new(self.relay, self.engine);
-                        silent_at = Instant::now() + SILENT_LIMIT;
-                        doubted = false;
-                        None
+                        return Ended::Broken(why);
                     }
                 },
             };
             let from = match step {
                 Some(Step::Continue(from)) => from,
                 Some(Step::Failed) if !mover.reads_source() => {
-                    let why = "it was stopped and could not be moved";
-                    match self.restore(due, why).await {
-                        Ok(next) => opened = next,
-                        Err(ended) => return ended,
-                    }
-                    mover = Mover::new(self.relay, self.engine);
-                    continue;
+                    return Ended::Broken("it was stopped and could not be moved");
                 }
                 _ => continue,
             };
@@ -322,9 +289,6 @@
                 self.incoming,
                 self.way,
                 slot,
-                self.permit
-                    .backup
-                    .filter(|backup| self.relay.id_of(slot) != Some(*backup)),
                 Some(&continuation),
             );
             let Ok(tried) = timeout_at(due, trying).await else {
@@ -355,55 +319,4 @@
         metrics::counter!("shuntpier_moves", "end" => "lost").increment(1);
         Err(Ended::Broken("its copy was not taken up"))
     }
-
-    /// Has a generation whose engine failed go on from its running copy. Without one it is broken off, for `why`.
-    async fn restore(&mut self, due: Instant, why: &'static str) -> Result<Opened, Ended> {
-        let broken = Err(Ended::Broken(why));
-        if self.events == 0 {
-            return broken;
-        }
-        let found = restore(self.relay, &self.permit, self.incoming.id()).await;
-        let (holder, address) = match found {
-            None => return broken,
-            Some(Restored::Moved(moved)) => return self.go_on(moved, due).await,
-            Some(Restored::Copy { holder, address }) => (holder, address),
-        };
-        self.splitter = EventSplitter::default();
-        let continuation = Continuation {
-            source: address,
-            copy: self.incoming.id().into(),
-            last_event: self.last_event.clone(),
-        };
-        self.permit.backup = None;
-        let trying = send(
-            self.relay,
-            self.incoming,
-            self.way,
-            holder,
-            None,
-            Some(&continuation),
-        );
-        let Ok(tried) = timeout_at(due, trying).await else {
-            return Err(Ended::TimeOver);
-        };
-        self.relay.record_outcome(holder, outcome_of(&tried));
-        let word = match tried {
-            Tried::Answered(opened) if opened.head.status == 200 && opened.is_vouched() => {
-                self.permit.restored(holder);
-                self.moves += 1;
-                metrics::counter!("shuntpier_copies_restored", "end" => "done").increment(1);
-                slog::info!(self.relay.log, "generation goes on from its copy";
-                    "id" => self.incoming.id(), "engine" => self.relay.name_of(holder),
-                    "events" => self.events);
-                return Ok(*opened);
-            }
-            Tried::Answered(_) => "an answer of another kind",
-            Tried::MayHaveRun(why) => why,
-            Tried::NotRun(_) => "not taken up",
-        };
-        metrics::counter!("shuntpier_copies_restored", "end" => "lost").increment(1);
-        slog::info!(self.relay.log, "copy not taken up"; "id" => self.incoming.id(),
-            "engine" => self.relay.name_of(holder), "why" => word);
-        broken
-    }
 }
--- a/components/relay/src/membership/gossip.rs
+++ b/components/relay/src/membership/gossip.rs
@@ -266,10 +266,6 @@
         self.0.relocated_here(pool, permit, from);
     }
 
-    async fn restored(&self, pool: PoolId, permit: PermitId) {
-        self.0.restored_here(pool, permit);
-    }
-
     async fn engine_failed(&self, pool: PoolId, target: TargetId) {
         self.0.engine_failed_here(pool, target);
     }
--- a/components/relay/src/migration/mod.rs
+++ b/components/relay/src/migration/mod.rs
@@ -1,4 +1,3 @@
 //! Generations that go on at another engine.
 
 pub(crate) mod mover;
-pub(crate) mod restore;
--- a/components/relay/src/migration/mover.rs
+++ b/components/relay/src/migration/mover.rs
@@ -392,7 +392,7 @@
 
 /// Frees a copy that nobody will use, at the engine that holds it. Left alone it keeps some thousands of tokens for many
 /// seconds, of which no ledger knows: generations there are preempted.
-pub(crate) fn free_copy(relay: &Rc<Relay>, holder: SocketAddr, copy: &str) {
+fn free_copy(relay: &Rc<Relay>, holder: SocketAddr, copy: &str) {
     metrics::counter!("shuntpier_copies_freed").increment(1);
     let (relay, call) = (relay.clone(), drop_copy_call(holder, copy));
     tokio::task::spawn_local(async move {
--- a/components/settings/src/mechanism.rs
+++ b/components/settings/src/mechanism.rs
@@ -31,8 +31,6 @@
     EvacuationMoves,
     /// Copies from one engine go one after another.
     Turns,
-    /// An engine with ample room keeps a running copy of a long generation, against crashes.
-    RunningCopies,
     /// An engine that failed a generation is on trial for all boxes.
     Trials,
     /// Accounts share by what they had.
