Lives of targets under one name, and entries by other writers

A target that started again under its name stayed leaving, with the suspicion, cold state and ledger of its former life: the book knew lives by name alone. A life is now a name and its birth (`born` in the entry); everything kept by target hangs on its slot and its key, which differ between lives. Words of a former life change nothing, whatever their revision.

Entries with a field missing, of another type, with unknown states or absurd figures name no target to use; their target takes nothing new until a readable entry is there. One log line and one count for each key and change.

--- a/components/peers/src/fleet.rs
+++ b/components/peers/src/fleet.rs
@@ -4,7 +4,7 @@
 use crate::messages::{AcquireRequest, AdoptedStream, PermitReply, UpdateReply, UpdateRequest};
 use crate::targets::{TargetChanges, TargetPatch, TargetSummary};
 use prelude::{BoxId, PermitId, PoolId, TargetId};
-use routing::Evacuations;
+use routing::{Evacuations, TargetLife};
 use serde::{Deserialize, Serialize};
 use std::future::Future;
 use std::net::SocketAddr;
@@ -77,7 +77,7 @@
     pub target_changes: Option<TargetChanges>,
     /// Lives of targets that the sender knows to leave, from the store, from themselves or because nothing
     /// listens there any more.
-    pub leaving: Vec<Box<str>>,
+    pub leaving: Vec<TargetLife>,
     /// Boxes that the receiver is to pass this on to, with their addresses: it may not have met them yet.
     pub pass_on: Vec<(BoxId, SocketAddr)>,
     /// Boxes that the sender knows, or some of them; empty where the other knows as many.
--- a/components/peers/src/targets.rs
+++ b/components/peers/src/targets.rs
@@ -1,7 +1,7 @@
 //! How targets travel between boxes: lists in which names that repeat stand once, and summaries by which two boxes
 //! find out where their lists differ without sending them.
 
-use routing::{TargetEntry, TargetPhase};
+use routing::{TargetEntry, TargetLife, TargetPhase};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -36,9 +36,11 @@
     leaving: bool,
     cold_left_ms: u32,
     revision: u64,
+    born_ms: Option<u64>,
 }
 
-/// A list of targets as it travels: some 35 bytes a target where entries by themselves take 110.
+/// A list of targets as it travels: some 36 bytes a target where entries by themselves take 110,
+/// and 8 more where its lives are told apart by their births.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetList {
     services: Names,
@@ -62,6 +64,7 @@
                 leaving: entry.phase == TargetPhase::Leaving,
                 cold_left_ms: entry.cold_left_ms,
                 revision: entry.revision,
+                born_ms: entry.born_ms,
             })
             .collect();
         Self {
@@ -87,6 +90,7 @@
                 },
                 cold_left_ms: row.cold_left_ms,
                 revision: row.revision,
+                born_ms: row.born_ms,
             })
         };
         self.rows.into_iter().filter_map(entry).collect()
@@ -111,7 +115,7 @@
     /// Entries that are new or say something new.
     pub listed: TargetList,
     /// Lives that are listed no more, with the revision of that.
-    pub unlisted: Vec<(Box<str>, u64)>,
+    pub unlisted: Vec<(TargetLife, u64)>,
 }
 
 /// A box's list in short: its targets fall into buckets by their names, and each bucket has a hash. Empty where the
--- a/components/relay/src/forwarding/outcome.rs
+++ b/components/relay/src/forwarding/outcome.rs
@@ -3,7 +3,7 @@
 use crate::forwarding::send::NotRun;
 use crate::membership::gossip::tell_current;
 use crate::state::Relay;
-use crate::watch::targets::TargetSlot;
+use crate::watch::targets::{Belief, TargetSlot};
 use prelude::TargetId;
 use settings::Mechanism;
 use std::rc::Rc;
@@ -87,6 +87,14 @@
             .is_some_and(|target| targets.takes_work(target))
     }
 
+    /// Whether a life is over as far as this box knows: it is not listed, or another has begun under its name.
+    pub(crate) fn is_over(&self, slot: TargetSlot) -> bool {
+        let targets = self.targets.borrow();
+        targets
+            .get(slot)
+            .is_none_or(|target| target.belief == Belief::Gone)
+    }
+
     /// The name of a target's life; none where it is forgotten.
     pub(crate) fn instance_of(&self, slot: TargetSlot) -> Option<Box<str>> {
         let targets = self.targets.borrow();
--- a/components/relay/src/membership/gossip.rs
+++ b/components/relay/src/membership/gossip.rs
@@ -150,8 +150,8 @@
     for entry in told.listed.entries() {
         changes.extend(targets.listed(entry, now_ms));
     }
-    for (instance, revision) in told.unlisted {
-        changes.extend(targets.unlisted(&instance, revision));
+    for (life, revision) in told.unlisted {
+        changes.extend(targets.life_unlisted(&life, revision));
     }
     targets.changed_at = targets.changed_at.max(digest.targets_changed_at);
     targets.current_to = targets.current_to.max(digest.targets_current_to);
--- a/components/relay/src/migration/mover.rs
+++ b/components/relay/src/migration/mover.rs
@@ -326,6 +326,11 @@
             }
         };
         let copied_ms = relay.now_ms();
+        if relay.is_over(to) {
+            // The copy went with the life that held it: a stop now would end the generation.
+            free_copy(relay, to_address, &first);
+            return Try::Again("the engine is gone", to_id);
+        }
         if steps.send(Step::Stopping).is_err() {
             // It came to its own end, or its caller left, while it was copied.
             free_copy(relay, to_address, &first);
--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -108,6 +108,7 @@
         declared_confirmed_ms: Cell::new(None),
         evacuation: RefCell::default(),
         targets: RefCell::default(),
+        refused_entries: RefCell::default(),
         target_changes: watch::Sender::new(0),
         channels: RefCell::default(),
         resends: RefCell::default(),
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -9,6 +9,7 @@
 use crate::membership::snapshot::pack;
 use crate::watch::election::{Followed, View};
 use crate::watch::evacuation::Evacuation;
+use crate::watch::refused::RefusedEntries;
 use crate::watch::targets::{Change, TargetBook};
 use arc_swap::Guard;
 use peers::{FleetCard, FleetClients, FleetDigest, KeyRing};
@@ -58,6 +59,8 @@
     pub(crate) declared_confirmed_ms: Cell<Option<u64>>,
     pub(crate) evacuation: RefCell<Evacuation>,
     pub(crate) targets: RefCell<TargetBook>,
+    /// Entries of targets that could not be used.
+    pub(crate) refused_entries: RefCell<RefusedEntries>,
     /// Rises with each change of targets that matters.
     pub(crate) target_changes: watch::Sender<u64>,
     pub(crate) channels: RefCell<Channels>,
@@ -257,18 +260,24 @@
                 Change::Leaves(slot) => (*slot, "leaves"),
                 Change::Went(slot) => (*slot, "went"),
                 Change::Cold(slot) => (*slot, "cold"),
+                Change::Restarted { slot, .. } => (*slot, "restarted"),
             };
             let targets = self.targets.borrow();
             if let Some(target) = targets.get(slot) {
                 slog::info!(self.log, "target"; "change" => word, "source" => source,
                     "instance" => &*target.entry.instance, "service" => &*target.entry.service,
                     "address" => %target.entry.address, "revision" => target.entry.revision,
-                    "open" => target.open);
+                    "born_ms" => target.entry.born_ms, "open" => target.open);
             }
             drop(targets);
-            if matches!(change, Change::Leaves(_) | Change::Went(_)) {
-                self.channels.borrow_mut().close(slot);
-                self.targets.borrow_mut().sweep(slot);
+            let ended = match change {
+                Change::Leaves(slot) | Change::Went(slot) => Some(*slot),
+                Change::Restarted { former, .. } => Some(*former),
+                Change::Came(_) | Change::Cold(_) => None,
+            };
+            if let Some(ended) = ended {
+                self.channels.borrow_mut().close(ended);
+                self.targets.borrow_mut().sweep(ended);
             }
         }
         if !changes.is_empty() {
--- /dev/null
+++ b/components/relay/src/watch/listing.rs
@@ -0,0 +1,327 @@
+//! How words on lives are taken in: entries, lists, what targets and peers say. A word of a former life changes
+//! nothing, however late it comes and whatever its revision is.
+
+use crate::watch::lives::Past;
+use crate::watch::targets::{Belief, Change, Missing, Target, TargetBook, TargetSlot};
+use policy::{Suspicion, Trial, Warmup};
+use prelude::DataCentreId;
+use routing::{TargetEntry, TargetLife, TargetPhase};
+use std::collections::HashSet;
+
+/// A target that will be cold for so much longer than was known has turned cold anew; what is less is the spread of
+/// its own word.
+const COLD_LONGER_MS: u64 = 500;
+
+impl Target {
+    /// A life of which nothing is known but its entry.
+    fn new(entry: TargetEntry, left: bool, now_ms: u64) -> Self {
+        let says_so = entry.phase == TargetPhase::Leaving;
+        let leaves = left || says_so;
+        let mut target = Self {
+            id: entry.life().id(),
+            data_centre: DataCentreId::from_name(&entry.data_centre),
+            belief: match leaves {
+                true => Belief::Leaving,
+                false => Belief::Ready,
+            },
+            missing: None,
+            cold_until_ms: now_ms + u64::from(entry.cold_left_ms),
+            warmup: Warmup::new(rand::random(), now_ms),
+            open: 0,
+            load: None,
+            suspicion: Suspicion::default(),
+            trial: Trial::default(),
+            full_until_ms: 0,
+            leaves_by_word: leaves && !says_so,
+            left: leaves,
+            entry,
+        };
+        target.tell_phase();
+        target
+    }
+
+    /// Has its entry say what is believed, so that peers are told the same.
+    fn tell_phase(&mut self) {
+        if self.belief == Belief::Leaving {
+            self.entry.phase = TargetPhase::Leaving;
+        }
+    }
+
+    /// Takes a newer entry of this life in. Says whether it turned cold by that.
+    fn renew(&mut self, entry: TargetEntry, now_ms: u64) -> bool {
+        let leaving = entry.phase == TargetPhase::Leaving;
+        let stays_left = self.left && entry.born_ms.is_some();
+        let vanished = self.belief == Belief::Gone;
+        // A life that was seen to leave never takes work again; one that vanished may come back,
+        // as the platform drops entries while its store is in trouble.
+        self.belief = match (self.belief, leaving || stays_left) {
+            (Belief::Leaving, _) | (_, true) => Belief::Leaving,
+            _ => Belief::Ready,
+        };
+        self.missing = None;
+        self.leaves_by_word = !leaving && (self.leaves_by_word || (vanished && stays_left));
+        self.left = self.belief == Belief::Leaving;
+        let cold_until_ms = now_ms + u64::from(entry.cold_left_ms);
+        let turned_cold =
+            entry.cold_left_ms > 0 && cold_until_ms > self.cold_until_ms + COLD_LONGER_MS;
+        if turned_cold {
+            self.cold_until_ms = cold_until_ms;
+            self.warmup = Warmup::new(rand::random(), now_ms);
+        }
+        self.entry = entry;
+        self.tell_phase();
+        turned_cold
+    }
+
+    /// Notes that a new life has begun under its name, and says whether that is news of it.
+    fn is_over(&mut self) -> bool {
+        let was = std::mem::replace(&mut self.belief, Belief::Gone);
+        self.missing = None;
+        was != Belief::Gone
+    }
+}
+
+impl TargetBook {
+    /// The newest life under a name.
+    fn newest(&self, instance: &str) -> Option<(TargetSlot, &Target)> {
+        let slot = *self.by_instance.get(instance)?;
+        Some((slot, self.targets.get(slot)?))
+    }
+
+    /// What is known of a name whose lives are not listed any more.
+    fn past_of(&self, life: &TargetLife) -> Past {
+        match life.born_ms {
+            Some(_) => self.pasts.of(&life.instance),
+            // Where names are not used again, a name says all.
+            None => Past {
+                born_ms: self.pasts.of(&life.instance).born_ms,
+                ..Past::default()
+            },
+        }
+    }
+
+    fn hear(&mut self, life: &TargetLife, leaves: bool) {
+        if life.born_ms.is_some() {
+            self.pasts.heard(life, leaves);
+        }
+    }
+
+    /// Takes the entry of one target in.
+    pub fn listed(&mut self, entry: TargetEntry, now_ms: u64) -> Option<Change> {
+        let life = entry.life();
+        let past = self.past_of(&life);
+        if life.born_ms < past.born_ms {
+            return None;
+        }
+        let newest = self.newest(&life.instance);
+        let known = newest.map(|(slot, target)| (slot, target.entry.born_ms));
+        match known {
+            Some((_, born_ms)) if life.born_ms < born_ms => None,
+            Some((slot, born_ms)) if life.born_ms == born_ms => self.renewed(slot, entry, now_ms),
+            _ if entry.revision < past.unlisted_at => {
+                self.hear(&life, entry.phase == TargetPhase::Leaving);
+                self.over(&life)
+            }
+            Some((former, _)) => {
+                let was_known = self.targets.get_mut(former).is_some_and(Target::is_over);
+                let came = self.came(entry, now_ms);
+                let slot = *self.by_instance.get(&life.instance)?;
+                match was_known {
+                    true => Some(Change::Restarted { former, slot }),
+                    false => came,
+                }
+            }
+            None => self.came(entry, now_ms),
+        }
+    }
+
+    fn renewed(&mut self, slot: TargetSlot, entry: TargetEntry, now_ms: u64) -> Option<Change> {
+        let revision = entry.revision;
+        let target = self.targets.get_mut(slot)?;
+        if revision < target.entry.revision {
+            return None;
+        }
+        let was = target.belief;
+        let turned_cold = target.renew(entry, now_ms);
+        let now = target.belief;
+        if was == now && !(turned_cold && now == Belief::Ready) {
+            return None;
+        }
+        self.changed_at = self.changed_at.max(revision);
+        Some(match now {
+            Belief::Ready if was == now => Change::Cold(slot),
+            Belief::Ready => Change::Came(slot),
+            _ => Change::Leaves(slot),
+        })
+    }
+
+    fn came(&mut self, entry: TargetEntry, now_ms: u64) -> Option<Change> {
+        let life = entry.life();
+        self.changed_at = self.changed_at.max(entry.revision);
+        let past = self.past_of(&life);
+        let left = past.left && past.born_ms == life.born_ms;
+        let target = Target::new(entry, left, now_ms);
+        let (id, belief) = (target.id, target.belief);
+        let slot = self.targets.insert(target);
+        self.by_instance.insert(life.instance, slot);
+        self.by_id.insert(id, slot);
+        Some(match belief {
+            Belief::Leaving => Change::Leaves(slot),
+            _ => Change::Came(slot),
+        })
+    }
+
+    /// Notes that a life was heard of that is newer than what is kept under its name.
+    fn over(&mut self, life: &TargetLife) -> Option<Change> {
+        let (slot, target) = self.newest(&life.instance)?;
+        if target.entry.born_ms >= life.born_ms {
+            return None;
+        }
+        let was_known = self.targets.get_mut(slot).is_some_and(Target::is_over);
+        was_known.then_some(Change::Went(slot))
+    }
+
+    /// Notes that no target of a name is listed any more.
+    pub fn unlisted(&mut self, instance: &str, revision: u64) -> Option<Change> {
+        self.pasts.unlisted(instance, revision);
+        let (slot, _) = self.newest(instance)?;
+        let target = self.targets.get_mut(slot)?;
+        if target.belief == Belief::Gone || revision < target.entry.revision {
+            return None;
+        }
+        target.belief = Belief::Gone;
+        target.missing = None;
+        target.entry.revision = revision;
+        self.changed_at = self.changed_at.max(revision);
+        Some(Change::Went(slot))
+    }
+
+    /// Notes that a life is listed no more. A newer one under its name is not concerned.
+    pub fn life_unlisted(&mut self, life: &TargetLife, revision: u64) -> Option<Change> {
+        self.hear(life, false);
+        let newest = self.newest(&life.instance).map(|(_, t)| t.entry.born_ms);
+        let newest = newest.unwrap_or_else(|| self.past_of(life).born_ms);
+        match life.born_ms < newest {
+            true => None,
+            false => {
+                let went = self.unlisted(&life.instance, revision);
+                went.or_else(|| self.over(life))
+            }
+        }
+    }
+
+    /// Notes that the entry of a target that takes work is missing in a store that has just come back, or that it is
+    /// listed no more.
+    pub fn missed(&mut self, instance: &str, missing: Missing) -> Option<Change> {
+        let (slot, _) = self.newest(instance)?;
+        let target = self.targets.get_mut(slot)?;
+        if target.belief != Belief::Ready {
+            return self.unlisted(instance, missing.revision);
+        }
+        target.missing = target.missing.or(Some(missing));
+        None
+    }
+
+    /// The names whose entries are still missing after the time that they had, with the revision of that.
+    pub fn still_missing(&self, now_ms: u64) -> Vec<(Box<str>, u64)> {
+        let missing = self.targets.values().filter_map(|target| {
+            let missing = target
+                .missing
+                .filter(|missing| missing.until_ms <= now_ms)?;
+            Some((target.entry.instance.clone(), missing.revision))
+        });
+        missing.collect()
+    }
+
+    /// Takes a whole list in, as it was at `revision`. Where the store has just come back, entries that are missing
+    /// have until `missing_until_ms` to be written again.
+    pub fn replace(
+        &mut self,
+        entries: Vec<TargetEntry>,
+        revision: u64,
+        missing_until_ms: Option<u64>,
+        now_ms: u64,
+    ) -> Vec<Change> {
+        self.replace_part(entries, &|_| true, revision, missing_until_ms, now_ms)
+    }
+
+    /// The same for a part of the list: the targets whose names `is_in`. A name that is listed with a former life only
+    /// is not missing: its newest life is as it was.
+    pub(crate) fn replace_part(
+        &mut self,
+        entries: Vec<TargetEntry>,
+        is_in: &impl Fn(&str) -> bool,
+        revision: u64,
+        missing_until_ms: Option<u64>,
+        now_ms: u64,
+    ) -> Vec<Change> {
+        let listed: HashSet<Box<str>> = entries.iter().map(|e| e.instance.clone()).collect();
+        let mut changes: Vec<Change> = Vec::new();
+        for entry in entries {
+            changes.extend(self.listed(entry, now_ms));
+        }
+        let is_missing = |instance: &str| is_in(instance) && !listed.contains(instance);
+        let missing: Vec<Box<str>> = self
+            .by_instance
+            .keys()
+            .filter(|instance| is_missing(instance))
+            .cloned()
+            .collect();
+        for instance in missing {
+            changes.extend(match missing_until_ms {
+                Some(until_ms) => self.missed(&instance, Missing { until_ms, revision }),
+                None => self.unlisted(&instance, revision),
+            });
+        }
+        self.current_to = self.current_to.max(revision);
+        self.known = true;
+        changes
+    }
+
+    /// Believes a target's own word that it leaves.
+    pub fn leaves(&mut self, slot: TargetSlot) -> Option<Change> {
+        let target = self.targets.get_mut(slot)?;
+        target.left = true;
+        if target.belief != Belief::Ready {
+            return None;
+        }
+        target.belief = Belief::Leaving;
+        target.leaves_by_word = true;
+        target.tell_phase();
+        Some(Change::Leaves(slot))
+    }
+
+    /// The lives that leave by their own word. What the store says of leaving travels with its changes.
+    pub fn leaving(&self) -> Vec<TargetLife> {
+        let leaving = self
+            .targets
+            .values()
+            .filter(|t| t.belief == Belief::Leaving && t.leaves_by_word);
+        leaving.map(|target| target.entry.life()).collect()
+    }
+
+    /// Believes a peer's word on which lives leave. What is not known yet will be listed as leaving.
+    pub fn told_leaving(&mut self, lives: &[TargetLife]) -> Vec<Change> {
+        let told = lives.iter().filter_map(|life| self.told_leaves(life));
+        told.collect()
+    }
+
+    fn told_leaves(&mut self, life: &TargetLife) -> Option<Change> {
+        if life.born_ms < self.past_of(life).born_ms {
+            return None;
+        }
+        let known = self.newest(&life.instance);
+        match known.map(|(slot, target)| (slot, target.entry.born_ms)) {
+            Some((slot, born_ms)) if born_ms == life.born_ms => self.leaves(slot),
+            Some((_, born_ms)) if born_ms > life.born_ms => None,
+            _ => {
+                self.hear(life, true);
+                self.over(life)
+            }
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "listing_tests.rs"]
+mod tests;
--- /dev/null
+++ b/components/relay/src/watch/lives.rs
@@ -0,0 +1,63 @@
+//! What is still known of a name once nothing is kept of its lives: which life was the newest, whether it left, and
+//! when it was listed no more. Without it a late word of a former life would bring a dead target back.
+
+use routing::TargetLife;
+use std::collections::{HashMap, VecDeque};
+
+/// Names of which this is kept, the latest: some 100 KB. Late words come within seconds, and no fleet starts a thousand
+/// targets in that time.
+const NAMES_MAX: usize = 1_024;
+
+/// What is known of a name. The first of its lives is before all births.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(super) struct Past {
+    /// The birth of its newest life; none where it never had one that names its birth.
+    pub born_ms: Option<u64>,
+    /// That life was seen to leave.
+    pub left: bool,
+    /// The store's revision at which the name was not listed.
+    pub unlisted_at: u64,
+}
+
+/// The pasts of names, the latest.
+#[derive(Debug, Default)]
+pub(super) struct Pasts {
+    pasts: HashMap<Box<str>, Past>,
+    order: VecDeque<Box<str>>,
+}
+
+impl Pasts {
+    /// What is known of a name.
+    pub fn of(&self, instance: &str) -> Past {
+        self.pasts.get(instance).copied().unwrap_or_default()
+    }
+
+    /// Notes that a life was heard of, and whether it leaves.
+    pub fn heard(&mut self, life: &TargetLife, leaves: bool) {
+        let past = self.past_mut(&life.instance);
+        if life.born_ms > past.born_ms {
+            past.born_ms = life.born_ms;
+            past.left = leaves;
+        } else if life.born_ms == past.born_ms {
+            past.left |= leaves;
+        }
+    }
+
+    /// Notes that a name was not listed at a revision.
+    pub fn unlisted(&mut self, instance: &str, revision: u64) {
+        let past = self.past_mut(instance);
+        past.unlisted_at = past.unlisted_at.max(revision);
+    }
+
+    fn past_mut(&mut self, instance: &str) -> &mut Past {
+        if !self.pasts.contains_key(instance) {
+            self.order.push_back(instance.into());
+            if self.order.len() > NAMES_MAX
+                && let Some(oldest) = self.order.pop_front()
+            {
+                self.pasts.remove(&oldest);
+            }
+        }
+        self.pasts.entry(instance.into()).or_default()
+    }
+}
--- a/components/relay/src/watch/mod.rs
+++ b/components/relay/src/watch/mod.rs
@@ -3,6 +3,9 @@
 pub(crate) mod backoff;
 pub(crate) mod election;
 pub(crate) mod evacuation;
+pub(crate) mod listing;
+pub(crate) mod lives;
 pub(crate) mod reconcile;
+pub(crate) mod refused;
 pub(crate) mod targets;
 pub(crate) mod watcher;
--- a/components/relay/src/watch/reconcile.rs
+++ b/components/relay/src/watch/reconcile.rs
@@ -20,7 +20,8 @@
 
 /// What one target adds to the hash of its bucket.
 fn hash_of(target: &Target) -> u64 {
-    let name = xxh3_64(target.entry.instance.as_bytes());
+    // The key of a life names it and its birth.
+    let name = target.id.0;
     match target.belief {
         Belief::Leaving => !name.rotate_left(1),
         _ => name.rotate_left(2),
--- a/components/relay/src/watch/reconcile_tests.rs
+++ b/components/relay/src/watch/reconcile_tests.rs
@@ -5,6 +5,7 @@
 fn entry(at: usize, phase: TargetPhase) -> TargetEntry {
     TargetEntry {
         instance: format!("i-{at:08x}").into(),
+        born_ms: None,
         service: ["model", "records"][at % 2].into(),
         address: ([10, 0, 0, at as u8], 80).into(),
         data_centre: ["east", "west", "north"][at % 3].into(),
--- a/components/relay/src/watch/targets.rs
+++ b/components/relay/src/watch/targets.rs
@@ -1,10 +1,11 @@
 //! The targets that this box knows, and what it has on each. Whether a target leaves is kept for each of
-//! its lives, never for its address.
+//! its lives, never for its address or name. How words on lives are taken in is in [`crate::watch::listing`].
 
+use crate::watch::lives::Pasts;
 use platform::WorkerLoad;
 use policy::{Suspicion, Trial, Warmup};
 use prelude::{DataCentreId, TargetId};
-use routing::{TargetEntry, TargetPhase};
+use routing::TargetEntry;
 use slotmap::{SlotMap, new_key_type};
 use std::collections::{HashMap, HashSet};
 
@@ -63,13 +64,12 @@
     pub full_until_ms: u64,
     /// That it leaves is known from itself or from a box that it told; the store has not said so.
     pub leaves_by_word: bool,
+    /// It was seen to leave. Where lives name their births, it takes no work again even if it vanishes and comes back.
+    pub left: bool,
 }
 
 /// How long a target's word that it is full is believed.
 const FULL_MS: u64 = 100;
-/// A target that will be cold for so much longer than was known has turned cold anew; what is less is the spread of
-/// its own word.
-const COLD_LONGER_MS: u64 = 500;
 /// How long its word on its load counts.
 const LOAD_LIFE_MS: u64 = 1_000;
 /// What a target in another data centre must be emptier by, as a share of its slots.
@@ -124,9 +124,11 @@
 /// All targets.
 #[derive(Debug, Default)]
 pub struct TargetBook {
-    targets: SlotMap<TargetSlot, Target>,
-    by_instance: HashMap<Box<str>, TargetSlot>,
-    by_id: HashMap<TargetId, TargetSlot>,
+    pub(super) targets: SlotMap<TargetSlot, Target>,
+    /// The newest life of each name. A former one is only found by its key.
+    pub(super) by_instance: HashMap<Box<str>, TargetSlot>,
+    pub(super) by_id: HashMap<TargetId, TargetSlot>,
+    pub(super) pasts: Pasts,
     /// The store's revision up to which everything is known.
     pub current_to: u64,
     /// The revision of the last change that matters: a target came, leaves, or went.
@@ -134,7 +136,7 @@
     /// When it was last confirmed that the book is current.
     pub confirmed_ms: Option<u64>,
     /// A list was taken in: from the store, perhaps as it was some seconds ago, or from a peer.
-    known: bool,
+    pub(super) known: bool,
     evacuated: HashSet<DataCentreId>,
 }
 
@@ -149,6 +151,13 @@
     Went(TargetSlot),
     /// It takes work, and is slow for a time.
     Cold(TargetSlot),
+    /// A new life has begun under the name of a former one, which is over.
+    Restarted {
+        /// The life that is over.
+        former: TargetSlot,
+        /// The new life.
+        slot: TargetSlot,
+    },
 }
 
 impl TargetBook {
@@ -212,189 +221,6 @@
             .filter(move |(_, target)| &*target.entry.service == service)
     }
 
-    /// Takes the entry of one target in.
-    pub fn listed(&mut self, entry: TargetEntry, now_ms: u64) -> Option<Change> {
-        let leaving = entry.phase == TargetPhase::Leaving;
-        if let Some(slot) = self.by_instance.get(&entry.instance).copied() {
-            let target = self.targets.get_mut(slot)?;
-            if entry.revision < target.entry.revision {
-                return None;
-            }
-            let was = target.belief;
-            // A life that was seen to leave never takes work again; one that vanished may come back,
-            // as the platform drops entries while its store is in trouble.
-            target.belief = match (was, leaving) {
-                (Belief::Leaving, _) | (_, true) => Belief::Leaving,
-                _ => Belief::Ready,
-            };
-            target.missing = None;
-            target.leaves_by_word &= !leaving;
-            let now = target.belief;
-            let revision = entry.revision;
-            let cold_until_ms = now_ms + u64::from(entry.cold_left_ms);
-            let turned_cold =
-                entry.cold_left_ms > 0 && cold_until_ms > target.cold_until_ms + COLD_LONGER_MS;
-            if turned_cold {
-                target.cold_until_ms = cold_until_ms;
-                target.warmup = Warmup::new(rand::random(), now_ms);
-            }
-            target.entry = entry;
-            if was == now && !(turned_cold && now == Belief::Ready) {
-                return None;
-            }
-            self.changed_at = self.changed_at.max(revision);
-            return Some(match now {
-                Belief::Ready if was == now => Change::Cold(slot),
-                Belief::Ready => Change::Came(slot),
-                _ => Change::Leaves(slot),
-            });
-        }
-        let id = TargetId::from_name(&entry.instance);
-        self.changed_at = self.changed_at.max(entry.revision);
-        let target = Target {
-            id,
-            data_centre: DataCentreId::from_name(&entry.data_centre),
-            belief: match leaving {
-                true => Belief::Leaving,
-                false => Belief::Ready,
-            },
-            missing: None,
-            cold_until_ms: now_ms + u64::from(entry.cold_left_ms),
-            warmup: Warmup::new(rand::random(), now_ms),
-            open: 0,
-            load: None,
-            suspicion: Suspicion::default(),
-            trial: Trial::default(),
-            full_until_ms: 0,
-            leaves_by_word: false,
-            entry,
-        };
-        let instance = target.entry.instance.clone();
-        let slot = self.targets.insert(target);
-        self.by_instance.insert(instance, slot);
-        self.by_id.insert(id, slot);
-        Some(match leaving {
-            true => Change::Leaves(slot),
-            false => Change::Came(slot),
-        })
-    }
-
-    /// Notes that a target is listed no more.
-    pub fn unlisted(&mut self, instance: &str, revision: u64) -> Option<Change> {
-        let slot = *self.by_instance.get(instance)?;
-        let target = self.targets.get_mut(slot)?;
-        if target.belief == Belief::Gone || revision < target.entry.revision {
-            return None;
-        }
-        target.belief = Belief::Gone;
-        target.missing = None;
-        target.entry.revision = revision;
-        self.changed_at = self.changed_at.max(revision);
-        Some(Change::Went(slot))
-    }
-
-    /// Notes that the entry of a target that takes work is missing in a store that has just come back, or that it is
-    /// listed no more.
-    pub fn missed(&mut self, instance: &str, missing: Missing) -> Option<Change> {
-        let slot = *self.by_instance.get(instance)?;
-        let target = self.targets.get_mut(slot)?;
-        if target.belief != Belief::Ready {
-            return self.unlisted(instance, missing.revision);
-        }
-        target.missing = target.missing.or(Some(missing));
-        None
-    }
-
-    /// The lives whose entries are still missing after the time that they had, with the revision of that.
-    pub fn still_missing(&self, now_ms: u64) -> Vec<(Box<str>, u64)> {
-        let missing = self.targets.values().filter_map(|target| {
-            let missing = target
-                .missing
-                .filter(|missing| missing.until_ms <= now_ms)?;
-            Some((target.entry.instance.clone(), missing.revision))
-        });
-        missing.collect()
-    }
-
-    /// Takes a whole list in, as it was at `revision`. Where the store has just come back, entries that are missing
-    /// have until `missing_until_ms` to be written again.
-    pub fn replace(
-        &mut self,
-        entries: Vec<TargetEntry>,
-        revision: u64,
-        missing_until_ms: Option<u64>,
-        now_ms: u64,
-    ) -> Vec<Change> {
-        self.replace_part(entries, &|_| true, revision, missing_until_ms, now_ms)
-    }
-
-    /// The same for a part of the list: the targets whose names `is_in`.
-    pub(crate) fn replace_part(
-        &mut self,
-        entries: Vec<TargetEntry>,
-        is_in: &impl Fn(&str) -> bool,
-        revision: u64,
-        missing_until_ms: Option<u64>,
-        now_ms: u64,
-    ) -> Vec<Change> {
-        let listed: HashSet<Box<str>> = entries.iter().map(|e| e.instance.clone()).collect();
-        let mut changes: Vec<Change> = Vec::new();
-        for entry in entries {
-            changes.extend(self.listed(entry, now_ms));
-        }
-        let is_missing = |instance: &str| is_in(instance) && !listed.contains(instance);
-        let missing: Vec<Box<str>> = self
-            .targets
-            .values()
-            .filter(|target| is_missing(&target.entry.instance))
-            .map(|target| target.entry.instance.clone())
-            .collect();
-        for instance in missing {
-            changes.extend(match missing_until_ms {
-                Some(until_ms) => self.missed(&instance, Missing { until_ms, revision }),
-                None => self.unlisted(&instance, revision),
-            });
-        }
-        self.current_to = self.current_to.max(revision);
-        self.known = true;
-        changes
-    }
-
-    /// Believes a target's own word that it leaves.
-    pub fn leaves(&mut self, slot: TargetSlot) -> Option<Change> {
-        let target = self.targets.get_mut(slot)?;
-        if target.belief != Belief::Ready {
-            return None;
-        }
-        target.belief = Belief::Leaving;
-        target.entry.phase = TargetPhase::Leaving;
-        target.leaves_by_word = true;
-        Some(Change::Leaves(slot))
-    }
-
-    /// The lives that leave by their own word. What the store says of leaving travels with its changes.
-    pub fn leaving(&self) -> Vec<Box<str>> {
-        let leaving = self
-            .targets
-            .values()
-            .filter(|t| t.belief == Belief::Leaving && t.leaves_by_word);
-        leaving
-            .map(|target| target.entry.instance.clone())
-            .collect()
-    }
-
-    /// Believes a peer's word on which lives leave.
-    pub fn told_leaving(&mut self, instances: &[Box<str>]) -> Vec<Change> {
-        let slots = instances
-            .iter()
-            .filter_map(|instance| self.by_instance.get(instance).copied());
-        let slots: Vec<TargetSlot> = slots.collect();
-        slots
-            .into_iter()
-            .filter_map(|slot| self.leaves(slot))
-            .collect()
-    }
-
     /// Notes that a target said that it is full.
     pub fn full(&mut self, slot: TargetSlot, now_ms: u64) {
         if let Some(target) = self.targets.get_mut(slot) {
@@ -432,7 +258,14 @@
             return;
         }
         if let Some(target) = self.targets.remove(slot) {
-            self.by_instance.remove(&target.entry.instance);
+            let instance = &target.entry.instance;
+            if target.entry.born_ms.is_some() {
+                self.pasts.heard(&target.entry.life(), target.left);
+                self.pasts.unlisted(instance, target.entry.revision);
+            }
+            if self.by_instance.get(instance) == Some(&slot) {
+                self.by_instance.remove(instance);
+            }
             self.by_id.remove(&target.id);
         }
     }
--- a/components/relay/src/watch/watcher.rs
+++ b/components/relay/src/watch/watcher.rs
@@ -7,12 +7,13 @@
 use crate::watch::election::{
     CONFIRM_EACH, Following, TURN_CHECK, View, is_relieved, must_watch, pause_before_trying, rank,
 };
-use crate::watch::targets::Missing;
+use crate::watch::targets::{Change, Missing, TargetBook};
 use peers::{TargetChanges, TargetList};
 use platform::{
-    CONFIG_KEY, FleetWatch, OPERATOR_PREFIX, TARGET_PREFIX, decode_target, evacuated_data_centre,
+    CONFIG_KEY, FleetWatch, OPERATOR_PREFIX, TARGET_PREFIX, born_of, decode_target,
+    evacuated_data_centre,
 };
-use routing::TargetEntry;
+use routing::{TargetEntry, TargetLife};
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -250,25 +251,64 @@
     }
 }
 
-fn decoded(relay: &Relay, item: &Versioned) -> Option<TargetEntry> {
-    match decode_target(&item.key, &item.value, item.revision) {
-        Ok(entry) => Some(entry),
-        Err(error) => {
-            slog::warn!(relay.log, "entry of a target not used"; "key" => &item.key,
-                "error" => %error);
-            None
-        }
-    }
-}
-
 /// A change in the list of targets.
 enum Listing {
     Listed(TargetEntry),
     Unlisted(Box<str>, u64),
+    /// The entry names no target to use; whose life it is may still be known.
+    Refused(Box<str>, Option<u64>, u64),
+}
+
+impl Listing {
+    /// Takes it in. Where the store has just come back, what is missing has time to come back too.
+    fn take(
+        &self,
+        targets: &mut TargetBook,
+        missing_until_ms: Option<u64>,
+        now_ms: u64,
+    ) -> Option<Change> {
+        match (self, missing_until_ms) {
+            (Self::Listed(entry), _) => targets.listed(entry.clone(), now_ms),
+            (Self::Unlisted(instance, at), Some(until_ms)) => {
+                let revision = *at;
+                targets.missed(instance, Missing { until_ms, revision })
+            }
+            (Self::Unlisted(instance, at), None) => targets.unlisted(instance, *at),
+            (Self::Refused(instance, None, at), _) => targets.unlisted(instance, *at),
+            (Self::Refused(instance, born_ms, at), _) => {
+                let life = TargetLife {
+                    instance: instance.clone(),
+                    born_ms: *born_ms,
+                };
+                targets.life_unlisted(&life, *at)
+            }
+        }
+    }
+}
+
+/// What lies under a key. What cannot be used is told once.
+fn listing(relay: &Relay, item: &Versioned) -> Option<Listing> {
+    let mut refused = relay.refused_entries.borrow_mut();
+    let error = match decode_target(&item.key, &item.value, item.revision) {
+        Ok(entry) => {
+            refused.passed(&item.key);
+            return Some(Listing::Listed(entry));
+        }
+        Err(error) => error,
+    };
+    if refused.refused(&item.key, &item.value) {
+        metrics::counter!("shuntpier_target_entries_refused").increment(1);
+        slog::warn!(relay.log, "entry of a target not used"; "key" => &item.key,
+            "revision" => item.revision, "bytes" => item.value.len(), "error" => %error);
+    }
+    let instance = item.key.strip_prefix(TARGET_PREFIX)?;
+    let born_ms = born_of(&item.value);
+    Some(Listing::Refused(instance.into(), born_ms, item.revision))
 }
 
-fn listing(relay: &Relay, event: WatchEvent) -> Option<Listing> {
+fn listing_of(relay: &Relay, event: WatchEvent) -> Option<Listing> {
     let Some(value) = event.value else {
+        relay.refused_entries.borrow_mut().passed(&event.key);
         let instance = event.key.strip_prefix(TARGET_PREFIX)?;
         return Some(Listing::Unlisted(instance.into(), event.revision));
     };
@@ -278,20 +318,24 @@
         revision: event.revision,
         lease: 0,
     };
-    decoded(relay, &item).map(Listing::Listed)
+    listing(relay, &item)
 }
 
 fn read_targets(relay: &Rc<Relay>, items: &[Versioned], revision: u64) -> bool {
-    let entries = items
-        .iter()
-        .filter_map(|item| decoded(relay, item))
-        .collect();
     let now_ms = relay.now_ms();
     let missing_until_ms = missing_until_ms(relay);
-    let changes = relay
-        .targets
-        .borrow_mut()
-        .replace(entries, revision, missing_until_ms, now_ms);
+    let mut changes = Vec::new();
+    let mut entries = Vec::new();
+    let mut targets = relay.targets.borrow_mut();
+    for item in items {
+        match listing(relay, item) {
+            Some(Listing::Listed(entry)) => entries.push(entry),
+            Some(refused) => changes.extend(refused.take(&mut targets, missing_until_ms, now_ms)),
+            None => {}
+        }
+    }
+    changes.extend(targets.replace(entries, revision, missing_until_ms, now_ms));
+    drop(targets);
     relay.took_changes(&changes, "store");
     !changes.is_empty()
 }
@@ -299,7 +343,7 @@
 fn take_targets(relay: &Rc<Relay>, events: Vec<WatchEvent>, revision: u64) {
     let listings: Vec<Listing> = events
         .into_iter()
-        .filter_map(|event| listing(relay, event))
+        .filter_map(|event| listing_of(relay, event))
         .collect();
     take_listings(relay, listings, missing_until_ms(relay));
     let mut targets = relay.targets.borrow_mut();
@@ -314,22 +358,17 @@
     let (mut listed, mut unlisted) = (Vec::new(), Vec::new());
     for listing in listings {
         let mut targets = relay.targets.borrow_mut();
-        let change = match &listing {
-            Listing::Listed(entry) => targets.listed(entry.clone(), now_ms),
-            Listing::Unlisted(instance, at) => match missing_until_ms {
-                Some(until_ms) => {
-                    let revision = *at;
-                    targets.missed(instance, Missing { until_ms, revision })
-                }
-                None => targets.unlisted(instance, *at),
-            },
+        let Some(change) = listing.take(&mut targets, missing_until_ms, now_ms) else {
+            continue;
         };
-        match listing {
-            _ if change.is_none() => {}
-            Listing::Listed(entry) => listed.push(entry),
-            Listing::Unlisted(instance, at) => unlisted.push((instance, at)),
+        changes.push(change);
+        match (listing, change) {
+            (Listing::Listed(entry), _) => listed.push(entry),
+            (Listing::Unlisted(_, at) | Listing::Refused(_, _, at), Change::Went(slot)) => {
+                unlisted.extend(targets.get(slot).map(|target| (target.entry.life(), at)));
+            }
+            _ => {}
         }
-        changes.extend(change);
     }
     relay.took_changes(&changes, "store");
     if !changes.is_empty() {
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -12,4 +12,4 @@
     AccountRule, CallerLimits, EngineTraits, Route, RouteKey, RouteKind, RoutingTable, Service,
     ServiceKey, ServiceShare, TableError, Verdict,
 };
-pub use target::{TargetEntry, TargetPhase};
+pub use target::{TargetEntry, TargetLife, TargetPhase};
--- a/components/routing/src/target.rs
+++ b/components/routing/src/target.rs
@@ -1,5 +1,6 @@
 //! Targets as the platform lists them.
 
+use prelude::TargetId;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -12,11 +13,33 @@
     Leaving,
 }
 
+/// Names one life of a target.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct TargetLife {
+    /// The target's name.
+    pub instance: Box<str>,
+    /// When this life began, in Unix time; none where each life has a name of its own.
+    pub born_ms: Option<u64>,
+}
+
+impl TargetLife {
+    /// Its key in the policies. Lives under one name have different ones, so that no ledger mixes them up.
+    pub fn id(&self) -> TargetId {
+        match self.born_ms {
+            // No name has a zero byte.
+            Some(born_ms) => TargetId::from_name(&format!("{}\0{born_ms}", self.instance)),
+            None => TargetId::from_name(&self.instance),
+        }
+    }
+}
+
 /// One life of a target.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TargetEntry {
-    /// Names this life; no other life of any target has the same name.
+    /// The target's name. Lives under one name are told apart by `born_ms`.
     pub instance: Box<str>,
+    /// When this life began, in Unix time; none where each life has a name of its own.
+    pub born_ms: Option<u64>,
     /// The service that it works for.
     pub service: Box<str>,
     /// Where it listens. The address may belong to another target later.
@@ -32,3 +55,13 @@
     /// The store's revision at which its phase was read.
     pub revision: u64,
 }
+
+impl TargetEntry {
+    /// The life that it is of.
+    pub fn life(&self) -> TargetLife {
+        TargetLife {
+            instance: self.instance.clone(),
+            born_ms: self.born_ms,
+        }
+    }
+}
