Lives: words in any order against a model, an engine killed in a move, soak of restarts and unreadable entries

The property tests found one fault: forgetting a former life whose late write had the higher revision took its name for unlisted at that revision, and hid the next life. The note of when a name was unlisted is now made only where it is.

--- a/components/relay/src/watch/listing.rs
+++ b/components/relay/src/watch/listing.rs
@@ -322,6 +322,9 @@
     }
 }
 
+#[cfg(test)]
+#[path = "listing_order_tests.rs"]
+mod order_tests;
 #[cfg(test)]
 #[path = "listing_tests.rs"]
 mod tests;
--- a/components/relay/src/watch/lives.rs
+++ b/components/relay/src/watch/lives.rs
@@ -49,6 +49,12 @@
         past.unlisted_at = past.unlisted_at.max(revision);
     }
 
+    /// How many names it knows of.
+    #[cfg(test)]
+    pub fn len(&self) -> usize {
+        self.pasts.len()
+    }
+
     fn past_mut(&mut self, instance: &str) -> &mut Past {
         if !self.pasts.contains_key(instance) {
             self.order.push_back(instance.into());
--- a/components/relay/src/watch/targets.rs
+++ b/components/relay/src/watch/targets.rs
@@ -261,7 +261,6 @@
             let instance = &target.entry.instance;
             if target.entry.born_ms.is_some() {
                 self.pasts.heard(&target.entry.life(), target.left);
-                self.pasts.unlisted(instance, target.entry.revision);
             }
             if self.by_instance.get(instance) == Some(&slot) {
                 self.by_instance.remove(instance);
--- a/components/soak/src/checks.rs
+++ b/components/soak/src/checks.rs
@@ -23,13 +23,17 @@
 /// What was broken in one run.
 pub(crate) fn check(history: &History) -> Vec<Broken> {
     let arrivals = by_id(history);
-    let checks: [(&'static str, Vec<String>); 10] = [
+    let checks: [(&'static str, Vec<String>); 11] = [
         ("its own whole answer", whole_answers(history, &arrivals)),
         ("each event once, in order", ordered_events(history)),
         ("one generation", one_generation(&arrivals)),
         ("at most once", at_most_once(&arrivals)),
         ("not run is true", not_run_is_true(history, &arrivals)),
         ("no work to a leaving target", no_late_work(history)),
+        (
+            "no work to an unreadable entry",
+            no_work_to_garbled(history),
+        ),
         (
             "no work to an evacuated data centre",
             no_work_to_evacuated(history),
@@ -43,15 +47,36 @@
         let told = cases.into_iter().take(TOLD_MAX);
         broken.extend(told.map(|what| Broken { promise, what }));
     }
-    if !history.served_again {
-        broken.push(Broken {
-            promise: "serves again",
-            what: "no calls were served within the time after the loss of all boxes".into(),
-        });
-    }
+    broken.extend(seen_at_the_end(history));
     broken
 }
 
+/// What is seen of the boxes as a whole, at the end of a run.
+fn seen_at_the_end(history: &History) -> impl Iterator<Item = Broken> {
+    let seen = [
+        (
+            history.refused_unreadable,
+            "no work to an unreadable entry",
+            "calls were served though no target had an entry that can be read",
+        ),
+        (
+            history.served_by_next_lives,
+            "the next life takes work",
+            "no calls were served after all targets had started again under their names",
+        ),
+        (
+            history.served_again,
+            "serves again",
+            "no calls were served within the time after the loss of all boxes",
+        ),
+    ];
+    let broken = seen.into_iter().filter(|(holds, _, _)| !holds);
+    broken.map(|(_, promise, what)| Broken {
+        promise,
+        what: what.into(),
+    })
+}
+
 type ById<'a> = HashMap<&'a str, Vec<&'a Arrival>>;
 
 fn by_id(history: &History) -> ById<'_> {
@@ -185,7 +210,10 @@
 fn no_late_work(history: &History) -> Vec<String> {
     let mut broken = Vec::new();
     for leaving in &history.leaving {
-        let is_there = |arrival: &Arrival| arrival.target == leaving.target && arrival.ran;
+        let is_there = |arrival: &Arrival| {
+            let is_of_life = (&arrival.target, arrival.life) == (&leaving.target, leaving.life);
+            is_of_life && arrival.ran
+        };
         let bound_ms = leaving.told_ms + LEAVING_MS + history.slack_ms;
         let late = late_work(history, is_there, bound_ms..u64::MAX);
         broken.extend(late.map(|arrival| {
@@ -197,6 +225,22 @@
     broken
 }
 
+/// A target whose entry cannot be read gets nothing new until it can be again.
+fn no_work_to_garbled(history: &History) -> Vec<String> {
+    let mut broken = Vec::new();
+    for garbled in &history.garbled {
+        let is_there = |arrival: &Arrival| arrival.target == garbled.target && arrival.ran;
+        let bound_ms = garbled.from_ms + LEAVING_MS + history.slack_ms;
+        let late = late_work(history, is_there, bound_ms..garbled.until_ms);
+        broken.extend(late.map(|arrival| {
+            let late_ms = arrival.at_ms - garbled.from_ms;
+            let (id, target) = (&arrival.id, &garbled.target);
+            format!("{id} ran at {target} {late_ms} ms after its entry could not be read")
+        }));
+    }
+    broken
+}
+
 /// An evacuated data centre gets nothing new, by boxes in touch, and nothing that is moved there.
 fn no_work_to_evacuated(history: &History) -> Vec<String> {
     let mut broken = Vec::new();
--- a/components/soak/src/checks_tests.rs
+++ b/components/soak/src/checks_tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::history::{Evacuated, KeyChange, Leaving};
+use crate::history::{Evacuated, Garbled, KeyChange, Leaving};
 
 fn answered(status: u16, body: &str, whole: bool) -> Outcome {
     Outcome::Answered(Got {
@@ -26,6 +26,7 @@
     Arrival {
         id: id.into(),
         target: "t".into(),
+        life: 1,
         kind,
         at_ms,
         ran: true,
@@ -38,6 +39,8 @@
         arrivals,
         events: 3,
         served_again: true,
+        refused_unreadable: true,
+        served_by_next_lives: true,
         ..History::default()
     }
 }
@@ -118,9 +121,14 @@
     let mut late = history(calls, vec![arrival("1", Kind::Once, 2_610)]);
     late.leaving = vec![Leaving {
         target: "t".into(),
+        life: 1,
         told_ms: 500,
     }];
     assert_eq!(promises(&late), ["no work to a leaving target"]);
+    // The next life under its name may have it.
+    late.arrivals[0].life = 2;
+    assert!(promises(&late).is_empty());
+    late.arrivals[0].life = 1;
     late.disturbed = vec![Disturbed {
         trouble: Trouble::Store,
         at: Some(0),
@@ -130,6 +138,34 @@
     assert!(promises(&late).is_empty());
 }
 
+#[test]
+fn finds_work_at_a_target_whose_entry_cannot_be_read_until_it_can() {
+    let calls = [2_600, 9_100].map(|sent_ms| {
+        let answer = answered(200, &format!("answer to {sent_ms} by t"), true);
+        call(&sent_ms.to_string(), Kind::Once, sent_ms, answer)
+    });
+    let arrivals = [2_600, 9_100].map(|at_ms| arrival(&at_ms.to_string(), Kind::Once, at_ms + 9));
+    let mut late = history(calls.into(), arrivals.into());
+    late.garbled = vec![Garbled {
+        target: "t".into(),
+        from_ms: 500,
+        until_ms: 9_000,
+    }];
+    assert_eq!(promises(&late), ["no work to an unreadable entry"]);
+    late.garbled[0].target = "another".into();
+    assert!(promises(&late).is_empty());
+}
+
+#[test]
+fn finds_that_unreadable_entries_are_used_and_that_next_lives_are_not() {
+    let mut end = history(Vec::new(), Vec::new());
+    end.refused_unreadable = false;
+    assert_eq!(promises(&end), ["no work to an unreadable entry"]);
+    end.refused_unreadable = true;
+    end.served_by_next_lives = false;
+    assert_eq!(promises(&end), ["the next life takes work"]);
+}
+
 #[test]
 fn finds_work_in_an_evacuated_data_centre_until_it_is_taken_back() {
     let calls = [2_600, 9_100].map(|sent_ms| {
--- a/components/soak/src/history.rs
+++ b/components/soak/src/history.rs
@@ -74,18 +74,29 @@
 pub(crate) struct Arrival {
     pub id: String,
     pub target: String,
+    /// Which of the lives under that name.
+    pub life: u64,
     pub kind: Kind,
     pub at_ms: u64,
     pub ran: bool,
 }
 
-/// A target of which the store said that it leaves.
+/// A life of a target of which the store said that it leaves.
 #[derive(Clone, Debug)]
 pub(crate) struct Leaving {
     pub target: String,
+    pub life: u64,
     pub told_ms: u64,
 }
 
+/// A target whose entry could not be read, for a time.
+#[derive(Clone, Debug)]
+pub(crate) struct Garbled {
+    pub target: String,
+    pub from_ms: u64,
+    pub until_ms: u64,
+}
+
 /// A data centre to whose targets nothing new was to go, for a time.
 #[derive(Clone, Debug)]
 pub(crate) struct Evacuated {
@@ -112,6 +123,7 @@
     /// Times in which engines broke streams off.
     pub crashes: Vec<(u64, u64)>,
     pub leaving: Vec<Leaving>,
+    pub garbled: Vec<Garbled>,
     pub evacuated: Vec<Evacuated>,
     /// Where each target stands.
     pub places: HashMap<String, &'static str>,
@@ -122,6 +134,10 @@
     pub events: u32,
     /// Whether calls were served within the time after the loss of all boxes.
     pub served_again: bool,
+    /// Whether all boxes refused calls, within the bound, once no target had an entry that can be read.
+    pub refused_unreadable: bool,
+    /// Whether calls were served once all targets had started again under their names.
+    pub served_by_next_lives: bool,
     /// What a machine that stalls is allowed beyond each bound, in milliseconds.
     pub slack_ms: u64,
 }
--- a/components/soak/src/lib.rs
+++ b/components/soak/src/lib.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod checks;
 mod history;
+mod lives;
 mod plan;
 mod plant;
 mod play;
--- a/components/soak/src/plan.rs
+++ b/components/soak/src/plan.rs
@@ -31,7 +31,7 @@
 
 /// The data centres in which targets stand.
 pub(crate) const PLACES: [&str; 2] = ["hall", "annex"];
-/// How long a data centre stays evacuated: longer than the bound for it.
+/// How long a data centre stays evacuated, or an entry unreadable: longer than the bound for it.
 const EVACUATED_MS: std::ops::RangeInclusive<u64> = 3_000..=6_000;
 
 /// What is done to the world.
@@ -78,6 +78,12 @@
     EngineLeaves { at: usize },
     /// An engine breaks streams off within an event.
     EngineCrash { at: usize, lasts_ms: u64 },
+    /// A plain target leaves, and starts again under its name at once.
+    TargetRestarts { at: usize },
+    /// The same for an engine. It is killed, or serves what it has.
+    EngineRestarts { at: usize, killed: bool },
+    /// The entry of a plain target cannot be read for a time.
+    Garble { at: usize, lasts_ms: u64 },
 }
 
 /// A step and when it comes, in milliseconds since the run began.
@@ -121,7 +127,7 @@
 fn step(rng: &mut ChaCha8Rng, sizes: Sizes) -> Step {
     let at = rng.random_range(0..sizes.boxes);
     let lasts_ms = rng.random_range(LASTS_MS);
-    match rng.random_range(0..16) {
+    match rng.random_range(0..19) {
         0 => Step::Kill {
             at,
             down_ms: rng.random_range(100..1_500),
@@ -159,6 +165,17 @@
             trouble: link_trouble(rng),
             lasts_ms,
         },
+        16 => Step::TargetRestarts {
+            at: rng.random_range(0..sizes.targets),
+        },
+        17 => Step::EngineRestarts {
+            at: rng.random_range(0..sizes.engines),
+            killed: rng.random_bool(0.5),
+        },
+        18 => Step::Garble {
+            at: rng.random_range(0..sizes.targets),
+            lasts_ms: rng.random_range(EVACUATED_MS),
+        },
         _ if rng.random_bool(0.5) => Step::EngineLeaves {
             at: rng.random_range(0..sizes.engines),
         },
--- a/components/soak/src/plant.rs
+++ b/components/soak/src/plant.rs
@@ -20,6 +20,10 @@
     LateWork,
     /// The store is not told that a data centre is evacuated.
     Evacuation,
+    /// The births of targets that start again under their names are not told.
+    Lives,
+    /// Entries that are said not to be readable are.
+    Unreadable,
     /// Planned stops are kills.
     Cut,
     /// A key that is said to be taken away is not.
@@ -31,7 +35,7 @@
 }
 
 /// All of them, with the promise whose check finds each.
-pub const PLANTS: [(Plant, &str, &str); 11] = [
+pub const PLANTS: [(Plant, &str, &str); 13] = [
     (Plant::Twice, "twice", "at most once"),
     (Plant::NotRun, "not-run", "not run is true"),
     (Plant::Mixed, "mixed", "its own whole answer"),
@@ -43,6 +47,12 @@
         "evacuation",
         "no work to an evacuated data centre",
     ),
+    (Plant::Lives, "lives", "the next life takes work"),
+    (
+        Plant::Unreadable,
+        "unreadable",
+        "no work to an unreadable entry",
+    ),
     (Plant::Cut, "cut", "a planned stop cuts nothing"),
     (Plant::Config, "config", "declarations in force"),
     (Plant::Budget, "budget", "budget of second sends"),
--- a/components/soak/src/play.rs
+++ b/components/soak/src/play.rs
@@ -3,7 +3,7 @@
 use crate::boxes::BoxProcess;
 use crate::callers::Callers;
 use crate::checks::check;
-use crate::history::{Evacuated, Leaving, Outcome, Report, Trouble};
+use crate::history::{Evacuated, Outcome, Report, Trouble};
 use crate::plan::{FileChange, PLACES, Sizes, Step, Timed, plan};
 use crate::plant::Plant;
 use crate::world::{LOOK_EACH, Later, World};
@@ -25,7 +25,7 @@
 /// How much later the store is told that a target leaves, where that is planted.
 const PLANTED_LATE_MS: u64 = 4_000;
 /// After the loss of all boxes calls are served within this time.
-const RECOVERY_MS: u64 = 12_000;
+pub(crate) const RECOVERY_MS: u64 = 12_000;
 /// Calls in a row that count as served again.
 const SERVED_IN_A_ROW: usize = 5;
 /// A stopping box ends within its grace; longer, and it hangs.
@@ -72,6 +72,8 @@
     let mut world = World::start(soak, &folder, sizes)?;
     let callers = Callers::start(soak.callers, &world.addresses(), seed, world.began);
     world.play(&steps)?;
+    world.garble_all();
+    world.restart_all();
     world.lose_all()?;
     let (calls, unreadable) = callers.end();
     let mut history = world.end();
@@ -200,6 +202,9 @@
                 self.plain[*at].link.set(*trouble);
                 self.later.push((now_ms + lasts_ms, Later::LinkWell(*at)));
             }
+            Step::TargetRestarts { at } => self.target_restarts(*at),
+            Step::EngineRestarts { at, killed } => self.engine_restarts(*at, *killed),
+            Step::Garble { at, lasts_ms } => self.garble(*at, *lasts_ms),
             Step::EngineLeaves { at } => self.engine_leaves(*at, now_ms),
             Step::EngineCrash { at, lasts_ms } => {
                 self.engines[*at]
@@ -277,35 +282,33 @@
     }
 
     /// Has a target leave, in the store's words or, where that is planted, only in the history's.
-    fn say_leaving(&mut self, instance: &str, service: &'static str, address: SocketAddr) {
-        let now_ms = self.now_ms();
-        self.history.leaving.push(Leaving {
-            target: instance.to_owned(),
-            told_ms: now_ms,
-        });
+    fn say_leaving(&mut self, instance: &str) {
+        self.note_leaving(instance);
         if self.soak.plant == Some(Plant::LateWork) {
-            let later = Later::ListTarget(instance.to_owned(), service, address);
-            self.later.push((now_ms + PLANTED_LATE_MS, later));
+            let later = Later::ListTarget(instance.to_owned());
+            self.later.push((self.now_ms() + PLANTED_LATE_MS, later));
         } else {
-            self.list(instance, service, address, "draining");
+            self.list_leaving(instance);
         }
     }
 
     fn target_leaves(&mut self, at: usize, now_ms: u64) {
-        let fresh = self.new_target();
+        let name = self.name("t");
+        let fresh = self.start_target(&name);
         let old = std::mem::replace(&mut self.plain[at], fresh);
         let instance = old.target.instance.clone();
-        self.say_leaving(&instance, "records", old.link.address);
+        self.say_leaving(&instance);
         self.retired.push(old);
         let gone = Later::TargetGone(self.retired.len() - 1);
         self.later.push((now_ms + SERVES_ON_MS, gone));
     }
 
     fn engine_leaves(&mut self, at: usize, now_ms: u64) {
-        let fresh = self.new_engine();
+        let name = self.name("e");
+        let fresh = self.start_engine(&name);
         let old = std::mem::replace(&mut self.engines[at], fresh);
         let instance = old.instance.clone();
-        self.say_leaving(&instance, "model", old.address);
+        self.say_leaving(&instance);
         self.retired_engines.push(old);
         let gone = Later::EngineGone(self.retired_engines.len() - 1);
         self.later.push((now_ms + SERVES_ON_MS, gone));
@@ -330,8 +333,12 @@
                     .store(false, Ordering::Relaxed);
                 self.history.crashes.push((from_ms, now_ms));
             }
-            Later::ListTarget(instance, service, address) => {
-                self.list(&instance, service, address, "draining");
+            Later::ListTarget(instance) => self.list_leaving(&instance),
+            Later::LateWrite(instance, former) => self.write(&instance, former),
+            Later::WriteAgain(instance) => {
+                if let Some(entry) = self.entries.get(&instance).copied() {
+                    self.list(&instance, entry);
+                }
             }
             Later::GoodFile(at) => self.boxes[at].write_file(),
             Later::TakeBack(place) => {
@@ -343,11 +350,11 @@
             }
             Later::TargetGone(at) => {
                 let instance = self.retired[at].target.instance.clone();
-                self.store.unlist_target(&instance);
+                self.unlist(&instance);
             }
             Later::EngineGone(at) => {
                 let instance = self.retired_engines[at].instance.clone();
-                self.store.unlist_target(&instance);
+                self.unlist(&instance);
             }
         }
         Ok(())
@@ -381,10 +388,15 @@
 }
 
 /// Whether a box serves a call now.
-fn is_served(address: SocketAddr) -> bool {
+pub(crate) fn is_served(address: SocketAddr) -> bool {
+    is_answered_well(address, &plain(&fresh_id(), "/safe/x", "", ""))
+}
+
+/// Whether a box answers a request as it is to.
+pub(crate) fn is_answered_well(address: SocketAddr, request: &[u8]) -> bool {
     let channel = Caller::try_open_for(address, Duration::from_secs(2));
     let answer = channel.and_then(|mut channel| {
-        let sent = channel.try_send(&plain(&fresh_id(), "/safe/x", "", ""));
+        let sent = channel.try_send(request);
         sent.then(|| channel.answer()).flatten()
     });
     answer.is_some_and(|got| got.status < 500)
--- a/components/soak/src/world.rs
+++ b/components/soak/src/world.rs
@@ -11,6 +11,7 @@
 use fleet::store::Store;
 use fleet::target::{Act, Record, Target};
 use miette::miette;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::Ordering;
@@ -29,17 +30,46 @@
 /// Something that ends, or comes, at a time.
 pub(crate) enum Later {
     StartBox(usize),
-    Resume { at: usize, from_ms: u64 },
-    StoreWell { at: Option<usize>, from_ms: u64 },
+    Resume {
+        at: usize,
+        from_ms: u64,
+    },
+    StoreWell {
+        at: Option<usize>,
+        from_ms: u64,
+    },
     LinkWell(usize),
-    EngineWell { at: usize, from_ms: u64 },
-    ListTarget(String, &'static str, SocketAddr),
+    EngineWell {
+        at: usize,
+        from_ms: u64,
+    },
+    ListTarget(String),
+    /// A former process writes its entry, which was on its way.
+    LateWrite(String, Entry),
+    /// The entry is written again as it is.
+    WriteAgain(String),
     TargetGone(usize),
     EngineGone(usize),
     GoodFile(usize),
     TakeBack(&'static str),
 }
 
+/// What a target writes of itself.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Entry {
+    pub life: u64,
+    pub service: &'static str,
+    pub address: SocketAddr,
+    pub state: &'static str,
+}
+
+/// What a life of a target saw.
+pub(crate) struct Kept {
+    record: Record,
+    is_engine: bool,
+    life: u64,
+}
+
 /// A plain target behind its link.
 pub(crate) struct Plain {
     pub target: Target,
@@ -59,7 +89,9 @@
     pub engines: Vec<EngineTarget>,
     pub fabric: Fabric,
     pub started: usize,
-    pub records: Vec<(Record, bool)>,
+    pub records: Vec<Kept>,
+    /// What targets that are listed write of themselves.
+    pub entries: HashMap<String, Entry>,
     pub retired: Vec<Plain>,
     pub retired_engines: Vec<EngineTarget>,
     pub later: Vec<(u64, Later)>,
@@ -104,6 +136,7 @@
             fabric: Fabric::default(),
             started: 0,
             records: Vec::new(),
+            entries: HashMap::new(),
             retired: Vec::new(),
             retired_engines: Vec::new(),
             later: Vec::new(),
@@ -115,11 +148,13 @@
             },
         };
         for _ in 0..sizes.targets {
-            let plain = world.new_target();
+            let name = world.name("t");
+            let plain = world.start_target(&name);
             world.plain.push(plain);
         }
         for _ in 0..sizes.engines {
-            let engine = world.new_engine();
+            let name = world.name("e");
+            let engine = world.start_engine(&name);
             world.engines.push(engine);
         }
         for one in &mut world.boxes {
@@ -150,8 +185,9 @@
         format!("{kind}-{}", self.started)
     }
 
-    pub(crate) fn new_target(&mut self) -> Plain {
-        let target = Target::start(&self.name("t"));
+    /// Starts a life of a plain target, and lists it.
+    pub(crate) fn start_target(&mut self, instance: &str) -> Plain {
+        let target = Target::start(instance);
         let planted = match self.soak.plant {
             Some(Plant::Twice) => Some(Act::RunsTwice),
             Some(Plant::NotRun) => Some(Act::DeniesRun),
@@ -163,30 +199,84 @@
             target.record.will(&vec![act; PLANTED_ACTS]);
         }
         let link = Link::start(target.address);
-        self.list(&target.instance, "records", link.address, "ready");
-        self.records.push((target.record.clone(), false));
+        let life = self.begin_life(instance, "records", link.address);
+        self.records.push(Kept {
+            record: target.record.clone(),
+            is_engine: false,
+            life,
+        });
         Plain { target, link }
     }
 
-    pub(crate) fn new_engine(&mut self) -> EngineTarget {
-        let engine = EngineTarget::start(&self.name("e"), &self.fabric);
+    /// Starts a life of an engine, and lists it.
+    pub(crate) fn start_engine(&mut self, instance: &str) -> EngineTarget {
+        let engine = EngineTarget::start(instance, &self.fabric);
         let pace = &engine.pace;
         pace.events.store(EVENTS, Ordering::Relaxed);
         pace.pause_ms.store(EVENT_PAUSE_MS, Ordering::Relaxed);
         let is = |plant| self.soak.plant == Some(plant);
         pace.skips.store(is(Plant::Order), Ordering::Relaxed);
         pace.runs_twice.store(is(Plant::TwoRuns), Ordering::Relaxed);
-        self.list(&engine.instance, "model", engine.address, "ready");
-        self.records.push((engine.record.clone(), true));
+        let life = self.begin_life(instance, "model", engine.address);
+        self.records.push(Kept {
+            record: engine.record.clone(),
+            is_engine: true,
+            life,
+        });
         engine
     }
 
+    /// Lists the next life under a name, and says which it is.
+    fn begin_life(&mut self, instance: &str, service: &'static str, address: SocketAddr) -> u64 {
+        let life = self
+            .entries
+            .get(instance)
+            .map_or(1, |former| former.life + 1);
+        let entry = Entry {
+            life,
+            service,
+            address,
+            state: "ready",
+        };
+        self.list(instance, entry);
+        life
+    }
+
     /// Lists a target where it stands; a new one stands in the next data centre in turn.
-    pub(crate) fn list(&mut self, instance: &str, service: &str, address: SocketAddr, state: &str) {
+    pub(crate) fn list(&mut self, instance: &str, entry: Entry) {
+        let now_ms = self.now_ms();
+        let garbled = self.history.garbled.iter_mut();
+        for garbled in garbled.filter(|garbled| garbled.target == instance) {
+            garbled.until_ms = garbled.until_ms.min(now_ms);
+        }
+        self.entries.insert(instance.to_owned(), entry);
+        self.write(instance, entry);
+    }
+
+    /// Writes an entry as the life's own process does.
+    pub(crate) fn write(&mut self, instance: &str, entry: Entry) {
         let next = PLACES[self.history.places.len() % PLACES.len()];
         let place = *self.history.places.entry(instance.into()).or_insert(next);
+        let born_ms = match self.soak.plant {
+            Some(Plant::Lives) => 1,
+            _ => entry.life,
+        };
+        let Entry {
+            service,
+            address,
+            state,
+            ..
+        } = entry;
         self.store
-            .list_target_in(place, instance, service, address, state);
+            .list_life(place, (instance, born_ms), service, address, state);
+    }
+
+    /// Has a target say that it leaves, as far as the store hears of it.
+    pub(crate) fn list_leaving(&mut self, instance: &str) {
+        if let Some(entry) = self.entries.get(instance).copied() {
+            let state = "draining";
+            self.list(instance, Entry { state, ..entry });
+        }
     }
 
     pub(crate) fn disturb(
@@ -215,9 +305,9 @@
     pub(crate) fn end(mut self) -> History {
         self.boxes.iter_mut().for_each(BoxProcess::kill);
         let mut history = std::mem::take(&mut self.history);
-        for (record, is_engine) in &self.records {
-            for seen in record.seen() {
-                let kind = match (is_engine, seen.path.starts_with("/unsafe/")) {
+        for kept in &self.records {
+            for seen in kept.record.seen() {
+                let kind = match (kept.is_engine, seen.path.starts_with("/unsafe/")) {
                     (true, _) => Kind::Stream,
                     (false, true) => Kind::Once,
                     (false, false) => Kind::Repeatable,
@@ -225,6 +315,7 @@
                 history.arrivals.push(Arrival {
                     id: seen.id,
                     target: seen.target,
+                    life: kept.life,
                     kind,
                     at_ms: seen.at.saturating_duration_since(self.began).as_millis() as u64,
                     ran: seen.ran,
