--- a/components/peers/src/targets.rs
+++ b/components/peers/src/targets.rs
@@ -40,7 +40,7 @@
 }
 
 /// A list of targets as it travels: some 36 bytes a target where entries by themselves take 110,
-/// and 8 more where its lives are told apart by their births.
+/// and 9 more where its lives are told apart by their births.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetList {
     services: Names,
@@ -136,3 +136,7 @@
     /// All targets in them that are listed.
     pub listed: TargetList,
 }
+
+#[cfg(test)]
+#[path = "targets_tests.rs"]
+mod tests;
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -270,6 +270,9 @@
                     "born_ms" => target.entry.born_ms, "open" => target.open);
             }
             drop(targets);
+            if matches!(change, Change::Restarted { .. }) {
+                metrics::counter!("shuntpier_target_restarts").increment(1);
+            }
             let ended = match change {
                 Change::Leaves(slot) | Change::Went(slot) => Some(*slot),
                 Change::Restarted { former, .. } => Some(*former),
--- /dev/null
+++ b/components/relay/src/watch/entries.rs
@@ -0,0 +1,80 @@
+//! What lies under the keys of targets, read: entries, their absence, and what names no target to use.
+
+use crate::state::Relay;
+use crate::watch::targets::{Change, Missing, TargetBook};
+use platform::{TARGET_PREFIX, born_of, decode_target};
+use routing::{TargetEntry, TargetLife};
+use store::{Versioned, WatchEvent};
+
+/// A change in the list of targets.
+pub(crate) enum Listing {
+    /// An entry that names a target.
+    Listed(TargetEntry),
+    /// A name is listed no more, as of a revision.
+    Unlisted(Box<str>, u64),
+    /// The entry names no target to use; whose life it is may still be known.
+    Refused(Box<str>, Option<u64>, u64),
+}
+
+impl Listing {
+    /// Takes it in. Where the store has just come back, what is missing has time to come back too.
+    pub(crate) fn take(
+        &self,
+        targets: &mut TargetBook,
+        missing_until_ms: Option<u64>,
+        now_ms: u64,
+    ) -> Option<Change> {
+        match (self, missing_until_ms) {
+            (Self::Listed(entry), _) => targets.listed(entry.clone(), now_ms),
+            (Self::Unlisted(instance, at), Some(until_ms)) => {
+                let revision = *at;
+                targets.missed(instance, Missing { until_ms, revision })
+            }
+            (Self::Unlisted(instance, at), None) => targets.unlisted(instance, *at),
+            (Self::Refused(instance, None, at), _) => targets.unlisted(instance, *at),
+            (Self::Refused(instance, born_ms, at), _) => {
+                let life = TargetLife {
+                    instance: instance.clone(),
+                    born_ms: *born_ms,
+                };
+                targets.life_unlisted(&life, *at)
+            }
+        }
+    }
+}
+
+/// What lies under a key. What cannot be used is told once.
+pub(crate) fn listing(relay: &Relay, item: &Versioned) -> Option<Listing> {
+    let mut refused = relay.refused_entries.borrow_mut();
+    let error = match decode_target(&item.key, &item.value, item.revision) {
+        Ok(entry) => {
+            refused.passed(&item.key);
+            return Some(Listing::Listed(entry));
+        }
+        Err(error) => error,
+    };
+    if refused.refused(&item.key, &item.value) {
+        metrics::counter!("shuntpier_target_entries_refused").increment(1);
+        slog::warn!(relay.log, "entry of a target not used"; "key" => &item.key,
+            "revision" => item.revision, "bytes" => item.value.len(), "error" => %error);
+    }
+    let instance = item.key.strip_prefix(TARGET_PREFIX)?;
+    let born_ms = born_of(&item.value);
+    Some(Listing::Refused(instance.into(), born_ms, item.revision))
+}
+
+/// What an event of the watch on targets says.
+pub(crate) fn listing_of(relay: &Relay, event: WatchEvent) -> Option<Listing> {
+    let Some(value) = event.value else {
+        relay.refused_entries.borrow_mut().passed(&event.key);
+        let instance = event.key.strip_prefix(TARGET_PREFIX)?;
+        return Some(Listing::Unlisted(instance.into(), event.revision));
+    };
+    let item = Versioned {
+        key: event.key,
+        value,
+        revision: event.revision,
+        lease: 0,
+    };
+    listing(relay, &item)
+}
--- /dev/null
+++ b/components/relay/src/watch/leaving.rs
@@ -0,0 +1,49 @@
+//! Which lives leave by their own word, and what peers say of that.
+
+use crate::watch::targets::{Belief, Change, TargetBook, TargetSlot};
+use routing::TargetLife;
+
+impl TargetBook {
+    /// Believes a target's own word that it leaves.
+    pub fn leaves(&mut self, slot: TargetSlot) -> Option<Change> {
+        let target = self.targets.get_mut(slot)?;
+        target.left = true;
+        if target.belief != Belief::Ready {
+            return None;
+        }
+        target.belief = Belief::Leaving;
+        target.leaves_by_word = true;
+        target.tell_phase();
+        Some(Change::Leaves(slot))
+    }
+
+    /// The lives that leave by their own word. What the store says of leaving travels with its changes.
+    pub fn leaving(&self) -> Vec<TargetLife> {
+        let leaving = self
+            .targets
+            .values()
+            .filter(|t| t.belief == Belief::Leaving && t.leaves_by_word);
+        leaving.map(|target| target.entry.life()).collect()
+    }
+
+    /// Believes a peer's word on which lives leave. What is not known yet will be listed as leaving.
+    pub fn told_leaving(&mut self, lives: &[TargetLife]) -> Vec<Change> {
+        let told = lives.iter().filter_map(|life| self.told_leaves(life));
+        told.collect()
+    }
+
+    fn told_leaves(&mut self, life: &TargetLife) -> Option<Change> {
+        if life.born_ms < self.past_of(life).born_ms {
+            return None;
+        }
+        let known = self.newest(&life.instance);
+        match known.map(|(slot, target)| (slot, target.entry.born_ms)) {
+            Some((slot, born_ms)) if born_ms == life.born_ms => self.leaves(slot),
+            Some((_, born_ms)) if born_ms > life.born_ms => None,
+            _ => {
+                self.hear(life, true);
+                self.over(life)
+            }
+        }
+    }
+}
--- a/components/relay/src/watch/listing.rs
+++ b/components/relay/src/watch/listing.rs
@@ -1,95 +1,20 @@
-//! How words on lives are taken in: entries, lists, what targets and peers say. A word of a former life changes
+//! How the store's words on lives are taken in: entries and lists. A word of a former life changes
 //! nothing, however late it comes and whatever its revision is.
 
-use crate::watch::lives::Past;
+use crate::watch::pasts::Past;
 use crate::watch::targets::{Belief, Change, Missing, Target, TargetBook, TargetSlot};
-use policy::{Suspicion, Trial, Warmup};
-use prelude::DataCentreId;
 use routing::{TargetEntry, TargetLife, TargetPhase};
 use std::collections::HashSet;
 
-/// A target that will be cold for so much longer than was known has turned cold anew; what is less is the spread of
-/// its own word.
-const COLD_LONGER_MS: u64 = 500;
-
-impl Target {
-    /// A life of which nothing is known but its entry.
-    fn new(entry: TargetEntry, left: bool, now_ms: u64) -> Self {
-        let says_so = entry.phase == TargetPhase::Leaving;
-        let leaves = left || says_so;
-        let mut target = Self {
-            id: entry.life().id(),
-            data_centre: DataCentreId::from_name(&entry.data_centre),
-            belief: match leaves {
-                true => Belief::Leaving,
-                false => Belief::Ready,
-            },
-            missing: None,
-            cold_until_ms: now_ms + u64::from(entry.cold_left_ms),
-            warmup: Warmup::new(rand::random(), now_ms),
-            open: 0,
-            load: None,
-            suspicion: Suspicion::default(),
-            trial: Trial::default(),
-            full_until_ms: 0,
-            leaves_by_word: leaves && !says_so,
-            left: leaves,
-            entry,
-        };
-        target.tell_phase();
-        target
-    }
-
-    /// Has its entry say what is believed, so that peers are told the same.
-    fn tell_phase(&mut self) {
-        if self.belief == Belief::Leaving {
-            self.entry.phase = TargetPhase::Leaving;
-        }
-    }
-
-    /// Takes a newer entry of this life in. Says whether it turned cold by that.
-    fn renew(&mut self, entry: TargetEntry, now_ms: u64) -> bool {
-        let leaving = entry.phase == TargetPhase::Leaving;
-        let stays_left = self.left && entry.born_ms.is_some();
-        let vanished = self.belief == Belief::Gone;
-        // A life that was seen to leave never takes work again; one that vanished may come back,
-        // as the platform drops entries while its store is in trouble.
-        self.belief = match (self.belief, leaving || stays_left) {
-            (Belief::Leaving, _) | (_, true) => Belief::Leaving,
-            _ => Belief::Ready,
-        };
-        self.missing = None;
-        self.leaves_by_word = !leaving && (self.leaves_by_word || (vanished && stays_left));
-        self.left = self.belief == Belief::Leaving;
-        let cold_until_ms = now_ms + u64::from(entry.cold_left_ms);
-        let turned_cold =
-            entry.cold_left_ms > 0 && cold_until_ms > self.cold_until_ms + COLD_LONGER_MS;
-        if turned_cold {
-            self.cold_until_ms = cold_until_ms;
-            self.warmup = Warmup::new(rand::random(), now_ms);
-        }
-        self.entry = entry;
-        self.tell_phase();
-        turned_cold
-    }
-
-    /// Notes that a new life has begun under its name, and says whether that is news of it.
-    fn is_over(&mut self) -> bool {
-        let was = std::mem::replace(&mut self.belief, Belief::Gone);
-        self.missing = None;
-        was != Belief::Gone
-    }
-}
-
 impl TargetBook {
     /// The newest life under a name.
-    fn newest(&self, instance: &str) -> Option<(TargetSlot, &Target)> {
+    pub(super) fn newest(&self, instance: &str) -> Option<(TargetSlot, &Target)> {
         let slot = *self.by_instance.get(instance)?;
         Some((slot, self.targets.get(slot)?))
     }
 
     /// What is known of a name whose lives are not listed any more.
-    fn past_of(&self, life: &TargetLife) -> Past {
+    pub(super) fn past_of(&self, life: &TargetLife) -> Past {
         match life.born_ms {
             Some(_) => self.pasts.of(&life.instance),
             // Where names are not used again, a name says all.
@@ -100,7 +25,7 @@
         }
     }
 
-    fn hear(&mut self, life: &TargetLife, leaves: bool) {
+    pub(super) fn hear(&mut self, life: &TargetLife, leaves: bool) {
         if life.born_ms.is_some() {
             self.pasts.heard(life, leaves);
         }
@@ -172,7 +97,7 @@
     }
 
     /// Notes that a life was heard of that is newer than what is kept under its name.
-    fn over(&mut self, life: &TargetLife) -> Option<Change> {
+    pub(super) fn over(&mut self, life: &TargetLife) -> Option<Change> {
         let (slot, target) = self.newest(&life.instance)?;
         if target.entry.born_ms >= life.born_ms {
             return None;
@@ -277,49 +202,6 @@
         self.known = true;
         changes
     }
-
-    /// Believes a target's own word that it leaves.
-    pub fn leaves(&mut self, slot: TargetSlot) -> Option<Change> {
-        let target = self.targets.get_mut(slot)?;
-        target.left = true;
-        if target.belief != Belief::Ready {
-            return None;
-        }
-        target.belief = Belief::Leaving;
-        target.leaves_by_word = true;
-        target.tell_phase();
-        Some(Change::Leaves(slot))
-    }
-
-    /// The lives that leave by their own word. What the store says of leaving travels with its changes.
-    pub fn leaving(&self) -> Vec<TargetLife> {
-        let leaving = self
-            .targets
-            .values()
-            .filter(|t| t.belief == Belief::Leaving && t.leaves_by_word);
-        leaving.map(|target| target.entry.life()).collect()
-    }
-
-    /// Believes a peer's word on which lives leave. What is not known yet will be listed as leaving.
-    pub fn told_leaving(&mut self, lives: &[TargetLife]) -> Vec<Change> {
-        let told = lives.iter().filter_map(|life| self.told_leaves(life));
-        told.collect()
-    }
-
-    fn told_leaves(&mut self, life: &TargetLife) -> Option<Change> {
-        if life.born_ms < self.past_of(life).born_ms {
-            return None;
-        }
-        let known = self.newest(&life.instance);
-        match known.map(|(slot, target)| (slot, target.entry.born_ms)) {
-            Some((slot, born_ms)) if born_ms == life.born_ms => self.leaves(slot),
-            Some((_, born_ms)) if born_ms > life.born_ms => None,
-            _ => {
-                self.hear(life, true);
-                self.over(life)
-            }
-        }
-    }
 }
 
 #[cfg(test)]
--- a/components/relay/src/watch/mod.rs
+++ b/components/relay/src/watch/mod.rs
@@ -2,9 +2,12 @@
 
 pub(crate) mod backoff;
 pub(crate) mod election;
+pub(crate) mod entries;
 pub(crate) mod evacuation;
+pub(crate) mod leaving;
+pub(crate) mod life;
 pub(crate) mod listing;
-pub(crate) mod lives;
+pub(crate) mod pasts;
 pub(crate) mod reconcile;
 pub(crate) mod refused;
 pub(crate) mod targets;
--- a/components/relay/src/watch/targets.rs
+++ b/components/relay/src/watch/targets.rs
@@ -1,7 +1,7 @@
 //! The targets that this box knows, and what it has on each. Whether a target leaves is kept for each of
 //! its lives, never for its address or name. How words on lives are taken in is in [`crate::watch::listing`].
 
-use crate::watch::lives::Pasts;
+use crate::watch::pasts::Pasts;
 use platform::WorkerLoad;
 use policy::{Suspicion, Trial, Warmup};
 use prelude::{DataCentreId, TargetId};
--- a/components/relay/src/watch/watcher.rs
+++ b/components/relay/src/watch/watcher.rs
@@ -7,13 +7,10 @@
 use crate::watch::election::{
     CONFIRM_EACH, Following, TURN_CHECK, View, is_relieved, must_watch, pause_before_trying, rank,
 };
-use crate::watch::targets::{Change, Missing, TargetBook};
+use crate::watch::entries::{Listing, listing, listing_of};
+use crate::watch::targets::Change;
 use peers::{TargetChanges, TargetList};
-use platform::{
-    CONFIG_KEY, FleetWatch, OPERATOR_PREFIX, TARGET_PREFIX, born_of, decode_target,
-    evacuated_data_centre,
-};
-use routing::{TargetEntry, TargetLife};
+use platform::{CONFIG_KEY, FleetWatch, OPERATOR_PREFIX, TARGET_PREFIX, evacuated_data_centre};
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -251,76 +248,6 @@
     }
 }
 
-/// A change in the list of targets.
-enum Listing {
-    Listed(TargetEntry),
-    Unlisted(Box<str>, u64),
-    /// The entry names no target to use; whose life it is may still be known.
-    Refused(Box<str>, Option<u64>, u64),
-}
-
-impl Listing {
-    /// Takes it in. Where the store has just come back, what is missing has time to come back too.
-    fn take(
-        &self,
-        targets: &mut TargetBook,
-        missing_until_ms: Option<u64>,
-        now_ms: u64,
-    ) -> Option<Change> {
-        match (self, missing_until_ms) {
-            (Self::Listed(entry), _) => targets.listed(entry.clone(), now_ms),
-            (Self::Unlisted(instance, at), Some(until_ms)) => {
-                let revision = *at;
-                targets.missed(instance, Missing { until_ms, revision })
-            }
-            (Self::Unlisted(instance, at), None) => targets.unlisted(instance, *at),
-            (Self::Refused(instance, None, at), _) => targets.unlisted(instance, *at),
-            (Self::Refused(instance, born_ms, at), _) => {
-                let life = TargetLife {
-                    instance: instance.clone(),
-                    born_ms: *born_ms,
-                };
-                targets.life_unlisted(&life, *at)
-            }
-        }
-    }
-}
-
-/// What lies under a key. What cannot be used is told once.
-fn listing(relay: &Relay, item: &Versioned) -> Option<Listing> {
-    let mut refused = relay.refused_entries.borrow_mut();
-    let error = match decode_target(&item.key, &item.value, item.revision) {
-        Ok(entry) => {
-            refused.passed(&item.key);
-            return Some(Listing::Listed(entry));
-        }
-        Err(error) => error,
-    };
-    if refused.refused(&item.key, &item.value) {
-        metrics::counter!("shuntpier_target_entries_refused").increment(1);
-        slog::warn!(relay.log, "entry of a target not used"; "key" => &item.key,
-            "revision" => item.revision, "bytes" => item.value.len(), "error" => %error);
-    }
-    let instance = item.key.strip_prefix(TARGET_PREFIX)?;
-    let born_ms = born_of(&item.value);
-    Some(Listing::Refused(instance.into(), born_ms, item.revision))
-}
-
-fn listing_of(relay: &Relay, event: WatchEvent) -> Option<Listing> {
-    let Some(value) = event.value else {
-        relay.refused_entries.borrow_mut().passed(&event.key);
-        let instance = event.key.strip_prefix(TARGET_PREFIX)?;
-        return Some(Listing::Unlisted(instance.into(), event.revision));
-    };
-    let item = Versioned {
-        key: event.key,
-        value,
-        revision: event.revision,
-        lease: 0,
-    };
-    listing(relay, &item)
-}
-
 fn read_targets(relay: &Rc<Relay>, items: &[Versioned], revision: u64) -> bool {
     let now_ms = relay.now_ms();
     let missing_until_ms = missing_until_ms(relay);
--- a/components/soak/src/lives.rs
+++ b/components/soak/src/lives.rs
@@ -2,9 +2,10 @@
 
 use crate::history::{Garbled, Leaving};
 use crate::plant::Plant;
-use crate::play::{RECOVERY_MS, is_answered_well, is_served};
+use crate::play::RECOVERY_MS;
 use crate::world::{Entry, LOOK_EACH, Later, World};
-use fleet::caller::{chat, fresh_id};
+use fleet::caller::{Caller, chat, fresh_id, plain};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 /// How long a write of a killed process may be on its way.
@@ -143,3 +144,18 @@
         self.history.served_by_next_lives = in_a_row >= ROUNDS;
     }
 }
+
+/// Whether a box serves a call now.
+pub(crate) fn is_served(address: SocketAddr) -> bool {
+    is_answered_well(address, &plain(&fresh_id(), "/safe/x", "", ""))
+}
+
+/// Whether a box answers a request as it is to.
+fn is_answered_well(address: SocketAddr, request: &[u8]) -> bool {
+    let channel = Caller::try_open_for(address, Duration::from_secs(2));
+    let answer = channel.and_then(|mut channel| {
+        let sent = channel.try_send(request);
+        sent.then(|| channel.answer()).flatten()
+    });
+    answer.is_some_and(|got| got.status < 500)
+}
--- a/components/soak/src/play.rs
+++ b/components/soak/src/play.rs
@@ -4,13 +4,12 @@
 use crate::callers::Callers;
 use crate::checks::check;
 use crate::history::{Evacuated, Outcome, Report, Trouble};
+use crate::lives::is_served;
 use crate::plan::{FileChange, PLACES, Sizes, Step, Timed, plan};
 use crate::plant::Plant;
 use crate::world::{LOOK_EACH, Later, World};
-use fleet::caller::{Caller, fresh_id, plain};
 use fleet::{link, store};
 use miette::{IntoDiagnostic, miette};
-use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -386,18 +385,3 @@
         Ok(())
     }
 }
-
-/// Whether a box serves a call now.
-pub(crate) fn is_served(address: SocketAddr) -> bool {
-    is_answered_well(address, &plain(&fresh_id(), "/safe/x", "", ""))
-}
-
-/// Whether a box answers a request as it is to.
-pub(crate) fn is_answered_well(address: SocketAddr, request: &[u8]) -> bool {
-    let channel = Caller::try_open_for(address, Duration::from_secs(2));
-    let answer = channel.and_then(|mut channel| {
-        let sent = channel.try_send(request);
-        sent.then(|| channel.answer()).flatten()
-    });
-    answer.is_some_and(|got| got.status < 500)
-}
