--- a/components/relay/src/watch/watcher.rs
+++ b/components/relay/src/watch/watcher.rs
@@ -7,12 +7,10 @@
 use crate::watch::election::{
     CONFIRM_EACH, Following, TURN_CHECK, View, is_relieved, must_watch, pause_before_trying, rank,
 };
-use crate::watch::targets::Missing;
+use crate::watch::entries::{Listing, listing, listing_of};
+use crate::watch::targets::Change;
 use peers::{TargetChanges, TargetList};
-use platform::{
-    CONFIG_KEY, FleetWatch, OPERATOR_PREFIX, TARGET_PREFIX, decode_target, evacuated_data_centre,
-};
-use routing::TargetEntry;
+use platform::{CONFIG_KEY, FleetWatch, OPERATOR_PREFIX, TARGET_PREFIX, evacuated_data_centre};
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -250,48 +248,21 @@
     }
 }
 
-fn decoded(relay: &Relay, item: &Versioned) -> Option<TargetEntry> {
-    match decode_target(&item.key, &item.value, item.revision) {
-        Ok(entry) => Some(entry),
-        Err(error) => {
-            slog::warn!(relay.log, "entry of a target not used"; "key" => &item.key,
-                "error" => %error);
-            None
-        }
-    }
-}
-
-/// A change in the list of targets.
-enum Listing {
-    Listed(TargetEntry),
-    Unlisted(Box<str>, u64),
-}
-
-fn listing(relay: &Relay, event: WatchEvent) -> Option<Listing> {
-    let Some(value) = event.value else {
-        let instance = event.key.strip_prefix(TARGET_PREFIX)?;
-        return Some(Listing::Unlisted(instance.into(), event.revision));
-    };
-    let item = Versioned {
-        key: event.key,
-        value,
-        revision: event.revision,
-        lease: 0,
-    };
-    decoded(relay, &item).map(Listing::Listed)
-}
-
 fn read_targets(relay: &Rc<Relay>, items: &[Versioned], revision: u64) -> bool {
-    let entries = items
-        .iter()
-        .filter_map(|item| decoded(relay, item))
-        .collect();
     let now_ms = relay.now_ms();
     let missing_until_ms = missing_until_ms(relay);
-    let changes = relay
-        .targets
-        .borrow_mut()
-        .replace(entries, revision, missing_until_ms, now_ms);
+    let mut changes = Vec::new();
+    let mut entries = Vec::new();
+    let mut targets = relay.targets.borrow_mut();
+    for item in items {
+        match listing(relay, item) {
+            Some(Listing::Listed(entry)) => entries.push(entry),
+            Some(refused) => changes.extend(refused.take(&mut targets, missing_until_ms, now_ms)),
+            None => {}
+        }
+    }
+    changes.extend(targets.replace(entries, revision, missing_until_ms, now_ms));
+    drop(targets);
     relay.took_changes(&changes, "store");
     !changes.is_empty()
 }
@@ -299,7 +270,7 @@
 fn take_targets(relay: &Rc<Relay>, events: Vec<WatchEvent>, revision: u64) {
     let listings: Vec<Listing> = events
         .into_iter()
-        .filter_map(|event| listing(relay, event))
+        .filter_map(|event| listing_of(relay, event))
         .collect();
     take_listings(relay, listings, missing_until_ms(relay));
     let mut targets = relay.targets.borrow_mut();
@@ -314,22 +285,17 @@
     let (mut listed, mut unlisted) = (Vec::new(), Vec::new());
     for listing in listings {
         let mut targets = relay.targets.borrow_mut();
-        let change = match &listing {
-            Listing::Listed(entry) => targets.listed(entry.clone(), now_ms),
-            Listing::Unlisted(instance, at) => match missing_until_ms {
-                Some(until_ms) => {
-                    let revision = *at;
-                    targets.missed(instance, Missing { until_ms, revision })
-                }
-                None => targets.unlisted(instance, *at),
-            },
+        let Some(change) = listing.take(&mut targets, missing_until_ms, now_ms) else {
+            continue;
         };
-        match listing {
-            _ if change.is_none() => {}
-            Listing::Listed(entry) => listed.push(entry),
-            Listing::Unlisted(instance, at) => unlisted.push((instance, at)),
+        changes.push(change);
+        match (listing, change) {
+            (Listing::Listed(entry), _) => listed.push(entry),
+            (Listing::Unlisted(_, at) | Listing::Refused(_, _, at), Change::Went(slot)) => {
+                unlisted.extend(targets.get(slot).map(|target| (target.entry.life(), at)));
+            }
+            _ => {}
         }
-        changes.extend(change);
     }
     relay.took_changes(&changes, "store");
     if !changes.is_empty() {
