Plain calls: what a box knows of targets' pace, slowness and failures, and ways to choose, as pure code

Second failures are even over all six targets (19 to 34 each) and never on the same target twice: the failure goes with the request for about half of the route's failures, not with a target, and no choice of targets changes that.

--- /dev/null
+++ b/components/policy/src/balance/doubt.rs
@@ -0,0 +1,110 @@
+//! What a target fails: one route more than other targets do, or, as other boxes say, everything.
+
+use std::collections::VecDeque;
+
+/// Weight of one answer in a share of failures.
+const WEIGHT: f64 = 0.1;
+/// Answers after which a share of failures is known.
+const SEEN_MIN: u32 = 6;
+/// A route that fails this often everywhere says nothing of a target by one more failure.
+const COMMON_SHARE: f64 = 0.04;
+/// Routes that are kept apart at one target: the latest.
+const ROUTES_MAX: usize = 8;
+/// Two boxes that fail at a target within this time do not by chance.
+const TOGETHER_MS: u64 = 2_000;
+/// How long a target is spared that two boxes failed at.
+const SPARED_MS: u64 = 1_000;
+/// How long one more failure spares it again.
+const REMEMBERED_MS: u64 = 4_000;
+
+/// Share of failures among the answers of a route.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct FailedShare {
+    share: f64,
+    seen: u32,
+}
+
+impl FailedShare {
+    /// Notes an answer.
+    pub fn answered(&mut self, failed: bool) {
+        self.seen = self.seen.saturating_add(1);
+        let weight = WEIGHT.max(1.0 / f64::from(self.seen));
+        self.share += weight * (f64::from(u8::from(failed)) - self.share);
+    }
+
+    /// The share; none before enough is seen.
+    pub fn known(&self) -> Option<f64> {
+        (self.seen >= SEEN_MIN).then_some(self.share)
+    }
+
+    /// Whether a failure is nothing new for this route, so that it is no sign against the target that answered.
+    pub fn is_common(&self) -> bool {
+        self.known().is_some_and(|share| share >= COMMON_SHARE)
+    }
+}
+
+/// Failures of one target, by route.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RouteDoubts(VecDeque<(u64, FailedShare)>);
+
+impl RouteDoubts {
+    /// Notes an answer to a call of a route.
+    pub fn answered(&mut self, route: u64, failed: bool) {
+        let at = self.0.iter().position(|(key, _)| *key == route);
+        let (_, mut share) = at
+            .and_then(|at| self.0.remove(at))
+            .unwrap_or((route, FailedShare::default()));
+        share.answered(failed);
+        self.0.push_front((route, share));
+        self.0.truncate(ROUTES_MAX);
+    }
+
+    /// By how much more often the target fails a route than all targets do.
+    pub fn excess(&self, route: u64, usual: FailedShare) -> f64 {
+        let here = self.0.iter().find(|(key, _)| *key == route);
+        let here = here.and_then(|(_, share)| share.known()).unwrap_or(0.0);
+        (here - usual.known().unwrap_or(0.0)).max(0.0)
+    }
+
+    /// Each route with its share of failures.
+    pub fn shares(&self) -> impl Iterator<Item = (u64, f64)> {
+        self.0
+            .iter()
+            .filter_map(|(key, share)| Some((*key, share.known()?)))
+    }
+}
+
+/// That boxes got no answer from a target. One box may have a bad link of its own; two have not, by chance.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SharedDoubt {
+    last: Option<(u64, u64)>,
+    spared_until_ms: u64,
+}
+
+impl SharedDoubt {
+    /// Notes that a box, this one or another, got no answer.
+    pub fn failed_at(&mut self, source: u64, now_ms: u64) {
+        let by_another = self
+            .last
+            .is_some_and(|(box_, at_ms)| box_ != source && now_ms < at_ms + TOGETHER_MS);
+        let again = self.spared_until_ms > 0 && now_ms < self.spared_until_ms + REMEMBERED_MS;
+        if by_another || again {
+            self.spared_until_ms = now_ms + SPARED_MS;
+        }
+        self.last = Some((source, now_ms));
+    }
+
+    /// Notes an answer that this box got: it outweighs what others said before.
+    pub fn answered(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Whether calls go elsewhere, where they can.
+    pub fn is_spared(&self, now_ms: u64) -> bool {
+        now_ms < self.spared_until_ms
+    }
+}
+
+#[cfg(test)]
+#[path = "doubt_tests.rs"]
+mod tests;
--- /dev/null
+++ b/components/policy/src/balance/doubt_tests.rs
@@ -0,0 +1,74 @@
+use super::*;
+
+#[test]
+fn one_box_with_a_bad_link_spares_no_target() {
+    let mut doubt = SharedDoubt::default();
+    for at_ms in 0..50 {
+        doubt.failed_at(7, at_ms);
+    }
+    assert!(!doubt.is_spared(50));
+}
+
+#[test]
+fn two_boxes_spare_a_target_and_an_answer_takes_it_back() {
+    let mut doubt = SharedDoubt::default();
+    doubt.failed_at(7, 100);
+    doubt.failed_at(8, 400);
+    assert!(doubt.is_spared(401));
+    doubt.answered();
+    assert!(!doubt.is_spared(402));
+}
+
+#[test]
+fn a_target_that_is_tried_again_and_fails_is_spared_by_one_word() {
+    let mut doubt = SharedDoubt::default();
+    doubt.failed_at(7, 100);
+    doubt.failed_at(8, 400);
+    assert!(!doubt.is_spared(1_500));
+    doubt.failed_at(8, 1_600);
+    assert!(doubt.is_spared(2_500));
+}
+
+#[test]
+fn failures_long_apart_are_chance() {
+    let mut doubt = SharedDoubt::default();
+    doubt.failed_at(7, 100);
+    doubt.failed_at(8, 5_000);
+    assert!(!doubt.is_spared(5_001));
+}
+
+#[test]
+fn a_route_that_fails_everywhere_is_no_sign_against_one_target() {
+    let mut usual = FailedShare::default();
+    let mut here = RouteDoubts::default();
+    for at in 0..40 {
+        usual.answered(at % 5 == 0);
+        here.answered(1, at % 5 == 0);
+    }
+    assert!(usual.is_common());
+    assert!(here.excess(1, usual) < 0.05);
+}
+
+#[test]
+fn a_target_that_fails_one_route_is_doubted_for_that_route_alone() {
+    let mut usual = FailedShare::default();
+    let mut here = RouteDoubts::default();
+    for at in 0..40 {
+        usual.answered(at % 4 == 0);
+        here.answered(1, true);
+        here.answered(2, false);
+    }
+    assert!(here.excess(1, usual) > 0.5);
+    assert!(here.excess(2, FailedShare::default()) < 0.05);
+}
+
+#[test]
+fn only_the_latest_routes_are_kept() {
+    let mut here = RouteDoubts::default();
+    for route in 0..100 {
+        for _ in 0..6 {
+            here.answered(route, true);
+        }
+    }
+    assert_eq!(here.shares().count(), 8);
+}
--- /dev/null
+++ b/components/policy/src/balance/mod.rs
@@ -0,0 +1,9 @@
+//! Plain calls, balanced among targets that other boxes send to as well: what a box knows of each target's pace, of how
+//! slow it is right now, and of what it fails; and which target a call goes to.
+
+pub(crate) mod choose;
+pub(crate) mod doubt;
+pub(crate) mod pace;
+pub(crate) mod patience;
+pub(crate) mod record;
+pub(crate) mod slowness;
--- /dev/null
+++ b/components/policy/src/balance/patience.rs
@@ -0,0 +1,23 @@
+//! When a call that may run twice is sent to a second target beside the first.
+
+/// The second try is to end before the goal: its usual time so often.
+const SECOND_TIMES: f64 = 1.5;
+/// Calls are late after so many times their usual time: fewer than one in ten takes as long.
+const LATE_TIMES: f64 = 2.2;
+/// The part of the goal after which a second try is sent in any case.
+const GOAL_SHARE: f64 = 0.8;
+
+/// How long one target is waited for alone, given the goal and the route's usual time where it is known.
+pub fn patience_ms(goal_ms: u64, usual_ms: Option<f64>) -> u64 {
+    let most_ms = goal_ms as f64 * GOAL_SHARE;
+    let Some(usual_ms) = usual_ms else {
+        return most_ms as u64;
+    };
+    let in_time_ms = goal_ms as f64 - SECOND_TIMES * usual_ms;
+    let late_ms = LATE_TIMES * usual_ms;
+    in_time_ms.max(late_ms).clamp(1.0, most_ms.max(1.0)) as u64
+}
+
+#[cfg(test)]
+#[path = "patience_tests.rs"]
+mod tests;
--- /dev/null
+++ b/components/policy/src/balance/record.rs
@@ -0,0 +1,36 @@
+//! All that a box knows of one target for plain calls.
+
+use crate::balance::doubt::{FailedShare, RouteDoubts, SharedDoubt};
+use crate::balance::pace::{RoutePace, TargetPace};
+use crate::balance::slowness::Slowness;
+
+/// What all targets do with the calls of one route.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct RouteRecord {
+    /// Their usual time.
+    pub pace: RoutePace,
+    /// How often they fail.
+    pub failed: FailedShare,
+}
+
+/// What is known of one life of a target.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct CallRecord {
+    /// How fast it is beside the others.
+    pub pace: TargetPace,
+    /// How slow it is right now.
+    pub slowness: Slowness,
+    /// What it fails, by route.
+    pub routes: RouteDoubts,
+    /// That boxes got no answer.
+    pub shared: SharedDoubt,
+}
+
+impl CallRecord {
+    /// The time of a call, as a share of the usual time at an empty target, as far as it depends on the target alone.
+    pub fn time_share(&self, now_ms: u64) -> f64 {
+        let seen = self.pace.share(now_ms);
+        // What was seen of it holds some of what it says now.
+        seen.max(self.slowness.share(now_ms))
+    }
+}
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -2,6 +2,7 @@
 //! task or reads a clock.
 
 mod admission;
+mod balance;
 mod demand;
 mod fairness;
 mod health;
@@ -11,6 +12,12 @@
 mod pool;
 mod retries;
 
+pub use balance::choose::{Candidate, Choosing, choose_target};
+pub use balance::doubt::{FailedShare, RouteDoubts, SharedDoubt};
+pub use balance::pace::{RoutePace, TargetPace};
+pub use balance::patience::patience_ms;
+pub use balance::record::{CallRecord, RouteRecord};
+pub use balance::slowness::Slowness;
 pub use demand::{Adopted, Demand, Submitted, Verdict};
 pub use fairness::tree::{FairTree, Share};
 pub use health::suspicion::Suspicion;
