Plain calls go to targets by expected time; boxes of one data centre tell each other of slow and silent targets; a late call is tried beside its first try

One target that reset its channels cost 88 calls, as each of 61 boxes found out for itself. A repeatable call that was late was given up at 0.8 of its goal, and its second try came in after the goal. Change: CallBalance, CallHints, SecondBeside (each can be switched off).

--- a/components/peers/src/fleet.rs
+++ b/components/peers/src/fleet.rs
@@ -121,6 +121,28 @@
     NotKnown,
 }
 
+/// What a box just saw of a target of plain calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum HintWord {
+    /// How long work takes there now, 100 as usual, by the target's own word.
+    Slowness(u32),
+    /// It gave no answer.
+    NoAnswer,
+}
+
+/// A word on a target, for boxes of the same data centre.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TargetHint {
+    /// The box that saw it.
+    pub from: BoxId,
+    /// The target's life.
+    pub target: TargetId,
+    /// What it saw.
+    pub word: HintWord,
+    /// Boxes that the receiver is to pass this on to.
+    pub pass_on: Vec<BoxId>,
+}
+
 /// What each box of a fleet answers.
 #[tarpc::service]
 pub trait Fleet {
@@ -133,6 +155,9 @@
     /// Tells news that the caller just learnt.
     async fn tell(news: FleetGossip);
 
+    /// Tells what the caller just saw of a target of plain calls.
+    async fn hint(hint: TargetHint);
+
     /// Asks for a permit; waits up to `wait_ms` for a decision.
     async fn acquire(request: AcquireRequest, wait_ms: u32) -> PermitReply;
 
@@ -170,6 +195,9 @@
     /// See [`Fleet::tell`].
     fn tell(&self, news: FleetGossip) -> impl Future<Output = ()>;
 
+    /// See [`Fleet::hint`].
+    fn hint(&self, hint: TargetHint) -> impl Future<Output = ()>;
+
     /// See [`Fleet::acquire`].
     fn acquire(&self, request: AcquireRequest, wait_ms: u32) -> impl Future<Output = PermitReply>;
 
@@ -215,6 +243,10 @@
         self.0.tell(news).await;
     }
 
+    async fn hint(self, _: Context, hint: TargetHint) {
+        self.0.hint(hint).await;
+    }
+
     async fn acquire(self, _: Context, request: AcquireRequest, wait_ms: u32) -> PermitReply {
         self.0.acquire(request, wait_ms).await
     }
--- a/components/policy/src/balance/mod.rs
+++ b/components/policy/src/balance/mod.rs
@@ -3,6 +3,7 @@
 
 pub(crate) mod choose;
 pub(crate) mod doubt;
+pub(crate) mod hints;
 pub(crate) mod pace;
 pub(crate) mod patience;
 pub(crate) mod record;
--- /dev/null
+++ b/components/relay/src/forwarding/balance.rs
@@ -0,0 +1,164 @@
+//! Plain calls balanced among targets: what this box saw and was told of each, and which one a call goes to. A call looks
+//! at a few targets, drawn anew each time, so that its cost does not grow with the targets.
+
+use crate::forwarding::call::Asked;
+use crate::state::Relay;
+use crate::watch::targets::{COLD_SHARE, FAR_SHARE, Target, TargetBook, TargetSlot};
+use policy::{CallRecord, Candidate, Choosing, HintBudget, RouteRecord, choose_target};
+use rand::seq::IndexedRandom;
+use routing::Route;
+use settings::Mechanism;
+use slotmap::SecondaryMap;
+use std::collections::HashMap;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Targets of this data centre that one call looks at: some that fail still leave enough to choose from.
+const NEAR_DRAWN: usize = 12;
+/// Targets of other data centres that it looks at: they are for when those here are full.
+const FAR_DRAWN: usize = 6;
+/// Routes whose usual times are kept. They are learnt again within a few answers.
+const ROUTES_MAX: usize = 512;
+
+/// A service's targets.
+#[derive(Debug, Default)]
+struct ServiceTargets {
+    /// The count of changes at which this was read.
+    version: u64,
+    near: Vec<TargetSlot>,
+    far: Vec<TargetSlot>,
+}
+
+/// What a box knows of plain targets. All of it is soft.
+#[derive(Debug, Default)]
+pub(crate) struct CallBalance {
+    records: SecondaryMap<TargetSlot, CallRecord>,
+    routes: HashMap<u64, RouteRecord>,
+    services: HashMap<Box<str>, ServiceTargets>,
+    pub(crate) hints: HintBudget,
+}
+
+/// A route's key among those of all declarations.
+pub(crate) fn route_key(route: &Route) -> u64 {
+    xxh3_64(route.name.as_bytes())
+}
+
+impl CallBalance {
+    /// What is known of a target.
+    pub(crate) fn record(&mut self, slot: TargetSlot) -> Option<&mut CallRecord> {
+        Some(self.records.entry(slot)?.or_default())
+    }
+
+    /// What is known of a target, where anything is.
+    pub(crate) fn known(&self, slot: TargetSlot) -> Option<&CallRecord> {
+        self.records.get(slot)
+    }
+
+    /// What is known of a route.
+    pub(crate) fn route(&mut self, key: u64) -> &mut RouteRecord {
+        if self.routes.len() >= ROUTES_MAX && !self.routes.contains_key(&key) {
+            self.routes.clear();
+        }
+        self.routes.entry(key).or_default()
+    }
+
+    /// Some targets of a service, drawn anew, and whether they are all.
+    fn drawn(
+        &mut self,
+        relay: &Relay,
+        book: &TargetBook,
+        service: &str,
+    ) -> (Vec<TargetSlot>, bool) {
+        let version = *relay.target_changes.borrow();
+        let known = self.services.get(service);
+        if known.is_none_or(|known| known.version != version) {
+            let (near, far) = book
+                .of_service(service)
+                .partition::<Vec<_>, _>(|(_, target)| target.data_centre == relay.data_centre);
+            let slots = |targets: Vec<(TargetSlot, &Target)>| {
+                targets.into_iter().map(|(slot, _)| slot).collect()
+            };
+            let read = ServiceTargets {
+                version,
+                near: slots(near),
+                far: slots(far),
+            };
+            self.services.insert(service.into(), read);
+        }
+        let Some(all) = self.services.get(service) else {
+            return (Vec::new(), true);
+        };
+        let mut random = rand::rng();
+        let near = all.near.choose_multiple(&mut random, NEAR_DRAWN);
+        let far = all.far.choose_multiple(&mut random, FAR_DRAWN);
+        let drawn: Vec<TargetSlot> = near.chain(far).copied().collect();
+        let is_all = drawn.len() == all.near.len() + all.far.len();
+        (drawn, is_all)
+    }
+
+    fn candidate(
+        &self,
+        relay: &Relay,
+        slot: TargetSlot,
+        target: &Target,
+        asked: &Asked,
+    ) -> Candidate {
+        let now_ms = relay.now_ms();
+        let of_route = |record: &CallRecord| {
+            let usual = self.routes.get(&asked.route).copied().unwrap_or_default();
+            record.routes.excess(asked.route, usual.failed)
+        };
+        let known = self.known(slot);
+        let far = f64::from(u8::from(target.data_centre != relay.data_centre)) * FAR_SHARE;
+        let cold = f64::from(u8::from(now_ms < target.cold_until_ms)) * COLD_SHARE;
+        Candidate {
+            time_share: known.map_or(1.0, |record| record.time_share(now_ms)),
+            fullness: target.fullness(now_ms),
+            failed_share: target.suspicion.failed_share() + known.map_or(0.0, of_route),
+            extra: far + cold,
+            spared: known.is_some_and(|record| record.shared.is_spared(now_ms)),
+        }
+    }
+}
+
+impl Relay {
+    /// The target that a plain call goes to. Those that were tried, that failed this box, or that are full are only
+    /// taken where there is no other.
+    pub(crate) fn choose_call_target(
+        &self,
+        asked: &Asked,
+        tried: &[TargetSlot],
+    ) -> Option<TargetSlot> {
+        let now_ms = self.now_ms();
+        let book = self.targets.borrow();
+        let standing = || book.choose(asked.service, self.data_centre, tried, asked.cold, now_ms);
+        if !self.file().has(Mechanism::CallBalance) {
+            return standing();
+        }
+        let mut balance = self.balance.borrow_mut();
+        let (drawn, is_all) = balance.drawn(self, &book, asked.service);
+        let given = drawn.into_iter().filter_map(|slot| {
+            let target = book.get(slot)?;
+            let bears = book.takes_work(target) && asked.cold.allows(target, now_ms);
+            let order = (
+                tried.contains(&slot),
+                target.suspicion.is_passed_over(now_ms),
+                now_ms < target.full_until_ms,
+            );
+            bears.then(|| (order, slot, balance.candidate(self, slot, target, asked)))
+        });
+        let given: Vec<_> = given.collect();
+        let first = given.iter().map(|(order, ..)| *order).min();
+        // Where those that were drawn are no good, all are looked at.
+        let first = match first {
+            Some((false, false, _)) => first?,
+            _ if is_all => first?,
+            _ => return standing(),
+        };
+        let best: Vec<_> = given.iter().filter(|(order, ..)| *order == first).collect();
+        let candidates: Vec<Candidate> = best.iter().map(|(.., candidate)| *candidate).collect();
+        let at = choose_target(Choosing::Best, &candidates, || rand::random())?;
+        let (_, slot, chosen) = best[at];
+        metrics::histogram!("shuntpier_call_expected_share").record(chosen.cost());
+        Some(*slot)
+    }
+}
--- /dev/null
+++ b/components/relay/src/forwarding/call_records.rs
@@ -0,0 +1,113 @@
+//! What calls show of targets and routes, noted for the calls after them and told to other boxes.
+
+use crate::forwarding::balance::route_key;
+use crate::state::Relay;
+use crate::watch::targets::TargetSlot;
+use peers::HintWord;
+use policy::{CallRecord, patience_ms};
+use prelude::BoxId;
+use routing::Route;
+use settings::Mechanism;
+use std::rc::Rc;
+
+impl Relay {
+    /// Notes an answer and how long it took.
+    pub(crate) fn call_answered(
+        &self,
+        slot: TargetSlot,
+        route: &Route,
+        took_ms: u64,
+        failed: bool,
+    ) {
+        let now_ms = self.now_ms();
+        let key = route_key(route);
+        let mut balance = self.balance.borrow_mut();
+        let of_route = balance.route(key);
+        of_route.failed.answered(failed);
+        if !failed {
+            of_route.pace.took(took_ms as f64);
+        }
+        let usual_ms = of_route.pace.usual_ms();
+        let Some(record) = balance.record(slot) else {
+            return;
+        };
+        record.routes.answered(key, failed);
+        record.shared.answered();
+        if let Some(usual_ms) = usual_ms.filter(|_| !failed) {
+            record.pace.took(took_ms as f64, usual_ms, now_ms);
+        }
+    }
+
+    /// Notes that a target has not answered for so long, while another did.
+    pub(crate) fn call_outrun(&self, slot: TargetSlot, route: &Route, waited_ms: u64) {
+        let mut balance = self.balance.borrow_mut();
+        let usual_ms = balance.route(route_key(route)).pace.usual_ms();
+        if let (Some(usual_ms), Some(record)) = (usual_ms, balance.record(slot)) {
+            record.pace.took(waited_ms as f64, usual_ms, self.now_ms());
+        }
+    }
+
+    /// Notes that a call got no answer, and tells others.
+    pub(crate) fn call_unanswered(self: &Rc<Self>, slot: TargetSlot) {
+        self.took_hint(slot, self.id, HintWord::NoAnswer);
+        self.tell_hint(slot, HintWord::NoAnswer);
+    }
+
+    /// Notes how slow a target says that it is, and tells others where that is news.
+    pub(crate) fn call_slowness(self: &Rc<Self>, slot: TargetSlot, percent: u32) {
+        let now_ms = self.now_ms();
+        let known = |record: &CallRecord| record.slowness;
+        let before = self
+            .balance
+            .borrow()
+            .known(slot)
+            .map_or_else(Default::default, known);
+        self.took_hint(slot, self.id, HintWord::Slowness(percent));
+        if before.is_news(percent, now_ms) {
+            self.tell_hint(slot, HintWord::Slowness(percent));
+        }
+    }
+
+    /// Takes a word on a target in, this box's own or another's.
+    pub(crate) fn took_hint(&self, slot: TargetSlot, from: BoxId, word: HintWord) {
+        let now_ms = self.now_ms();
+        let mut balance = self.balance.borrow_mut();
+        let Some(record) = balance.record(slot) else {
+            return;
+        };
+        match word {
+            HintWord::Slowness(percent) => record.slowness.told(percent, 0, now_ms),
+            HintWord::NoAnswer => {
+                let before = record.shared.is_spared(now_ms);
+                record.shared.failed_at(from.0.into(), now_ms);
+                if record.shared.is_spared(now_ms) && !before {
+                    slog::info!(self.log, "target spared: boxes got no answer";
+                        "target" => self.name_of(slot), "from" => from.0);
+                }
+            }
+        }
+    }
+
+    /// Whether a route's calls fail everywhere, so that a failure says nothing of the target.
+    pub(crate) fn fails_commonly(&self, route: &Route) -> bool {
+        let is_common = self
+            .balance
+            .borrow_mut()
+            .route(route_key(route))
+            .failed
+            .is_common();
+        is_common && self.file().has(Mechanism::CallBalance)
+    }
+
+    /// How long one target is waited for alone.
+    pub(crate) fn patience_for(&self, route: &Route) -> u64 {
+        let usual_ms = self
+            .balance
+            .borrow_mut()
+            .route(route_key(route))
+            .pace
+            .usual_ms();
+        let usual_ms = usual_ms.filter(|_| self.file().has(Mechanism::SecondBeside));
+        patience_ms(route.answer_goal_ms, usual_ms)
+    }
+}
--- a/components/relay/src/forwarding/mod.rs
+++ b/components/relay/src/forwarding/mod.rs
@@ -1,6 +1,8 @@
 //! Requests on their way to a target, and answers on their way back.
 
+pub(crate) mod balance;
 pub(crate) mod call;
+pub(crate) mod call_records;
 pub(crate) mod channels;
 pub(crate) mod control;
 pub(crate) mod events;
--- a/components/relay/src/membership/broadcast.rs
+++ b/components/relay/src/membership/broadcast.rs
@@ -36,7 +36,7 @@
 
 /// The boxes that are told, each first one passing on to the others of its group. Boxes of one data centre follow each
 /// other in `others`, those that should pass on first.
-fn groups(others: &[(BoxId, DataCentreId)]) -> Vec<Vec<BoxId>> {
+pub(crate) fn groups(others: &[(BoxId, DataCentreId)]) -> Vec<Vec<BoxId>> {
     if others.len() <= TOLD_DIRECTLY_MAX {
         return others.iter().map(|(id, _)| vec![*id]).collect();
     }
--- a/components/relay/src/membership/gossip.rs
+++ b/components/relay/src/membership/gossip.rs
@@ -10,8 +10,8 @@
 use crate::watch::targets::Change;
 use peers::{
     AcquireRequest, AdoptedStream, FetchRequest, FleetCard, FleetDigest, FleetGossip, FleetHandler,
-    PermitReply, RelocateReply, RelocateRequest, SharedTable, TargetChanges, TargetPatch,
-    UpdateReply, UpdateRequest,
+    PermitReply, RelocateReply, RelocateRequest, SharedTable, TargetChanges, TargetHint,
+    TargetPatch, UpdateReply, UpdateRequest,
 };
 use prelude::{BoxId, PermitId, PoolId, TargetId};
 use std::net::SocketAddr;
@@ -248,6 +248,10 @@
         on_gossip(&self.0, news);
     }
 
+    async fn hint(&self, hint: TargetHint) {
+        self.0.on_hint(hint);
+    }
+
     async fn acquire(&self, request: AcquireRequest, wait_ms: u32) -> PermitReply {
         // A dispatcher that has just started would refuse for want of engines that it does not know yet.
         self.0.wait_until_synced().await;
--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -110,6 +110,7 @@
         targets: RefCell::default(),
         target_changes: watch::Sender::new(0),
         channels: RefCell::default(),
+        balance: RefCell::default(),
         resends: RefCell::default(),
         members: RefCell::new(Members::new(id, file.limits.link_mbps as u32)),
         dispatchers: RefCell::new(HashMap::new()),
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -3,6 +3,7 @@
 use crate::dispatch::completion::CompletionEstimator;
 use crate::dispatch::dispatcher::Dispatcher;
 use crate::dispatch::open_generations::OpenGenerations;
+use crate::forwarding::balance::CallBalance;
 use crate::forwarding::channels::Channels;
 use crate::ingress::request::Own;
 use crate::membership::members::Members;
@@ -61,6 +62,8 @@
     /// Rises with each change of targets that matters.
     pub(crate) target_changes: watch::Sender<u64>,
     pub(crate) channels: RefCell<Channels>,
+    /// What calls showed of plain targets.
+    pub(crate) balance: RefCell<CallBalance>,
     pub(crate) resends: RefCell<HashMap<Box<str>, ResendWindow>>,
     pub(crate) members: RefCell<Members>,
     pub(crate) dispatchers: RefCell<HashMap<PoolId, Dispatcher>>,
--- a/components/relay/src/watch/targets.rs
+++ b/components/relay/src/watch/targets.rs
@@ -73,11 +73,11 @@
 /// How long its word on its load counts.
 const LOAD_LIFE_MS: u64 = 1_000;
 /// What a target in another data centre must be emptier by, as a share of its slots.
-const FAR_SHARE: f64 = 0.3;
+pub(crate) const FAR_SHARE: f64 = 0.3;
 /// Slots of a target that does not say how many it has.
 const SLOTS_UNKNOWN: f64 = 8.0;
 /// What a target that has just started is taken to have on it, as a share of its slots.
-const COLD_SHARE: f64 = 0.5;
+pub(crate) const COLD_SHARE: f64 = 0.5;
 
 /// What cold targets of a service bear, as one box may use it.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -89,7 +89,8 @@
 }
 
 impl ColdRate {
-    fn allows(self, target: &Target, now_ms: u64) -> bool {
+    /// Whether a target bears one more request now.
+    pub(crate) fn allows(self, target: &Target, now_ms: u64) -> bool {
         let is_cold = now_ms < target.cold_until_ms;
         let rate_per_s = self.rate_per_s.filter(|_| is_cold);
         rate_per_s.is_none_or(|rate| target.warmup.allows(rate, self.boxes, now_ms))
--- a/components/settings/src/mechanism.rs
+++ b/components/settings/src/mechanism.rs
@@ -37,6 +37,12 @@
     Fairness,
     /// Targets that failed lately are passed over by this box.
     Suspicion,
+    /// Plain calls go to targets by their expected time; without it, to the emptiest.
+    CallBalance,
+    /// Boxes tell each other of plain targets that turn slow or do not answer.
+    CallHints,
+    /// A plain call that is late is tried beside its first try; without it, instead of it.
+    SecondBeside,
     /// What may be repeated is sent a second time.
     SecondSends,
     /// The budget of second sends is divided among the boxes.
