--- a/components/operators/src/fleet.rs
+++ b/components/operators/src/fleet.rs
@@ -38,6 +38,26 @@
     pub cold: bool,
     /// Requests that this box has open there.
     pub own_open: u32,
+    /// What its plain calls showed; none where there were none.
+    #[serde(default)]
+    pub calls: Option<TargetCallsView>,
+}
+
+/// What plain calls showed a box of a target.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TargetCallsView {
+    /// Its time as a share of the usual one, as this box saw it.
+    pub pace_share: f64,
+    /// Its time as a share of the usual one right now, by its own or other boxes' word.
+    pub slowness_share: f64,
+    /// How full it is, as a share of its slots, as far as this box knows.
+    pub fullness: f64,
+    /// Whether calls go elsewhere, as two boxes got no answer.
+    pub spared: bool,
+    /// Whether this box passes it over, as it failed this box.
+    pub passed_over: bool,
+    /// Share of failures by route.
+    pub failed_by_route: Vec<(String, f64)>,
 }
 
 /// A box of a fleet as it sees itself.
--- a/components/relay/src/forwarding/balance.rs
+++ b/components/relay/src/forwarding/balance.rs
@@ -120,6 +120,9 @@
     }
 }
 
+/// What speaks against a target before all else: it was tried, it failed this box, it is full.
+type Against = (bool, bool, bool);
+
 impl Relay {
     /// The target that a plain call goes to. Those that were tried, that failed this box, or that are full are only
     /// taken where there is no other.
@@ -128,37 +131,54 @@
         asked: &Asked,
         tried: &[TargetSlot],
     ) -> Option<TargetSlot> {
-        let now_ms = self.now_ms();
         let book = self.targets.borrow();
-        let standing = || book.choose(asked.service, self.data_centre, tried, asked.cold, now_ms);
-        if !self.file().has(Mechanism::CallBalance) {
-            return standing();
+        if self.file().has(Mechanism::CallBalance) {
+            let mut balance = self.balance.borrow_mut();
+            let (drawn, is_all) = balance.drawn(self, &book, asked.service);
+            let given = self.given(&balance, &book, drawn, asked, tried);
+            let least = given.iter().map(|(against, ..)| *against).min();
+            // Where those that were drawn are no good, all are looked at.
+            if is_all || least.is_some_and(|(tried, failed, _)| !tried && !failed) {
+                return best_of(&given, least?);
+            }
         }
-        let mut balance = self.balance.borrow_mut();
-        let (drawn, is_all) = balance.drawn(self, &book, asked.service);
-        let given = drawn.into_iter().filter_map(|slot| {
+        let near = self.data_centre;
+        book.choose(asked.service, near, tried, asked.cold, self.now_ms())
+    }
+
+    /// Those that take the call, with what speaks against each.
+    fn given(
+        &self,
+        balance: &CallBalance,
+        book: &TargetBook,
+        drawn: Vec<TargetSlot>,
+        asked: &Asked,
+        tried: &[TargetSlot],
+    ) -> Vec<(Against, TargetSlot, Candidate)> {
+        let now_ms = self.now_ms();
+        let one = |slot: TargetSlot| {
             let target = book.get(slot)?;
-            let bears = book.takes_work(target) && asked.cold.allows(target, now_ms);
-            let order = (
+            let takes_it = book.takes_work(target) && asked.cold.allows(target, now_ms);
+            let against = (
                 tried.contains(&slot),
                 target.suspicion.is_passed_over(now_ms),
                 now_ms < target.full_until_ms,
             );
-            bears.then(|| (order, slot, balance.candidate(self, slot, target, asked)))
-        });
-        let given: Vec<_> = given.collect();
-        let first = given.iter().map(|(order, ..)| *order).min();
-        // Where those that were drawn are no good, all are looked at.
-        let first = match first {
-            Some((false, false, _)) => first?,
-            _ if is_all => first?,
-            _ => return standing(),
+            takes_it.then(|| (against, slot, balance.candidate(self, slot, target, asked)))
         };
-        let best: Vec<_> = given.iter().filter(|(order, ..)| *order == first).collect();
-        let candidates: Vec<Candidate> = best.iter().map(|(.., candidate)| *candidate).collect();
-        let at = choose_target(Choosing::Best, &candidates, || rand::random())?;
-        let (_, slot, chosen) = best[at];
-        metrics::histogram!("shuntpier_call_expected_share").record(chosen.cost());
-        Some(*slot)
+        drawn.into_iter().filter_map(one).collect()
     }
 }
+
+/// The best of those that as little as `least` speaks against.
+fn best_of(given: &[(Against, TargetSlot, Candidate)], least: Against) -> Option<TargetSlot> {
+    let equal: Vec<_> = given
+        .iter()
+        .filter(|(against, ..)| *against == least)
+        .collect();
+    let candidates: Vec<Candidate> = equal.iter().map(|(.., candidate)| *candidate).collect();
+    let at = choose_target(Choosing::Best, &candidates, rand::random)?;
+    let (_, slot, chosen) = equal[at];
+    metrics::histogram!("shuntpier_call_expected_share").record(chosen.cost());
+    Some(*slot)
+}
--- a/components/relay/src/view.rs
+++ b/components/relay/src/view.rs
@@ -1,8 +1,11 @@
 //! The box as operators see it.
 
+use crate::forwarding::balance::{CallBalance, route_key};
 use crate::state::Relay;
+use crate::watch::targets::TargetSlot;
 use crate::watch::targets::{Belief, Target, TargetBook};
-use operators::{EvacuationView, FleetTargetView, FleetView};
+use operators::{EvacuationView, FleetTargetView, FleetView, TargetCallsView};
+use policy::CallRecord;
 
 fn state_of(targets: &TargetBook, target: &Target) -> &'static str {
     match target.belief {
@@ -44,7 +47,8 @@
     fn target_views(&self) -> Vec<FleetTargetView> {
         let now_ms = self.now_ms();
         let targets = self.targets.borrow();
-        let view = |target: &Target| FleetTargetView {
+        let balance = self.balance.borrow();
+        let view = |slot: TargetSlot, target: &Target| FleetTargetView {
             name: target.entry.instance.to_string(),
             service: target.entry.service.to_string(),
             data_centre: target.entry.data_centre.to_string(),
@@ -52,7 +56,38 @@
             state: state_of(&targets, target).into(),
             cold: now_ms < target.cold_until_ms,
             own_open: target.open,
+            calls: self.calls_view(&balance, slot, target),
         };
-        targets.all().map(|(_, target)| view(target)).collect()
+        let views = targets.all().map(|(slot, target)| view(slot, target));
+        views.collect()
+    }
+
+    fn calls_view(
+        &self,
+        balance: &CallBalance,
+        slot: TargetSlot,
+        target: &Target,
+    ) -> Option<TargetCallsView> {
+        let record = balance.known(slot)?;
+        let now_ms = self.now_ms();
+        Some(TargetCallsView {
+            pace_share: record.pace.share(now_ms),
+            slowness_share: record.slowness.share(now_ms),
+            fullness: target.fullness(now_ms),
+            spared: record.shared.is_spared(now_ms),
+            passed_over: target.suspicion.is_passed_over(now_ms),
+            failed_by_route: self.failed_by_route(record),
+        })
+    }
+
+    /// Shares of failures, with the names of the routes that are still declared.
+    fn failed_by_route(&self, record: &CallRecord) -> Vec<(String, f64)> {
+        let Some(declared) = self.declared() else {
+            return Vec::new();
+        };
+        let routes = &declared.table.routes;
+        let name = |key: u64| routes.iter().find(|route| route_key(route) == key);
+        let share = |(key, share): (u64, f64)| Some((name(key)?.name.to_string(), share));
+        record.routes.shares().filter_map(share).collect()
     }
 }
--- a/src/cmd/targets.rs
+++ b/src/cmd/targets.rs
@@ -2,7 +2,7 @@
 
 use crate::cli::ReportOptions;
 use crate::cmd::{ask_box, runtime};
-use operators::{FleetView, NodeView};
+use operators::{FleetView, NodeView, TargetCallsView};
 use serde::Serialize;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -76,7 +76,30 @@
             "  {:24} {:16} {:16} {}{cold}, own {}",
             target.name, target.service, target.data_centre, target.state, target.own_open
         );
+        if let Some(calls) = &target.calls {
+            println!("      {}", calls_line(calls));
+        }
+    }
+}
+
+/// What plain calls showed of a target, in one line.
+fn calls_line(calls: &TargetCallsView) -> String {
+    let mut line = format!(
+        "calls: time {:.2} of usual, now {:.2}, full {:.2}",
+        calls.pace_share, calls.slowness_share, calls.fullness
+    );
+    if calls.spared {
+        line += ", spared: boxes got no answer";
+    }
+    if calls.passed_over {
+        line += ", passed over: it failed this box";
+    }
+    for (route, share) in &calls.failed_by_route {
+        if *share > 0.0 {
+            line += &format!(", fails {route} {share:.2}");
+        }
     }
+    line
 }
 
 fn print_view(view: &NodeView) {
