--- a/components/operators/src/fleet.rs
+++ b/components/operators/src/fleet.rs
@@ -52,6 +52,8 @@
     pub slowness_share: f64,
     /// How full it is, as a share of its slots, as far as this box knows.
     pub fullness: f64,
+    /// Calls of this box that it is given at once; none where it refused none as full.
+    pub limit: Option<f64>,
     /// Whether calls go elsewhere, as two boxes got no answer.
     pub spared: bool,
     /// Whether this box passes it over, as it failed this box.
--- /dev/null
+++ b/components/policy/src/balance/limit.rs
@@ -0,0 +1,60 @@
+//! How many calls a box has at one target at once, learnt from what the target refuses: one step more for each round of
+//! answers, less by a share at a refusal, so that boxes that don't see each other's calls come to share a full target.
+
+/// More than slots and queue of any target: no bound before it refused anything.
+const MOST: f64 = 256.0;
+/// What is left at a refusal. More is refused again at once; less leaves slots empty that callers wait for.
+const KEPT_SHARE: f64 = 0.85;
+/// Refusals within this time are one word: the calls were sent before the first of them was heard.
+const ONE_WORD_MS: u64 = 100;
+
+/// The bound of one box at one target.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CallLimit {
+    most: f64,
+    cut_ms: Option<u64>,
+}
+
+impl Default for CallLimit {
+    fn default() -> Self {
+        Self {
+            most: MOST,
+            cut_ms: None,
+        }
+    }
+}
+
+impl CallLimit {
+    /// Notes that the target refused a call as full, with so many others of this box there.
+    pub fn refused(&mut self, open: u32, now_ms: u64) {
+        if self
+            .cut_ms
+            .is_some_and(|cut_ms| now_ms < cut_ms + ONE_WORD_MS)
+        {
+            return;
+        }
+        self.most = (self.most.min(f64::from(open)) * KEPT_SHARE).max(1.0);
+        self.cut_ms = Some(now_ms);
+    }
+
+    /// Notes an answer, with so many calls of this box there: the bound rises only where it was reached.
+    pub fn answered(&mut self, open: u32) {
+        if f64::from(open) + 1.0 >= self.most {
+            self.most = (self.most + 1.0 / self.most).min(MOST);
+        }
+    }
+
+    /// Whether one more call goes there.
+    pub fn has_room(&self, open: u32) -> bool {
+        f64::from(open) + 1.0 <= self.most
+    }
+
+    /// The bound; none where nothing was refused yet.
+    pub fn most(&self) -> Option<f64> {
+        self.cut_ms.map(|_| self.most)
+    }
+}
+
+#[cfg(test)]
+#[path = "limit_tests.rs"]
+mod tests;
--- a/components/policy/src/balance/mod.rs
+++ b/components/policy/src/balance/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod choose;
 pub(crate) mod doubt;
 pub(crate) mod hints;
+pub(crate) mod limit;
 pub(crate) mod pace;
 pub(crate) mod patience;
 pub(crate) mod record;
--- a/components/policy/src/balance/record.rs
+++ b/components/policy/src/balance/record.rs
@@ -1,6 +1,7 @@
 //! All that a box knows of one target for plain calls.
 
 use crate::balance::doubt::{FailedShare, RouteDoubts, SharedDoubt};
+use crate::balance::limit::CallLimit;
 use crate::balance::pace::{RoutePace, TargetPace};
 use crate::balance::slowness::Slowness;
 
@@ -22,6 +23,8 @@
     pub slowness: Slowness,
     /// What it fails, by route.
     pub routes: RouteDoubts,
+    /// How many calls of this box it bears at once.
+    pub limit: CallLimit,
     /// That boxes got no answer.
     pub shared: SharedDoubt,
 }
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -15,6 +15,7 @@
 pub use balance::choose::{Candidate, Choosing, choose_target};
 pub use balance::doubt::{FailedShare, RouteDoubts, SharedDoubt};
 pub use balance::hints::HintBudget;
+pub use balance::limit::CallLimit;
 pub use balance::pace::{RoutePace, TargetPace};
 pub use balance::patience::patience_ms;
 pub use balance::record::{CallRecord, RouteRecord};
--- a/components/relay/src/forwarding/balance.rs
+++ b/components/relay/src/forwarding/balance.rs
@@ -1,9 +1,8 @@
 //! Plain calls balanced among targets: what this box saw and was told of each, and which one a call goes to. A call looks
 //! at a few targets, drawn anew each time, so that its cost does not grow with the targets.
 
-use crate::forwarding::call::Asked;
 use crate::state::Relay;
-use crate::watch::targets::{COLD_SHARE, FAR_SHARE, Target, TargetBook, TargetSlot};
+use crate::watch::targets::{COLD_SHARE, ColdRate, FAR_SHARE, Target, TargetBook, TargetSlot};
 use policy::{CallRecord, Candidate, Choosing, HintBudget, RouteRecord, choose_target};
 use rand::seq::IndexedRandom;
 use routing::Route;
@@ -19,6 +18,13 @@
 /// Routes whose usual times are kept. They are learnt again within a few answers.
 const ROUTES_MAX: usize = 512;
 
+/// What a plain request asks for, as far as the choice of its target goes.
+pub(crate) struct Asked<'a> {
+    pub service: &'a str,
+    pub route: u64,
+    pub cold: ColdRate,
+}
+
 /// A service's targets.
 #[derive(Debug, Default)]
 struct ServiceTargets {
@@ -61,6 +67,12 @@
         self.routes.entry(key).or_default()
     }
 
+    /// Whether this box may have one more call at a target.
+    fn has_room(&self, slot: TargetSlot, open: u32) -> bool {
+        self.known(slot)
+            .is_none_or(|record| record.limit.has_room(open))
+    }
+
     /// Some targets of a service, drawn anew, and whether they are all.
     fn drawn(
         &mut self,
@@ -146,6 +158,15 @@
         book.choose(asked.service, near, tried, asked.cold, self.now_ms())
     }
 
+    /// Whether all targets that a call could go to are full, as far as this box knows.
+    pub(crate) fn is_full(&self, asked: &Asked) -> bool {
+        let book = self.targets.borrow();
+        let mut balance = self.balance.borrow_mut();
+        let (drawn, _) = balance.drawn(self, &book, asked.service);
+        let given = self.given(&balance, &book, drawn, asked, &[]);
+        given.iter().map(|(against, ..)| *against).min() == Some((false, false, true))
+    }
+
     /// Those that take the call, with what speaks against each.
     fn given(
         &self,
@@ -162,7 +183,7 @@
             let against = (
                 tried.contains(&slot),
                 target.suspicion.is_passed_over(now_ms),
-                now_ms < target.full_until_ms,
+                now_ms < target.full_until_ms || !balance.has_room(slot, target.open),
             );
             takes_it.then(|| (against, slot, balance.candidate(self, slot, target, asked)))
         };
--- /dev/null
+++ b/components/relay/src/forwarding/beside.rs
@@ -0,0 +1,110 @@
+//! A call that is late at its target and may run twice: a second target is tried beside the first.
+
+use crate::forwarding::call::{Story, next_offer};
+use crate::forwarding::offer::{Offer, offer};
+use crate::forwarding::outcome::TargetOutcome;
+use crate::ingress::request::{Incoming, Way};
+use crate::state::Relay;
+use crate::watch::targets::TargetSlot;
+use futures::future::{Either, select};
+use policy::patience_ms;
+use routing::{Route, RouteKind};
+use settings::Mechanism;
+use std::pin::pin;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// One offer; where it is late and the request may run twice, a second one beside it. The first good answer counts.
+pub(super) async fn offer_in_time(
+    relay: &Rc<Relay>,
+    incoming: &Incoming,
+    way: &Way,
+    slot: TargetSlot,
+    story: &mut Story,
+) -> Offer {
+    let route = way.route();
+    let another = route.kind == RouteKind::Repeatable && story.runs + 1 < route.runs_most;
+    let beside = another && relay.file().has(Mechanism::SecondBeside);
+    let left_ms = incoming.left_ms(route, relay.now_ms());
+    let patience_ms = relay.patience_for(route).min(left_ms);
+    let limit_ms = match another && !beside {
+        true => patience_ms,
+        false => left_ms,
+    };
+    let first = offer(relay, incoming, way, slot, story.runs, limit_ms);
+    let mut first = pin!(first);
+    if !beside {
+        let offer = first.await;
+        return offer.noted(relay, incoming, way, slot);
+    }
+    let patience = Duration::from_millis(patience_ms);
+    if let Ok(offer) = timeout(patience, first.as_mut()).await {
+        return offer.noted(relay, incoming, way, slot);
+    }
+    // The first may run, and got the request: the second is counted as one.
+    story.runs += 1;
+    story.arrivals += 1;
+    let due_ms = incoming.due_ms(route);
+    let Some(second_slot) = next_offer(relay, way, story, due_ms) else {
+        story.runs -= 1;
+        story.arrivals -= 1;
+        return first.await.noted(relay, incoming, way, slot);
+    };
+    story.offered.push(second_slot);
+    slog::info!(relay.log, "second try beside the first"; "id" => incoming.id(),
+        "first" => relay.name_of(slot), "second" => relay.name_of(second_slot),
+        "after_ms" => relay.now_ms() - incoming.came_ms, "patience_ms" => patience_ms);
+    let left_ms = incoming.left_ms(route, relay.now_ms());
+    let second = offer(relay, incoming, way, second_slot, story.runs, left_ms);
+    let second = pin!(second);
+    let began_ms = incoming.came_ms;
+    match select(first, second).await {
+        Either::Left((offer, second)) => {
+            let offer = offer.noted(relay, incoming, way, slot);
+            if offer.is_good() {
+                count_beside("first");
+                return offer;
+            }
+            better(offer, second.await.noted(relay, incoming, way, second_slot))
+        }
+        Either::Right((offer, first)) => {
+            let offer = offer.noted(relay, incoming, way, second_slot);
+            if offer.is_good() {
+                count_beside("second");
+                outrun(relay, route, slot, relay.now_ms() - began_ms);
+                return offer;
+            }
+            better(offer, first.await.noted(relay, incoming, way, slot))
+        }
+    }
+}
+
+fn count_beside(won: &'static str) {
+    metrics::counter!("shuntpier_calls_tried_beside", "won" => won).increment(1);
+}
+
+/// Notes that a target had not answered when a later try had. It failed where little of the goal was left.
+fn outrun(relay: &Rc<Relay>, route: &Route, slot: TargetSlot, waited_ms: u64) {
+    relay.call_outrun(slot, route, waited_ms);
+    let has_failed = waited_ms >= patience_ms(route.answer_goal_ms, None);
+    relay.record_outcome(
+        slot,
+        match has_failed {
+            true => TargetOutcome::Failed,
+            false => TargetOutcome::Untried,
+        },
+    );
+}
+
+/// Of two offers that are over, the one that says more to the caller.
+fn better(one: Offer, other: Offer) -> Offer {
+    let rank = |offer: &Offer| match offer {
+        Offer::Answered(reply) => 1 + u8::from(reply.status < 500),
+        Offer::NotRun(_) | Offer::MayHaveRun(_) => 0,
+    };
+    match rank(&one) > rank(&other) {
+        true => one,
+        false => other,
+    }
+}
--- a/components/relay/src/forwarding/call_records.rs
+++ b/components/relay/src/forwarding/call_records.rs
@@ -20,6 +20,7 @@
         failed: bool,
     ) {
         let now_ms = self.now_ms();
+        let open = self.open_at(slot);
         let key = route_key(route);
         let mut balance = self.balance.borrow_mut();
         let of_route = balance.route(key);
@@ -33,6 +34,7 @@
         };
         record.routes.answered(key, failed);
         record.shared.answered();
+        record.limit.answered(open);
         if let Some(usual_ms) = usual_ms.filter(|_| !failed) {
             record.pace.took(took_ms as f64, usual_ms, now_ms);
         }
@@ -99,15 +101,39 @@
         is_common && self.file().has(Mechanism::CallBalance)
     }
 
-    /// How long one target is waited for alone.
-    pub(crate) fn patience_for(&self, route: &Route) -> u64 {
-        let usual_ms = self
-            .balance
+    /// The usual time of a route's calls, where it is known.
+    pub(crate) fn usual_ms(&self, route: &Route) -> Option<f64> {
+        self.balance
             .borrow_mut()
             .route(route_key(route))
             .pace
-            .usual_ms();
-        let usual_ms = usual_ms.filter(|_| self.file().has(Mechanism::SecondBeside));
+            .usual_ms()
+    }
+
+    fn open_at(&self, slot: TargetSlot) -> u32 {
+        let targets = self.targets.borrow();
+        targets.get(slot).map_or(0, |target| target.open)
+    }
+
+    /// Notes that a target refused a call as full.
+    pub(crate) fn call_refused(&self, slot: TargetSlot) {
+        let open = self.open_at(slot);
+        if !self.file().has(Mechanism::CallLimits) {
+            return;
+        }
+        let now_ms = self.now_ms();
+        if let Some(record) = self.balance.borrow_mut().record(slot) {
+            record.limit.refused(open, now_ms);
+            slog::info!(self.log, "target full"; "target" => self.name_of(slot), "open" => open,
+                "limit" => record.limit.most());
+        }
+    }
+
+    /// How long one target is waited for alone.
+    pub(crate) fn patience_for(&self, route: &Route) -> u64 {
+        let usual_ms = self
+            .usual_ms(route)
+            .filter(|_| self.file().has(Mechanism::SecondBeside));
         patience_ms(route.answer_goal_ms, usual_ms)
     }
 }
--- a/components/relay/src/forwarding/mod.rs
+++ b/components/relay/src/forwarding/mod.rs
@@ -1,12 +1,15 @@
 //! Requests on their way to a target, and answers on their way back.
 
 pub(crate) mod balance;
+mod beside;
 pub(crate) mod call;
 pub(crate) mod call_records;
 pub(crate) mod channels;
 pub(crate) mod control;
 pub(crate) mod events;
 pub(crate) mod generation;
+mod offer;
 pub(crate) mod outcome;
+mod room;
 pub(crate) mod send;
 pub(crate) mod stream;
--- /dev/null
+++ b/components/relay/src/forwarding/offer.rs
@@ -0,0 +1,163 @@
+//! One offer of a plain request to one target, its answer read whole.
+
+use crate::forwarding::outcome::TargetOutcome;
+use crate::forwarding::send::{Message, NotRun, Opened, Tried, UNREPEATABLE_REST_MS};
+use crate::ingress::request::{Incoming, Reply, Way};
+use crate::state::Relay;
+use crate::watch::targets::TargetSlot;
+use bytes::Bytes;
+use platform::{Forwarding, forward, relayed_head};
+use routing::RouteKind;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// What is said of a target that was waited for in vain.
+const NO_ANSWER_IN_TIME: &str = "the target did not answer in time";
+
+/// What one offer led to.
+pub(super) enum Offer {
+    Answered(Reply),
+    NotRun(NotRun),
+    MayHaveRun(&'static str),
+}
+
+/// Offers a request to a target, for so long.
+pub(super) async fn offer(
+    relay: &Rc<Relay>,
+    incoming: &Incoming,
+    way: &Way,
+    slot: TargetSlot,
+    runs: u32,
+    limit_ms: u64,
+) -> Offer {
+    let route = way.route();
+    let began_ms = relay.now_ms();
+    let left_ms = incoming.left_ms(route, relay.now_ms());
+    let Some(instance) = relay.instance_of(slot) else {
+        return Offer::NotRun(NotRun::Unreachable);
+    };
+    let forwarding = Forwarding {
+        instance: &instance,
+        account: way.account_name(),
+        left_ms,
+        ..Forwarding::default()
+    };
+    let head = forward(&incoming.head, incoming.body.len(), &forwarding);
+    let message = Message {
+        request_id: incoming.id(),
+        head: &head,
+        body: &incoming.body,
+        bodiless: &*incoming.head.method == "HEAD",
+        rested_most_ms: match route.kind {
+            // Where a channel that rested failed, the second is not chosen by that.
+            RouteKind::Repeatable if runs == 0 => u64::MAX,
+            _ => UNREPEATABLE_REST_MS,
+        },
+    };
+    let trying = try_whole(relay, slot, message);
+    let offer = timeout(Duration::from_millis(limit_ms), trying).await;
+    let offer = offer.unwrap_or(Offer::MayHaveRun(NO_ANSWER_IN_TIME));
+    if let Offer::Answered(reply) = &offer {
+        let took_ms = relay.now_ms() - began_ms;
+        relay.call_answered(slot, route, took_ms, reply.status >= 500);
+    }
+    offer
+}
+
+async fn try_whole(relay: &Rc<Relay>, slot: TargetSlot, message: Message<'_>) -> Offer {
+    match relay.try_at(slot, message).await {
+        Tried::NotRun(why) => Offer::NotRun(why),
+        Tried::MayHaveRun(why) => Offer::MayHaveRun(why),
+        Tried::Answered(opened) => whole(relay, slot, *opened).await,
+    }
+}
+
+/// Reads an answer whole and checks it before any of it is passed on.
+async fn whole(relay: &Rc<Relay>, slot: TargetSlot, mut opened: Opened) -> Offer {
+    if !opened.is_vouched() {
+        return Offer::MayHaveRun("the answer is not the target's own");
+    }
+    let slowness = opened.facts.load.and_then(|load| load.slowness_percent);
+    if let Some(percent) = slowness {
+        relay.call_slowness(slot, percent);
+    }
+    let body: Bytes = match opened.read_whole().await {
+        Ok(body) => body,
+        Err(why) => return Offer::MayHaveRun(why),
+    };
+    let status = opened.head.status;
+    let reply = Reply {
+        status,
+        head: relayed_head(&opened.head),
+        body,
+        own: None,
+    };
+    opened.finish(relay);
+    Offer::Answered(reply)
+}
+
+impl Offer {
+    /// Notes what it says of its target.
+    pub(super) fn noted(
+        self,
+        relay: &Rc<Relay>,
+        incoming: &Incoming,
+        way: &Way,
+        slot: TargetSlot,
+    ) -> Self {
+        self.note(relay, incoming, slot);
+        let is_common = matches!(self, Self::Answered(_)) && relay.fails_commonly(way.route());
+        let word = match self.word() {
+            // The route fails everywhere: the target is doubted for this route alone.
+            TargetOutcome::Failed if is_common => TargetOutcome::Untried,
+            word => word,
+        };
+        relay.record_outcome(slot, word);
+        // A caller who waits for less than the goal says nothing of a target.
+        let waited_ms = relay.now_ms() - incoming.came_ms;
+        let is_over = waited_ms >= way.route().answer_goal_ms;
+        let is_silent = match &self {
+            Self::MayHaveRun(why) => *why != NO_ANSWER_IN_TIME || is_over,
+            Self::NotRun(NotRun::Unreachable) => true,
+            _ => false,
+        };
+        if matches!(self, Self::NotRun(NotRun::Refused { .. })) {
+            relay.call_refused(slot);
+        }
+        if is_silent {
+            relay.call_unanswered(slot);
+        }
+        self
+    }
+
+    pub(super) fn is_good(&self) -> bool {
+        matches!(self, Self::Answered(reply) if reply.status < 500)
+    }
+
+    /// What it says of its target.
+    fn word(&self) -> TargetOutcome {
+        match self {
+            Self::Answered(reply) if reply.status < 500 => TargetOutcome::Well,
+            Self::Answered(_) | Self::MayHaveRun(_) => TargetOutcome::Failed,
+            Self::NotRun(why) => TargetOutcome::from(*why),
+        }
+    }
+
+    /// Writes an offer that failed to the log.
+    fn note(&self, relay: &Relay, incoming: &Incoming, slot: TargetSlot) {
+        let outcome = match self {
+            Self::Answered(reply) if reply.status < 500 => return,
+            Self::Answered(reply) => format!("answered {}", reply.status),
+            Self::NotRun(why) => format!("not run: {why:?}"),
+            Self::MayHaveRun(why) => format!("may have run: {why}"),
+        };
+        slog::info!(relay.log, "offer failed"; "id" => incoming.id(), "outcome" => outcome,
+            "target" => relay.name_of(slot), "after_ms" => relay.now_ms() - incoming.came_ms);
+    }
+
+    /// Whether the target got the request.
+    pub(super) fn arrived(&self) -> bool {
+        !matches!(self, Self::NotRun(why) if !why.arrived())
+    }
+}
--- a/components/relay/src/forwarding/send.rs
+++ b/components/relay/src/forwarding/send.rs
@@ -73,6 +73,7 @@
 impl Drop for OpenRequest {
     fn drop(&mut self) {
         self.relay.targets.borrow_mut().closed(self.slot);
+        self.relay.calls_ended.notify_one();
     }
 }
 
--- a/components/relay/src/membership/hints.rs
+++ b/components/relay/src/membership/hints.rs
@@ -10,8 +10,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Longest time for a call: a later word says little.
-const CALL_LIMIT: Duration = Duration::from_millis(200);
+/// Longest time for a call, as for other calls: a box that is only slow is not doubted.
+const CALL_LIMIT: Duration = Duration::from_millis(400);
 
 impl Relay {
     /// Tells the boxes of this data centre, within what a box may tell.
--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -111,6 +111,7 @@
         target_changes: watch::Sender::new(0),
         channels: RefCell::default(),
         balance: RefCell::default(),
+        calls_ended: Notify::new(),
         resends: RefCell::default(),
         members: RefCell::new(Members::new(id, file.limits.link_mbps as u32)),
         dispatchers: RefCell::new(HashMap::new()),
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -64,6 +64,8 @@
     pub(crate) channels: RefCell<Channels>,
     /// What calls showed of plain targets.
     pub(crate) balance: RefCell<CallBalance>,
+    /// A request at a target ended: a call that waits may find room.
+    pub(crate) calls_ended: Notify,
     pub(crate) resends: RefCell<HashMap<Box<str>, ResendWindow>>,
     pub(crate) members: RefCell<Members>,
     pub(crate) dispatchers: RefCell<HashMap<PoolId, Dispatcher>>,
--- a/components/relay/src/view.rs
+++ b/components/relay/src/view.rs
@@ -74,6 +74,7 @@
             pace_share: record.pace.share(now_ms),
             slowness_share: record.slowness.share(now_ms),
             fullness: target.fullness(now_ms),
+            limit: record.limit.most(),
             spared: record.shared.is_spared(now_ms),
             passed_over: target.suspicion.is_passed_over(now_ms),
             failed_by_route: self.failed_by_route(record),
--- a/components/settings/src/mechanism.rs
+++ b/components/settings/src/mechanism.rs
@@ -41,6 +41,8 @@
     CallBalance,
     /// Boxes tell each other of plain targets that turn slow or do not answer.
     CallHints,
+    /// A box bounds its calls at one target by what that refuses, and lets calls wait for room.
+    CallLimits,
     /// A plain call that is late is tried beside its first try; without it, instead of it.
     SecondBeside,
     /// What may be repeated is sent a second time.
--- a/src/cmd/targets.rs
+++ b/src/cmd/targets.rs
@@ -88,6 +88,9 @@
         "calls: time {:.2} of usual, now {:.2}, full {:.2}",
         calls.pace_share, calls.slowness_share, calls.fullness
     );
+    if let Some(limit) = calls.limit {
+        line += &format!(", limit {limit:.1}");
+    }
     if calls.spared {
         line += ", spared: boxes got no answer";
     }
