--- /dev/null
+++ b/components/relay/src/forwarding/balance.rs
@@ -0,0 +1,205 @@
+//! Plain calls balanced among targets: what this box saw and was told of each, and which one a call goes to. A call looks
+//! at a few targets, drawn anew each time, so that its cost does not grow with the targets.
+
+use crate::state::Relay;
+use crate::watch::targets::{COLD_SHARE, ColdRate, FAR_SHARE, Target, TargetBook, TargetSlot};
+use policy::{CallRecord, Candidate, Choosing, HintBudget, RouteRecord, choose_target};
+use rand::seq::IndexedRandom;
+use routing::Route;
+use settings::Mechanism;
+use slotmap::SecondaryMap;
+use std::collections::HashMap;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Targets of this data centre that one call looks at: some that fail still leave enough to choose from.
+const NEAR_DRAWN: usize = 12;
+/// Targets of other data centres that it looks at: they are for when those here are full.
+const FAR_DRAWN: usize = 6;
+/// Routes whose usual times are kept. They are learnt again within a few answers.
+const ROUTES_MAX: usize = 512;
+
+/// What a plain request asks for, as far as the choice of its target goes.
+pub(crate) struct Asked<'a> {
+    pub service: &'a str,
+    pub route: u64,
+    pub cold: ColdRate,
+}
+
+/// A service's targets.
+#[derive(Debug, Default)]
+struct ServiceTargets {
+    /// The count of changes at which this was read.
+    version: u64,
+    near: Vec<TargetSlot>,
+    far: Vec<TargetSlot>,
+}
+
+/// What a box knows of plain targets. All of it is soft.
+#[derive(Debug, Default)]
+pub(crate) struct CallBalance {
+    records: SecondaryMap<TargetSlot, CallRecord>,
+    routes: HashMap<u64, RouteRecord>,
+    services: HashMap<Box<str>, ServiceTargets>,
+    pub(crate) hints: HintBudget,
+}
+
+/// A route's key among those of all declarations.
+pub(crate) fn route_key(route: &Route) -> u64 {
+    xxh3_64(route.name.as_bytes())
+}
+
+impl CallBalance {
+    /// What is known of a target.
+    pub(crate) fn record(&mut self, slot: TargetSlot) -> Option<&mut CallRecord> {
+        Some(self.records.entry(slot)?.or_default())
+    }
+
+    /// What is known of a target, where anything is.
+    pub(crate) fn known(&self, slot: TargetSlot) -> Option<&CallRecord> {
+        self.records.get(slot)
+    }
+
+    /// What is known of a route.
+    pub(crate) fn route(&mut self, key: u64) -> &mut RouteRecord {
+        if self.routes.len() >= ROUTES_MAX && !self.routes.contains_key(&key) {
+            self.routes.clear();
+        }
+        self.routes.entry(key).or_default()
+    }
+
+    /// Whether this box may have one more call at a target.
+    fn has_room(&self, slot: TargetSlot, open: u32) -> bool {
+        self.known(slot)
+            .is_none_or(|record| record.limit.has_room(open))
+    }
+
+    /// Some targets of a service, drawn anew, and whether they are all.
+    fn drawn(
+        &mut self,
+        relay: &Relay,
+        book: &TargetBook,
+        service: &str,
+    ) -> (Vec<TargetSlot>, bool) {
+        let version = *relay.target_changes.borrow();
+        let known = self.services.get(service);
+        if known.is_none_or(|known| known.version != version) {
+            let (near, far) = book
+                .of_service(service)
+                .partition::<Vec<_>, _>(|(_, target)| target.data_centre == relay.data_centre);
+            let slots = |targets: Vec<(TargetSlot, &Target)>| {
+                targets.into_iter().map(|(slot, _)| slot).collect()
+            };
+            let read = ServiceTargets {
+                version,
+                near: slots(near),
+                far: slots(far),
+            };
+            self.services.insert(service.into(), read);
+        }
+        let Some(all) = self.services.get(service) else {
+            return (Vec::new(), true);
+        };
+        let mut random = rand::rng();
+        let near = all.near.choose_multiple(&mut random, NEAR_DRAWN);
+        let far = all.far.choose_multiple(&mut random, FAR_DRAWN);
+        let drawn: Vec<TargetSlot> = near.chain(far).copied().collect();
+        let is_all = drawn.len() == all.near.len() + all.far.len();
+        (drawn, is_all)
+    }
+
+    fn candidate(
+        &self,
+        relay: &Relay,
+        slot: TargetSlot,
+        target: &Target,
+        asked: &Asked,
+    ) -> Candidate {
+        let now_ms = relay.now_ms();
+        let of_route = |record: &CallRecord| {
+            let usual = self.routes.get(&asked.route).copied().unwrap_or_default();
+            record.routes.excess(asked.route, usual.failed)
+        };
+        let known = self.known(slot);
+        let far = f64::from(u8::from(target.data_centre != relay.data_centre)) * FAR_SHARE;
+        let cold = f64::from(u8::from(now_ms < target.cold_until_ms)) * COLD_SHARE;
+        Candidate {
+            time_share: known.map_or(1.0, |record| record.time_share(now_ms)),
+            fullness: target.fullness(now_ms),
+            failed_share: target.suspicion.failed_share() + known.map_or(0.0, of_route),
+            extra: far + cold,
+            spared: known.is_some_and(|record| record.shared.is_spared(now_ms)),
+        }
+    }
+}
+
+/// What speaks against a target before all else: it was tried, it failed this box, it is full.
+type Against = (bool, bool, bool);
+
+impl Relay {
+    /// The target that a plain call goes to. Those that were tried, that failed this box, or that are full are only
+    /// taken where there is no other.
+    pub(crate) fn choose_call_target(
+        &self,
+        asked: &Asked,
+        tried: &[TargetSlot],
+    ) -> Option<TargetSlot> {
+        let book = self.targets.borrow();
+        if self.file().has(Mechanism::CallBalance) {
+            let mut balance = self.balance.borrow_mut();
+            let (drawn, is_all) = balance.drawn(self, &book, asked.service);
+            let given = self.given(&balance, &book, drawn, asked, tried);
+            let least = given.iter().map(|(against, ..)| *against).min();
+            // Where those that were drawn are no good, all are looked at.
+            if is_all || least.is_some_and(|(tried, failed, _)| !tried && !failed) {
+                return best_of(&given, least?);
+            }
+        }
+        let near = self.data_centre;
+        book.choose(asked.service, near, tried, asked.cold, self.now_ms())
+    }
+
+    /// Whether all targets that a call could go to are full, as far as this box knows.
+    pub(crate) fn is_full(&self, asked: &Asked) -> bool {
+        let book = self.targets.borrow();
+        let mut balance = self.balance.borrow_mut();
+        let (drawn, _) = balance.drawn(self, &book, asked.service);
+        let given = self.given(&balance, &book, drawn, asked, &[]);
+        given.iter().map(|(against, ..)| *against).min() == Some((false, false, true))
+    }
+
+    /// Those that take the call, with what speaks against each.
+    fn given(
+        &self,
+        balance: &CallBalance,
+        book: &TargetBook,
+        drawn: Vec<TargetSlot>,
+        asked: &Asked,
+        tried: &[TargetSlot],
+    ) -> Vec<(Against, TargetSlot, Candidate)> {
+        let now_ms = self.now_ms();
+        let one = |slot: TargetSlot| {
+            let target = book.get(slot)?;
+            let takes_it = book.takes_work(target) && asked.cold.allows(target, now_ms);
+            let against = (
+                tried.contains(&slot),
+                target.suspicion.is_passed_over(now_ms),
+                now_ms < target.full_until_ms || !balance.has_room(slot, target.open),
+            );
+            takes_it.then(|| (against, slot, balance.candidate(self, slot, target, asked)))
+        };
+        drawn.into_iter().filter_map(one).collect()
+    }
+}
+
+/// The best of those that as little as `least` speaks against.
+fn best_of(given: &[(Against, TargetSlot, Candidate)], least: Against) -> Option<TargetSlot> {
+    let equal: Vec<_> = given
+        .iter()
+        .filter(|(against, ..)| *against == least)
+        .collect();
+    let candidates: Vec<Candidate> = equal.iter().map(|(.., candidate)| *candidate).collect();
+    let at = choose_target(Choosing::Best, &candidates, rand::random)?;
+    let (_, slot, chosen) = equal[at];
+    metrics::histogram!("shuntpier_call_expected_share").record(chosen.cost());
+    Some(*slot)
+}
