Pace of each engine, and placement by the pauses that callers feel

Cause: one pace stood for the whole pool, and a request's pause goal decided nothing: on the uneven customer one draft in nine paused beyond its goal, on slow engines that read a prompt while they were disturbed. Boxes now tell the times between events (eight bytes a stream and telling); the dispatcher learns own speed, disturbance and the part of load apart, and counts the pauses beyond their goal that a placement makes, its own and those beside, as time of reading.

--- a/components/node/src/desk.rs
+++ b/components/node/src/desk.rs
@@ -2,7 +2,9 @@
 //! the dispatcher, and the local view by which the baselines place.
 
 use crate::shared::lock;
-use peers::{AcquireRequest, AdoptedStream, BoxCard, EndedStream, StreamProgress, UpdateRequest};
+use peers::{
+    AcquireRequest, AdoptedStream, BoxCard, EndedStream, GapsSeen, StreamProgress, UpdateRequest,
+};
 use policy::{EngineState, LocalPool, PolicyKind, PoolSettings, RetryBudget, Verdict};
 use prelude::{BoxId, PermitId, PoolId, TargetId, TargetKey};
 use std::collections::HashMap;
@@ -202,6 +204,7 @@
                 serial: permit.id.serial,
                 tokens: permit.tokens.load(Ordering::Relaxed),
                 finished: permit.finished,
+                gaps: GapsSeen::default(),
             });
         }
         drop(inner);
@@ -271,6 +274,7 @@
             progress.push(StreamProgress {
                 serial: permit.serial,
                 tokens,
+                gaps: GapsSeen::default(),
             });
         }
     }
--- a/components/peers/src/messages.rs
+++ b/components/peers/src/messages.rs
@@ -58,6 +58,19 @@
     Refused(Refusal),
 }
 
+/// What a box saw of a stream's events since it last told of them.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GapsSeen {
+    /// Events that came after another.
+    pub events: u16,
+    /// Mean time from one event to the next.
+    pub mean_ms: u16,
+    /// Longest time from one event to the next.
+    pub longest_ms: u16,
+    /// How slow the engine said work is there, 100 as usual; 0 where it said nothing since.
+    pub slowness_percent: u16,
+}
+
 /// How far a stream has come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct StreamProgress {
@@ -65,6 +78,8 @@
     pub serial: u64,
     /// Tokens generated.
     pub tokens: u32,
+    /// How fast it came there.
+    pub gaps: GapsSeen,
 }
 
 /// A stream that ended.
@@ -76,6 +91,8 @@
     pub tokens: u32,
     /// Whether the model ended it.
     pub finished: bool,
+    /// How fast its last events came.
+    pub gaps: GapsSeen,
 }
 
 /// Progress and ends of a box's streams in one pool.
--- a/components/policy/src/kind.rs
+++ b/components/policy/src/kind.rs
@@ -83,6 +83,10 @@
     pub reading_ahead_ms: u32,
     /// What a millisecond of reading counts for, in tokens of memory, under the forecast.
     pub reading_tokens_per_ms: u32,
+    /// Whether the pace of each engine is learnt.
+    pub learns_pace: bool,
+    /// What a pause beyond its caller's goal counts for, in milliseconds of reading; 0 where pauses decide nothing.
+    pub long_pause_ms: u32,
     /// Open streams that one engine may have, whatever the forecast says; 0 for no limit.
     pub running_limit: u32,
     /// How old an engine's report of its load is when it is read.
@@ -128,6 +132,8 @@
             prefill_tokens: 4096,
             reading_ahead_ms: 1_000,
             reading_tokens_per_ms: 100,
+            learns_pace: true,
+            long_pause_ms: 1_000,
             running_limit: 0,
             report_lag_ms: 250,
             affinity_tokens: 256,
--- /dev/null
+++ b/components/policy/src/pace/mod.rs
@@ -0,0 +1,14 @@
+//! How fast each engine makes events: its own speed, and how it is disturbed, apart from the load on it.
+//!
+//! Load patterns that this answers: engines of unlike machines behind one name; engines that share their machines with
+//! others, and are slow for a part of a second now and then; prompts that are read beside streams, which take longer
+//! steps meanwhile; figures of engines about themselves that are missing, stand still or are false.
+
+pub(crate) mod book;
+pub(crate) mod chance;
+pub(crate) mod disturbance;
+pub(crate) mod felt;
+pub(crate) mod observed;
+pub(crate) mod spans;
+pub(crate) mod speed;
+pub(crate) mod steps;
--- /dev/null
+++ b/components/policy/src/pace/speed.rs
@@ -0,0 +1,112 @@
+//! An engine's own speed, which lasts for its life. A disturbance only makes events slower, so a low quantile of what was
+//! seen lately is the engine itself; what it says of itself counts until enough of its events were seen.
+
+use std::collections::VecDeque;
+
+/// Observations that are kept: one is told a second or so for each stream.
+const KEPT: usize = 12;
+/// Which of them is the engine's own, from the fastest: disturbances of a third of the time leave it as it is.
+const QUANTILE: f64 = 0.3;
+/// Tellings from which events outweigh what the engine says of itself.
+const TRUSTED: usize = 4;
+/// After so long without an event, what was seen counts half, so that the engine is tried again.
+const HALF_LIFE_MS: f64 = 20_000.0;
+/// Speeds closer to the usual than this are the usual: the figures are not more exact.
+const USUAL: std::ops::RangeInclusive<f64> = 0.87..=1.15;
+
+/// What is known of one engine's speed. 1 is usual; 2 takes twice as long.
+#[derive(Clone, Debug, Default)]
+pub struct Speed {
+    seen: VecDeque<f64>,
+    said: VecDeque<f64>,
+    heard_ms: u64,
+}
+
+fn keep(kept: &mut VecDeque<f64>, value: f64) {
+    kept.push_back(value);
+    if kept.len() > KEPT {
+        kept.pop_front();
+    }
+}
+
+fn quantile(kept: &VecDeque<f64>) -> Option<f64> {
+    let mut sorted: Vec<f64> = kept.iter().copied().collect();
+    sorted.sort_by(f64::total_cmp);
+    let at = (sorted.len().saturating_sub(1) as f64 * QUANTILE) as usize;
+    sorted.get(at).copied()
+}
+
+/// What is usual among the engines of a pool.
+#[derive(Clone, Copy, Debug)]
+pub struct Usual {
+    seen: f64,
+    said: f64,
+}
+
+impl Default for Usual {
+    fn default() -> Self {
+        Self {
+            seen: 1.0,
+            said: 1.0,
+        }
+    }
+}
+
+fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values.get(values.len() / 2).copied().unwrap_or(1.0)
+}
+
+impl Usual {
+    /// The middle one of all engines, by their events and by their own word.
+    pub fn of<'a>(speeds: impl Iterator<Item = &'a Speed> + Clone) -> Self {
+        let seen = speeds.clone().filter_map(|speed| quantile(&speed.seen));
+        let said = speeds.filter_map(|speed| quantile(&speed.said));
+        Self {
+            seen: median(seen.collect()),
+            said: median(said.collect()),
+        }
+    }
+}
+
+impl Speed {
+    /// Takes in how long its events took, relative to an engine of usual speed under the same load.
+    pub fn seen(&mut self, relative: f64, now_ms: u64) {
+        keep(&mut self.seen, relative);
+        self.heard_ms = now_ms;
+    }
+
+    /// Takes in how slow it says that work is there.
+    pub fn said(&mut self, relative: f64, now_ms: u64) {
+        keep(&mut self.said, relative);
+        self.heard_ms = now_ms;
+    }
+
+    /// Its speed by all that is known; none where nothing is.
+    fn raw(&self, usual: &Usual) -> Option<f64> {
+        let seen = quantile(&self.seen).map(|seen| seen / usual.seen);
+        let said = quantile(&self.said).map(|said| said / usual.said);
+        match self.seen.len() >= TRUSTED {
+            true => seen,
+            false => said.or(seen),
+        }
+    }
+
+    /// Its speed relative to the pool's, drawn towards the usual the longer nothing was heard of it.
+    pub fn relative(&self, usual: &Usual, now_ms: u64) -> f64 {
+        let Some(raw) = self.raw(usual) else {
+            return 1.0;
+        };
+        let silent_ms = now_ms.saturating_sub(self.heard_ms) as f64;
+        let kept = (-silent_ms / HALF_LIFE_MS * std::f64::consts::LN_2).exp();
+        let relative = 1.0 + (raw - 1.0) * kept;
+        match USUAL.contains(&relative) {
+            true => 1.0,
+            false => relative,
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "speed_tests.rs"]
+mod tests;
--- a/components/policy/src/placement/choose.rs
+++ b/components/policy/src/placement/choose.rs
@@ -3,6 +3,7 @@
 use crate::admission::queue::Place;
 use crate::demand::Demand;
 use crate::kind::ReadingPolicy;
+use crate::pace::felt::{PauseView, Pausing, expected_tokens};
 use crate::placement::ledger::{EngineLedger, EngineState, RoomView};
 use crate::placement::reading::ReadingRate;
 use crate::pool::{Pool, demand_forecast};
@@ -37,6 +38,19 @@
             margin,
             now_ms,
         };
+        let pauses = PauseView {
+            book: &self.pace_book,
+            streams: &self.streams,
+            settings: &self.settings,
+            rate: &self.reading_rate,
+            tokens_per_ms: self.tokens_per_ms,
+            now_ms,
+        };
+        let pausing = Pausing {
+            goal_ms: demand.pause_goal_ms.map(f64::from),
+            rest_tokens: expected_tokens(&self.lengths, demand),
+            prompt_tokens: f64::from(demand.prompt_tokens),
+        };
         let mut best: Option<(f64, TargetId)> = None;
         let mut nearest: Vec<(f64, TargetId)> = Vec::new();
         for ledger in &mut self.engines {
@@ -58,7 +72,8 @@
             });
             let is_near = demand.near == Some(ledger.info.data_centre);
             let near = f64::from(u8::from(is_near)) * f64::from(self.settings.near_tokens);
-            let without_room = affinity + near - reading_tokens(ledger, &self.reading_rate, &view);
+            let reading = reading_tokens(ledger, &self.reading_rate, &view);
+            let without_room = affinity + near - reading - pauses.pause_tokens(ledger, &pausing);
             // The forecast of its memory is most of the work of a decision; where even an empty engine would not be
             // chosen, it is not made.
             let most = ledger.info.capacity_tokens as f64 + without_room;
--- a/components/policy/src/placement/ledger.rs
+++ b/components/policy/src/placement/ledger.rs
@@ -3,6 +3,8 @@
 
 use crate::fairness::tree::Share;
 use crate::kind::PoolSettings;
+use crate::pace::book::EnginePace;
+use crate::pace::spans::ReadingSpans;
 use crate::placement::forecast::Forecast;
 use crate::placement::length::{LengthClass, LengthModel};
 use crate::placement::reading::Reading;
@@ -77,6 +79,14 @@
     pub max_tokens: u32,
     /// Its true length, where the oracle policy was told.
     pub told_tokens: Option<u32>,
+    /// The longest pause that its caller takes for in time; none where any is.
+    pub pause_goal_ms: Option<u32>,
+    /// The longest pause that it had, as far as it was told.
+    pub longest_ms: u32,
+    /// Tokens that it was expected to generate when it was placed.
+    pub expected_tokens: f32,
+    /// The longest pause that was foretold when it was placed.
+    pub foretold_ms: Option<u32>,
 }
 
 impl Stream {
@@ -85,6 +95,19 @@
         self.permit.entry
     }
 
+    /// The longest pause that its caller bears; none where any is, or where it had a longer one already.
+    pub fn goal_left_ms(&self) -> Option<u32> {
+        self.pause_goal_ms
+            .filter(|goal_ms| self.longest_ms <= *goal_ms)
+    }
+
+    /// Tokens that it will still generate. One that is longer than expected goes on.
+    pub fn rest_tokens(&self) -> f64 {
+        let expected = f64::from(self.expected_tokens);
+        let rest = expected - f64::from(self.generated_tokens);
+        rest.max(expected * REST_SHARE)
+    }
+
     /// The share of such streams that run for more than so many tokens from now.
     pub fn survival<'a>(
         &self,
@@ -105,6 +128,9 @@
     }
 }
 
+/// An answer that is longer than expected goes on for at least this share of what was expected.
+const REST_SHARE: f64 = 0.3;
+
 /// All streams of a pool.
 pub type Streams = SlotMap<StreamKey, Stream>;
 
@@ -161,6 +187,10 @@
     pub preemptions_seen: u64,
     /// Prompts that it has still to read.
     pub reading: Reading,
+    /// When it read, lately.
+    pub(crate) spans: ReadingSpans,
+    /// How fast it makes events.
+    pub(crate) pace: EnginePace,
     forecast: Forecast,
     forecast_ms: Option<u64>,
     own_past: VecDeque<(u64, f64)>,
@@ -179,6 +209,8 @@
             foreign_tokens: 0.0,
             preemptions_seen: 0,
             reading: Reading::default(),
+            spans: ReadingSpans::default(),
+            pace: EnginePace::default(),
             forecast: Forecast::default(),
             forecast_ms: None,
             own_past: VecDeque::new(),
@@ -218,6 +250,7 @@
     pub fn remove(&mut self, key: StreamKey, now_ms: u64) {
         self.streams.retain(|other| *other != key);
         self.reading.left(key, now_ms);
+        self.spans.reads(!self.reading.is_idle(), now_ms);
         self.forecast_ms = None;
     }
 
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -7,6 +7,7 @@
 use crate::demand::{Demand, Submitted, Verdict};
 use crate::fairness::tree::{FairTree, Share};
 use crate::kind::{PolicyKind, PoolSettings};
+use crate::pace::book::PaceBook;
 use crate::placement::forecast::Forecast;
 use crate::placement::ledger::{
     EngineInfo, EngineLedger, EngineReport, EngineState, Stream, StreamKey, Streams,
@@ -45,6 +46,7 @@
     margin_ms: u64,
     pub(crate) tokens_per_ms: f64,
     pub(crate) reading_rate: ReadingRate,
+    pub(crate) pace_book: PaceBook,
     /// The last time that it was told.
     pub(crate) now_ms: u64,
     pub(crate) grants: VecDeque<u64>,
@@ -74,6 +76,7 @@
             margin_ms: 0,
             tokens_per_ms: PACE_INITIAL,
             reading_rate: ReadingRate::default(),
+            pace_book: PaceBook::default(),
             now_ms: 0,
             grants: VecDeque::new(),
             pace: GrantPace::default(),
@@ -251,6 +254,7 @@
         let mut rate = self.reading_rate;
         if let Some(ledger) = self.engine_mut(target) {
             ledger.reading.first_token(key, now_ms, &mut rate);
+            ledger.spans.reads(!ledger.reading.is_idle(), now_ms);
         }
         self.reading_rate = rate;
     }
@@ -372,6 +376,10 @@
             progress_ms: now_ms,
             max_tokens: demand.max_tokens,
             told_tokens: told(&demand, self.settings.policy),
+            pause_goal_ms: demand.pause_goal_ms,
+            longest_ms: 0,
+            expected_tokens: self.expected_tokens(&demand) as f32,
+            foretold_ms: self.foretold_ms(&demand, target, now_ms),
         };
         let (permit, prompt_tokens) = (stream.permit, stream.prompt_tokens);
         let key = self.streams.insert(stream);
@@ -380,6 +388,7 @@
             ledger.add(key, &forecast);
             if generated_tokens == 0 {
                 ledger.reading.sent(key, prompt_tokens, now_ms);
+                ledger.spans.reads(true, now_ms);
             }
         }
     }
--- a/components/relay/src/dispatch/dispatcher.rs
+++ b/components/relay/src/dispatch/dispatcher.rs
@@ -73,6 +73,8 @@
         },
         near_tokens: on(Mechanism::NearEngines, NEAR_TOKENS),
         near_copy_tokens: on(Mechanism::NearCopies, usual.near_copy_tokens),
+        learns_pace: file.has(Mechanism::Pace),
+        long_pause_ms: on(Mechanism::PausePlacement, usual.long_pause_ms),
         forecast: file.has(Mechanism::Forecast),
         learns_lengths: file.has(Mechanism::Lengths),
         fair: file.has(Mechanism::Fairness),
@@ -299,6 +301,7 @@
             let mut known = true;
             for progress in &request.progress {
                 let permit = permit(progress.serial);
+                self.gaps_told(pool, permit, &progress.gaps, now_ms);
                 known &= pool.progress(permit, progress.tokens, now_ms);
                 self.made_event(pool.target_of(permit), now_ms);
             }
@@ -307,6 +310,7 @@
                     true => End::Finished,
                     false => End::Censored,
                 };
+                self.gaps_told(pool, permit(ended.serial), &ended.gaps, now_ms);
                 pool.release(permit(ended.serial), ended.tokens, end);
             }
             pool.forget_silent(now_ms);
--- /dev/null
+++ b/components/relay/src/dispatch/gaps.rs
@@ -0,0 +1,45 @@
+//! The times between a stream's events, gathered until the dispatcher is told: eight bytes a stream and telling.
+
+use peers::GapsSeen;
+
+/// Times between events since they were last told.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Gaps {
+    events: u32,
+    total_ms: u64,
+    longest_ms: u64,
+    slowness_percent: u32,
+}
+
+fn short(value: u64) -> u16 {
+    u16::try_from(value).unwrap_or(u16::MAX)
+}
+
+impl Gaps {
+    /// Notes how slow the engine said that work is there.
+    pub(crate) fn said_slowness(&mut self, percent: u32) {
+        self.slowness_percent = percent;
+    }
+
+    /// Notes so many events that came so long after the one before.
+    pub(crate) fn took(&mut self, gap_ms: u64, events: u32) {
+        self.events += events;
+        self.total_ms += gap_ms;
+        self.longest_ms = self.longest_ms.max(gap_ms);
+    }
+
+    /// What is to be told; what comes later is counted anew.
+    pub(crate) fn take(&mut self) -> GapsSeen {
+        let gaps = std::mem::take(self);
+        GapsSeen {
+            events: short(u64::from(gaps.events)),
+            mean_ms: short(gaps.total_ms / u64::from(gaps.events.max(1))),
+            longest_ms: short(gaps.longest_ms),
+            slowness_percent: short(u64::from(gaps.slowness_percent)),
+        }
+    }
+}
+
+#[cfg(test)]
+#[path = "gaps_tests.rs"]
+mod tests;
--- a/components/relay/src/dispatch/mod.rs
+++ b/components/relay/src/dispatch/mod.rs
@@ -3,7 +3,9 @@
 pub(crate) mod completion;
 pub(crate) mod dispatcher;
 pub(crate) mod engines;
+pub(crate) mod gaps;
 pub(crate) mod heartbeat;
 pub(crate) mod open_generations;
+pub(crate) mod pace;
 pub(crate) mod permits;
 pub(crate) mod reports;
--- a/components/relay/src/dispatch/open_generations.rs
+++ b/components/relay/src/dispatch/open_generations.rs
@@ -1,5 +1,6 @@
 //! The generations that this box has open, as their dispatcher is told of them.
 
+use crate::dispatch::gaps::Gaps;
 use peers::{AcquireRequest, AdoptedStream, EndedStream, StreamProgress};
 use prelude::{PoolId, TargetId};
 use std::collections::BTreeMap;
@@ -11,6 +12,7 @@
     pub target: TargetId,
     pub tokens: u32,
     told_tokens: u32,
+    gaps: Gaps,
 }
 
 /// Tokens after which a dispatcher is told how far a generation is.
@@ -36,6 +38,7 @@
             target,
             tokens: 0,
             told_tokens: 0,
+            gaps: Gaps::default(),
         };
         self.open.insert(request.permit.serial, run);
     }
@@ -47,6 +50,8 @@
     pub(crate) fn moved(&mut self, serial: u64, target: TargetId) {
         if let Some(run) = self.open.get_mut(&serial) {
             run.target = target;
+            // What came so far says nothing of the engine where it goes on.
+            run.gaps = Gaps::default();
         }
     }
 
@@ -60,14 +65,33 @@
         first || tokens >= run.told_tokens + TOLD_EACH_TOKENS
     }
 
+    /// Notes how slow the engine of a generation says that work is there.
+    pub(crate) fn said_slowness(&mut self, serial: u64, percent: u32) {
+        if let Some(run) = self.open.get_mut(&serial) {
+            run.gaps.said_slowness(percent);
+        }
+    }
+
+    /// Notes how long the engine of a generation took for its next events.
+    pub(crate) fn took(&mut self, serial: u64, engine: TargetId, gap_ms: u64, events: u32) {
+        let Some(run) = self.open.get_mut(&serial) else {
+            return;
+        };
+        // Its permit may be at the engine where it will go on, while the source still makes events.
+        if run.target == engine {
+            run.gaps.took(gap_ms, events);
+        }
+    }
+
     pub(crate) fn ended(&mut self, serial: u64, finished: bool) {
-        let Some(run) = self.open.remove(&serial) else {
+        let Some(mut run) = self.open.remove(&serial) else {
             return;
         };
         let ended = EndedStream {
             serial,
             tokens: run.tokens,
             finished,
+            gaps: run.gaps.take(),
         };
         self.ended.push((run.request.pool, ended));
     }
@@ -90,6 +114,7 @@
                 progress.push(StreamProgress {
                     serial: *serial,
                     tokens: run.tokens,
+                    gaps: run.gaps.take(),
                 });
             }
         }
--- a/components/relay/src/dispatch/permits.rs
+++ b/components/relay/src/dispatch/permits.rs
@@ -58,6 +58,23 @@
         self.finished = true;
     }
 
+    /// Notes how long its engine took for its next events.
+    pub(crate) fn took(&self, gap_ms: u64, events: u32) {
+        let Some(engine) = self.relay.id_of(self.slot) else {
+            return;
+        };
+        let mut open = self.relay.open_generations.borrow_mut();
+        open.took(self.serial, engine, gap_ms, events);
+    }
+
+    /// Notes how slow its engine says that work is there.
+    pub(crate) fn said_slowness(&self, percent: Option<u32>) {
+        let mut open = self.relay.open_generations.borrow_mut();
+        if let Some(percent) = percent {
+            open.said_slowness(self.serial, percent);
+        }
+    }
+
     /// Notes how many tokens the generation has.
     pub(crate) fn grew(&self, tokens: u32) {
         if self
--- a/components/relay/src/forwarding/send.rs
+++ b/components/relay/src/forwarding/send.rs
@@ -280,6 +280,11 @@
         Ok(body.into())
     }
 
+    /// How slow the target says that work is there.
+    pub(crate) fn slowness_percent(&self) -> Option<u32> {
+        self.facts.load?.slowness_percent
+    }
+
     /// Whether the target vouches for the answer: a success carries its signature and no coding.
     pub(crate) fn is_vouched(&self) -> bool {
         let coded = self.head.headers.first("content-encoding").is_some();
--- a/components/relay/src/forwarding/stream.rs
+++ b/components/relay/src/forwarding/stream.rs
@@ -25,6 +25,9 @@
 /// one.
 const SILENT_LIMIT: Duration = Duration::from_millis(1_500);
 
+/// A caller that takes so long to read one event delays the next: it says nothing of the engine.
+const HELD_UP_MS: u64 = 5;
+
 /// How a stream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Ended {
@@ -53,6 +56,8 @@
     longest_pause_ms: u64,
     last_event_ms: u64,
     moves: u32,
+    /// The time since the last event is not the engine's: its caller did not read, or it moved.
+    held_up: bool,
 }
 
 impl<'a> StreamForwarder<'a> {
@@ -76,11 +81,13 @@
             longest_pause_ms: 0,
             last_event_ms: 0,
             moves: 0,
+            held_up: false,
         }
     }
 
     pub(crate) async fn run(mut self, caller: &mut Channel, opened: Opened) -> After {
         let closes = self.relay.is_stopping() || self.incoming.head.old;
+        self.permit.said_slowness(opened.slowness_percent());
         let ended = self.forward_events(caller, opened, closes).await;
         let finished = ended == Ended::Whole;
         if finished {
@@ -246,6 +253,9 @@
         if self.events > 0 {
             let pause_ms = now_ms.saturating_sub(self.last_event_ms);
             self.longest_pause_ms = self.longest_pause_ms.max(pause_ms);
+            if !std::mem::take(&mut self.held_up) {
+                self.permit.took(pause_ms, events.count);
+            }
         } else {
             self.first_event_ms = Some(now_ms - self.incoming.came_ms);
         }
@@ -271,7 +281,9 @@
             true => push_chunk(&mut out, &events.bytes),
             false => out.extend_from_slice(&events.bytes),
         }
-        caller.write(&out).await.map_err(|_| Ended::CallerLeft)
+        let written = caller.write(&out).await;
+        self.held_up = self.relay.now_ms().saturating_sub(now_ms) >= HELD_UP_MS;
+        written.map_err(|_| Ended::CallerLeft)
     }
 
     /// Has the generation go on where its copy lies.
@@ -303,6 +315,8 @@
                         false => from.free(self.relay),
                     }
                     self.moves += 1;
+                    self.held_up = true;
+                    self.permit.said_slowness(opened.slowness_percent());
                     metrics::counter!("shuntpier_moves", "end" => "done").increment(1);
                     slog::info!(self.relay.log, "generation goes on"; "id" => self.incoming.id(),
                         "events" => self.events, "copy" => &*continuation.copy);
--- a/components/settings/src/mechanism.rs
+++ b/components/settings/src/mechanism.rs
@@ -21,6 +21,10 @@
     ReadingBound,
     /// The reading of prompts is forecast; without it, the bound alone counts.
     ReadingForecast,
+    /// The pace of each engine is learnt from its events.
+    Pace,
+    /// Pauses beyond their callers' goals count where requests are placed.
+    PausePlacement,
     /// Who waits is decided by a forecast of the first token; without it, by the pace of grants.
     WaitForecast,
     /// Room is kept for what the forecast does not know.
