--- a/components/operators/src/fleet.rs
+++ b/components/operators/src/fleet.rs
@@ -21,6 +21,31 @@
     pub open: u32,
 }
 
+/// How fast a target makes events, as the box that dispatches its pool sees it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct TargetPaceView {
+    /// Its own speed; 1 is usual, 2 takes twice as long.
+    pub speed: f64,
+    /// Time from one event to the next with one stream more.
+    pub event_ms: f64,
+    /// The same while a prompt is read beside.
+    pub beside_ms: f64,
+    /// Share of the time in which it is disturbed.
+    pub disturbed_share: f64,
+    /// How many times longer events take meanwhile.
+    pub disturbed_strength: f64,
+    /// How long a disturbance lasts.
+    pub disturbed_ms: f64,
+    /// Mean error of the predicted events, as a share of what was seen.
+    pub error_share: f64,
+    /// Streams that it has.
+    pub streams: u32,
+    /// Share of the pool's streams.
+    pub streams_share: f64,
+    /// Why it is spared; none where it is not.
+    pub spared: Option<String>,
+}
+
 /// A target as one box of a fleet sees it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct FleetTargetView {
@@ -38,6 +63,9 @@
     pub cold: bool,
     /// Requests that this box has open there.
     pub own_open: u32,
+    /// How fast it makes events; only the box that dispatches its pool knows.
+    #[serde(default)]
+    pub pace: Option<TargetPaceView>,
 }
 
 /// A box of a fleet as it sees itself.
--- a/components/operators/src/lib.rs
+++ b/components/operators/src/lib.rs
@@ -11,6 +11,8 @@
     AccountBurn, BadReason, BurnRecorder, BurnReport, Objective, Sample, WindowBurn, merge,
 };
 pub use console::{Console, MemberView, NodeView, TargetView, serve};
-pub use fleet::{EvacuationView, FleetConsole, FleetTargetView, FleetView, serve_fleet};
+pub use fleet::{
+    EvacuationView, FleetConsole, FleetTargetView, FleetView, TargetPaceView, serve_fleet,
+};
 pub use metrics::install_metrics;
 pub use settings::{FieldView, SettingsView};
--- a/components/policy/src/kind.rs
+++ b/components/policy/src/kind.rs
@@ -133,7 +133,7 @@
             reading_ahead_ms: 1_000,
             reading_tokens_per_ms: 100,
             learns_pace: true,
-            long_pause_ms: 1_000,
+            long_pause_ms: 4_000,
             running_limit: 0,
             report_lag_ms: 250,
             affinity_tokens: 256,
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -20,6 +20,7 @@
 pub use pace::book::{EnginePace, PaceBook};
 pub use pace::disturbance::Disturbance;
 pub use pace::observed::{GapsTold, Observed};
+pub use pace::shown::{PaceShown, PauseForetold};
 pub use pace::steps::Load as PaceLoad;
 pub use placement::forecast::{Forecast, HORIZONS_TOKENS};
 pub use placement::ledger::{EngineInfo, EngineLedger, EngineReport, EngineState, Stream};
--- a/components/policy/src/pace/felt.rs
+++ b/components/policy/src/pace/felt.rs
@@ -45,7 +45,7 @@
     }
 
     /// How events would come at an engine with one stream more, whose prompt is so long.
-    fn feel(&self, ledger: &EngineLedger, prompt_tokens: f64) -> Option<Feel> {
+    pub(crate) fn feel(&self, ledger: &EngineLedger, prompt_tokens: f64) -> Option<Feel> {
         let load = |reading_share| Load {
             streams: ledger.streams.len() as f64 + 1.0,
             reading_share,
--- a/components/policy/src/pace/mod.rs
+++ b/components/policy/src/pace/mod.rs
@@ -9,6 +9,7 @@
 pub(crate) mod disturbance;
 pub(crate) mod felt;
 pub(crate) mod observed;
+pub(crate) mod shown;
 pub(crate) mod spans;
 pub(crate) mod speed;
 pub(crate) mod steps;
--- a/components/policy/src/pace/speed.rs
+++ b/components/policy/src/pace/speed.rs
@@ -11,6 +11,8 @@
 const TRUSTED: usize = 4;
 /// After so long without an event, what was seen counts half, so that the engine is tried again.
 const HALF_LIFE_MS: f64 = 20_000.0;
+/// An engine of which nothing is known is taken for one of the slower ones: it is empty, and would get what can't bear it.
+const UNKNOWN: f64 = 0.75;
 /// Speeds closer to the usual than this are the usual: the figures are not more exact.
 const USUAL: std::ops::RangeInclusive<f64> = 0.87..=1.15;
 
@@ -41,6 +43,8 @@
 pub struct Usual {
     seen: f64,
     said: f64,
+    /// Speed that an engine is taken to have while nothing is known of it.
+    unknown: f64,
 }
 
 impl Default for Usual {
@@ -48,6 +52,7 @@
         Self {
             seen: 1.0,
             said: 1.0,
+            unknown: 1.0,
         }
     }
 }
@@ -61,11 +66,17 @@
     /// The middle one of all engines, by their events and by their own word.
     pub fn of<'a>(speeds: impl Iterator<Item = &'a Speed> + Clone) -> Self {
         let seen = speeds.clone().filter_map(|speed| quantile(&speed.seen));
-        let said = speeds.filter_map(|speed| quantile(&speed.said));
-        Self {
+        let said = speeds.clone().filter_map(|speed| quantile(&speed.said));
+        let mut usual = Self {
             seen: median(seen.collect()),
             said: median(said.collect()),
-        }
+            unknown: 1.0,
+        };
+        let mut known: Vec<f64> = speeds.filter_map(|speed| speed.raw(&usual)).collect();
+        known.sort_by(f64::total_cmp);
+        let at = (known.len() as f64 * UNKNOWN) as usize;
+        usual.unknown = known.get(at).copied().unwrap_or(1.0).max(1.0);
+        usual
     }
 }
 
@@ -94,12 +105,14 @@
 
     /// Its speed relative to the pool's, drawn towards the usual the longer nothing was heard of it.
     pub fn relative(&self, usual: &Usual, now_ms: u64) -> f64 {
-        let Some(raw) = self.raw(usual) else {
-            return 1.0;
+        let relative = match self.raw(usual) {
+            Some(raw) => {
+                let silent_ms = now_ms.saturating_sub(self.heard_ms) as f64;
+                let kept = (-silent_ms / HALF_LIFE_MS * std::f64::consts::LN_2).exp();
+                1.0 + (raw - 1.0) * kept
+            }
+            None => usual.unknown,
         };
-        let silent_ms = now_ms.saturating_sub(self.heard_ms) as f64;
-        let kept = (-silent_ms / HALF_LIFE_MS * std::f64::consts::LN_2).exp();
-        let relative = 1.0 + (raw - 1.0) * kept;
         match USUAL.contains(&relative) {
             true => 1.0,
             false => relative,
--- a/components/policy/src/pace/speed_tests.rs
+++ b/components/policy/src/pace/speed_tests.rs
@@ -50,3 +50,13 @@
     assert_eq!(pool[0].relative(&usual, 0), 1.0);
     assert_eq!(pool[2].relative(&usual, 0), 2.0);
 }
+
+#[test]
+fn takes_an_engine_of_which_nothing_is_known_for_one_of_the_slower_ones() {
+    let pool = [0.6, 1.0, 1.0, 1.6].map(|speed| seen(&[speed; 6]));
+    let usual = Usual::of(pool.iter());
+    assert_eq!(Speed::default().relative(&usual, 0), 1.6);
+    let alike = [0.95, 1.0, 1.05, 1.1].map(|speed| seen(&[speed; 6]));
+    let usual = Usual::of(alike.iter());
+    assert_eq!(Speed::default().relative(&usual, 0), 1.0);
+}
--- a/components/relay/src/dispatch/dispatcher.rs
+++ b/components/relay/src/dispatch/dispatcher.rs
@@ -311,6 +311,7 @@
                     false => End::Censored,
                 };
                 self.gaps_told(pool, permit(ended.serial), &ended.gaps, now_ms);
+                self.note_pause(pool, permit(ended.serial), now_ms);
                 pool.release(permit(ended.serial), ended.tokens, end);
             }
             pool.forget_silent(now_ms);
--- a/components/relay/src/dispatch/pace.rs
+++ b/components/relay/src/dispatch/pace.rs
@@ -6,6 +6,30 @@
 use prelude::PermitId;
 
 impl Relay {
+    /// Notes the longest pause of a generation that ended, and what of its engine's pace explains one that was too long.
+    pub(crate) fn note_pause(&self, pool: &Pool, permit: PermitId, now_ms: u64) {
+        let Some(pause) = pool.pause_foretold(permit) else {
+            return;
+        };
+        let (foretold_ms, seen_ms) = (pause.foretold_ms, pause.seen_ms);
+        metrics::histogram!("shuntpier_pause_foretold_ms").record(f64::from(foretold_ms));
+        metrics::histogram!("shuntpier_pause_seen_ms").record(f64::from(seen_ms));
+        let error_ms = foretold_ms.abs_diff(seen_ms);
+        metrics::histogram!("shuntpier_pause_error_ms").record(f64::from(error_ms));
+        if !pause.is_too_long {
+            return;
+        }
+        let Some(pace) = pool.pace_of(pause.target, now_ms) else {
+            return;
+        };
+        slog::info!(self.log, "long pause"; "entry" => permit.entry.0, "permit" => permit.serial,
+            "engine" => pause.target.0, "seen_ms" => seen_ms, "foretold_ms" => foretold_ms,
+            "event_ms" => pace.event_ms as u32, "beside_ms" => pace.beside_ms as u32,
+            "disturbed_ms" => (pace.event_ms * pace.disturbed_strength) as u32,
+            "both_ms" => (pace.beside_ms * pace.disturbed_strength) as u32,
+            "speed" => format_args!("{:.2}", pace.speed));
+    }
+
     /// Takes in how fast the events of a generation came.
     pub(crate) fn gaps_told(
         &self,
@@ -23,6 +47,12 @@
         let Some(observed) = pool.gaps_seen(permit, gaps, now_ms) else {
             return;
         };
+        if let Some(expected_ms) = observed.expected_ms {
+            let seen_ms = f64::from(gaps.mean_ms);
+            metrics::histogram!("shuntpier_event_foretold_ms").record(expected_ms);
+            metrics::histogram!("shuntpier_event_seen_ms").record(seen_ms);
+            metrics::histogram!("shuntpier_event_error_ms").record((expected_ms - seen_ms).abs());
+        }
         slog::debug!(self.log, "pace told"; "engine" => observed.target.0, "events" => gaps.events,
             "mean_ms" => gaps.mean_ms, "longest_ms" => gaps.longest_ms,
             "slowness_percent" => gaps.slowness_percent, "streams" => observed.streams,
--- a/components/relay/src/forwarding/stream.rs
+++ b/components/relay/src/forwarding/stream.rs
@@ -28,6 +28,17 @@
 /// A caller that takes so long to read one event delays the next: it says nothing of the engine.
 const HELD_UP_MS: u64 = 5;
 
+/// Where a pause between two events passed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum PauseIn {
+    /// At the engine, or on the way from it.
+    Engine,
+    /// The caller did not read.
+    Caller,
+    /// The generation moved to another engine.
+    Move,
+}
+
 /// How a stream ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Ended {
@@ -54,10 +65,11 @@
     head_written: bool,
     first_event_ms: Option<u64>,
     longest_pause_ms: u64,
+    longest_pause_in: PauseIn,
     last_event_ms: u64,
     moves: u32,
-    /// The time since the last event is not the engine's: its caller did not read, or it moved.
-    held_up: bool,
+    /// Where the time since the last event passes.
+    pause_in: PauseIn,
 }
 
 impl<'a> StreamForwarder<'a> {
@@ -79,9 +91,10 @@
             head_written: false,
             first_event_ms: None,
             longest_pause_ms: 0,
+            longest_pause_in: PauseIn::Engine,
             last_event_ms: 0,
             moves: 0,
-            held_up: false,
+            pause_in: PauseIn::Engine,
         }
     }
 
@@ -97,6 +110,7 @@
         slog::info!(self.relay.log, "generation ended"; "id" => self.incoming.id(),
             "end" => ?ended, "events" => self.events, "moves" => self.moves,
             "first_event_ms" => self.first_event_ms, "longest_pause_ms" => self.longest_pause_ms,
+            "longest_pause_in" => ?self.longest_pause_in,
             "late" => self.is_late(), "paused" => self.is_paused(),
             "after_ms" => self.relay.now_ms() - self.incoming.came_ms);
         let word = match ended {
@@ -252,8 +266,12 @@
         let now_ms = self.relay.now_ms();
         if self.events > 0 {
             let pause_ms = now_ms.saturating_sub(self.last_event_ms);
-            self.longest_pause_ms = self.longest_pause_ms.max(pause_ms);
-            if !std::mem::take(&mut self.held_up) {
+            let pause_in = std::mem::replace(&mut self.pause_in, PauseIn::Engine);
+            if pause_ms > self.longest_pause_ms {
+                self.longest_pause_ms = pause_ms;
+                self.longest_pause_in = pause_in;
+            }
+            if pause_in == PauseIn::Engine {
                 self.permit.took(pause_ms, events.count);
             }
         } else {
@@ -282,7 +300,9 @@
             false => out.extend_from_slice(&events.bytes),
         }
         let written = caller.write(&out).await;
-        self.held_up = self.relay.now_ms().saturating_sub(now_ms) >= HELD_UP_MS;
+        if self.relay.now_ms().saturating_sub(now_ms) >= HELD_UP_MS {
+            self.pause_in = PauseIn::Caller;
+        }
         written.map_err(|_| Ended::CallerLeft)
     }
 
@@ -315,7 +335,7 @@
                         false => from.free(self.relay),
                     }
                     self.moves += 1;
-                    self.held_up = true;
+                    self.pause_in = PauseIn::Move;
                     self.permit.said_slowness(opened.slowness_percent());
                     metrics::counter!("shuntpier_moves", "end" => "done").increment(1);
                     slog::info!(self.relay.log, "generation goes on"; "id" => self.incoming.id(),
--- a/components/relay/src/view.rs
+++ b/components/relay/src/view.rs
@@ -1,8 +1,8 @@
 //! The box as operators see it.
 
-use crate::state::Relay;
+use crate::state::{Relay, pool_of};
 use crate::watch::targets::{Belief, Target, TargetBook};
-use operators::{EvacuationView, FleetTargetView, FleetView};
+use operators::{EvacuationView, FleetTargetView, FleetView, TargetPaceView};
 
 fn state_of(targets: &TargetBook, target: &Target) -> &'static str {
     match target.belief {
@@ -41,6 +41,25 @@
         evacuated.into_iter().map(view).collect()
     }
 
+    /// The pace of an engine, where this box dispatches its pool.
+    fn pace_view(&self, target: &Target, now_ms: u64) -> Option<TargetPaceView> {
+        let dispatchers = self.dispatchers.borrow();
+        let dispatcher = dispatchers.get(&pool_of(&target.entry.service))?;
+        let shown = dispatcher.pool.pace_of(target.id, now_ms)?;
+        Some(TargetPaceView {
+            speed: shown.speed,
+            event_ms: shown.event_ms,
+            beside_ms: shown.beside_ms,
+            disturbed_share: shown.disturbed_share,
+            disturbed_strength: shown.disturbed_strength,
+            disturbed_ms: shown.disturbed_ms,
+            error_share: shown.error_share,
+            streams: shown.streams,
+            streams_share: shown.streams_share,
+            spared: shown.spared,
+        })
+    }
+
     fn target_views(&self) -> Vec<FleetTargetView> {
         let now_ms = self.now_ms();
         let targets = self.targets.borrow();
@@ -52,6 +71,7 @@
             state: state_of(&targets, target).into(),
             cold: now_ms < target.cold_until_ms,
             own_open: target.open,
+            pace: self.pace_view(target, now_ms),
         };
         targets.all().map(|(_, target)| view(target)).collect()
     }
--- a/src/cmd/targets.rs
+++ b/src/cmd/targets.rs
@@ -2,7 +2,7 @@
 
 use crate::cli::ReportOptions;
 use crate::cmd::{ask_box, runtime};
-use operators::{FleetView, NodeView};
+use operators::{FleetView, NodeView, TargetPaceView};
 use serde::Serialize;
 use std::net::SocketAddr;
 use std::process::ExitCode;
@@ -76,9 +76,32 @@
             "  {:24} {:16} {:16} {}{cold}, own {}",
             target.name, target.service, target.data_centre, target.state, target.own_open
         );
+        if let Some(pace) = &target.pace {
+            print_pace(pace);
+        }
     }
 }
 
+fn print_pace(pace: &TargetPaceView) {
+    let spared = pace
+        .spared
+        .as_deref()
+        .map_or(String::new(), |why| format!(", spared: {why}"));
+    println!(
+        "    speed {:.2}, event {:.0} ms, beside reading {:.0} ms, disturbed {:.0}% of the time x {:.1} \
+         for {:.0} ms, error {:.0}%, {} streams, {:.1}% of the pool's{spared}",
+        pace.speed,
+        pace.event_ms,
+        pace.beside_ms,
+        pace.disturbed_share * 100.0,
+        pace.disturbed_strength,
+        pace.disturbed_ms,
+        pace.error_share * 100.0,
+        pace.streams,
+        pace.streams_share * 100.0
+    );
+}
+
 fn print_view(view: &NodeView) {
     println!("box {}: {} open streams", view.id, view.open_streams);
     for target in &view.targets {
