--- a/components/operators/src/lib.rs
+++ b/components/operators/src/lib.rs
@@ -12,7 +12,8 @@
 };
 pub use console::{Console, MemberView, NodeView, TargetView, serve};
 pub use fleet::{
-    EvacuationView, FleetConsole, FleetTargetView, FleetView, TargetCallsView, serve_fleet,
+    EvacuationView, FleetConsole, FleetTargetView, FleetView, TargetCallsView, TargetPaceView,
+    serve_fleet,
 };
 pub use metrics::install_metrics;
 pub use settings::{FieldView, SettingsView};
