Shares are counted in what binds: memory for as long as it is held, reading at the grant, within a window of two seconds

Cause: tokens were charged, whatever memory and reading they took; siblings of all owners counted as one level; what was used long ago counted for ever; the order that admission forecast by (time of leaving) was not the order of service. Places of equal time of leaving keep the time of coming.

--- a/components/policy/src/admission/queue.rs
+++ b/components/policy/src/admission/queue.rs
@@ -3,6 +3,7 @@
 use crate::demand::Demand;
 use crate::fairness::tree::{FairTree, Share};
 use prelude::{AccountId, PermitId};
+use std::cmp::Ordering;
 use std::collections::{HashMap, HashSet, VecDeque};
 
 /// Urgent requests granted in a row while others wait.
@@ -29,6 +30,42 @@
 /// and by account, so that the order never hangs on chance.
 type Rank = (bool, [f64; 3], u64, AccountId);
 
+/// When it is a request's turn: the urgent first, then by what accounts used, then those whose callers leave first.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Turn {
+    later: bool,
+    turn_ms: f64,
+    leaves_ms: u64,
+}
+
+impl Turn {
+    fn of(demand: &Demand, turn_ms: f64) -> Self {
+        Self {
+            later: !demand.is_urgent(),
+            turn_ms,
+            leaves_ms: demand.leaves_ms,
+        }
+    }
+}
+
+impl Eq for Turn {}
+
+impl PartialOrd for Turn {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Turn {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let by_turn = self.turn_ms.total_cmp(&other.turn_ms);
+        self.later
+            .cmp(&other.later)
+            .then(by_turn)
+            .then(self.leaves_ms.cmp(&other.leaves_ms))
+    }
+}
+
 /// Which line a candidate stands in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) struct Place {
@@ -90,7 +127,9 @@
             true => &mut line.urgent,
             false => &mut line.plain,
         };
-        let at = waiting.partition_point(|other| other.leaves_ms <= demand.leaves_ms);
+        // A dispatcher that is new is asked in any order: the time of coming keeps the place in line.
+        let place = (demand.leaves_ms, demand.since_ms);
+        let at = waiting.partition_point(|other| (other.leaves_ms, other.since_ms) <= place);
         waiting.insert(at, demand);
         self.len += 1;
     }
@@ -110,6 +149,9 @@
                 let Some(front) = waiting.front().filter(|_| !passed.contains(&place)) else {
                     continue;
                 };
+                if tree.is_capped(&line.share, front.prompt_tokens) {
+                    continue;
+                }
                 let rank: Rank = (urgent == bounded, rank, front.since_ms, *account);
                 if best.as_ref().is_none_or(|(other, _)| rank < *other) {
                     best = Some((rank, place));
@@ -128,15 +170,34 @@
         }
     }
 
-    /// All requests that wait, in the order in which they are about to be served: the urgent first, then those whose
-    /// callers leave first.
-    pub fn in_order(&self) -> Vec<&Demand> {
-        let waiting = self
-            .lines
-            .values()
-            .flat_map(|line| line.urgent.iter().chain(&line.plain));
-        let mut waiting: Vec<&Demand> = waiting.collect();
-        waiting.sort_by_key(|demand| (!demand.is_urgent(), demand.leaves_ms, demand.permit));
+    /// All requests that wait, in the order in which they are about to be served.
+    pub fn in_order(&self, tree: &FairTree) -> Vec<&Demand> {
+        let in_turn = self.in_turn(tree);
+        in_turn.into_iter().map(|(_, demand)| demand).collect()
+    }
+
+    /// The requests that are about to be served before one that comes now, in order.
+    pub fn before(&self, demand: &Demand, tree: &FairTree) -> Vec<&Demand> {
+        let place = |demand: &Demand| (!demand.is_urgent(), demand.leaves_ms);
+        let own = self.lines.get(&demand.share.account);
+        let own_before = own.map_or(0, |line| {
+            let all = line.urgent.iter().chain(&line.plain);
+            all.filter(|other| place(other) <= place(demand)).count()
+        });
+        let turn = Turn::of(demand, tree.turns(&demand.share)(own_before));
+        let in_turn = self.in_turn(tree).into_iter();
+        let before = in_turn.take_while(|(other, _)| *other <= turn);
+        before.map(|(_, demand)| demand).collect()
+    }
+
+    fn in_turn(&self, tree: &FairTree) -> Vec<(Turn, &Demand)> {
+        let mut waiting = Vec::with_capacity(self.len);
+        for line in self.lines.values() {
+            let turns = tree.turns(&line.share);
+            let own = line.urgent.iter().chain(&line.plain).enumerate();
+            waiting.extend(own.map(|(at, demand)| (Turn::of(demand, turns(at)), demand)));
+        }
+        waiting.sort_by(|(a, one), (b, other)| a.cmp(b).then(one.permit.cmp(&other.permit)));
         waiting
     }
 
--- a/components/policy/src/admission/refusal.rs
+++ b/components/policy/src/admission/refusal.rs
@@ -72,7 +72,7 @@
         };
         let over: HashSet<PermitId> = self
             .queue
-            .in_order()
+            .in_order(&self.tree)
             .into_iter()
             .filter(|demand| over(demand))
             .map(|demand| demand.permit)
@@ -80,6 +80,7 @@
         let expired = self.queue.take_if(|demand| over.contains(&demand.permit));
         for demand in expired {
             self.tree.leaves(&demand.share);
+            self.usage.refused(&demand);
             let wait_ms = self.expected_wait_ms(&demand).unwrap_or(0);
             let refusal = Refusal {
                 reason: RefusalReason::DeadlinePassed,
--- a/components/policy/src/admission/waiting.rs
+++ b/components/policy/src/admission/waiting.rs
@@ -31,10 +31,7 @@
     pub(crate) fn too_late(&self, demand: &Demand, now_ms: u64) -> Option<Refusal> {
         let mut run = self.run_forward(now_ms);
         let mut same_rank = 0;
-        for other in self.queue.in_order() {
-            if !is_before(other, demand) {
-                continue;
-            }
+        for other in self.queue.before(demand, &self.tree) {
             run.read(other.prompt_tokens);
             same_rank += usize::from(other.is_urgent() == demand.is_urgent());
         }
@@ -47,7 +44,7 @@
         let mut run = self.run_forward(now_ms);
         let mut ahead = [0, 0];
         let mut refused = Vec::new();
-        for demand in self.queue.in_order() {
+        for demand in self.queue.in_order(&self.tree) {
             let rank = usize::from(!demand.is_urgent());
             let Some(first_ms) = self.first_token_ms(&run, demand, ahead[rank]) else {
                 break;
@@ -64,6 +61,7 @@
         }
         for (permit, _) in &refused {
             if let Some(demand) = self.queue.remove(*permit) {
+                self.usage.refused(&demand);
                 self.tree.leaves(&demand.share);
             }
         }
@@ -120,11 +118,6 @@
     demand.deadline_ms.saturating_sub(demand.since_ms) as f64
 }
 
-/// Whether a request that waits is served before another.
-fn is_before(other: &Demand, demand: &Demand) -> bool {
-    (!other.is_urgent(), other.leaves_ms) <= (!demand.is_urgent(), demand.leaves_ms)
-}
-
 fn crowded(over_ms: f64) -> Refusal {
     Refusal {
         reason: RefusalReason::Crowded,
--- a/components/policy/src/admission/waiting_tests.rs
+++ b/components/policy/src/admission/waiting_tests.rs
@@ -112,7 +112,7 @@
     }
     let waiting: Vec<u64> = pool
         .queue
-        .in_order()
+        .in_order(&pool.tree)
         .iter()
         .map(|d| d.permit.serial)
         .collect();
--- /dev/null
+++ b/components/policy/src/fairness/siblings.rs
@@ -0,0 +1,143 @@
+//! What the children of one node have used, each divided by its weight, within a bounded window: nobody saves up more
+//! than [`WINDOW_MS`] of its share, and nobody pays for longer for what it used while others left it.
+
+use std::collections::BTreeMap;
+
+/// For how long, at the most, a child's requests go before or behind those of its siblings for what was used. Callers
+/// of an account that comes back have its share again after this time.
+pub(crate) const WINDOW_MS: f64 = 2_000.0;
+
+/// One child.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Child {
+    /// What it used, in milliseconds of one engine, divided by its weight.
+    pub used_ms: f64,
+    /// Memory that its requests hold, in tokens.
+    pub held_tokens: f64,
+    /// Its weight, as its last request told it.
+    pub weight: f64,
+    /// For how long it had no requests.
+    pub idle_ms: f64,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Requests that run.
+    pub running: u32,
+}
+
+impl Child {
+    fn is_active(&self) -> bool {
+        self.waiting + self.running > 0
+    }
+}
+
+/// The children of one node.
+#[derive(Clone, Debug)]
+pub(crate) struct Siblings<K> {
+    pub children: BTreeMap<K, Child>,
+    /// What the least served child that waits had used; it never falls.
+    floor_ms: f64,
+    /// Engines that the node is entitled to.
+    engines: f64,
+}
+
+impl<K> Default for Siblings<K> {
+    fn default() -> Self {
+        Self {
+            children: BTreeMap::new(),
+            floor_ms: 0.0,
+            engines: 1.0,
+        }
+    }
+}
+
+impl<K: Copy + Ord> Siblings<K> {
+    /// A child's entry; one that is new stands where the least served one stands that waits or runs.
+    pub fn child(&mut self, key: K, weight: f64) -> &mut Child {
+        let used_ms = self.used_ms(key);
+        let child = self.children.entry(key).or_insert(Child {
+            used_ms,
+            ..Child::default()
+        });
+        child.weight = weight.max(f64::MIN_POSITIVE);
+        child
+    }
+
+    /// Notes that a request of a child waits. One that none waited of has saved up a window at the most.
+    pub fn waits(&mut self, key: K, weight: f64) {
+        let child = self.child(key, weight);
+        child.waiting += 1;
+        let is_first = child.waiting == 1;
+        let least_ms = self.floor_ms - WINDOW_MS * self.fair_rate();
+        let child = self.child(key, weight);
+        if is_first {
+            child.used_ms = child.used_ms.max(least_ms);
+        }
+    }
+
+    /// Charges for the time in which memory was held, and forgets what lies outside the window.
+    pub fn pass(&mut self, elapsed_ms: f64, engine_tokens: f64, engines: f64) {
+        self.engines = engines;
+        for child in self.children.values_mut() {
+            child.used_ms += child.held_tokens / engine_tokens * elapsed_ms / child.weight;
+        }
+        let waiting = self.children.values().filter(|child| child.waiting > 0);
+        let least = waiting
+            .map(|child| child.used_ms)
+            .fold(f64::INFINITY, f64::min);
+        if least.is_finite() {
+            self.floor_ms = self.floor_ms.max(least);
+        }
+        let window_ms = WINDOW_MS * self.fair_rate();
+        let (least_ms, most_ms) = (self.floor_ms - window_ms, self.floor_ms + window_ms);
+        for child in self.children.values_mut() {
+            child.used_ms = child.used_ms.clamp(least_ms, most_ms);
+            child.idle_ms = match child.is_active() {
+                true => 0.0,
+                false => child.idle_ms + elapsed_ms,
+            };
+        }
+        self.children.retain(|_, child| child.idle_ms <= WINDOW_MS);
+    }
+
+    /// What a child has used beyond the least served one that waits, as time in which it would use so much of its fair
+    /// share; below zero where it used less.
+    pub fn ahead_ms(&self, key: K) -> f64 {
+        let used_ms = self.used_ms(key);
+        (used_ms - self.floor_ms) / self.fair_rate()
+    }
+
+    /// What a child has used, or will be taken to have used once it comes.
+    pub fn used_ms(&self, key: K) -> f64 {
+        if let Some(child) = self.children.get(&key) {
+            return child.used_ms;
+        }
+        let active = self.children.values().filter(|child| child.is_active());
+        let least_ms = active.map(|child| child.used_ms).reduce(f64::min);
+        least_ms.unwrap_or(self.floor_ms)
+    }
+
+    /// The part of the node that a child is entitled to among those that wait or run, were it one of them.
+    pub fn entitled_part(&self, key: K, weight: f64) -> f64 {
+        let others = self
+            .children
+            .iter()
+            .filter(|(other, child)| **other != key && child.is_active());
+        let others: f64 = others.map(|(_, child)| child.weight).sum();
+        weight / (weight + others)
+    }
+
+    /// The part of the node's held memory that a child holds.
+    pub fn held_part(&self, key: K) -> f64 {
+        let all: f64 = self.children.values().map(|child| child.held_tokens).sum();
+        let own = self.children.get(&key);
+        own.map_or(0.0, |child| child.held_tokens) / all.max(1.0)
+    }
+
+    /// What a child of weight 1 is entitled to use in a millisecond, among those that wait or run.
+    fn fair_rate(&self) -> f64 {
+        let active = self.children.values().filter(|child| child.is_active());
+        let weights: f64 = active.map(|child| child.weight).sum();
+        let weights = if weights > 0.0 { weights } else { 1.0 };
+        self.engines.max(f64::MIN_POSITIVE) / weights
+    }
+}
--- a/components/policy/src/fairness/tree.rs
+++ b/components/policy/src/fairness/tree.rs
@@ -1,15 +1,23 @@
-//! Fair shares for work of unknown length: virtual token counters (Sheng et al., "Fairness in Serving
-//! Large Language Models", OSDI 2024) in a tree of partner, owner and account. Prompt tokens are
-//! charged when a request is granted, generated tokens as they come.
+//! Fair shares for work of unknown length: counters as in "Fairness in Serving Large Language Models" (Sheng et al., OSDI
+//! 2024), in a tree of partner, owner and account, charged in what binds. One scale is used, the time of one engine:
+//! memory is charged while it is held, as the part of an engine's memory times the time; a prompt is charged at the
+//! grant, as the time that an engine takes to read it.
+//!
+//! Load patterns that this answers: an account that floods or repeats at once, one that comes back after a pause, a few
+//! large accounts beside many small ones.
 
+use crate::fairness::siblings::{Child, Siblings};
 use prelude::{AccountId, OwnerId, PartnerId};
-use std::collections::HashMap;
-use std::hash::Hash;
+use std::collections::{BTreeMap, HashMap};
 
-/// Charge for one prompt token.
-const PROMPT_CHARGE: f64 = 1.0;
-/// Charge for one generated token.
-const OUTPUT_CHARGE: f64 = 2.0;
+/// Counters are brought up to date this often: a decision sees them at most so old.
+const PASS_EACH_MS: u64 = 10;
+/// Share of an account's part beyond which it counts as over it: one more request of a small account is no flood.
+const OVER_TIMES: f64 = 1.25;
+/// Time after which what a request used on the mean counts half.
+const COST_HALF_LIFE_MS: f64 = 5_000.0;
+/// What a request uses before any was seen, in milliseconds of one engine.
+const COST_INITIAL_MS: f64 = 300.0;
 
 /// Who is charged, and with which weights.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -28,165 +36,282 @@
     pub account_weight: f64,
 }
 
-/// Charged service of the children of one node, each divided by its weight, and how many requests of
-/// each wait.
-#[derive(Clone, Debug)]
-struct Level<K> {
-    children: HashMap<K, Child>,
+/// What a request uses on the mean, of those that ran lately.
+#[derive(Clone, Copy, Debug)]
+struct MeanCost {
+    used_ms: f64,
+    requests: f64,
+}
+
+impl MeanCost {
+    fn pass(&mut self, elapsed_ms: f64) {
+        let left = (-elapsed_ms / COST_HALF_LIFE_MS).exp2();
+        self.used_ms *= left;
+        self.requests *= left;
+    }
+
+    fn ms(&self) -> f64 {
+        // One request of the usual cost is supposed beside those that were seen.
+        (self.used_ms + COST_INITIAL_MS) / (self.requests + 1.0)
+    }
 }
 
-#[derive(Clone, Copy, Debug, Default)]
-struct Child {
-    service: f64,
-    waiting: u32,
-    running: u32,
+/// The tree of counters.
+#[derive(Clone, Debug)]
+pub struct FairTree {
+    partners: Siblings<PartnerId>,
+    owners: BTreeMap<PartnerId, Siblings<OwnerId>>,
+    accounts: BTreeMap<(PartnerId, OwnerId), Siblings<AccountId>>,
+    caps: HashMap<AccountId, f64>,
+    /// Whether shares order anything; who came first goes first where they do not.
+    orders: bool,
+    cost: MeanCost,
+    engine_tokens: f64,
+    engines: f64,
+    passed_ms: u64,
 }
 
-impl<K> Default for Level<K> {
+impl Default for FairTree {
     fn default() -> Self {
         Self {
-            children: HashMap::new(),
+            partners: Siblings::default(),
+            owners: BTreeMap::new(),
+            accounts: BTreeMap::new(),
+            caps: HashMap::new(),
+            orders: true,
+            cost: MeanCost {
+                used_ms: 0.0,
+                requests: 0.0,
+            },
+            engine_tokens: 1.0,
+            engines: 1.0,
+            passed_ms: 0,
         }
     }
 }
 
-impl<K: Copy + Eq + Hash> Level<K> {
-    /// A child that comes back from idleness starts level with the least served active one: what it
-    /// did not use is not saved up.
-    fn lift(&mut self, key: K) {
-        let least = self
-            .children
-            .iter()
-            .filter(|(other, child)| **other != key && child.waiting + child.running > 0)
-            .map(|(_, child)| child.service)
-            .fold(f64::INFINITY, f64::min);
-        let child = self.children.entry(key).or_default();
-        if child.waiting + child.running == 0 && least.is_finite() {
-            child.service = child.service.max(least);
-        }
+impl FairTree {
+    /// Sets how many engines take work, and the memory that they have together.
+    pub fn set_room(&mut self, engines: usize, memory_tokens: u64) {
+        self.engines = (engines as f64).max(1.0);
+        self.engine_tokens = (memory_tokens as f64 / self.engines).max(1.0);
     }
 
-    fn child(&mut self, key: K) -> &mut Child {
-        self.children.entry(key).or_default()
+    /// Sets whether shares order anything.
+    pub fn set_orders(&mut self, orders: bool) {
+        self.orders = orders;
     }
 
-    fn service(&self, key: K) -> f64 {
-        self.children.get(&key).map_or(0.0, |child| child.service)
+    /// Sets which accounts have a cap: the share of the pool's memory that their requests may hold together.
+    pub fn set_caps(&mut self, caps: HashMap<AccountId, f64>) {
+        self.caps = caps;
     }
-}
 
-/// The tree of counters.
-#[derive(Clone, Debug, Default)]
-pub struct FairTree {
-    partners: Level<PartnerId>,
-    owners: Level<(PartnerId, OwnerId)>,
-    accounts: Level<(OwnerId, AccountId)>,
-}
+    /// Charges for the time that has passed.
+    pub fn pass(&mut self, now_ms: u64) {
+        if now_ms < self.passed_ms + PASS_EACH_MS {
+            return;
+        }
+        // Counters that were left alone for long are as good as empty.
+        let elapsed_ms = (now_ms - self.passed_ms).min(10_000) as f64;
+        self.passed_ms = now_ms;
+        let engine_tokens = self.engine_tokens;
+        let held: f64 = self.partners.children.values().map(|p| p.held_tokens).sum();
+        self.cost.pass(elapsed_ms);
+        self.cost.used_ms += held / engine_tokens * elapsed_ms;
+        self.partners.pass(elapsed_ms, engine_tokens, self.engines);
+        for (partner, owners) in &mut self.owners {
+            let weight = weight_of(&self.partners, *partner);
+            let part = self.partners.entitled_part(*partner, weight);
+            owners.pass(elapsed_ms, engine_tokens, self.engines * part);
+        }
+        for ((partner, owner), accounts) in &mut self.accounts {
+            let weight = weight_of(&self.partners, *partner);
+            let mut part = self.partners.entitled_part(*partner, weight);
+            if let Some(owners) = self.owners.get(partner) {
+                part *= owners.entitled_part(*owner, weight_of(owners, *owner));
+            }
+            accounts.pass(elapsed_ms, engine_tokens, self.engines * part);
+        }
+        self.owners.retain(|_, owners| !owners.children.is_empty());
+        self.accounts
+            .retain(|_, accounts| !accounts.children.is_empty());
+    }
 
-impl FairTree {
     /// Notes that a request waits.
     pub fn waits(&mut self, share: &Share) {
-        self.lift(share);
-        self.each(share, |child| child.waiting += 1);
+        let (partners, owners, accounts) = self.levels(share);
+        partners.waits(share.partner, share.partner_weight);
+        owners.waits(share.owner, share.owner_weight);
+        accounts.waits(share.account, share.account_weight);
     }
 
     /// Notes that a waiting request waits no more, without being run.
     pub fn leaves(&mut self, share: &Share) {
         self.each(share, |child| {
-            child.waiting = child.waiting.saturating_sub(1)
+            child.waiting = child.waiting.saturating_sub(1);
         });
     }
 
-    /// Notes that a request runs that did not wait here.
+    /// Notes that a request runs.
     pub fn runs(&mut self, share: &Share) {
-        self.lift(share);
+        self.cost.requests += 1.0;
         self.each(share, |child| child.running += 1);
     }
 
     /// Notes that a running request ended.
     pub fn ends(&mut self, share: &Share) {
         self.each(share, |child| {
-            child.running = child.running.saturating_sub(1)
+            child.running = child.running.saturating_sub(1);
         });
     }
 
-    /// Charges prompt tokens.
-    pub fn charge_prompt(&mut self, share: &Share, tokens: u32) {
-        self.charge(share, f64::from(tokens) * PROMPT_CHARGE);
+    /// Notes that requests hold so many tokens more, or less.
+    pub fn holds(&mut self, share: &Share, tokens: f64) {
+        self.each(share, |child| {
+            child.held_tokens = (child.held_tokens + tokens).max(0.0);
+        });
     }
 
-    /// Charges generated tokens.
-    pub fn charge_output(&mut self, share: &Share, tokens: u32) {
-        self.charge(share, f64::from(tokens) * OUTPUT_CHARGE);
+    /// Charges time of an engine, such as what it takes to read a prompt.
+    pub fn charge(&mut self, share: &Share, ms: f64) {
+        self.cost.used_ms += ms;
+        self.each(share, |child| child.used_ms += ms / child.weight);
     }
 
     /// Orders shares: the least served partner first, then owner, then account.
     pub fn rank(&self, share: &Share) -> [f64; 3] {
+        if !self.orders {
+            return [0.0; 3];
+        }
+        let owners = self.owners.get(&share.partner);
+        let accounts = self.accounts.get(&(share.partner, share.owner));
         [
-            self.partners.service(share.partner),
-            self.owners.service((share.partner, share.owner)),
-            self.accounts.service((share.owner, share.account)),
+            self.partners.used_ms(share.partner),
+            owners.map_or(0.0, |owners| owners.used_ms(share.owner)),
+            accounts.map_or(0.0, |accounts| accounts.used_ms(share.account)),
         ]
     }
 
-    fn lift(&mut self, share: &Share) {
-        self.partners.lift(share.partner);
-        self.owners.lift((share.partner, share.owner));
-        self.accounts.lift((share.owner, share.account));
+    /// The part of the pool that an account is entitled to among those that wait or run, were it one of them.
+    pub fn entitled_part(&self, share: &Share) -> f64 {
+        let owners = self.owners.get(&share.partner);
+        let accounts = self.accounts.get(&(share.partner, share.owner));
+        let partner = self
+            .partners
+            .entitled_part(share.partner, share.partner_weight);
+        let owner = owners.map_or(1.0, |owners| {
+            owners.entitled_part(share.owner, share.owner_weight)
+        });
+        let account = accounts.map_or(1.0, |accounts| {
+            accounts.entitled_part(share.account, share.account_weight)
+        });
+        partner * owner * account
     }
 
-    fn each(&mut self, share: &Share, change: impl Fn(&mut Child)) {
-        change(self.partners.child(share.partner));
-        change(self.owners.child((share.partner, share.owner)));
-        change(self.accounts.child((share.owner, share.account)));
+    /// The part of all held memory that an account's requests hold.
+    pub fn held_part(&self, share: &Share) -> f64 {
+        let owners = self.owners.get(&share.partner);
+        let accounts = self.accounts.get(&(share.partner, share.owner));
+        self.partners.held_part(share.partner)
+            * owners.map_or(0.0, |owners| owners.held_part(share.owner))
+            * accounts.map_or(0.0, |accounts| accounts.held_part(share.account))
     }
 
-    fn charge(&mut self, share: &Share, tokens: f64) {
-        let by_weight = |weight: f64| tokens / weight.max(f64::MIN_POSITIVE);
-        self.partners.child(share.partner).service += by_weight(share.partner_weight);
-        let owner = self.owners.child((share.partner, share.owner));
-        owner.service += by_weight(share.owner_weight);
-        let account = self.accounts.child((share.owner, share.account));
-        account.service += by_weight(share.account_weight);
+    /// Whether an account holds more than it is entitled to, by more than chance.
+    pub fn is_over_share(&self, share: &Share) -> bool {
+        self.held_part(share) > OVER_TIMES * self.entitled_part(share)
     }
-}
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn share(owner: u64, weight: f64) -> Share {
-        Share {
-            partner: PartnerId(1),
-            owner: OwnerId(owner),
-            account: AccountId(owner),
-            partner_weight: 1.0,
-            owner_weight: weight,
-            account_weight: 1.0,
-        }
+    /// What an account has used beyond the least served one that waits, as time of its own fair share; below zero where
+    /// it is owed. It lies within the window on each level.
+    pub fn lent_ms(&self, share: &Share) -> f64 {
+        let owners = self.owners.get(&share.partner);
+        let accounts = self.accounts.get(&(share.partner, share.owner));
+        self.partners.ahead_ms(share.partner)
+            + owners.map_or(0.0, |owners| owners.ahead_ms(share.owner))
+            + accounts.map_or(0.0, |accounts| accounts.ahead_ms(share.account))
     }
 
-    #[test]
-    fn serves_by_weight() {
-        let mut tree = FairTree::default();
-        let shares = [share(1, 1.0), share(2, 3.0)];
-        shares.iter().for_each(|share| tree.waits(share));
-        let mut served = [0u32; 2];
-        for _ in 0..400 {
-            let first = usize::from(tree.rank(&shares[1]) < tree.rank(&shares[0]));
-            tree.charge_output(&shares[first], 10);
-            served[first] += 1;
-        }
-        assert_eq!(served, [100, 300]);
+    /// When, by what was used and in milliseconds from now, it is the turn of a request with so many of its own account
+    /// before it. It orders requests of all accounts as they are about to be served; it is no forecast.
+    pub fn turns(&self, share: &Share) -> impl Fn(usize) -> f64 + use<> {
+        let engines = self.engines * self.entitled_part(share);
+        let (first_ms, each_ms) = match self.orders {
+            true => (self.lent_ms(share), self.cost.ms() / engines),
+            false => (0.0, 0.0),
+        };
+        move |before| first_ms + before as f64 * each_ms
+    }
+
+    /// Whether an account's cap leaves no room for so many tokens. One that holds nothing always has room for one.
+    pub fn is_capped(&self, share: &Share, tokens: u32) -> bool {
+        let Some(cap) = self.caps.get(&share.account) else {
+            return false;
+        };
+        let accounts = self.accounts.get(&(share.partner, share.owner));
+        let child = accounts.and_then(|accounts| accounts.children.get(&share.account));
+        let held_tokens = child.map_or(0.0, |child| child.held_tokens);
+        let may_hold = cap * self.engines * self.engine_tokens;
+        held_tokens > 0.0 && held_tokens + f64::from(tokens) > may_hold
     }
 
-    #[test]
-    fn does_not_save_up_idle_time() {
-        let mut tree = FairTree::default();
-        let (busy, idle) = (share(1, 1.0), share(2, 1.0));
-        tree.waits(&busy);
-        tree.charge_output(&busy, 1000);
-        tree.waits(&idle);
-        assert_eq!(tree.rank(&idle)[1], tree.rank(&busy)[1]);
+    /// Time of one engine that memory held for a time comes to.
+    pub(crate) fn engine_ms(&self, held_token_ms: f64) -> f64 {
+        held_token_ms / self.engine_tokens
     }
+
+    /// An account's cap; none where it has none.
+    pub(crate) fn cap_of(&self, account: AccountId) -> Option<f64> {
+        self.caps.get(&account).copied()
+    }
+
+    /// The accounts that are known here.
+    pub(crate) fn shares(&self) -> impl Iterator<Item = Share> {
+        self.accounts
+            .iter()
+            .flat_map(move |((partner, owner), accounts)| {
+                let owners = self.owners.get(partner);
+                let of_account = move |(account, child): (&AccountId, &Child)| Share {
+                    partner: *partner,
+                    owner: *owner,
+                    account: *account,
+                    partner_weight: weight_of(&self.partners, *partner),
+                    owner_weight: owners.map_or(1.0, |owners| weight_of(owners, *owner)),
+                    account_weight: child.weight,
+                };
+                accounts.children.iter().map(of_account)
+            })
+    }
+
+    fn levels(
+        &mut self,
+        share: &Share,
+    ) -> (
+        &mut Siblings<PartnerId>,
+        &mut Siblings<OwnerId>,
+        &mut Siblings<AccountId>,
+    ) {
+        let owners = self.owners.entry(share.partner).or_default();
+        let accounts = self.accounts.entry((share.partner, share.owner));
+        (&mut self.partners, owners, accounts.or_default())
+    }
+
+    fn each(&mut self, share: &Share, change: impl Fn(&mut Child)) {
+        let (partners, owners, accounts) = self.levels(share);
+        change(partners.child(share.partner, share.partner_weight));
+        change(owners.child(share.owner, share.owner_weight));
+        change(accounts.child(share.account, share.account_weight));
+    }
+}
+
+fn weight_of<K: Copy + Ord>(siblings: &Siblings<K>, key: K) -> f64 {
+    siblings
+        .children
+        .get(&key)
+        .map_or(1.0, |child| child.weight)
 }
+
+#[cfg(test)]
+#[path = "tree_tests.rs"]
+mod tests;
--- /dev/null
+++ b/components/policy/src/fairness/tree_tests.rs
@@ -0,0 +1,154 @@
+use super::*;
+
+const ENGINES: usize = 10;
+const ENGINE_TOKENS: u64 = 1_000;
+
+fn share(owner: u64, weight: f64) -> Share {
+    Share {
+        partner: PartnerId(1),
+        owner: OwnerId(owner),
+        account: AccountId(owner),
+        partner_weight: 1.0,
+        owner_weight: weight,
+        account_weight: 1.0,
+    }
+}
+
+fn tree() -> FairTree {
+    let mut tree = FairTree::default();
+    tree.set_room(ENGINES, ENGINES as u64 * ENGINE_TOKENS);
+    tree
+}
+
+#[test]
+fn serves_by_weight() {
+    let mut tree = tree();
+    let shares = [share(1, 1.0), share(2, 3.0)];
+    shares.iter().for_each(|share| tree.waits(share));
+    let mut served = [0u32; 2];
+    for at in 1..=400 {
+        tree.pass(at * 10);
+        let first = usize::from(tree.rank(&shares[1]) < tree.rank(&shares[0]));
+        tree.charge(&shares[first], 10.0);
+        served[first] += 1;
+    }
+    assert_eq!(served, [100, 300]);
+}
+
+#[test]
+fn memory_is_charged_for_as_long_as_it_is_held() {
+    let mut tree = tree();
+    let (long, short) = (share(1, 1.0), share(2, 1.0));
+    for one in [&long, &short] {
+        tree.waits(one);
+        tree.runs(one);
+        tree.holds(one, 500.0);
+    }
+    tree.pass(100);
+    tree.ends(&short);
+    tree.holds(&short, -500.0);
+    tree.pass(400);
+    let more_ms = tree.rank(&long)[1] - tree.rank(&short)[1];
+    assert!((more_ms - 150.0).abs() < 1e-6, "{more_ms}");
+}
+
+#[test]
+fn what_is_not_used_is_saved_up_for_a_window_at_the_most() {
+    let mut tree = tree();
+    let (busy, idle) = (share(1, 1.0), share(2, 1.0));
+    tree.waits(&idle);
+    tree.waits(&busy);
+    tree.leaves(&idle);
+    tree.charge(&busy, 1e9);
+    tree.pass(10);
+    tree.waits(&idle);
+    let owed_ms = -tree.lent_ms(&idle);
+    assert!(owed_ms > 0.0 && owed_ms <= 2_000.0, "{owed_ms}");
+    assert!(tree.rank(&idle) < tree.rank(&busy));
+}
+
+#[test]
+fn who_is_new_or_was_away_for_long_stands_with_the_least_served() {
+    let mut tree = tree();
+    let (much, little, new) = (share(1, 1.0), share(2, 1.0), share(3, 1.0));
+    tree.waits(&much);
+    tree.waits(&little);
+    tree.charge(&much, 900.0);
+    tree.charge(&little, 300.0);
+    tree.pass(10);
+    tree.waits(&new);
+    assert_eq!(tree.rank(&new)[1], tree.rank(&little)[1]);
+}
+
+#[test]
+fn nobody_pays_for_longer_than_a_window_for_what_it_used_alone() {
+    let mut tree = tree();
+    let (was_alone, other) = (share(1, 1.0), share(2, 1.0));
+    tree.runs(&was_alone);
+    tree.charge(&was_alone, 1e9);
+    tree.waits(&other);
+    tree.waits(&was_alone);
+    tree.pass(10);
+    assert!(tree.lent_ms(&was_alone) <= 2_000.0 + 1e-6);
+    // The other uses its fair share, half of ten engines, for two seconds.
+    tree.charge(&other, 4_000.0 + 2_000.0 * 5.0);
+    tree.pass(20);
+    assert!(tree.rank(&was_alone) <= tree.rank(&other));
+}
+
+#[test]
+fn siblings_of_other_owners_do_not_count() {
+    let mut tree = tree();
+    let (one, other) = (share(1, 1.0), share(2, 1.0));
+    tree.waits(&one);
+    tree.charge(&one, 500.0);
+    tree.pass(10);
+    tree.waits(&other);
+    assert!((tree.entitled_part(&one) - 0.5).abs() < 1e-9);
+    assert!(tree.rank(&other)[2] <= 0.0);
+}
+
+#[test]
+fn who_holds_more_than_its_part_is_over_it() {
+    let mut tree = tree();
+    let (one, other) = (share(1, 1.0), share(2, 1.0));
+    for (share, tokens) in [(&one, 900.0), (&other, 100.0)] {
+        tree.runs(share);
+        tree.holds(share, tokens);
+    }
+    assert!(tree.is_over_share(&one));
+    assert!(!tree.is_over_share(&other));
+    tree.ends(&other);
+    tree.holds(&other, -100.0);
+    assert!(!tree.is_over_share(&one), "who is alone may use everything");
+}
+
+#[test]
+fn a_cap_bounds_what_is_held_and_never_stops_the_first() {
+    let mut tree = tree();
+    let one = share(1, 1.0);
+    tree.set_caps([(one.account, 0.1)].into());
+    assert!(!tree.is_capped(&one, 5_000));
+    tree.runs(&one);
+    tree.holds(&one, 800.0);
+    assert!(!tree.is_capped(&one, 200));
+    assert!(tree.is_capped(&one, 201));
+    tree.set_caps(HashMap::new());
+    assert!(!tree.is_capped(&one, 201));
+}
+
+#[test]
+fn counters_of_those_who_left_are_forgotten() {
+    let mut tree = tree();
+    for owner in 2..100 {
+        tree.runs(&share(owner, 1.0));
+        tree.ends(&share(owner, 1.0));
+    }
+    let busy = share(1, 1.0);
+    tree.waits(&busy);
+    for at in 1..1_000 {
+        tree.charge(&busy, 100.0);
+        tree.pass(at * 10);
+    }
+    assert_eq!(tree.accounts.len(), 1);
+}
--- /dev/null
+++ b/components/policy/src/fairness/usage.rs
@@ -0,0 +1,138 @@
+//! Who is served, who waits and who is refused, by account and rank, as operators see it.
+
+use crate::demand::Demand;
+use crate::fairness::tree::Share;
+use crate::pool::Pool;
+use prelude::AccountId;
+use serde::{Deserialize, Serialize};
+use std::collections::{BTreeMap, HashMap};
+
+/// Accounts and ranks that are counted apart; what comes beyond is counted under the account 0.
+const ROWS_MAX: usize = 1_024;
+
+/// What became of the requests of one account and rank, since the dispatcher began.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RankUse {
+    /// Requests that were granted.
+    pub granted: u64,
+    /// Refusals.
+    pub refused: u64,
+    /// Requests that wait now.
+    pub waiting: u64,
+}
+
+/// Counts by account and rank.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Usage {
+    rows: HashMap<(AccountId, u8), RankUse>,
+}
+
+impl Usage {
+    pub fn granted(&mut self, demand: &Demand) {
+        self.row(demand).granted += 1;
+    }
+
+    pub fn refused(&mut self, demand: &Demand) {
+        self.row(demand).refused += 1;
+    }
+
+    fn row(&mut self, demand: &Demand) -> &mut RankUse {
+        let mut key = (demand.share.account, demand.rank);
+        if self.rows.len() >= ROWS_MAX && !self.rows.contains_key(&key) {
+            key = (AccountId::default(), demand.rank);
+        }
+        self.rows.entry(key).or_default()
+    }
+}
+
+/// One account as a dispatcher sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct AccountUse {
+    /// The account.
+    pub account: AccountId,
+    /// By rank.
+    pub ranks: BTreeMap<u8, RankUse>,
+    /// The part of the memory in use that it holds.
+    pub held_part: f64,
+    /// The part that it is entitled to among those that wait or run.
+    pub entitled_part: f64,
+    /// What it used beyond the least served that waits, as time of its fair share; below zero where it is owed.
+    pub lent_ms: f64,
+    /// The share of the pool's memory that it may hold; none where it has no cap.
+    pub cap_share: Option<f64>,
+}
+
+/// Who stands before a request.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Standing {
+    /// Requests that wait in the pool.
+    pub waiting: u32,
+    /// Requests before it that are more urgent.
+    pub more_urgent: u32,
+    /// Requests of its own account and rank before it.
+    pub own: u32,
+    /// Requests of other accounts and its rank before it.
+    pub others: u32,
+    /// The part of the memory in use that its account holds.
+    pub held_part: f32,
+    /// The part that its account is entitled to.
+    pub entitled_part: f32,
+    /// What its account used beyond the least served, as time of its fair share.
+    pub lent_ms: f32,
+}
+
+impl Pool {
+    /// Who stands before a request that is refused, and how its account stands.
+    pub fn standing(&self, demand: &Demand) -> Standing {
+        let mut standing = Standing {
+            waiting: self.queue.len() as u32,
+            held_part: self.tree.held_part(&demand.share) as f32,
+            entitled_part: self.tree.entitled_part(&demand.share) as f32,
+            lent_ms: self.tree.lent_ms(&demand.share) as f32,
+            ..Standing::default()
+        };
+        for other in self.queue.before(demand, &self.tree) {
+            let count = match (other.rank < demand.rank, other.share.account) {
+                (true, _) => &mut standing.more_urgent,
+                (false, account) if account == demand.share.account => &mut standing.own,
+                (false, _) => &mut standing.others,
+            };
+            *count += 1;
+        }
+        standing
+    }
+
+    /// The accounts that it served or refused, or that wait, those that hold most first.
+    pub fn accounts(&self) -> Vec<AccountUse> {
+        let mut ranks: HashMap<AccountId, BTreeMap<u8, RankUse>> = HashMap::new();
+        for ((account, rank), row) in &self.usage.rows {
+            ranks.entry(*account).or_default().insert(*rank, *row);
+        }
+        for demand in self.queue.in_order(&self.tree) {
+            let of_account = ranks.entry(demand.share.account).or_default();
+            of_account.entry(demand.rank).or_default().waiting += 1;
+        }
+        let shares: HashMap<AccountId, Share> = self
+            .tree
+            .shares()
+            .map(|share| (share.account, share))
+            .collect();
+        let of = |(account, ranks): (AccountId, BTreeMap<u8, RankUse>)| {
+            let share = shares.get(&account);
+            AccountUse {
+                account,
+                ranks,
+                held_part: share.map_or(0.0, |share| self.tree.held_part(share)),
+                entitled_part: share.map_or(0.0, |share| self.tree.entitled_part(share)),
+                lent_ms: share.map_or(0.0, |share| self.tree.lent_ms(share)),
+                cap_share: self.tree.cap_of(account),
+            }
+        };
+        let mut accounts: Vec<AccountUse> = ranks.into_iter().map(of).collect();
+        accounts.sort_by(|one, other| {
+            let by_part = other.held_part.total_cmp(&one.held_part);
+            by_part.then(one.account.cmp(&other.account))
+        });
+        accounts
+    }
+}
--- a/components/policy/src/holders.rs
+++ b/components/policy/src/holders.rs
@@ -15,6 +15,7 @@
     pub fn adopt(&mut self, adopted: Adopted, now_ms: u64) {
         let permit = adopted.demand.permit;
         self.heard_ms.insert(permit.entry, now_ms);
+        self.known.heard(permit.entry, now_ms);
         if self.by_permit.contains_key(&permit) {
             self.progress(permit, adopted.generated_tokens, now_ms);
             return;
@@ -71,5 +72,6 @@
             self.tree.leaves(&demand.share);
         }
         self.heard_ms.retain(|id, _| !boxes.contains(id));
+        self.known.forget(&boxes);
     }
 }
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -5,7 +5,9 @@
 use crate::admission::grant_pace::GrantPace;
 use crate::admission::queue::Queue;
 use crate::demand::{Demand, Submitted, Verdict};
-use crate::fairness::tree::{FairTree, Share};
+use crate::fairness::told::KnownBoxes;
+use crate::fairness::tree::FairTree;
+use crate::fairness::usage::Usage;
 use crate::kind::{PolicyKind, PoolSettings};
 use crate::placement::forecast::Forecast;
 use crate::placement::ledger::{
@@ -14,7 +16,7 @@
 use crate::placement::length::{End, LengthClass, LengthModel};
 use crate::placement::prefixes::PrefixIndex;
 use crate::placement::reading::ReadingRate;
-use prelude::{BoxId, PermitId, TargetId};
+use prelude::{AccountId, BoxId, PermitId, TargetId};
 use std::collections::{HashMap, HashSet, VecDeque};
 
 /// Candidates that are tried in one run when the first does not fit.
@@ -56,6 +58,9 @@
     pub(crate) expiry_ms: u64,
     remembered_ms: u64,
     pub(crate) heard_ms: HashMap<BoxId, u64>,
+    /// Whose use of late it charged itself.
+    pub(crate) known: KnownBoxes,
+    pub(crate) usage: Usage,
 }
 
 impl Pool {
@@ -63,12 +68,11 @@
     pub fn new(settings: PoolSettings) -> Self {
         Self {
             margin: settings.margin_initial,
-            settings,
             engines: Vec::new(),
             streams: Streams::with_key(),
             by_permit: HashMap::new(),
             queue: Queue::default(),
-            tree: FairTree::default(),
+            tree: fair_tree(&settings),
             lengths: LengthModel::default(),
             prefixes: PrefixIndex::default(),
             margin_ms: 0,
@@ -82,15 +86,35 @@
             expiry_ms: 0,
             remembered_ms: 0,
             heard_ms: HashMap::new(),
+            known: KnownBoxes::default(),
+            usage: Usage::default(),
+            settings,
         }
     }
 
     /// Changes the settings; the margin stays within the new bounds.
     pub fn set_settings(&mut self, settings: PoolSettings) {
         self.margin = self.margin.clamp(settings.margin_min, settings.margin_max);
+        self.tree.set_orders(settings.fair);
         self.settings = settings;
     }
 
+    /// Sets which accounts have a cap: the share of the pool's memory that their requests may hold.
+    pub fn set_caps(&mut self, caps: HashMap<AccountId, f64>) {
+        self.tree.set_caps(caps);
+    }
+
+    /// Tells the tree of shares how much room there is.
+    fn sync_room(&mut self) {
+        let live = self
+            .engines
+            .iter()
+            .filter(|ledger| ledger.state == EngineState::Live);
+        let count = live.clone().count();
+        let memory_tokens = live.map(|ledger| ledger.info.capacity_tokens).sum();
+        self.tree.set_room(count, memory_tokens);
+    }
+
     /// Sets which engines there are. Ledgers of engines that stay are kept.
     pub fn set_engines(&mut self, engines: &[EngineInfo]) {
         for info in engines {
@@ -107,6 +131,7 @@
             self.prefixes.forget(target);
         }
         self.engines.retain(|ledger| stays(ledger));
+        self.sync_room();
     }
 
     /// Sets whether an engine takes new work. The streams of an engine that is gone lose their
@@ -115,10 +140,16 @@
         let Some(ledger) = self.engine_mut(target) else {
             return;
         };
-        ledger.state = state;
+        if ledger.state != state {
+            ledger.state = state;
+            self.sync_room();
+        }
         if state != EngineState::Gone {
             return;
         }
+        let Some(ledger) = self.engine_mut(target) else {
+            return;
+        };
         ledger.report = None;
         ledger.foreign_tokens = 0.0;
         let lost: Vec<StreamKey> = ledger.streams.clone();
@@ -134,10 +165,13 @@
     pub fn submit(&mut self, demand: Demand, now_ms: u64) -> Submitted {
         self.now_ms = self.now_ms.max(now_ms);
         self.heard_ms.insert(demand.permit.entry, now_ms);
+        self.known.heard(demand.permit.entry, now_ms);
+        self.tree.pass(now_ms);
         if self.by_permit.contains_key(&demand.permit) || self.queue.contains(demand.permit) {
             return Submitted::Waits { place: 0 };
         }
         if let Some(refusal) = self.refusal(&demand, now_ms) {
+            self.usage.refused(&demand);
             return Submitted::Refused(refusal);
         }
         let place = self.queue.len() as u32;
@@ -160,6 +194,7 @@
     /// Grants what fits and refuses what waited too long.
     pub fn run(&mut self, now_ms: u64) -> Vec<(PermitId, Verdict)> {
         self.now_ms = self.now_ms.max(now_ms);
+        self.tree.pass(now_ms);
         self.pace.pass(self.queue.len() > 0, now_ms);
         self.pass(now_ms);
         let mut verdicts = self.expire(now_ms);
@@ -197,6 +232,7 @@
     pub fn progress(&mut self, permit: PermitId, tokens: u32, now_ms: u64) -> bool {
         self.now_ms = self.now_ms.max(now_ms);
         self.heard_ms.insert(permit.entry, now_ms);
+        self.known.heard(permit.entry, now_ms);
         let Some(key) = self.by_permit.get(&permit).copied() else {
             return false;
         };
@@ -219,7 +255,7 @@
             self.tokens_per_ms += PACE_WEIGHT * (pace - self.tokens_per_ms);
         }
         self.learn(class, before, tokens, None);
-        self.charge_output(&share, tokens - before);
+        self.tree.holds(&share, f64::from(tokens - before));
         true
     }
 
@@ -241,7 +277,8 @@
             ledger.remove(key, now_ms);
         }
         self.learn(stream.class, before, tokens, Some(end));
-        self.charge_output(&stream.share, tokens - before);
+        let held_tokens = stream.prompt_tokens + before;
+        self.tree.holds(&stream.share, -f64::from(held_tokens));
         self.tree.ends(&stream.share);
     }
 
@@ -265,12 +302,6 @@
         }
     }
 
-    fn charge_output(&mut self, share: &Share, tokens: u32) {
-        if self.settings.fair {
-            self.tree.charge_output(share, tokens);
-        }
-    }
-
     /// The engine of a permit that is held.
     pub fn target_of(&self, permit: PermitId) -> Option<TargetId> {
         let key = self.by_permit.get(&permit)?;
@@ -342,9 +373,9 @@
         }
         self.tree.runs(&demand.share);
         self.tree.leaves(&demand.share);
-        if self.settings.fair {
-            self.tree.charge_prompt(&demand.share, demand.prompt_tokens);
-        }
+        self.usage.granted(&demand);
+        let read_ms = f64::from(demand.prompt_tokens) / self.reading_rate.tokens_per_ms();
+        self.tree.charge(&demand.share, read_ms);
         if let Some((prefix, _)) = demand.prefix {
             self.prefixes.note(target, prefix, now_ms);
         }
@@ -374,6 +405,8 @@
             told_tokens: told(&demand, self.settings.policy),
         };
         let (permit, prompt_tokens) = (stream.permit, stream.prompt_tokens);
+        let held_tokens = f64::from(prompt_tokens + generated_tokens);
+        self.tree.holds(&stream.share, held_tokens);
         let key = self.streams.insert(stream);
         self.by_permit.insert(permit, key);
         if let Some(ledger) = self.engine_mut(target) {
@@ -403,6 +436,12 @@
     }
 }
 
+fn fair_tree(settings: &PoolSettings) -> FairTree {
+    let mut tree = FairTree::default();
+    tree.set_orders(settings.fair);
+    tree
+}
+
 fn told(demand: &Demand, policy: PolicyKind) -> Option<u32> {
     demand.told_tokens.filter(|_| policy == PolicyKind::Oracle)
 }
