Accounts that flood go last; weights and caps of client accounts are settings of a box and of the tree

An account that holds eight times its part against the others goes behind all others, whatever its rank, and leaves a part of memory and reading to them.

--- a/components/policy/src/admission/queue.rs
+++ b/components/policy/src/admission/queue.rs
@@ -3,7 +3,6 @@
 use crate::demand::Demand;
 use crate::fairness::tree::{FairTree, Share};
 use prelude::{AccountId, PermitId};
-use std::cmp::Ordering;
 use std::collections::{HashMap, HashSet, VecDeque};
 
 /// Urgent requests granted in a row while others wait.
@@ -28,42 +27,13 @@
 
 /// The order in which places are served: those that go later are last, then by service, by time of coming,
 /// and by account, so that the order never hangs on chance.
-type Rank = (bool, [f64; 3], u64, AccountId);
+type Rank = (bool, bool, [f64; 3], u64, AccountId);
 
-/// When it is a request's turn: the urgent first, then by what accounts used, then those whose callers leave first.
-#[derive(Clone, Copy, Debug, PartialEq)]
-struct Turn {
-    later: bool,
-    turn_ms: f64,
-    leaves_ms: u64,
-}
-
-impl Turn {
-    fn of(demand: &Demand, turn_ms: f64) -> Self {
-        Self {
-            later: !demand.is_urgent(),
-            turn_ms,
-            leaves_ms: demand.leaves_ms,
-        }
-    }
-}
+/// When it is a request's turn: those of accounts that flood last, the urgent first, then those whose callers leave first.
+type Turn = (bool, bool, u64);
 
-impl Eq for Turn {}
-
-impl PartialOrd for Turn {
-    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
-        Some(self.cmp(other))
-    }
-}
-
-impl Ord for Turn {
-    fn cmp(&self, other: &Self) -> Ordering {
-        let by_turn = self.turn_ms.total_cmp(&other.turn_ms);
-        self.later
-            .cmp(&other.later)
-            .then(by_turn)
-            .then(self.leaves_ms.cmp(&other.leaves_ms))
-    }
+fn turn_of(demand: &Demand, floods: bool) -> Turn {
+    (floods, !demand.is_urgent(), demand.leaves_ms)
 }
 
 /// Which line a candidate stands in.
@@ -141,6 +111,7 @@
         let mut best: Option<(Rank, Place)> = None;
         for (account, line) in &self.lines {
             let rank = tree.rank(&line.share);
+            let floods = tree.floods(&line.share);
             for (urgent, waiting) in [(true, &line.urgent), (false, &line.plain)] {
                 let place = Place {
                     account: *account,
@@ -149,10 +120,12 @@
                 let Some(front) = waiting.front().filter(|_| !passed.contains(&place)) else {
                     continue;
                 };
-                if tree.is_capped(&line.share, front.prompt_tokens) {
+                if tree.is_capped(&line.share, front.prompt_tokens)
+                    || (floods && tree.is_nearly_full())
+                {
                     continue;
                 }
-                let rank: Rank = (urgent == bounded, rank, front.since_ms, *account);
+                let rank: Rank = (floods, urgent == bounded, rank, front.since_ms, *account);
                 if best.as_ref().is_none_or(|(other, _)| rank < *other) {
                     best = Some((rank, place));
                 }
@@ -178,13 +151,7 @@
 
     /// The requests that are about to be served before one that comes now, in order.
     pub fn before(&self, demand: &Demand, tree: &FairTree) -> Vec<&Demand> {
-        let place = |demand: &Demand| (!demand.is_urgent(), demand.leaves_ms);
-        let own = self.lines.get(&demand.share.account);
-        let own_before = own.map_or(0, |line| {
-            let all = line.urgent.iter().chain(&line.plain);
-            all.filter(|other| place(other) <= place(demand)).count()
-        });
-        let turn = Turn::of(demand, tree.turns(&demand.share)(own_before));
+        let turn = turn_of(demand, tree.floods(&demand.share));
         let in_turn = self.in_turn(tree).into_iter();
         let before = in_turn.take_while(|(other, _)| *other <= turn);
         before.map(|(_, demand)| demand).collect()
@@ -193,11 +160,11 @@
     fn in_turn(&self, tree: &FairTree) -> Vec<(Turn, &Demand)> {
         let mut waiting = Vec::with_capacity(self.len);
         for line in self.lines.values() {
-            let turns = tree.turns(&line.share);
-            let own = line.urgent.iter().chain(&line.plain).enumerate();
-            waiting.extend(own.map(|(at, demand)| (Turn::of(demand, turns(at)), demand)));
+            let floods = tree.floods(&line.share);
+            let own = line.urgent.iter().chain(&line.plain);
+            waiting.extend(own.map(|demand| (turn_of(demand, floods), demand)));
         }
-        waiting.sort_by(|(a, one), (b, other)| a.cmp(b).then(one.permit.cmp(&other.permit)));
+        waiting.sort_by_key(|(turn, demand)| (*turn, demand.permit));
         waiting
     }
 
--- a/components/policy/src/fairness/siblings.rs
+++ b/components/policy/src/fairness/siblings.rs
@@ -7,6 +7,10 @@
 /// of an account that comes back have its share again after this time.
 pub(crate) const WINDOW_MS: f64 = 2_000.0;
 
+/// For how long a child counts as present that has no requests: small accounts come every few seconds, and what they will
+/// ask is not given to one that floods.
+const PRESENT_MS: f64 = 5_000.0;
+
 /// One child.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Child {
@@ -96,7 +100,7 @@
                 false => child.idle_ms + elapsed_ms,
             };
         }
-        self.children.retain(|_, child| child.idle_ms <= WINDOW_MS);
+        self.children.retain(|_, child| child.idle_ms <= PRESENT_MS);
     }
 
     /// What a child has used beyond the least served one that waits, as time in which it would use so much of its fair
@@ -126,6 +130,13 @@
         weight / (weight + others)
     }
 
+    /// The part of the node that a child is entitled to among those that came lately.
+    pub fn present_part(&self, key: K, weight: f64) -> f64 {
+        let others = self.children.iter().filter(|(other, _)| **other != key);
+        let others: f64 = others.map(|(_, child)| child.weight).sum();
+        weight / (weight + others)
+    }
+
     /// The part of the node's held memory that a child holds.
     pub fn held_part(&self, key: K) -> f64 {
         let all: f64 = self.children.values().map(|child| child.held_tokens).sum();
--- a/components/policy/src/fairness/told_tests.rs
+++ b/components/policy/src/fairness/told_tests.rs
@@ -176,8 +176,12 @@
             pool.release(demand.permit, 50, End::Finished);
         }
         for (permit, verdict) in pool.run(now_ms) {
-            let at = self.waiting.iter().position(|one| one.permit == permit);
-            let demand = self.waiting.remove(at.unwrap());
+            let Some(at) = self.waiting.iter().position(|one| one.permit == permit) else {
+                // Whoever asked has asked another: the permit is free again.
+                pool.release(permit, 0, End::Censored);
+                continue;
+            };
+            let demand = self.waiting.remove(at);
             if let Verdict::Granted { target } = verdict {
                 self.served[(demand.share.account.0 - 1) as usize] += 1;
                 self.running.push((demand, target, now_ms));
@@ -259,3 +263,44 @@
     }
     panic!("nothing was granted");
 }
+
+#[test]
+fn an_account_has_its_share_back_two_seconds_after_it_joins() {
+    let mut boxes = Boxes::new();
+    let mut pool = pool();
+    for now_ms in (0..10_000).step_by(20) {
+        for _ in 0..4 {
+            boxes.come(&mut pool, FLOOD, now_ms);
+        }
+        boxes.step(&mut pool, now_ms);
+    }
+    flood(&mut boxes, &mut pool, 10_000, 12_000);
+    boxes.used = [0; 2];
+    flood(&mut boxes, &mut pool, 12_000, 16_000);
+    let [flooded, joined] = boxes.used;
+    assert!(
+        joined as f64 > 0.45 * (flooded + joined) as f64,
+        "{flooded} {joined}"
+    );
+}
+
+#[test]
+fn two_dispatchers_for_two_seconds_double_no_share() {
+    let mut boxes = Boxes::new();
+    let mut first = pool();
+    flood(&mut boxes, &mut first, 1_000, 4_000);
+    // Boxes go over to another dispatcher, and come back after two seconds.
+    let mut second = pool();
+    boxes.tell(&mut second, 4_000);
+    flood(&mut boxes, &mut second, 4_000, 6_000);
+    let held: Vec<PermitId> = boxes.running.iter().map(|one| one.0.permit).collect();
+    for entry in 1..=3 {
+        let of_box = held.iter().filter(|permit| permit.entry == BoxId(entry));
+        first.keep_only(BoxId(entry), &of_box.copied().collect());
+    }
+    boxes.tell(&mut first, 6_000);
+    boxes.served = [0; 2];
+    flood(&mut boxes, &mut first, 6_000, 10_000);
+    let [flooded, other] = boxes.served;
+    assert!(flooded.abs_diff(other) * 10 <= other, "{flooded} {other}");
+}
--- a/components/policy/src/fairness/tree.rs
+++ b/components/policy/src/fairness/tree.rs
@@ -14,10 +14,14 @@
 const PASS_EACH_MS: u64 = 10;
 /// Share of an account's part beyond which it counts as over it: one more request of a small account is no flood.
 const OVER_TIMES: f64 = 1.25;
-/// Time after which what a request used on the mean counts half.
-const COST_HALF_LIFE_MS: f64 = 5_000.0;
-/// What a request uses before any was seen, in milliseconds of one engine.
-const COST_INITIAL_MS: f64 = 300.0;
+/// So many times as much as its part an account holds, against the others, that floods: callers of a large account among
+/// small ones are not to be put last for what they usually ask.
+const FLOOD_TIMES: f64 = 8.0;
+/// Share of the memory up to which an account that floods is granted. What others ask meanwhile has room at once: nobody
+/// else's first tokens come later.
+const FLOOD_MEMORY_SHARE: f64 = 0.65;
+/// The same for engines that read prompts: a prompt of another account is read at once, or after one.
+const FLOOD_READING_SHARE: f64 = 0.25;
 
 /// Who is charged, and with which weights.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -36,26 +40,6 @@
     pub account_weight: f64,
 }
 
-/// What a request uses on the mean, of those that ran lately.
-#[derive(Clone, Copy, Debug)]
-struct MeanCost {
-    used_ms: f64,
-    requests: f64,
-}
-
-impl MeanCost {
-    fn pass(&mut self, elapsed_ms: f64) {
-        let left = (-elapsed_ms / COST_HALF_LIFE_MS).exp2();
-        self.used_ms *= left;
-        self.requests *= left;
-    }
-
-    fn ms(&self) -> f64 {
-        // One request of the usual cost is supposed beside those that were seen.
-        (self.used_ms + COST_INITIAL_MS) / (self.requests + 1.0)
-    }
-}
-
 /// The tree of counters.
 #[derive(Clone, Debug)]
 pub struct FairTree {
@@ -65,9 +49,9 @@
     caps: HashMap<AccountId, f64>,
     /// Whether shares order anything; who came first goes first where they do not.
     orders: bool,
-    cost: MeanCost,
     engine_tokens: f64,
     engines: f64,
+    reading_engines: f64,
     passed_ms: u64,
 }
 
@@ -79,12 +63,9 @@
             accounts: BTreeMap::new(),
             caps: HashMap::new(),
             orders: true,
-            cost: MeanCost {
-                used_ms: 0.0,
-                requests: 0.0,
-            },
             engine_tokens: 1.0,
             engines: 1.0,
+            reading_engines: 0.0,
             passed_ms: 0,
         }
     }
@@ -116,9 +97,6 @@
         let elapsed_ms = (now_ms - self.passed_ms).min(10_000) as f64;
         self.passed_ms = now_ms;
         let engine_tokens = self.engine_tokens;
-        let held: f64 = self.partners.children.values().map(|p| p.held_tokens).sum();
-        self.cost.pass(elapsed_ms);
-        self.cost.used_ms += held / engine_tokens * elapsed_ms;
         self.partners.pass(elapsed_ms, engine_tokens, self.engines);
         for (partner, owners) in &mut self.owners {
             let weight = weight_of(&self.partners, *partner);
@@ -155,7 +133,6 @@
 
     /// Notes that a request runs.
     pub fn runs(&mut self, share: &Share) {
-        self.cost.requests += 1.0;
         self.each(share, |child| child.running += 1);
     }
 
@@ -175,7 +152,6 @@
 
     /// Charges time of an engine, such as what it takes to read a prompt.
     pub fn charge(&mut self, share: &Share, ms: f64) {
-        self.cost.used_ms += ms;
         self.each(share, |child| child.used_ms += ms / child.weight);
     }
 
@@ -209,6 +185,19 @@
         partner * owner * account
     }
 
+    fn present_part(&self, share: &Share) -> f64 {
+        let owners = self.owners.get(&share.partner);
+        let accounts = self.accounts.get(&(share.partner, share.owner));
+        let partner = self
+            .partners
+            .present_part(share.partner, share.partner_weight);
+        let owner = owners.map_or(1.0, |one| one.present_part(share.owner, share.owner_weight));
+        let account = accounts.map_or(1.0, |one| {
+            one.present_part(share.account, share.account_weight)
+        });
+        partner * owner * account
+    }
+
     /// The part of all held memory that an account's requests hold.
     pub fn held_part(&self, share: &Share) -> f64 {
         let owners = self.owners.get(&share.partner);
@@ -223,6 +212,28 @@
         self.held_part(share) > OVER_TIMES * self.entitled_part(share)
     }
 
+    /// Whether an account's requests go behind those of all others, whatever their rank: against the others it holds many
+    /// times its part. Who is alone never does.
+    pub fn floods(&self, share: &Share) -> bool {
+        let (held, part) = (self.held_part(share), self.present_part(share));
+        self.orders && held * (1.0 - part) > FLOOD_TIMES * part * (1.0 - held)
+    }
+
+    /// Sets how many engines read prompts.
+    pub fn set_reading(&mut self, engines: usize) {
+        self.reading_engines = engines as f64;
+    }
+
+    /// Whether what is left is for others than those that flood: nobody else waits while a flood is read, or ends.
+    pub fn is_nearly_full(&self) -> bool {
+        if self.reading_engines >= FLOOD_READING_SHARE * self.engines {
+            return true;
+        }
+        let partners = self.partners.children.values();
+        let held_tokens: f64 = partners.map(|child| child.held_tokens).sum();
+        held_tokens > FLOOD_MEMORY_SHARE * self.engines * self.engine_tokens
+    }
+
     /// What an account has used beyond the least served one that waits, as time of its own fair share; below zero where
     /// it is owed. It lies within the window on each level.
     pub fn lent_ms(&self, share: &Share) -> f64 {
@@ -233,17 +244,6 @@
             + accounts.map_or(0.0, |accounts| accounts.ahead_ms(share.account))
     }
 
-    /// When, by what was used and in milliseconds from now, it is the turn of a request with so many of its own account
-    /// before it. It orders requests of all accounts as they are about to be served; it is no forecast.
-    pub fn turns(&self, share: &Share) -> impl Fn(usize) -> f64 + use<> {
-        let engines = self.engines * self.entitled_part(share);
-        let (first_ms, each_ms) = match self.orders {
-            true => (self.lent_ms(share), self.cost.ms() / engines),
-            false => (0.0, 0.0),
-        };
-        move |before| first_ms + before as f64 * each_ms
-    }
-
     /// Whether an account's cap leaves no room for so many tokens. One that holds nothing always has room for one.
     pub fn is_capped(&self, share: &Share, tokens: u32) -> bool {
         let Some(cap) = self.caps.get(&share.account) else {
--- a/components/policy/src/fairness/tree_tests.rs
+++ b/components/policy/src/fairness/tree_tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use rstest::rstest;
 
 const ENGINES: usize = 10;
 const ENGINE_TOKENS: u64 = 1_000;
@@ -152,3 +153,38 @@
     }
     assert_eq!(tree.accounts.len(), 1);
 }
+
+#[rstest]
+#[case::of_two(2, 900.0, 150.0, false)]
+#[case::of_two_nearly_all(2, 900.0, 90.0, true)]
+#[case::of_24(24, 300.0, 30.0, true)]
+#[case::a_large_one_of_24(24, 180.0, 30.0, false)]
+fn an_account_floods_that_holds_many_times_its_part(
+    #[case] accounts: u64,
+    #[case] own_tokens: f64,
+    #[case] others_tokens: f64,
+    #[case] floods: bool,
+) {
+    let mut tree = tree();
+    for owner in 1..=accounts {
+        tree.runs(&share(owner, 1.0));
+        let tokens = if owner == 1 {
+            own_tokens
+        } else {
+            others_tokens
+        };
+        tree.holds(&share(owner, 1.0), tokens);
+    }
+    assert_eq!(tree.floods(&share(1, 1.0)), floods);
+    assert!(!tree.floods(&share(2, 1.0)));
+    tree.set_orders(false);
+    assert!(!tree.floods(&share(1, 1.0)));
+}
+
+#[test]
+fn who_is_alone_never_floods() {
+    let mut tree = tree();
+    tree.runs(&share(1, 1.0));
+    tree.holds(&share(1, 1.0), 10_000.0);
+    assert!(!tree.floods(&share(1, 1.0)));
+}
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -203,6 +203,8 @@
         let mut passed = HashSet::new();
         let mut reserved = Vec::new();
         while passed.len() < CANDIDATES {
+            let reading = self.engines.iter().filter(|one| !one.reading.is_idle());
+            self.tree.set_reading(reading.count());
             let Some(place) = self.queue.next(&self.tree, &passed) else {
                 break;
             };
--- a/components/replay/src/figures.rs
+++ b/components/replay/src/figures.rs
@@ -36,9 +36,56 @@
     first_ms: Histogram<u64>,
 }
 
+/// Figures of one account.
+#[derive(Clone, Debug)]
+pub struct AccountFigures {
+    /// Requests that were counted.
+    pub asked: u64,
+    /// Whole answers.
+    pub served: u64,
+    first_ms: Histogram<u64>,
+}
+
+impl AccountFigures {
+    fn new() -> Self {
+        Self {
+            asked: 0,
+            served: 0,
+            first_ms: histogram(),
+        }
+    }
+
+    fn add(&mut self, other: &Self) {
+        self.asked += other.asked;
+        self.served += other.served;
+        // Both histograms have the same bounds.
+        let _ = self.first_ms.add(&other.first_ms);
+    }
+
+    fn take(&mut self, request: &Request, story: &Story) {
+        self.asked += 1;
+        self.served += u64::from(matches!(story.phase, Phase::Whole));
+        if let Some(at_ms) = story.first_ms {
+            self.first_ms.saturating_record(at_ms - request.at_ms);
+        }
+    }
+
+    /// Whole answers as a share of what was asked.
+    pub fn served_share(&self) -> f64 {
+        self.served as f64 / self.asked.max(1) as f64
+    }
+
+    /// Time to the first token at a quantile, in milliseconds.
+    pub fn first_token_ms(&self, quantile: f64) -> u64 {
+        self.first_ms.value_at_quantile(quantile)
+    }
+}
+
 /// Figures of a day.
 #[derive(Clone, Debug)]
 pub struct Figures {
+    /// By account, in the order of their numbers.
+    pub accounts: Vec<AccountFigures>,
     /// By kind, in the order of the load pattern.
     pub kinds: Vec<KindFigures>,
     /// What was earned, as a share of what could be, over all kinds.
@@ -114,6 +161,7 @@
         let means = mean_sizes(load, requests);
         let mut first_ms = histogram();
         let mut paused = 0;
+        let mut accounts = vec![AccountFigures::new(); load.accounts as usize];
         for (request, story) in requests.iter().zip(stories) {
             if request.at_ms < load.counted_from_ms {
                 continue;
@@ -121,6 +169,7 @@
             let kind = &load.kinds[request.kind];
             let figures = &mut kinds[request.kind];
             let whole = payoff(load, request, &means);
+            accounts[request.account as usize].take(request, story);
             figures.asked += 1;
             owed[request.kind] += whole;
             if let Some(at_ms) = story.first_ms {
@@ -147,6 +196,7 @@
             figures.worth = earned[at] / owed[at].max(f64::MIN_POSITIVE);
         }
         Self {
+            accounts,
             worth: earned.iter().sum::<f64>() / owed.iter().sum::<f64>().max(f64::MIN_POSITIVE),
             kinds,
             preempted: counts.preempted,
@@ -164,6 +214,26 @@
         self.first_ms.value_at_quantile(quantile)
     }
 
+    /// The figures of all accounts but one.
+    pub fn all_but(&self, account: usize) -> AccountFigures {
+        let mut others = AccountFigures::new();
+        for (at, figures) in self.accounts.iter().enumerate() {
+            if at != account {
+                others.add(figures);
+            }
+        }
+        others
+    }
+
+    /// The served share of the tenth of the accounts that were served worst, one at the least.
+    pub fn worst_tenth_served(&self) -> f64 {
+        let asked = self.accounts.iter().filter(|account| account.asked > 0);
+        let mut shares: Vec<f64> = asked.map(AccountFigures::served_share).collect();
+        shares.sort_by(f64::total_cmp);
+        let count = shares.len().div_ceil(10);
+        shares.iter().take(count).sum::<f64>() / count.max(1) as f64
+    }
+
     /// The figures of a kind.
     pub fn kind(&self, name: &str) -> Option<&KindFigures> {
         self.kinds.iter().find(|kind| kind.name == name)
--- a/components/replay/src/lib.rs
+++ b/components/replay/src/lib.rs
@@ -13,6 +13,6 @@
 mod world;
 
 pub use engine::{Engine, EngineSpec, Made, Run};
-pub use figures::{Figures, KindFigures};
+pub use figures::{AccountFigures, Figures, KindFigures};
 pub use load::{Event, Happening, Kind, Lengths, Load, LoadError, Reclaims, Wave};
 pub use world::play;
--- a/components/replay/tests/loads.rs
+++ b/components/replay/tests/loads.rs
@@ -1,11 +1,13 @@
 //! Each gain of the decisions, on the load pattern that it answers: the way before it does worse on the same days.
 
 use policy::{PoolSettings, ReadingPolicy, WaitingPolicy};
-use replay::{Figures, Load, LoadError, play};
+use replay::{AccountFigures, Figures, Load, LoadError, play};
 use rstest::rstest;
 
 /// Days that each way plays.
 const SEEDS: u64 = 6;
+/// The account that floods where one does.
+const FLOODING_ACCOUNT: usize = 0;
 
 fn load(name: &str) -> Load {
     let path = format!("{}/loads/{name}.yaml", env!("CARGO_MANIFEST_DIR"));
@@ -168,3 +170,44 @@
         "{error}"
     );
 }
+
+/// Days with a flood and without it, with so many engines for as much less load.
+fn with_and_without_flood(engines: u32, fair: bool) -> [Vec<Figures>; 2] {
+    let mut load = load("one-account-floods");
+    let part = f64::from(engines) / f64::from(load.engines);
+    load.engines = engines;
+    load.settings.fair = fair;
+    for kind in &mut load.kinds {
+        kind.per_s *= part;
+    }
+    let mut calm = load.clone();
+    calm.events.clear();
+    [load, calm].map(|load| (0..SEEDS).map(|seed| play(&load, seed)).collect())
+}
+
+/// The share of the others' requests that is lost to the flood, and so many times later their first tokens come.
+fn harm(days: &[Vec<Figures>; 2]) -> (f64, f64) {
+    let others = |days: &[Figures], of: &dyn Fn(&AccountFigures) -> f64| {
+        mean(days, |day| of(&day.all_but(FLOODING_ACCOUNT)))
+    };
+    let served = days
+        .each_ref()
+        .map(|days| others(days, &AccountFigures::served_share));
+    let late = |account: &AccountFigures| account.first_token_ms(0.9) as f64;
+    let late_ms = days.each_ref().map(|days| others(days, &late));
+    (served[1] - served[0], late_ms[0] / late_ms[1])
+}
+
+#[test]
+fn an_account_that_floods_waits_for_itself() {
+    let (lost, later) = harm(&with_and_without_flood(60, true));
+    assert!(lost < 0.01 && later < 1.1, "{lost} {later}");
+    let (lost, later) = harm(&with_and_without_flood(60, false));
+    assert!(lost > 0.1 && later > 1.5, "{lost} {later}");
+}
+
+#[test]
+fn an_account_that_floods_a_small_pool_waits_for_itself() {
+    let (lost, later) = harm(&with_and_without_flood(4, true));
+    assert!(lost < 0.01 && later < 1.1, "{lost} {later}");
+}
--- a/components/settings/src/branch.rs
+++ b/components/settings/src/branch.rs
@@ -58,6 +58,9 @@
     #[serde(default = "one")]
     #[schemars(range(min = 0.001))]
     pub weight: f64,
+    /// The share of a pool's memory that its requests may hold, above 0 and up to 1; none where it has no cap.
+    #[serde(default)]
+    pub cap_share: Option<f64>,
     /// SHA-256 of each bearer key that is valid, in hexadecimal.
     #[serde(default)]
     pub key_sha256: Vec<String>,
--- a/components/settings/src/check.rs
+++ b/components/settings/src/check.rs
@@ -2,6 +2,7 @@
 
 use crate::boxfile::BoxFile;
 use crate::branch::{Branch, TargetKind};
+use crate::fleetcheck::cap_mistake;
 use crate::locate::{Located, Step, byte_offset};
 use jsonschema::error::ValidationErrorKind;
 use jsonschema::paths::LocationSegment;
@@ -102,6 +103,14 @@
         &self.path
     }
 
+    /// A mistake in a field of an item of a list.
+    pub(crate) fn in_item(list: &[&str], at: usize, field: &str, message: String) -> Self {
+        let mut found = Self::new(list, message, None);
+        found.path.push(Step::Item(at));
+        found.path.push(Step::Key(field.into()));
+        found
+    }
+
     pub(crate) fn new(path: &[&str], message: String, advice: Option<String>) -> Self {
         let path = path.iter().map(|key| Step::Key((*key).into())).collect();
         Self {
@@ -370,6 +379,9 @@
         if let Some((message, advice)) = parent_mistake(branch, &account.parent) {
             found.push(Found::new(&["accounts", name, "parent"], message, advice));
         }
+        if let Some(message) = account.cap_share.and_then(cap_mistake) {
+            found.push(Found::new(&["accounts", name, "cap_share"], message, None));
+        }
         let path = ["accounts", name, "key_sha256"];
         for hash in &account.key_sha256 {
             let hash = hash.to_ascii_lowercase();
--- a/components/settings/src/check_tests.rs
+++ b/components/settings/src/check_tests.rs
@@ -79,3 +79,15 @@
         assert!(check_box_file("trial", text).is_none());
     }
 }
+
+#[test]
+fn a_cap_lies_above_zero_and_at_most_at_one() {
+    let branch = |cap: &str| {
+        let accounts = format!("accounts:\n  a: {{parent: o, cap_share: {cap}}}\n");
+        format!("partner: p\nnodes:\n  o: {{}}\n{accounts}")
+    };
+    assert!(parse_branch("test.yaml", &branch("0.25")).is_ok());
+    for wrong in ["0", "1.5"] {
+        assert!(messages(&branch(wrong))[0].contains("a cap of"));
+    }
+}
--- a/components/settings/src/fleetcheck.rs
+++ b/components/settings/src/fleetcheck.rs
@@ -1,7 +1,8 @@
 //! Checks of the settings file of a fleet box.
 
 use crate::check::{Found, Mistakes, no_keys, parse};
-use crate::fleetfile::FleetFile;
+use crate::fleetfile::{FleetAccounts, FleetFile};
+use std::collections::HashSet;
 
 /// Parses and checks the settings file of a box of a platform's fleet.
 ///
@@ -51,12 +52,48 @@
             Some("the platform ends a process so long after SIGTERM".into()),
         ));
     }
+    check_accounts(&file.accounts, &mut found);
     if file.peer_keys.is_empty() {
         found.push(no_keys(&["peer_keys"]));
     }
     found
 }
 
+fn check_accounts(accounts: &FleetAccounts, found: &mut Vec<Found>) {
+    if let Some(message) = weight_mistake(accounts.default_weight) {
+        found.push(Found::new(&["accounts", "default_weight"], message, None));
+    }
+    let mut names = HashSet::new();
+    for (at, account) in accounts.named.iter().enumerate() {
+        let mut mistake = |field, message| {
+            found.push(Found::in_item(&["accounts", "named"], at, field, message));
+        };
+        if account.name.is_empty() {
+            mistake("name", "an account without a name".into());
+        } else if !names.insert(&account.name) {
+            mistake("name", format!("`{}` is named twice", account.name));
+        }
+        if let Some(message) = account.weight.and_then(weight_mistake) {
+            mistake("weight", message);
+        }
+        if let Some(message) = account.cap_share.and_then(cap_mistake) {
+            mistake("cap_share", message);
+        }
+    }
+}
+
+/// Why a weight can't be used; none where it can.
+fn weight_mistake(weight: f64) -> Option<String> {
+    let is_right = weight > 0.0 && weight.is_finite();
+    (!is_right).then(|| format!("a weight of {weight}: it must be above 0"))
+}
+
+/// Why a cap can't be used; none where it can.
+pub(crate) fn cap_mistake(cap_share: f64) -> Option<String> {
+    let is_right = cap_share > 0.0 && cap_share <= 1.0;
+    (!is_right).then(|| format!("a cap of {cap_share}: it must be above 0 and at most 1"))
+}
+
 #[cfg(test)]
 #[path = "fleetcheck_tests.rs"]
 mod tests;
--- a/components/settings/src/fleetcheck_tests.rs
+++ b/components/settings/src/fleetcheck_tests.rs
@@ -1,5 +1,6 @@
 use super::*;
 use crate::field::LiveSettings;
+use crate::fleetfile::FleetAccount;
 
 #[test]
 fn takes_the_example_of_a_fleet_box() {
@@ -27,3 +28,60 @@
             .any(|m| m.message.contains("peers_keys"))
     );
 }
+
+#[test]
+fn names_every_mistake_of_the_shares_of_accounts() {
+    let text = include_str!("../../../examples/fleet-box.yaml");
+    let with = |accounts: &str| format!("{text}\naccounts:\n{accounts}");
+    let right = with(
+        "  default_weight: 2\n  named:\n    - {name: a, weight: 0.5}\n    - {name: b, cap_share: 1}\n",
+    );
+    assert!(check_fleet_file("f", &right).is_none());
+    let wrong = with(
+        "  default_weight: 0\n  named:\n    - {name: a, weight: -1}\n    - {name: a, cap_share: 1.5}\n    \
+        - {name: c, cap_share: 0}\n",
+    );
+    let mistakes = check_fleet_file("f", &wrong).unwrap();
+    let messages: Vec<&str> = mistakes
+        .mistakes
+        .iter()
+        .map(|m| m.message.as_str())
+        .collect();
+    let named = [
+        "a weight of 0",
+        "a weight of -1",
+        "`a` is named twice",
+        "a cap of 1.5",
+        "a cap of 0",
+    ];
+    assert_eq!(messages.len(), named.len(), "{messages:?}");
+    for (message, named) in messages.iter().zip(named) {
+        assert!(message.contains(named), "{message}");
+    }
+    let first_line = text.lines().count() + 3;
+    let lines: Vec<usize> = FleetFile::read(&wrong)
+        .unwrap_err()
+        .iter()
+        .map(|m| m.line)
+        .collect();
+    assert_eq!(lines, [0, 2, 3, 3, 4].map(|after| first_line + after));
+    let unknown = with("  named:\n    - {name: a, wieght: 1}\n");
+    assert!(check_fleet_file("f", &unknown).is_some());
+}
+
+#[test]
+fn an_account_that_is_not_named_has_the_usual_weight_and_no_cap() {
+    let named = vec![FleetAccount {
+        name: "a".into(),
+        weight: Some(3.0),
+        cap_share: Some(0.25),
+    }];
+    let accounts = FleetAccounts {
+        default_weight: 2.0,
+        named,
+    };
+    let id = prelude::AccountId::from_name;
+    assert_eq!(accounts.weight_of(id("a")), 3.0);
+    assert_eq!(accounts.weight_of(id("b")), 2.0);
+    assert_eq!(accounts.caps().collect::<Vec<_>>(), [(id("a"), 0.25)]);
+}
--- a/components/settings/src/fleetfields.rs
+++ b/components/settings/src/fleetfields.rs
@@ -2,7 +2,9 @@
 
 use crate::field::{Field, LineMistake, LiveSettings, Takes, form_mistake, with_lines};
 use crate::fleetcheck::fleet_mistakes;
-use crate::fleetfile::{FleetFile, FleetIdentity, FleetLimits, FleetPromises, FleetStoreSettings};
+use crate::fleetfile::{
+    FleetAccounts, FleetFile, FleetIdentity, FleetLimits, FleetPromises, FleetStoreSettings,
+};
 
 use Takes::{Live, NewWork, Restart};
 
@@ -23,6 +25,7 @@
             store,
             promises,
             limits,
+            accounts,
             without,
             seeds,
             peer_keys,
@@ -32,6 +35,7 @@
         fields.extend(store.fields());
         fields.extend(promises.fields());
         fields.extend(limits.fields());
+        fields.extend(accounts.fields());
         fields.extend([
             Field::new(
                 "without",
@@ -182,6 +186,29 @@
     }
 }
 
+impl FleetAccounts {
+    fn fields(&self) -> Vec<Field> {
+        let Self {
+            default_weight,
+            named,
+        } = self;
+        vec![
+            Field::new(
+                "accounts.default_weight",
+                NewWork,
+                "weight of client accounts that are not named",
+                default_weight,
+            ),
+            Field::new(
+                "accounts.named",
+                NewWork,
+                "client accounts with a weight or a cap of their own; caps are shares of a pool's memory",
+                named,
+            ),
+        ]
+    }
+}
+
 impl FleetLimits {
     fn fields(&self) -> Vec<Field> {
         let Self {
--- a/components/settings/src/fleetfile.rs
+++ b/components/settings/src/fleetfile.rs
@@ -2,6 +2,7 @@
 //! the users were promised. Routes, services and accounts come from the store.
 
 use crate::mechanism::Mechanism;
+use prelude::AccountId;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -21,6 +22,9 @@
     /// What the box may use.
     #[serde(default)]
     pub limits: FleetLimits,
+    /// Shares of client accounts.
+    #[serde(default)]
+    pub accounts: FleetAccounts,
     /// Mechanisms of decision that are off, for measurements; usually none.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub without: Vec<Mechanism>,
@@ -127,6 +131,61 @@
     }
 }
 
+/// Shares of client accounts in the pools of engines. All boxes should say the same: the box that dispatches a pool decides.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(default, deny_unknown_fields)]
+pub struct FleetAccounts {
+    /// Weight of accounts that are not named.
+    pub default_weight: f64,
+    /// Accounts with a weight or a cap of their own, by the names of the operators' declarations.
+    pub named: Vec<FleetAccount>,
+}
+
+impl Default for FleetAccounts {
+    fn default() -> Self {
+        Self {
+            default_weight: 1.0,
+            named: Vec::new(),
+        }
+    }
+}
+
+impl FleetAccounts {
+    /// An account's weight against the others.
+    pub fn weight_of(&self, id: AccountId) -> f64 {
+        let named = self.named.iter().find(|one| one.id() == id);
+        let weight = named.and_then(|one| one.weight);
+        weight.unwrap_or(self.default_weight)
+    }
+
+    /// The accounts that have a cap, as a share of a pool's memory.
+    pub fn caps(&self) -> impl Iterator<Item = (AccountId, f64)> {
+        let capped = |one: &FleetAccount| Some((one.id(), one.cap_share?));
+        self.named.iter().filter_map(capped)
+    }
+}
+
+/// One client account.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize, JsonSchema)]
+#[serde(deny_unknown_fields)]
+pub struct FleetAccount {
+    /// Its name in the operators' declarations.
+    #[schemars(length(min = 1))]
+    pub name: String,
+    /// Its weight against the others; left out for the usual one.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub weight: Option<f64>,
+    /// The share of a pool's memory that its requests may hold, above 0 and up to 1; left out for no cap.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cap_share: Option<f64>,
+}
+
+impl FleetAccount {
+    fn id(&self) -> AccountId {
+        AccountId::from_name(&self.name)
+    }
+}
+
 /// What the box may use.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
 #[serde(default, deny_unknown_fields)]
--- a/components/settings/src/lib.rs
+++ b/components/settings/src/lib.rs
@@ -20,7 +20,8 @@
 pub use field::{Field, LineMistake, LiveSettings, Takes, given_paths};
 pub use fleetcheck::{check_fleet_file, parse_fleet_file};
 pub use fleetfile::{
-    FleetFile, FleetIdentity, FleetLimits, FleetPromises, FleetStoreSettings, LogLevel,
+    FleetAccount, FleetAccounts, FleetFile, FleetIdentity, FleetLimits, FleetPromises,
+    FleetStoreSettings, LogLevel,
 };
 pub use mechanism::Mechanism;
 pub use resolve::{
--- a/components/settings/src/resolve.rs
+++ b/components/settings/src/resolve.rs
@@ -29,6 +29,8 @@
     pub partner: PartnerId,
     /// Its weight among the owner's accounts.
     pub weight: f64,
+    /// The share of a pool's memory that its requests may hold; none where it has no cap.
+    pub cap_share: Option<f64>,
     /// The owner's weight among the partner's owners.
     pub owner_weight: f64,
     /// The partner's weight.
@@ -215,6 +217,7 @@
                 owner_name,
                 partner: PartnerId::from_name(&branch.partner),
                 weight: account.weight,
+                cap_share: account.cap_share,
                 owner_weight,
                 partner_weight: branch.weight,
                 first_token_deadline_ms: limits
