Shares across boxes: entry boxes tell a new dispatcher what accounts used of late; a refusal says who stood before it; shuntpier shares

A request that is asked again carries its caller's time of coming and less time left: before, it was asked with the times of its first asking, so that a dispatcher that was new gave it a later deadline and place.

--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -116,6 +116,9 @@
     fn refresh(&mut self) {
         let resolved = self.shared.settings();
         self.pool.set_settings(pool_settings(&resolved, self.id));
+        let capped = resolved.accounts.values();
+        let capped = capped.filter_map(|account| Some((account.id, account.cap_share?)));
+        self.pool.set_caps(capped.collect());
         let engines = resolved.engines_of(self.id);
         let infos: Vec<EngineInfo> = engines
             .iter()
--- a/components/node/src/permits.rs
+++ b/components/node/src/permits.rs
@@ -54,6 +54,7 @@
     request: AcquireRequest,
 ) -> Result<Permit, Refusal> {
     let now_ms = shared.now_ms();
+    let began_ms = now_ms;
     desk.used(now_ms);
     let deadline_ms = now_ms + u64::from(request.wait_left_ms);
     if !desk.policy().uses_dispatcher() {
@@ -76,6 +77,8 @@
         };
         let mut asked = request;
         asked.wait_left_ms = (deadline_ms - now_ms) as u32;
+        // A dispatcher that is new takes the caller's own time of coming.
+        asked.waited_ms = request.waited_ms + (now_ms - began_ms) as u32;
         let guard = WithdrawOnDrop::new(shared, holder, &request);
         let asking = desk.asks();
         let reply = tokio::select! {
@@ -88,7 +91,7 @@
                 guard.disarm();
                 return Ok(desk.open(request, target, 0, false));
             }
-            Ok(PermitReply::Refused(refusal)) => {
+            Ok(PermitReply::Refused(refusal) | PermitReply::RefusedBehind(refusal, _)) => {
                 guard.disarm();
                 return Err(refusal);
             }
--- a/components/operators/src/fleet.rs
+++ b/components/operators/src/fleet.rs
@@ -2,6 +2,7 @@
 
 use crate::metrics::{install_metrics, metrics_text};
 use crate::settings::SettingsView;
+use crate::shares::PoolSharesView;
 use serde::{Deserialize, Serialize};
 use std::future::Future;
 use std::io;
@@ -65,6 +66,9 @@
     pub evacuations: Vec<EvacuationView>,
     /// The targets that it knows.
     pub targets: Vec<FleetTargetView>,
+    /// The pools that it dispatches, with the shares of client accounts.
+    #[serde(default)]
+    pub shares: Vec<PoolSharesView>,
 }
 
 /// The box behind the operators' pages.
--- a/components/operators/src/lib.rs
+++ b/components/operators/src/lib.rs
@@ -6,6 +6,7 @@
 mod metrics;
 mod page;
 mod settings;
+mod shares;
 
 pub use burn::{
     AccountBurn, BadReason, BurnRecorder, BurnReport, Objective, Sample, WindowBurn, merge,
@@ -14,3 +15,4 @@
 pub use fleet::{EvacuationView, FleetConsole, FleetTargetView, FleetView, serve_fleet};
 pub use metrics::install_metrics;
 pub use settings::{FieldView, SettingsView};
+pub use shares::{AccountShareView, PoolSharesView, RankShareView};
--- a/components/peers/src/fleet.rs
+++ b/components/peers/src/fleet.rs
@@ -1,7 +1,7 @@
 //! The calls between the boxes of a platform's fleet: what each knows of the operators' declarations, of
 //! targets and of boxes, and permits for generations.
 
-use crate::messages::{AcquireRequest, AdoptedStream, PermitReply, UpdateReply, UpdateRequest};
+use crate::messages::{AcquireRequest, OpenStreams, PermitReply, UpdateReply, UpdateRequest};
 use crate::targets::{TargetChanges, TargetPatch, TargetSummary};
 use prelude::{BoxId, PermitId, PoolId, TargetId};
 use routing::Evacuations;
@@ -152,8 +152,8 @@
     /// Reports progress and ends of generations.
     async fn update(request: UpdateRequest) -> UpdateReply;
 
-    /// Tells a dispatcher of all the generations that `from` has open in a pool.
-    async fn adopt(from: BoxId, pool: PoolId, streams: Vec<AdoptedStream>);
+    /// Tells a dispatcher of all the generations that `from` has open in a pool, and what accounts used of late.
+    async fn adopt(from: BoxId, pool: PoolId, open: OpenStreams);
 }
 
 /// What a box does on each call of [`Fleet`]. All its work is done in one thread.
@@ -190,12 +190,7 @@
     fn update(&self, request: UpdateRequest) -> impl Future<Output = UpdateReply>;
 
     /// See [`Fleet::adopt`].
-    fn adopt(
-        &self,
-        from: BoxId,
-        pool: PoolId,
-        streams: Vec<AdoptedStream>,
-    ) -> impl Future<Output = ()>;
+    fn adopt(&self, from: BoxId, pool: PoolId, open: OpenStreams) -> impl Future<Output = ()>;
 }
 
 /// Answers the calls of [`Fleet`] by a handler.
@@ -239,7 +234,7 @@
         self.0.update(request).await
     }
 
-    async fn adopt(self, _: Context, from: BoxId, pool: PoolId, streams: Vec<AdoptedStream>) {
-        self.0.adopt(from, pool, streams).await;
+    async fn adopt(self, _: Context, from: BoxId, pool: PoolId, open: OpenStreams) {
+        self.0.adopt(from, pool, open).await;
     }
 }
--- a/components/peers/src/lib.rs
+++ b/components/peers/src/lib.rs
@@ -21,9 +21,9 @@
 };
 pub use keys::KeyRing;
 pub use messages::{
-    AcquireRequest, AdoptedStream, BoxCard, ClaimRequest, ClaimResult, Digest, EndedStream,
-    KeyOutcome, Notice, OutcomeRecord, PermitReply, SettingsValue, StateOfTarget, StreamProgress,
-    TargetWord, UpdateReply, UpdateRequest,
+    AccountUsed, AcquireRequest, AdoptedStream, BoxCard, ClaimRequest, ClaimResult, Digest,
+    EndedStream, KeyOutcome, Notice, OpenStreams, OutcomeRecord, PermitReply, SettingsValue,
+    StateOfTarget, StreamProgress, TargetWord, UpdateReply, UpdateRequest,
 };
 pub use patch::SettingsPatch;
 pub use server::{serve, serve_fleet};
--- a/components/peers/src/messages.rs
+++ b/components/peers/src/messages.rs
@@ -2,8 +2,8 @@
 
 use crate::patch::SettingsPatch;
 use prelude::{
-    AccountId, BoxId, BoxIncarnation, DataCentreId, PermitId, PoolId, Refusal, ServiceId, TargetId,
-    TargetKey,
+    AccountId, BoxId, BoxIncarnation, DataCentreId, PermitId, PoolId, Refusal, ServiceId, Standing,
+    TargetId, TargetKey,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -56,6 +56,8 @@
     },
     /// It is not to be run.
     Refused(Refusal),
+    /// The same, with who stood before it.
+    RefusedBehind(Refusal, Standing),
 }
 
 /// How far a stream has come.
@@ -113,6 +115,26 @@
     pub tokens: u32,
 }
 
+/// What an account's requests at one box used in the window before now.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AccountUsed {
+    /// The account.
+    pub account: AccountId,
+    /// Memory that they held, in tokens times milliseconds.
+    pub held_token_ms: u64,
+    /// Tokens of the prompts that were begun.
+    pub prompt_tokens: u32,
+}
+
+/// All that a box tells a dispatcher that is new to it, or that knows other streams of it.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct OpenStreams {
+    /// The streams that it has open in the pool.
+    pub streams: Vec<AdoptedStream>,
+    /// What accounts used there of late, those that used most.
+    pub used: Vec<AccountUsed>,
+}
+
 /// What a box says of itself.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct BoxCard {
--- a/components/policy/src/fairness/tree.rs
+++ b/components/policy/src/fairness/tree.rs
@@ -21,7 +21,7 @@
 /// else's first tokens come later.
 const FLOOD_MEMORY_SHARE: f64 = 0.65;
 /// The same for engines that read prompts: a prompt of another account is read at once, or after one.
-const FLOOD_READING_SHARE: f64 = 0.25;
+const FLOOD_READING_SHARE: f64 = 0.5;
 
 /// Who is charged, and with which weights.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
--- a/components/policy/src/fairness/usage.rs
+++ b/components/policy/src/fairness/usage.rs
@@ -3,7 +3,7 @@
 use crate::demand::Demand;
 use crate::fairness::tree::Share;
 use crate::pool::Pool;
-use prelude::AccountId;
+use prelude::{AccountId, Standing};
 use serde::{Deserialize, Serialize};
 use std::collections::{BTreeMap, HashMap};
 
@@ -62,33 +62,15 @@
     pub cap_share: Option<f64>,
 }
 
-/// Who stands before a request.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Standing {
-    /// Requests that wait in the pool.
-    pub waiting: u32,
-    /// Requests before it that are more urgent.
-    pub more_urgent: u32,
-    /// Requests of its own account and rank before it.
-    pub own: u32,
-    /// Requests of other accounts and its rank before it.
-    pub others: u32,
-    /// The part of the memory in use that its account holds.
-    pub held_part: f32,
-    /// The part that its account is entitled to.
-    pub entitled_part: f32,
-    /// What its account used beyond the least served, as time of its fair share.
-    pub lent_ms: f32,
-}
-
 impl Pool {
     /// Who stands before a request that is refused, and how its account stands.
     pub fn standing(&self, demand: &Demand) -> Standing {
         let mut standing = Standing {
             waiting: self.queue.len() as u32,
-            held_part: self.tree.held_part(&demand.share) as f32,
-            entitled_part: self.tree.entitled_part(&demand.share) as f32,
-            lent_ms: self.tree.lent_ms(&demand.share) as f32,
+            held_permille: (self.tree.held_part(&demand.share) * 1_000.0) as u16,
+            entitled_permille: (self.tree.entitled_part(&demand.share) * 1_000.0) as u16,
+            lent_ms: self.tree.lent_ms(&demand.share) as i32,
+            floods: self.tree.floods(&demand.share),
             ..Standing::default()
         };
         for other in self.queue.before(demand, &self.tree) {
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -14,7 +14,7 @@
 pub use demand::{Adopted, Demand, Submitted, Verdict};
 pub use fairness::told::UsedLately;
 pub use fairness::tree::{FairTree, Share};
-pub use fairness::usage::{AccountUse, RankUse, Standing};
+pub use fairness::usage::{AccountUse, RankUse};
 pub use health::suspicion::Suspicion;
 pub use health::trial::Trial;
 pub use kind::{PolicyKind, PoolSettings, ReadingPolicy, WaitingPolicy};
--- a/components/prelude/src/lib.rs
+++ b/components/prelude/src/lib.rs
@@ -8,5 +8,5 @@
     AccountId, BoxId, BoxIncarnation, DataCentreId, ModelId, OwnerId, PartnerId, PermitId, PoolId,
     RegionId, ServiceId, TargetId, TargetIncarnation, TargetKey,
 };
-pub use outcome::{Refusal, RefusalReason, RunState};
+pub use outcome::{Refusal, RefusalReason, RunState, Standing};
 pub use time::{Clock, unix_ms};
--- a/components/prelude/src/outcome.rs
+++ b/components/prelude/src/outcome.rs
@@ -69,6 +69,28 @@
     }
 }
 
+/// Who stood before a request that a dispatcher refused, and how its account stood.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Standing {
+    /// Requests that waited in the pool.
+    pub waiting: u32,
+    /// Requests before it that were more urgent.
+    pub more_urgent: u32,
+    /// Requests of its own account before it, no more urgent than it.
+    pub own: u32,
+    /// Requests of other accounts before it, no more urgent than it.
+    pub others: u32,
+    /// The part of the memory in use that its account held, in thousandths.
+    pub held_permille: u16,
+    /// The part that its account was entitled to among those that waited or ran, in thousandths.
+    pub entitled_permille: u16,
+    /// What its account had used beyond the least served that waited, as time of its fair share; below zero where it was
+    /// owed.
+    pub lent_ms: i32,
+    /// Whether its account flooded, and so went behind all others.
+    pub floods: bool,
+}
+
 /// A request that was not run, and when to come back.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refusal {
--- a/components/relay/src/dispatch/dispatcher.rs
+++ b/components/relay/src/dispatch/dispatcher.rs
@@ -4,16 +4,16 @@
 
 use crate::state::Relay;
 use peers::{
-    AcquireRequest, AdoptedStream, PermitReply, RelocateReply, RelocateRequest, UpdateReply,
-    UpdateRequest,
+    AcquireRequest, AdoptedStream, OpenStreams, PermitReply, RelocateReply, RelocateRequest,
+    UpdateReply, UpdateRequest,
 };
 use policy::{
-    Adopted, Demand, End, LengthClass, Pool, PoolSettings, ReadingPolicy, Relocation, Share,
-    Submitted, Turns, Verdict, WaitingPolicy,
+    Adopted, Demand, End, LengthClass, Pool, PoolSettings, ReadingPolicy, Relocation, Submitted,
+    Turns, Verdict, WaitingPolicy,
 };
 use prelude::{
-    BoxId, DataCentreId, OwnerId, PartnerId, PermitId, PoolId, Refusal, RefusalReason, TargetId,
-    TargetIncarnation, TargetKey,
+    BoxId, DataCentreId, PermitId, PoolId, Refusal, RefusalReason, TargetId, TargetIncarnation,
+    TargetKey,
 };
 use settings::{FleetFile, Mechanism};
 use std::collections::{HashMap, HashSet};
@@ -84,10 +84,16 @@
     }
 }
 
+fn pool_of_settings(file: &FleetFile) -> Pool {
+    let mut pool = Pool::new(pool_settings(file));
+    pool.set_caps(file.accounts.caps().collect());
+    pool
+}
+
 impl Dispatcher {
     fn new(file: &FleetFile) -> Self {
         Self {
-            pool: Pool::new(pool_settings(file)),
+            pool: pool_of_settings(file),
             waiting: HashMap::new(),
             turns: file.has(Mechanism::Turns).then(Turns::default),
         }
@@ -96,6 +102,7 @@
     /// Takes over which mechanisms are on.
     pub(crate) fn reconfigure(&mut self, file: &FleetFile) {
         self.pool.set_settings(pool_settings(file));
+        self.pool.set_caps(file.accounts.caps().collect());
         let has_turns = file.has(Mechanism::Turns);
         self.turns = has_turns.then(|| self.turns.take().unwrap_or_default());
     }
@@ -140,7 +147,7 @@
     }
 }
 
-fn granted(target: TargetId) -> PermitReply {
+pub(crate) fn granted(target: TargetId) -> PermitReply {
     PermitReply::Granted {
         target: TargetKey {
             id: target,
@@ -184,14 +191,7 @@
     fn demand(&self, request: &AcquireRequest, now_ms: u64) -> Demand {
         Demand {
             permit: request.permit,
-            share: Share {
-                partner: PartnerId::default(),
-                owner: OwnerId::default(),
-                account: request.account,
-                partner_weight: 1.0,
-                owner_weight: 1.0,
-                account_weight: 1.0,
-            },
+            share: self.share_of(request.account),
             class: LengthClass {
                 account: prelude::AccountId::default(),
                 kind: request.kind,
@@ -219,10 +219,10 @@
                 return Some(granted(target));
             }
             dispatcher.waiting.insert(request.permit, asker);
-            match dispatcher.pool.submit(demand, now_ms) {
+            match dispatcher.pool.submit(demand.clone(), now_ms) {
                 Submitted::Refused(refusal) => {
                     dispatcher.waiting.remove(&request.permit);
-                    Some(PermitReply::Refused(refusal))
+                    Some(dispatcher.refused(refusal, &demand))
                 }
                 Submitted::Waits { .. } => {
                     dispatcher.decide(now_ms);
@@ -236,14 +236,14 @@
         let until = Instant::now() + Duration::from_millis(u64::from(wait_ms));
         loop {
             if let Ok(verdict) = word.try_recv() {
-                return reply_of(verdict);
+                return self.reply_of(verdict, &demand, request.pool);
             }
             if Instant::now() >= until {
                 return PermitReply::Waiting { place: 0 };
             }
             let look = until.min(Instant::now() + LOOK_EACH);
             if let Ok(Ok(verdict)) = timeout_at(look, &mut word).await {
-                return reply_of(verdict);
+                return self.reply_of(verdict, &demand, request.pool);
             }
             self.with_dispatcher(request.pool, Dispatcher::decide);
         }
@@ -317,14 +317,17 @@
     }
 
     /// Takes over the generations of a box.
-    pub(crate) fn adopt_here(&self, from: BoxId, pool: PoolId, streams: &[AdoptedStream]) {
+    pub(crate) fn adopt_here(&self, from: BoxId, pool: PoolId, open: &OpenStreams) {
         let now_ms = self.now_ms();
-        let demands: Vec<(Demand, &AdoptedStream)> = streams
+        let used = self.used_of(&open.used);
+        let demands: Vec<(Demand, &AdoptedStream)> = open
+            .streams
             .iter()
             .map(|stream| (self.demand(&stream.request, now_ms), stream))
             .collect();
         self.with_dispatcher(pool, |dispatcher, now_ms| {
             let kept: HashSet<PermitId> = demands.iter().map(|(d, _)| d.permit).collect();
+            dispatcher.pool.adopt_use(from, &used, now_ms);
             dispatcher.pool.keep_only(from, &kept);
             for (demand, stream) in demands {
                 let adopted = Adopted {
@@ -343,17 +346,11 @@
         loop {
             sleep(SYNC_EACH).await;
             self.sync_dispatchers();
+            self.gauge_shares();
         }
     }
 }
 
-fn reply_of(verdict: Verdict) -> PermitReply {
-    match verdict {
-        Verdict::Granted { target } => granted(target),
-        Verdict::Refused(refusal) => PermitReply::Refused(refusal),
-    }
-}
-
 /// A refusal where no dispatcher's word is known.
 pub(crate) fn refusal(reason: RefusalReason) -> Refusal {
     Refusal {
--- a/components/relay/src/dispatch/heartbeat.rs
+++ b/components/relay/src/dispatch/heartbeat.rs
@@ -3,7 +3,7 @@
 use crate::dispatch::permits::CALL_LIMIT;
 use crate::state::Relay;
 use crate::watch::targets::TargetSlot;
-use peers::{AdoptedStream, FleetClient, UpdateRequest};
+use peers::{FleetClient, UpdateRequest};
 use prelude::{BoxId, PermitId, PoolId, TargetId};
 use std::future::Future;
 use std::rc::Rc;
@@ -122,17 +122,22 @@
             return;
         };
         let (progress, ended) = self.open_generations.borrow_mut().untold(pool);
-        let open = self.open_generations.borrow().open_in(pool);
+        let open_streams = self.open_generations.borrow().count_in(pool) as u32;
+        let is_new = self
+            .open_generations
+            .borrow_mut()
+            .is_new_to(pool, dispatcher);
         let update = UpdateRequest {
             pool,
             progress,
             ended,
             from: self.id,
             life: self.life,
-            open_streams: open.len() as u32,
+            open_streams,
         };
         if dispatcher == self.id {
-            if self.update_here(&update).resync {
+            if self.update_here(&update).resync || is_new {
+                let open = self.open_generations.borrow().all_in(pool, self.now_ms());
                 self.adopt_here(self.id, pool, &open);
             }
             return;
@@ -143,18 +148,14 @@
                 client.update(context, update).await
             });
         let reply = self.heard_from(dispatcher, call.await, "update");
-        if reply.is_some_and(|reply| reply.resync) {
-            self.tell_all_open_generations(dispatcher, pool, open).await;
+        if reply.is_some_and(|reply| reply.resync || is_new) {
+            self.tell_all_open_generations(dispatcher, pool).await;
         }
     }
 
-    pub(crate) async fn tell_all_open_generations(
-        &self,
-        dispatcher: BoxId,
-        pool: PoolId,
-        open: Vec<AdoptedStream>,
-    ) {
+    pub(crate) async fn tell_all_open_generations(&self, dispatcher: BoxId, pool: PoolId) {
         let me = self.id;
+        let open = self.open_generations.borrow().all_in(pool, self.now_ms());
         let call = self
             .peers
             .call(dispatcher, CALL_LIMIT, |client, context| async move {
--- a/components/relay/src/dispatch/mod.rs
+++ b/components/relay/src/dispatch/mod.rs
@@ -7,3 +7,5 @@
 pub(crate) mod open_generations;
 pub(crate) mod permits;
 pub(crate) mod reports;
+pub(crate) mod shares;
+pub(crate) mod used_lately;
--- a/components/relay/src/dispatch/open_generations.rs
+++ b/components/relay/src/dispatch/open_generations.rs
@@ -1,7 +1,8 @@
 //! The generations that this box has open, as their dispatcher is told of them.
 
-use peers::{AcquireRequest, AdoptedStream, EndedStream, StreamProgress};
-use prelude::{PoolId, TargetId};
+use crate::dispatch::used_lately::{Use, UsedLately};
+use peers::{AcquireRequest, AdoptedStream, EndedStream, OpenStreams, StreamProgress};
+use prelude::{BoxId, PoolId, TargetId};
 use std::collections::BTreeMap;
 
 /// One open generation.
@@ -11,6 +12,20 @@
     pub target: TargetId,
     pub tokens: u32,
     told_tokens: u32,
+    began_ms: u64,
+}
+
+impl OpenGeneration {
+    fn used_until(&self, now_ms: u64) -> Use {
+        Use {
+            pool: self.request.pool,
+            account: self.request.account,
+            prompt_tokens: self.request.prompt_tokens,
+            tokens: self.tokens,
+            began_ms: self.began_ms,
+            ended_ms: now_ms,
+        }
+    }
 }
 
 /// Tokens after which a dispatcher is told how far a generation is.
@@ -22,6 +37,9 @@
     open: BTreeMap<u64, OpenGeneration>,
     ended: Vec<(PoolId, EndedStream)>,
     next_serial: u64,
+    used_lately: UsedLately,
+    /// The dispatchers that were told last.
+    told: BTreeMap<PoolId, BoxId>,
 }
 
 impl OpenGenerations {
@@ -30,12 +48,13 @@
         self.next_serial
     }
 
-    pub(crate) fn began(&mut self, request: AcquireRequest, target: TargetId) {
+    pub(crate) fn began(&mut self, request: AcquireRequest, target: TargetId, now_ms: u64) {
         let run = OpenGeneration {
             request,
             target,
             tokens: 0,
             told_tokens: 0,
+            began_ms: now_ms,
         };
         self.open.insert(request.permit.serial, run);
     }
@@ -60,10 +79,11 @@
         first || tokens >= run.told_tokens + TOLD_EACH_TOKENS
     }
 
-    pub(crate) fn ended(&mut self, serial: u64, finished: bool) {
+    pub(crate) fn ended(&mut self, serial: u64, finished: bool, now_ms: u64) {
         let Some(run) = self.open.remove(&serial) else {
             return;
         };
+        self.used_lately.ended(run.used_until(now_ms));
         let ended = EndedStream {
             serial,
             tokens: run.tokens,
@@ -101,7 +121,23 @@
         (progress, told.into_iter().map(|(_, ended)| ended).collect())
     }
 
-    pub(crate) fn open_in(&self, pool: PoolId) -> Vec<AdoptedStream> {
+    /// Notes which box dispatches a pool. True where another did when it was told last: it knows nothing of this box.
+    pub(crate) fn is_new_to(&mut self, pool: PoolId, dispatcher: BoxId) -> bool {
+        let before = self.told.insert(pool, dispatcher);
+        before.is_some_and(|before| before != dispatcher)
+    }
+
+    /// All that a dispatcher that is new to this box is told.
+    pub(crate) fn all_in(&self, pool: PoolId, now_ms: u64) -> OpenStreams {
+        let of_pool = self.open.values().filter(|run| run.request.pool == pool);
+        let running = of_pool.map(|run| run.used_until(now_ms));
+        OpenStreams {
+            streams: self.open_in(pool),
+            used: self.used_lately.of_pool(pool, running, now_ms),
+        }
+    }
+
+    fn open_in(&self, pool: PoolId) -> Vec<AdoptedStream> {
         let of_pool = self.open.values().filter(|run| run.request.pool == pool);
         of_pool
             .map(|run| AdoptedStream {
@@ -112,6 +148,11 @@
             .collect()
     }
 
+    pub(crate) fn count_in(&self, pool: PoolId) -> usize {
+        let of_pool = self.open.values().filter(|run| run.request.pool == pool);
+        of_pool.count()
+    }
+
     pub(crate) fn count(&self) -> usize {
         self.open.len()
     }
--- a/components/relay/src/dispatch/permits.rs
+++ b/components/relay/src/dispatch/permits.rs
@@ -29,6 +29,8 @@
 /// What a generation needs.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Want<'a> {
+    /// The request's name, for the log.
+    pub id: &'a str,
     pub service: &'a str,
     pub account: prelude::AccountId,
     /// Requests of one kind have answers of like length.
@@ -74,7 +76,7 @@
 impl Drop for Permit {
     fn drop(&mut self) {
         let mut runs = self.relay.open_generations.borrow_mut();
-        runs.ended(self.serial, self.finished);
+        runs.ended(self.serial, self.finished, self.relay.now_ms());
         self.relay.generations_changed.notify_one();
     }
 }
@@ -121,12 +123,14 @@
             told_tokens: None,
             avoid: want.avoid,
         };
-        let target = self.ask(request, want.wait_left_ms).await?;
+        let target = self.ask(request, want).await?;
         let Some(slot) = self.slot_soon(target).await else {
             self.tell_withdrawn(request.pool, request.permit);
             return Err(refusal(RefusalReason::NoTarget));
         };
-        self.open_generations.borrow_mut().began(request, target);
+        self.open_generations
+            .borrow_mut()
+            .began(request, target, self.now_ms());
         Ok(Permit {
             relay: self.clone(),
             serial,
@@ -155,9 +159,10 @@
     async fn ask(
         self: &Rc<Self>,
         request: AcquireRequest,
-        wait_left_ms: u64,
+        want: &Want<'_>,
     ) -> Result<TargetId, Refusal> {
-        let until = Instant::now() + Duration::from_millis(wait_left_ms);
+        let began = Instant::now();
+        let until = began + Duration::from_millis(want.wait_left_ms);
         let mut withdrawal = Withdrawal {
             relay: self.clone(),
             request,
@@ -166,6 +171,7 @@
         let mut wait_ms = 0;
         let mut failed = 0;
         loop {
+            let request = asked_after(request, began.elapsed());
             let first = self.dispatchers_of(request.pool).first().copied();
             let asked = first.filter(|_| failed < ASKED_MAX).unwrap_or(self.id);
             let reply = match asked == self.id {
@@ -181,6 +187,11 @@
                     withdrawal.armed = false;
                     return Err(refusal);
                 }
+                Some(PermitReply::RefusedBehind(refusal, standing)) => {
+                    withdrawal.armed = false;
+                    self.log_refusal(want, &request, refusal, standing);
+                    return Err(refusal);
+                }
                 Some(PermitReply::Waiting { .. }) => wait_ms = WAIT_EACH_MS,
                 None => failed += 1,
             }
@@ -232,16 +243,15 @@
         };
         if reply == Some(RelocateReply::NotKnown) {
             // A dispatcher that is new to the role is told first.
-            let open = self.open_generations.borrow().open_in(pool);
             if let Some(id) = dispatcher {
-                self.tell_all_open_generations(id, pool, open).await;
+                self.tell_all_open_generations(id, pool).await;
                 reply = self.relocate_at(id, request.clone()).await;
             }
         }
         let reply = match reply {
             Some(reply) => reply,
             None => {
-                let open = self.open_generations.borrow().open_in(pool);
+                let open = self.open_generations.borrow().all_in(pool, self.now_ms());
                 self.adopt_here(self.id, pool, &open);
                 self.relocate_here(&request).await
             }
@@ -265,6 +275,18 @@
     }
 }
 
+/// A request as it is asked once more: its caller came longer ago, and has less time left. A dispatcher that is new takes its
+/// place in line from this.
+fn asked_after(request: AcquireRequest, after: Duration) -> AcquireRequest {
+    let after_ms = after.as_millis() as u32;
+    AcquireRequest {
+        waited_ms: request.waited_ms.saturating_add(after_ms),
+        wait_left_ms: request.wait_left_ms.saturating_sub(after_ms).max(1),
+        caller_left_ms: request.caller_left_ms.saturating_sub(after_ms),
+        ..request
+    }
+}
+
 /// Takes a request back when whoever waits for it leaves.
 struct Withdrawal {
     relay: Rc<Relay>,
@@ -280,3 +302,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "permits_tests.rs"]
+mod tests;
--- a/components/relay/src/forwarding/generation.rs
+++ b/components/relay/src/forwarding/generation.rs
@@ -46,7 +46,7 @@
     way: &Way,
 ) -> After {
     if let Some(own) = refusal_of_stopping(relay, incoming, way) {
-        return not_begun(relay, caller, incoming, own).await;
+        return not_begun(relay, caller, incoming, way, own).await;
     }
     let service = &way.service().name;
     relay.resend_window(service, |window, now_ms| window.request(now_ms));
@@ -60,7 +60,7 @@
         }
     };
     match started {
-        Started::Own(own) => not_begun(relay, caller, incoming, own).await,
+        Started::Own(own) => not_begun(relay, caller, incoming, way, own).await,
         Started::Opened(opened, permit) if opened.head.status == 200 && opened.is_vouched() => {
             let forwarder = StreamForwarder::new(relay, incoming, way, permit);
             forwarder.run(caller, *opened).await
@@ -73,10 +73,12 @@
     relay: &Rc<Relay>,
     caller: &mut Channel,
     incoming: &Incoming,
+    way: &Way,
     own: Own,
 ) -> After {
     let own = relay.as_told(own);
     slog::info!(relay.log, "generation not begun"; "id" => incoming.id(),
+        "account" => way.account_name(), "rank" => way.rank(),
         "status" => own.status(), "why" => own.why(), "retry_after_ms" => own.retry_after_ms(),
         "after_ms" => relay.now_ms() - incoming.came_ms);
     count(own.status(), "own");
@@ -157,6 +159,7 @@
     for _ in 0..OFFERS_MAX {
         let now_ms = relay.now_ms();
         let want = Want {
+            id: incoming.id(),
             service: &way.service().name,
             account: way.account_id(),
             kind: kind_of(told_guess, way.rank()),
@@ -198,6 +201,7 @@
         match tried {
             Tried::Answered(opened) => {
                 slog::info!(relay.log, "generation begun"; "id" => incoming.id(),
+                    "account" => way.account_name(), "rank" => way.rank(),
                     "engine" => relay.name_of(slot), "permit" => permit.serial,
                     "prompt_tokens" => generation.prompt_tokens,
                     "most_tokens" => generation.most_tokens, "guess" => generation.guess_tokens,
--- a/components/relay/src/forwarding/stream.rs
+++ b/components/relay/src/forwarding/stream.rs
@@ -88,6 +88,7 @@
             self.note_end();
         }
         slog::info!(self.relay.log, "generation ended"; "id" => self.incoming.id(),
+            "account" => self.way.account_name(), "rank" => self.way.rank(),
             "end" => ?ended, "events" => self.events, "moves" => self.moves,
             "first_event_ms" => self.first_event_ms, "longest_pause_ms" => self.longest_pause_ms,
             "late" => self.is_late(), "paused" => self.is_paused(),
--- a/components/relay/src/membership/gossip.rs
+++ b/components/relay/src/membership/gossip.rs
@@ -9,7 +9,7 @@
 use crate::watch::election::View;
 use crate::watch::targets::Change;
 use peers::{
-    AcquireRequest, AdoptedStream, FetchRequest, FleetCard, FleetDigest, FleetGossip, FleetHandler,
+    AcquireRequest, FetchRequest, FleetCard, FleetDigest, FleetGossip, FleetHandler, OpenStreams,
     PermitReply, RelocateReply, RelocateRequest, SharedTable, TargetChanges, TargetPatch,
     UpdateReply, UpdateRequest,
 };
@@ -274,7 +274,7 @@
         self.0.update_here(&request)
     }
 
-    async fn adopt(&self, from: BoxId, pool: PoolId, streams: Vec<AdoptedStream>) {
-        self.0.adopt_here(from, pool, &streams);
+    async fn adopt(&self, from: BoxId, pool: PoolId, open: OpenStreams) {
+        self.0.adopt_here(from, pool, &open);
     }
 }
--- a/components/relay/src/reconfigure.rs
+++ b/components/relay/src/reconfigure.rs
@@ -38,7 +38,7 @@
                 .values_mut()
                 .for_each(|window| window.set_bound(bound));
         }
-        if before.without != now.without {
+        if before.without != now.without || before.accounts != now.accounts {
             let mut dispatchers = self.dispatchers.borrow_mut();
             dispatchers
                 .values_mut()
--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -114,6 +114,7 @@
         members: RefCell::new(Members::new(id, file.limits.link_mbps as u32)),
         dispatchers: RefCell::new(HashMap::new()),
         open_generations: RefCell::default(),
+        account_labels: RefCell::default(),
         completion: RefCell::default(),
         generations_changed: Notify::new(),
         store_fails: Cell::new(false),
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -20,7 +20,7 @@
 use settings::{FleetFile, FleetIdentity, FleetPromises, Mechanism};
 use slog::Logger;
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::sync::Arc;
 use tokio::sync::{Notify, watch};
@@ -65,6 +65,8 @@
     pub(crate) members: RefCell<Members>,
     pub(crate) dispatchers: RefCell<HashMap<PoolId, Dispatcher>>,
     pub(crate) open_generations: RefCell<OpenGenerations>,
+    /// Accounts that have metrics of their own.
+    pub(crate) account_labels: RefCell<HashSet<String>>,
     /// How generations came to their ends here.
     pub(crate) completion: RefCell<CompletionEstimator>,
     /// Something of [`Relay::open_generations`] is to be told to a dispatcher.
--- a/components/relay/src/view.rs
+++ b/components/relay/src/view.rs
@@ -27,6 +27,7 @@
             requests_open: self.in_progress.get(),
             evacuations: self.evacuation_views(),
             targets: self.target_views(),
+            shares: self.share_views(),
         }
     }
 
--- a/components/trial/src/plan.rs
+++ b/components/trial/src/plan.rs
@@ -138,6 +138,7 @@
         let settings = Account {
             parent: account.owner.clone(),
             weight: 1.0,
+            cap_share: None,
             key_sha256: vec![hash],
             limits: account.limits.clone(),
         };
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -53,6 +53,10 @@
     /// Shows targets, pools and who dispatches them
     Targets(#[bpaf(external(report_options))] ReportOptions),
 
+    #[bpaf(command("shares"))]
+    /// Shows who uses pools, who waits and who is refused, by client account and rank
+    Shares(#[bpaf(external(report_options))] ReportOptions),
+
     #[bpaf(command("burn"))]
     /// Shows how fast accounts use up what their objectives allow
     Burn(#[bpaf(external(report_options))] ReportOptions),
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -10,6 +10,7 @@
 pub mod relay;
 pub mod serve;
 pub mod settings;
+pub mod shares;
 pub mod standins;
 pub mod targets;
 
--- a/src/main.rs
+++ b/src/main.rs
@@ -15,6 +15,7 @@
         Command::Check(options) => cmd::check::run(&options),
         Command::Settings(options) => cmd::settings::run(&options),
         Command::Targets(options) => cmd::targets::run(&options),
+        Command::Shares(options) => cmd::shares::run(&options),
         Command::Burn(options) => cmd::burn::run(&options),
         Command::Explain(options) => cmd::explain::run(&options),
         Command::Losses(options) => cmd::losses::run(&options),
