--- a/components/operators/src/lib.rs
+++ b/components/operators/src/lib.rs
@@ -6,6 +6,7 @@
 mod metrics;
 mod page;
 mod settings;
+mod shares;
 
 pub use burn::{
     AccountBurn, BadReason, BurnRecorder, BurnReport, Objective, Sample, WindowBurn, merge,
@@ -17,3 +18,4 @@
 };
 pub use metrics::install_metrics;
 pub use settings::{FieldView, SettingsView};
+pub use shares::{AccountShareView, PoolSharesView, RankShareView};
--- a/components/policy/src/admission/queue.rs
+++ b/components/policy/src/admission/queue.rs
@@ -27,7 +27,14 @@
 
 /// The order in which places are served: those that go later are last, then by service, by time of coming,
 /// and by account, so that the order never hangs on chance.
-type Rank = (bool, [f64; 3], u64, AccountId);
+type Rank = (bool, bool, [f64; 3], u64, AccountId);
+
+/// When it is a request's turn: those of accounts that flood last, the urgent first, then those whose callers leave first.
+type Turn = (bool, bool, u64);
+
+fn turn_of(demand: &Demand, floods: bool) -> Turn {
+    (floods, !demand.is_urgent(), demand.leaves_ms)
+}
 
 /// Which line a candidate stands in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -90,7 +97,9 @@
             true => &mut line.urgent,
             false => &mut line.plain,
         };
-        let at = waiting.partition_point(|other| other.leaves_ms <= demand.leaves_ms);
+        // A dispatcher that is new is asked in any order: the time of coming keeps the place in line.
+        let place = (demand.leaves_ms, demand.since_ms);
+        let at = waiting.partition_point(|other| (other.leaves_ms, other.since_ms) <= place);
         waiting.insert(at, demand);
         self.len += 1;
     }
@@ -102,6 +111,7 @@
         let mut best: Option<(Rank, Place)> = None;
         for (account, line) in &self.lines {
             let rank = tree.rank(&line.share);
+            let floods = tree.floods(&line.share);
             for (urgent, waiting) in [(true, &line.urgent), (false, &line.plain)] {
                 let place = Place {
                     account: *account,
@@ -110,7 +120,12 @@
                 let Some(front) = waiting.front().filter(|_| !passed.contains(&place)) else {
                     continue;
                 };
-                let rank: Rank = (urgent == bounded, rank, front.since_ms, *account);
+                if tree.is_capped(&line.share, front.prompt_tokens)
+                    || (floods && tree.is_nearly_full())
+                {
+                    continue;
+                }
+                let rank: Rank = (floods, urgent == bounded, rank, front.since_ms, *account);
                 if best.as_ref().is_none_or(|(other, _)| rank < *other) {
                     best = Some((rank, place));
                 }
@@ -128,15 +143,28 @@
         }
     }
 
-    /// All requests that wait, in the order in which they are about to be served: the urgent first, then those whose
-    /// callers leave first.
-    pub fn in_order(&self) -> Vec<&Demand> {
-        let waiting = self
-            .lines
-            .values()
-            .flat_map(|line| line.urgent.iter().chain(&line.plain));
-        let mut waiting: Vec<&Demand> = waiting.collect();
-        waiting.sort_by_key(|demand| (!demand.is_urgent(), demand.leaves_ms, demand.permit));
+    /// All requests that wait, in the order in which they are about to be served.
+    pub fn in_order(&self, tree: &FairTree) -> Vec<&Demand> {
+        let in_turn = self.in_turn(tree);
+        in_turn.into_iter().map(|(_, demand)| demand).collect()
+    }
+
+    /// The requests that are about to be served before one that comes now, in order.
+    pub fn before(&self, demand: &Demand, tree: &FairTree) -> Vec<&Demand> {
+        let turn = turn_of(demand, tree.floods(&demand.share));
+        let in_turn = self.in_turn(tree).into_iter();
+        let before = in_turn.take_while(|(other, _)| *other <= turn);
+        before.map(|(_, demand)| demand).collect()
+    }
+
+    fn in_turn(&self, tree: &FairTree) -> Vec<(Turn, &Demand)> {
+        let mut waiting = Vec::with_capacity(self.len);
+        for line in self.lines.values() {
+            let floods = tree.floods(&line.share);
+            let own = line.urgent.iter().chain(&line.plain);
+            waiting.extend(own.map(|demand| (turn_of(demand, floods), demand)));
+        }
+        waiting.sort_by_key(|(turn, demand)| (*turn, demand.permit));
         waiting
     }
 
--- a/components/relay/src/dispatch/mod.rs
+++ b/components/relay/src/dispatch/mod.rs
@@ -9,3 +9,5 @@
 pub(crate) mod pace;
 pub(crate) mod permits;
 pub(crate) mod reports;
+pub(crate) mod shares;
+pub(crate) mod used_lately;
