Ranks 0 to 9, memory run forward in the forecast of waits, times to come back from it, reading kept for more urgent work

- Queue by account and rank.
The more urgent first; a request that would miss its goal goes next at most once in ten grants.
Within a rank and account by when a request must begin to be read.
Paces by rank.
- Memory run forward at nine points in time by the length model of what runs, what goes before, and what is likely to come and is more urgent.
Forecasts of first tokens are corrected by rank by what they took (half-life 2 s).
- Retry-After from the same forecast, behind those who were told to come back before: they don't come together.
- A less urgent prompt is placed only while enough engines will be free to read for the more urgent that are likely to come.

--- a/components/policy/src/admission/forward.rs
+++ b/components/policy/src/admission/forward.rs
@@ -37,6 +37,11 @@
         }
     }
 
+    /// Tokens that all engines read in a millisecond.
+    pub fn tokens_per_ms(&self) -> f64 {
+        self.rates.iter().sum()
+    }
+
     /// Time until a prompt that goes next is read; none where no engine reads.
     pub fn first_token_ms(&self, tokens: u32) -> Option<f64> {
         let Reverse((free_us, at)) = self.free.peek()?;
--- /dev/null
+++ b/components/policy/src/admission/protection_tests.rs
@@ -0,0 +1,84 @@
+use crate::admission::test_demands::demand;
+use crate::placement::ledger::EngineInfo;
+use crate::{Demand, Pool, PoolSettings, Verdict};
+use prelude::{DataCentreId, PermitId, TargetId};
+use rstest::rstest;
+
+/// Four engines that read 5 tokens a millisecond, by what a pool takes for known at first.
+fn pool(protection: bool) -> Pool {
+    let mut pool = Pool::new(PoolSettings {
+        first_report_ms: 0,
+        protection,
+        ..PoolSettings::default()
+    });
+    let engine = |id| EngineInfo {
+        id: TargetId(id),
+        capacity_tokens: 100_000,
+        data_centre: DataCentreId(0),
+        cold_rate_per_s: None,
+    };
+    pool.set_engines(&[1, 2, 3, 4].map(engine));
+    pool
+}
+
+fn request(serial: u64, rank: u8, prompt_tokens: u32, now_ms: u64) -> Demand {
+    Demand {
+        prompt_tokens,
+        since_ms: now_ms,
+        deadline_ms: now_ms + 20_000,
+        leaves_ms: now_ms + 40_000,
+        ..demand(serial, 1, rank)
+    }
+}
+
+/// Urgent requests of the last second, which were read meanwhile.
+fn urgent_came(pool: &mut Pool, count: u64) {
+    for serial in 0..count {
+        let at_ms = serial * 1_000 / count;
+        let urgent = request(serial, 0, 1, at_ms);
+        let permit = urgent.permit;
+        pool.submit(urgent, at_ms);
+        pool.run(at_ms);
+        pool.release(permit, 2, crate::End::Finished);
+    }
+}
+
+fn granted(verdicts: &[(PermitId, Verdict)]) -> usize {
+    let is_grant = |(_, verdict): &&(PermitId, Verdict)| matches!(verdict, Verdict::Granted { .. });
+    verdicts.iter().filter(is_grant).count()
+}
+
+/// Less urgent prompts that take a second each to read, beside twenty urgent requests a second.
+#[rstest]
+#[case::kept(true, 20, 0)]
+#[case::not_kept(false, 20, 4)]
+#[case::nothing_urgent_comes(true, 0, 4)]
+fn engines_are_left_free_to_read_only_where_urgent_work_comes(
+    #[case] protection: bool,
+    #[case] urgent: u64,
+    #[case] expected: usize,
+) {
+    let mut pool = pool(protection);
+    urgent_came(&mut pool, urgent);
+    for serial in 0..4 {
+        pool.submit(request(100 + serial, 2, 5_000, 1_000), 1_000);
+    }
+    assert_eq!(granted(&pool.run(1_000)), expected);
+}
+
+#[test]
+fn nothing_is_kept_a_few_seconds_after_the_last_urgent_request() {
+    let mut pool = pool(true);
+    urgent_came(&mut pool, 20);
+    pool.submit(request(100, 2, 5_000, 1_000), 1_000);
+    assert_eq!(granted(&pool.run(1_000)), 0);
+    assert_eq!(granted(&pool.run(4_000)), 1);
+}
+
+#[test]
+fn urgent_requests_are_not_held_back_for_each_other() {
+    let mut pool = pool(true);
+    urgent_came(&mut pool, 40);
+    pool.submit(request(100, 0, 5_000, 1_000), 1_000);
+    assert_eq!(granted(&pool.run(1_000)), 1);
+}
--- a/components/policy/src/admission/queue.rs
+++ b/components/policy/src/admission/queue.rs
@@ -1,47 +1,59 @@
-//! Requests that wait for a permit, by account.
-
-use crate::demand::Demand;
+//! Requests that wait for a permit, by account and rank.
+//!
+//! The more urgent rank goes first. A request that would miss its goal goes next although more urgent ones wait, at most
+//! once in [`GRANTS_PER_TURN`] grants: a more urgent caller waits for one grant in ten more, and a less urgent one is not
+//! left out for ever. Within a rank the account that was served least goes first; within an account the request that has
+//! to begin first, so that who has a longer goal waits longer.
+
+use crate::admission::forward::ForwardRun;
+use crate::admission::outlook::{Before, Need};
+use crate::demand::{Demand, RANKS};
 use crate::fairness::tree::{FairTree, Share};
 use prelude::{AccountId, PermitId};
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, HashSet, VecDeque};
 
-/// Urgent requests granted in a row while others wait.
-const URGENT_IN_A_ROW: u32 = 4;
+/// Grants of which one may go to a less urgent request that would miss its goal. Those that are more urgent then get
+/// nine of ten, which holds them up by a tenth.
+const GRANTS_PER_TURN: u32 = 10;
+/// A request that must begin within this time would miss its goal: some looks at the queue, and the way to the engine.
+const DUE_AHEAD_MS: u64 = 100;
 
-#[derive(Clone, Debug)]
-struct Line {
-    share: Share,
-    urgent: VecDeque<Demand>,
-    plain: VecDeque<Demand>,
+/// Which line a candidate stands in.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub(crate) struct Place {
+    account: AccountId,
+    rank: u8,
 }
 
-impl Line {
-    fn is_empty(&self) -> bool {
-        self.urgent.is_empty() && self.plain.is_empty()
-    }
-
-    fn len(&self) -> usize {
-        self.urgent.len() + self.plain.len()
+impl Place {
+    fn of(demand: &Demand) -> Self {
+        Self {
+            account: demand.share.account,
+            rank: demand.rank_in_use(),
+        }
     }
 }
 
-/// The order in which places are served: those that go later are last, then by service, by time of coming,
-/// and by account, so that the order never hangs on chance.
-type Rank = (bool, [f64; 3], u64, AccountId);
-
-/// Which line a candidate stands in.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-pub(crate) struct Place {
-    account: AccountId,
-    urgent: bool,
+/// A request that waits.
+#[derive(Clone, Debug)]
+struct Waiting {
+    demand: Demand,
+    /// When it must begin to be read at the latest.
+    begins_by_ms: u64,
+    /// The memory that it needs.
+    need: Need,
 }
 
+/// The order in which places are served: those that get a turn, then by rank, by service, by when they must begin, and
+/// by account, so that the order never hangs on chance.
+type Order = (bool, u8, [f64; 3], u64, AccountId);
+
 /// All requests that wait.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Queue {
-    lines: HashMap<AccountId, Line>,
+    lines: BTreeMap<Place, VecDeque<Waiting>>,
     len: usize,
-    urgent_in_a_row: u32,
+    grants_since_turn: u32,
 }
 
 impl Queue {
@@ -49,146 +61,156 @@
         self.len
     }
 
-    /// Whether any of a rank waits.
-    pub fn has(&self, urgent: bool) -> bool {
-        self.lines.values().any(|line| match urgent {
-            true => !line.urgent.is_empty(),
-            false => !line.plain.is_empty(),
-        })
+    /// Whether any of each rank waits.
+    pub fn ranks(&self) -> [bool; RANKS] {
+        let mut ranks = [false; RANKS];
+        for place in self.lines.keys() {
+            ranks[usize::from(place.rank)] = true;
+        }
+        ranks
     }
 
     /// How many requests of an account wait.
     pub fn len_of(&self, account: AccountId) -> usize {
-        self.lines.get(&account).map_or(0, Line::len)
+        let of_account = self.lines.iter().filter(|(at, _)| at.account == account);
+        of_account.map(|(_, line)| line.len()).sum()
     }
 
     /// The account's part of the weights of all accounts that wait, were it to wait too.
     pub fn weight_part(&self, share: &Share) -> f64 {
         let weight =
             |share: &Share| share.partner_weight * share.owner_weight * share.account_weight;
-        let others = self
-            .lines
-            .iter()
-            .filter(|(account, _)| **account != share.account);
-        let others: f64 = others.map(|(_, line)| weight(&line.share)).sum();
+        let mut others = 0.0;
+        let mut last = None;
+        for (place, line) in &self.lines {
+            let is_counted = last == Some(place.account) || place.account == share.account;
+            last = Some(place.account);
+            if let Some(front) = line.front().filter(|_| !is_counted) {
+                others += weight(&front.demand.share);
+            }
+        }
         weight(share) / (weight(share) + others)
     }
 
-    /// Takes a request in, before those of its account and rank whose callers leave later: who comes back after a refusal
-    /// has the least time left.
-    pub fn push(&mut self, demand: Demand) {
-        let line = self
-            .lines
-            .entry(demand.share.account)
-            .or_insert_with(|| Line {
-                share: demand.share,
-                urgent: VecDeque::new(),
-                plain: VecDeque::new(),
-            });
-        line.share = demand.share;
-        let waiting = match demand.is_urgent() {
-            true => &mut line.urgent,
-            false => &mut line.plain,
+    /// Takes a request in that must begin to be read by a time. Among those that must begin at the same time the one
+    /// whose caller leaves first goes first.
+    pub fn push(&mut self, demand: Demand, begins_by_ms: u64, need: Need) {
+        let line = self.lines.entry(Place::of(&demand)).or_default();
+        let key = (begins_by_ms, demand.leaves_ms);
+        let at = line.partition_point(|other| (other.begins_by_ms, other.demand.leaves_ms) <= key);
+        let waiting = Waiting {
+            demand,
+            begins_by_ms,
+            need,
         };
-        let at = waiting.partition_point(|other| other.leaves_ms <= demand.leaves_ms);
-        waiting.insert(at, demand);
+        line.insert(at, waiting);
         self.len += 1;
     }
 
-    /// The next place to serve that is not among `passed`: urgent requests first, within bounds, then
-    /// the account that was served least, then the request that came first.
-    pub fn next(&self, tree: &FairTree, passed: &HashSet<Place>) -> Option<Place> {
-        let bounded = self.urgent_in_a_row >= URGENT_IN_A_ROW;
-        let mut best: Option<(Rank, Place)> = None;
-        for (account, line) in &self.lines {
-            let rank = tree.rank(&line.share);
-            for (urgent, waiting) in [(true, &line.urgent), (false, &line.plain)] {
-                let place = Place {
-                    account: *account,
-                    urgent,
-                };
-                let Some(front) = waiting.front().filter(|_| !passed.contains(&place)) else {
-                    continue;
-                };
-                let rank: Rank = (urgent == bounded, rank, front.since_ms, *account);
-                if best.as_ref().is_none_or(|(other, _)| rank < *other) {
-                    best = Some((rank, place));
-                }
+    /// The next place to serve that is not among `passed`.
+    pub fn next(&self, tree: &FairTree, passed: &HashSet<Place>, now_ms: u64) -> Option<Place> {
+        let mut best: Option<(Order, Place)> = None;
+        for (place, line) in &self.lines {
+            let Some(front) = line.front().filter(|_| !passed.contains(place)) else {
+                continue;
+            };
+            let has_turn = self.has_turn(*place, front, now_ms);
+            let service = tree.rank(&front.demand.share);
+            let order: Order = (
+                !has_turn,
+                place.rank,
+                service,
+                front.begins_by_ms,
+                place.account,
+            );
+            if best.as_ref().is_none_or(|(other, _)| order < *other) {
+                best = Some((order, *place));
             }
         }
         best.map(|(_, place)| place)
     }
 
+    /// Whether a request goes before those that are more urgent.
+    fn has_turn(&self, place: Place, front: &Waiting, now_ms: u64) -> bool {
+        let is_due = front.begins_by_ms <= now_ms + DUE_AHEAD_MS;
+        is_due && self.grants_since_turn + 1 >= GRANTS_PER_TURN && self.is_behind(place.rank)
+    }
+
+    fn is_behind(&self, rank: u8) -> bool {
+        self.lines.keys().any(|place| place.rank < rank)
+    }
+
     pub fn front(&self, place: Place) -> Option<&Demand> {
-        let line = self.lines.get(&place.account)?;
-        if place.urgent {
-            line.urgent.front()
-        } else {
-            line.plain.front()
-        }
+        Some(&self.lines.get(&place)?.front()?.demand)
+    }
+
+    /// All requests that wait, in the order in which they are about to be served, with the memory that each needs.
+    pub fn in_order(&self) -> Vec<(&Demand, &Need)> {
+        let mut waiting: Vec<&Waiting> = self.lines.values().flatten().collect();
+        waiting.sort_by_key(|waiting| {
+            let demand = &waiting.demand;
+            let by_time = (waiting.begins_by_ms, demand.leaves_ms);
+            (demand.rank_in_use(), by_time, demand.permit)
+        });
+        let parts = waiting
+            .into_iter()
+            .map(|waiting| (&waiting.demand, &waiting.need));
+        parts.collect()
     }
 
-    /// All requests that wait, in the order in which they are about to be served: the urgent first, then those whose
-    /// callers leave first.
-    pub fn in_order(&self) -> Vec<&Demand> {
-        let waiting = self
-            .lines
-            .values()
-            .flat_map(|line| line.urgent.iter().chain(&line.plain));
-        let mut waiting: Vec<&Demand> = waiting.collect();
-        waiting.sort_by_key(|demand| (!demand.is_urgent(), demand.leaves_ms, demand.permit));
-        waiting
+    /// What goes before a request that is to be read by a time; its prompts are read in the run.
+    pub fn before(&self, demand: &Demand, begins_by_ms: u64, run: &mut ForwardRun) -> Before {
+        let rank = demand.rank_in_use();
+        let key = (begins_by_ms, demand.leaves_ms);
+        let mut before = Before::default();
+        for (place, line) in self.lines.iter().filter(|(at, _)| at.rank <= rank) {
+            for other in line {
+                if place.rank == rank && (other.begins_by_ms, other.demand.leaves_ms) > key {
+                    break;
+                }
+                before.add(&other.demand, &other.need, rank);
+                run.read(other.demand.prompt_tokens);
+            }
+        }
+        before
     }
 
     /// How many requests of a place have waited since `since_ms` or longer, counted up to `most`.
     pub fn count_since(&self, place: Place, since_ms: u64, most: usize) -> usize {
-        let Some(line) = self.lines.get(&place.account) else {
-            return 0;
-        };
-        let waiting = if place.urgent {
-            &line.urgent
-        } else {
-            &line.plain
-        };
-        let late = waiting
-            .iter()
-            .take(most)
-            .filter(|demand| demand.since_ms <= since_ms);
-        late.count()
+        let line = self.lines.get(&place).into_iter().flatten().take(most);
+        line.filter(|waiting| waiting.demand.since_ms <= since_ms)
+            .count()
     }
 
     /// Takes the first request of a place for a grant.
-    pub fn pop(&mut self, place: Place) -> Option<Demand> {
-        let line = self.lines.get_mut(&place.account)?;
-        let demand = if place.urgent {
-            line.urgent.pop_front()
-        } else {
-            line.plain.pop_front()
-        }?;
+    pub fn pop(&mut self, place: Place, now_ms: u64) -> Option<Demand> {
+        let front = self.lines.get(&place)?.front()?;
+        let has_turn = self.has_turn(place, front, now_ms);
+        let line = self.lines.get_mut(&place)?;
+        let waiting = line.pop_front()?;
         if line.is_empty() {
-            self.lines.remove(&place.account);
+            self.lines.remove(&place);
         }
         self.len -= 1;
-        self.urgent_in_a_row = match place.urgent {
-            true => self.urgent_in_a_row + 1,
-            false => 0,
+        self.grants_since_turn = match has_turn {
+            true => 0,
+            false => self.grants_since_turn.saturating_add(1),
         };
-        Some(demand)
+        Some(waiting.demand)
     }
 
     /// Takes out every request for which `leaves` holds.
     pub fn take_if(&mut self, leaves: impl Fn(&Demand) -> bool) -> Vec<Demand> {
         let mut taken = Vec::new();
         for line in self.lines.values_mut() {
-            for waiting in [&mut line.urgent, &mut line.plain] {
-                if !waiting.iter().any(&leaves) {
-                    continue;
-                }
-                let (out, stay): (VecDeque<_>, VecDeque<_>) =
-                    std::mem::take(waiting).into_iter().partition(&leaves);
-                *waiting = stay;
-                taken.extend(out);
+            if !line.iter().any(|waiting| leaves(&waiting.demand)) {
+                continue;
             }
+            let whole = std::mem::take(line).into_iter();
+            let (out, stay): (VecDeque<_>, VecDeque<_>) =
+                whole.partition(|waiting| leaves(&waiting.demand));
+            *line = stay;
+            taken.extend(out.into_iter().map(|waiting| waiting.demand));
         }
         self.lines.retain(|_, line| !line.is_empty());
         // In an order that does not hang on chance.
@@ -203,10 +225,11 @@
     }
 
     pub fn contains(&self, permit: PermitId) -> bool {
-        let in_line = |line: &Line| {
-            let mut waiting = line.urgent.iter().chain(&line.plain);
-            waiting.any(|demand| demand.permit == permit)
-        };
-        self.lines.values().any(in_line)
+        let mut waiting = self.lines.values().flatten();
+        waiting.any(|waiting| waiting.demand.permit == permit)
     }
 }
+
+#[cfg(test)]
+#[path = "queue_tests.rs"]
+mod tests;
--- /dev/null
+++ b/components/policy/src/admission/queue_tests.rs
@@ -0,0 +1,115 @@
+use super::*;
+use crate::admission::test_demands::demand;
+use rstest::rstest;
+
+/// Serials in the order in which they are granted, at one time.
+fn granted(queue: &mut Queue, now_ms: u64) -> Vec<u64> {
+    let tree = FairTree::default();
+    let mut serials = Vec::new();
+    while let Some(place) = queue.next(&tree, &HashSet::new(), now_ms) {
+        serials.push(queue.pop(place, now_ms).unwrap().permit.serial);
+    }
+    serials
+}
+
+#[test]
+fn each_of_ten_ranks_goes_before_those_that_are_less_urgent() {
+    let mut queue = Queue::default();
+    for rank in [3, 9, 0, 7, 1, 5, 2, 8, 4, 6] {
+        queue.push(
+            demand(u64::from(rank), u64::from(rank) % 3, rank),
+            5_000,
+            Need::default(),
+        );
+    }
+    assert_eq!(granted(&mut queue, 0), [0, 1, 2, 3, 4, 5, 6, 7, 8, 9]);
+}
+
+#[test]
+fn a_rank_that_is_not_known_counts_as_the_least_urgent() {
+    let mut queue = Queue::default();
+    queue.push(demand(1, 1, 200), 5_000, Need::default());
+    queue.push(demand(2, 1, 8), 5_000, Need::default());
+    assert_eq!(granted(&mut queue, 0), [2, 1]);
+}
+
+#[test]
+fn who_has_a_longer_goal_waits_longer_within_a_rank() {
+    let mut queue = Queue::default();
+    for (serial, begins_by_ms) in [(1, 3_900), (2, 1_400), (3, 2_000)] {
+        queue.push(demand(serial, 1, 4), begins_by_ms, Need::default());
+    }
+    assert_eq!(granted(&mut queue, 0), [2, 3, 1]);
+}
+
+#[test]
+fn who_comes_back_too_early_goes_behind_those_who_waited() {
+    let mut queue = Queue::default();
+    // Refused, and back at once: the goal runs anew, so that it must begin later than who came before.
+    queue.push(demand(1, 1, 0), 1_300, Need::default());
+    queue.push(demand(2, 1, 0), 1_100, Need::default());
+    queue.push(demand(3, 1, 0), 1_200, Need::default());
+    assert_eq!(granted(&mut queue, 0), [2, 3, 1]);
+}
+
+#[rstest]
+#[case::has_time(5_000, 20)]
+#[case::would_miss_its_goal(150, 9)]
+fn a_less_urgent_request_goes_next_only_where_it_would_miss_its_goal(
+    #[case] begins_by_ms: u64,
+    #[case] before: usize,
+) {
+    let mut queue = Queue::default();
+    queue.push(demand(99, 2, 9), begins_by_ms, Need::default());
+    for serial in 0..20 {
+        queue.push(demand(serial, 1, 0), 5_000, Need::default());
+    }
+    let order = granted(&mut queue, 100);
+    assert_eq!(order.iter().position(|serial| *serial == 99), Some(before));
+}
+
+#[test]
+fn one_grant_in_ten_at_most_goes_to_what_is_less_urgent() {
+    let mut queue = Queue::default();
+    for serial in 0..100 {
+        queue.push(demand(serial, 1, 0), 5_000, Need::default());
+        queue.push(demand(1_000 + serial, 2, 3), 0, Need::default());
+    }
+    let first = granted(&mut queue, 100);
+    let less_urgent = first[..100].iter().filter(|serial| **serial >= 1_000);
+    assert_eq!(less_urgent.count(), 10);
+}
+
+#[test]
+fn the_first_of_a_rank_take_no_turn_from_other_accounts_of_it() {
+    let mut queue = Queue::default();
+    let mut tree = FairTree::default();
+    let (served, other) = (demand(1, 1, 0), demand(2, 2, 0));
+    for share in [&served.share, &other.share] {
+        tree.waits(share);
+    }
+    tree.charge_output(&served.share, 1_000);
+    queue.push(served, 0, Need::default());
+    queue.push(other, 5_000, Need::default());
+    queue.grants_since_turn = 100;
+    let place = queue.next(&tree, &HashSet::new(), 100).unwrap();
+    assert_eq!(queue.front(place).unwrap().permit.serial, 2);
+}
+
+#[test]
+fn what_is_taken_out_leaves_no_trace() {
+    let mut queue = Queue::default();
+    for serial in 0..4 {
+        queue.push(
+            demand(serial, serial % 2, (serial / 2) as u8),
+            5_000,
+            Need::default(),
+        );
+    }
+    assert!(queue.contains(demand(3, 1, 1).permit));
+    assert!(queue.remove(demand(3, 1, 1).permit).is_some());
+    assert_eq!((queue.len(), queue.len_of(AccountId(1))), (3, 1));
+    assert_eq!(queue.in_order().len(), 3);
+    assert_eq!(queue.ranks()[..3], [true, true, false]);
+    assert_eq!(queue.weight_part(&demand(9, 0, 0).share), 0.5);
+}
--- a/components/policy/src/admission/refusal.rs
+++ b/components/policy/src/admission/refusal.rs
@@ -1,5 +1,6 @@
 //! Which requests are refused: at once where they would wait too long, or when their deadline passes.
 
+use crate::admission::outlook::Need;
 use crate::demand::{Demand, Verdict};
 use crate::kind::WaitingPolicy;
 use crate::placement::ledger::EngineState;
@@ -14,7 +15,7 @@
 
 impl Pool {
     /// Why a request that just came must be refused, if it must.
-    pub(crate) fn refusal(&self, demand: &Demand, now_ms: u64) -> Option<Refusal> {
+    pub(crate) fn refusal(&mut self, demand: &Demand, need: &Need, now_ms: u64) -> Option<Refusal> {
         let live = self
             .engines
             .iter()
@@ -32,8 +33,10 @@
                 retry_after_ms: None,
             });
         }
+        // What fits nowhere says nothing of what needs room.
+        self.outlook.coming.came(demand, need, now_ms);
         if self.settings.waiting == WaitingPolicy::FirstToken {
-            return self.too_late(demand, now_ms);
+            return self.too_late(demand, need, now_ms);
         }
         let wait_ms = self.expected_wait_ms(demand)?;
         let left_ms = demand.deadline_ms.saturating_sub(now_ms);
@@ -74,12 +77,16 @@
             .queue
             .in_order()
             .into_iter()
-            .filter(|demand| over(demand))
-            .map(|demand| demand.permit)
+            .filter(|(demand, _)| over(demand))
+            .map(|(demand, _)| demand.permit)
             .collect();
         let expired = self.queue.take_if(|demand| over.contains(&demand.permit));
         for demand in expired {
             self.tree.leaves(&demand.share);
+            // Its first token would have come after its prompt was read, at the soonest.
+            let read_ms = self.read_ms(&demand) as u64;
+            let errors = &mut self.outlook.errors;
+            errors.first_token(demand.permit, now_ms.saturating_add(read_ms));
             let wait_ms = self.expected_wait_ms(&demand).unwrap_or(0);
             let refusal = Refusal {
                 reason: RefusalReason::DeadlinePassed,
--- /dev/null
+++ b/components/policy/src/admission/returning_tests.rs
@@ -0,0 +1,40 @@
+use super::*;
+use crate::admission::forward::Reader;
+use crate::admission::room_ahead::HORIZONS;
+use crate::admission::test_demands::demand;
+
+fn need() -> Need {
+    Need {
+        peak_tokens: 100.0,
+        held: [100.0; HORIZONS],
+    }
+}
+
+fn one_engine() -> ForwardRun {
+    ForwardRun::new(&[Reader {
+        left_ms: 0.0,
+        tokens_per_ms: 10.0,
+    }])
+}
+
+#[test]
+fn callers_who_come_back_are_counted_until_then() {
+    let mut returning = Returning::default();
+    for (serial, rank, back_ms) in [(1, 0, 500), (2, 3, 500), (3, 5, 500), (4, 0, 200)] {
+        returning.told(&demand(serial, 1, rank), &need(), back_ms);
+    }
+    let (mut before, mut run) = (Before::default(), one_engine());
+    returning.add_to(&mut before, &mut run, 3, 300);
+    assert_eq!(before.held[0], 200.0);
+    assert_eq!(run.first_token_ms(0), Some(200.0));
+    assert_eq!(returning.callers.len(), 3);
+}
+
+#[test]
+fn a_flood_of_refusals_takes_bounded_memory() {
+    let mut returning = Returning::default();
+    for serial in 0..3_000 {
+        returning.told(&demand(serial, 1, 0), &need(), u64::MAX);
+    }
+    assert_eq!(returning.callers.len(), KEPT_MOST);
+}
--- /dev/null
+++ b/components/policy/src/admission/test_demands.rs
@@ -0,0 +1,37 @@
+//! Requests for tests of this folder.
+
+use crate::demand::Demand;
+use crate::fairness::tree::Share;
+use crate::placement::length::LengthClass;
+use prelude::{AccountId, BoxId, OwnerId, PartnerId, PermitId};
+
+/// A request of 1,000 prompt tokens, due after 5 s.
+pub(crate) fn demand(serial: u64, account: u64, rank: u8) -> Demand {
+    Demand {
+        permit: PermitId {
+            entry: BoxId(1),
+            life: 0,
+            serial,
+        },
+        share: Share {
+            partner: PartnerId(1),
+            owner: OwnerId(1),
+            account: AccountId(account),
+            partner_weight: 1.0,
+            owner_weight: 1.0,
+            account_weight: 1.0,
+        },
+        class: LengthClass::default(),
+        prompt_tokens: 1_000,
+        max_tokens: 100,
+        rank,
+        pause_goal_ms: None,
+        since_ms: serial,
+        deadline_ms: 5_000,
+        leaves_ms: 10_000,
+        prefix: None,
+        told_tokens: None,
+        avoid: None,
+        near: None,
+    }
+}
--- a/components/policy/src/admission/waiting.rs
+++ b/components/policy/src/admission/waiting.rs
@@ -1,16 +1,19 @@
 //! Who is let wait, by a forecast of their first tokens: what would come too late is refused at once, so that its caller
 //! can come back elsewhere or later, and what is let wait is nearly always served in time.
 //!
-//! Two resources bind. Reading is run forward over the engines in the order in which requests are about to be served.
-//! Memory frees in no order that could be run forward, as answers end when they end: where the first in line fits
-//! nowhere, the pace at which requests of its rank were granted lately counts too. The later of the two is the forecast.
+//! Two resources bind, and both are run forward for what goes before a request in the order in which it will be served:
+//! the engines' reading of prompts, and their memory, which comes free as what runs ends, by the lengths of such answers.
+//! The later of the two is the forecast. It is corrected by how far such forecasts were off lately. Without memory run
+//! forward, the pace at which requests of its rank were granted lately stands for it.
 //!
 //! Load patterns that this answers: a burst while a third of the engines is evacuated, prompts that are suddenly twice
 //! as long, a flood of requests that are less urgent than the others.
 
 use crate::admission::forward::{ForwardRun, Reader};
+use crate::admission::outlook::{Before, Need};
+use crate::admission::returning::Returning;
 use crate::demand::{Demand, Verdict};
-use crate::placement::ledger::{EngineLedger, EngineState};
+use crate::placement::ledger::{EngineLedger, EngineState, RoomView};
 use crate::pool::Pool;
 use prelude::{PermitId, Refusal, RefusalReason};
 
@@ -22,53 +25,121 @@
 const WAIT_MIN_SHARE: f64 = 0.1;
 /// A prompt whose first token comes within so many times what it takes to be read is not refused: nothing is before it.
 const ALONE_TIMES: f64 = 1.1;
+/// Share of the reading that more urgent requests are taken to use at the most: beyond it they wait for each other.
+const URGENT_SHARE_MOST: f64 = 0.8;
 /// Least time after which a refused caller is told to come back.
 const RETRY_AFTER_MIN_MS: u64 = 100;
 
+/// When the first token of a request would come, from now.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct FirstToken {
+    /// By the forecast.
+    pub forecast_ms: f64,
+    /// The same, corrected by how far forecasts were off.
+    pub corrected_ms: f64,
+}
+
 impl Pool {
-    /// Refusal of a request whose first token would come too late, with the time by which it would be late: then as much
-    /// work is done as was too much.
-    pub(crate) fn too_late(&self, demand: &Demand, now_ms: u64) -> Option<Refusal> {
+    /// Looks at the memory that will come free, where that was not done just now.
+    pub(crate) fn look_ahead(&mut self, now_ms: u64) {
+        if !self.settings.memory_ahead || !self.outlook.room.is_stale(now_ms) {
+            return;
+        }
+        let usual_tokens = self.outlook.coming.usual_tokens(now_ms);
+        let view = RoomView {
+            streams: &self.streams,
+            lengths: &self.lengths,
+            settings: &self.settings,
+            tokens_per_ms: self.tokens_per_ms,
+            margin: self.margin_in_use(),
+            now_ms,
+        };
+        self.outlook
+            .room
+            .look(&mut self.engines, &view, usual_tokens);
+    }
+
+    /// Refusal of a request whose first token would come too late, with the time after which to come back. Otherwise its
+    /// forecast is noted.
+    pub(crate) fn too_late(
+        &mut self,
+        demand: &Demand,
+        need: &Need,
+        now_ms: u64,
+    ) -> Option<Refusal> {
+        self.look_ahead(now_ms);
         let mut run = self.run_forward(now_ms);
-        let mut same_rank = 0;
-        for other in self.queue.in_order() {
-            if !is_before(other, demand) {
-                continue;
-            }
-            run.read(other.prompt_tokens);
-            same_rank += usize::from(other.is_urgent() == demand.is_urgent());
+        let begins_by_ms = self.waits_until_ms(demand);
+        let before = self.queue.before(demand, begins_by_ms, &mut run);
+        let first = self.first_token(&run, demand, need, &before, now_ms)?;
+        if self.is_over(demand, first, now_ms) {
+            let mut returning = std::mem::take(&mut self.outlook.returning);
+            let refusal = self.crowded(run, demand, need, before, &mut returning);
+            self.outlook.returning = returning;
+            return Some(refusal);
         }
-        let first_ms = self.first_token_ms(&run, demand, same_rank)?;
-        self.over_ms(demand, first_ms, now_ms).map(crowded)
+        let errors = &mut self.outlook.errors;
+        errors.forecast(demand, first.forecast_ms, now_ms);
+        None
     }
 
     /// Refuses what was let wait a moment ago and will be too late by what is known now.
     pub(crate) fn refuse_early(&mut self, now_ms: u64) -> Vec<(PermitId, Verdict)> {
+        self.look_ahead(now_ms);
+        let mut returning = std::mem::take(&mut self.outlook.returning);
         let mut run = self.run_forward(now_ms);
-        let mut ahead = [0, 0];
-        let mut refused = Vec::new();
-        for demand in self.queue.in_order() {
-            let rank = usize::from(!demand.is_urgent());
-            let Some(first_ms) = self.first_token_ms(&run, demand, ahead[rank]) else {
+        let mut before = Before::default();
+        let mut rank = 0;
+        let mut verdicts = Vec::new();
+        for (demand, need) in self.queue.in_order() {
+            if demand.rank_in_use() != rank {
+                rank = demand.rank_in_use();
+                before.same_rank = 0;
+            }
+            let Some(first) = self.first_token(&run, demand, need, &before, now_ms) else {
                 break;
             };
             let waited_ms = now_ms.saturating_sub(demand.since_ms) as f64;
             let is_early = waited_ms <= whole_ms(demand) * EARLY_SHARE;
-            let over_ms = self.over_ms(demand, first_ms, now_ms);
-            if let Some(over_ms) = over_ms.filter(|_| is_early) {
-                refused.push((demand.permit, crowded(over_ms)));
+            if is_early && self.is_over(demand, first, now_ms) {
+                let refusal = self.crowded(run.clone(), demand, need, before, &mut returning);
+                verdicts.push((demand.permit, Verdict::Refused(refusal)));
                 continue;
             }
             run.read(demand.prompt_tokens);
-            ahead[rank] += 1;
+            before.add(demand, need, rank);
         }
-        for (permit, _) in &refused {
+        self.outlook.returning = returning;
+        for (permit, _) in &verdicts {
+            self.outlook.errors.left(*permit);
             if let Some(demand) = self.queue.remove(*permit) {
                 self.tree.leaves(&demand.share);
             }
         }
-        let verdict = |(permit, refusal)| (permit, Verdict::Refused(refusal));
-        refused.into_iter().map(verdict).collect()
+        verdicts
+    }
+
+    /// A refusal with the time after which a request would be served, behind those who were told to come back before it.
+    fn crowded(
+        &self,
+        mut run: ForwardRun,
+        demand: &Demand,
+        need: &Need,
+        mut before: Before,
+        returning: &mut Returning,
+    ) -> Refusal {
+        let now_ms = self.now_ms;
+        returning.add_to(&mut before, &mut run, demand.rank_in_use(), now_ms);
+        let first = self.first_token(&run, demand, need, &before, now_ms);
+        let first_ms = first.map_or(0.0, |first| first.corrected_ms);
+        // Its goal begins anew when it comes back.
+        let back_ms = (first_ms - whole_ms(demand)).max(0.0) as u64;
+        let back_ms = back_ms.max(RETRY_AFTER_MIN_MS);
+        returning.told(demand, need, now_ms.saturating_add(back_ms));
+        Refusal {
+            reason: RefusalReason::Crowded,
+            retry_after_ms: Some(back_ms),
+        }
     }
 
     /// Until when a request waits: beyond that its prompt could not be read in time.
@@ -80,25 +151,62 @@
         latest_ms.max(demand.since_ms.saturating_add(least_ms))
     }
 
-    /// By how much a first token comes too late; none where it does not, or where nothing is before it.
-    fn over_ms(&self, demand: &Demand, first_ms: f64, now_ms: u64) -> Option<f64> {
+    /// Whether a first token comes too late, and not only because its own prompt is long.
+    fn is_over(&self, demand: &Demand, first: FirstToken, now_ms: u64) -> bool {
         let left_ms = demand.deadline_ms.saturating_sub(now_ms) as f64;
-        let alone_ms = self.read_ms(demand) * ALONE_TIMES;
-        (first_ms > left_ms.max(alone_ms)).then_some(first_ms - left_ms)
+        let is_alone = first.forecast_ms <= self.read_ms(demand) * ALONE_TIMES;
+        first.corrected_ms > left_ms && !is_alone
     }
 
-    /// Time until the first token of a request that goes next, behind so many of its rank.
-    fn first_token_ms(&self, run: &ForwardRun, demand: &Demand, same_rank: usize) -> Option<f64> {
-        let by_reading_ms = run.first_token_ms(demand.prompt_tokens)?;
+    /// When the first token of a request comes that goes next, behind what goes before it.
+    fn first_token(
+        &self,
+        run: &ForwardRun,
+        demand: &Demand,
+        need: &Need,
+        before: &Before,
+        now_ms: u64,
+    ) -> Option<FirstToken> {
+        let rank = demand.rank_in_use();
+        let read_ms = self.read_ms(demand);
+        let alone_ms = run.first_token_ms(demand.prompt_tokens)?;
+        let held_up = self.held_up(run, rank, now_ms);
+        let by_reading_ms = read_ms + (alone_ms - read_ms).max(0.0) * held_up;
+        let granted_ms = match self.settings.memory_ahead {
+            true => self.outlook.memory_in_ms(rank, need, before, now_ms),
+            false => self.by_pace_ms(rank, before.same_rank),
+        };
+        let forecast_ms = by_reading_ms.max(granted_ms + read_ms);
+        let correction = match self.settings.memory_ahead {
+            true => self.outlook.errors.correction(rank, now_ms),
+            false => 1.0,
+        };
+        Some(FirstToken {
+            forecast_ms,
+            corrected_ms: forecast_ms * correction,
+        })
+    }
+
+    /// How many times longer a request waits to be read because more urgent ones come meanwhile.
+    fn held_up(&self, run: &ForwardRun, rank: u8, now_ms: u64) -> f64 {
+        if !self.settings.memory_ahead {
+            return 1.0;
+        }
+        let coming = &self.outlook.coming;
+        let urgent = coming.prompt_tokens_before(rank, now_ms) / run.tokens_per_ms();
+        (1.0 - urgent.min(URGENT_SHARE_MOST)).recip()
+    }
+
+    /// When a request behind so many of its rank is granted, by the pace at which that rank was granted lately.
+    fn by_pace_ms(&self, rank: u8, same_rank: usize) -> f64 {
         if same_rank == 0 {
-            return Some(by_reading_ms);
+            return 0.0;
         }
-        let pace = self.paces[usize::from(!demand.is_urgent())].ms_per_grant();
-        let granted_ms = pace.unwrap_or(0.0) * (same_rank + 1) as f64;
-        Some(by_reading_ms.max(granted_ms + self.read_ms(demand)))
+        let pace = self.paces[usize::from(rank)].ms_per_grant();
+        pace.unwrap_or(0.0) * (same_rank + 1) as f64
     }
 
-    fn read_ms(&self, demand: &Demand) -> f64 {
+    pub(crate) fn read_ms(&self, demand: &Demand) -> f64 {
         f64::from(demand.prompt_tokens) / self.reading_rate.tokens_per_ms()
     }
 
@@ -120,18 +228,6 @@
     demand.deadline_ms.saturating_sub(demand.since_ms) as f64
 }
 
-/// Whether a request that waits is served before another.
-fn is_before(other: &Demand, demand: &Demand) -> bool {
-    (!other.is_urgent(), other.leaves_ms) <= (!demand.is_urgent(), demand.leaves_ms)
-}
-
-fn crowded(over_ms: f64) -> Refusal {
-    Refusal {
-        reason: RefusalReason::Crowded,
-        retry_after_ms: Some((over_ms as u64).max(RETRY_AFTER_MIN_MS)),
-    }
-}
-
 #[cfg(test)]
 #[path = "waiting_tests.rs"]
 mod tests;
--- a/components/policy/src/demand.rs
+++ b/components/policy/src/demand.rs
@@ -5,6 +5,9 @@
 use prelude::{DataCentreId, PermitId, Refusal, TargetId};
 use serde::{Deserialize, Serialize};
 
+/// How many ranks of urgency there are.
+pub const RANKS: usize = 10;
+
 /// A request for a permit.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Demand {
@@ -39,9 +42,9 @@
 }
 
 impl Demand {
-    /// Whether it is of the most urgent rank.
-    pub fn is_urgent(&self) -> bool {
-        self.rank == 0
+    /// Its rank as a place in a list of [`RANKS`]; one beyond the last counts as the last.
+    pub fn rank_in_use(&self) -> u8 {
+        self.rank.min(RANKS as u8 - 1)
     }
 }
 
--- a/components/policy/src/kind.rs
+++ b/components/policy/src/kind.rs
@@ -73,8 +73,15 @@
     pub margin_step: f64,
     /// Taken off the margin each second without a preemption.
     pub margin_decay_per_s: f64,
+    /// Whether ten ranks are told apart; otherwise the most urgent goes before all others.
+    pub ranks: bool,
     /// How it is decided who waits.
     pub waiting: WaitingPolicy,
+    /// Whether memory is run forward beside reading, and such forecasts are corrected by how far they were off; otherwise
+    /// the pace of grants stands for memory.
+    pub memory_ahead: bool,
+    /// Whether engines are left free to read for more urgent work that is likely to come.
+    pub protection: bool,
     /// How reading counts.
     pub reading: ReadingPolicy,
     /// Prompt tokens that one engine may have waiting for their first token, under the fixed bound.
@@ -123,7 +130,10 @@
             margin_max: 2.0,
             margin_step: 0.1,
             margin_decay_per_s: 0.05,
+            ranks: true,
             waiting: WaitingPolicy::FirstToken,
+            memory_ahead: true,
+            protection: true,
             reading: ReadingPolicy::FirstToken,
             prefill_tokens: 4096,
             reading_ahead_ms: 1_000,
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -11,7 +11,7 @@
 mod pool;
 mod retries;
 
-pub use demand::{Adopted, Demand, Submitted, Verdict};
+pub use demand::{Adopted, Demand, RANKS, Submitted, Verdict};
 pub use fairness::tree::{FairTree, Share};
 pub use health::suspicion::Suspicion;
 pub use health::trial::Trial;
--- a/components/policy/src/placement/forecast.rs
+++ b/components/policy/src/placement/forecast.rs
@@ -35,6 +35,22 @@
         sum
     }
 
+    /// The memory in use at a horizon, as it is expected.
+    pub fn mean_at(&self, horizon: usize) -> f64 {
+        self.mean_tokens[horizon]
+    }
+
+    /// The most memory in use from each horizon on, `margin` standard deviations above the mean.
+    pub fn peaks_from(&self, margin: f64) -> [f64; HORIZONS_TOKENS.len()] {
+        let mut peaks = [0.0; HORIZONS_TOKENS.len()];
+        let mut most: f64 = 0.0;
+        for at in (0..HORIZONS_TOKENS.len()).rev() {
+            most = most.max(self.mean_tokens[at] + margin * self.variance[at].sqrt());
+            peaks[at] = most;
+        }
+        peaks
+    }
+
     /// The memory in use at the first horizon, as it is expected.
     pub fn now_tokens(&self) -> f64 {
         self.mean_tokens[0]
--- a/components/policy/src/placement/ledger.rs
+++ b/components/policy/src/placement/ledger.rs
@@ -3,7 +3,7 @@
 
 use crate::fairness::tree::Share;
 use crate::kind::PoolSettings;
-use crate::placement::forecast::Forecast;
+use crate::placement::forecast::{Forecast, HORIZONS_TOKENS};
 use crate::placement::length::{LengthClass, LengthModel};
 use crate::placement::reading::Reading;
 use prelude::{BoxId, DataCentreId, PermitId, TargetId, TargetIncarnation};
@@ -268,6 +268,14 @@
         usable - self.foreign_tokens - peak
     }
 
+    /// Memory that is free from each horizon on, in tokens.
+    pub fn free_ahead(&mut self, view: &RoomView<'_>) -> [f64; HORIZONS_TOKENS.len()] {
+        let usable = self.info.capacity_tokens as f64 * view.settings.memory_share;
+        let usable = usable - self.foreign_tokens;
+        let forecast = self.forecast(view.streams, view.lengths, view.tokens_per_ms, view.now_ms);
+        forecast.peaks_from(view.margin).map(|peak| usable - peak)
+    }
+
     /// Keeps the ledger's own past, against which late reports are held.
     pub fn remember(&mut self, own_tokens: f64, now_ms: u64) {
         self.own_past.push_back((now_ms, own_tokens));
--- a/components/policy/src/placement/length.rs
+++ b/components/policy/src/placement/length.rs
@@ -45,11 +45,25 @@
     Censored,
 }
 
+/// The first lengths of the bins of one doubling, as parts of its first length.
+const PARTS: [f64; BINS_PER_DOUBLING + 1] = [
+    1.0,
+    1.189_207_115_002_721,
+    std::f64::consts::SQRT_2,
+    1.681_792_830_507_429,
+    2.0,
+];
+
 /// The first length in a bin.
 fn bin_start(bin: usize) -> f64 {
-    (bin as f64 / BINS_PER_DOUBLING as f64).exp2()
+    let doubling = (1_u64 << (bin / BINS_PER_DOUBLING)) as f64;
+    doubling * PARTS[bin % BINS_PER_DOUBLING]
 }
 
+/// Bits of a number of 64 bits that stand below its exponent, and what is added to that exponent.
+const FRACTION_BITS: u32 = 52;
+const EXPONENT_BIAS: u64 = 1_023;
+
 /// What is taken for known of a bin before anything was observed: hazard and weight.
 fn prior(bin: usize) -> (f64, f64) {
     let short = bin_start(bin) < PRIOR_SHORT_TOKENS;
@@ -61,9 +75,18 @@
     (hazard, PRIOR_WEIGHT)
 }
 
+/// The bin of a length: its doubling is the exponent of the number, which costs no logarithm.
 fn bin_of(tokens: f64) -> usize {
-    let bin = tokens.max(1.0).log2() * BINS_PER_DOUBLING as f64;
-    (bin as usize).min(BINS - 1)
+    let bits = tokens.max(1.0).to_bits();
+    let doubling = ((bits >> FRACTION_BITS) - EXPONENT_BIAS) as usize;
+    if doubling >= DOUBLINGS {
+        return BINS - 1;
+    }
+    let fraction = bits & ((1 << FRACTION_BITS) - 1);
+    let part = f64::from_bits(fraction | (EXPONENT_BIAS << FRACTION_BITS));
+    let above = PARTS[1..BINS_PER_DOUBLING].iter();
+    let within = above.filter(|first| part >= **first).count();
+    doubling * BINS_PER_DOUBLING + within
 }
 
 #[derive(Clone, Debug)]
--- a/components/policy/src/placement/length_tests.rs
+++ b/components/policy/src/placement/length_tests.rs
@@ -69,3 +69,19 @@
     train(&mut model, CLASS, 400.0, None, 4000);
     assert!(model.survival(CLASS, 0.0, 200.0) > short + 0.25);
 }
+
+#[test]
+fn bins_lie_between_their_first_lengths() {
+    for bin in 0..BINS {
+        assert_eq!(bin_of(bin_start(bin) * 1.001), bin);
+        assert_eq!(bin_of(bin_start(bin + 1) * 0.999), bin);
+    }
+    for (tokens, bin) in [
+        (0.0, 0),
+        (f64::NAN, 0),
+        (f64::INFINITY, BINS - 1),
+        (1e300, BINS - 1),
+    ] {
+        assert_eq!(bin_of(tokens), bin);
+    }
+}
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -3,8 +3,9 @@
 //! or doubled.
 
 use crate::admission::grant_pace::GrantPace;
+use crate::admission::outlook::{Need, Outlook};
 use crate::admission::queue::Queue;
-use crate::demand::{Demand, Submitted, Verdict};
+use crate::demand::{Demand, RANKS, Submitted, Verdict};
 use crate::fairness::tree::{FairTree, Share};
 use crate::kind::{PolicyKind, PoolSettings};
 use crate::placement::forecast::Forecast;
@@ -38,6 +39,7 @@
     pub(crate) streams: Streams,
     pub(crate) by_permit: HashMap<PermitId, StreamKey>,
     pub(crate) queue: Queue,
+    pub(crate) outlook: Outlook,
     pub(crate) tree: FairTree,
     pub(crate) lengths: LengthModel,
     pub(crate) prefixes: PrefixIndex,
@@ -49,8 +51,8 @@
     pub(crate) now_ms: u64,
     pub(crate) grants: VecDeque<u64>,
     pub(crate) pace: GrantPace,
-    /// The same by rank, the urgent first.
-    pub(crate) paces: [GrantPace; 2],
+    /// The same by rank.
+    pub(crate) paces: [GrantPace; RANKS],
     /// When the first request came; grants wait for engines' reports from then on, but not for ever.
     pub(crate) began_ms: Option<u64>,
     pub(crate) expiry_ms: u64,
@@ -68,6 +70,7 @@
             streams: Streams::with_key(),
             by_permit: HashMap::new(),
             queue: Queue::default(),
+            outlook: Outlook::default(),
             tree: FairTree::default(),
             lengths: LengthModel::default(),
             prefixes: PrefixIndex::default(),
@@ -77,7 +80,7 @@
             now_ms: 0,
             grants: VecDeque::new(),
             pace: GrantPace::default(),
-            paces: [GrantPace::default(); 2],
+            paces: [GrantPace::default(); RANKS],
             began_ms: None,
             expiry_ms: 0,
             remembered_ms: 0,
@@ -131,26 +134,33 @@
     }
 
     /// Takes a request in, or refuses it at once where its wait would pass its deadline.
-    pub fn submit(&mut self, demand: Demand, now_ms: u64) -> Submitted {
+    pub fn submit(&mut self, mut demand: Demand, now_ms: u64) -> Submitted {
         self.now_ms = self.now_ms.max(now_ms);
         self.heard_ms.insert(demand.permit.entry, now_ms);
         if self.by_permit.contains_key(&demand.permit) || self.queue.contains(demand.permit) {
             return Submitted::Waits { place: 0 };
         }
-        if let Some(refusal) = self.refusal(&demand, now_ms) {
+        if !self.settings.ranks {
+            demand.rank = demand.rank.min(1);
+        }
+        let forecast = demand_forecast(&self.lengths, &demand, self.settings.policy);
+        let need = Need::of(&forecast);
+        if let Some(refusal) = self.refusal(&demand, &need, now_ms) {
             return Submitted::Refused(refusal);
         }
         let place = self.queue.len() as u32;
         // Before it counts as waiting: the time before it came says nothing of the pace.
         self.pass(now_ms);
         self.tree.waits(&demand.share);
-        self.queue.push(demand);
+        let begins_by_ms = self.waits_until_ms(&demand);
+        self.queue.push(demand, begins_by_ms, need);
         Submitted::Waits { place }
     }
 
     /// Takes back a request that waits, or releases its permit where it was granted meanwhile.
     pub fn withdraw(&mut self, permit: PermitId) {
         if let Some(demand) = self.queue.remove(permit) {
+            self.outlook.errors.left(permit);
             self.tree.leaves(&demand.share);
         } else {
             self.release(permit, 0, End::Censored);
@@ -168,16 +178,20 @@
         let mut passed = HashSet::new();
         let mut reserved = Vec::new();
         while passed.len() < CANDIDATES {
-            let Some(place) = self.queue.next(&self.tree, &passed) else {
+            let Some(place) = self.queue.next(&self.tree, &passed, now_ms) else {
                 break;
             };
+            if !self.leaves_reading(place, now_ms) {
+                passed.insert(place);
+                continue;
+            }
             let choice = self.choose(place, now_ms, &reserved);
             let Some(target) = choice.fits else {
                 self.reserve(place, &choice.nearest, &mut reserved, now_ms);
                 passed.insert(place);
                 continue;
             };
-            let Some(demand) = self.queue.pop(place) else {
+            let Some(demand) = self.queue.pop(place, now_ms) else {
                 break;
             };
             verdicts.push((demand.permit, Verdict::Granted { target }));
@@ -188,8 +202,9 @@
 
     /// Notes whether requests of each rank wait.
     fn pass(&mut self, now_ms: u64) {
-        for (at, pace) in self.paces.iter_mut().enumerate() {
-            pace.pass(self.queue.has(at == 0), now_ms);
+        let waits = self.queue.ranks();
+        for (pace, waits) in self.paces.iter_mut().zip(waits) {
+            pace.pass(waits, now_ms);
         }
     }
 
@@ -212,6 +227,7 @@
         stream.progress_ms = now_ms;
         let (share, class, target) = (stream.share, stream.class, stream.target);
         if before == 0 {
+            self.outlook.errors.first_token(permit, now_ms);
             self.read(key, target);
         }
         if before > 0 && elapsed_ms > 0 {
@@ -233,10 +249,12 @@
         };
         let before = stream.generated_tokens;
         let tokens = tokens.max(before);
+        let now_ms = self.now_ms;
         if before == 0 && tokens > 0 {
+            self.outlook.errors.first_token(permit, now_ms);
             self.read(key, stream.target);
         }
-        let now_ms = self.now_ms;
+        self.outlook.errors.left(permit);
         if let Some(ledger) = self.engine_mut(stream.target) {
             ledger.remove(key, now_ms);
         }
@@ -331,7 +349,7 @@
 
     fn grant(&mut self, demand: Demand, target: TargetId, now_ms: u64) {
         self.pace.granted();
-        self.paces[usize::from(!demand.is_urgent())].granted();
+        self.paces[usize::from(demand.rank_in_use())].granted();
         self.grants.push_back(now_ms);
         while self
             .grants
@@ -374,6 +392,7 @@
             told_tokens: told(&demand, self.settings.policy),
         };
         let (permit, prompt_tokens) = (stream.permit, stream.prompt_tokens);
+        self.outlook.room.placed(&forecast);
         let key = self.streams.insert(stream);
         self.by_permit.insert(permit, key);
         if let Some(ledger) = self.engine_mut(target) {
