--- a/components/policy/src/placement/length.rs
+++ b/components/policy/src/placement/length.rs
@@ -5,6 +5,7 @@
 
 use prelude::AccountId;
 use std::collections::HashMap;
+use std::hash::{BuildHasherDefault, Hasher};
 
 /// Bins to each doubling of the length.
 const BINS_PER_DOUBLING: usize = 4;
@@ -24,6 +25,8 @@
 const PRIOR_WEIGHT: f64 = 5.0;
 /// Changes after which a survival table is computed anew.
 const CHANGES_PER_TABLE: u32 = 32;
+/// An odd factor whose bits are spread evenly (two to the 64th by the golden ratio).
+const HASH_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
 /// Weights are brought back to one when they pass this.
 const WEIGHT_LIMIT: f64 = 1e12;
 
@@ -94,8 +97,8 @@
     reached: [f64; BINS],
     ended: [f64; BINS],
     weight: f64,
-    /// Logarithm of the share of answers that reach each bin's start.
-    log_survival: [f64; BINS + 1],
+    /// Share of answers that reach each bin's start. A table, as a forecast asks for hundreds of shares at a time.
+    survival: [f64; BINS + 1],
     changes: u32,
 }
 
@@ -105,7 +108,7 @@
             reached: [0.0; BINS],
             ended: [0.0; BINS],
             weight: 1.0,
-            log_survival: [0.0; BINS + 1],
+            survival: [1.0; BINS + 1],
             changes: 0,
         };
         bins.tabulate(prior);
@@ -140,23 +143,23 @@
     }
 
     fn tabulate(&mut self, prior: impl Fn(usize) -> (f64, f64)) {
-        let mut log_survival = 0.0;
+        let mut survival = 1.0;
         for bin in 0..BINS {
-            self.log_survival[bin] = log_survival;
-            log_survival += (1.0 - self.hazard(bin, prior(bin))).ln();
+            self.survival[bin] = survival;
+            survival *= 1.0 - self.hazard(bin, prior(bin));
         }
-        self.log_survival[BINS] = log_survival;
+        self.survival[BINS] = survival;
         self.changes = 0;
     }
 
-    /// Logarithm of the share of answers longer than `tokens`.
-    fn log_longer(&self, tokens: f64) -> f64 {
+    /// The share of answers longer than `tokens`.
+    fn longer(&self, tokens: f64) -> f64 {
         let tokens = tokens.max(1.0);
         let bin = bin_of(tokens);
         let start = bin_start(bin);
         let part = ((tokens - start) / (bin_start(bin + 1) - start)).clamp(0.0, 1.0);
-        let low = self.log_survival[bin];
-        low + part * (self.log_survival[bin + 1] - low)
+        let low = self.survival[bin];
+        low + part * (self.survival[bin + 1] - low)
     }
 }
 
@@ -165,13 +168,39 @@
 pub struct Survivor<'a> {
     bins: &'a Bins,
     generated: f64,
-    log_now: f64,
+    /// One by the share of answers that come to this length.
+    by_now: f64,
 }
 
 impl Survivor<'_> {
     /// The share of them that goes on for more than `more` tokens.
     pub fn share(&self, more: f64) -> f64 {
-        (self.bins.log_longer(self.generated + more) - self.log_now).exp()
+        self.bins.longer(self.generated + more) * self.by_now
+    }
+}
+
+/// Hashes a class by one multiplication a part: a forecast looks the class of each stream up.
+#[derive(Clone, Copy, Debug, Default)]
+struct ClassHasher(u64);
+
+impl Hasher for ClassHasher {
+    fn finish(&self) -> u64 {
+        self.0
+    }
+
+    fn write(&mut self, bytes: &[u8]) {
+        for byte in bytes {
+            self.write_u64(u64::from(*byte));
+        }
+    }
+
+    fn write_u8(&mut self, part: u8) {
+        self.write_u64(u64::from(part));
+    }
+
+    fn write_u64(&mut self, part: u64) {
+        let mixed = (self.0.rotate_left(5) ^ part).wrapping_mul(HASH_FACTOR);
+        self.0 = mixed ^ (mixed >> 32);
     }
 }
 
@@ -179,14 +208,14 @@
 #[derive(Clone, Debug)]
 pub struct LengthModel {
     pool: Bins,
-    classes: HashMap<LengthClass, Bins>,
+    classes: HashMap<LengthClass, Bins, BuildHasherDefault<ClassHasher>>,
 }
 
 impl Default for LengthModel {
     fn default() -> Self {
         Self {
             pool: Bins::new(),
-            classes: HashMap::new(),
+            classes: HashMap::default(),
         }
     }
 }
@@ -236,7 +265,7 @@
         Survivor {
             bins,
             generated,
-            log_now: bins.log_longer(generated),
+            by_now: bins.longer(generated).recip(),
         }
     }
 
