--- a/components/policy/src/fairness/usage.rs
+++ b/components/policy/src/fairness/usage.rs
@@ -73,7 +73,9 @@
             floods: self.tree.floods(&demand.share),
             ..Standing::default()
         };
-        for other in self.queue.before(demand, &self.tree) {
+        let begins_by_ms = self.waits_until_ms(demand);
+        let before = self.queue.requests_before(demand, begins_by_ms, &self.tree);
+        for other in before {
             let count = match (other.rank < demand.rank, other.share.account) {
                 (true, _) => &mut standing.more_urgent,
                 (false, account) if account == demand.share.account => &mut standing.own,
@@ -90,7 +92,7 @@
         for ((account, rank), row) in &self.usage.rows {
             ranks.entry(*account).or_default().insert(*rank, *row);
         }
-        for demand in self.queue.in_order(&self.tree) {
+        for (demand, _) in self.queue.in_order(&self.tree) {
             let of_account = ranks.entry(demand.share.account).or_default();
             of_account.entry(demand.rank).or_default().waiting += 1;
         }
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -21,7 +21,7 @@
 pub use balance::patience::patience_ms;
 pub use balance::record::{CallRecord, RouteRecord};
 pub use balance::slowness::Slowness;
-pub use demand::{Adopted, Demand, Submitted, Verdict};
+pub use demand::{Adopted, Demand, RANKS, Submitted, Verdict};
 pub use fairness::told::UsedLately;
 pub use fairness::tree::{FairTree, Share};
 pub use fairness::usage::{AccountUse, RankUse};
