--- a/components/policy/benches/decisions.rs
+++ b/components/policy/benches/decisions.rs
@@ -3,7 +3,8 @@
 
 use criterion::{Criterion, criterion_group, criterion_main};
 use policy::{
-    Demand, End, EngineInfo, LengthClass, Pool, PoolSettings, ReadingPolicy, Share, WaitingPolicy,
+    Demand, End, EngineInfo, GapsTold, LengthClass, Pool, PoolSettings, ReadingPolicy, Share,
+    WaitingPolicy,
 };
 use prelude::{AccountId, BoxId, DataCentreId, OwnerId, PartnerId, PermitId, TargetId};
 use std::hint::black_box;
@@ -34,7 +35,7 @@
         prompt_tokens: 1_500 + (serial * 37 % 1_500) as u32,
         max_tokens: 1_756,
         rank: if serial.is_multiple_of(3) { 0 } else { 5 },
-        pause_goal_ms: None,
+        pause_goal_ms: Some(180),
         since_ms: now_ms,
         deadline_ms: now_ms + 1_500,
         leaves_ms: now_ms + 6_000,
@@ -61,11 +62,24 @@
     pool
 }
 
+/// Events of engines that are uneven: a telling in three is twice as slow, one in seven disturbed.
+fn gaps(serial: u64) -> GapsTold {
+    let slow = if serial.is_multiple_of(3) { 2 } else { 1 };
+    let disturbed = if serial.is_multiple_of(7) { 3 } else { 1 };
+    GapsTold {
+        events: 16,
+        mean_ms: 40 * slow,
+        longest_ms: 60 * slow * disturbed,
+        slowness_percent: 0,
+    }
+}
+
 fn step(pool: &mut Pool, serial: u64, now_ms: u64) {
     black_box(pool.submit(demand(serial, now_ms), now_ms));
     black_box(pool.run(now_ms));
     let begun = serial.saturating_sub(30);
     pool.progress(demand(begun, 0).permit, 1, now_ms);
+    pool.gaps_seen(demand(begun, 0).permit, gaps(serial), now_ms);
     let Some(ended) = serial.checked_sub(OPEN) else {
         return;
     };
@@ -82,9 +96,19 @@
         reading: ReadingPolicy::Bound,
         waiting: WaitingPolicy::Pace,
         prefill_tokens: 7_000,
+        learns_pace: false,
+        ..now.clone()
+    };
+    let without_pauses = PoolSettings {
+        learns_pace: false,
         ..now.clone()
     };
-    for (name, settings) in [("bound_and_pace", before), ("first_token", now)] {
+    let all = [
+        ("bound_and_pace", before),
+        ("first_token", without_pauses),
+        ("pauses", now),
+    ];
+    for (name, settings) in all {
         let mut pool = filled(settings);
         let mut serial = OPEN;
         criterion.bench_function(name, |bencher| {
--- a/components/policy/src/pace/book.rs
+++ b/components/policy/src/pace/book.rs
@@ -19,6 +19,8 @@
     pub disturbances: Disturbances,
     /// Mean error of what was predicted of its events, as a share of what was seen.
     pub error_share: f64,
+    /// How it is expected to be disturbed, worked out as it is told of.
+    expected: Option<Disturbance>,
 }
 
 /// The pace of the pool.
@@ -26,6 +28,8 @@
 pub struct PaceBook {
     steps: StepModel,
     disturbances: Disturbances,
+    /// How an engine is disturbed of which nothing was told.
+    expected: Option<Disturbance>,
     usual: Usual,
     usual_ms: Option<u64>,
 }
@@ -65,7 +69,10 @@
 
     /// How an engine is disturbed; none where nothing was.
     pub fn disturbance(&self, engine: &EnginePace) -> Option<Disturbance> {
-        engine.disturbances.expected(&self.disturbances)
+        match engine.disturbances.is_known() {
+            true => engine.expected,
+            false => self.expected,
+        }
     }
 
     /// Takes in what was seen. Returns the mean time from one event to the next that was expected.
@@ -122,6 +129,8 @@
         };
         engine.disturbances.observe(&excess);
         self.disturbances.observe(&excess);
+        engine.expected = engine.disturbances.expected(&self.disturbances);
+        self.expected = Disturbances::default().expected(&self.disturbances);
         Some(expected_ms)
     }
 }
--- a/components/policy/src/pace/disturbance.rs
+++ b/components/policy/src/pace/disturbance.rs
@@ -56,6 +56,11 @@
         self.strength = self.strength * FORGETTING + hit * longest;
     }
 
+    /// Whether anything was seen.
+    pub fn is_known(&self) -> bool {
+        self.observations > 0.0
+    }
+
     fn mixed(&self, pool: &Self) -> Self {
         let weight = POOL_WEIGHT / pool.observations.max(POOL_WEIGHT);
         let with = |own: f64, pool: f64| own + weight * pool;
--- a/components/policy/src/pace/speed.rs
+++ b/components/policy/src/pace/speed.rs
@@ -16,26 +16,32 @@
 /// Speeds closer to the usual than this are the usual: the figures are not more exact.
 const USUAL: std::ops::RangeInclusive<f64> = 0.87..=1.15;
 
-/// What is known of one engine's speed. 1 is usual; 2 takes twice as long.
+/// The last observations, with their low quantile worked out as they come: decisions read it often.
 #[derive(Clone, Debug, Default)]
-pub struct Speed {
-    seen: VecDeque<f64>,
-    said: VecDeque<f64>,
-    heard_ms: u64,
+struct Recent {
+    kept: VecDeque<f64>,
+    own: Option<f64>,
 }
 
-fn keep(kept: &mut VecDeque<f64>, value: f64) {
-    kept.push_back(value);
-    if kept.len() > KEPT {
-        kept.pop_front();
+impl Recent {
+    fn keep(&mut self, value: f64) {
+        self.kept.push_back(value);
+        if self.kept.len() > KEPT {
+            self.kept.pop_front();
+        }
+        let mut sorted: Vec<f64> = self.kept.iter().copied().collect();
+        sorted.sort_by(f64::total_cmp);
+        let at = ((sorted.len() - 1) as f64 * QUANTILE) as usize;
+        self.own = Some(sorted[at]);
     }
 }
 
-fn quantile(kept: &VecDeque<f64>) -> Option<f64> {
-    let mut sorted: Vec<f64> = kept.iter().copied().collect();
-    sorted.sort_by(f64::total_cmp);
-    let at = (sorted.len().saturating_sub(1) as f64 * QUANTILE) as usize;
-    sorted.get(at).copied()
+/// What is known of one engine's speed. 1 is usual; 2 takes twice as long.
+#[derive(Clone, Debug, Default)]
+pub struct Speed {
+    seen: Recent,
+    said: Recent,
+    heard_ms: u64,
 }
 
 /// What is usual among the engines of a pool.
@@ -65,8 +71,8 @@
 impl Usual {
     /// The middle one of all engines, by their events and by their own word.
     pub fn of<'a>(speeds: impl Iterator<Item = &'a Speed> + Clone) -> Self {
-        let seen = speeds.clone().filter_map(|speed| quantile(&speed.seen));
-        let said = speeds.clone().filter_map(|speed| quantile(&speed.said));
+        let seen = speeds.clone().filter_map(|speed| speed.seen.own);
+        let said = speeds.clone().filter_map(|speed| speed.said.own);
         let mut usual = Self {
             seen: median(seen.collect()),
             said: median(said.collect()),
@@ -83,23 +89,27 @@
 impl Speed {
     /// Takes in how long its events took, relative to an engine of usual speed under the same load.
     pub fn seen(&mut self, relative: f64, now_ms: u64) {
-        keep(&mut self.seen, relative);
+        self.seen.keep(relative);
         self.heard_ms = now_ms;
     }
 
     /// Takes in how slow it says that work is there.
     pub fn said(&mut self, relative: f64, now_ms: u64) {
-        keep(&mut self.said, relative);
+        self.said.keep(relative);
         self.heard_ms = now_ms;
     }
 
     /// Its speed by all that is known; none where nothing is.
     fn raw(&self, usual: &Usual) -> Option<f64> {
-        let seen = quantile(&self.seen).map(|seen| seen / usual.seen);
-        let said = quantile(&self.said).map(|said| said / usual.said);
-        match self.seen.len() >= TRUSTED {
+        let seen = self.seen.own.map(|seen| seen / usual.seen);
+        let said = self.said.own.map(|said| said / usual.said);
+        match self.seen.kept.len() >= TRUSTED {
             true => seen,
-            false => said.or(seen),
+            // A disturbance only makes either slower.
+            false => match (seen, said) {
+                (Some(seen), Some(said)) => Some(seen.min(said)),
+                (seen, said) => seen.or(said),
+            },
         }
     }
 
--- a/components/policy/src/placement/choose.rs
+++ b/components/policy/src/placement/choose.rs
@@ -73,11 +73,16 @@
             let is_near = demand.near == Some(ledger.info.data_centre);
             let near = f64::from(u8::from(is_near)) * f64::from(self.settings.near_tokens);
             let reading = reading_tokens(ledger, &self.reading_rate, &view);
-            let without_room = affinity + near - reading - pauses.pause_tokens(ledger, &pausing);
+            let before_pauses = affinity + near - reading;
             // The forecast of its memory is most of the work of a decision; where even an empty engine would not be
             // chosen, it is not made.
-            let most = ledger.info.capacity_tokens as f64 + without_room;
-            if best.is_some_and(|(other, _)| other >= most) {
+            let capacity_tokens = ledger.info.capacity_tokens as f64;
+            let is_beaten = |most: f64| best.is_some_and(|(other, _)| other >= most);
+            if is_beaten(capacity_tokens + before_pauses) {
+                continue;
+            }
+            let without_room = before_pauses - pauses.pause_tokens(ledger, &pausing);
+            if is_beaten(capacity_tokens + without_room) {
                 continue;
             }
             let left = ledger.room_left(&view, &new);
