--- a/components/policy/src/balance/doubt.rs
+++ b/components/policy/src/balance/doubt.rs
@@ -6,6 +6,10 @@
 const WEIGHT: f64 = 0.1;
 /// Answers after which a share of failures is known.
 const SEEN_MIN: u32 = 6;
+/// Answers that a target is taken to have given as all targets do, before any is seen: one failure is chance.
+const PRIOR_ANSWERS: f64 = 4.0;
+/// Answers that a share holds: what is older has faded.
+const HELD_ANSWERS: u32 = 10;
 /// A route that fails this often everywhere says nothing of a target by one more failure.
 const COMMON_SHARE: f64 = 0.04;
 /// Routes that are kept apart at one target: the latest.
@@ -61,9 +65,13 @@
 
     /// By how much more often the target fails a route than all targets do.
     pub fn excess(&self, route: u64, usual: FailedShare) -> f64 {
-        let here = self.0.iter().find(|(key, _)| *key == route);
-        let here = here.and_then(|(_, share)| share.known()).unwrap_or(0.0);
-        (here - usual.known().unwrap_or(0.0)).max(0.0)
+        let Some((_, here)) = self.0.iter().find(|(key, _)| *key == route) else {
+            return 0.0;
+        };
+        let usual = usual.known().unwrap_or(0.0);
+        let seen = f64::from(here.seen.min(HELD_ANSWERS));
+        let share = (here.share * seen + usual * PRIOR_ANSWERS) / (seen + PRIOR_ANSWERS);
+        (share - usual).max(0.0)
     }
 
     /// Each route with its share of failures.
--- a/components/policy/src/balance/doubt_tests.rs
+++ b/components/policy/src/balance/doubt_tests.rs
@@ -72,3 +72,17 @@
     }
     assert_eq!(here.shares().count(), 8);
 }
+
+#[test]
+fn three_failures_in_a_row_are_seen_and_one_is_chance() {
+    let mut usual = FailedShare::default();
+    for at in 0..40 {
+        usual.answered(at % 7 == 0);
+    }
+    let mut here = RouteDoubts::default();
+    here.answered(1, true);
+    assert!(here.excess(1, usual) < 0.2);
+    here.answered(1, true);
+    here.answered(1, true);
+    assert!(here.excess(1, usual) > 0.3);
+}
--- a/components/relay/src/forwarding/balance.rs
+++ b/components/relay/src/forwarding/balance.rs
@@ -163,8 +163,27 @@
         let book = self.targets.borrow();
         let mut balance = self.balance.borrow_mut();
         let (drawn, _) = balance.drawn(self, &book, asked.service);
-        let given = self.given(&balance, &book, drawn, asked, &[]);
-        given.iter().map(|(against, ..)| *against).min() == Some((false, false, true))
+        let against = drawn
+            .into_iter()
+            .filter_map(|slot| self.against(&balance, &book, slot, asked, &[]));
+        against.min() == Some((false, false, true))
+    }
+
+    /// What speaks against a target; none where it takes no call.
+    fn against(
+        &self,
+        balance: &CallBalance,
+        book: &TargetBook,
+        slot: TargetSlot,
+        asked: &Asked,
+        tried: &[TargetSlot],
+    ) -> Option<Against> {
+        let target = book.get(slot)?;
+        let now_ms = self.now_ms();
+        let takes_it = book.takes_work(target) && asked.cold.allows(target, now_ms);
+        let is_full = now_ms < target.full_until_ms || !balance.has_room(slot, target.open);
+        let has_failed = target.suspicion.is_passed_over(now_ms);
+        takes_it.then_some((tried.contains(&slot), has_failed, is_full))
     }
 
     /// Those that take the call, with what speaks against each.
@@ -176,16 +195,10 @@
         asked: &Asked,
         tried: &[TargetSlot],
     ) -> Vec<(Against, TargetSlot, Candidate)> {
-        let now_ms = self.now_ms();
         let one = |slot: TargetSlot| {
-            let target = book.get(slot)?;
-            let takes_it = book.takes_work(target) && asked.cold.allows(target, now_ms);
-            let against = (
-                tried.contains(&slot),
-                target.suspicion.is_passed_over(now_ms),
-                now_ms < target.full_until_ms || !balance.has_room(slot, target.open),
-            );
-            takes_it.then(|| (against, slot, balance.candidate(self, slot, target, asked)))
+            let against = self.against(balance, book, slot, asked, tried)?;
+            let candidate = balance.candidate(self, slot, book.get(slot)?, asked);
+            Some((against, slot, candidate))
         };
         drawn.into_iter().filter_map(one).collect()
     }
