--- a/components/policy/src/fairness/siblings.rs
+++ b/components/policy/src/fairness/siblings.rs
@@ -11,6 +11,9 @@
 /// ask is not given to one that floods.
 const PRESENT_MS: f64 = 5_000.0;
 
+/// Time after which what was asked counts half: a large account's bursts last for less, a flood for longer.
+const ASKED_HALF_LIFE_MS: f64 = 3_000.0;
+
 /// One child.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Child {
@@ -18,6 +21,8 @@
     pub used_ms: f64,
     /// Memory that its requests hold, in tokens.
     pub held_tokens: f64,
+    /// Tokens of the prompts that were asked for of late; what came longer ago counts less.
+    pub asked_tokens: f64,
     /// Its weight, as its last request told it.
     pub weight: f64,
     /// For how long it had no requests.
@@ -81,7 +86,9 @@
     /// Charges for the time in which memory was held, and forgets what lies outside the window.
     pub fn pass(&mut self, elapsed_ms: f64, engine_tokens: f64, engines: f64) {
         self.engines = engines;
+        let asked_left = (-elapsed_ms / ASKED_HALF_LIFE_MS).exp2();
         for child in self.children.values_mut() {
+            child.asked_tokens *= asked_left;
             child.used_ms += child.held_tokens / engine_tokens * elapsed_ms / child.weight;
         }
         let waiting = self.children.values().filter(|child| child.waiting > 0);
@@ -137,6 +144,13 @@
         weight / (weight + others)
     }
 
+    /// The part of what was asked of the node lately that a child asked.
+    pub fn asked_part(&self, key: K) -> f64 {
+        let all: f64 = self.children.values().map(|child| child.asked_tokens).sum();
+        let own = self.children.get(&key);
+        own.map_or(0.0, |child| child.asked_tokens) / all.max(1.0)
+    }
+
     /// The part of the node's held memory that a child holds.
     pub fn held_part(&self, key: K) -> f64 {
         let all: f64 = self.children.values().map(|child| child.held_tokens).sum();
--- a/components/policy/src/fairness/tree.rs
+++ b/components/policy/src/fairness/tree.rs
@@ -14,14 +14,12 @@
 const PASS_EACH_MS: u64 = 10;
 /// Share of an account's part beyond which it counts as over it: one more request of a small account is no flood.
 const OVER_TIMES: f64 = 1.25;
-/// So many times as much as its part an account holds, against the others, that floods: callers of a large account among
-/// small ones are not to be put last for what they usually ask.
-const FLOOD_TIMES: f64 = 8.0;
+/// So many times as much as its part an account asks for, against the others, that floods: callers of a large account among
+/// small ones are not to be put last for what they usually ask. Of 24 accounts it asks for 41 in 100 tokens.
+const FLOOD_TIMES: f64 = 16.0;
 /// Share of the memory up to which an account that floods is granted. What others ask meanwhile has room at once: nobody
 /// else's first tokens come later.
 const FLOOD_MEMORY_SHARE: f64 = 0.65;
-/// The same for engines that read prompts: a prompt of another account is read at once, or after one.
-const FLOOD_READING_SHARE: f64 = 0.5;
 
 /// Who is charged, and with which weights.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -51,7 +49,6 @@
     orders: bool,
     engine_tokens: f64,
     engines: f64,
-    reading_engines: f64,
     passed_ms: u64,
 }
 
@@ -65,7 +62,6 @@
             orders: true,
             engine_tokens: 1.0,
             engines: 1.0,
-            reading_engines: 0.0,
             passed_ms: 0,
         }
     }
@@ -116,6 +112,11 @@
             .retain(|_, accounts| !accounts.children.is_empty());
     }
 
+    /// Notes that a prompt of so many tokens is asked for, whatever becomes of it.
+    pub fn asks(&mut self, share: &Share, tokens: u32) {
+        self.each(share, |child| child.asked_tokens += f64::from(tokens));
+    }
+
     /// Notes that a request waits.
     pub fn waits(&mut self, share: &Share) {
         let (partners, owners, accounts) = self.levels(share);
@@ -185,6 +186,14 @@
         partner * owner * account
     }
 
+    fn asked_part(&self, share: &Share) -> f64 {
+        let owners = self.owners.get(&share.partner);
+        let accounts = self.accounts.get(&(share.partner, share.owner));
+        self.partners.asked_part(share.partner)
+            * owners.map_or(0.0, |owners| owners.asked_part(share.owner))
+            * accounts.map_or(0.0, |accounts| accounts.asked_part(share.account))
+    }
+
     fn present_part(&self, share: &Share) -> f64 {
         let owners = self.owners.get(&share.partner);
         let accounts = self.accounts.get(&(share.partner, share.owner));
@@ -212,23 +221,15 @@
         self.held_part(share) > OVER_TIMES * self.entitled_part(share)
     }
 
-    /// Whether an account's requests go behind those of all others, whatever their rank: against the others it holds many
-    /// times its part. Who is alone never does.
+    /// Whether an account's requests go behind those of all others, whatever their rank: against the others it asked
+    /// lately for many times its part. Who is alone never does.
     pub fn floods(&self, share: &Share) -> bool {
-        let (held, part) = (self.held_part(share), self.present_part(share));
-        self.orders && held * (1.0 - part) > FLOOD_TIMES * part * (1.0 - held)
-    }
-
-    /// Sets how many engines read prompts.
-    pub fn set_reading(&mut self, engines: usize) {
-        self.reading_engines = engines as f64;
+        let (asked, part) = (self.asked_part(share), self.present_part(share));
+        self.orders && asked * (1.0 - part) > FLOOD_TIMES * part * (1.0 - asked)
     }
 
-    /// Whether what is left is for others than those that flood: nobody else waits while a flood is read, or ends.
+    /// Whether what is left is for others than those that flood: nobody else waits while a flood's requests end.
     pub fn is_nearly_full(&self) -> bool {
-        if self.reading_engines >= FLOOD_READING_SHARE * self.engines {
-            return true;
-        }
         let partners = self.partners.children.values();
         let held_tokens: f64 = partners.map(|child| child.held_tokens).sum();
         held_tokens > FLOOD_MEMORY_SHARE * self.engines * self.engine_tokens
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -170,6 +170,7 @@
         if self.by_permit.contains_key(&demand.permit) || self.queue.contains(demand.permit) {
             return Submitted::Waits { place: 0 };
         }
+        self.tree.asks(&demand.share, demand.prompt_tokens);
         if let Some(refusal) = self.refusal(&demand, now_ms) {
             self.usage.refused(&demand);
             return Submitted::Refused(refusal);
@@ -203,8 +204,6 @@
         let mut passed = HashSet::new();
         let mut reserved = Vec::new();
         while passed.len() < CANDIDATES {
-            let reading = self.engines.iter().filter(|one| !one.reading.is_idle());
-            self.tree.set_reading(reading.count());
             let Some(place) = self.queue.next(&self.tree, &passed) else {
                 break;
             };
--- a/components/relay/src/dispatch/dispatcher.rs
+++ b/components/relay/src/dispatch/dispatcher.rs
@@ -42,6 +42,10 @@
 /// What is told to come back to where nothing is known of the wait.
 const RETRY_AFTER_MS: u64 = 500;
 
+/// How long a dispatcher that takes a pool over grants nothing: the boxes tell it what runs, and the callers that wait ask it
+/// again meanwhile, so that they keep their places. A small part of any goal for a first token.
+const TAKEN_OVER_HOLD_MS: u64 = 80;
+
 /// A pool, and who waits for its word.
 #[derive(Debug)]
 pub(crate) struct Dispatcher {
@@ -49,6 +53,8 @@
     waiting: HashMap<PermitId, oneshot::Sender<Verdict>>,
     /// None where copies do not go one after another.
     turns: Option<Turns>,
+    /// Nothing is granted before this time.
+    grants_from_ms: u64,
 }
 
 fn pool_settings(file: &FleetFile) -> PoolSettings {
@@ -96,6 +102,7 @@
             pool: pool_of_settings(file),
             waiting: HashMap::new(),
             turns: file.has(Mechanism::Turns).then(Turns::default),
+            grants_from_ms: 0,
         }
     }
 
@@ -135,6 +142,9 @@
     }
 
     pub(crate) fn decide(&mut self, now_ms: u64) {
+        if now_ms < self.grants_from_ms {
+            return;
+        }
         for (permit, verdict) in self.pool.run(now_ms) {
             let Some(asker) = self.waiting.remove(&permit) else {
                 continue;
@@ -168,6 +178,7 @@
                 .insert(pool, Dispatcher::new(&self.file()));
             slog::info!(self.log, "dispatching"; "pool" => %pool.model);
             self.sync_dispatchers();
+            self.take_over(pool);
         }
         let now_ms = self.now_ms();
         let mut dispatchers = self.dispatchers.borrow_mut();
@@ -177,6 +188,20 @@
         }
     }
 
+    /// Begins to dispatch a pool that another box dispatched before: what this box has open there is known at once.
+    fn take_over(&self, pool: PoolId) {
+        let was_another = self.open_generations.borrow().was_told(pool);
+        if was_another.is_none_or(|before| before == self.id) {
+            return;
+        }
+        let now_ms = self.now_ms();
+        if let Some(dispatcher) = self.dispatchers.borrow_mut().get_mut(&pool) {
+            dispatcher.grants_from_ms = now_ms + TAKEN_OVER_HOLD_MS;
+        }
+        let open = self.open_generations.borrow().all_in(pool, now_ms);
+        self.adopt_here(self.id, pool, &open);
+    }
+
     pub(crate) fn data_centre_of(&self, id: BoxId) -> DataCentreId {
         if id == self.id {
             return self.data_centre;
--- a/components/relay/src/dispatch/heartbeat.rs
+++ b/components/relay/src/dispatch/heartbeat.rs
@@ -33,6 +33,7 @@
             }
             Err(error) => {
                 self.members.borrow_mut().suspected(id, now_ms);
+                self.peer_doubted.notify_waiters();
                 slog::info!(self.log, "peer did not answer"; "call" => call, "box" => id.0,
                     "error" => %error);
                 metrics::counter!("shuntpier_peer_failures").increment(1);
--- a/components/relay/src/dispatch/permits.rs
+++ b/components/relay/src/dispatch/permits.rs
@@ -176,7 +176,14 @@
             let asked = first.filter(|_| failed < ASKED_MAX).unwrap_or(self.id);
             let reply = match asked == self.id {
                 true => Some(self.acquire_here(request, wait_ms).await),
-                false => self.acquire_at(asked, request, wait_ms).await,
+                false => tokio::select! {
+                    reply = self.acquire_at(asked, request, wait_ms) => reply,
+                    () = self.is_passed_over(asked, request.pool) => {
+                        // The next one is told what runs here before it grants.
+                        self.generations_changed.notify_one();
+                        continue;
+                    }
+                },
             };
             match reply {
                 Some(PermitReply::Granted { target }) => {
@@ -201,6 +208,17 @@
         }
     }
 
+    /// Waits until another box dispatches a pool: all that wait then ask that one at once, and keep their order.
+    async fn is_passed_over(&self, dispatcher: BoxId, pool: PoolId) {
+        loop {
+            let changed = self.peer_doubted.notified();
+            if self.dispatchers_of(pool).first() != Some(&dispatcher) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     async fn acquire_at(
         &self,
         dispatcher: BoxId,
--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -116,6 +116,7 @@
         open_generations: RefCell::default(),
         account_labels: RefCell::default(),
         completion: RefCell::default(),
+        peer_doubted: Notify::new(),
         generations_changed: Notify::new(),
         store_fails: Cell::new(false),
         targets_doubted: Cell::new(false),
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -69,6 +69,8 @@
     pub(crate) account_labels: RefCell<HashSet<String>>,
     /// How generations came to their ends here.
     pub(crate) completion: RefCell<CompletionEstimator>,
+    /// A peer did not answer.
+    pub(crate) peer_doubted: Notify,
     /// Something of [`Relay::open_generations`] is to be told to a dispatcher.
     pub(crate) generations_changed: Notify,
     /// This box's last call for its own key failed.
