--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -179,6 +179,7 @@
         if !self.settings.ranks {
             demand.rank = demand.rank.min(1);
         }
+        self.tree.asks(&demand.share, demand.prompt_tokens);
         let forecast = demand_forecast(&self.lengths, &demand, self.settings.policy);
         let need = Need::of(&forecast);
         if let Some(refusal) = self.refusal(&demand, &need, now_ms) {
@@ -216,8 +217,6 @@
         let mut passed = HashSet::new();
         let mut reserved = Vec::new();
         while passed.len() < CANDIDATES {
-            let reading = self.engines.iter().filter(|one| !one.reading.is_idle());
-            self.tree.set_reading(reading.count());
             let Some(place) = self.queue.next(&self.tree, &passed, now_ms) else {
                 break;
             };
