A less urgent request takes no hole that a more urgent one waits for; who is told to come back is served within half its goal then

Test changed: the time to come back of what_cannot_be_read_in_time... is what the forecast says for half the goal, 2.5 s for 1.

--- a/components/policy/src/admission/protection_tests.rs
+++ b/components/policy/src/admission/protection_tests.rs
@@ -1,3 +1,4 @@
+use crate::admission::outlook::Need;
 use crate::admission::test_demands::demand;
 use crate::placement::ledger::EngineInfo;
 use crate::{Demand, Pool, PoolSettings, Verdict};
@@ -75,6 +76,34 @@
     assert_eq!(granted(&pool.run(4_000)), 1);
 }
 
+/// An urgent request that is too long for the room there is, and a short one that would fit and is less urgent.
+#[rstest]
+#[case::it_can_wait(20_000, 0)]
+#[case::it_would_miss_its_goal(1_080, 1)]
+fn what_is_less_urgent_takes_no_hole_that_the_urgent_wait_for(
+    #[case] deadline_ms: u64,
+    #[case] expected: usize,
+) {
+    let mut pool = pool(true);
+    for serial in 0..4 {
+        pool.submit(request(serial, 5, 60_000, 0), 0);
+    }
+    assert_eq!(granted(&pool.run(0)), 4);
+    for serial in 0..4 {
+        pool.progress(request(serial, 5, 60_000, 0).permit, 1, 1_000);
+    }
+    let urgent = request(10, 0, 60_000, 1_000);
+    let short = Demand {
+        deadline_ms,
+        ..request(11, 2, 100, 1_000)
+    };
+    let (urgent_need, short_need) = (Need::default(), Need::default());
+    pool.queue.push(urgent, 9_000, urgent_need);
+    pool.queue
+        .push(short.clone(), short.deadline_ms - 20, short_need);
+    assert_eq!(granted(&pool.run(1_000)), expected);
+}
+
 #[test]
 fn urgent_requests_are_not_held_back_for_each_other() {
     let mut pool = pool(true);
--- a/components/policy/src/admission/queue.rs
+++ b/components/policy/src/admission/queue.rs
@@ -136,6 +136,14 @@
         is_due && self.grants_since_turn + 1 >= GRANTS_PER_TURN && self.is_behind(place.rank)
     }
 
+    /// Whether a place leaves room to a more urgent one that fits nowhere yet: it takes no hole that would become large
+    /// enough. Not where it would miss its own goal.
+    pub fn gives_way(&self, place: Place, to: Option<Place>, now_ms: u64) -> bool {
+        let front = self.lines.get(&place).and_then(VecDeque::front);
+        let is_due = front.is_some_and(|front| front.begins_by_ms <= now_ms + DUE_AHEAD_MS);
+        !is_due && to.is_some_and(|to| to.rank < place.rank)
+    }
+
     fn is_behind(&self, rank: u8) -> bool {
         self.lines.keys().any(|place| place.rank < rank)
     }
--- a/components/policy/src/admission/waiting.rs
+++ b/components/policy/src/admission/waiting.rs
@@ -27,6 +27,8 @@
 const ALONE_TIMES: f64 = 1.1;
 /// Share of the reading that more urgent requests are taken to use at the most: beyond it they wait for each other.
 const URGENT_SHARE_MOST: f64 = 0.8;
+/// Share of its goal within which a caller is to be served that comes back: a second refusal is mostly the last.
+const BACK_SHARE: f64 = 0.5;
 /// Least time after which a refused caller is told to come back.
 const RETRY_AFTER_MIN_MS: u64 = 100;
 
@@ -133,7 +135,7 @@
         let first = self.first_token(&run, demand, need, &before, now_ms);
         let first_ms = first.map_or(0.0, |first| first.corrected_ms);
         // Its goal begins anew when it comes back.
-        let back_ms = (first_ms - whole_ms(demand)).max(0.0) as u64;
+        let back_ms = (first_ms - whole_ms(demand) * BACK_SHARE).max(0.0) as u64;
         let back_ms = back_ms.max(RETRY_AFTER_MIN_MS);
         returning.told(demand, need, now_ms.saturating_add(back_ms));
         Refusal {
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -176,18 +176,21 @@
         self.keep_past(now_ms);
         self.decay_margin(now_ms);
         let mut passed = HashSet::new();
+        let mut waits = None;
         let mut reserved = Vec::new();
         while passed.len() < CANDIDATES {
             let Some(place) = self.queue.next(&self.tree, &passed, now_ms) else {
                 break;
             };
-            if !self.leaves_reading(place, now_ms) {
+            let gives_way = self.settings.protection && self.queue.gives_way(place, waits, now_ms);
+            if gives_way || !self.leaves_reading(place, now_ms) {
                 passed.insert(place);
                 continue;
             }
             let choice = self.choose(place, now_ms, &reserved);
             let Some(target) = choice.fits else {
                 self.reserve(place, &choice.nearest, &mut reserved, now_ms);
+                waits.get_or_insert(place);
                 passed.insert(place);
                 continue;
             };
