Joined: shares and admission. A flooding account stands behind all others also among those who come back and in the room kept

Cause: the two parts met in the queue. Refused callers of a flood took the times to come back of others, and its arrivals counted as urgent work that is likely to come.

--- a/components/policy/src/admission/returning.rs
+++ b/components/policy/src/admission/returning.rs
@@ -12,7 +12,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Caller {
     back_ms: u64,
-    rank: u8,
+    /// Whether its account floods, and its rank.
+    turn: (bool, u8),
     prompt_tokens: u32,
     need: Need,
 }
@@ -25,23 +26,30 @@
 
 impl Returning {
     /// Notes when a caller was told to come back.
-    pub fn told(&mut self, demand: &Demand, need: &Need, back_ms: u64) {
+    pub fn told(&mut self, demand: &Demand, need: &Need, floods: bool, back_ms: u64) {
         if self.callers.len() >= KEPT_MOST {
             self.callers.pop_front();
         }
         let caller = Caller {
             back_ms,
-            rank: demand.rank_in_use(),
+            turn: (floods, demand.rank_in_use()),
             prompt_tokens: demand.prompt_tokens,
             need: *need,
         };
         self.callers.push_back(caller);
     }
 
-    /// Adds the callers of a rank, and of more urgent ones, who have still to come back, to what goes before a request.
-    pub fn add_to(&mut self, before: &mut Before, run: &mut ForwardRun, rank: u8, now_ms: u64) {
+    /// Adds the callers who have still to come back, of a rank and of more urgent ones, to what goes before a request; those
+    /// of accounts that flood only to what goes before their like.
+    pub fn add_to(
+        &mut self,
+        before: &mut Before,
+        run: &mut ForwardRun,
+        turn: (bool, u8),
+        now_ms: u64,
+    ) {
         self.callers.retain(|caller| caller.back_ms > now_ms);
-        for caller in self.callers.iter().filter(|caller| caller.rank <= rank) {
+        for caller in self.callers.iter().filter(|caller| caller.turn <= turn) {
             before.hold(&caller.need.held);
             run.read(caller.prompt_tokens);
         }
--- a/components/policy/src/admission/waiting.rs
+++ b/components/policy/src/admission/waiting.rs
@@ -134,13 +134,15 @@
         returning: &mut Returning,
     ) -> Refusal {
         let now_ms = self.now_ms;
-        returning.add_to(&mut before, &mut run, demand.rank_in_use(), now_ms);
+        let floods = self.tree.floods(&demand.share);
+        let turn = (floods, demand.rank_in_use());
+        returning.add_to(&mut before, &mut run, turn, now_ms);
         let first = self.first_token(&run, demand, need, &before, now_ms);
         let first_ms = first.map_or(0.0, |first| first.corrected_ms);
         // Its goal begins anew when it comes back.
         let back_ms = (first_ms - whole_ms(demand) * BACK_SHARE).max(0.0) as u64;
         let back_ms = back_ms.max(RETRY_AFTER_MIN_MS);
-        returning.told(demand, need, now_ms.saturating_add(back_ms));
+        returning.told(demand, need, floods, now_ms.saturating_add(back_ms));
         Refusal {
             reason: RefusalReason::Crowded,
             retry_after_ms: Some(back_ms),
