--- a/components/replay/tests/loads.rs
+++ b/components/replay/tests/loads.rs
@@ -207,7 +207,13 @@
 }
 
 #[test]
-fn an_account_that_floods_a_small_pool_waits_for_itself() {
-    let (lost, later) = harm(&with_and_without_flood(4, true));
-    assert!(lost < 0.01 && later < 1.1, "{lost} {later}");
+fn an_account_that_floods_a_small_pool_takes_nothing_from_the_others() {
+    let (lost, _) = harm(&with_and_without_flood(4, true));
+    assert!(lost < 0.01, "{lost}");
+}
+
+#[test]
+fn an_account_that_floods_a_small_pool_delays_nobody_else() {
+    let (_, later) = harm(&with_and_without_flood(4, true));
+    assert!(later < 1.1, "{later}");
 }
