Replay: a generation that outgrows its engine's whole memory is broken off

Cause: it was preempted and could never be let in again, so that small worlds held requests without an end. Ruled out: decisions (the untouched code leaves requests too).

--- a/components/replay/src/engine.rs
+++ b/components/replay/src/engine.rs
@@ -79,6 +79,11 @@
         /// Which request.
         id: usize,
     },
+    /// Nothing more: it outgrew the engine's whole memory, and is broken off.
+    Outgrown {
+        /// Which request.
+        id: usize,
+    },
 }
 
 /// An engine.
@@ -219,16 +224,16 @@
         self.running
             .retain(|run| run.made_tokens < run.length_tokens);
         while self.used_tokens() > self.spec.memory_tokens {
-            let Some(id) = self.preempt() else {
+            let Some(preempted) = self.preempt() else {
                 break;
             };
-            made.push(Made::Preempted { id });
+            made.push(preempted);
         }
         made
     }
 
-    /// Puts the newest of the least urgent back.
-    fn preempt(&mut self) -> Option<usize> {
+    /// Puts the newest of the least urgent back. One that the whole memory does not hold could never be read anew.
+    fn preempt(&mut self) -> Option<Made> {
         let read = self.reading.iter().enumerate();
         let read = read.map(|(at, run)| (run.rank, 1, at));
         let runs = self.running.iter().enumerate();
@@ -238,10 +243,14 @@
             1 => self.reading.remove(at)?,
             _ => self.running.remove(at),
         };
+        let id = run.id;
+        if run.held_tokens() > self.spec.memory_tokens {
+            return Some(Made::Outgrown { id });
+        }
         run.to_read_tokens = run.held_tokens();
         let at = self.waiting.partition_point(|other| other.rank < run.rank);
         self.waiting.insert(at, run);
-        Some(run.id)
+        Some(Made::Preempted { id })
     }
 }
 
--- a/components/replay/src/world.rs
+++ b/components/replay/src/world.rs
@@ -399,6 +399,7 @@
             match made {
                 Made::Token { id, made_tokens } => self.token(id, made_tokens, false),
                 Made::End { id, made_tokens } => self.token(id, made_tokens, true),
+                Made::Outgrown { id } => self.lost(id),
                 Made::Preempted { id } => {
                     self.counts.preempted += 1;
                     let held = self.requests[id].prompt_tokens + self.stories[id].told_tokens;
