--- a/components/policy/src/admission/queue.rs
+++ b/components/policy/src/admission/queue.rs
@@ -8,6 +8,9 @@
 /// Urgent requests granted in a row while others wait.
 const URGENT_IN_A_ROW: u32 = 4;
 
+/// A wait that callers notice: a small part of any goal for a first token.
+const LONG_WAIT_MS: u64 = 60;
+
 #[derive(Clone, Debug)]
 struct Line {
     share: Share,
@@ -134,6 +137,15 @@
         best.map(|(_, place)| place)
     }
 
+    /// Whether a request of an account that does not flood has waited for long.
+    pub fn others_wait(&self, tree: &FairTree, now_ms: u64) -> bool {
+        let is_long = |demand: &Demand| demand.since_ms + LONG_WAIT_MS <= now_ms;
+        self.lines.values().any(|line| {
+            let mut fronts = line.urgent.front().into_iter().chain(line.plain.front());
+            fronts.any(is_long) && !tree.floods(&line.share)
+        })
+    }
+
     pub fn front(&self, place: Place) -> Option<&Demand> {
         let line = self.lines.get(&place.account)?;
         if place.urgent {
--- a/components/policy/src/fairness/tree.rs
+++ b/components/policy/src/fairness/tree.rs
@@ -21,6 +21,9 @@
 /// else's first tokens come later.
 const FLOOD_MEMORY_SHARE: f64 = 0.65;
 
+/// For how long room is left after another account's request waited: several times what most answers take.
+const OTHERS_WAITED_MS: u64 = 5_000;
+
 /// Who is charged, and with which weights.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Share {
@@ -49,6 +52,8 @@
     orders: bool,
     engine_tokens: f64,
     engines: f64,
+    /// When a request of an account that does not flood last waited for long, or was refused.
+    others_waited_ms: Option<u64>,
     passed_ms: u64,
 }
 
@@ -62,6 +67,7 @@
             orders: true,
             engine_tokens: 1.0,
             engines: 1.0,
+            others_waited_ms: None,
             passed_ms: 0,
         }
     }
@@ -228,8 +234,18 @@
         self.orders && asked * (1.0 - part) > FLOOD_TIMES * part * (1.0 - asked)
     }
 
-    /// Whether what is left is for others than those that flood: nobody else waits while a flood's requests end.
+    /// Notes that a request of an account that does not flood waits for long, or is refused.
+    pub fn others_wait(&mut self, now_ms: u64) {
+        self.others_waited_ms = Some(now_ms);
+    }
+
+    /// Whether what is left is for others than those that flood: nobody else waits while a flood's requests end. Where nobody
+    /// else waited of late, everything may be used.
     pub fn is_nearly_full(&self) -> bool {
+        let waited_ms = self.others_waited_ms;
+        if waited_ms.is_none_or(|at_ms| at_ms + OTHERS_WAITED_MS < self.passed_ms) {
+            return false;
+        }
         let partners = self.partners.children.values();
         let held_tokens: f64 = partners.map(|child| child.held_tokens).sum();
         held_tokens > FLOOD_MEMORY_SHARE * self.engines * self.engine_tokens
--- a/components/policy/src/fairness/tree_tests.rs
+++ b/components/policy/src/fairness/tree_tests.rs
@@ -202,3 +202,17 @@
     }
     assert!(!tree.floods(&share(1, 1.0)));
 }
+
+#[test]
+fn room_is_left_to_others_only_while_they_waited_of_late() {
+    let mut tree = tree();
+    tree.runs(&share(1, 1.0));
+    tree.holds(&share(1, 1.0), 9_000.0);
+    tree.pass(1_000);
+    assert!(!tree.is_nearly_full());
+    tree.others_wait(1_000);
+    tree.pass(6_000);
+    assert!(tree.is_nearly_full());
+    tree.pass(6_010);
+    assert!(!tree.is_nearly_full());
+}
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -172,6 +172,9 @@
         }
         self.tree.asks(&demand.share, demand.prompt_tokens);
         if let Some(refusal) = self.refusal(&demand, now_ms) {
+            if !self.tree.floods(&demand.share) {
+                self.tree.others_wait(now_ms);
+            }
             self.usage.refused(&demand);
             return Submitted::Refused(refusal);
         }
@@ -201,6 +204,9 @@
         let mut verdicts = self.expire(now_ms);
         self.keep_past(now_ms);
         self.decay_margin(now_ms);
+        if self.queue.others_wait(&self.tree, now_ms) {
+            self.tree.others_wait(now_ms);
+        }
         let mut passed = HashSet::new();
         let mut reserved = Vec::new();
         while passed.len() < CANDIDATES {
