--- a/components/policy/src/admission/queue.rs
+++ b/components/policy/src/admission/queue.rs
@@ -2,8 +2,8 @@
 //!
 //! The more urgent rank goes first. A request that would miss its goal goes next although more urgent ones wait, at most
 //! once in [`GRANTS_PER_TURN`] grants: a more urgent caller waits for one grant in ten more, and a less urgent one is not
-//! left out for ever. Requests of an account that floods go behind all others. Within a rank the account that was served least goes first; within an account the request that has
-//! to begin first, so that who has a longer goal waits longer.
+//! left out for ever. Requests of an account that floods go behind all others. Within a rank the account that was served
+//! least goes first; within an account the request that has to begin first, so that who has a longer goal waits longer.
 
 use crate::admission::forward::ForwardRun;
 use crate::admission::outlook::{Before, Need};
@@ -17,6 +17,8 @@
 const GRANTS_PER_TURN: u32 = 10;
 /// A request that must begin within this time would miss its goal: some looks at the queue, and the way to the engine.
 const DUE_AHEAD_MS: u64 = 100;
+/// A wait that callers notice: a small part of any goal for a first token.
+const LONG_WAIT_MS: u64 = 60;
 
 /// Which line a candidate stands in.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -52,8 +54,8 @@
     }
 }
 
-/// The order in which places are served: those of accounts that flood last, those that get a turn first, then by rank, by service, by when they must begin, and
-/// by account, so that the order never hangs on chance.
+/// The order in which places are served: those of accounts that flood last, those that get a turn first, then by rank, by
+/// service, by when they must begin, and by account, so that the order never hangs on chance.
 type Order = (bool, bool, u8, [f64; 3], u64, AccountId);
 
 /// All requests that wait.
@@ -164,6 +166,15 @@
         self.lines.keys().any(|place| place.rank < rank)
     }
 
+    /// Whether a request of an account that does not flood has waited for long.
+    pub fn others_wait(&self, tree: &FairTree, now_ms: u64) -> bool {
+        self.lines.values().any(|line| {
+            let front = line.front().map(|waiting| &waiting.demand);
+            let long = front.filter(|demand| demand.since_ms + LONG_WAIT_MS <= now_ms);
+            long.is_some_and(|demand| !tree.floods(&demand.share))
+        })
+    }
+
     pub fn front(&self, place: Place) -> Option<&Demand> {
         Some(&self.lines.get(&place)?.front()?.demand)
     }
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -183,6 +183,9 @@
         let forecast = demand_forecast(&self.lengths, &demand, self.settings.policy);
         let need = Need::of(&forecast);
         if let Some(refusal) = self.refusal(&demand, &need, now_ms) {
+            if !self.tree.floods(&demand.share) {
+                self.tree.others_wait(now_ms);
+            }
             self.usage.refused(&demand);
             return Submitted::Refused(refusal);
         }
@@ -214,6 +217,9 @@
         let mut verdicts = self.expire(now_ms);
         self.keep_past(now_ms);
         self.decay_margin(now_ms);
+        if self.queue.others_wait(&self.tree, now_ms) {
+            self.tree.others_wait(now_ms);
+        }
         let mut passed = HashSet::new();
         let mut waits = None;
         let mut reserved = Vec::new();
