Memory run forward point by point: what ends soon needs no room later; corrections shown as a metric; loads where the standing way fails

Cause: the free memory at a point was what is free from there on, so that a short request counted as without room at an engine whose answers will grow long after it ended. A forecast of an engine's memory is used for 50 ms for 25.

--- a/components/policy/src/admission/coming_tests.rs
+++ b/components/policy/src/admission/coming_tests.rs
@@ -8,6 +8,7 @@
     Need {
         peak_tokens: tokens,
         held: [tokens; HORIZONS],
+        ..Need::default()
     }
 }
 
--- a/components/policy/src/admission/forecast_error.rs
+++ b/components/policy/src/admission/forecast_error.rs
@@ -69,6 +69,13 @@
         self.open.remove(&permit);
     }
 
+    /// The ranks of which first tokens came.
+    pub fn known(&self) -> impl Iterator<Item = u8> + '_ {
+        let ranks = self.ranks.iter().enumerate();
+        let came = ranks.filter(|(_, error)| error.seen_ms > 0);
+        came.map(|(rank, _)| rank as u8)
+    }
+
     /// What a forecast for a rank is multiplied by.
     pub fn correction(&self, rank: u8, now_ms: u64) -> f64 {
         let error = &self.ranks[usize::from(rank)];
--- a/components/policy/src/admission/forecast_error_tests.rs
+++ b/components/policy/src/admission/forecast_error_tests.rs
@@ -18,6 +18,7 @@
     let correction = errors.correction(1, 2_500);
     assert!((1.4..1.6).contains(&correction), "{correction}");
     assert_eq!(errors.correction(0, 2_500), 1.0);
+    assert_eq!(errors.known().collect::<Vec<u8>>(), [1]);
 }
 
 #[test]
--- a/components/policy/src/admission/outlook.rs
+++ b/components/policy/src/admission/outlook.rs
@@ -22,6 +22,8 @@
 pub(crate) struct Need {
     /// The most that it holds at any time, as expected.
     pub peak_tokens: f64,
+    /// What it holds on the mean at each point in time after it began.
+    pub mean: Curve,
     /// What it holds on the mean from its coming until each point in time.
     pub held: Curve,
 }
@@ -31,6 +33,7 @@
     pub fn of(forecast: &Forecast) -> Self {
         Self {
             peak_tokens: forecast.peak_tokens(0.0),
+            mean: std::array::from_fn(|at| forecast.mean_at(at)),
             held: held_until(forecast),
         }
     }
@@ -67,6 +70,6 @@
         let point_ms = |at| self.room.point_ms(at);
         let coming = self.coming.taken_before(rank, point_ms, now_ms);
         let taken = |at: usize| before.held[at] + coming[at];
-        self.room.free_in_ms(need.peak_tokens, taken)
+        self.room.free_in_ms(need, taken)
     }
 }
--- a/components/policy/src/admission/returning_tests.rs
+++ b/components/policy/src/admission/returning_tests.rs
@@ -7,6 +7,7 @@
     Need {
         peak_tokens: 100.0,
         held: [100.0; HORIZONS],
+        ..Need::default()
     }
 }
 
--- a/components/policy/src/admission/room_ahead.rs
+++ b/components/policy/src/admission/room_ahead.rs
@@ -1,6 +1,7 @@
 //! Memory run forward: how much of it the engines will have free, by the lengths of what runs, and when a request will
 //! find room behind those that go before it.
 
+use crate::admission::outlook::Need;
 use crate::placement::forecast::{Forecast, HORIZONS_TOKENS};
 use crate::placement::ledger::{EngineLedger, EngineState, RoomView};
 
@@ -9,6 +10,9 @@
 /// How long a look is used: as often as requests that wait are looked over.
 const LOOK_LIFE_MS: u64 = 20;
 
+/// Share of its memory below which a request that has ended nearly always by then needs no room.
+const HELD_LEAST_SHARE: f64 = 0.05;
+
 /// Memory in tokens at each point in time.
 pub(crate) type Curve = [f64; HORIZONS];
 
@@ -49,17 +53,28 @@
 
     /// Notes that a request was placed since the last look.
     pub fn placed(&mut self, forecast: &Forecast) {
-        let held = forecast.peaks_from(0.0);
-        for (free, held) in self.free_tokens.iter_mut().zip(held) {
-            *free -= held;
+        for (at, free) in self.free_tokens.iter_mut().enumerate() {
+            *free -= forecast.mean_at(at);
         }
     }
 
-    /// Time until `tokens` are free beside what others take by then; at the last point where they never are.
-    pub fn free_in_ms(&self, tokens: f64, taken: impl Fn(usize) -> f64) -> f64 {
+    /// Time from which there is room for a need beside what others take; at the last point where there never is. What
+    /// ends soon needs nothing later, when what runs now has grown.
+    pub fn free_in_ms(&self, need: &Need, taken: impl Fn(usize) -> f64) -> f64 {
+        let least = need.peak_tokens * HELD_LEAST_SHARE;
         let mut before: Option<(f64, f64)> = None;
         for at in 0..HORIZONS {
-            let spare = self.free_tokens[at] - taken(at) - tokens;
+            let spare_at = |later: usize| {
+                let held = if later == at {
+                    need.peak_tokens
+                } else {
+                    need.mean[later]
+                };
+                self.free_tokens[later] - taken(later) - held
+            };
+            let holds = |later: &usize| *later == at || need.mean[*later] >= least;
+            let points = (at..HORIZONS).filter(holds);
+            let spare = points.map(spare_at).fold(f64::INFINITY, f64::min);
             if spare < 0.0 {
                 before = Some((spare, self.at_ms[at]));
                 continue;
--- a/components/policy/src/admission/waiting.rs
+++ b/components/policy/src/admission/waiting.rs
@@ -189,6 +189,14 @@
         })
     }
 
+    /// By how much forecasts of first tokens are corrected, for the ranks of which some came lately: 1 where they were right.
+    pub fn forecast_corrections(&self) -> impl Iterator<Item = (u8, f64)> + '_ {
+        let errors = &self.outlook.errors;
+        errors
+            .known()
+            .map(|rank| (rank, errors.correction(rank, self.now_ms)))
+    }
+
     /// How many times longer a request waits to be read because more urgent ones come meanwhile.
     fn held_up(&self, run: &ForwardRun, rank: u8, now_ms: u64) -> f64 {
         if !self.settings.memory_ahead {
--- a/components/policy/src/placement/forecast.rs
+++ b/components/policy/src/placement/forecast.rs
@@ -40,15 +40,9 @@
         self.mean_tokens[horizon]
     }
 
-    /// The most memory in use from each horizon on, `margin` standard deviations above the mean.
-    pub fn peaks_from(&self, margin: f64) -> [f64; HORIZONS_TOKENS.len()] {
-        let mut peaks = [0.0; HORIZONS_TOKENS.len()];
-        let mut most: f64 = 0.0;
-        for at in (0..HORIZONS_TOKENS.len()).rev() {
-            most = most.max(self.mean_tokens[at] + margin * self.variance[at].sqrt());
-            peaks[at] = most;
-        }
-        peaks
+    /// Memory in use at each horizon, `margin` standard deviations above the mean.
+    pub fn tokens_with(&self, margin: f64) -> [f64; HORIZONS_TOKENS.len()] {
+        std::array::from_fn(|at| self.mean_tokens[at] + margin * self.variance[at].sqrt())
     }
 
     /// The memory in use at the first horizon, as it is expected.
--- a/components/policy/src/placement/ledger.rs
+++ b/components/policy/src/placement/ledger.rs
@@ -130,7 +130,7 @@
 /// Share of what a cold engine bears that its dispatcher places: for a moment two boxes may dispatch.
 const COLD_SHARE: f64 = 0.6;
 /// How long a forecast is used before it is made anew.
-const FORECAST_LIFE_MS: u64 = 25;
+const FORECAST_LIFE_MS: u64 = 50;
 /// How long the ledger's own past is kept.
 const PAST_MS: u64 = 3000;
 /// A report older than this says nothing of the present.
@@ -268,12 +268,12 @@
         usable - self.foreign_tokens - peak
     }
 
-    /// Memory that is free from each horizon on, in tokens.
+    /// Memory that is free at each horizon, in tokens.
     pub fn free_ahead(&mut self, view: &RoomView<'_>) -> [f64; HORIZONS_TOKENS.len()] {
         let usable = self.info.capacity_tokens as f64 * view.settings.memory_share;
         let usable = usable - self.foreign_tokens;
         let forecast = self.forecast(view.streams, view.lengths, view.tokens_per_ms, view.now_ms);
-        forecast.peaks_from(view.margin).map(|peak| usable - peak)
+        forecast.tokens_with(view.margin).map(|used| usable - used)
     }
 
     /// Keeps the ledger's own past, against which late reports are held.
--- a/components/relay/src/dispatch/dispatcher.rs
+++ b/components/relay/src/dispatch/dispatcher.rs
@@ -346,6 +346,17 @@
         loop {
             sleep(SYNC_EACH).await;
             self.sync_dispatchers();
+            self.show_forecasts();
+        }
+    }
+
+    /// Shows by how much forecasts are corrected; ten ranks at the most.
+    fn show_forecasts(&self) {
+        for dispatcher in self.dispatchers.borrow().values() {
+            for (rank, correction) in dispatcher.pool.forecast_corrections() {
+                let rank = rank.to_string();
+                metrics::gauge!("shuntpier_forecast_correction", "rank" => rank).set(correction);
+            }
         }
     }
 }
--- a/components/replay/tests/loads.rs
+++ b/components/replay/tests/loads.rs
@@ -168,3 +168,44 @@
         "{error}"
     );
 }
+
+fn refused_early(days: &[Figures]) -> f64 {
+    let refusals = mean(days, |day| day.refusals as f64);
+    mean(days, |day| day.early_refusals as f64) / refusals
+}
+
+fn in_time(days: &[Figures], kind: &str) -> f64 {
+    mean(days, |day| {
+        let kind = day.kind(kind).unwrap();
+        kind.in_time as f64 / kind.asked as f64
+    })
+}
+
+#[test]
+fn what_finds_no_memory_in_time_is_refused_early() {
+    let name = "drafts-beside-checks";
+    let before = days(name, |settings| settings.memory_ahead = false);
+    let now = days(name, as_it_is);
+    assert!(refused_early(&before) < 0.6, "{}", refused_early(&before));
+    assert!(refused_early(&now) > 0.75, "{}", refused_early(&now));
+    assert!(worth(&now) > worth(&before) + 0.01);
+}
+
+#[test]
+fn drafts_that_may_wait_do_not_hold_up_checks_that_may_not() {
+    let name = "drafts-beside-checks";
+    let before = days(name, |settings| settings.protection = false);
+    let now = days(name, as_it_is);
+    assert!(
+        in_time(&before, "check") < 0.9,
+        "{}",
+        in_time(&before, "check")
+    );
+    assert!(in_time(&now, "check") > 0.93, "{}", in_time(&now, "check"));
+    assert!(worth(&now) > worth(&before));
+    for day in &now {
+        let [draft, check] = ["draft", "check"].map(|kind| day.kind(kind).unwrap());
+        let refused = |kind: &replay::KindFigures| kind.refused as f64 / kind.asked as f64;
+        assert!(refused(check) <= refused(draft), "{day:?}");
+    }
+}
