--- a/components/policy/src/admission/waiting.rs
+++ b/components/policy/src/admission/waiting.rs
@@ -131,11 +131,15 @@
         returning: &mut Returning,
     ) -> Refusal {
         let now_ms = self.now_ms;
-        returning.add_to(&mut before, &mut run, demand.rank_in_use(), now_ms);
+        let ahead = self.settings.memory_ahead;
+        if ahead {
+            returning.add_to(&mut before, &mut run, demand.rank_in_use(), now_ms);
+        }
         let first = self.first_token(&run, demand, need, &before, now_ms);
         let first_ms = first.map_or(0.0, |first| first.corrected_ms);
         // Its goal begins anew when it comes back.
-        let back_ms = (first_ms - whole_ms(demand) * BACK_SHARE).max(0.0) as u64;
+        let share = if ahead { BACK_SHARE } else { 1.0 };
+        let back_ms = (first_ms - whole_ms(demand) * share).max(0.0) as u64;
         let back_ms = back_ms.max(RETRY_AFTER_MIN_MS);
         returning.told(demand, need, now_ms.saturating_add(back_ms));
         Refusal {
--- a/components/policy/src/admission/waiting_tests.rs
+++ b/components/policy/src/admission/waiting_tests.rs
@@ -12,6 +12,7 @@
     let mut pool = Pool::new(PoolSettings {
         first_report_ms: 0,
         reading_ahead_ms: 100,
+        memory_ahead: true,
         ..PoolSettings::default()
     });
     pool.set_engines(&[EngineInfo {
--- a/components/relay/src/dispatch/dispatcher.rs
+++ b/components/relay/src/dispatch/dispatcher.rs
@@ -64,8 +64,6 @@
             false => WaitingPolicy::Pace,
         },
         ranks: file.has(Mechanism::RankOrder),
-        memory_ahead: file.has(Mechanism::MemoryForecast),
-        protection: file.has(Mechanism::Protection),
         reading: match file.has(Mechanism::ReadingForecast) {
             true => ReadingPolicy::FirstToken,
             false => ReadingPolicy::Bound,
--- a/components/settings/src/mechanism.rs
+++ b/components/settings/src/mechanism.rs
@@ -25,10 +25,6 @@
     WaitForecast,
     /// Ten ranks are told apart; without it, the most urgent goes before all others.
     RankOrder,
-    /// Memory is run forward where it is decided who waits; without it, by the pace of grants.
-    MemoryForecast,
-    /// Engines are left free to read for more urgent work that is likely to come.
-    Protection,
     /// Room is kept for what the forecast does not know.
     Margin,
     /// Generations leave engines that leave.
