--- a/components/policy/src/placement/ledger.rs
+++ b/components/policy/src/placement/ledger.rs
@@ -130,7 +130,7 @@
 /// Share of what a cold engine bears that its dispatcher places: for a moment two boxes may dispatch.
 const COLD_SHARE: f64 = 0.6;
 /// How long a forecast is used before it is made anew.
-const FORECAST_LIFE_MS: u64 = 50;
+const FORECAST_LIFE_MS: u64 = 25;
 /// How long the ledger's own past is kept.
 const PAST_MS: u64 = 3000;
 /// A report older than this says nothing of the present.
