--- a/components/policy/src/admission/queue.rs
+++ b/components/policy/src/admission/queue.rs
@@ -3,7 +3,8 @@
 //! The more urgent rank goes first. A request that would miss its goal goes next although more urgent ones wait, at most
 //! once in [`GRANTS_PER_TURN`] grants: a more urgent caller waits for one grant in ten more, and a less urgent one is not
 //! left out for ever. Requests of an account that floods go behind all others. Within a rank the account that was served
-//! least goes first; within an account the request that has to begin first, so that who has a longer goal waits longer.
+//! least goes first; within an account the one whose caller leaves first, then the one that has to begin first: who came back after a refusal
+//! has the least time left, and is mostly refused for good the second time.
 
 use crate::admission::forward::ForwardRun;
 use crate::admission::outlook::{Before, Need};
@@ -50,7 +51,7 @@
     /// Its order among those of its account and rank.
     fn key(&self) -> (u64, u64, u64) {
         let demand = &self.demand;
-        (self.begins_by_ms, demand.leaves_ms, demand.since_ms)
+        (demand.leaves_ms, self.begins_by_ms, demand.since_ms)
     }
 }
 
@@ -102,8 +103,8 @@
         weight(share) / (weight(share) + others)
     }
 
-    /// Takes a request in that must begin to be read by a time. Among those that must begin at the same time the one
-    /// whose caller leaves first goes first, then the one that came first: a dispatcher that is new is asked in any order.
+    /// Takes a request in that must begin to be read by a time, behind those whose callers leave before; among those who
+    /// leave at the same time by when they must begin, then by when they came: a new dispatcher is asked in any order.
     pub fn push(&mut self, demand: Demand, begins_by_ms: u64, need: Need) {
         let line = self.lines.entry(Place::of(&demand)).or_default();
         let waiting = Waiting {
@@ -231,7 +232,7 @@
         tree: &'a FairTree,
     ) -> impl Iterator<Item = &'a Waiting> {
         let turn = (tree.floods(&demand.share), demand.rank_in_use());
-        let key = (begins_by_ms, demand.leaves_ms, demand.since_ms);
+        let key = (demand.leaves_ms, begins_by_ms, demand.since_ms);
         let lines = self.lines.iter().filter_map(move |(place, line)| {
             let floods = tree.floods(&line.front()?.demand.share);
             let other = (floods, place.rank);
