--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -4,6 +4,7 @@
 mod admission;
 mod balance;
 mod demand;
+mod engines;
 mod fairness;
 mod health;
 mod holders;
@@ -12,6 +13,7 @@
 mod placement;
 mod pool;
 mod retries;
+mod streams;
 
 pub use balance::choose::{Candidate, Choosing, choose_target};
 pub use balance::doubt::{FailedShare, RouteDoubts, SharedDoubt};
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -12,13 +12,11 @@
 use crate::kind::{PolicyKind, PoolSettings};
 use crate::pace::book::PaceBook;
 use crate::placement::forecast::Forecast;
-use crate::placement::ledger::{
-    EngineInfo, EngineLedger, EngineReport, EngineState, Stream, StreamKey, Streams,
-};
-use crate::placement::length::{End, LengthClass, LengthModel};
+use crate::placement::ledger::{EngineLedger, Stream, StreamKey, Streams};
+use crate::placement::length::{End, LengthModel};
 use crate::placement::prefixes::PrefixIndex;
 use crate::placement::reading::ReadingRate;
-use prelude::{AccountId, BoxId, PermitId, TargetId};
+use prelude::{BoxId, PermitId, TargetId};
 use std::collections::{HashMap, HashSet, VecDeque};
 
 /// Candidates that are tried in one run when the first does not fit.
@@ -27,12 +25,8 @@
 pub(crate) const GRANT_WINDOW_MS: u64 = 5000;
 /// How often the ledger's own past is noted.
 const REMEMBER_MS: u64 = 25;
-/// Preemptions of one report that raise the margin.
-const PREEMPTIONS_COUNTED: u64 = 2;
 /// Pace of a stream before any was measured, in tokens per millisecond.
 const PACE_INITIAL: f64 = 0.03;
-/// Weight of one measured pace.
-const PACE_WEIGHT: f64 = 0.02;
 
 /// The dispatcher's state for one pool.
 #[derive(Clone, Debug)]
@@ -98,75 +92,6 @@
         }
     }
 
-    /// Changes the settings; the margin stays within the new bounds.
-    pub fn set_settings(&mut self, settings: PoolSettings) {
-        self.margin = self.margin.clamp(settings.margin_min, settings.margin_max);
-        self.tree.set_orders(settings.fair);
-        self.settings = settings;
-    }
-
-    /// Sets which accounts have a cap: the share of the pool's memory that their requests may hold.
-    pub fn set_caps(&mut self, caps: HashMap<AccountId, f64>) {
-        self.tree.set_caps(caps);
-    }
-
-    /// Tells the tree of shares how much room there is.
-    fn sync_room(&mut self) {
-        let live = self
-            .engines
-            .iter()
-            .filter(|ledger| ledger.state == EngineState::Live);
-        let count = live.clone().count();
-        let memory_tokens = live.map(|ledger| ledger.info.capacity_tokens).sum();
-        self.tree.set_room(count, memory_tokens);
-    }
-
-    /// Sets which engines there are. Ledgers of engines that stay are kept.
-    pub fn set_engines(&mut self, engines: &[EngineInfo]) {
-        for info in engines {
-            match self.engine_mut(info.id) {
-                Some(ledger) => ledger.info = *info,
-                None => self.engines.push(EngineLedger::new(*info)),
-            }
-        }
-        let stays = |ledger: &EngineLedger| engines.iter().any(|info| info.id == ledger.info.id);
-        let gone = self.engines.iter().filter(|ledger| !stays(ledger));
-        let gone: Vec<TargetId> = gone.map(|ledger| ledger.info.id).collect();
-        for target in gone {
-            self.set_state(target, EngineState::Gone);
-            self.prefixes.forget(target);
-        }
-        self.engines.retain(|ledger| stays(ledger));
-        self.sync_room();
-    }
-
-    /// Sets whether an engine takes new work. The streams of an engine that is gone lose their
-    /// permits.
-    pub fn set_state(&mut self, target: TargetId, state: EngineState) {
-        let Some(ledger) = self.engine_mut(target) else {
-            return;
-        };
-        if ledger.state != state {
-            ledger.state = state;
-            self.sync_room();
-        }
-        if state != EngineState::Gone {
-            return;
-        }
-        let Some(ledger) = self.engine_mut(target) else {
-            return;
-        };
-        ledger.report = None;
-        ledger.foreign_tokens = 0.0;
-        let lost: Vec<StreamKey> = ledger.streams.clone();
-        for key in lost {
-            if let Some(stream) = self.streams.get(key) {
-                let (permit, tokens) = (stream.permit, stream.generated_tokens);
-                self.release(permit, tokens, End::Censored);
-            }
-        }
-    }
-
     /// Takes a request in, or refuses it at once where its wait would pass its deadline.
     pub fn submit(&mut self, mut demand: Demand, now_ms: u64) -> Submitted {
         self.now_ms = self.now_ms.max(now_ms);
@@ -256,129 +181,6 @@
         }
     }
 
-    /// Notes how far a stream has come. False where its permit is not known here.
-    pub fn progress(&mut self, permit: PermitId, tokens: u32, now_ms: u64) -> bool {
-        self.now_ms = self.now_ms.max(now_ms);
-        self.heard_ms.insert(permit.entry, now_ms);
-        self.known.heard(permit.entry, now_ms);
-        let Some(key) = self.by_permit.get(&permit).copied() else {
-            return false;
-        };
-        let Some(stream) = self.streams.get_mut(key) else {
-            return false;
-        };
-        let before = stream.generated_tokens;
-        if tokens <= before {
-            return true;
-        }
-        let elapsed_ms = now_ms.saturating_sub(stream.progress_ms);
-        stream.generated_tokens = tokens;
-        stream.progress_ms = now_ms;
-        let (share, class, target) = (stream.share, stream.class, stream.target);
-        if before == 0 {
-            self.outlook.errors.first_token(permit, now_ms);
-            self.read(key, target);
-        }
-        if before > 0 && elapsed_ms > 0 {
-            let pace = f64::from(tokens - before) / elapsed_ms as f64;
-            self.tokens_per_ms += PACE_WEIGHT * (pace - self.tokens_per_ms);
-        }
-        self.learn(class, before, tokens, None);
-        self.tree.holds(&share, f64::from(tokens - before));
-        true
-    }
-
-    /// Ends a stream and frees what it held.
-    pub fn release(&mut self, permit: PermitId, tokens: u32, end: End) {
-        let Some(key) = self.by_permit.remove(&permit) else {
-            return;
-        };
-        let Some(stream) = self.streams.remove(key) else {
-            return;
-        };
-        let before = stream.generated_tokens;
-        let tokens = tokens.max(before);
-        let now_ms = self.now_ms;
-        if before == 0 && tokens > 0 {
-            self.outlook.errors.first_token(permit, now_ms);
-            self.read(key, stream.target);
-        }
-        self.outlook.errors.left(permit);
-        if let Some(ledger) = self.engine_mut(stream.target) {
-            ledger.remove(key, now_ms);
-        }
-        self.learn(stream.class, before, tokens, Some(end));
-        let held_tokens = stream.prompt_tokens + before;
-        self.tree.holds(&stream.share, -f64::from(held_tokens));
-        self.tree.ends(&stream.share);
-    }
-
-    /// Notes that an engine has read the prompt of a stream.
-    fn read(&mut self, key: StreamKey, target: TargetId) {
-        let now_ms = self.now_ms;
-        let mut rate = self.reading_rate;
-        if let Some(ledger) = self.engine_mut(target) {
-            ledger.reading.first_token(key, now_ms, &mut rate);
-            ledger.spans.reads(!ledger.reading.is_idle(), now_ms);
-        }
-        self.reading_rate = rate;
-    }
-
-    pub(crate) fn learn(&mut self, class: LengthClass, before: u32, tokens: u32, end: Option<End>) {
-        if !self.settings.learns_lengths {
-            return;
-        }
-        self.lengths.grew(class, before, tokens);
-        if let Some(end) = end {
-            self.lengths.ended(class, tokens, end);
-        }
-    }
-
-    /// The engine of a permit that is held.
-    pub fn target_of(&self, permit: PermitId) -> Option<TargetId> {
-        let key = self.by_permit.get(&permit)?;
-        self.streams.get(*key).map(|stream| stream.target)
-    }
-
-    /// Streams of a box that hold a permit.
-    pub fn streams_of(&self, entry: BoxId) -> usize {
-        self.streams
-            .values()
-            .filter(|stream| stream.entry() == entry)
-            .count()
-    }
-
-    /// Takes an engine's report in.
-    pub fn report(&mut self, target: TargetId, report: EngineReport, now_ms: u64) {
-        let lag_ms = self.settings.report_lag_ms;
-        let Some(ledger) = self.engine_mut(target) else {
-            return;
-        };
-        let preemptions = ledger.reported(report, lag_ms, now_ms);
-        // Many at once have one cause, such as an engine that was filled twice; the margin is for the
-        // forecast's own errors.
-        let counted = preemptions.min(PREEMPTIONS_COUNTED);
-        let raise = self.settings.margin_step * counted as f64;
-        self.margin = (self.margin + raise).min(self.settings.margin_max);
-    }
-
-    /// Takes an event of an engine's prefix cache in.
-    pub fn cache_event(
-        &mut self,
-        target: TargetId,
-        seq: u64,
-        prefix: u64,
-        stored: bool,
-        now_ms: u64,
-    ) {
-        self.prefixes.event(target, seq, prefix, stored, now_ms);
-    }
-
-    /// The last cache event seen of an engine.
-    pub fn last_cache_event(&self, target: TargetId) -> u64 {
-        self.prefixes.last_seq(target)
-    }
-
     pub(crate) fn engine_mut(&mut self, target: TargetId) -> Option<&mut EngineLedger> {
         self.engines
             .iter_mut()
--- a/components/policy/src/pool_tests.rs
+++ b/components/policy/src/pool_tests.rs
@@ -2,6 +2,7 @@
 use crate::demand::Adopted;
 use crate::fairness::tree::Share;
 use crate::holders::SILENT_BOX_MS;
+use crate::placement::ledger::{EngineInfo, EngineReport, EngineState};
 use crate::placement::length::LengthClass;
 use prelude::{AccountId, DataCentreId, OwnerId, PartnerId, RefusalReason, TargetIncarnation};
 
