--- a/components/policy/src/admission/coming.rs
+++ b/components/policy/src/admission/coming.rs
@@ -8,11 +8,12 @@
 /// Time after which an arrival counts half: a burst shows within a second, and is forgotten some seconds after it.
 const HALF_LIFE_MS: f64 = 1_000.0;
 
+/// What came lately of one rank, as sums in which older requests count less.
 #[derive(Clone, Copy, Debug, Default)]
 struct RankComing {
-    /// Memory held by what came lately, fading.
+    /// Mean memory that they hold until each point in time.
     held: Curve,
-    /// The same of the largest that each holds.
+    /// The most memory that each holds at any time.
     peak_tokens: f64,
     requests: f64,
     prompt_tokens: f64,
--- a/components/policy/src/admission/forecast_error.rs
+++ b/components/policy/src/admission/forecast_error.rs
@@ -7,8 +7,8 @@
 
 /// Time after which an error counts half: a correction outlives the trouble that caused it by a few seconds.
 const HALF_LIFE_MS: f64 = 2_000.0;
-/// Time that counts as forecast right, so that one answer alone corrects little, and nothing is corrected for ever where
-/// all is refused.
+/// Time that counts as forecast without error from the start, a prior: one answer alone corrects little, and a correction
+/// fades where all is refused.
 const KNOWN_MS: f64 = 5_000.0;
 /// Bounds of a correction: beyond them a fault of one engine, not of the forecast, is the cause.
 const LEAST: f64 = 0.7;
@@ -16,6 +16,7 @@
 /// Forecasts that are kept at a time; one that is lost corrects nothing.
 const KEPT_MOST: usize = 10_000;
 
+/// The sums of one rank, in which older first tokens count less.
 #[derive(Clone, Copy, Debug, Default)]
 struct RankError {
     forecast_ms: f64,
--- a/components/policy/src/admission/forward.rs
+++ b/components/policy/src/admission/forward.rs
@@ -18,7 +18,7 @@
     (ms.max(0.0) * 1000.0) as u64
 }
 
-/// The engines, as they take one prompt after another.
+/// A look-ahead simulation of the engines, as they read one prompt after another.
 #[derive(Clone, Debug)]
 pub struct ForwardRun {
     rates: Vec<f64>,
--- a/components/policy/src/admission/queue.rs
+++ b/components/policy/src/admission/queue.rs
@@ -3,8 +3,8 @@
 //! The more urgent rank goes first. A request that would miss its goal goes next although more urgent ones wait, at most
 //! once in [`GRANTS_PER_TURN`] grants: a more urgent caller waits for one grant in ten more, and a less urgent one is not
 //! left out for ever. Requests of an account that floods go behind all others. Within a rank the account that was served
-//! least goes first; within an account the one whose caller leaves first, then the one that has to begin first: who came back after a refusal
-//! has the least time left, and is mostly refused for good the second time.
+//! least goes first. Within an account the request whose caller leaves first goes first, then the one that has to begin first: a
+//! caller that came back after a refusal has the least time left, and a second refusal is mostly final.
 
 use crate::admission::forward::ForwardRun;
 use crate::admission::outlook::{Before, Need};
@@ -13,15 +13,14 @@
 use prelude::{AccountId, PermitId};
 use std::collections::{BTreeMap, HashSet, VecDeque};
 
-/// Grants of which one may go to a less urgent request that would miss its goal. Those that are more urgent then get
-/// nine of ten, which holds them up by a tenth.
+/// Of so many grants one may go to a less urgent request that would miss its goal. More urgent ones then get nine of ten.
 const GRANTS_PER_TURN: u32 = 10;
 /// A request that must begin within this time would miss its goal: some looks at the queue, and the way to the engine.
 const DUE_AHEAD_MS: u64 = 100;
 /// A wait that callers notice: a small part of any goal for a first token.
 const LONG_WAIT_MS: u64 = 60;
 
-/// Which line a candidate stands in.
+/// A line of the queue: the requests of one account and rank.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct Place {
     account: AccountId,
@@ -72,7 +71,7 @@
         self.len
     }
 
-    /// Whether any of each rank waits.
+    /// For each rank, whether a request of it waits.
     pub fn ranks(&self) -> [bool; RANKS] {
         let mut ranks = [false; RANKS];
         for place in self.lines.keys() {
@@ -103,8 +102,8 @@
         weight(share) / (weight(share) + others)
     }
 
-    /// Takes a request in that must begin to be read by a time, behind those whose callers leave before; among those who
-    /// leave at the same time by when they must begin, then by when they came: a new dispatcher is asked in any order.
+    /// Adds a request, whose prompt must begin to be read by `begins_by_ms`, to its line: by when callers leave, then by when
+    /// they must begin, then by when they came, as boxes ask a new dispatcher in any order.
     pub fn push(&mut self, demand: Demand, begins_by_ms: u64, need: Need) {
         let line = self.lines.entry(Place::of(&demand)).or_default();
         let waiting = Waiting {
--- a/components/policy/src/admission/returning.rs
+++ b/components/policy/src/admission/returning.rs
@@ -9,6 +9,7 @@
 /// Callers that are remembered at a time; beyond that the oldest is forgotten.
 const KEPT_MOST: usize = 1_000;
 
+/// A caller that will come back.
 #[derive(Clone, Copy, Debug)]
 struct Caller {
     back_ms: u64,
--- a/components/policy/src/admission/room_ahead.rs
+++ b/components/policy/src/admission/room_ahead.rs
@@ -7,7 +7,7 @@
 
 /// Points in time that are looked at.
 pub(crate) const HORIZONS: usize = HORIZONS_TOKENS.len();
-/// How long a look is used: as often as requests that wait are looked over.
+/// How long a look is used before it is taken anew.
 const LOOK_LIFE_MS: u64 = 20;
 
 /// Share of its memory below which a request that has ended nearly always by then needs no room.
@@ -58,8 +58,8 @@
         }
     }
 
-    /// Time from which there is room for a need beside what others take; at the last point where there never is. What
-    /// ends soon needs nothing later, when what runs now has grown.
+    /// Time from now until there is room for a need beside what others take, interpolated between points; that of the last
+    /// point where there never is. From the points on at which the request has nearly always ended it needs nothing.
     pub fn free_in_ms(&self, need: &Need, taken: impl Fn(usize) -> f64) -> f64 {
         let least = need.peak_tokens * HELD_LEAST_SHARE;
         let mut before: Option<(f64, f64)> = None;
--- a/components/policy/src/admission/waiting.rs
+++ b/components/policy/src/admission/waiting.rs
@@ -3,8 +3,9 @@
 //!
 //! Two resources bind, and both are run forward for what goes before a request in the order in which it will be served:
 //! the engines' reading of prompts, and their memory, which comes free as what runs ends, by the lengths of such answers.
-//! The later of the two is the forecast. It is corrected by how far such forecasts were off lately. Without memory run
-//! forward, the pace at which requests of its rank were granted lately stands for it.
+//! The later of the two is the forecast. It is corrected by how far such forecasts were off lately. Where memory is not run
+//! forward (`memory_ahead` is off, as by default), the pace at which requests of the same rank were granted lately stands
+//! for it, and nothing is corrected.
 //!
 //! Load patterns that this answers: a burst while a third of the engines is evacuated, prompts that are suddenly twice
 //! as long, a flood of requests that are less urgent than the others.
@@ -32,7 +33,7 @@
 /// Least time after which a refused caller is told to come back.
 const RETRY_AFTER_MIN_MS: u64 = 100;
 
-/// When the first token of a request would come, from now.
+/// Time from now until the first token of a request would come.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct FirstToken {
     /// By the forecast.
