--- a/components/policy/src/pace/calibration.rs
+++ b/components/policy/src/pace/calibration.rs
@@ -1,9 +1,9 @@
 //! How far the pauses that were foretold came true: chances are weighed by it, so that an estimate that sees disturbances
 //! where callers felt none does not send requests to worse engines.
 
-/// What an answer of so many ago counts half: some seconds of a busy pool.
+/// What is left of an answer's weight each time a new one ends: it counts half after 138 of them, some seconds of a busy pool.
 const FORGETTING: f64 = 0.995;
-/// Pauses that are taken for foretold and felt before any was: one more or less changes little.
+/// Pauses that count as foretold and felt from the start, so that one more or less changes little: a prior.
 const PRIOR_PAUSES: f64 = 1.0;
 /// Bounds of the weight: what was never felt may still come, and few pauses prove no estimate too low.
 const WEIGHT: (f64, f64) = (0.1, 1.0);
--- a/components/policy/src/pace/disturbance.rs
+++ b/components/policy/src/pace/disturbance.rs
@@ -3,9 +3,9 @@
 
 use crate::pace::steps::DISTURBED_RATIO;
 
-/// What an observation of so many ago counts half.
+/// What is left of an observation's weight each time a new one comes: it counts half after 34 of them.
 const FORGETTING: f64 = 0.98;
-/// Observations of the pool that an engine's own few are mixed with.
+/// Weight of the pool's mean, in observations, that an engine's own are mixed with: a prior for one that has few.
 const POOL_WEIGHT: f64 = 10.0;
 /// Bounds of how long one disturbance lasts: shorter ones hit no whole event, longer ones are the engine's speed.
 const SPELL_MS: (f64, f64) = (20.0, 5_000.0);
--- a/components/policy/src/pace/felt.rs
+++ b/components/policy/src/pace/felt.rs
@@ -90,7 +90,8 @@
         feel.long_pause_beside(f64::from(goal_ms), window_ms)
     }
 
-    /// The same as memory.
+    /// The cost of the long pauses that are expected if a request goes to an engine, in tokens, so that it can be added to
+    /// memory and reading.
     pub(crate) fn pause_tokens(&self, ledger: &EngineLedger, new: &Pausing) -> f64 {
         if !self.decides() {
             return 0.0;
--- a/components/policy/src/pace/observed.rs
+++ b/components/policy/src/pace/observed.rs
@@ -28,7 +28,7 @@
     pub streams: u32,
     /// Share of the time in which it read a prompt.
     pub reading_share: f64,
-    /// Whether it read one at all, or shortly before or after.
+    /// Whether it read one at all, meanwhile or shortly before or after.
     pub read_beside: bool,
     /// The mean time from one event to the next that was expected; none where too little is known.
     pub expected_ms: Option<f64>,
--- a/components/policy/src/pace/speed.rs
+++ b/components/policy/src/pace/speed.rs
@@ -3,15 +3,17 @@
 
 use std::collections::VecDeque;
 
-/// Observations that are kept: one is told a second or so for each stream.
+/// Observations that are kept: each stream reports about one a second.
 const KEPT: usize = 12;
-/// Which of them is the engine's own, from the fastest: disturbances of a third of the time leave it as it is.
+/// Quantile of them, from the fastest, that is taken for the engine's own speed: it stays as it is even if the engine is
+/// disturbed for a third of the time.
 const QUANTILE: f64 = 0.3;
 /// Tellings from which events outweigh what the engine says of itself.
 const TRUSTED: usize = 4;
-/// After so long without an event, what was seen counts half, so that the engine is tried again.
+/// Time without an event after which the speed's difference from the usual counts half, so that the engine is tried again.
 const HALF_LIFE_MS: f64 = 20_000.0;
-/// An engine of which nothing is known is taken for one of the slower ones: it is empty, and would get what can't bear it.
+/// Quantile of the known engines' speeds, from the fastest, that an engine of which nothing is known is taken to have: it
+/// is empty, and as a usual one it would get streams that it may be too slow for.
 const UNKNOWN: f64 = 0.75;
 /// Speeds closer to the usual than this are the usual: the figures are not more exact.
 const USUAL: std::ops::RangeInclusive<f64> = 0.87..=1.15;
--- a/components/policy/src/pace/steps.rs
+++ b/components/policy/src/pace/steps.rs
@@ -1,11 +1,12 @@
 //! How long an engine of usual speed takes from one event to the next, by the streams that it has and the prompts that
-//! it reads: least squares, one observation after another, in which older ones count less.
+//! it reads: recursive least squares with exponential forgetting.
 
-/// What an observation of ten ago still counts is 0.95: some hundred observations, a second or two of a busy pool.
+/// What is left of an observation's weight each time a new one comes: it counts half after 138 of them, a second or two of
+/// a busy pool.
 const FORGETTING: f64 = 0.995;
-/// How little is known at first.
+/// Variance of each part before any observation: large, as nothing is known.
 const UNCERTAINTY: f64 = 1_000.0;
-/// The most uncertainty that forgetting may build up while the load is always the same.
+/// The most variance that forgetting may build up while the load is always the same.
 const UNCERTAINTY_MAX: f64 = 10_000.0;
 /// Observations before one may be told from the others as disturbed.
 const SETTLED: u32 = 20;
@@ -26,6 +27,7 @@
 pub struct StepModel {
     /// Milliseconds by themselves, for each stream, and for reading.
     parts_ms: [f64; 3],
+    /// Covariance of the parts.
     spread: [[f64; 3]; 3],
     seen: u32,
 }
