--- a/components/policy/src/balance/choose.rs
+++ b/components/policy/src/balance/choose.rs
@@ -1,8 +1,8 @@
 //! Which target a call goes to.
 
-/// What a target that is not to be used costs, where another can be: more than any pace or queue.
+/// What is added to the cost of a spared target, in usual times: more than any pace or queue adds.
 const SPARED_COST: f64 = 8.0;
-/// Boxes that know the same would all go to the same target: so far costs are taken as equal.
+/// Each cost is raised by a random share of up to this: boxes that know the same would otherwise all go to the same target.
 const NOISE: f64 = 0.15;
 
 /// A target that a call may go to.
@@ -16,12 +16,12 @@
     pub failed_share: f64,
     /// What speaks against it otherwise: it is far, or cold.
     pub extra: f64,
-    /// Other boxes say that it does not answer.
+    /// Whether other boxes say that it does not answer.
     pub spared: bool,
 }
 
 impl Candidate {
-    /// The call's expected time there, in usual times.
+    /// The call's expected time there, in usual times, with what speaks against the target added.
     pub fn cost(&self) -> f64 {
         let spared = f64::from(u8::from(self.spared)) * SPARED_COST;
         self.time_share * (1.0 + self.fullness) + self.failed_share + self.extra + spared
@@ -35,11 +35,11 @@
     Emptiest,
     /// The better of two that are drawn.
     TwoDrawn,
-    /// The best of all that are given, costs that are nearly the same taken as equal.
+    /// The best of all that are given, with random noise on the costs.
     Best,
 }
 
-/// The place of the chosen one among `candidates`. `draw` gives numbers even between 0 and 1.
+/// The place of the chosen one among `candidates`. `draw` gives uniform random numbers between 0 and 1.
 pub fn choose_target(
     way: Choosing,
     candidates: &[Candidate],
--- a/components/policy/src/balance/doubt.rs
+++ b/components/policy/src/balance/doubt.rs
@@ -6,7 +6,8 @@
 const WEIGHT: f64 = 0.1;
 /// Answers after which a share of failures is known.
 const SEEN_MIN: u32 = 6;
-/// Answers that a target is taken to have given as all targets do, before any is seen: one failure is chance.
+/// Answers that count as given with the share of failures of all targets, before any is seen: a prior, as one failure is
+/// chance.
 const PRIOR_ANSWERS: f64 = 4.0;
 /// Answers that a share holds: what is older has faded.
 const HELD_ANSWERS: u32 = 10;
@@ -14,11 +15,11 @@
 const COMMON_SHARE: f64 = 0.04;
 /// Routes that are kept apart at one target: the latest.
 const ROUTES_MAX: usize = 8;
-/// Two boxes that fail at a target within this time do not by chance.
+/// Two boxes that get no answer from a target within this time are not taken for chance.
 const TOGETHER_MS: u64 = 2_000;
-/// How long a target is spared that two boxes failed at.
+/// How long a target is spared after two boxes got no answer.
 const SPARED_MS: u64 = 1_000;
-/// How long one more failure spares it again.
+/// How long after that one more failure, of any box, is enough to spare it again.
 const REMEMBERED_MS: u64 = 4_000;
 
 /// Share of failures among the answers of a route.
--- a/components/policy/src/balance/hints.rs
+++ b/components/policy/src/balance/hints.rs
@@ -1,12 +1,12 @@
 //! How often a box tells others what it sees of targets: what comes in at one box stays bounded, however many boxes and
 //! targets there are.
 
-/// Words that all boxes that tell each other send together.
+/// Words that the boxes of one data centre send in a second, all together.
 const WORDS_PER_S: f64 = 30.0;
 /// The most that a box saves up: a word on a target and on the one that calls then go to.
 const SAVED_MAX: f64 = 2.0;
 
-/// One box's part of the words.
+/// One box's part of the words: a token bucket.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct HintBudget {
     saved: f64,
--- a/components/policy/src/balance/limit.rs
+++ b/components/policy/src/balance/limit.rs
@@ -1,9 +1,9 @@
 //! How many calls a box has at one target at once, learnt from what the target refuses: one step more for each round of
-//! answers, less by a share at a refusal, so that boxes that don't see each other's calls come to share a full target.
+//! answers, less by a share at a refusal (additive increase, multiplicative decrease), so that boxes that don't see each other's calls come to share a full target.
 
-/// More than slots and queue of any target: no bound before it refused anything.
+/// The bound before a target refused anything: more than slots and queue of any, so none.
 const MOST: f64 = 256.0;
-/// What is left at a refusal. More is refused again at once; less leaves slots empty that callers wait for.
+/// The share of the bound that is left after a refusal. More is refused again at once; less leaves slots empty that callers wait for.
 const KEPT_SHARE: f64 = 0.85;
 /// Refusals within this time are one word: the calls were sent before the first of them was heard.
 const ONE_WORD_MS: u64 = 100;
--- a/components/policy/src/balance/patience.rs
+++ b/components/policy/src/balance/patience.rs
@@ -1,10 +1,10 @@
 //! When a call that may run twice is sent to a second target beside the first.
 
-/// The second try is to end before the goal: nine in ten take less than so many times their usual time.
+/// Usual times that are left to the second try before the goal: nine in ten calls take less.
 const SECOND_TIMES: f64 = 2.0;
-/// Calls are late after so many times their usual time: fewer than one in ten takes as long.
+/// Usual times after which a call is late: fewer than one in ten takes as long.
 const LATE_TIMES: f64 = 2.2;
-/// The part of the goal after which a second try is sent in any case.
+/// Share of the goal after which a second try is sent in any case.
 const GOAL_SHARE: f64 = 0.8;
 
 /// How long one target is waited for alone, given the goal and the route's usual time where it is known.
--- a/components/policy/src/fairness/tree.rs
+++ b/components/policy/src/fairness/tree.rs
@@ -12,15 +12,14 @@
 
 /// Counters are brought up to date this often: a decision sees them at most so old.
 const PASS_EACH_MS: u64 = 10;
-/// Share of an account's part beyond which it counts as over it: one more request of a small account is no flood.
+/// An account holds more than it is entitled to beyond so many times its part: one more request of a small account is not
+/// much.
 const OVER_TIMES: f64 = 1.25;
-/// So many times as much as its part an account asks for, against the others, that floods: callers of a large account among
-/// small ones are not to be put last for what they usually ask. Of 24 accounts it asks for 41 in 100 tokens.
+/// An account floods that asked for so many times its part, relative to the others: callers of a large account among small
+/// ones are not put last for what they usually ask. It is a ratio of odds (asked against not asked): of 24 equal accounts, one floods from 41 in 100 of the tokens on.
 const FLOOD_TIMES: f64 = 16.0;
-/// Share of the memory up to which an account that floods is granted. What others ask meanwhile has room at once: nobody
-/// else's first tokens come later.
+/// Share of the memory up to which an account that floods is granted, so that what others ask meanwhile has room at once.
 const FLOOD_MEMORY_SHARE: f64 = 0.65;
-
 /// For how long room is left after another account's request waited: several times what most answers take.
 const OTHERS_WAITED_MS: u64 = 5_000;
 
@@ -239,8 +238,8 @@
         self.others_waited_ms = Some(now_ms);
     }
 
-    /// Whether what is left is for others than those that flood: nobody else waits while a flood's requests end. Where nobody
-    /// else waited of late, everything may be used.
+    /// Whether the memory that is left is kept for accounts that do not flood, so that they need not wait until a flood's
+    /// requests end. Where none of them waited of late, everything may be used.
     pub fn is_nearly_full(&self) -> bool {
         let waited_ms = self.others_waited_ms;
         if waited_ms.is_none_or(|at_ms| at_ms + OTHERS_WAITED_MS < self.passed_ms) {
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -23,7 +23,7 @@
 const CANDIDATES: usize = 6;
 /// Window over which grants are counted.
 pub(crate) const GRANT_WINDOW_MS: u64 = 5000;
-/// How often the ledger's own past is noted.
+/// How often the ledgers note their memory in use, to be compared with engines' reports.
 const REMEMBER_MS: u64 = 25;
 /// Pace of a stream before any was measured, in tokens per millisecond.
 const PACE_INITIAL: f64 = 0.03;
@@ -45,18 +45,18 @@
     pub(crate) tokens_per_ms: f64,
     pub(crate) reading_rate: ReadingRate,
     pub(crate) pace_book: PaceBook,
-    /// The last time that it was told.
+    /// The latest time that it was given: it reads no clock.
     pub(crate) now_ms: u64,
     pub(crate) grants: VecDeque<u64>,
     pub(crate) pace: GrantPace,
-    /// The same by rank.
+    /// The pace of grants by rank.
     pub(crate) paces: [GrantPace; RANKS],
     /// When the first request came; grants wait for engines' reports from then on, but not for ever.
     pub(crate) began_ms: Option<u64>,
     pub(crate) expiry_ms: u64,
     remembered_ms: u64,
     pub(crate) heard_ms: HashMap<BoxId, u64>,
-    /// Whose use of late it charged itself.
+    /// The boxes whose recent use it charged itself, and since when.
     pub(crate) known: KnownBoxes,
     pub(crate) usage: Usage,
 }
