--- a/components/relay/src/dispatch/used_lately.rs
+++ b/components/relay/src/dispatch/used_lately.rs
@@ -27,7 +27,7 @@
     fn add_to(&self, used: &mut AccountUsed, now_ms: u64) {
         let from_ms = now_ms.saturating_sub(WINDOW_MS);
         let held_ms = self.ended_ms.saturating_sub(self.began_ms.max(from_ms));
-        // It grew to what it holds.
+        // Its answer grew evenly from nothing: half of it was held on the mean.
         let held_tokens = u64::from(self.prompt_tokens) + u64::from(self.tokens) / 2;
         used.held_token_ms += held_tokens * held_ms;
         if self.began_ms >= from_ms {
--- a/components/relay/src/forwarding/call.rs
+++ b/components/relay/src/forwarding/call.rs
@@ -1,5 +1,5 @@
-//! Plain requests: sent to the emptiest target, again where the route and the budget allow, and answered
-//! whole.
+//! Plain requests: sent to the target with the least expected time (see [`crate::forwarding::balance`]), again where the
+//! route and the budget allow, and answered whole.
 
 use crate::forwarding::balance::{Asked, route_key};
 use crate::forwarding::beside::offer_in_time;
@@ -67,7 +67,7 @@
     conclude(relay, incoming, &story, due_ms)
 }
 
-/// The next target to offer a request to; none where it is over.
+/// The next target to offer a request to; none where there is none, or no time or budget is left.
 pub(super) fn next_offer(
     relay: &Rc<Relay>,
     way: &Way,
--- a/components/relay/src/forwarding/room.rs
+++ b/components/relay/src/forwarding/room.rs
@@ -9,9 +9,9 @@
 use std::time::Duration;
 use tokio::time::timeout;
 
-/// The target is to have so many usual times of the goal left.
+/// Usual times of the route that are left of the goal when the wait ends, for the target to answer.
 const KEPT_TIMES: f64 = 2.0;
-/// How often a call looks for room where no call of this box ends: others' calls end too.
+/// How often a call looks for room though no call of this box ended: other boxes' calls end too.
 const LOOK_EACH_MS: u64 = 25;
 
 /// Until when a call may wait, so that it is answered by its goal.
--- a/components/relay/src/watch/pasts.rs
+++ b/components/relay/src/watch/pasts.rs
@@ -8,7 +8,7 @@
 /// targets in that time.
 const NAMES_MAX: usize = 1_024;
 
-/// What is known of a name. The first of its lives is before all births.
+/// What is known of a name. A life without a birth counts as older than every life that has one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(super) struct Past {
     /// The birth of its newest life; none where it never had one that names its birth.
