--- a/components/policy/src/fairness/usage.rs
+++ b/components/policy/src/fairness/usage.rs
@@ -15,7 +15,7 @@
 pub struct RankUse {
     /// Requests that were granted.
     pub granted: u64,
-    /// Refusals.
+    /// Requests that were refused.
     pub refused: u64,
     /// Requests that wait now.
     pub waiting: u64,
@@ -50,7 +50,7 @@
 pub struct AccountUse {
     /// The account.
     pub account: AccountId,
-    /// By rank.
+    /// What became of its requests, by rank.
     pub ranks: BTreeMap<u8, RankUse>,
     /// The part of the memory in use that it holds.
     pub held_part: f64,
--- a/components/relay/src/dispatch/shares.rs
+++ b/components/relay/src/dispatch/shares.rs
@@ -31,7 +31,8 @@
         }
     }
 
-    /// Who is charged for the requests of an account.
+    /// Who is charged for the requests of an account. A platform's fleet has accounts alone: partner and owner are the same
+    /// for all.
     pub(crate) fn share_of(&self, account: AccountId) -> Share {
         Share {
             account,
--- a/components/relay/src/forwarding/balance.rs
+++ b/components/relay/src/forwarding/balance.rs
@@ -15,7 +15,7 @@
 const NEAR_DRAWN: usize = 12;
 /// Targets of other data centres that it looks at: they are for when those here are full.
 const FAR_DRAWN: usize = 6;
-/// Routes whose usual times are kept. They are learnt again within a few answers.
+/// Routes whose records are kept. Beyond that all are forgotten: they are learnt again within a few answers.
 const ROUTES_MAX: usize = 512;
 
 /// What a plain request asks for, as far as the choice of its target goes.
@@ -73,7 +73,7 @@
             .is_none_or(|record| record.limit.has_room(open))
     }
 
-    /// Some targets of a service, drawn anew, and whether they are all.
+    /// Some targets of a service, drawn at random for each call, and whether they are all that it has.
     fn drawn(
         &mut self,
         relay: &Relay,
@@ -132,7 +132,7 @@
     }
 }
 
-/// What speaks against a target before all else: it was tried, it failed this box, it is full.
+/// What speaks against a target before its cost, compared in this order: it was tried, it failed this box, it is full.
 type Against = (bool, bool, bool);
 
 impl Relay {
@@ -149,7 +149,7 @@
             let (drawn, is_all) = balance.drawn(self, &book, asked.service);
             let given = self.given(&balance, &book, drawn, asked, tried);
             let least = given.iter().map(|(against, ..)| *against).min();
-            // Where those that were drawn are no good, all are looked at.
+            // Where all that were drawn were tried or failed this box, the book looks at all targets, below.
             if is_all || least.is_some_and(|(tried, failed, _)| !tried && !failed) {
                 return best_of(&given, least?);
             }
@@ -186,7 +186,7 @@
         takes_it.then_some((tried.contains(&slot), has_failed, is_full))
     }
 
-    /// Those that take the call, with what speaks against each.
+    /// Those of the drawn targets that take work, with what speaks against each and what its cost is made of.
     fn given(
         &self,
         balance: &CallBalance,
@@ -204,7 +204,7 @@
     }
 }
 
-/// The best of those that as little as `least` speaks against.
+/// The target of least cost among those against which exactly `least` speaks.
 fn best_of(given: &[(Against, TargetSlot, Candidate)], least: Against) -> Option<TargetSlot> {
     let equal: Vec<_> = given
         .iter()
--- a/components/relay/src/forwarding/beside.rs
+++ b/components/relay/src/forwarding/beside.rs
@@ -84,8 +84,8 @@
     metrics::counter!("shuntpier_calls_tried_beside", "won" => won).increment(1);
 }
 
-/// Notes that a target had not answered when a later try had. It counts as failed only where it took as long as a target of
-/// a route without a usual time is waited for.
+/// Notes that a target had not answered when a later try had. It counts as failed only after the longest time
+/// for which any target is waited for alone.
 fn outrun(relay: &Rc<Relay>, route: &Route, slot: TargetSlot, waited_ms: u64) {
     relay.call_outrun(slot, route, waited_ms);
     let has_failed = waited_ms >= patience_ms(route.answer_goal_ms, None);
--- a/components/relay/src/watch/entries.rs
+++ b/components/relay/src/watch/entries.rs
@@ -10,9 +10,9 @@
 pub(crate) enum Listing {
     /// An entry that names a target.
     Listed(TargetEntry),
-    /// A name is listed no more, as of a revision.
+    /// A name is listed no more: the name, and the revision as of which.
     Unlisted(Box<str>, u64),
-    /// The entry names no target to use; whose life it is may still be known.
+    /// The entry names no target to use: its name, the birth in it where that can be read, and its revision.
     Refused(Box<str>, Option<u64>, u64),
 }
 
--- a/components/relay/src/watch/leaving.rs
+++ b/components/relay/src/watch/leaving.rs
@@ -26,7 +26,7 @@
         leaving.map(|target| target.entry.life()).collect()
     }
 
-    /// Believes a peer's word on which lives leave. What is not known yet will be listed as leaving.
+    /// Believes a peer's word on which lives leave. A life that is not known yet is taken for leaving once it is listed.
     pub fn told_leaving(&mut self, lives: &[TargetLife]) -> Vec<Change> {
         let told = lives.iter().filter_map(|life| self.told_leaves(life));
         told.collect()
