--- a/components/policy/src/admission/waiting.rs
+++ b/components/policy/src/admission/waiting.rs
@@ -28,7 +28,8 @@
 const ALONE_TIMES: f64 = 1.1;
 /// Share of the reading that more urgent requests are taken to use at the most: beyond it they wait for each other.
 const URGENT_SHARE_MOST: f64 = 0.8;
-/// Share of its goal within which a caller is to be served that comes back: a second refusal is mostly the last.
+/// Share of its goal within which a caller that comes back is to be served, where memory is run forward: a second refusal
+/// is mostly final.
 const BACK_SHARE: f64 = 0.5;
 /// Least time after which a refused caller is told to come back.
 const RETRY_AFTER_MIN_MS: u64 = 100;
--- a/components/policy/src/balance/pace.rs
+++ b/components/policy/src/balance/pace.rs
@@ -4,11 +4,11 @@
 const ROUTE_WEIGHT: f64 = 0.05;
 /// Answers after which a route's usual time is known: fewer are within the spread of one kind of work.
 const ROUTE_SEEN_MIN: u32 = 5;
-/// Within which share of the usual time one answer counts: beyond it is one odd piece of work, not a pace.
+/// The least share of the usual time that one answer counts as: less is one odd piece of work, not a pace.
 const SHARE_MIN: f64 = 0.2;
-/// The same, above.
+/// The largest share of the usual time that one answer counts as.
 const SHARE_MAX: f64 = 4.0;
-/// Answers that a target's pace is taken to be the usual one before any is seen.
+/// Answers of the usual time that count as given before any is seen: a prior.
 const PRIOR_ANSWERS: f64 = 4.0;
 /// After so long without an answer half of what was seen of a target is forgotten.
 const HALF_LIFE_MS: f64 = 6_000.0;
--- a/components/policy/src/balance/record.rs
+++ b/components/policy/src/balance/record.rs
@@ -33,7 +33,7 @@
     /// The time of a call, as a share of the usual time at an empty target, as far as it depends on the target alone.
     pub fn time_share(&self, now_ms: u64) -> f64 {
         let seen = self.pace.share(now_ms);
-        // What was seen of it holds some of what it says now.
+        // Not their product: the answers that were seen already hold a part of the slowness that it tells now.
         seen.max(self.slowness.share(now_ms))
     }
 }
--- a/components/policy/src/demand.rs
+++ b/components/policy/src/demand.rs
@@ -23,7 +23,7 @@
     pub max_tokens: u32,
     /// 0 for the most urgent, 9 for the least.
     pub rank: u8,
-    /// The longest pause between events that its caller takes for in time; none where any is.
+    /// The longest pause between events that counts as in time; none where every pause does.
     pub pause_goal_ms: Option<u32>,
     /// When its caller came, on the clock of the dispatcher.
     pub since_ms: u64,
--- a/components/policy/src/kind.rs
+++ b/components/policy/src/kind.rs
@@ -73,7 +73,7 @@
     pub margin_step: f64,
     /// Taken off the margin each second without a preemption.
     pub margin_decay_per_s: f64,
-    /// Whether ten ranks are told apart; otherwise the most urgent goes before all others.
+    /// Whether ten ranks are told apart; otherwise rank 0 goes before all others, which count alike.
     pub ranks: bool,
     /// How it is decided who waits.
     pub waiting: WaitingPolicy,
--- a/components/policy/src/pace/shown.rs
+++ b/components/policy/src/pace/shown.rs
@@ -6,7 +6,7 @@
 use prelude::{PermitId, TargetId};
 use serde::{Deserialize, Serialize};
 
-/// A prompt as it is taken for granted where it is shown why an engine is spared.
+/// Tokens of the prompt that is assumed where it is shown why an engine is spared.
 const PROMPT_TOKENS: f64 = 2_000.0;
 /// Pauses beyond their goal, expected of one more prompt, from which an engine is called spared.
 const SPARED: f64 = 0.1;
--- a/components/policy/src/placement/ledger.rs
+++ b/components/policy/src/placement/ledger.rs
@@ -79,7 +79,7 @@
     pub max_tokens: u32,
     /// Its true length, where the oracle policy was told.
     pub told_tokens: Option<u32>,
-    /// The longest pause that its caller takes for in time; none where any is.
+    /// The longest pause between events that counts as in time; none where every pause does.
     pub pause_goal_ms: Option<u32>,
     /// The longest pause that it had, as far as it was told.
     pub longest_ms: u32,
@@ -87,7 +87,7 @@
     pub expected_tokens: f32,
     /// The longest pause that was foretold when it was placed.
     pub foretold_ms: Option<u32>,
-    /// Chance of a pause beyond its goal that was foretold where it was placed.
+    /// Chance of a pause beyond its goal that was foretold when it was placed.
     pub pause_chance: f32,
 }
 
@@ -97,7 +97,7 @@
         self.permit.entry
     }
 
-    /// The longest pause that its caller bears; none where any is, or where it had a longer one already.
+    /// The pause goal as far as it can still be missed: none where there is none, or where a pause was longer already.
     pub fn goal_left_ms(&self) -> Option<u32> {
         self.pause_goal_ms
             .filter(|goal_ms| self.longest_ms <= *goal_ms)
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -77,7 +77,7 @@
     pub(crate) account_labels: RefCell<HashSet<String>>,
     /// How generations came to their ends here.
     pub(crate) completion: RefCell<CompletionEstimator>,
-    /// A peer did not answer.
+    /// Notified when a peer did not answer: who dispatches a pool may have changed.
     pub(crate) peer_doubted: Notify,
     /// Something of [`Relay::open_generations`] is to be told to a dispatcher.
     pub(crate) generations_changed: Notify,
