--- a/components/policy/src/pace/book.rs
+++ b/components/policy/src/pace/book.rs
@@ -1,6 +1,5 @@
 //! What a pool knows of pace as a whole, against which each engine is held.
 
-use crate::pace::calibration::Calibration;
 use crate::pace::disturbance::{Disturbance, Disturbances, Excess};
 use crate::pace::observed::{GapsTold, Observed};
 use crate::pace::speed::{Speed, Usual};
@@ -27,8 +26,6 @@
 /// The pace of the pool.
 #[derive(Clone, Debug, Default)]
 pub struct PaceBook {
-    /// How far foretold pauses came true.
-    pub(crate) calibration: Calibration,
     steps: StepModel,
     disturbances: Disturbances,
     /// How an engine is disturbed of which nothing was told.
--- a/components/policy/src/pace/felt.rs
+++ b/components/policy/src/pace/felt.rs
@@ -98,7 +98,7 @@
         }
         let settings = self.settings;
         let each = f64::from(settings.long_pause_ms) * f64::from(settings.reading_tokens_per_ms);
-        self.long_pauses(ledger, new) * each * self.book.calibration.weight()
+        self.long_pauses(ledger, new) * each
     }
 }
 
@@ -120,13 +120,13 @@
         expected_tokens(&self.lengths, demand)
     }
 
-    /// The longest pause that is foretold for a request at an engine, and the chance that it is beyond its goal.
-    pub(crate) fn foretold(
+    /// The longest pause that is foretold for a request at an engine.
+    pub(crate) fn foretold_ms(
         &self,
         demand: &Demand,
         target: TargetId,
         now_ms: u64,
-    ) -> Option<(u32, f32)> {
+    ) -> Option<u32> {
         if !self.settings.learns_pace || !self.pace_book.is_settled() {
             return None;
         }
@@ -137,9 +137,7 @@
         let view = self.pause_view(now_ms);
         let feel = view.feel(ledger, f64::from(demand.prompt_tokens))?;
         let window_ms = self.expected_tokens(demand) / self.tokens_per_ms;
-        let goal_ms = demand.pause_goal_ms.map(f64::from);
-        let chance = goal_ms.map_or(0.0, |goal_ms| feel.long_pause(goal_ms, window_ms));
-        Some((feel.foretold_ms(window_ms) as u32, chance as f32))
+        Some(feel.foretold_ms(window_ms) as u32)
     }
 
     pub(crate) fn pause_view(&self, now_ms: u64) -> PauseView<'_> {
--- a/components/policy/src/pace/mod.rs
+++ b/components/policy/src/pace/mod.rs
@@ -5,7 +5,6 @@
 //! steps meanwhile; figures of engines about themselves that are missing, stand still or are false.
 
 pub(crate) mod book;
-pub(crate) mod calibration;
 pub(crate) mod chance;
 pub(crate) mod disturbance;
 pub(crate) mod felt;
--- a/components/policy/src/placement/ledger.rs
+++ b/components/policy/src/placement/ledger.rs
@@ -87,8 +87,6 @@
     pub expected_tokens: f32,
     /// The longest pause that was foretold when it was placed.
     pub foretold_ms: Option<u32>,
-    /// Chance of a pause beyond its goal that was foretold when it was placed.
-    pub pause_chance: f32,
 }
 
 impl Stream {
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -227,7 +227,6 @@
         now_ms: u64,
     ) {
         let forecast = demand_forecast(&self.lengths, &demand, self.settings.policy);
-        let foretold = self.foretold(&demand, target, now_ms);
         let stream = Stream {
             permit: demand.permit,
             share: demand.share,
@@ -241,8 +240,7 @@
             pause_goal_ms: demand.pause_goal_ms,
             longest_ms: 0,
             expected_tokens: self.expected_tokens(&demand) as f32,
-            foretold_ms: foretold.map(|(ms, _)| ms),
-            pause_chance: foretold.map_or(0.0, |(_, chance)| chance),
+            foretold_ms: self.foretold_ms(&demand, target, now_ms),
         };
         let (permit, prompt_tokens) = (stream.permit, stream.prompt_tokens);
         let held_tokens = f64::from(prompt_tokens + generated_tokens);
--- a/components/policy/src/streams.rs
+++ b/components/policy/src/streams.rs
@@ -60,10 +60,6 @@
         if let Some(ledger) = self.engine_mut(stream.target) {
             ledger.remove(key, now_ms);
         }
-        if let Some(goal_ms) = stream.pause_goal_ms {
-            let calibration = &mut self.pace_book.calibration;
-            calibration.ended(stream.pause_chance.into(), stream.longest_ms > goal_ms);
-        }
         self.learn(stream.class, before, tokens, Some(end));
         let held_tokens = stream.prompt_tokens + before;
         self.tree.holds(&stream.share, -f64::from(held_tokens));
