An engine that answers with errors at once is on trial for all boxes

A 500 of a generation counted as an answer that speaks well of its engine, and whoever fails at once is the emptiest and draws all that comes. Plain calls were not concerned.

--- a/components/relay/src/forwarding/generation.rs
+++ b/components/relay/src/forwarding/generation.rs
@@ -244,6 +244,8 @@
 /// What a try says of its engine.
 pub(crate) fn outcome_of(tried: &Tried) -> TargetOutcome {
     match tried {
+        // Whoever fails at once is the emptiest, and would draw all that comes.
+        Tried::Answered(opened) if opened.head.status >= 500 => TargetOutcome::Failed,
         Tried::Answered(_) => TargetOutcome::Well,
         Tried::NotRun(why) => TargetOutcome::from(*why),
         Tried::MayHaveRun(_) => TargetOutcome::Failed,
