--- a/components/policy/src/pace/steps_tests.rs
+++ b/components/policy/src/pace/steps_tests.rs
@@ -1,4 +1,6 @@
 use super::*;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
 
 fn load(streams: u32, reading_share: f64) -> Load {
     Load {
@@ -46,3 +48,46 @@
     assert!((model.event_ms(load(2, 0.0)).unwrap() - 30.0).abs() < 1.0);
     assert!(model.event_ms(load(6, 1.0)).unwrap().is_finite());
 }
+
+/// Tellings of a pool whose engines nearly always have the same streams: 28 ms by itself, half a millisecond a stream, 32 ms
+/// of reading, up to a fifth off, and one in `disturbed` three times as slow.
+fn told_of_like_loads(seed: u64, disturbed: u64) -> StepModel {
+    let mut random = ChaCha8Rng::seed_from_u64(seed);
+    let mut model = StepModel::default();
+    for at in 0..20_000 {
+        let load = load(random.random_range(4..7), random.random_range(0.0..1.0));
+        let event_ms = 28.0 + 0.5 * load.streams + 32.0 * load.reading_share;
+        let slower = if random.random_range(0..disturbed) == 0 {
+            3.0
+        } else {
+            1.0
+        };
+        model.observe(load, event_ms * slower * random.random_range(0.8..1.2));
+        if model.is_settled() {
+            let now_ms = model.event_ms(load).unwrap();
+            let off = now_ms / event_ms;
+            assert!((0.5..2.0).contains(&off), "{at}: {now_ms} {event_ms}");
+        }
+    }
+    model
+}
+
+#[test]
+fn stays_near_what_is_seen_where_loads_are_alike() {
+    for seed in 0..20 {
+        let model = told_of_like_loads(seed, 10);
+        let idle_ms = model.event_ms(load(0, 0.0)).unwrap();
+        assert!((5.0..80.0).contains(&idle_ms), "{idle_ms}");
+    }
+}
+
+#[test]
+fn follows_events_that_all_take_longer_than_it_knew() {
+    let mut model = taught(100);
+    for at in 0..400 {
+        let load = load(at % 7, 0.0);
+        model.observe(load, 3.0 * (28.0 + 0.5 * load.streams));
+    }
+    let event_ms = model.event_ms(load(3, 0.0)).unwrap();
+    assert!((event_ms / 88.5 - 1.0).abs() < 0.1, "{event_ms}");
+}
