An engine that is silent to one caller and begins generations for others is not put on trial

Ruled out: a longer silence, as it is what finds a dead engine. Now the dispatcher takes silence for a failure only where no box was told of an event of the engine for 1.5 s, or of a first one for 3 s. Errors and broken streams count as before.

--- a/components/peers/src/fleet.rs
+++ b/components/peers/src/fleet.rs
@@ -143,6 +143,15 @@
     pub pass_on: Vec<BoxId>,
 }
 
+/// How an engine failed a generation.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum EngineFault {
+    /// It broke it off, or answered with an error.
+    Broke,
+    /// Nothing came from it for a long time. An engine that reads many prompts is silent too.
+    Silent,
+}
+
 /// What each box of a fleet answers.
 #[tarpc::service]
 pub trait Fleet {
@@ -171,8 +180,8 @@
     /// Says that a generation's turn on the link of an engine is over.
     async fn relocated(pool: PoolId, permit: PermitId, from: TargetId);
 
-    /// Says that an engine broke a generation off, or is silent.
-    async fn engine_failed(pool: PoolId, target: TargetId);
+    /// Says that an engine failed a generation.
+    async fn engine_failed(pool: PoolId, target: TargetId, fault: EngineFault);
 
     /// Reports progress and ends of generations.
     async fn update(request: UpdateRequest) -> UpdateReply;
@@ -212,7 +221,12 @@
     -> impl Future<Output = ()>;
 
     /// See [`Fleet::engine_failed`].
-    fn engine_failed(&self, pool: PoolId, target: TargetId) -> impl Future<Output = ()>;
+    fn engine_failed(
+        &self,
+        pool: PoolId,
+        target: TargetId,
+        fault: EngineFault,
+    ) -> impl Future<Output = ()>;
 
     /// See [`Fleet::update`].
     fn update(&self, request: UpdateRequest) -> impl Future<Output = UpdateReply>;
@@ -258,8 +272,8 @@
         self.0.relocated(pool, permit, from).await;
     }
 
-    async fn engine_failed(self, _: Context, pool: PoolId, target: TargetId) {
-        self.0.engine_failed(pool, target).await;
+    async fn engine_failed(self, _: Context, pool: PoolId, target: TargetId, fault: EngineFault) {
+        self.0.engine_failed(pool, target, fault).await;
     }
 
     async fn update(self, _: Context, request: UpdateRequest) -> UpdateReply {
--- a/components/policy/src/health/trial.rs
+++ b/components/policy/src/health/trial.rs
@@ -12,6 +12,11 @@
 /// An engine that does not answer whoever asks is tried again after this much more: the path to it may be
 /// what fails.
 const UNANSWERED_MS: u64 = 3_000;
+/// An engine that made events for others within this time is alive: each generation that runs is told of each second.
+const ALIVE_MS: u64 = 1_500;
+/// The same for first events: one that runs what it has and begins nothing new is not. Prompts are read one after another, the
+/// longest within less.
+const BEGINS_MS: u64 = 3_000;
 /// Events that come so soon after a failure were under way before it.
 const UNDER_WAY_MS: u64 = 200;
 
@@ -22,6 +27,9 @@
     failed_ms: u64,
     until_ms: u64,
     answered: bool,
+    /// When it made an event last, and the first event of a generation.
+    event_ms: Option<u64>,
+    began_ms: Option<u64>,
 }
 
 impl Trial {
@@ -39,13 +47,31 @@
         self.answered = false;
     }
 
+    /// Notes that nothing came from it for a long time, to one caller. It is a failure where it makes nothing for others
+    /// either: engines that read many prompts are silent for long, and without them the others would be the next.
+    ///
+    /// Returns whether it counts as one.
+    pub fn silent(&mut self, now_ms: u64) -> bool {
+        let within = |at_ms: Option<u64>, ms| at_ms.is_some_and(|at_ms| now_ms < at_ms + ms);
+        if within(self.event_ms, ALIVE_MS) && within(self.began_ms, BEGINS_MS) {
+            return false;
+        }
+        self.failed(now_ms);
+        true
+    }
+
     /// Notes that it answered a question.
     pub fn answered(&mut self, now_ms: u64) {
         self.answered |= self.is_open(now_ms);
     }
 
-    /// Notes that it made an event. A first failure is over with it; one that has failed again serves its time.
-    pub fn made_event(&mut self, now_ms: u64) {
+    /// Notes that it made an event, the first of a generation or a later one. A first failure is over with it; one that has
+    /// failed again serves its time.
+    pub fn made_event(&mut self, is_first: bool, now_ms: u64) {
+        self.event_ms = Some(now_ms);
+        if is_first {
+            self.began_ms = Some(now_ms);
+        }
         if self.failures == 1 && now_ms > self.failed_ms + UNDER_WAY_MS {
             self.until_ms = now_ms;
             self.answered = true;
--- a/components/policy/src/health/trial_tests.rs
+++ b/components/policy/src/health/trial_tests.rs
@@ -48,18 +48,18 @@
 #[test]
 fn an_event_made_after_the_first_failure_ends_the_trial() {
     let mut trial = failed_once();
-    trial.made_event(1_000 + UNDER_WAY_MS);
+    trial.made_event(false, 1_000 + UNDER_WAY_MS);
     assert!(trial.is_on(1_250));
-    trial.made_event(1_000 + UNDER_WAY_MS + 1);
+    trial.made_event(false, 1_000 + UNDER_WAY_MS + 1);
     assert!(!trial.is_on(1_250));
 }
 
 #[test]
 fn an_engine_that_fails_again_soon_serves_its_time_whatever_it_makes() {
     let mut trial = failed_once();
-    trial.made_event(1_300);
+    trial.made_event(false, 1_300);
     trial.failed(3_000);
-    trial.made_event(3_300);
+    trial.made_event(false, 3_300);
     assert!(trial.is_on(3_000 + 2 * TRIAL_MS - 1));
 }
 
@@ -71,3 +71,31 @@
     trial.answered(later);
     assert!(!trial.is_on(later + TRIAL_MS));
 }
+
+#[test]
+fn an_engine_that_is_silent_to_one_caller_and_begins_for_others_is_not_on_trial() {
+    let mut trial = Trial::default();
+    trial.made_event(true, 1_000);
+    trial.silent(2_000);
+    assert!(!trial.is_on(2_000));
+}
+
+#[test]
+fn an_engine_that_is_silent_to_all_is_on_trial() {
+    let mut trial = Trial::default();
+    trial.silent(1_000);
+    assert!(trial.is_on(1_000));
+    let mut trial = Trial::default();
+    trial.made_event(true, 1_000);
+    trial.silent(1_000 + ALIVE_MS);
+    assert!(trial.is_on(1_000 + ALIVE_MS));
+}
+
+#[test]
+fn an_engine_that_runs_what_it_has_and_begins_nothing_is_on_trial() {
+    let mut trial = Trial::default();
+    trial.made_event(true, 1_000);
+    trial.made_event(false, 1_000 + BEGINS_MS);
+    trial.silent(1_000 + BEGINS_MS);
+    assert!(trial.is_on(1_000 + BEGINS_MS));
+}
--- a/components/policy/src/streams.rs
+++ b/components/policy/src/streams.rs
@@ -9,6 +9,13 @@
 const PACE_WEIGHT: f64 = 0.02;
 
 impl Pool {
+    /// Whether a generation runs that no token is known of.
+    pub fn waits_for_first_token(&self, permit: PermitId) -> bool {
+        let stream = self.by_permit.get(&permit);
+        let stream = stream.and_then(|key| self.streams.get(*key));
+        stream.is_some_and(|stream| stream.generated_tokens == 0)
+    }
+
     /// Notes how far a stream has come. False where its permit is not known here.
     pub fn progress(&mut self, permit: PermitId, tokens: u32, now_ms: u64) -> bool {
         self.now_ms = self.now_ms.max(now_ms);
--- a/components/relay/src/dispatch/dispatcher.rs
+++ b/components/relay/src/dispatch/dispatcher.rs
@@ -356,8 +356,9 @@
             for progress in &request.progress {
                 let permit = permit(progress.serial);
                 self.gaps_told(pool, permit, &progress.gaps, now_ms);
+                let is_first = pool.waits_for_first_token(permit) && progress.tokens > 0;
                 known &= pool.progress(permit, progress.tokens, now_ms);
-                self.made_event(pool.target_of(permit), now_ms);
+                self.made_event(pool.target_of(permit), is_first, now_ms);
             }
             for ended in &request.ended {
                 let end = match ended.finished {
@@ -366,6 +367,13 @@
                 };
                 self.gaps_told(pool, permit(ended.serial), &ended.gaps, now_ms);
                 self.note_pause(pool, permit(ended.serial), now_ms);
+                if ended.tokens > 0 {
+                    let (target, is_first) = (
+                        pool.target_of(permit(ended.serial)),
+                        pool.waits_for_first_token(permit(ended.serial)),
+                    );
+                    self.made_event(target, is_first, now_ms);
+                }
                 pool.release(permit(ended.serial), ended.tokens, end);
             }
             pool.forget_silent(now_ms);
--- a/components/relay/src/dispatch/engines.rs
+++ b/components/relay/src/dispatch/engines.rs
@@ -2,6 +2,7 @@
 
 use crate::state::{Relay, pool_of};
 use crate::watch::targets::{Belief, Target, TargetSlot};
+use peers::EngineFault;
 use policy::{EngineInfo, EngineState};
 use prelude::{PoolId, TargetId};
 use settings::Mechanism;
@@ -65,8 +66,8 @@
         (infos, states)
     }
 
-    /// Puts an engine that failed a generation on trial.
-    pub(crate) fn engine_failed_here(&self, pool: PoolId, target: TargetId) {
+    /// Puts an engine that failed a generation on trial. One that is silent to one caller and makes events for others is not.
+    pub(crate) fn engine_failed_here(&self, pool: PoolId, target: TargetId, fault: EngineFault) {
         if !self.file().has(Mechanism::Trials) {
             return;
         }
@@ -75,7 +76,15 @@
             let mut targets = self.targets.borrow_mut();
             let slot = targets.slot_of(target);
             if let Some(target) = slot.and_then(|slot| targets.get_mut(slot)) {
-                target.trial.failed(now_ms);
+                let counts = match fault {
+                    EngineFault::Broke => {
+                        target.trial.failed(now_ms);
+                        true
+                    }
+                    EngineFault::Silent => target.trial.silent(now_ms),
+                };
+                slog::info!(self.log, "engine doubted"; "engine" => &*target.entry.instance,
+                    "fault" => ?fault, "on_trial" => counts);
             }
         }
         // The pool may not have been dispatched here before.
@@ -83,11 +92,12 @@
         self.sync_dispatchers();
     }
 
-    pub(crate) fn made_event(&self, target: Option<TargetId>, now_ms: u64) {
+    /// Notes that an engine made events, the first of a generation among them or not.
+    pub(crate) fn made_event(&self, target: Option<TargetId>, is_first: bool, now_ms: u64) {
         let mut targets = self.targets.borrow_mut();
         let slot = target.and_then(|target| targets.slot_of(target));
         if let Some(target) = slot.and_then(|slot| targets.get_mut(slot)) {
-            target.trial.made_event(now_ms);
+            target.trial.made_event(is_first, now_ms);
         }
     }
 }
--- a/components/relay/src/dispatch/heartbeat.rs
+++ b/components/relay/src/dispatch/heartbeat.rs
@@ -3,7 +3,7 @@
 use crate::dispatch::permits::CALL_LIMIT;
 use crate::state::Relay;
 use crate::watch::targets::TargetSlot;
-use peers::{FleetClient, UpdateRequest};
+use peers::{EngineFault, FleetClient, UpdateRequest};
 use prelude::{BoxId, PermitId, PoolId, TargetId};
 use std::future::Future;
 use std::rc::Rc;
@@ -90,17 +90,24 @@
         );
     }
 
-    /// Says that an engine broke a generation off, or is silent.
-    pub(crate) fn tell_engine_failed(self: &Rc<Self>, pool: PoolId, slot: TargetSlot) {
+    /// Says that an engine failed a generation.
+    pub(crate) fn tell_engine_failed(
+        self: &Rc<Self>,
+        pool: PoolId,
+        slot: TargetSlot,
+        fault: EngineFault,
+    ) {
         let Some(target) = self.id_of(slot) else {
             return;
         };
-        slog::info!(self.log, "engine failed"; "engine" => self.name_of(slot));
+        slog::info!(self.log, "engine failed"; "engine" => self.name_of(slot), "fault" => ?fault);
         self.tell_dispatcher(
             pool,
             "engine_failed",
-            |relay| relay.engine_failed_here(pool, target),
-            move |client, context| async move { client.engine_failed(context, pool, target).await },
+            |relay| relay.engine_failed_here(pool, target, fault),
+            move |client, context| async move {
+                client.engine_failed(context, pool, target, fault).await
+            },
         );
     }
 
--- a/components/relay/src/forwarding/generation.rs
+++ b/components/relay/src/forwarding/generation.rs
@@ -13,6 +13,7 @@
 use crate::state::Relay;
 use crate::watch::targets::TargetSlot;
 use http1::Channel;
+use peers::EngineFault;
 use platform::{Continuation, Forwarding, PRIORITY_MOST, forward, relayed_head};
 use prelude::{Refusal, RefusalReason, TargetId};
 use settings::Mechanism;
@@ -196,7 +197,7 @@
         };
         relay.record_outcome(slot, outcome_of(&tried));
         if outcome_of(&tried) == TargetOutcome::Failed {
-            relay.tell_engine_failed(permit.pool, slot);
+            relay.tell_engine_failed(permit.pool, slot, EngineFault::Broke);
         }
         match tried {
             Tried::Answered(opened) => {
@@ -236,7 +237,9 @@
     tokio::select! {
         biased;
         done = &mut waiting => return done,
-        () = sleep(limit) => relay.tell_engine_failed(permit.pool, permit.slot),
+        () = sleep(limit) => {
+            relay.tell_engine_failed(permit.pool, permit.slot, EngineFault::Silent);
+        }
     }
     waiting.await
 }
--- a/components/relay/src/forwarding/stream.rs
+++ b/components/relay/src/forwarding/stream.rs
@@ -10,6 +10,7 @@
 use crate::migration::mover::{Moved, Mover, Step};
 use crate::state::Relay;
 use http1::{Channel, Framing, push_chunk};
+use peers::EngineFault;
 use platform::{Continuation, relayed_head};
 use routing::EngineTraits;
 use std::rc::Rc;
@@ -191,7 +192,7 @@
                 step = mover.next(&self.permit, self.incoming.id()) => Some(step),
                 () = sleep_until(silent_at), if !doubted => {
                     doubted = true;
-                    self.relay.tell_engine_failed(self.permit.pool, self.permit.slot);
+                    self.tell_engine(EngineFault::Silent);
                     None
                 }
                 piece = opened.next(), if mover.reads_source() => match piece {
@@ -218,7 +219,7 @@
                         None
                     }
                     Err(why) => {
-                        self.relay.tell_engine_failed(self.permit.pool, self.permit.slot);
+                        self.tell_engine(EngineFault::Broke);
                         return Ended::Broken(why);
                     }
                 },
@@ -238,6 +239,12 @@
         }
     }
 
+    fn tell_engine(&self, fault: EngineFault) {
+        let permit = &self.permit;
+        self.relay
+            .tell_engine_failed(permit.pool, permit.slot, fault);
+    }
+
     /// Whether a stream that came to its end is whole.
     fn whole(&mut self, opened: Opened) -> Ended {
         if self.splitter.is_within_event() {
--- a/components/relay/src/membership/gossip.rs
+++ b/components/relay/src/membership/gossip.rs
@@ -9,9 +9,9 @@
 use crate::watch::election::View;
 use crate::watch::targets::Change;
 use peers::{
-    AcquireRequest, FetchRequest, FleetCard, FleetDigest, FleetGossip, FleetHandler, OpenStreams,
-    PermitReply, RelocateReply, RelocateRequest, SharedTable, TargetChanges, TargetHint,
-    TargetPatch, UpdateReply, UpdateRequest,
+    AcquireRequest, EngineFault, FetchRequest, FleetCard, FleetDigest, FleetGossip, FleetHandler,
+    OpenStreams, PermitReply, RelocateReply, RelocateRequest, SharedTable, TargetChanges,
+    TargetHint, TargetPatch, UpdateReply, UpdateRequest,
 };
 use prelude::{BoxId, PermitId, PoolId, TargetId};
 use std::net::SocketAddr;
@@ -271,8 +271,8 @@
         self.0.relocated_here(pool, permit, from);
     }
 
-    async fn engine_failed(&self, pool: PoolId, target: TargetId) {
-        self.0.engine_failed_here(pool, target);
+    async fn engine_failed(&self, pool: PoolId, target: TargetId, fault: EngineFault) {
+        self.0.engine_failed_here(pool, target, fault);
     }
 
     async fn update(&self, request: UpdateRequest) -> UpdateReply {
