What runs as a pool is taken over is charged from then on

Cause: a tree of shares that is new counts from time zero; its first pass charged what the box that takes over told of its own streams for up to 10 s (1,005 ms of one engine for 2,010 tokens of 20,000, held for no time), and dropped accounts of which nothing runs as idle for 10 s. Ruled out: the words themselves, which are taken in once (told_tests). Change: time passes before a word is taken in. Result: 20 ms at most are charged after 20 ms; an account with nothing running keeps what was told of it.

--- a/components/policy/src/fairness/told.rs
+++ b/components/policy/src/fairness/told.rs
@@ -69,6 +69,8 @@
     /// Takes in what the requests of a box used before this dispatcher was told of them.
     pub fn adopt_use(&mut self, entry: BoxId, used: &[UsedLately], now_ms: u64) {
         let part = self.known.take_unknown_part(entry, now_ms);
+        // The time before it is told is in its words, and is charged for nothing that it adopts.
+        self.tree.pass(now_ms);
         if part <= 0.0 {
             return;
         }
--- a/components/policy/src/fairness/told_tests.rs
+++ b/components/policy/src/fairness/told_tests.rs
@@ -304,3 +304,28 @@
     let [flooded, other] = boxes.served;
     assert!(flooded.abs_diff(other) * 10 <= other, "{flooded} {other}");
 }
+
+#[test]
+fn an_account_that_used_nothing_stands_with_the_least_served_of_those_told() {
+    let mut pool = pool();
+    pool.adopt_use(BoxId(1), &flooded(), 100_000);
+    pool.submit(demand(1, 1, FLOOD, 100_000), 100_000);
+    pool.submit(demand(2, 1, OTHER, 100_010), 100_010);
+    let stands = [FLOOD, OTHER].map(|account| pool.tree.rank(&share(account))[2]);
+    assert!(stands[1] > 0.0 && stands[0] >= stands[1], "{stands:?}");
+}
+
+#[test]
+fn what_runs_as_a_pool_is_taken_over_is_charged_from_then_on() {
+    let mut pool = pool();
+    pool.adopt_use(BoxId(1), &[], 100_000);
+    let adopted = Adopted {
+        demand: demand(1, 1, FLOOD, 99_000),
+        target: TargetId(0),
+        generated_tokens: 10,
+    };
+    pool.adopt(adopted, 100_000);
+    pool.submit(demand(2, 1, OTHER, 100_020), 100_020);
+    let charged_ms = pool.tree.rank(&share(FLOOD))[2];
+    assert!(charged_ms <= 20.0, "{charged_ms}");
+}
