An account whose box tells later is charged no more than those told before

Cause: an account that a dispatcher does not know is put level with the least served one, whose use had come by a word; then its own word was charged on top, so that who was told last paid the others' use and its own (three accounts that used 1,800 ms each at two of three boxes stood at 1,800, 1,800, 3,600; by the window 2 s of fair share at the most). Seen as a burst of three accounts whose dispatcher is lost: one got 3 of the next 34 grants. Change: what was told of the one it is put level with is taken off at its first word. Result: the three stand level, in whichever order boxes ask and tell; who used nothing still stands with the least served.

--- a/components/policy/src/fairness/siblings.rs
+++ b/components/policy/src/fairness/siblings.rs
@@ -14,6 +14,9 @@
 /// Time after which what was asked counts half: a large account's bursts last for less, a flood for longer.
 const ASKED_HALF_LIFE_MS: f64 = 3_000.0;
 
+/// For how long boxes tell a dispatcher that is new what was used: each does so within a second.
+const TELLING_MS: f64 = 2_000.0;
+
 /// One child.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Child {
@@ -31,6 +34,10 @@
     pub waiting: u32,
     /// Requests that run.
     pub running: u32,
+    /// What boxes told lately of its use, of `used_ms`.
+    told_ms: f64,
+    /// What boxes had told of the child with which it was put level when it came, of `used_ms`.
+    level_told_ms: f64,
 }
 
 impl Child {
@@ -47,6 +54,8 @@
     floor_ms: f64,
     /// Engines that the node is entitled to.
     engines: f64,
+    /// For how long boxes may still tell what was used.
+    telling_ms: f64,
 }
 
 impl<K> Default for Siblings<K> {
@@ -55,6 +64,7 @@
             children: BTreeMap::new(),
             floor_ms: 0.0,
             engines: 1.0,
+            telling_ms: 0.0,
         }
     }
 }
@@ -62,15 +72,30 @@
 impl<K: Copy + Ord> Siblings<K> {
     /// A child's entry; one that is new stands where the least served one stands that waits or runs.
     pub fn child(&mut self, key: K, weight: f64) -> &mut Child {
-        let used_ms = self.used_ms(key);
-        let child = self.children.entry(key).or_insert(Child {
-            used_ms,
-            ..Child::default()
-        });
+        if !self.children.contains_key(&key) {
+            let level = self.least_active().copied().unwrap_or_default();
+            let child = Child {
+                used_ms: self.used_ms(key),
+                level_told_ms: level.told_ms + level.level_told_ms,
+                ..Child::default()
+            };
+            self.children.insert(key, child);
+        }
+        let child = self.children.entry(key).or_default();
         child.weight = weight.max(f64::MIN_POSITIVE);
         child
     }
 
+    /// Charges what a box tells that a child used before. The child was put level with one whose use was told before: that
+    /// part is not its own, whose use is known now.
+    pub fn told(&mut self, key: K, weight: f64, ms: f64) {
+        self.telling_ms = TELLING_MS;
+        let child = self.child(key, weight);
+        let ms = ms / child.weight;
+        child.used_ms += ms - std::mem::take(&mut child.level_told_ms);
+        child.told_ms += ms;
+    }
+
     /// Notes that a request of a child waits. One that none waited of has saved up a window at the most.
     pub fn waits(&mut self, key: K, weight: f64) {
         let child = self.child(key, weight);
@@ -108,6 +133,12 @@
             };
         }
         self.children.retain(|_, child| child.idle_ms <= PRESENT_MS);
+        self.telling_ms -= elapsed_ms;
+        if self.telling_ms <= 0.0 {
+            for child in self.children.values_mut() {
+                (child.told_ms, child.level_told_ms) = (0.0, 0.0);
+            }
+        }
     }
 
     /// What a child has used beyond the least served one that waits, as time in which it would use so much of its fair
@@ -122,9 +153,14 @@
         if let Some(child) = self.children.get(&key) {
             return child.used_ms;
         }
+        let least = self.least_active();
+        least.map_or(self.floor_ms, |child| child.used_ms)
+    }
+
+    /// The least served child that waits or runs.
+    fn least_active(&self) -> Option<&Child> {
         let active = self.children.values().filter(|child| child.is_active());
-        let least_ms = active.map(|child| child.used_ms).reduce(f64::min);
-        least_ms.unwrap_or(self.floor_ms)
+        active.min_by(|one, other| one.used_ms.total_cmp(&other.used_ms))
     }
 
     /// The part of the node that a child is entitled to among those that wait or run, were it one of them.
--- a/components/policy/src/fairness/told.rs
+++ b/components/policy/src/fairness/told.rs
@@ -78,7 +78,7 @@
         for one in used {
             let read_ms = f64::from(one.prompt_tokens) / rate;
             let held_ms = self.tree.engine_ms(one.held_token_ms as f64);
-            self.tree.charge(&one.share, (read_ms + held_ms) * part);
+            self.tree.told(&one.share, (read_ms + held_ms) * part);
         }
     }
 }
--- a/components/policy/src/fairness/told_tests.rs
+++ b/components/policy/src/fairness/told_tests.rs
@@ -305,6 +305,44 @@
     assert!(flooded.abs_diff(other) * 10 <= other, "{flooded} {other}");
 }
 
+/// Three accounts that used as much, each at two of three boxes.
+#[rstest]
+#[case::callers_ask_after_the_words(false)]
+#[case::callers_ask_before_the_words(true)]
+fn an_account_whose_box_tells_later_is_charged_no_more_than_those_told_before(
+    #[case] asks_first: bool,
+) {
+    let mut pool = pool();
+    let used = |account| UsedLately {
+        share: share(account),
+        held_token_ms: 10_000 * WINDOW_MS as u64,
+        prompt_tokens: 4_000,
+    };
+    for entry in 1..=3 {
+        let now_ms = 100_000 + 30 * u64::from(entry);
+        let accounts = [u64::from(entry), u64::from(entry) % 3 + 1];
+        let ask = |pool: &mut Pool| {
+            for account in accounts {
+                let serial = 10 * u64::from(entry) + account;
+                pool.submit(demand(entry, serial, account, now_ms), now_ms);
+            }
+        };
+        if asks_first {
+            ask(&mut pool);
+        }
+        pool.adopt_use(BoxId(entry), &accounts.map(used), now_ms);
+        if !asks_first {
+            ask(&mut pool);
+        }
+        pool.tree.pass(now_ms + 15);
+    }
+    let stands = [1, 2, 3].map(|account| pool.tree.rank(&share(account))[2]);
+    // The later a word is, the more of what it tells a dispatcher that heard the box before charged itself.
+    let most = stands.into_iter().fold(f64::MIN, f64::max);
+    let least = stands.into_iter().fold(f64::MAX, f64::min);
+    assert!(least > 0.0 && most - least < 0.05 * most, "{stands:?}");
+}
+
 #[test]
 fn an_account_that_used_nothing_stands_with_the_least_served_of_those_told() {
     let mut pool = pool();
--- a/components/policy/src/fairness/tree.rs
+++ b/components/policy/src/fairness/tree.rs
@@ -161,6 +161,14 @@
         self.each(share, |child| child.used_ms += ms / child.weight);
     }
 
+    /// Charges time of an engine that a box tells of: it lies before this tree knew of it.
+    pub fn told(&mut self, share: &Share, ms: f64) {
+        let (partners, owners, accounts) = self.levels(share);
+        partners.told(share.partner, share.partner_weight, ms);
+        owners.told(share.owner, share.owner_weight, ms);
+        accounts.told(share.account, share.account_weight, ms);
+    }
+
     /// Orders shares: the least served partner first, then owner, then account.
     pub fn rank(&self, share: &Share) -> [f64; 3] {
         if !self.orders {
