A dispatcher that has its role back is told before it grants, and says that it is back

Cause: a box tells its open generations only where some are open or ended untold, so that a former dispatcher kept the memory of what had ended while another dispatched (callers waited 30 s in vain beside an empty engine), and it was asked for permits before it was told what had begun meanwhile (47 and 34 prompts ran where 30 fit). Ruled out: the 80 ms of a box that never dispatched, which hold; use taken in twice (told_tests). Change: a box tells whoever begins to dispatch, or does so again, before it asks, and also where nothing is open; a dispatcher that nobody answered for 1.2 s, or that is told by a box it had not heard of for 2 s, grants nothing for 80 ms, once in 2 s, and says to all that it is there; callers that wait elsewhere then ask it at once. No message has another shape. Take-over code lies in a file of its own. Result (platform/tests/takeover.rs, fails without): at most 30 of 30 run in the cut, after it and as others end; all memory is granted once the role is back.

--- a/components/policy/src/fairness/told.rs
+++ b/components/policy/src/fairness/told.rs
@@ -66,13 +66,14 @@
 }
 
 impl Pool {
-    /// Takes in what the requests of a box used before this dispatcher was told of them.
-    pub fn adopt_use(&mut self, entry: BoxId, used: &[UsedLately], now_ms: u64) {
+    /// Takes in what the requests of a box used before this dispatcher was told of them. True where it did not hear the box
+    /// lately, which may have had another dispatcher.
+    pub fn adopt_use(&mut self, entry: BoxId, used: &[UsedLately], now_ms: u64) -> bool {
         let part = self.known.take_unknown_part(entry, now_ms);
         // The time before it is told is in its words, and is charged for nothing that it adopts.
         self.tree.pass(now_ms);
         if part <= 0.0 {
-            return;
+            return false;
         }
         let rate = self.reading_rate.tokens_per_ms();
         for one in used {
@@ -80,6 +81,7 @@
             let held_ms = self.tree.engine_ms(one.held_token_ms as f64);
             self.tree.told(&one.share, (read_ms + held_ms) * part);
         }
+        true
     }
 }
 
--- a/components/relay/src/dispatch/dispatcher.rs
+++ b/components/relay/src/dispatch/dispatcher.rs
@@ -42,10 +42,6 @@
 /// What is told to come back to where nothing is known of the wait.
 const RETRY_AFTER_MS: u64 = 500;
 
-/// How long a dispatcher that takes a pool over grants nothing: the boxes tell it what runs, and the callers that wait ask it
-/// again meanwhile, so that they keep their places. A small part of any goal for a first token.
-const TAKEN_OVER_HOLD_MS: u64 = 80;
-
 /// A pool, and who waits for its word.
 #[derive(Debug)]
 pub(crate) struct Dispatcher {
@@ -54,7 +50,9 @@
     /// None where copies do not go one after another.
     turns: Option<Turns>,
     /// Nothing is granted before this time.
-    grants_from_ms: u64,
+    pub(super) grants_from_ms: u64,
+    /// When boxes were last told that this one dispatches.
+    pub(super) said_ms: u64,
     log: slog::Logger,
 }
 
@@ -116,6 +114,7 @@
             waiting: HashMap::new(),
             turns: file.has(Mechanism::Turns).then(Turns::default),
             grants_from_ms: 0,
+            said_ms: 0,
             log,
         }
     }
@@ -208,20 +207,6 @@
         }
     }
 
-    /// Begins to dispatch a pool that another box may have dispatched before, whether or not this box told that one of any
-    /// generation: what this box has open there is known at once, and the others have the time to tell.
-    fn take_over(&self, pool: PoolId) {
-        if self.members.borrow().others().is_empty() {
-            return;
-        }
-        let now_ms = self.now_ms();
-        if let Some(dispatcher) = self.dispatchers.borrow_mut().get_mut(&pool) {
-            dispatcher.grants_from_ms = now_ms + TAKEN_OVER_HOLD_MS;
-        }
-        let open = self.open_generations.borrow().all_in(pool, now_ms);
-        self.adopt_here(self.id, pool, &open);
-    }
-
     pub(crate) fn data_centre_of(&self, id: BoxId) -> DataCentreId {
         if id == self.id {
             return self.data_centre;
@@ -375,8 +360,9 @@
         })
     }
 
-    /// Takes over the generations of a box.
-    pub(crate) fn adopt_here(&self, from: BoxId, pool: PoolId, open: &OpenStreams) {
+    /// Takes over the generations of a box. True where it may have had another dispatcher, and the others are to hear that this
+    /// one is back.
+    pub(crate) fn adopt_here(&self, from: BoxId, pool: PoolId, open: &OpenStreams) -> bool {
         let now_ms = self.now_ms();
         let used = self.used_of(&open.used);
         let demands: Vec<(Demand, &AdoptedStream)> = open
@@ -386,7 +372,8 @@
             .collect();
         self.with_dispatcher(pool, |dispatcher, now_ms| {
             let kept: HashSet<PermitId> = demands.iter().map(|(d, _)| d.permit).collect();
-            dispatcher.pool.adopt_use(from, &used, now_ms);
+            let was_away = dispatcher.pool.adopt_use(from, &used, now_ms);
+            let says_again = was_away && dispatcher.dispatched_elsewhere(now_ms);
             dispatcher.pool.keep_only(from, &kept);
             for (demand, stream) in demands {
                 let adopted = Adopted {
@@ -397,7 +384,8 @@
                 dispatcher.pool.adopt(adopted, now_ms);
             }
             dispatcher.decide(now_ms);
-        });
+            says_again
+        })
     }
 
     /// Looks over engines that are passed over no more, and over requests that wait.
--- a/components/relay/src/dispatch/heartbeat.rs
+++ b/components/relay/src/dispatch/heartbeat.rs
@@ -28,7 +28,9 @@
         let now_ms = self.now_ms();
         match answered {
             Ok(value) => {
-                self.members.borrow_mut().heard(id, now_ms);
+                let was_cut_off = self.is_cut_off(now_ms);
+                let heard = self.members.borrow_mut().heard(id, now_ms);
+                self.note_heard(heard, was_cut_off);
                 Some(value)
             }
             Err(error) => {
@@ -111,7 +113,8 @@
             if tokio::time::timeout(TELL_EACH, changed).await.is_ok() {
                 sleep(GATHER).await;
             }
-            let pools = self.open_generations.borrow().pools();
+            let first = |pool| self.dispatchers_of(pool).first().copied();
+            let pools = self.open_generations.borrow().pools(first);
             for pool in pools {
                 self.tell_open_generations(pool).await;
             }
@@ -122,12 +125,11 @@
         let Some(dispatcher) = self.dispatchers_of(pool).first().copied() else {
             return;
         };
+        if !self.tell_if_new(dispatcher, pool).await {
+            return;
+        }
         let (progress, ended) = self.open_generations.borrow_mut().untold(pool);
         let open_streams = self.open_generations.borrow().count_in(pool) as u32;
-        let is_new = self
-            .open_generations
-            .borrow_mut()
-            .is_new_to(pool, dispatcher);
         let update = UpdateRequest {
             pool,
             progress,
@@ -137,9 +139,8 @@
             open_streams,
         };
         if dispatcher == self.id {
-            if self.update_here(&update).resync || is_new {
-                let open = self.open_generations.borrow().all_in(pool, self.now_ms());
-                self.adopt_here(self.id, pool, &open);
+            if self.update_here(&update).resync {
+                self.tell_all_open_generations(dispatcher, pool).await;
             }
             return;
         }
@@ -149,19 +150,40 @@
                 client.update(context, update).await
             });
         let reply = self.heard_from(dispatcher, call.await, "update");
-        if reply.is_some_and(|reply| reply.resync || is_new) {
+        if reply.is_some_and(|reply| reply.resync) {
             self.tell_all_open_generations(dispatcher, pool).await;
         }
     }
 
-    pub(crate) async fn tell_all_open_generations(&self, dispatcher: BoxId, pool: PoolId) {
+    /// Tells a box that begins to dispatch a pool, or does so again, what this box has open there: before it is asked for
+    /// anything, and also where that is nothing, as it may believe what was true a while ago. False where it did not answer.
+    pub(crate) async fn tell_if_new(&self, dispatcher: BoxId, pool: PoolId) -> bool {
+        let before = self.open_generations.borrow_mut().tells(pool, dispatcher);
+        let Some(before) = before else {
+            return true;
+        };
+        let is_told = self.tell_all_open_generations(dispatcher, pool).await;
+        slog::info!(self.log, "dispatcher is another"; "pool" => %pool.model, "before" => before.0,
+            "dispatcher" => dispatcher.0, "told" => is_told);
+        if !is_told {
+            self.open_generations.borrow_mut().tells(pool, before);
+        }
+        is_told
+    }
+
+    /// True where the dispatcher has it.
+    pub(crate) async fn tell_all_open_generations(&self, dispatcher: BoxId, pool: PoolId) -> bool {
         let me = self.id;
         let open = self.open_generations.borrow().all_in(pool, self.now_ms());
+        if dispatcher == me {
+            self.adopt_here(me, pool, &open);
+            return true;
+        }
         let call = self
             .peers
             .call(dispatcher, CALL_LIMIT, |client, context| async move {
                 client.adopt(context, me, pool, open).await
             });
-        self.heard_from(dispatcher, call.await, "adopt");
+        self.heard_from(dispatcher, call.await, "adopt").is_some()
     }
 }
--- a/components/relay/src/dispatch/mod.rs
+++ b/components/relay/src/dispatch/mod.rs
@@ -10,4 +10,5 @@
 pub(crate) mod permits;
 pub(crate) mod reports;
 pub(crate) mod shares;
+pub(crate) mod takeover;
 pub(crate) mod used_lately;
--- a/components/relay/src/dispatch/open_generations.rs
+++ b/components/relay/src/dispatch/open_generations.rs
@@ -116,10 +116,14 @@
         self.ended.push((run.request.pool, ended));
     }
 
-    /// The pools in which something is open or ended.
-    pub(crate) fn pools(&self) -> Vec<PoolId> {
+    /// The pools in which something is open or ended, and those of which another dispatcher was told last than `now` names:
+    /// what was open when it was told may have ended since.
+    pub(crate) fn pools(&self, now: impl Fn(PoolId) -> Option<BoxId>) -> Vec<PoolId> {
         let open = self.open.values().map(|run| run.request.pool);
-        let mut pools: Vec<PoolId> = open.chain(self.ended.iter().map(|end| end.0)).collect();
+        let ended = self.ended.iter().map(|end| end.0);
+        let is_new = |(pool, told): &(&PoolId, &BoxId)| now(**pool).is_some_and(|id| id != **told);
+        let moved = self.told.iter().filter(is_new).map(|(pool, _)| *pool);
+        let mut pools: Vec<PoolId> = open.chain(ended).chain(moved).collect();
         pools.sort();
         pools.dedup();
         pools
@@ -146,10 +150,11 @@
         (progress, told.into_iter().map(|(_, ended)| ended).collect())
     }
 
-    /// Notes which box dispatches a pool. True where another did when it was told last: it knows nothing of this box.
-    pub(crate) fn is_new_to(&mut self, pool: PoolId, dispatcher: BoxId) -> bool {
+    /// Notes that a box that dispatches a pool is told. Says which other was told last, if any: the new one knows nothing of
+    /// this box, or what was true a while ago.
+    pub(crate) fn tells(&mut self, pool: PoolId, dispatcher: BoxId) -> Option<BoxId> {
         let before = self.told.insert(pool, dispatcher);
-        before.is_some_and(|before| before != dispatcher)
+        before.filter(|before| *before != dispatcher)
     }
 
     /// All that a dispatcher that is new to this box is told.
--- a/components/relay/src/dispatch/permits.rs
+++ b/components/relay/src/dispatch/permits.rs
@@ -197,11 +197,13 @@
         let mut wait_ms = 0;
         let mut failed = 0;
         loop {
-            let now_ms = self.now_ms();
-            let request = want.request(request.permit, now_ms);
             let first = self.dispatchers_of(request.pool).first().copied();
             let asked = first.filter(|_| failed < ASKED_MAX).unwrap_or(self.id);
+            let is_told = self.tell_if_new(asked, request.pool).await;
+            let now_ms = self.now_ms();
+            let request = want.request(request.permit, now_ms);
             let reply = match asked == self.id {
+                _ if !is_told => None,
                 true => Some(self.acquire_here(request, now_ms, wait_ms).await),
                 false => tokio::select! {
                     reply = self.acquire_at(asked, request, wait_ms) => reply,
--- a/components/relay/src/membership/gossip.rs
+++ b/components/relay/src/membership/gossip.rs
@@ -26,6 +26,7 @@
 /// Takes the card of a box in.
 pub(crate) fn upsert_member(relay: &Relay, card: &FleetCard, keyed: bool) {
     let now_ms = relay.now_ms();
+    let was_cut_off = !keyed && relay.is_cut_off(now_ms);
     let met = relay
         .members
         .borrow_mut()
@@ -39,6 +40,7 @@
             "life" => card.life, "address" => %card.address, "keyed" => keyed);
     }
     relay.peers.set_address(card.id, card.address);
+    relay.note_heard(met, was_cut_off);
 }
 
 /// What every box is told in short.
@@ -280,6 +282,8 @@
     }
 
     async fn adopt(&self, from: BoxId, pool: PoolId, open: OpenStreams) {
-        self.0.adopt_here(from, pool, &open);
+        if self.0.adopt_here(from, pool, &open) {
+            self.0.dispatches_again(pool);
+        }
     }
 }
--- a/components/relay/src/membership/members.rs
+++ b/components/relay/src/membership/members.rs
@@ -52,6 +52,8 @@
 pub(crate) enum Upserted {
     /// It was known.
     Known,
+    /// It was known, and holds roles again or no more.
+    Moved,
     /// The box is new, or has a new life or address.
     New,
 }
@@ -96,6 +98,7 @@
             failures: 0,
             stops_since_ms: None,
         });
+        let moves = member.suspected_until_ms > now_ms || card.leaving != member.card.leaving;
         let stops = card.leaving.then_some(now_ms);
         member.stops_since_ms = match same {
             true => member.stops_since_ms.or(stops),
@@ -119,6 +122,7 @@
         }
         self.count(now_ms);
         match same {
+            true if moves && !keyed => Upserted::Moved,
             true => Upserted::Known,
             false => Upserted::New,
         }
@@ -131,13 +135,19 @@
         }
     }
 
-    /// Notes that a box answered.
-    pub(crate) fn heard(&mut self, id: BoxId, now_ms: u64) {
+    /// Notes that a box answered. Says whether it holds roles again.
+    pub(crate) fn heard(&mut self, id: BoxId, now_ms: u64) -> Upserted {
         self.any_ms = now_ms;
-        if let Some(member) = self.others.get_mut(&id) {
-            member.heard_ms = now_ms;
-            member.suspected_until_ms = 0;
-            member.failures = 0;
+        let Some(member) = self.others.get_mut(&id) else {
+            return Upserted::Known;
+        };
+        let moves = member.suspected_until_ms > now_ms;
+        member.heard_ms = now_ms;
+        member.suspected_until_ms = 0;
+        member.failures = 0;
+        match moves {
+            true => Upserted::Moved,
+            false => Upserted::Known,
         }
     }
 
--- a/components/relay/src/watch/election.rs
+++ b/components/relay/src/watch/election.rs
@@ -33,7 +33,7 @@
 /// A box that asks all engines says so every 0.4 s; one that was not heard for this long asks no more.
 const ASKER_QUIET_MS: u64 = 1_000;
 /// A box that no peer has answered or called for this long is alone, and leaves nothing to others.
-const ALONE_MS: u64 = 1_200;
+pub(crate) const ALONE_MS: u64 = 1_200;
 /// So long after its start a box does not know yet whose turn it is.
 const SETTLE_MS: u64 = 800;
 
