A caller that waits while one link is cut does not have its box dispatch by its own view

Cause: two failed asks in the whole wait had a box decide by itself, also where the same dispatcher had failed twice and another had answered between: a third dispatcher that knows only its own. Found by reading; with three boxes their exchanges renew the doubt before a second ask, so that no test of ours shows it. Change: failures count that follow each other. Ruled out: counting boxes instead, which leaves a box that is alone to ask them all.

--- a/components/relay/src/dispatch/permits.rs
+++ b/components/relay/src/dispatch/permits.rs
@@ -214,6 +214,8 @@
                     }
                 },
             };
+            // Boxes that fail one after another count, not one that is asked again and again while its link is cut.
+            failed = reply.as_ref().map_or(failed + 1, |_| 0);
             match reply {
                 Some(PermitReply::Granted { target }) => {
                     withdrawal.armed = false;
@@ -229,7 +231,7 @@
                     return Err(refusal);
                 }
                 Some(PermitReply::Waiting { .. }) => wait_ms = WAIT_EACH_MS,
-                None => failed += 1,
+                None => {}
             }
             if self.now_ms() >= want.wait_until_ms {
                 return Err(refusal(RefusalReason::DeadlinePassed));
