--- a/components/policy/src/fairness/told_tests.rs
+++ b/components/policy/src/fairness/told_tests.rs
@@ -304,3 +304,66 @@
     let [flooded, other] = boxes.served;
     assert!(flooded.abs_diff(other) * 10 <= other, "{flooded} {other}");
 }
+
+/// Three accounts that used as much, each at two of three boxes.
+#[rstest]
+#[case::callers_ask_after_the_words(false)]
+#[case::callers_ask_before_the_words(true)]
+fn an_account_whose_box_tells_later_is_charged_no_more_than_those_told_before(
+    #[case] asks_first: bool,
+) {
+    let mut pool = pool();
+    let used = |account| UsedLately {
+        share: share(account),
+        held_token_ms: 10_000 * WINDOW_MS as u64,
+        prompt_tokens: 4_000,
+    };
+    for entry in 1..=3 {
+        let now_ms = 100_000 + 30 * u64::from(entry);
+        let accounts = [u64::from(entry), u64::from(entry) % 3 + 1];
+        let ask = |pool: &mut Pool| {
+            for account in accounts {
+                let serial = 10 * u64::from(entry) + account;
+                pool.submit(demand(entry, serial, account, now_ms), now_ms);
+            }
+        };
+        if asks_first {
+            ask(&mut pool);
+        }
+        pool.adopt_use(BoxId(entry), &accounts.map(used), now_ms);
+        if !asks_first {
+            ask(&mut pool);
+        }
+        pool.tree.pass(now_ms + 15);
+    }
+    let stands = [1, 2, 3].map(|account| pool.tree.rank(&share(account))[2]);
+    // The later a word is, the more of what it tells a dispatcher that heard the box before charged itself.
+    let most = stands.into_iter().fold(f64::MIN, f64::max);
+    let least = stands.into_iter().fold(f64::MAX, f64::min);
+    assert!(least > 0.0 && most - least < 0.05 * most, "{stands:?}");
+}
+
+#[test]
+fn an_account_that_used_nothing_stands_with_the_least_served_of_those_told() {
+    let mut pool = pool();
+    pool.adopt_use(BoxId(1), &flooded(), 100_000);
+    pool.submit(demand(1, 1, FLOOD, 100_000), 100_000);
+    pool.submit(demand(2, 1, OTHER, 100_010), 100_010);
+    let stands = [FLOOD, OTHER].map(|account| pool.tree.rank(&share(account))[2]);
+    assert!(stands[1] > 0.0 && stands[0] >= stands[1], "{stands:?}");
+}
+
+#[test]
+fn what_runs_as_a_pool_is_taken_over_is_charged_from_then_on() {
+    let mut pool = pool();
+    pool.adopt_use(BoxId(1), &[], 100_000);
+    let adopted = Adopted {
+        demand: demand(1, 1, FLOOD, 99_000),
+        target: TargetId(0),
+        generated_tokens: 10,
+    };
+    pool.adopt(adopted, 100_000);
+    pool.submit(demand(2, 1, OTHER, 100_020), 100_020);
+    let charged_ms = pool.tree.rank(&share(FLOOD))[2];
+    assert!(charged_ms <= 20.0, "{charged_ms}");
+}
--- a/components/relay/src/dispatch/permits.rs
+++ b/components/relay/src/dispatch/permits.rs
@@ -197,11 +197,13 @@
         let mut wait_ms = 0;
         let mut failed = 0;
         loop {
-            let now_ms = self.now_ms();
-            let request = want.request(request.permit, now_ms);
             let first = self.dispatchers_of(request.pool).first().copied();
             let asked = first.filter(|_| failed < ASKED_MAX).unwrap_or(self.id);
+            let is_told = self.tell_if_new(asked, request.pool).await;
+            let now_ms = self.now_ms();
+            let request = want.request(request.permit, now_ms);
             let reply = match asked == self.id {
+                _ if !is_told => None,
                 true => Some(self.acquire_here(request, now_ms, wait_ms).await),
                 false => tokio::select! {
                     reply = self.acquire_at(asked, request, wait_ms) => reply,
@@ -212,6 +214,8 @@
                     }
                 },
             };
+            // Boxes that fail one after another count, not one that is asked again and again while its link is cut.
+            failed = reply.as_ref().map_or(failed + 1, |_| 0);
             match reply {
                 Some(PermitReply::Granted { target }) => {
                     withdrawal.armed = false;
@@ -227,7 +231,7 @@
                     return Err(refusal);
                 }
                 Some(PermitReply::Waiting { .. }) => wait_ms = WAIT_EACH_MS,
-                None => failed += 1,
+                None => {}
             }
             if self.now_ms() >= want.wait_until_ms {
                 return Err(refusal(RefusalReason::DeadlinePassed));
