--- a/components/settings/src/fleetcheck.rs
+++ b/components/settings/src/fleetcheck.rs
@@ -1,7 +1,7 @@
 //! Checks of the settings file of a fleet box.
 
 use crate::check::{Found, Mistakes, no_keys, parse};
-use crate::fleetfile::{FleetAccounts, FleetFile};
+use crate::fleetfile::{FleetAccounts, FleetFile, FleetLimits};
 use std::collections::HashSet;
 
 /// Parses and checks the settings file of a box of a platform's fleet.
@@ -52,6 +52,7 @@
             Some("the platform ends a process so long after SIGTERM".into()),
         ));
     }
+    check_limits(&file.limits, &mut found);
     check_accounts(&file.accounts, &mut found);
     if file.peer_keys.is_empty() {
         found.push(no_keys(&["peer_keys"]));
@@ -59,6 +60,31 @@
     found
 }
 
+/// The bounds on what is held for others: one that holds nothing would serve nothing.
+fn check_limits(limits: &FleetLimits, found: &mut Vec<Found>) {
+    let shares = [
+        ("held_share", limits.held_share),
+        ("account_held_share", limits.account_held_share),
+    ];
+    for (field, share) in shares {
+        if !(share > 0.0 && share <= 1.0) {
+            let message = format!("a share of {share}: it must be above 0 and at most 1");
+            found.push(Found::new(&["limits", field], message, None));
+        }
+    }
+    let amounts = [
+        ("memory_mb", limits.memory_mb, "MB"),
+        ("unread_limit_s", limits.unread_limit_s, "s"),
+        ("target_request_mb", limits.target_request_mb, "MB"),
+    ];
+    for (field, amount, unit) in amounts {
+        if !(amount > 0.0 && amount.is_finite()) {
+            let message = format!("{amount} {unit}: it must be above 0");
+            found.push(Found::new(&["limits", field], message, None));
+        }
+    }
+}
+
 fn check_accounts(accounts: &FleetAccounts, found: &mut Vec<Found>) {
     if let Some(message) = weight_mistake(accounts.default_weight) {
         found.push(Found::new(&["accounts", "default_weight"], message, None));
--- a/components/settings/src/fleetcheck_tests.rs
+++ b/components/settings/src/fleetcheck_tests.rs
@@ -85,3 +85,39 @@
     assert_eq!(accounts.weight_of(id("b")), 2.0);
     assert_eq!(accounts.caps().collect::<Vec<_>>(), [(id("a"), 0.25)]);
 }
+
+#[test]
+fn names_every_mistake_of_the_limits() {
+    let text = include_str!("../../../examples/fleet-box.yaml");
+    let limits = "limits: {memory_mb: 0, held_share: 1.5, account_held_share: 0, \
+        unread_limit_s: -1, target_request_mb: -2}";
+    let before = text
+        .lines()
+        .find(|line| line.starts_with("limits:"))
+        .unwrap();
+    let mistakes = check_fleet_file("f", &text.replace(before, limits)).unwrap();
+    let named = ["1.5", "share of 0", "0 MB", "-1 s", "-2 MB"];
+    let messages: Vec<&str> = mistakes
+        .mistakes
+        .iter()
+        .map(|m| m.message.as_str())
+        .collect();
+    assert_eq!(messages.len(), named.len(), "{messages:?}");
+    for named in named {
+        assert!(messages.iter().any(|m| m.contains(named)), "{messages:?}");
+    }
+}
+
+#[test]
+fn bounds_on_what_is_held_are_parts_of_the_memory() {
+    let limits = FleetLimits {
+        memory_mb: 100.0,
+        held_share: 0.2,
+        account_held_share: 0.5,
+        target_request_mb: 3.0,
+        ..FleetLimits::default()
+    };
+    assert_eq!(limits.held_bytes(), 20_000_000);
+    assert_eq!(limits.account_held_bytes(), 10_000_000);
+    assert_eq!(limits.target_request_bytes(), 3_000_000);
+}
--- a/components/settings/src/fleetfields.rs
+++ b/components/settings/src/fleetfields.rs
@@ -215,6 +215,10 @@
             memory_mb,
             descriptors,
             link_mbps,
+            held_share,
+            account_held_share,
+            unread_limit_s,
+            target_request_mb,
         } = self;
         vec![
             Field::new(
@@ -235,6 +239,30 @@
                 "bandwidth of the box's link, in Mbit/s; wide links come first for roles",
                 link_mbps,
             ),
+            Field::new(
+                "limits.held_share",
+                Live,
+                "share of the memory for request bodies and answers that callers have not read",
+                held_share,
+            ),
+            Field::new(
+                "limits.account_held_share",
+                Live,
+                "share of that for the requests of one client account",
+                account_held_share,
+            ),
+            Field::new(
+                "limits.unread_limit_s",
+                Live,
+                "a caller that reads nothing of its answer for so long is ended, in s",
+                unread_limit_s,
+            ),
+            Field::new(
+                "limits.target_request_mb",
+                Live,
+                "requests that all boxes together hold at one target, in MB",
+                target_request_mb,
+            ),
         ]
     }
 }
--- a/components/settings/src/fleetfile.rs
+++ b/components/settings/src/fleetfile.rs
@@ -196,6 +196,14 @@
     pub descriptors: u64,
     /// Bandwidth of the box's link. Roles that tell many boxes go to those with wide links.
     pub link_mbps: f64,
+    /// Share of the memory that request bodies, and answers that callers have not read, may take.
+    pub held_share: f64,
+    /// Share of that which one client account's requests may take.
+    pub account_held_share: f64,
+    /// A caller that reads nothing of its answer for this long is ended.
+    pub unread_limit_s: f64,
+    /// Requests that all boxes together hold at one target, in MB. All boxes should say the same.
+    pub target_request_mb: f64,
 }
 
 impl Default for FleetLimits {
@@ -204,6 +212,32 @@
             memory_mb: 128.0,
             descriptors: 4096,
             link_mbps: 1_000.0,
+            // The smallest boxes take a third of their memory for themselves at their peak.
+            held_share: 0.25,
+            account_held_share: 0.5,
+            // Callers on a bad link are silent for some seconds; the system's own limit was 20 s.
+            unread_limit_s: 20.0,
+            target_request_mb: 64.0,
         }
     }
 }
+
+/// Bytes of a megabyte, as operators count.
+const MB_BYTES: f64 = 1_000_000.0;
+
+impl FleetLimits {
+    /// Bytes that may be held for callers and targets.
+    pub fn held_bytes(&self) -> u64 {
+        (self.memory_mb * MB_BYTES * self.held_share) as u64
+    }
+
+    /// The same for one client account.
+    pub fn account_held_bytes(&self) -> u64 {
+        (self.held_bytes() as f64 * self.account_held_share) as u64
+    }
+
+    /// Bytes of requests that all boxes together hold at one target.
+    pub fn target_request_bytes(&self) -> u64 {
+        (self.target_request_mb * MB_BYTES) as u64
+    }
+}
