A stream whose caller reads late is read out of its engine, and bounded

Cause: an event was written to its caller before the next was read, so an engine that cuts unread streams cut each stream of a slow caller. Ruled out: a fixed buffer a stream (4,000 x 64 KiB is more than a small box). Change: held/ counts what is unsent for box and account; over a bound the engine is not read (and not blamed); silent callers end with a cause; a whole stream gives its engine's place back and is written also late. 128 KiB unsent in the system.

--- a/components/http1/src/channel.rs
+++ b/components/http1/src/channel.rs
@@ -22,6 +22,8 @@
 /// The same for a channel that was taken: whoever opened it may read slowly, and a window that stays closed
 /// counts as not acknowledged.
 const SLOW_READER_LIMIT: Duration = Duration::from_secs(20);
+/// Bytes that the system holds unsent for a peer that does not read; by itself it takes some megabytes for each.
+const UNSENT_BYTES_MAX: u32 = 128 * 1024;
 /// A silent channel is probed after this time, and at this interval.
 const PROBE_AFTER: Duration = Duration::from_secs(2);
 const PROBE_INTERVAL: Duration = Duration::from_secs(1);
@@ -93,6 +95,8 @@
     /// The system's, where descriptors are used up or a channel ended before it was taken.
     pub async fn accept(&self) -> io::Result<Channel> {
         let (io, _) = self.0.accept().await?;
+        // Where the system can't, it holds more.
+        let _ = SockRef::from(&io).set_tcp_notsent_lowat(UNSENT_BYTES_MAX);
         Channel::new(io, SLOW_READER_LIMIT)
     }
 }
@@ -135,6 +139,40 @@
         self.io.write_all(bytes).await
     }
 
+    /// Writes what the peer takes of `bytes` now, and says how much; 0 where it takes nothing.
+    ///
+    /// # Errors
+    /// The system's, where the channel failed.
+    pub fn try_write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        match self.io.try_write(bytes) {
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(0),
+            written => written,
+        }
+    }
+
+    /// Waits until something may be written. What comes meanwhile is kept.
+    ///
+    /// # Errors
+    /// The system's, where the peer closed the channel or it failed.
+    pub async fn writable(&mut self) -> io::Result<()> {
+        loop {
+            let reads = self.buffer.len() < AHEAD_BYTES_MAX;
+            if reads {
+                self.buffer.reserve(READ_BYTES);
+            }
+            let (mut reader, writer) = self.io.split();
+            tokio::select! {
+                biased;
+                ready = writer.writable() => return ready,
+                read = reader.read_buf(&mut self.buffer), if reads => {
+                    if read? == 0 {
+                        return Err(io::ErrorKind::UnexpectedEof.into());
+                    }
+                }
+            }
+        }
+    }
+
     /// Writes `bytes` while reading: ends when all is written, or as soon as something was read.
     /// Says how many bytes were written.
     ///
--- a/components/relay/src/forwarding/events.rs
+++ b/components/relay/src/forwarding/events.rs
@@ -58,6 +58,11 @@
         }
     }
 
+    /// Bytes of an event that has begun and is not whole.
+    pub fn pending_bytes(&self) -> usize {
+        self.pending.len()
+    }
+
     /// Whether an event has begun that is not whole.
     pub fn is_within_event(&self) -> bool {
         !self.pending.is_empty()
--- a/components/relay/src/forwarding/stream.rs
+++ b/components/relay/src/forwarding/stream.rs
@@ -5,6 +5,8 @@
 use crate::forwarding::events::EventSplitter;
 use crate::forwarding::generation::{outcome_of, send};
 use crate::forwarding::send::{Opened, Tried};
+use crate::held::deliver::{Delivered, ready};
+use crate::held::unsent::Unsent;
 use crate::ingress::accept::{After, count, write_reply};
 use crate::ingress::request::{Incoming, Own, Reply, Way};
 use crate::migration::mover::{Moved, Mover, Step};
@@ -25,15 +27,12 @@
 /// one.
 const SILENT_LIMIT: Duration = Duration::from_millis(1_500);
 
-/// A caller that takes so long to read one event delays the next: it says nothing of the engine.
-const HELD_UP_MS: u64 = 5;
-
 /// Where a pause between two events passed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PauseIn {
     /// At the engine, or on the way from it.
     Engine,
-    /// The caller did not read.
+    /// The caller did not read, and there was no room for more.
     Caller,
     /// The generation moved to another engine.
     Move,
@@ -46,6 +45,8 @@
     Whole,
     /// The caller left.
     CallerLeft,
+    /// The caller did not read.
+    Unread,
     /// Its time is over.
     TimeOver,
     /// Early.
@@ -60,6 +61,7 @@
     permit: Permit,
     engine: Option<EngineTraits>,
     splitter: EventSplitter,
+    unsent: Unsent,
     last_event: Option<Box<str>>,
     events: u32,
     head_written: bool,
@@ -70,6 +72,8 @@
     moves: u32,
     /// Where the time since the last event passes.
     pause_in: PauseIn,
+    /// Its engine was not read for a while, as the caller did not read.
+    was_held_up: bool,
 }
 
 impl<'a> StreamForwarder<'a> {
@@ -86,6 +90,7 @@
             permit,
             engine: way.service().engine,
             splitter: EventSplitter::default(),
+            unsent: Unsent::new(&relay.held, way.account_id()),
             last_event: None,
             events: 0,
             head_written: false,
@@ -95,6 +100,7 @@
             last_event_ms: 0,
             moves: 0,
             pause_in: PauseIn::Engine,
+            was_held_up: false,
         }
     }
 
@@ -112,29 +118,69 @@
             "end" => ?ended, "events" => self.events, "moves" => self.moves,
             "first_event_ms" => self.first_event_ms, "longest_pause_ms" => self.longest_pause_ms,
             "longest_pause_in" => ?self.longest_pause_in,
+            "unsent_bytes_most" => self.unsent.most_bytes(),
             "late" => self.is_late(), "paused" => self.is_paused(),
             "after_ms" => self.relay.now_ms() - self.incoming.came_ms);
         let word = match ended {
             Ended::Whole => "whole",
             Ended::CallerLeft => "caller_left",
+            Ended::Unread => "unread",
             Ended::TimeOver => "time_over",
             Ended::Broken(_) => "broken",
         };
         metrics::counter!("shuntpier_generations", "end" => word).increment(1);
         match ended {
-            Ended::Whole if self.incoming.head.old => After::Close,
-            Ended::Whole => match caller.write(b"0\r\n\r\n").await {
-                Ok(()) if closes => After::Close,
-                Ok(()) => After::Keep,
-                Err(_) => After::Drop,
-            },
-            Ended::CallerLeft => After::Drop,
-            _ if self.head_written => After::Drop,
+            Ended::Whole => self.deliver_rest(caller, closes).await,
+            Ended::CallerLeft | Ended::Unread => After::Drop,
+            _ if self.head_written => self.deliver_part(caller).await,
             Ended::TimeOver => self.answer_own(caller, Own::TimeOver).await,
             Ended::Broken(why) => self.answer_own(caller, Own::MayHaveRun(why)).await,
         }
     }
 
+    /// Writes what is left of a whole stream. Its engine's place is given back before: it is done.
+    async fn deliver_rest(self, caller: &mut Channel, closes: bool) -> After {
+        let Self {
+            relay,
+            incoming,
+            mut unsent,
+            permit,
+            ..
+        } = self;
+        drop(permit);
+        if !incoming.head.old {
+            unsent.push(b"0\r\n\r\n", 0);
+        }
+        let began_ms = relay.now_ms();
+        let waits = unsent.write(caller, 0).is_ok() && !unsent.is_empty();
+        let delivered = unsent.drain(relay, caller, incoming.id()).await;
+        if waits || delivered != Delivered::Whole {
+            slog::info!(relay.log, "rest of a generation"; "id" => incoming.id(),
+                "end" => ?delivered, "took_ms" => relay.now_ms() - began_ms,
+                "after_ms" => relay.now_ms() - incoming.came_ms);
+        }
+        match delivered {
+            Delivered::Whole if closes => After::Close,
+            Delivered::Whole => After::Keep,
+            Delivered::CallerLeft | Delivered::Unread => After::Drop,
+        }
+    }
+
+    /// Writes the events that came before a stream broke off; its end is not written.
+    async fn deliver_part(self, caller: &mut Channel) -> After {
+        let Self {
+            relay,
+            incoming,
+            unsent,
+            permit,
+            ..
+        } = self;
+        drop(permit);
+        // Whatever becomes of them, the channel closes without the end of the stream.
+        let _ = unsent.drain(relay, caller, incoming.id()).await;
+        After::Drop
+    }
+
     /// Remembers how long the generation was and took, for those that come while this box stops.
     fn note_end(&self) {
         let generation = self.incoming.facts.generation.as_ref();
@@ -183,26 +229,49 @@
         let mut mover = Mover::new(self.relay, self.engine);
         let mut silent_at = Instant::now() + SILENT_LIMIT;
         let mut doubted = false;
+        let mut read_before = true;
         loop {
+            let writes = !self.unsent.is_empty();
+            let reads = self.unsent.may_read();
+            if reads && !read_before {
+                // It was not read meanwhile, and could say nothing.
+                silent_at = Instant::now() + SILENT_LIMIT;
+                self.pause_in = PauseIn::Caller;
+            }
+            if read_before && !reads {
+                self.was_held_up = true;
+                metrics::counter!("shuntpier_streams_held_up").increment(1);
+            }
+            read_before = reads;
             let step = tokio::select! {
                 biased;
-                () = caller.gone() => return Ended::CallerLeft,
+                is_there = ready(caller, writes) => {
+                    let pending = self.splitter.pending_bytes();
+                    if !is_there || self.unsent.write(caller, pending).is_err() {
+                        return Ended::CallerLeft;
+                    }
+                    None
+                }
                 () = sleep_until(due) => return Ended::TimeOver,
+                () = sleep_until(self.unsent.look_at()), if writes => {
+                    if self.unsent.is_over(self.relay, self.incoming.id()) {
+                        return Ended::Unread;
+                    }
+                    None
+                }
+                () = self.unsent.freed(), if !reads => None,
                 step = mover.next(&self.permit, self.incoming.id()) => Some(step),
-                () = sleep_until(silent_at), if !doubted => {
+                () = sleep_until(silent_at), if !doubted && reads => {
                     doubted = true;
                     self.relay.tell_engine_failed(self.permit.pool, self.permit.slot);
                     None
                 }
-                piece = opened.next(), if mover.reads_source() => match piece {
+                piece = opened.next(), if mover.reads_source() && reads => match piece {
                     Ok(Some(data)) => {
                         silent_at = Instant::now() + SILENT_LIMIT;
-                        let passing = self.pass(caller, &head, &data, closes);
-                        // A caller that does not read holds this up, but not beyond the request's time.
-                        match timeout_at(due, passing).await {
-                            Ok(Ok(())) => None,
-                            Ok(Err(ended)) => return ended,
-                            Err(_) => return Ended::TimeOver,
+                        match self.pass(caller, &head, &data, closes) {
+                            Ok(()) => None,
+                            Err(ended) => return ended,
                         }
                     }
                     Ok(None) if !(mover.stops_source() && is_unframed(&opened)) => {
@@ -217,6 +286,10 @@
                         mover.source_ended();
                         None
                     }
+                    Err(_) if self.was_held_up => {
+                        // Not the engine's fault: nothing is told of it.
+                        return Ended::Broken("its caller did not read, and its engine cut it off");
+                    }
                     Err(why) => {
                         self.relay.tell_engine_failed(self.permit.pool, self.permit.slot);
                         return Ended::Broken(why);
@@ -250,7 +323,7 @@
         Ended::Whole
     }
 
-    async fn pass(
+    fn pass(
         &mut self,
         caller: &mut Channel,
         head: &[u8],
@@ -262,6 +335,7 @@
             .push(data)
             .map_err(|_| Ended::Broken("an event does not end"))?;
         if events.count == 0 {
+            self.unsent.push(&[], self.splitter.pending_bytes());
             return Ok(());
         }
         let now_ms = self.relay.now_ms();
@@ -300,10 +374,9 @@
             true => push_chunk(&mut out, &events.bytes),
             false => out.extend_from_slice(&events.bytes),
         }
-        let written = caller.write(&out).await;
-        if self.relay.now_ms().saturating_sub(now_ms) >= HELD_UP_MS {
-            self.pause_in = PauseIn::Caller;
-        }
+        let pending = self.splitter.pending_bytes();
+        self.unsent.push(&out, pending);
+        let written = self.unsent.write(caller, pending);
         written.map_err(|_| Ended::CallerLeft)
     }
 
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod dispatch;
 mod forwarding;
+mod held;
 mod ingress;
 mod membership;
 mod migration;
--- a/components/relay/src/reconfigure.rs
+++ b/components/relay/src/reconfigure.rs
@@ -1,6 +1,6 @@
 //! Takes a change of the settings over while the box serves. What each request loads for itself needs nothing here.
 
-use crate::state::{Relay, resend_bound};
+use crate::state::{Relay, held_bounds, resend_bound};
 use reload::Snapshot;
 use settings::FleetFile;
 use std::rc::Rc;
@@ -27,6 +27,9 @@
             self.store.move_to(now.store.address);
             self.store_doubted.notify_waiters();
         }
+        if before.limits != now.limits {
+            self.held.set_bounds(held_bounds(&now.limits));
+        }
         if before.limits.link_mbps != now.limits.link_mbps {
             let mut members = self.members.borrow_mut();
             members.set_link(now.limits.link_mbps as u32);
--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -1,6 +1,7 @@
 //! Starts and stops a box.
 
 use crate::dispatch::reports::{run_reports, run_trials};
+use crate::held::Holdings;
 use crate::ingress::accept;
 use crate::ingress::readiness;
 use crate::membership::exchange::{greet, run_exchanges};
@@ -8,7 +9,7 @@
 use crate::membership::members::{LIFE_UNKNOWN, Members};
 use crate::membership::registration::{box_id, keep_registration, read_boxes};
 use crate::reconfigure::run_settings;
-use crate::state::Relay;
+use crate::state::{Relay, held_bounds};
 use crate::watch::election::View;
 use crate::watch::evacuation::run_evacuation;
 use crate::watch::watcher::{follow, run_asking, run_missing};
@@ -111,6 +112,7 @@
         refused_entries: RefCell::default(),
         target_changes: watch::Sender::new(0),
         channels: RefCell::default(),
+        held: Holdings::new(held_bounds(&file.limits)),
         balance: RefCell::default(),
         calls_ended: Notify::new(),
         resends: RefCell::default(),
@@ -175,6 +177,9 @@
         relay.channels.borrow_mut().sweep(now_ms);
         metrics::gauge!("shuntpier_generations_open")
             .set(relay.open_generations.borrow().count() as f64);
+        let (held_bytes, most_bytes) = relay.held.fill();
+        metrics::gauge!("shuntpier_held_bytes").set(held_bytes as f64);
+        metrics::gauge!("shuntpier_held_bytes_most").set(most_bytes as f64);
         metrics::gauge!("shuntpier_requests_open").set(relay.in_progress.get() as f64);
     }
 }
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -5,6 +5,7 @@
 use crate::dispatch::open_generations::OpenGenerations;
 use crate::forwarding::balance::CallBalance;
 use crate::forwarding::channels::Channels;
+use crate::held::{Bounds, Holdings};
 use crate::ingress::request::Own;
 use crate::membership::members::Members;
 use crate::membership::snapshot::pack;
@@ -19,7 +20,7 @@
 use prelude::{BoxId, Clock, DataCentreId, ModelId, PoolId};
 use reload::{Live, Snapshot};
 use routing::RoutingTable;
-use settings::{FleetFile, FleetIdentity, FleetPromises, Mechanism};
+use settings::{FleetFile, FleetIdentity, FleetLimits, FleetPromises, Mechanism};
 use slog::Logger;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -65,6 +66,8 @@
     /// Rises with each change of targets that matters.
     pub(crate) target_changes: watch::Sender<u64>,
     pub(crate) channels: RefCell<Channels>,
+    /// What is kept for callers and targets that read slowly.
+    pub(crate) held: Rc<Holdings>,
     /// What calls showed of plain targets.
     pub(crate) balance: RefCell<CallBalance>,
     /// A request at a target ended: a call that waits may find room.
@@ -134,6 +137,14 @@
     }
 }
 
+/// What the box may hold for others.
+pub(crate) fn held_bounds(limits: &FleetLimits) -> Bounds {
+    Bounds {
+        box_bytes: limits.held_bytes(),
+        account_bytes: limits.account_held_bytes(),
+    }
+}
+
 /// The pool of a service's engines.
 pub(crate) fn pool_of(service: &str) -> PoolId {
     PoolId {
