Answers and bodies are counted and bounded; requests held at one target too

Cause: answers (16 MB each) and bodies of callers and targets that read slowly were held unbounded; of a target only requests were counted. Ruled out: a shared Notify for all who wait (each piece written would wake all); asking a dispatcher for targets' bytes. Change: bodies, answers by account in the book of held/; lengths asked for whole; 503 not run, 502 for what ran, its target not blamed; NotRun::Heavy, a call waits for room by its goal; a body is written apart from its head (no second copy).

--- a/components/operators/src/fleet.rs
+++ b/components/operators/src/fleet.rs
@@ -64,6 +64,9 @@
     pub cold: bool,
     /// Requests that this box has open there.
     pub own_open: u32,
+    /// Bytes of them.
+    #[serde(default)]
+    pub own_open_bytes: u64,
     /// What its plain calls showed; none where there were none.
     #[serde(default)]
     pub calls: Option<TargetCallsView>,
@@ -112,6 +115,12 @@
     pub generations_open: usize,
     /// Requests that are read or answered.
     pub requests_open: usize,
+    /// Bytes that it holds for callers and targets that read slowly.
+    #[serde(default)]
+    pub held_bytes: u64,
+    /// How many it may hold.
+    #[serde(default)]
+    pub held_bytes_most: u64,
     /// Evacuated data centres.
     pub evacuations: Vec<EvacuationView>,
     /// The targets that it knows.
--- a/components/relay/src/forwarding/call.rs
+++ b/components/relay/src/forwarding/call.rs
@@ -4,7 +4,7 @@
 use crate::forwarding::balance::{Asked, route_key};
 use crate::forwarding::beside::offer_in_time;
 use crate::forwarding::offer::Offer;
-use crate::forwarding::room::wait_for_room;
+use crate::forwarding::room::{wait_for_request_room, wait_for_room};
 use crate::forwarding::send::NotRun;
 use crate::ingress::request::{Incoming, Own, Reply, Way};
 use crate::state::Relay;
@@ -22,6 +22,8 @@
 #[derive(Default)]
 pub(super) struct Story {
     pub(super) offered: Vec<TargetSlot>,
+    /// Those of them that hold as many bytes of requests as they may.
+    heavy: Vec<TargetSlot>,
     /// Offers that reached their target.
     pub(super) arrivals: u32,
     /// Offers after which the request may have run.
@@ -39,21 +41,45 @@
     let mut story = Story::default();
     let due_ms = incoming.due_ms(way.route());
     wait_for_room(relay, incoming, way).await;
-    while let Some(slot) = next_offer(relay, way, &story, due_ms) {
+    loop {
+        if let Some(reply) = offer_all(relay, incoming, way, &mut story).await {
+            return reply;
+        }
+        let sent = story.heavy.len() < story.offered.len();
+        if sent || story.heavy.is_empty() || !wait_for_request_room(relay, incoming, way).await {
+            return conclude(relay, incoming, &story, due_ms);
+        }
+        story.offered.clear();
+        story.heavy.clear();
+    }
+}
+
+/// Offers a request to one target after another, until there is an answer that is passed on.
+async fn offer_all(
+    relay: &Rc<Relay>,
+    incoming: &Incoming,
+    way: &Way,
+    story: &mut Story,
+) -> Option<Reply> {
+    let due_ms = incoming.due_ms(way.route());
+    while let Some(slot) = next_offer(relay, way, story, due_ms) {
         story.offered.push(slot);
-        let offer = offer_in_time(relay, incoming, way, slot, &mut story).await;
+        let offer = offer_in_time(relay, incoming, way, slot, story).await;
         story.arrivals += u32::from(offer.arrived());
         match offer {
             Offer::Answered(reply) => {
                 let may_improve = reply.status >= 500 && way.route().kind == RouteKind::Repeatable;
                 if !may_improve {
-                    return reply;
+                    return Some(reply);
                 }
                 story.runs += 1;
                 story.last = "the target failed";
                 story.kept = Some(reply);
             }
             Offer::NotRun(why) => {
+                if why == NotRun::Heavy {
+                    story.heavy.push(slot);
+                }
                 if let NotRun::Refused { retry_after_ms } = why {
                     story.retry_after_ms = story.retry_after_ms.or(retry_after_ms);
                 }
@@ -64,7 +90,7 @@
             }
         }
     }
-    conclude(relay, incoming, &story, due_ms)
+    None
 }
 
 /// The next target to offer a request to; none where there is none, or no time or budget is left.
--- a/components/relay/src/forwarding/generation.rs
+++ b/components/relay/src/forwarding/generation.rs
@@ -6,6 +6,7 @@
 use crate::forwarding::outcome::TargetOutcome;
 use crate::forwarding::send::{Message, NotRun, Opened, Tried, UNREPEATABLE_REST_MS};
 use crate::forwarding::stream::StreamForwarder;
+use crate::held::Held;
 use crate::ingress::accept::{After, count, write_reply};
 use crate::ingress::request::{Incoming, Own, Reply, Way};
 use crate::ingress::stopping::refusal_of_stopping;
@@ -14,7 +15,7 @@
 use crate::watch::targets::TargetSlot;
 use http1::Channel;
 use platform::{Continuation, Forwarding, PRIORITY_MOST, forward, relayed_head};
-use prelude::{Refusal, RefusalReason, TargetId};
+use prelude::{AccountId, Refusal, RefusalReason, TargetId};
 use settings::Mechanism;
 use std::future::Future;
 use std::pin::pin;
@@ -65,7 +66,9 @@
             let forwarder = StreamForwarder::new(relay, incoming, way, permit);
             forwarder.run(caller, *opened).await
         }
-        Started::Opened(opened, _) => pass_on(relay, caller, incoming, *opened).await,
+        Started::Opened(opened, _) => {
+            pass_on(relay, caller, incoming, way.account_id(), *opened).await
+        }
     }
 }
 
@@ -83,7 +86,7 @@
         "after_ms" => relay.now_ms() - incoming.came_ms);
     count(own.status(), "own");
     let reply = Reply::own(own, incoming.facts.request_id.as_deref());
-    write_reply(relay, caller, reply, false).await
+    write_reply(relay, caller, incoming.id(), reply, false).await
 }
 
 /// Passes an answer on that is no stream.
@@ -91,11 +94,13 @@
     relay: &Rc<Relay>,
     caller: &mut Channel,
     incoming: &Incoming,
+    account: AccountId,
     mut opened: Opened,
 ) -> After {
     let status = opened.head.status;
     let vouched = opened.is_vouched() && status != 200;
-    let whole = opened.read_whole().await;
+    let mut held = Held::new(&relay.held, Some(account));
+    let whole = opened.read_whole(&mut held).await;
     let reply = match whole {
         Ok(body) if vouched => {
             let head = relayed_head(&opened.head);
@@ -105,6 +110,7 @@
                 head,
                 body,
                 own: None,
+                held: Some(Rc::new(held)),
             }
         }
         _ => {
@@ -115,7 +121,7 @@
     slog::info!(relay.log, "generation failed"; "id" => incoming.id(), "status" => status,
         "vouched" => vouched, "after_ms" => relay.now_ms() - incoming.came_ms);
     count(status, "generation");
-    write_reply(relay, caller, reply, false).await
+    write_reply(relay, caller, incoming.id(), reply, false).await
 }
 
 enum Started {
--- a/components/relay/src/forwarding/mod.rs
+++ b/components/relay/src/forwarding/mod.rs
@@ -13,3 +13,4 @@
 mod room;
 pub(crate) mod send;
 pub(crate) mod stream;
+mod stream_end;
--- a/components/relay/src/forwarding/offer.rs
+++ b/components/relay/src/forwarding/offer.rs
@@ -1,7 +1,10 @@
 //! One offer of a plain request to one target, its answer read whole.
 
 use crate::forwarding::outcome::TargetOutcome;
-use crate::forwarding::send::{Message, NotRun, Opened, Tried, UNREPEATABLE_REST_MS};
+use crate::forwarding::send::{
+    ANSWER_TOO_LONG, Message, NotRun, Opened, Tried, UNREPEATABLE_REST_MS,
+};
+use crate::held::Held;
 use crate::ingress::request::{Incoming, Reply, Way};
 use crate::state::Relay;
 use crate::watch::targets::TargetSlot;
@@ -15,6 +18,9 @@
 /// What is said of a target that was waited for in vain.
 const NO_ANSWER_IN_TIME: &str = "the target did not answer in time";
 
+/// What is said of an answer for which there was no memory in its time: no fault of its target.
+const NO_MEMORY: &str = "no memory for the answer in its time";
+
 /// What one offer led to.
 pub(super) enum Offer {
     Answered(Reply),
@@ -55,26 +61,37 @@
             _ => UNREPEATABLE_REST_MS,
         },
     };
-    let trying = try_whole(relay, slot, message);
+    let mut held = Held::new(&relay.held, Some(way.account_id()));
+    let trying = try_whole(relay, slot, message, &mut held);
     let offer = timeout(Duration::from_millis(limit_ms), trying).await;
-    let offer = offer.unwrap_or(Offer::MayHaveRun(NO_ANSWER_IN_TIME));
-    if let Offer::Answered(reply) = &offer {
+    let mut offer = offer.unwrap_or(Offer::MayHaveRun(NO_ANSWER_IN_TIME));
+    if matches!(offer, Offer::MayHaveRun(_)) && held.waited() {
+        metrics::counter!("shuntpier_answers_without_memory").increment(1);
+        offer = Offer::MayHaveRun(NO_MEMORY);
+    }
+    if let Offer::Answered(reply) = &mut offer {
+        reply.held = Some(Rc::new(held));
         let took_ms = relay.now_ms() - began_ms;
         relay.call_answered(slot, route, took_ms, reply.status >= 500);
     }
     offer
 }
 
-async fn try_whole(relay: &Rc<Relay>, slot: TargetSlot, message: Message<'_>) -> Offer {
+async fn try_whole(
+    relay: &Rc<Relay>,
+    slot: TargetSlot,
+    message: Message<'_>,
+    held: &mut Held,
+) -> Offer {
     match relay.try_at(slot, message).await {
         Tried::NotRun(why) => Offer::NotRun(why),
         Tried::MayHaveRun(why) => Offer::MayHaveRun(why),
-        Tried::Answered(opened) => whole(relay, slot, *opened).await,
+        Tried::Answered(opened) => whole(relay, slot, *opened, held).await,
     }
 }
 
 /// Reads an answer whole and checks it before any of it is passed on.
-async fn whole(relay: &Rc<Relay>, slot: TargetSlot, mut opened: Opened) -> Offer {
+async fn whole(relay: &Rc<Relay>, slot: TargetSlot, mut opened: Opened, held: &mut Held) -> Offer {
     if !opened.is_vouched() {
         return Offer::MayHaveRun("the answer is not the target's own");
     }
@@ -82,7 +99,7 @@
     if let Some(percent) = slowness {
         relay.call_slowness(slot, percent);
     }
-    let body: Bytes = match opened.read_whole().await {
+    let body: Bytes = match opened.read_whole(held).await {
         Ok(body) => body,
         Err(why) => return Offer::MayHaveRun(why),
     };
@@ -92,6 +109,7 @@
         head: relayed_head(&opened.head),
         body,
         own: None,
+        held: None,
     };
     opened.finish(relay);
     Offer::Answered(reply)
@@ -118,6 +136,7 @@
         let waited_ms = relay.now_ms() - incoming.came_ms;
         let is_over = waited_ms >= way.route().answer_goal_ms;
         let is_silent = match &self {
+            Self::MayHaveRun(NO_MEMORY | ANSWER_TOO_LONG) => false,
             Self::MayHaveRun(why) => *why != NO_ANSWER_IN_TIME || is_over,
             Self::NotRun(NotRun::Unreachable) => true,
             _ => false,
@@ -139,6 +158,7 @@
     fn word(&self) -> TargetOutcome {
         match self {
             Self::Answered(reply) if reply.status < 500 => TargetOutcome::Well,
+            Self::MayHaveRun(NO_MEMORY | ANSWER_TOO_LONG) => TargetOutcome::Untried,
             Self::Answered(_) | Self::MayHaveRun(_) => TargetOutcome::Failed,
             Self::NotRun(why) => TargetOutcome::from(*why),
         }
--- a/components/relay/src/forwarding/room.rs
+++ b/components/relay/src/forwarding/room.rs
@@ -20,16 +20,42 @@
     came_ms + (goal_ms as f64 - kept_ms).max(0.0) as u64
 }
 
+/// Until when a call may wait here.
+fn until_ms(relay: &Relay, incoming: &Incoming, way: &Way) -> u64 {
+    let route = way.route();
+    let usual_ms = relay.usual_ms(route);
+    let until_ms = wait_until_ms(route.answer_goal_ms, usual_ms, incoming.came_ms);
+    until_ms.min(incoming.due_ms(route))
+}
+
+/// Waits for a moment where all targets that a call was offered to hold as many bytes of requests as they may. False where
+/// it may not wait on.
+pub(super) async fn wait_for_request_room(
+    relay: &Rc<Relay>,
+    incoming: &Incoming,
+    way: &Way,
+) -> bool {
+    let left_ms = until_ms(relay, incoming, way).saturating_sub(relay.now_ms());
+    if left_ms == 0 {
+        slog::info!(relay.log, "targets hold enough"; "id" => incoming.id(),
+            "service" => &*way.service().name, "bytes" => incoming.body.len(),
+            "waited_ms" => relay.now_ms() - incoming.came_ms);
+        return false;
+    }
+    let ended = relay.calls_ended.notified();
+    let wait = Duration::from_millis(left_ms.min(LOOK_EACH_MS));
+    // Whichever comes first, room or not is seen by the next offer.
+    let _ = timeout(wait, ended).await;
+    true
+}
+
 /// Waits while all targets of a call are full. After that it is offered to one of them all the same: whether it is
 /// refused is the target's word.
 pub(super) async fn wait_for_room(relay: &Rc<Relay>, incoming: &Incoming, way: &Way) {
     if !relay.file().has(Mechanism::CallLimits) || !relay.is_full(&asked(relay, way)) {
         return;
     }
-    let route = way.route();
-    let usual_ms = relay.usual_ms(route);
-    let until_ms = wait_until_ms(route.answer_goal_ms, usual_ms, incoming.came_ms);
-    let until_ms = until_ms.min(incoming.due_ms(route));
+    let until_ms = until_ms(relay, incoming, way);
     let began_ms = relay.now_ms();
     loop {
         let left_ms = until_ms.saturating_sub(relay.now_ms());
--- a/components/relay/src/forwarding/send.rs
+++ b/components/relay/src/forwarding/send.rs
@@ -1,6 +1,7 @@
 //! One try at one target, and the one place that says whether it ran: not run (the target's own word, no
 //! channel, nothing written), answered, or it may have run.
 
+use crate::held::Held;
 use crate::state::Relay;
 use crate::watch::targets::TargetSlot;
 use bytes::Bytes;
@@ -15,6 +16,8 @@
 const JOINED_BYTES_MAX: usize = 32 * 1024;
 /// The longest plain answer that is held to be checked whole.
 const ANSWER_BYTES_MAX: usize = 16 * 1024 * 1024;
+/// What is said of an answer that this box can't hold: no fault of its target.
+pub(crate) const ANSWER_TOO_LONG: &str = "the answer is too long to be held";
 /// Answers to other requests that are passed over on one channel.
 const STRAY_ANSWERS_MAX: usize = 3;
 
@@ -29,6 +32,8 @@
     Refused { retry_after_ms: Option<u64> },
     /// Another target listens there.
     Misdirected,
+    /// It holds as many bytes of requests as this box may have there: it was not sent.
+    Heavy,
     /// Operators evacuated its data centre: it was not sent.
     Evacuated,
 }
@@ -49,6 +54,7 @@
     pub head: ResponseHead,
     pub facts: AnswerFacts,
     decoder: Decoder,
+    framing: Framing,
     /// The request was written whole, so that the channel may be used again.
     whole: bool,
     open: OpenRequest,
@@ -58,21 +64,29 @@
 pub(crate) struct OpenRequest {
     relay: Rc<Relay>,
     slot: TargetSlot,
+    bytes: u64,
 }
 
 impl OpenRequest {
-    fn new(relay: &Rc<Relay>, slot: TargetSlot) -> Self {
-        relay.targets.borrow_mut().opened(slot);
+    fn new(relay: &Rc<Relay>, slot: TargetSlot, bytes: u64) -> Self {
+        let mut targets = relay.targets.borrow_mut();
+        targets.opened(slot);
+        targets.holds(slot, bytes);
+        drop(targets);
         Self {
             relay: relay.clone(),
             slot,
+            bytes,
         }
     }
 }
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
-        self.relay.targets.borrow_mut().closed(self.slot);
+        let mut targets = self.relay.targets.borrow_mut();
+        targets.dropped(self.slot, self.bytes);
+        targets.closed(self.slot);
+        drop(targets);
         self.relay.calls_ended.notify_one();
     }
 }
@@ -93,7 +107,21 @@
     pub rested_most_ms: u64,
 }
 
+/// Whether one more request may be held at a target. One may always: else a long one would never run.
+fn has_request_room(held: u64, more: u64, part: u64) -> bool {
+    held == 0 || held.saturating_add(more) <= part
+}
+
 impl Relay {
+    /// Whether this box may have so many more bytes of requests at a target: the bound holds for all boxes together.
+    fn has_request_room(&self, slot: TargetSlot, more: u64) -> bool {
+        let most_bytes = self.file().limits.target_request_bytes();
+        let part = most_bytes / self.members.borrow().budget_share() as u64;
+        let targets = self.targets.borrow();
+        let held = targets.get(slot).map_or(0, |target| target.open_bytes);
+        has_request_room(held, more, part)
+    }
+
     async fn channel_to(&self, slot: TargetSlot, rested_most_ms: u64) -> Result<Channel, NotRun> {
         let now_ms = self.now_ms();
         let resting = self
@@ -127,7 +155,14 @@
             metrics::counter!("shuntpier_evacuated_sends_withheld").increment(1);
             return Tried::NotRun(NotRun::Evacuated);
         }
-        let open = OpenRequest::new(self, slot);
+        let bytes = (message.head.len() + message.body.len()) as u64;
+        if !self.has_request_room(slot, bytes) {
+            metrics::counter!("shuntpier_target_requests_withheld").increment(1);
+            slog::debug!(self.log, "target holds enough"; "id" => message.request_id,
+                "target" => self.name_of(slot), "bytes" => bytes);
+            return Tried::NotRun(NotRun::Heavy);
+        }
+        let open = OpenRequest::new(self, slot, bytes);
         let mut channel = match self.channel_to(slot, message.rested_most_ms).await {
             Ok(channel) => channel,
             Err(why) => return Tried::NotRun(why),
@@ -154,6 +189,7 @@
         }
         let mut opened = Opened {
             decoder: Decoder::new(framing),
+            framing,
             channel,
             head,
             facts,
@@ -163,7 +199,8 @@
         if opened.facts.is_not_run {
             let retry_after_ms = opened.facts.retry_after_ms;
             // The short body is read so that the channel can be used again; its loss changes nothing.
-            let _ = opened.read_whole().await;
+            let mut held = Held::new(&self.held, None);
+            let _ = opened.read_whole(&mut held).await;
             opened.finish(self);
             return Tried::NotRun(NotRun::Refused { retry_after_ms });
         }
@@ -240,6 +277,18 @@
     Err("too many answers to other requests")
 }
 
+/// Counts more of an answer, once there is room.
+async fn hold(held: &mut Held, more: u64) -> Result<(), &'static str> {
+    let bytes = held.bytes() + more;
+    if bytes > ANSWER_BYTES_MAX as u64 || !held.could_hold(bytes) {
+        return Err(ANSWER_TOO_LONG);
+    }
+    if more > 0 {
+        held.wait(more).await;
+    }
+    Ok(())
+}
+
 impl Opened {
     /// The next bytes of the body; none at its end.
     pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, &'static str> {
@@ -262,25 +311,40 @@
         }
     }
 
-    /// The whole body.
-    pub(crate) async fn read_whole(&mut self) -> Result<Bytes, &'static str> {
-        let Some(first) = self.next().await? else {
+    /// The whole body, counted. While there is no room for it, the target is not read.
+    pub(crate) async fn read_whole(&mut self, held: &mut Held) -> Result<Bytes, &'static str> {
+        if let Framing::Length(length) = self.framing {
+            // Asked for whole: two that have halves would wait for each other.
+            hold(held, length).await?;
+        }
+        let Some(first) = self.next_of(0, held).await? else {
             return Ok(Bytes::new());
         };
-        let Some(second) = self.next().await? else {
+        let Some(second) = self.next_of(first.len(), held).await? else {
             return Ok(first);
         };
         let mut body = first.to_vec();
         body.extend_from_slice(&second);
-        while let Some(more) = self.next().await? {
-            if body.len() + more.len() > ANSWER_BYTES_MAX {
-                return Err("the answer is too long to be held");
-            }
+        while let Some(more) = self.next_of(body.len(), held).await? {
             body.extend_from_slice(&more);
         }
         Ok(body.into())
     }
 
+    /// The next bytes of a body of which so many were read, counted.
+    async fn next_of(
+        &mut self,
+        read: usize,
+        held: &mut Held,
+    ) -> Result<Option<Bytes>, &'static str> {
+        let Some(more) = self.next().await? else {
+            return Ok(None);
+        };
+        let bytes = (read + more.len()) as u64;
+        hold(held, bytes.saturating_sub(held.bytes())).await?;
+        Ok(Some(more))
+    }
+
     /// How slow the target says that work is there.
     pub(crate) fn slowness_percent(&self) -> Option<u32> {
         self.facts.load?.slowness_percent
--- a/components/relay/src/forwarding/stream.rs
+++ b/components/relay/src/forwarding/stream.rs
@@ -5,7 +5,8 @@
 use crate::forwarding::events::EventSplitter;
 use crate::forwarding::generation::{outcome_of, send};
 use crate::forwarding::send::{Opened, Tried};
-use crate::held::deliver::{Delivered, ready};
+use crate::forwarding::stream_end::{Ended, deliver_part, deliver_rest};
+use crate::held::deliver::ready;
 use crate::held::unsent::Unsent;
 use crate::ingress::accept::{After, count, write_reply};
 use crate::ingress::request::{Incoming, Own, Reply, Way};
@@ -38,21 +39,6 @@
     Move,
 }
 
-/// How a stream ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Ended {
-    /// With its last event.
-    Whole,
-    /// The caller left.
-    CallerLeft,
-    /// The caller did not read.
-    Unread,
-    /// Its time is over.
-    TimeOver,
-    /// Early.
-    Broken(&'static str),
-}
-
 /// Passes the events of one generation on.
 pub(crate) struct StreamForwarder<'a> {
     relay: &'a Rc<Relay>,
@@ -121,64 +107,25 @@
             "unsent_bytes_most" => self.unsent.most_bytes(),
             "late" => self.is_late(), "paused" => self.is_paused(),
             "after_ms" => self.relay.now_ms() - self.incoming.came_ms);
-        let word = match ended {
-            Ended::Whole => "whole",
-            Ended::CallerLeft => "caller_left",
-            Ended::Unread => "unread",
-            Ended::TimeOver => "time_over",
-            Ended::Broken(_) => "broken",
-        };
-        metrics::counter!("shuntpier_generations", "end" => word).increment(1);
+        metrics::counter!("shuntpier_generations", "end" => ended.word()).increment(1);
         match ended {
-            Ended::Whole => self.deliver_rest(caller, closes).await,
+            Ended::Whole => {
+                let (relay, incoming, unsent) = self.done();
+                deliver_rest(relay, incoming, unsent, caller, closes).await
+            }
             Ended::CallerLeft | Ended::Unread => After::Drop,
-            _ if self.head_written => self.deliver_part(caller).await,
+            _ if self.head_written => {
+                let (relay, incoming, unsent) = self.done();
+                deliver_part(relay, incoming, unsent, caller).await
+            }
             Ended::TimeOver => self.answer_own(caller, Own::TimeOver).await,
             Ended::Broken(why) => self.answer_own(caller, Own::MayHaveRun(why)).await,
         }
     }
 
-    /// Writes what is left of a whole stream. Its engine's place is given back before: it is done.
-    async fn deliver_rest(self, caller: &mut Channel, closes: bool) -> After {
-        let Self {
-            relay,
-            incoming,
-            mut unsent,
-            permit,
-            ..
-        } = self;
-        drop(permit);
-        if !incoming.head.old {
-            unsent.push(b"0\r\n\r\n", 0);
-        }
-        let began_ms = relay.now_ms();
-        let waits = unsent.write(caller, 0).is_ok() && !unsent.is_empty();
-        let delivered = unsent.drain(relay, caller, incoming.id()).await;
-        if waits || delivered != Delivered::Whole {
-            slog::info!(relay.log, "rest of a generation"; "id" => incoming.id(),
-                "end" => ?delivered, "took_ms" => relay.now_ms() - began_ms,
-                "after_ms" => relay.now_ms() - incoming.came_ms);
-        }
-        match delivered {
-            Delivered::Whole if closes => After::Close,
-            Delivered::Whole => After::Keep,
-            Delivered::CallerLeft | Delivered::Unread => After::Drop,
-        }
-    }
-
-    /// Writes the events that came before a stream broke off; its end is not written.
-    async fn deliver_part(self, caller: &mut Channel) -> After {
-        let Self {
-            relay,
-            incoming,
-            unsent,
-            permit,
-            ..
-        } = self;
-        drop(permit);
-        // Whatever becomes of them, the channel closes without the end of the stream.
-        let _ = unsent.drain(relay, caller, incoming.id()).await;
-        After::Drop
+    /// Gives the engine's place back, and what is left to be written.
+    fn done(self) -> (&'a Rc<Relay>, &'a Incoming, Unsent) {
+        (self.relay, self.incoming, self.unsent)
     }
 
     /// Remembers how long the generation was and took, for those that come while this box stops.
@@ -213,7 +160,7 @@
     async fn answer_own(&self, caller: &mut Channel, own: Own) -> After {
         count(own.status(), "own");
         let reply = Reply::own(own, self.incoming.facts.request_id.as_deref());
-        write_reply(self.relay, caller, reply, false).await
+        write_reply(self.relay, caller, self.incoming.id(), reply, false).await
     }
 
     async fn forward_events(
--- a/components/relay/src/held/mod.rs
+++ b/components/relay/src/held/mod.rs
@@ -6,5 +6,5 @@
 mod part;
 pub(crate) mod unsent;
 
-pub(crate) use book::{Bounds, HeldBook};
+pub(crate) use book::Bounds;
 pub(crate) use part::{Held, Holdings};
--- a/components/relay/src/held/part.rs
+++ b/components/relay/src/held/part.rs
@@ -61,6 +61,7 @@
     holdings: Rc<Holdings>,
     account: Option<AccountId>,
     bytes: u64,
+    waited: bool,
 }
 
 impl fmt::Debug for Held {
@@ -76,6 +77,7 @@
             holdings: holdings.clone(),
             account,
             bytes: 0,
+            waited: false,
         }
     }
 
@@ -121,11 +123,17 @@
     /// Waits until more may be held, and counts it.
     pub(crate) async fn wait(&mut self, more: u64) {
         while !self.may_take(more) {
+            self.waited = true;
             self.freed().await;
         }
         self.take(more);
     }
 
+    /// Whether it had to wait for more: its source was not read meanwhile.
+    pub(crate) fn waited(&self) -> bool {
+        self.waited
+    }
+
     /// Counts it for the account that it turned out to belong to. False where that has no room for it.
     pub(crate) fn belongs_to(&mut self, account: AccountId) -> bool {
         let bytes = self.bytes;
--- a/components/relay/src/ingress/accept.rs
+++ b/components/relay/src/ingress/accept.rs
@@ -2,6 +2,8 @@
 
 use crate::forwarding::call::call;
 use crate::forwarding::generation::generate;
+use crate::held::Held;
+use crate::held::deliver::{Delivered, deliver};
 use crate::ingress::request::{Incoming, Own, Reply, Way};
 use crate::ingress::stopping::stop_retry_ms;
 use crate::state::Relay;
@@ -19,6 +21,12 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Longest pause between two pieces of a request's body.
 const BODY_PAUSE_LIMIT: Duration = Duration::from_secs(10);
+/// How long a request's body waits for memory before it is refused: its caller may find room at another box.
+const BODY_ROOM_LIMIT: Duration = Duration::from_secs(2);
+/// When a caller is told to come back for whom there is no memory.
+const NO_MEMORY_RETRY_MS: u64 = 1_000;
+/// Bodies of answers up to this size travel in one write with their head.
+const JOINED_BYTES_MAX: usize = 32 * 1024;
 /// How long a closed channel is read on, so that its last answer arrives.
 const LINGER: Duration = Duration::from_millis(500);
 /// Callers rest for up to four fifths of the idle limit; this much longer a channel stays open, for what
@@ -95,21 +103,29 @@
         Ok(None) => return After::Drop,
         Err(own) => return refuse(relay, channel, own, None).await,
     };
-    let body = match read_body(channel, &head, limits).await {
+    let mut held = Held::new(&relay.held, None);
+    let body = match read_body(channel, &head, limits, &mut held).await {
         Ok(body) => body,
         Err(Some(own)) => return refuse(relay, channel, own, None).await,
         Err(None) => return After::Drop,
     };
     relay.wait_until_synced().await;
     let closes = head.old || head.headers.has_word("connection", "close");
-    let answered = match admit(relay, head, body, came_ms) {
+    let answered = match admit(relay, head, body, held, came_ms) {
         Ok((incoming, way)) => answer(relay, channel, &incoming, &way).await,
         Err((own, id)) => {
             slog::info!(relay.log, "request refused"; "id" => id.as_deref(),
                 "status" => own.status(), "why" => own.why());
             count(own.status(), "own");
             let reply = Reply::own(own, id.as_deref());
-            write_reply(relay, channel, reply, closes).await
+            write_reply(
+                relay,
+                channel,
+                id.as_deref().unwrap_or_default(),
+                reply,
+                closes,
+            )
+            .await
         }
     };
     match answered {
@@ -141,10 +157,18 @@
     channel: &mut Channel,
     head: &RequestHead,
     limits: CallerLimits,
+    held: &mut Held,
 ) -> Result<Bytes, Option<Own>> {
+    let told = match head.framing {
+        Framing::Length(length) => length,
+        Framing::Chunked | Framing::UntilClose => 0,
+    };
     if matches!(head.framing, Framing::Length(length) if length > limits.body_bytes as u64) {
         return Err(Some(Own::BodyTooLong));
     }
+    if !finds_room(held, told).await {
+        return Err(Some(no_memory("no memory for the body")));
+    }
     let mut decoder = Decoder::new(head.framing);
     let mut asked = head.headers.has_word("expect", "100-continue");
     let mut body: Option<Bytes> = None;
@@ -171,9 +195,14 @@
                 )));
             }
         }
-        if body.as_ref().map_or(0, Bytes::len) + rest.len() > limits.body_bytes {
+        let read = body.as_ref().map_or(0, Bytes::len) + rest.len();
+        if read > limits.body_bytes {
             return Err(Some(Own::BodyTooLong));
         }
+        let more = (read as u64).saturating_sub(held.bytes());
+        if more > 0 && !finds_room(held, more).await {
+            return Err(Some(no_memory("no memory for the body")));
+        }
     }
     let first = body.unwrap_or_default();
     if rest.is_empty() {
@@ -184,6 +213,22 @@
     Ok(whole.into())
 }
 
+/// Whether there comes to be room for more. Meanwhile the caller is not read.
+async fn finds_room(held: &mut Held, more: u64) -> bool {
+    if !held.could_hold(held.bytes() + more) {
+        return false;
+    }
+    timeout(BODY_ROOM_LIMIT, held.wait(more)).await.is_ok()
+}
+
+fn no_memory(why: &'static str) -> Own {
+    metrics::counter!("shuntpier_requests_without_memory").increment(1);
+    Own::NotRun {
+        why,
+        retry_after_ms: NO_MEMORY_RETRY_MS,
+    }
+}
+
 type Refused = (Own, Option<Box<str>>);
 
 /// Decides whether a request goes on, by the declarations in force now.
@@ -191,6 +236,7 @@
     relay: &Relay,
     head: RequestHead,
     body: Bytes,
+    mut held: Held,
     came_ms: u64,
 ) -> Result<(Incoming, Way), Refused> {
     let facts = match read_facts(&head.headers) {
@@ -228,10 +274,17 @@
         account,
         declared: declared.clone(),
     };
+    if !held.belongs_to(way.account_id()) {
+        return Err((
+            no_memory("this account's requests hold too much memory"),
+            id,
+        ));
+    }
     let incoming = Incoming {
         head,
         facts,
         body,
+        _held: held,
         came_ms,
     };
     Ok((incoming, way))
@@ -246,7 +299,7 @@
             "why" => own.why());
         count(own.status(), "own");
         let reply = Reply::own(own, incoming.facts.request_id.as_deref());
-        return write_reply(relay, channel, reply, true).await;
+        return write_reply(relay, channel, incoming.id(), reply, true).await;
     }
     let reply = tokio::select! {
         reply = call(relay, incoming, way) => reply,
@@ -266,7 +319,7 @@
     }
     count(reply.status, "call");
     metrics::histogram!("shuntpier_call_ms").record(took_ms as f64);
-    write_reply(relay, channel, reply, false).await
+    write_reply(relay, channel, incoming.id(), reply, false).await
 }
 
 /// Why a stopping box does not take a request: its last answer may be due after the box is gone.
@@ -282,14 +335,25 @@
 pub(crate) async fn write_reply(
     relay: &Relay,
     channel: &mut Channel,
+    id: &str,
     reply: Reply,
     closes: bool,
 ) -> After {
     let closes = closes || relay.is_stopping();
-    match channel.write(&reply.bytes(closes)).await {
-        Ok(()) if closes => After::Close,
-        Ok(()) => After::Keep,
-        Err(_) => After::Drop,
+    let (mut head, body, held) = reply.parts(closes);
+    let held = held.unwrap_or_else(|| Rc::new(Held::new(&relay.held, None)));
+    let joined = body.len() <= JOINED_BYTES_MAX;
+    if joined {
+        head.extend_from_slice(&body);
+    }
+    let mut delivered = deliver(relay, channel, id, &head, &held).await;
+    if !joined && delivered == Delivered::Whole {
+        delivered = deliver(relay, channel, id, &body, &held).await;
+    }
+    match delivered {
+        Delivered::Whole if closes => After::Close,
+        Delivered::Whole => After::Keep,
+        Delivered::CallerLeft | Delivered::Unread => After::Drop,
     }
 }
 
@@ -298,5 +362,12 @@
     slog::info!(relay.log, "request refused"; "id" => id, "status" => own.status(),
         "why" => own.why());
     count(own.status(), "own");
-    write_reply(relay, channel, Reply::own(own, id), true).await
+    write_reply(
+        relay,
+        channel,
+        id.unwrap_or_default(),
+        Reply::own(own, id),
+        true,
+    )
+    .await
 }
--- a/components/relay/src/ingress/request.rs
+++ b/components/relay/src/ingress/request.rs
@@ -1,5 +1,6 @@
 //! A caller's request as this box holds it, and answers of the box's own.
 
+use crate::held::Held;
 use crate::state::Declared;
 use bytes::Bytes;
 use http1::RequestHead;
@@ -13,6 +14,8 @@
     pub head: RequestHead,
     pub facts: RequestFacts,
     pub body: Bytes,
+    /// Counts the body.
+    pub _held: Held,
     /// When its first byte was read.
     pub came_ms: u64,
 }
@@ -159,6 +162,8 @@
     pub body: Bytes,
     /// Why it is an answer of this box's own; none for a target's.
     pub own: Option<Own>,
+    /// Counts the body; none where it is short.
+    pub held: Option<Rc<Held>>,
 }
 
 impl Reply {
@@ -168,11 +173,12 @@
             head: platform::refusal_head(own.status(), request_id, own.retry_after_ms()),
             body: own.body(),
             own: Some(own),
+            held: None,
         }
     }
 
-    /// The bytes of the answer, for a channel that closes after it or not.
-    pub(crate) fn bytes(mut self, closes: bool) -> Vec<u8> {
+    /// The head and the body, for a channel that closes after it or not, and what counts them.
+    pub(crate) fn parts(mut self, closes: bool) -> (Vec<u8>, Bytes, Option<Rc<Held>>) {
         let length = self.body.len();
         self.head
             .extend_from_slice(format!("Content-Length: {length}\r\n").as_bytes());
@@ -180,7 +186,6 @@
             self.head.extend_from_slice(b"Connection: close\r\n");
         }
         self.head.extend_from_slice(b"\r\n");
-        self.head.extend_from_slice(&self.body);
-        self.head
+        (self.head, self.body, self.held)
     }
 }
--- a/components/relay/src/view.rs
+++ b/components/relay/src/view.rs
@@ -28,6 +28,8 @@
             follows_store: self.following.get().any(),
             generations_open: self.open_generations.borrow().count(),
             requests_open: self.in_progress.get(),
+            held_bytes: self.held.fill().0,
+            held_bytes_most: self.held.fill().1,
             evacuations: self.evacuation_views(),
             targets: self.target_views(),
             shares: self.share_views(),
@@ -76,6 +78,7 @@
             state: state_of(&targets, target).into(),
             cold: now_ms < target.cold_until_ms,
             own_open: target.open,
+            own_open_bytes: target.open_bytes,
             calls: self.calls_view(&balance, slot, target),
             pace: self.pace_view(target, now_ms),
         };
--- a/components/relay/src/watch/life.rs
+++ b/components/relay/src/watch/life.rs
@@ -25,6 +25,7 @@
             cold_until_ms: now_ms + u64::from(entry.cold_left_ms),
             warmup: Warmup::new(rand::random(), now_ms),
             open: 0,
+            open_bytes: 0,
             load: None,
             suspicion: Suspicion::default(),
             trial: Trial::default(),
--- a/components/relay/src/watch/targets.rs
+++ b/components/relay/src/watch/targets.rs
@@ -54,6 +54,8 @@
     pub warmup: Warmup,
     /// Requests that this box has there.
     pub open: u32,
+    /// Bytes of these requests.
+    pub open_bytes: u64,
     /// What it last said of its load, and when.
     pub load: Option<(WorkerLoad, u64)>,
     /// Its latest failures.
@@ -236,6 +238,20 @@
         }
     }
 
+    /// Notes that a target holds so many bytes more of a request.
+    pub fn holds(&mut self, slot: TargetSlot, bytes: u64) {
+        if let Some(target) = self.targets.get_mut(slot) {
+            target.open_bytes += bytes;
+        }
+    }
+
+    /// Notes that it holds so many less.
+    pub fn dropped(&mut self, slot: TargetSlot, bytes: u64) {
+        if let Some(target) = self.targets.get_mut(slot) {
+            target.open_bytes = target.open_bytes.saturating_sub(bytes);
+        }
+    }
+
     /// Notes a request that was sent to a target.
     pub fn opened(&mut self, slot: TargetSlot) {
         if let Some(target) = self.targets.get_mut(slot) {
--- a/src/cmd/targets.rs
+++ b/src/cmd/targets.rs
@@ -54,13 +54,19 @@
         .map(View::Fleet)
 }
 
+fn megabytes(bytes: u64) -> f64 {
+    bytes as f64 / 1_000_000.0
+}
+
 fn print_fleet_view(view: &FleetView) {
     println!(
-        "box {} in {}: {} open generations, {} open requests, declarations {}, {} boxes known",
+        "box {} in {}: {} open generations, {} open requests, {:.1} of {:.1} MB held, declarations {}, {} boxes known",
         view.name,
         view.data_centre,
         view.generations_open,
         view.requests_open,
+        megabytes(view.held_bytes),
+        megabytes(view.held_bytes_most),
         view.declarations,
         view.boxes
     );
@@ -73,8 +79,13 @@
     for target in &view.targets {
         let cold = if target.cold { " cold" } else { "" };
         println!(
-            "  {:24} {:16} {:16} {}{cold}, own {}",
-            target.name, target.service, target.data_centre, target.state, target.own_open
+            "  {:24} {:16} {:16} {}{cold}, own {} with {:.2} MB",
+            target.name,
+            target.service,
+            target.data_centre,
+            target.state,
+            target.own_open,
+            megabytes(target.own_open_bytes)
         );
         if let Some(calls) = &target.calls {
             println!("      {}", calls_line(calls));
