A box that is overrun stands back, if others are ready, and serves what it took

Cause: readiness said nothing of a box's speed. Test first: a box at a tenth of its speed stayed ready (in vain: it is not ready). Ruled out: a sleep of always 100 ms looked calm at a tenth of the speed (it wakes as the box gets its processor: 3 of 3 tests failed); half of the wakes late (too near its bound); a flag in cards (many at once); windows by hash.

--- a/components/peers/src/fleet.rs
+++ b/components/peers/src/fleet.rs
@@ -179,6 +179,9 @@
 
     /// Tells a dispatcher of all the generations that `from` has open in a pool, and what accounts used of late.
     async fn adopt(from: BoxId, pool: PoolId, open: OpenStreams);
+
+    /// Asks whether a box that is overrun may say that it is not ready.
+    async fn stand_back(from: BoxId) -> bool;
 }
 
 /// What a box does on each call of [`Fleet`]. All its work is done in one thread.
@@ -219,6 +222,9 @@
 
     /// See [`Fleet::adopt`].
     fn adopt(&self, from: BoxId, pool: PoolId, open: OpenStreams) -> impl Future<Output = ()>;
+
+    /// See [`Fleet::stand_back`].
+    fn stand_back(&self, from: BoxId) -> impl Future<Output = bool>;
 }
 
 /// Answers the calls of [`Fleet`] by a handler.
@@ -269,4 +275,8 @@
     async fn adopt(self, _: Context, from: BoxId, pool: PoolId, open: OpenStreams) {
         self.0.adopt(from, pool, open).await;
     }
+
+    async fn stand_back(self, _: Context, from: BoxId) -> bool {
+        self.0.stand_back(from).await
+    }
 }
--- a/components/relay/src/forwarding/stream.rs
+++ b/components/relay/src/forwarding/stream.rs
@@ -91,7 +91,7 @@
     }
 
     pub(crate) async fn run(mut self, caller: &mut Channel, opened: Opened) -> After {
-        let closes = self.relay.is_stopping() || self.incoming.head.old;
+        let closes = self.relay.sheds_channel() || self.incoming.head.old;
         self.permit.said_slowness(opened.slowness_percent());
         let ended = self.forward_events(caller, opened, closes).await;
         let finished = ended == Ended::Whole;
--- a/components/relay/src/ingress/accept.rs
+++ b/components/relay/src/ingress/accept.rs
@@ -339,7 +339,7 @@
     reply: Reply,
     closes: bool,
 ) -> After {
-    let closes = closes || relay.is_stopping();
+    let closes = closes || relay.sheds_channel();
     let (mut head, body, held) = reply.parts(closes);
     let held = held.unwrap_or_else(|| Rc::new(Held::new(&relay.held, None)));
     let joined = body.len() <= JOINED_BYTES_MAX;
--- /dev/null
+++ b/components/relay/src/ingress/lag.rs
@@ -0,0 +1,44 @@
+//! How late the box's own loop is, and whether it is overrun. Plain data.
+
+use std::collections::VecDeque;
+
+/// Wakes that are looked at, some two seconds: one burst is no overrun.
+const WAKES: usize = 20;
+/// Overrun where a wake is so late in the mean: a call takes three steps and more, and its goal may be 150 ms.
+const OVERRUN_MS: f64 = 25.0;
+/// Not overrun any more below this: half, so that it does not come and go.
+const CALM_MS: f64 = 12.0;
+/// One wake counts for so much at the most: a process that was frozen for seconds is not overrun.
+const WAKE_MOST_MS: u64 = 200;
+
+/// The last wakes of a loop.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct LagMeter {
+    late_ms: VecDeque<u64>,
+    overrun: bool,
+}
+
+impl LagMeter {
+    /// Takes in how late a wake was. Says whether the loop is overrun.
+    pub(crate) fn woke(&mut self, late_ms: u64) -> bool {
+        if self.late_ms.len() == WAKES {
+            self.late_ms.pop_front();
+        }
+        self.late_ms.push_back(late_ms.min(WAKE_MOST_MS));
+        let mean_ms = self.mean_ms();
+        self.overrun = match self.overrun {
+            true => mean_ms >= CALM_MS,
+            false => mean_ms >= OVERRUN_MS,
+        };
+        self.overrun
+    }
+
+    /// How late a wake is in the mean; those that have not been count as in time.
+    pub(crate) fn mean_ms(&self) -> f64 {
+        self.late_ms.iter().sum::<u64>() as f64 / WAKES as f64
+    }
+}
+
+#[cfg(test)]
+#[path = "lag_tests.rs"]
+mod tests;
--- /dev/null
+++ b/components/relay/src/ingress/overrun.rs
@@ -0,0 +1,75 @@
+//! A box that is overrun is not ready for a while, if others are: see [`crate::membership::stand_back`]. What it has
+//! taken it serves.
+
+use crate::ingress::lag::LagMeter;
+use crate::membership::stand_back::holds_until_ms;
+use crate::state::Relay;
+use settings::Mechanism;
+use std::ops::RangeInclusive;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep_until};
+
+/// How often the loop is looked at: ten wakes a second cost a small box a thousandth of its time. Drawn anew each time: a
+/// box that gets its processor a tenth of a second at a time would else be looked at whenever it has it.
+const WAKE_EACH_MS: RangeInclusive<u64> = 50..=150;
+/// How often an overrun box asks whether it may stand back.
+const ASK_EACH_MS: u64 = 2_000;
+/// One answer in so many closes its channel while the box stands back: callers go over in some seconds, not all at once.
+const CLOSED_OF: u32 = 8;
+
+/// Watches the box's own loop for as long as the box lives.
+pub(crate) async fn run_overrun(relay: Rc<Relay>) {
+    let mut meter = LagMeter::default();
+    let mut ask_at_ms = 0;
+    let mut was_overrun = false;
+    loop {
+        let due = Instant::now() + Duration::from_millis(rand::random_range(WAKE_EACH_MS));
+        sleep_until(due).await;
+        let late_ms = due.elapsed().as_millis() as u64;
+        metrics::histogram!("shuntpier_loop_late_ms").record(late_ms as f64);
+        let overrun = meter.woke(late_ms) && relay.file().has(Mechanism::StandBack);
+        let now_ms = relay.now_ms();
+        if overrun != was_overrun {
+            slog::info!(relay.log, "box overrun"; "overrun" => overrun,
+                "late_ms_mean" => meter.mean_ms(), "requests" => relay.in_progress.get());
+            metrics::gauge!("shuntpier_overrun").set(f64::from(u8::from(overrun)));
+            was_overrun = overrun;
+        }
+        if !overrun {
+            relay.stands_back_until_ms.set(0);
+        } else if now_ms >= ask_at_ms && !relay.is_stopping() {
+            ask_at_ms = now_ms + ASK_EACH_MS;
+            let asked = relay.clone();
+            tokio::task::spawn_local(async move { asked.stand_back(now_ms).await });
+        }
+    }
+}
+
+impl Relay {
+    async fn stand_back(self: &Rc<Self>, asked_ms: u64) {
+        let allowed = self.asks_to_stand_back().await;
+        let outcome = match allowed {
+            true => "allowed",
+            false => "denied",
+        };
+        metrics::counter!("shuntpier_stand_backs", "outcome" => outcome).increment(1);
+        slog::info!(self.log, "box stands back"; "allowed" => allowed);
+        let until_ms = match allowed {
+            true => holds_until_ms(asked_ms),
+            false => 0,
+        };
+        self.stands_back_until_ms.set(until_ms);
+    }
+
+    /// Whether this box takes no new channels for now, as it is overrun and others are not.
+    pub(crate) fn stands_back(&self) -> bool {
+        self.now_ms() < self.stands_back_until_ms.get()
+    }
+
+    /// Whether the channel of an answer is closed after it, so that its caller finds another box.
+    pub(crate) fn sheds_channel(&self) -> bool {
+        self.is_stopping()
+            || (self.stands_back() && rand::random::<u32>().is_multiple_of(CLOSED_OF))
+    }
+}
--- a/components/relay/src/membership/gossip.rs
+++ b/components/relay/src/membership/gossip.rs
@@ -282,4 +282,8 @@
     async fn adopt(&self, from: BoxId, pool: PoolId, open: OpenStreams) {
         self.0.adopt_here(from, pool, &open);
     }
+
+    async fn stand_back(&self, from: BoxId) -> bool {
+        self.0.may_stand_back(from)
+    }
 }
--- a/components/relay/src/membership/mod.rs
+++ b/components/relay/src/membership/mod.rs
@@ -7,4 +7,5 @@
 pub(crate) mod members;
 pub(crate) mod registration;
 pub(crate) mod snapshot;
+pub(crate) mod stand_back;
 pub(crate) mod startup;
--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -3,6 +3,7 @@
 use crate::dispatch::reports::{run_reports, run_trials};
 use crate::held::Holdings;
 use crate::ingress::accept;
+use crate::ingress::overrun::run_overrun;
 use crate::ingress::readiness;
 use crate::membership::exchange::{greet, run_exchanges};
 use crate::membership::gossip::Handler;
@@ -137,6 +138,8 @@
         store_doubted: Notify::new(),
         in_progress: Cell::new(0),
         requests_ended: Notify::new(),
+        stand_backs: RefCell::default(),
+        stands_back_until_ms: Cell::new(0),
         stopping: CancellationToken::new(),
         stop_until_ms: Cell::new(None),
         closed: CancellationToken::new(),
@@ -165,6 +168,7 @@
     spawn_local(run_settings(relay.clone()));
     spawn_local(run_evacuation(relay.clone()));
     spawn_local(run_sweeps(relay.clone()));
+    spawn_local(run_overrun(relay.clone()));
     slog::info!(relay.log, "box started"; "callers" => %relay.identity.callers_address,
         "peers" => %peers_address, "store" => %relay.file().store.address, "life" => relay.life);
     Ok(Running(relay))
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -9,6 +9,7 @@
 use crate::ingress::request::Own;
 use crate::membership::members::Members;
 use crate::membership::snapshot::pack;
+use crate::membership::stand_back::StandBacks;
 use crate::watch::election::{Followed, View};
 use crate::watch::evacuation::Evacuation;
 use crate::watch::refused::RefusedEntries;
@@ -110,6 +111,10 @@
     /// Requests that are being read or answered.
     pub(crate) in_progress: Cell<usize>,
     pub(crate) requests_ended: Notify,
+    /// Which boxes this one allows to stand back.
+    pub(crate) stand_backs: RefCell<StandBacks>,
+    /// Until when this box stands back.
+    pub(crate) stands_back_until_ms: Cell<u64>,
     /// A planned stop has begun.
     pub(crate) stopping: CancellationToken,
     /// When a planned stop must be over.
@@ -178,9 +183,9 @@
         self.declared.borrow().clone()
     }
 
-    /// Whether this box takes new channels: it knows what operators declared and where targets are.
+    /// Whether this box takes new channels: it knows what operators declared and where targets are, and is not overrun.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.is_synced()
+        !self.is_stopping() && self.is_synced() && !self.stands_back()
     }
 
     pub(crate) fn card(&self) -> FleetCard {
--- a/components/settings/src/mechanism.rs
+++ b/components/settings/src/mechanism.rs
@@ -57,6 +57,8 @@
     BudgetShares,
     /// Requests wait for what a box that starts learns.
     HeldStarts,
+    /// An overrun box is not ready for a while, if others are.
+    StandBack,
     /// A stopping box begins what likely ends.
     StopChances,
     /// Refused callers are told a time worked out for them; without it, one second.
