--- a/components/relay/src/forwarding/beside.rs
+++ b/components/relay/src/forwarding/beside.rs
@@ -102,7 +102,7 @@
 fn better(one: Offer, other: Offer) -> Offer {
     let rank = |offer: &Offer| match offer {
         Offer::Answered(reply) => 1 + u8::from(reply.status < 500),
-        Offer::NotRun(_) | Offer::MayHaveRun(_) => 0,
+        Offer::NotRun(_) | Offer::MayHaveRun(_) | Offer::Unheld(_) => 0,
     };
     match rank(&one) > rank(&other) {
         true => one,
--- a/components/relay/src/forwarding/call.rs
+++ b/components/relay/src/forwarding/call.rs
@@ -84,6 +84,10 @@
                     story.retry_after_ms = story.retry_after_ms.or(retry_after_ms);
                 }
             }
+            Offer::Unheld(why) => {
+                let own = Own::MayHaveRun(why);
+                return Some(Reply::own(own, incoming.facts.request_id.as_deref()));
+            }
             Offer::MayHaveRun(why) => {
                 story.runs += 1;
                 story.last = why;
--- a/components/relay/src/forwarding/generation.rs
+++ b/components/relay/src/forwarding/generation.rs
@@ -15,13 +15,13 @@
 use crate::watch::targets::TargetSlot;
 use http1::Channel;
 use platform::{Continuation, Forwarding, PRIORITY_MOST, forward, relayed_head};
-use prelude::{AccountId, Refusal, RefusalReason, TargetId};
+use prelude::{Refusal, RefusalReason, TargetId};
 use settings::Mechanism;
 use std::future::Future;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// Engines that one generation is offered to, those that refuse it counted.
 const OFFERS_MAX: usize = 3;
@@ -66,9 +66,7 @@
             let forwarder = StreamForwarder::new(relay, incoming, way, permit);
             forwarder.run(caller, *opened).await
         }
-        Started::Opened(opened, _) => {
-            pass_on(relay, caller, incoming, way.account_id(), *opened).await
-        }
+        Started::Opened(opened, _) => pass_on(relay, caller, incoming, way, *opened).await,
     }
 }
 
@@ -94,15 +92,17 @@
     relay: &Rc<Relay>,
     caller: &mut Channel,
     incoming: &Incoming,
-    account: AccountId,
+    way: &Way,
     mut opened: Opened,
 ) -> After {
     let status = opened.head.status;
     let vouched = opened.is_vouched() && status != 200;
-    let mut held = Held::new(&relay.held, Some(account));
-    let whole = opened.read_whole(&mut held).await;
+    let mut held = Held::new(&relay.held, Some(way.account_id()));
+    let due_ms = incoming.due_ms(way.route());
+    let left = Duration::from_millis(due_ms.saturating_sub(relay.now_ms()));
+    let whole = timeout(left, opened.read_whole(&mut held)).await;
     let reply = match whole {
-        Ok(body) if vouched => {
+        Ok(Ok(body)) if vouched => {
             let head = relayed_head(&opened.head);
             opened.finish(relay);
             Reply {
@@ -113,8 +113,11 @@
                 held: Some(Rc::new(held)),
             }
         }
-        _ => {
-            let own = Own::MayHaveRun("the answer is not the target's own");
+        whole => {
+            let own = match whole {
+                Err(_) => Own::TimeOver,
+                Ok(_) => Own::MayHaveRun("the answer is not the target's own"),
+            };
             Reply::own(own, incoming.facts.request_id.as_deref())
         }
     };
--- a/components/relay/src/forwarding/offer.rs
+++ b/components/relay/src/forwarding/offer.rs
@@ -18,7 +18,7 @@
 /// What is said of a target that was waited for in vain.
 const NO_ANSWER_IN_TIME: &str = "the target did not answer in time";
 
-/// What is said of an answer for which there was no memory in its time: no fault of its target.
+/// What is said of an answer for which there was no memory in its time.
 const NO_MEMORY: &str = "no memory for the answer in its time";
 
 /// What one offer led to.
@@ -26,6 +26,8 @@
     Answered(Reply),
     NotRun(NotRun),
     MayHaveRun(&'static str),
+    /// It ran, and this box has no memory for its answer: no fault of the target, and another would not help.
+    Unheld(&'static str),
 }
 
 /// Offers a request to a target, for so long.
@@ -67,7 +69,7 @@
     let mut offer = offer.unwrap_or(Offer::MayHaveRun(NO_ANSWER_IN_TIME));
     if matches!(offer, Offer::MayHaveRun(_)) && held.waited() {
         metrics::counter!("shuntpier_answers_without_memory").increment(1);
-        offer = Offer::MayHaveRun(NO_MEMORY);
+        offer = Offer::Unheld(NO_MEMORY);
     }
     if let Offer::Answered(reply) = &mut offer {
         reply.held = Some(Rc::new(held));
@@ -101,6 +103,7 @@
     }
     let body: Bytes = match opened.read_whole(held).await {
         Ok(body) => body,
+        Err(ANSWER_TOO_LONG) => return Offer::Unheld(ANSWER_TOO_LONG),
         Err(why) => return Offer::MayHaveRun(why),
     };
     let status = opened.head.status;
@@ -136,7 +139,6 @@
         let waited_ms = relay.now_ms() - incoming.came_ms;
         let is_over = waited_ms >= way.route().answer_goal_ms;
         let is_silent = match &self {
-            Self::MayHaveRun(NO_MEMORY | ANSWER_TOO_LONG) => false,
             Self::MayHaveRun(why) => *why != NO_ANSWER_IN_TIME || is_over,
             Self::NotRun(NotRun::Unreachable) => true,
             _ => false,
@@ -158,7 +160,7 @@
     fn word(&self) -> TargetOutcome {
         match self {
             Self::Answered(reply) if reply.status < 500 => TargetOutcome::Well,
-            Self::MayHaveRun(NO_MEMORY | ANSWER_TOO_LONG) => TargetOutcome::Untried,
+            Self::Unheld(_) => TargetOutcome::Untried,
             Self::Answered(_) | Self::MayHaveRun(_) => TargetOutcome::Failed,
             Self::NotRun(why) => TargetOutcome::from(*why),
         }
@@ -171,6 +173,7 @@
             Self::Answered(reply) => format!("answered {}", reply.status),
             Self::NotRun(why) => format!("not run: {why:?}"),
             Self::MayHaveRun(why) => format!("may have run: {why}"),
+            Self::Unheld(why) => format!("ran: {why}"),
         };
         slog::info!(relay.log, "offer failed"; "id" => incoming.id(), "outcome" => outcome,
             "target" => relay.name_of(slot), "after_ms" => relay.now_ms() - incoming.came_ms);
--- a/components/relay/src/ingress/accept.rs
+++ b/components/relay/src/ingress/accept.rs
@@ -12,6 +12,7 @@
     BodyError, Channel, ChannelError, Decoder, Framing, HeadError, Listener, Piece, RequestHead,
 };
 use platform::read_facts;
+use prelude::AccountId;
 use routing::{CallerLimits, RouteKind, Verdict};
 use std::rc::Rc;
 use std::time::Duration;
@@ -23,6 +24,8 @@
 const BODY_PAUSE_LIMIT: Duration = Duration::from_secs(10);
 /// How long a request's body waits for memory before it is refused: its caller may find room at another box.
 const BODY_ROOM_LIMIT: Duration = Duration::from_secs(2);
+/// Bodies up to this size come with their head; whose they are is not asked before they are read.
+const SHORT_BODY_BYTES: u64 = 8 * 1024;
 /// When a caller is told to come back for whom there is no memory.
 const NO_MEMORY_RETRY_MS: u64 = 1_000;
 /// Bodies of answers up to this size travel in one write with their head.
@@ -104,7 +107,7 @@
         Err(own) => return refuse(relay, channel, own, None).await,
     };
     let mut held = Held::new(&relay.held, None);
-    let body = match read_body(channel, &head, limits, &mut held).await {
+    let body = match read_body(channel, &head, relay, limits, &mut held).await {
         Ok(body) => body,
         Err(Some(own)) => return refuse(relay, channel, own, None).await,
         Err(None) => return After::Drop,
@@ -156,6 +159,7 @@
 async fn read_body(
     channel: &mut Channel,
     head: &RequestHead,
+    relay: &Relay,
     limits: CallerLimits,
     held: &mut Held,
 ) -> Result<Bytes, Option<Own>> {
@@ -166,6 +170,10 @@
     if matches!(head.framing, Framing::Length(length) if length > limits.body_bytes as u64) {
         return Err(Some(Own::BodyTooLong));
     }
+    if told > SHORT_BODY_BYTES || head.framing == Framing::Chunked {
+        // It is counted for its account while it is read: callers that send slowly would else take the room of all.
+        held.belongs_to(account_of(relay, head));
+    }
     if !finds_room(held, told).await {
         return Err(Some(no_memory("no memory for the body")));
     }
@@ -213,6 +221,23 @@
     Ok(whole.into())
 }
 
+/// Whose a request seems to be, before its body is read. Whether it is taken is decided after that.
+fn account_of(relay: &Relay, head: &RequestHead) -> AccountId {
+    let key = read_facts(&head.headers).ok().and_then(|facts| facts.key);
+    let host = head.headers.text("host").unwrap_or_default();
+    let declared = relay.declared();
+    let verdict = declared
+        .as_ref()
+        .map(|held| held.table.admit(host, &head.target, key.as_deref()));
+    match (verdict, &declared) {
+        (Some(Verdict::Admitted { account, .. }), Some(held)) => account
+            .map_or(AccountId::default(), |at| {
+                AccountId::from_name(&held.table.accounts[at as usize].name)
+            }),
+        _ => AccountId::default(),
+    }
+}
+
 /// Whether there comes to be room for more. Meanwhile the caller is not read.
 async fn finds_room(held: &mut Held, more: u64) -> bool {
     if !held.could_hold(held.bytes() + more) {
