--- a/components/relay/src/forwarding/generation.rs
+++ b/components/relay/src/forwarding/generation.rs
@@ -6,6 +6,7 @@
 use crate::forwarding::outcome::TargetOutcome;
 use crate::forwarding::send::{Message, NotRun, Opened, Tried, UNREPEATABLE_REST_MS};
 use crate::forwarding::stream::StreamForwarder;
+use crate::held::Held;
 use crate::ingress::accept::{After, count, write_reply};
 use crate::ingress::request::{Incoming, Own, Reply, Way};
 use crate::ingress::stopping::refusal_of_stopping;
@@ -21,7 +22,7 @@
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, sleep, timeout, timeout_at};
 
 /// Engines that one generation is offered to, those that refuse it counted.
 const OFFERS_MAX: usize = 3;
@@ -66,7 +67,7 @@
             let forwarder = StreamForwarder::new(relay, incoming, way, permit);
             forwarder.run(caller, *opened).await
         }
-        Started::Opened(opened, _) => pass_on(relay, caller, incoming, *opened).await,
+        Started::Opened(opened, _) => pass_on(relay, caller, incoming, way, *opened).await,
     }
 }
 
@@ -84,7 +85,7 @@
         "after_ms" => relay.now_ms() - incoming.came_ms);
     count(own.status(), "own");
     let reply = Reply::own(own, incoming.facts.request_id.as_deref());
-    write_reply(relay, caller, reply, false).await
+    write_reply(relay, caller, incoming.id(), reply, false).await
 }
 
 /// Passes an answer on that is no stream.
@@ -92,13 +93,17 @@
     relay: &Rc<Relay>,
     caller: &mut Channel,
     incoming: &Incoming,
+    way: &Way,
     mut opened: Opened,
 ) -> After {
     let status = opened.head.status;
     let vouched = opened.is_vouched() && status != 200;
-    let whole = opened.read_whole().await;
+    let mut held = Held::new(&relay.held, Some(way.account_id()));
+    let due_ms = incoming.due_ms(way.route());
+    let left = Duration::from_millis(due_ms.saturating_sub(relay.now_ms()));
+    let whole = timeout(left, opened.read_whole(&mut held)).await;
     let reply = match whole {
-        Ok(body) if vouched => {
+        Ok(Ok(body)) if vouched => {
             let head = relayed_head(&opened.head);
             opened.finish(relay);
             Reply {
@@ -106,17 +111,21 @@
                 head,
                 body,
                 own: None,
+                held: Some(Rc::new(held)),
             }
         }
-        _ => {
-            let own = Own::MayHaveRun("the answer is not the target's own");
+        whole => {
+            let own = match whole {
+                Err(_) => Own::TimeOver,
+                Ok(_) => Own::MayHaveRun("the answer is not the target's own"),
+            };
             Reply::own(own, incoming.facts.request_id.as_deref())
         }
     };
     slog::info!(relay.log, "generation failed"; "id" => incoming.id(), "status" => status,
         "vouched" => vouched, "after_ms" => relay.now_ms() - incoming.came_ms);
     count(status, "generation");
-    write_reply(relay, caller, reply, false).await
+    write_reply(relay, caller, incoming.id(), reply, false).await
 }
 
 enum Started {
--- a/components/relay/src/forwarding/stream.rs
+++ b/components/relay/src/forwarding/stream.rs
@@ -5,6 +5,9 @@
 use crate::forwarding::events::EventSplitter;
 use crate::forwarding::generation::{outcome_of, send};
 use crate::forwarding::send::{Opened, Tried};
+use crate::forwarding::stream_end::{Ended, deliver_part, deliver_rest};
+use crate::held::deliver::ready;
+use crate::held::unsent::Unsent;
 use crate::ingress::accept::{After, count, write_reply};
 use crate::ingress::request::{Incoming, Own, Reply, Way};
 use crate::migration::mover::{Moved, Mover, Step};
@@ -26,33 +29,17 @@
 /// one.
 const SILENT_LIMIT: Duration = Duration::from_millis(1_500);
 
-/// A caller that takes so long to read one event delays the next: it says nothing of the engine.
-const HELD_UP_MS: u64 = 5;
-
 /// Where a pause between two events passed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum PauseIn {
     /// At the engine, or on the way from it.
     Engine,
-    /// The caller did not read.
+    /// The caller did not read, and there was no room for more.
     Caller,
     /// The generation moved to another engine.
     Move,
 }
 
-/// How a stream ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Ended {
-    /// With its last event.
-    Whole,
-    /// The caller left.
-    CallerLeft,
-    /// Its time is over.
-    TimeOver,
-    /// Early.
-    Broken(&'static str),
-}
-
 /// Passes the events of one generation on.
 pub(crate) struct StreamForwarder<'a> {
     relay: &'a Rc<Relay>,
@@ -61,6 +48,7 @@
     permit: Permit,
     engine: Option<EngineTraits>,
     splitter: EventSplitter,
+    unsent: Unsent,
     last_event: Option<Box<str>>,
     events: u32,
     head_written: bool,
@@ -71,6 +59,8 @@
     moves: u32,
     /// Where the time since the last event passes.
     pause_in: PauseIn,
+    /// Its engine was not read for a while, as the caller did not read.
+    was_held_up: bool,
 }
 
 impl<'a> StreamForwarder<'a> {
@@ -87,6 +77,7 @@
             permit,
             engine: way.service().engine,
             splitter: EventSplitter::default(),
+            unsent: Unsent::new(&relay.held, way.account_id()),
             last_event: None,
             events: 0,
             head_written: false,
@@ -96,11 +87,12 @@
             last_event_ms: 0,
             moves: 0,
             pause_in: PauseIn::Engine,
+            was_held_up: false,
         }
     }
 
     pub(crate) async fn run(mut self, caller: &mut Channel, opened: Opened) -> After {
-        let closes = self.relay.is_stopping() || self.incoming.head.old;
+        let closes = self.relay.sheds_channel() || self.incoming.head.old;
         self.permit.said_slowness(opened.slowness_percent());
         let ended = self.forward_events(caller, opened, closes).await;
         let finished = ended == Ended::Whole;
@@ -113,29 +105,30 @@
             "end" => ?ended, "events" => self.events, "moves" => self.moves,
             "first_event_ms" => self.first_event_ms, "longest_pause_ms" => self.longest_pause_ms,
             "longest_pause_in" => ?self.longest_pause_in,
+            "unsent_bytes_most" => self.unsent.most_bytes(),
             "late" => self.is_late(), "paused" => self.is_paused(),
             "after_ms" => self.relay.now_ms() - self.incoming.came_ms);
-        let word = match ended {
-            Ended::Whole => "whole",
-            Ended::CallerLeft => "caller_left",
-            Ended::TimeOver => "time_over",
-            Ended::Broken(_) => "broken",
-        };
-        metrics::counter!("shuntpier_generations", "end" => word).increment(1);
+        metrics::counter!("shuntpier_generations", "end" => ended.word()).increment(1);
         match ended {
-            Ended::Whole if self.incoming.head.old => After::Close,
-            Ended::Whole => match caller.write(b"0\r\n\r\n").await {
-                Ok(()) if closes => After::Close,
-                Ok(()) => After::Keep,
-                Err(_) => After::Drop,
-            },
-            Ended::CallerLeft => After::Drop,
-            _ if self.head_written => After::Drop,
+            Ended::Whole => {
+                let (relay, incoming, unsent) = self.done();
+                deliver_rest(relay, incoming, unsent, caller, closes).await
+            }
+            Ended::CallerLeft | Ended::Unread => After::Drop,
+            _ if self.head_written => {
+                let (relay, incoming, unsent) = self.done();
+                deliver_part(relay, incoming, unsent, caller).await
+            }
             Ended::TimeOver => self.answer_own(caller, Own::TimeOver).await,
             Ended::Broken(why) => self.answer_own(caller, Own::MayHaveRun(why)).await,
         }
     }
 
+    /// Gives the engine's place back, and what is left to be written.
+    fn done(self) -> (&'a Rc<Relay>, &'a Incoming, Unsent) {
+        (self.relay, self.incoming, self.unsent)
+    }
+
     /// Remembers how long the generation was and took, for those that come while this box stops.
     fn note_end(&self) {
         let generation = self.incoming.facts.generation.as_ref();
@@ -168,7 +161,7 @@
     async fn answer_own(&self, caller: &mut Channel, own: Own) -> After {
         count(own.status(), "own");
         let reply = Reply::own(own, self.incoming.facts.request_id.as_deref());
-        write_reply(self.relay, caller, reply, false).await
+        write_reply(self.relay, caller, self.incoming.id(), reply, false).await
     }
 
     async fn forward_events(
@@ -184,26 +177,49 @@
         let mut mover = Mover::new(self.relay, self.engine);
         let mut silent_at = Instant::now() + SILENT_LIMIT;
         let mut doubted = false;
+        let mut read_before = true;
         loop {
+            let writes = !self.unsent.is_empty();
+            let reads = self.unsent.may_read();
+            if reads && !read_before {
+                // It was not read meanwhile, and could say nothing.
+                silent_at = Instant::now() + SILENT_LIMIT;
+                self.pause_in = PauseIn::Caller;
+            }
+            if read_before && !reads {
+                self.was_held_up = true;
+                metrics::counter!("shuntpier_streams_held_up").increment(1);
+            }
+            read_before = reads;
             let step = tokio::select! {
                 biased;
-                () = caller.gone() => return Ended::CallerLeft,
+                is_there = ready(caller, writes) => {
+                    let pending = self.splitter.pending_bytes();
+                    if !is_there || self.unsent.write(caller, pending).is_err() {
+                        return Ended::CallerLeft;
+                    }
+                    None
+                }
                 () = sleep_until(due) => return Ended::TimeOver,
+                () = sleep_until(self.unsent.look_at()), if writes => {
+                    if self.unsent.is_over(self.relay, self.incoming.id()) {
+                        return Ended::Unread;
+                    }
+                    None
+                }
+                () = self.unsent.freed(), if !reads => None,
                 step = mover.next(&self.permit, self.incoming.id()) => Some(step),
-                () = sleep_until(silent_at), if !doubted => {
+                () = sleep_until(silent_at), if !doubted && reads => {
                     doubted = true;
                     self.tell_engine(EngineFault::Silent);
                     None
                 }
-                piece = opened.next(), if mover.reads_source() => match piece {
+                piece = opened.next(), if mover.reads_source() && reads => match piece {
                     Ok(Some(data)) => {
                         silent_at = Instant::now() + SILENT_LIMIT;
-                        let passing = self.pass(caller, &head, &data, closes);
-                        // A caller that does not read holds this up, but not beyond the request's time.
-                        match timeout_at(due, passing).await {
-                            Ok(Ok(())) => None,
-                            Ok(Err(ended)) => return ended,
-                            Err(_) => return Ended::TimeOver,
+                        match self.pass(caller, &head, &data, closes) {
+                            Ok(()) => None,
+                            Err(ended) => return ended,
                         }
                     }
                     Ok(None) if !(mover.stops_source() && is_unframed(&opened)) => {
@@ -218,6 +234,10 @@
                         mover.source_ended();
                         None
                     }
+                    Err(_) if self.was_held_up => {
+                        // Not the engine's fault: nothing is told of it.
+                        return Ended::Broken("its caller did not read, and its engine cut it off");
+                    }
                     Err(why) => {
                         self.tell_engine(EngineFault::Broke);
                         return Ended::Broken(why);
@@ -257,7 +277,7 @@
         Ended::Whole
     }
 
-    async fn pass(
+    fn pass(
         &mut self,
         caller: &mut Channel,
         head: &[u8],
@@ -269,6 +289,7 @@
             .push(data)
             .map_err(|_| Ended::Broken("an event does not end"))?;
         if events.count == 0 {
+            self.unsent.push(&[], self.splitter.pending_bytes());
             return Ok(());
         }
         let now_ms = self.relay.now_ms();
@@ -307,10 +328,9 @@
             true => push_chunk(&mut out, &events.bytes),
             false => out.extend_from_slice(&events.bytes),
         }
-        let written = caller.write(&out).await;
-        if self.relay.now_ms().saturating_sub(now_ms) >= HELD_UP_MS {
-            self.pause_in = PauseIn::Caller;
-        }
+        let pending = self.splitter.pending_bytes();
+        self.unsent.push(&out, pending);
+        let written = self.unsent.write(caller, pending);
         written.map_err(|_| Ended::CallerLeft)
     }
 
--- a/components/relay/src/membership/gossip.rs
+++ b/components/relay/src/membership/gossip.rs
@@ -286,4 +286,8 @@
             self.0.dispatches_again(pool);
         }
     }
+
+    async fn stand_back(&self, from: BoxId) -> bool {
+        self.0.may_stand_back(from)
+    }
 }
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -5,9 +5,11 @@
 use crate::dispatch::open_generations::OpenGenerations;
 use crate::forwarding::balance::CallBalance;
 use crate::forwarding::channels::Channels;
+use crate::held::{Bounds, Holdings};
 use crate::ingress::request::Own;
 use crate::membership::members::Members;
 use crate::membership::snapshot::pack;
+use crate::membership::stand_back::StandBacks;
 use crate::watch::election::{Followed, View};
 use crate::watch::evacuation::Evacuation;
 use crate::watch::refused::RefusedEntries;
@@ -19,7 +21,7 @@
 use prelude::{BoxId, Clock, DataCentreId, ModelId, PoolId};
 use reload::{Live, Snapshot};
 use routing::RoutingTable;
-use settings::{FleetFile, FleetIdentity, FleetPromises, Mechanism};
+use settings::{FleetFile, FleetIdentity, FleetLimits, FleetPromises, Mechanism};
 use slog::Logger;
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, HashSet};
@@ -65,6 +67,8 @@
     /// Rises with each change of targets that matters.
     pub(crate) target_changes: watch::Sender<u64>,
     pub(crate) channels: RefCell<Channels>,
+    /// What is kept for callers and targets that read slowly.
+    pub(crate) held: Rc<Holdings>,
     /// What calls showed of plain targets.
     pub(crate) balance: RefCell<CallBalance>,
     /// A request at a target ended: a call that waits may find room.
@@ -107,6 +111,10 @@
     /// Requests that are being read or answered.
     pub(crate) in_progress: Cell<usize>,
     pub(crate) requests_ended: Notify,
+    /// Which boxes this one allows to stand back.
+    pub(crate) stand_backs: RefCell<StandBacks>,
+    /// Until when this box stands back.
+    pub(crate) stands_back_until_ms: Cell<u64>,
     /// A planned stop has begun.
     pub(crate) stopping: CancellationToken,
     /// When a planned stop must be over.
@@ -134,6 +142,14 @@
     }
 }
 
+/// What the box may hold for others.
+pub(crate) fn held_bounds(limits: &FleetLimits) -> Bounds {
+    Bounds {
+        box_bytes: limits.held_bytes(),
+        account_bytes: limits.account_held_bytes(),
+    }
+}
+
 /// The pool of a service's engines.
 pub(crate) fn pool_of(service: &str) -> PoolId {
     PoolId {
@@ -167,9 +183,9 @@
         self.declared.borrow().clone()
     }
 
-    /// Whether this box takes new channels: it knows what operators declared and where targets are.
+    /// Whether this box takes new channels: it knows what operators declared and where targets are, and is not overrun.
     pub(crate) fn is_ready(&self) -> bool {
-        !self.is_stopping() && self.is_synced()
+        !self.is_stopping() && self.is_synced() && !self.stands_back()
     }
 
     pub(crate) fn card(&self) -> FleetCard {
