Forecasts of first tokens are corrected by how far they were off

So the forecast of reading was too early under long prompts: it let wait what was served too late, and refused others for them. Change: corrects_forecasts, on; urgent_ahead, off; memory_ahead switches both as before. The test of memory_ahead compares with the way before the correction, as it did; its bounds are as they were.

--- a/components/policy/src/admission/waiting.rs
+++ b/components/policy/src/admission/waiting.rs
@@ -190,7 +190,8 @@
             false => self.by_pace_ms(rank, before.same_rank),
         };
         let forecast_ms = by_reading_ms.max(granted_ms + read_ms);
-        let correction = match self.settings.memory_ahead {
+        let corrects = self.settings.corrects_forecasts || self.settings.memory_ahead;
+        let correction = match corrects {
             true => self.outlook.errors.correction(rank, now_ms),
             false => 1.0,
         };
@@ -210,7 +211,7 @@
 
     /// How many times longer a request waits to be read because more urgent ones come meanwhile.
     fn held_up(&self, run: &ForwardRun, rank: u8, now_ms: u64) -> f64 {
-        if !self.settings.memory_ahead {
+        if !self.settings.urgent_ahead && !self.settings.memory_ahead {
             return 1.0;
         }
         let coming = &self.outlook.coming;
--- a/components/policy/src/kind.rs
+++ b/components/policy/src/kind.rs
@@ -77,8 +77,12 @@
     pub ranks: bool,
     /// How it is decided who waits.
     pub waiting: WaitingPolicy,
-    /// Whether memory is run forward beside reading, and such forecasts are corrected by how far they were off; otherwise
-    /// the pace of grants stands for memory.
+    /// Whether forecasts of first tokens are corrected by how far those of the same rank were off lately.
+    pub corrects_forecasts: bool,
+    /// Whether a forecast counts the reading of what is more urgent and likely to come meanwhile.
+    pub urgent_ahead: bool,
+    /// Whether memory is run forward beside reading, with both of the above, and callers are told to come back when there
+    /// is room for them; otherwise the pace of grants stands for memory.
     pub memory_ahead: bool,
     /// Whether engines are left free to read for more urgent work that is likely to come.
     pub protection: bool,
@@ -136,6 +140,8 @@
             margin_decay_per_s: 0.05,
             ranks: true,
             waiting: WaitingPolicy::FirstToken,
+            corrects_forecasts: true,
+            urgent_ahead: false,
             memory_ahead: false,
             protection: false,
             reading: ReadingPolicy::FirstToken,
