--- a/components/policy/src/placement/relocate_tests.rs
+++ b/components/policy/src/placement/relocate_tests.rs
@@ -75,6 +75,7 @@
         avoid,
         arriving,
         may_stay,
+        only: None,
     };
     pool.relocate(&relocation, 0)
 }
