Relay: generations go on where their dispatcher wishes it

Cause: the dispatcher's wishes need a way to the boxes, without a message more. Change: UpdateReply::moves tells a box serials of its own generations; its Mover moves them as from an evacuated engine, but only to the engine that was meant (RelocateRequest::wished). The end of a turn tells how long the generation stood still, or that it stays: the permit then goes back to its engine, also where a move off an evacuated engine came to nothing. Mechanism upkeep. mover.rs is split into mover, job and moved, relocation and gauges are taken out of dispatcher.rs.

--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -288,7 +288,10 @@
             resync = true;
         }
         self.run(now_ms);
-        UpdateReply { resync }
+        UpdateReply {
+            resync,
+            ..UpdateReply::default()
+        }
     }
 }
 
--- a/components/peers/src/lib.rs
+++ b/components/peers/src/lib.rs
@@ -17,7 +17,7 @@
 pub use counted::{Counted, Traffic};
 pub use fleet::{
     FetchRequest, FleetCard, FleetClient, FleetDigest, FleetGossip, FleetHandler, HintWord,
-    RelocateReply, RelocateRequest, SharedTable, TargetHint,
+    RelocateReply, RelocateRequest, SharedTable, TargetHint, TurnOver,
 };
 pub use keys::KeyRing;
 pub use messages::{
--- a/components/relay/src/dispatch/heartbeat.rs
+++ b/components/relay/src/dispatch/heartbeat.rs
@@ -3,7 +3,7 @@
 use crate::dispatch::permits::CALL_LIMIT;
 use crate::state::Relay;
 use crate::watch::targets::TargetSlot;
-use peers::{FleetClient, UpdateRequest};
+use peers::{FleetClient, TurnOver, UpdateRequest};
 use prelude::{BoxId, PermitId, PoolId, TargetId};
 use std::future::Future;
 use std::rc::Rc;
@@ -78,14 +78,20 @@
     }
 
     /// Says that a generation's turn on a link is over.
-    pub(crate) fn tell_relocated(self: &Rc<Self>, pool: PoolId, serial: u64, from: TargetId) {
+    pub(crate) fn tell_relocated(
+        self: &Rc<Self>,
+        pool: PoolId,
+        serial: u64,
+        from: TargetId,
+        over: TurnOver,
+    ) {
         let permit = self.permit_id(serial);
         self.tell_dispatcher(
             pool,
             "relocated",
-            |relay| relay.relocated_here(pool, permit, from),
+            |relay| relay.relocated_here(pool, permit, from, over),
             move |client, context| async move {
-                client.relocated(context, pool, permit, from).await
+                client.relocated(context, pool, permit, from, over).await
             },
         );
     }
@@ -137,7 +143,9 @@
             open_streams,
         };
         if dispatcher == self.id {
-            if self.update_here(&update).resync || is_new {
+            let reply = self.update_here(&update);
+            self.wished(&reply.moves);
+            if reply.resync || is_new {
                 let open = self.open_generations.borrow().all_in(pool, self.now_ms());
                 self.adopt_here(self.id, pool, &open);
             }
@@ -149,7 +157,11 @@
                 client.update(context, update).await
             });
         let reply = self.heard_from(dispatcher, call.await, "update");
-        if reply.is_some_and(|reply| reply.resync || is_new) {
+        let Some(reply) = reply else {
+            return;
+        };
+        self.wished(&reply.moves);
+        if reply.resync || is_new {
             self.tell_all_open_generations(dispatcher, pool).await;
         }
     }
--- /dev/null
+++ b/components/relay/src/migration/moved.rs
@@ -0,0 +1,61 @@
+//! A generation whose memory was copied: what it goes on from, and copies that nobody uses.
+
+use crate::forwarding::control::control;
+use crate::state::Relay;
+use crate::watch::targets::{Belief, TargetSlot};
+use platform::drop_copy_call;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// A generation whose copy waits for it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Moved {
+    /// The engine that has the copy.
+    pub to: TargetSlot,
+    /// The engine that it ran on, which names the copy.
+    pub source: SocketAddr,
+    pub source_slot: TargetSlot,
+    pub copy: Box<str>,
+}
+
+impl Moved {
+    /// Frees the copy, which nobody will use.
+    pub(crate) fn free(&self, relay: &Rc<Relay>) {
+        let to = relay.targets.borrow().get(self.to).map(|t| t.entry.address);
+        if let Some(to) = to {
+            free_copy(relay, to, &self.copy);
+        }
+    }
+
+    /// Frees what its source has kept of a generation that goes on elsewhere, where the source stays.
+    pub(crate) fn free_source(&self, relay: &Rc<Relay>) {
+        let stays = relay
+            .targets
+            .borrow()
+            .get(self.source_slot)
+            .is_some_and(|t| t.belief == Belief::Ready);
+        if stays {
+            free_copy(relay, self.source, &self.copy);
+        }
+    }
+}
+
+/// What a move tells whoever reads the generation's stream.
+pub(crate) enum Step {
+    /// The generation is about to be stopped: the end of its stream says nothing.
+    Stopping,
+    /// It goes on elsewhere.
+    Continue(Moved),
+    /// It was not stopped, or is not known to be.
+    Failed,
+}
+
+/// Frees a copy that nobody will use, at the engine that holds it. Left alone it keeps some thousands of tokens for many
+/// seconds, of which no ledger knows: generations there are preempted.
+pub(crate) fn free_copy(relay: &Rc<Relay>, holder: SocketAddr, copy: &str) {
+    metrics::counter!("shuntpier_copies_freed").increment(1);
+    let (relay, call) = (relay.clone(), drop_copy_call(holder, copy));
+    tokio::task::spawn_local(async move {
+        control(&relay, holder, &call).await;
+    });
+}
--- a/components/settings/src/mechanism.rs
+++ b/components/settings/src/mechanism.rs
@@ -35,6 +35,8 @@
     Moves,
     /// Generations leave engines of evacuated data centres.
     EvacuationMoves,
+    /// Generations leave engines that turned bad since they were placed.
+    Upkeep,
     /// Copies from one engine go one after another.
     Turns,
     /// An engine that failed a generation is on trial for all boxes.
