--- a/components/policy/src/placement/upkeep/budget.rs
+++ b/components/policy/src/placement/upkeep/budget.rs
@@ -8,7 +8,7 @@
 const BAD_FOR_MS: u64 = 1_000;
 /// An engine that is not found bad for so long is bad no more.
 const BAD_GAP_MS: u64 = 600;
-/// One wish may be under way for each so many engines.
+/// One wish may be under way for each so many engines; streams of engines that leave count as such.
 const ENGINES_EACH: usize = 8;
 /// A wish of which nothing is heard for so long came to nothing: boxes ask each second, and a move takes a second at most.
 const WISH_MS: u64 = 2_500;
@@ -68,9 +68,9 @@
         now_ms >= in_from_ms && !self.is_in_use(engine)
     }
 
-    /// Whether the pool bears one more wish.
-    pub(crate) fn bears_one_more(&self, engines: usize) -> bool {
-        self.under_way.len() < (engines / ENGINES_EACH).max(1)
+    /// Whether the pool bears one more wish, while so many streams are to leave engines that leave.
+    pub(crate) fn bears_one_more(&self, engines: usize, leaving: usize) -> bool {
+        self.under_way.len() + leaving < (engines / ENGINES_EACH).max(1)
     }
 
     fn is_in_use(&self, engine: TargetId) -> bool {
--- a/components/policy/src/placement/upkeep/budget_tests.rs
+++ b/components/policy/src/placement/upkeep/budget_tests.rs
@@ -50,10 +50,11 @@
 #[test]
 fn a_pool_bears_one_wish_for_each_eight_engines() {
     let mut budget = Budget::default();
-    assert!(budget.bears_one_more(3));
+    assert!(budget.bears_one_more(3, 0));
     budget.begin(permit(1), BAD, GOOD, 0);
-    assert!(!budget.bears_one_more(15));
-    assert!(budget.bears_one_more(16));
+    assert!(!budget.bears_one_more(15, 0));
+    assert!(budget.bears_one_more(16, 0));
+    assert!(!budget.bears_one_more(16, 1));
 }
 
 #[test]
--- a/components/policy/src/placement/upkeep/look.rs
+++ b/components/policy/src/placement/upkeep/look.rs
@@ -59,12 +59,6 @@
         self.upkeep
             .untold
             .retain(|wish| budget.wished_to(wish.permit).is_some());
-        let is_leaving =
-            |ledger: &EngineLedger| ledger.state != EngineState::Live && !ledger.streams.is_empty();
-        // The links, and the room elsewhere, are for what would be lost.
-        if self.engines.iter().any(is_leaving) {
-            return;
-        }
         let mut candidates: Vec<Candidate> = Vec::new();
         for at in 0..self.engines.len() {
             let Some(candidate) = self.candidate(at, now_ms) else {
@@ -76,7 +70,12 @@
                 candidates.push(candidate);
             }
         }
-        if !self.upkeep.budget.bears_one_more(self.engines.len()) {
+        // The links, and the room elsewhere, are first for what would be lost.
+        let leaves = |ledger: &&EngineLedger| ledger.state != EngineState::Live;
+        let leaving = self.engines.iter().filter(leaves);
+        let leaving: usize = leaving.map(|ledger| ledger.streams.len()).sum();
+        let engines = self.engines.len();
+        if !self.upkeep.budget.bears_one_more(engines, leaving) {
             return;
         }
         candidates.sort_by(|a, b| b.staying.total_cmp(&a.staying));
--- a/components/policy/src/placement/upkeep/look_tests.rs
+++ b/components/policy/src/placement/upkeep/look_tests.rs
@@ -329,7 +329,7 @@
 }
 
 #[test]
-fn nothing_is_wished_while_streams_run_on_an_engine_that_leaves() {
+fn streams_of_an_engine_that_leaves_go_first() {
     let mut pool = pool();
     adopt(&mut pool, 2, OTHER);
     pool.set_state(OTHER, EngineState::Leaving);
--- a/components/relay/src/dispatch/relocation.rs
+++ b/components/relay/src/dispatch/relocation.rs
@@ -40,6 +40,12 @@
             // Another dispatcher wished it, or too long ago: what it would gain is not known here.
             return RelocateReply::NoRoom;
         }
+        let now_arriving = self.turns.as_ref().map(|turns| turns.arriving(now_ms));
+        let is_taken = |to| now_arriving.is_some_and(|arriving| arriving.contains(&to));
+        if only.is_some_and(is_taken) {
+            // A copy that a generation would be lost without comes there first.
+            return RelocateReply::NoRoom;
+        }
         let asked = self.turns.as_mut();
         if asked.is_some_and(|turns| !turns.ask(from, permit, held_tokens, now_ms)) {
             return RelocateReply::Wait;
