Upkeep: what a stream has left by how streams like it went on; tests on the platform

Cause: tokens left were those expected as the stream was placed less those made, at least 0.3 of them: a stream that outlasts its kind, which gains most by a move, looked as if it ended at once. Seen in the platform's test: 30 tokens left of 2,200. Change: the mean of what is left, by the length model at the tokens that it has. Measured: platform/tests/upkeep.rs, 4 passed (16 s); policy 234 passed.

--- a/components/policy/src/placement/upkeep/gain.rs
+++ b/components/policy/src/placement/upkeep/gain.rs
@@ -2,7 +2,9 @@
 
 use crate::pace::chance::Feel;
 use crate::pace::felt::PauseView;
+use crate::placement::forecast::HORIZONS_TOKENS;
 use crate::placement::ledger::{EngineLedger, Stream};
+use crate::placement::length::LengthModel;
 use crate::placement::upkeep::cost::MovePauses;
 
 /// How long a generation stays where it is until it is moved: the box is told with its next telling, the copy is made.
@@ -19,6 +21,7 @@
 pub(crate) struct GainView<'a> {
     pub(crate) pauses: PauseView<'a>,
     pub(crate) moves: &'a MovePauses,
+    pub(crate) lengths: &'a LengthModel,
     /// Tokens of a usual prompt, which may be read beside.
     pub(crate) prompt_tokens: f64,
 }
@@ -26,7 +29,13 @@
 impl GainView<'_> {
     /// How long a stream will run on.
     fn rest_ms(&self, stream: &Stream) -> f64 {
-        stream.rest_tokens() / self.pauses.tokens_per_ms
+        rest_tokens(self.lengths, stream) / self.pauses.tokens_per_ms
+    }
+
+    /// Whether a stream can be moved at all: it makes events, has enough left to make, and was not wished before.
+    pub(crate) fn can_move(&self, stream: &Stream) -> bool {
+        let begun = stream.generated_tokens > 0 && !stream.is_wished;
+        begun && rest_tokens(self.lengths, stream) >= REST_TOKENS_MIN
     }
 
     /// How events come where a stream runs.
@@ -68,9 +77,16 @@
     }
 }
 
-/// Whether a stream can be moved at all: it makes events, has enough left to make, and was not wished before.
-pub(crate) fn can_move(stream: &Stream) -> bool {
-    let left = f64::from(stream.max_tokens.saturating_sub(stream.generated_tokens));
-    let rest = stream.rest_tokens().min(left);
-    stream.generated_tokens > 0 && rest >= REST_TOKENS_MIN && !stream.is_wished
+/// Tokens that a stream is expected to make yet, as streams like it did that came so far: those that outlast what was
+/// expected of them are the ones that are worth a move.
+fn rest_tokens(lengths: &LengthModel, stream: &Stream) -> f64 {
+    let survival = stream.survival(lengths, f64::from(stream.generated_tokens));
+    let mut from = 0.0;
+    let mut expected = 0.0;
+    for horizon in HORIZONS_TOKENS {
+        let to = f64::from(horizon);
+        expected += (to - from) * survival((from + to) / 2.0);
+        from = to;
+    }
+    expected
 }
--- a/components/policy/src/placement/upkeep/look.rs
+++ b/components/policy/src/placement/upkeep/look.rs
@@ -3,7 +3,7 @@
 use crate::placement::forecast::Forecast;
 use crate::placement::ledger::{EngineLedger, EngineState, RoomView, StreamKey};
 use crate::placement::relocate::AMPLE_SHARE;
-use crate::placement::upkeep::gain::{GainView, can_move};
+use crate::placement::upkeep::gain::GainView;
 use crate::placement::upkeep::{TurnEnd, Wish, WishCause};
 use crate::pool::Pool;
 use prelude::{BoxId, PermitId, TargetId};
@@ -138,7 +138,8 @@
                 f64::from(stream.prompt_tokens + stream.generated_tokens)
             })
         };
-        let movable = all.iter().filter(|(_, stream)| can_move(stream));
+        let view = self.gain_view(now_ms);
+        let movable = all.iter().filter(|(_, stream)| view.can_move(stream));
         let mut keys: Vec<StreamKey> = movable.map(|(key, _)| *key).collect();
         keys.sort_by(|a, b| held(a).total_cmp(&held(b)));
         let enough = keys.iter().position(|key| held(key) >= short_tokens);
@@ -162,7 +163,11 @@
         let here = view.here(ledger)?;
         let mut best: Option<(f64, StreamKey)> = None;
         for key in &ledger.streams {
-            let Some(stream) = self.streams.get(*key).filter(|stream| can_move(stream)) else {
+            let Some(stream) = self
+                .streams
+                .get(*key)
+                .filter(|stream| view.can_move(stream))
+            else {
                 continue;
             };
             let staying = view.staying(&here, stream);
@@ -256,6 +261,7 @@
         GainView {
             pauses: self.pause_view(now_ms),
             moves: &self.upkeep.pauses,
+            lengths: &self.lengths,
             prompt_tokens,
         }
     }
