--- a/components/policy/src/placement/upkeep/look_tests.rs
+++ b/components/policy/src/placement/upkeep/look_tests.rs
@@ -32,6 +32,7 @@
 fn pool_of(count: u64) -> Pool {
     let mut pool = Pool::new(PoolSettings {
         first_report_ms: 0,
+        upkeep: true,
         ..PoolSettings::default()
     });
     let engines: Vec<EngineInfo> = (1..=count)
