--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -1,13 +1,15 @@
 //! The dispatcher of a pool as an actor. It exists on the box that rendezvous hashing picks, and comes
 //! into being with the first request for a permit.
 
+mod engine_words;
+
 use crate::poller::{Polled, poll_engine};
 use crate::shared::{Shared, lock};
 use engines::LoadReport;
 use peers::{AcquireRequest, AdoptedStream, EndedStream, PermitReply, UpdateReply, UpdateRequest};
 use policy::{
-    Adopted, Demand, End, EngineInfo, EngineReport, LengthClass, Pool, PoolSettings, PoolView,
-    Share, Submitted, Verdict,
+    Adopted, Demand, End, EngineInfo, LengthClass, Pool, PoolSettings, PoolView, Share, Submitted,
+    Verdict,
 };
 use prelude::{BoxId, DataCentreId, PermitId, PoolId, Refusal, RefusalReason, TargetId};
 use settings::Resolved;
@@ -334,64 +336,6 @@
     }
 }
 
-impl Handler<Tick> for PoolActor {
-    type Return = bool;
-
-    /// Returns whether the pool is in use.
-    async fn handle(&mut self, _: Tick, context: &mut Context<Self>) -> bool {
-        let now_ms = self.shared.now_ms();
-        let in_use = now_ms < self.used_ms + IDLE_MS;
-        if in_use && now_ms >= self.polled_ms + self.shared.limits().load_interval_ms {
-            if let Some(address) = context.mailbox().address().try_upgrade() {
-                self.poll(address, now_ms);
-            }
-            self.pool.forget_silent(now_ms);
-        }
-        self.run(now_ms);
-        in_use
-    }
-}
-
-impl Handler<Loaded> for PoolActor {
-    type Return = ();
-
-    async fn handle(&mut self, message: Loaded, _: &mut Context<Self>) {
-        let Loaded(target, load) = message;
-        let report = EngineReport {
-            incarnation: load.incarnation,
-            running: load.running,
-            waiting: load.waiting,
-            memory_share: load.memory_share,
-            preemptions: load.preemptions,
-            leaving: load.leaving,
-        };
-        let now_ms = self.shared.now_ms();
-        self.pool.report(target, report, now_ms);
-        self.run(now_ms);
-    }
-}
-
-impl Handler<CacheEvents> for PoolActor {
-    type Return = ();
-
-    async fn handle(&mut self, message: CacheEvents, _: &mut Context<Self>) {
-        let now_ms = self.shared.now_ms();
-        for event in message.1 {
-            self.pool
-                .cache_event(message.0, event.seq, event.prefix, event.stored, now_ms);
-        }
-    }
-}
-
-impl Handler<Refresh> for PoolActor {
-    type Return = ();
-
-    async fn handle(&mut self, _: Refresh, _: &mut Context<Self>) {
-        self.refresh();
-        self.run(self.shared.now_ms());
-    }
-}
-
 /// Asks the dispatcher here for a permit, waiting for its word for `wait`.
 pub(crate) async fn acquire_here(
     shared: &Arc<Shared>,
