Who was let wait is not judged anew by a dispatcher that knows less

Ruled out: engine memory (it was held by generations of 6 s). Change: a request that is asked with a time to wait was let wait by a dispatcher, and waits until it is granted or its time is over.

--- a/components/policy/src/fairness/told_tests.rs
+++ b/components/policy/src/fairness/told_tests.rs
@@ -1,9 +1,9 @@
 use super::*;
-use crate::Verdict;
 use crate::demand::{Adopted, Demand};
 use crate::kind::PoolSettings;
 use crate::placement::ledger::{EngineInfo, EngineReport};
 use crate::placement::length::{End, LengthClass};
+use crate::{Submitted, Verdict};
 use prelude::{AccountId, DataCentreId, OwnerId, PartnerId, PermitId, TargetId};
 use rstest::rstest;
 
@@ -367,3 +367,24 @@
     let charged_ms = pool.tree.rank(&share(FLOOD))[2];
     assert!(charged_ms <= 20.0, "{charged_ms}");
 }
+
+#[test]
+fn who_was_let_wait_is_not_judged_anew_by_a_dispatcher_that_knows_less() {
+    let mut pool = pool();
+    let in_time = |serial| Demand {
+        deadline_ms: 100_500,
+        leaves_ms: 102_000,
+        ..demand(1, serial, OTHER, 100_000)
+    };
+    let crowd = (1..=400).map(|serial| pool.submit(in_time(serial), 100_000));
+    let refused = crowd.filter(|taken| matches!(taken, Submitted::Refused(_)));
+    assert!(refused.count() > 0, "none is refused");
+    let refused_now = pool.submit(in_time(900), 100_001);
+    assert!(matches!(refused_now, Submitted::Refused(_)));
+    let again = pool.submit_again(in_time(901), 100_001);
+    assert!(matches!(again, Submitted::Waits { .. }));
+    // Its time is over as that of any other.
+    let verdicts = pool.run(103_000);
+    let over = verdicts.iter().find(|(permit, _)| permit.serial == 901);
+    assert!(matches!(over, Some((_, Verdict::Refused(_)))));
+}
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -93,7 +93,17 @@
     }
 
     /// Takes a request in, or refuses it at once where its wait would pass its deadline.
-    pub fn submit(&mut self, mut demand: Demand, now_ms: u64) -> Submitted {
+    pub fn submit(&mut self, demand: Demand, now_ms: u64) -> Submitted {
+        self.take_in(demand, false, now_ms)
+    }
+
+    /// Takes a request in that was let wait before, by another dispatcher or until its permit found nobody: it is not judged
+    /// anew by one that knows less of lengths and pace. It waits until it is granted, or until its time is over.
+    pub fn submit_again(&mut self, demand: Demand, now_ms: u64) -> Submitted {
+        self.take_in(demand, true, now_ms)
+    }
+
+    fn take_in(&mut self, mut demand: Demand, was_let_wait: bool, now_ms: u64) -> Submitted {
         self.now_ms = self.now_ms.max(now_ms);
         self.heard_ms.insert(demand.permit.entry, now_ms);
         self.known.heard(demand.permit.entry, now_ms);
@@ -107,7 +117,8 @@
         self.tree.asks(&demand.share, demand.prompt_tokens);
         let forecast = demand_forecast(&self.lengths, &demand, self.settings.policy);
         let need = Need::of(&forecast);
-        if let Some(refusal) = self.refusal(&demand, &need, now_ms) {
+        let refusal = self.refusal(&demand, &need, now_ms);
+        if let Some(refusal) = refusal.filter(|_| !was_let_wait) {
             if !self.tree.floods(&demand.share) {
                 self.tree.others_wait(now_ms);
             }
--- a/components/relay/src/dispatch/dispatcher.rs
+++ b/components/relay/src/dispatch/dispatcher.rs
@@ -260,7 +260,12 @@
                 since_ms: demand.since_ms,
             };
             dispatcher.waiting.insert(request.permit, waiting);
-            match dispatcher.pool.submit(demand.clone(), now_ms) {
+            // It is asked with a time to wait once a dispatcher let it wait.
+            let taken = match wait_ms > 0 {
+                true => dispatcher.pool.submit_again(demand.clone(), now_ms),
+                false => dispatcher.pool.submit(demand.clone(), now_ms),
+            };
+            match taken {
                 Submitted::Refused(refusal) => {
                     dispatcher.waiting.remove(&request.permit);
                     Some(dispatcher.refused(refusal, &demand))
