A box that dispatches again forgets who went elsewhere, and the pace that they made it see

Ruled out: admission of those who ask again (mended before), memory. Change: as a box is told that another dispatched, requests whose asker is gone are withdrawn and the pace of grants is forgotten.

--- a/components/policy/src/holders.rs
+++ b/components/policy/src/holders.rs
@@ -1,7 +1,8 @@
 //! Boxes that hold permits: what a dispatcher that is new to its role is told of theirs, and what becomes of the
 //! permits of those that fall silent.
 
-use crate::demand::Adopted;
+use crate::admission::grant_pace::GrantPace;
+use crate::demand::{Adopted, RANKS};
 use crate::placement::length::End;
 use crate::pool::Pool;
 use prelude::{BoxId, PermitId};
@@ -28,6 +29,12 @@
         self.place(adopted.demand, adopted.target, generated_tokens, now_ms);
     }
 
+    /// Forgets how fast requests were granted: they waited at another dispatcher.
+    pub fn forget_grant_pace(&mut self) {
+        self.pace = GrantPace::default();
+        self.paces = [GrantPace::default(); RANKS];
+    }
+
     /// Drops the permits of a box that are not among those it says it has.
     pub fn keep_only(&mut self, entry: BoxId, permits: &HashSet<PermitId>) {
         let of_box = self
--- a/components/relay/src/dispatch/dispatcher.rs
+++ b/components/relay/src/dispatch/dispatcher.rs
@@ -46,7 +46,7 @@
 #[derive(Debug)]
 pub(crate) struct Dispatcher {
     pub(crate) pool: Pool,
-    waiting: HashMap<PermitId, Waiting>,
+    pub(super) waiting: HashMap<PermitId, Waiting>,
     /// None where copies do not go one after another.
     turns: Option<Turns>,
     /// Nothing is granted before this time.
@@ -58,8 +58,8 @@
 
 /// Who waits for a pool's word.
 #[derive(Debug)]
-struct Waiting {
-    asker: oneshot::Sender<Verdict>,
+pub(super) struct Waiting {
+    pub(super) asker: oneshot::Sender<Verdict>,
     rank: u8,
     /// When its caller came, on the clock of this box.
     since_ms: u64,
--- a/components/relay/src/dispatch/takeover.rs
+++ b/components/relay/src/dispatch/takeover.rs
@@ -6,7 +6,7 @@
 use crate::membership::members::Upserted;
 use crate::state::Relay;
 use crate::watch::election::ALONE_MS;
-use prelude::PoolId;
+use prelude::{PermitId, PoolId};
 use std::rc::Rc;
 
 /// How long nothing is granted. A small part of any goal for a first token.
@@ -30,8 +30,24 @@
         if says_again {
             self.said_ms = now_ms;
         }
+        self.forget_who_went_elsewhere();
         says_again
     }
+
+    /// Forgets requests of which nobody waits here for the word any more: they asked another box, and the pace of grants that
+    /// was seen while they seemed to wait would have others refused.
+    fn forget_who_went_elsewhere(&mut self) {
+        let gone = self
+            .waiting
+            .extract_if(|_, waiting| waiting.asker.is_closed());
+        let gone: Vec<PermitId> = gone.map(|(permit, _)| permit).collect();
+        for permit in &gone {
+            self.pool.withdraw(*permit);
+        }
+        if !gone.is_empty() {
+            self.pool.forget_grant_pace();
+        }
+    }
 }
 
 impl Relay {
