--- a/components/relay/src/dispatch/takeover.rs
+++ b/components/relay/src/dispatch/takeover.rs
@@ -13,7 +13,7 @@
 const TAKEN_OVER_HOLD_MS: u64 = 80;
 /// Boxes that tell within this time after it begins do not hold grants again: each tells within a second, so that callers
 /// lose 80 ms once.
-const HELD_ONCE_MS: u64 = 2_000;
+const HELD_ONCE_MS: u64 = 1_000;
 
 impl Dispatcher {
     /// Grants nothing for a moment, unless it did not long ago.
