--- a/components/relay/src/dispatch/dispatcher.rs
+++ b/components/relay/src/dispatch/dispatcher.rs
@@ -39,7 +39,7 @@
 #[derive(Debug)]
 pub(crate) struct Dispatcher {
     pub(crate) pool: Pool,
-    waiting: HashMap<PermitId, Waiting>,
+    pub(super) waiting: HashMap<PermitId, Waiting>,
     /// None where copies do not go one after another.
     pub(crate) turns: Option<Turns>,
     /// Nothing is granted before this time.
@@ -51,8 +51,8 @@
 
 /// Who waits for a pool's word.
 #[derive(Debug)]
-struct Waiting {
-    asker: oneshot::Sender<Verdict>,
+pub(super) struct Waiting {
+    pub(super) asker: oneshot::Sender<Verdict>,
     rank: u8,
     /// When its caller came, on the clock of this box.
     since_ms: u64,
@@ -227,7 +227,12 @@
                 since_ms: demand.since_ms,
             };
             dispatcher.waiting.insert(request.permit, waiting);
-            match dispatcher.pool.submit(demand.clone(), now_ms) {
+            // It is asked with a time to wait once a dispatcher let it wait.
+            let taken = match wait_ms > 0 {
+                true => dispatcher.pool.submit_again(demand.clone(), now_ms),
+                false => dispatcher.pool.submit(demand.clone(), now_ms),
+            };
+            match taken {
                 Submitted::Refused(refusal) => {
                     dispatcher.waiting.remove(&request.permit);
                     Some(dispatcher.refused(refusal, &demand))
