What runs is looked after: taken back

Off by default it would be 1,500 lines that nobody uses. The note with ways and figures stays (docs/design/upkeep.md); the tests of the steps that were found with it stay.

--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -290,10 +290,7 @@
             resync = true;
         }
         self.run(now_ms);
-        UpdateReply {
-            resync,
-            ..UpdateReply::default()
-        }
+        UpdateReply { resync }
     }
 }
 
--- a/components/node/src/permits.rs
+++ b/components/node/src/permits.rs
@@ -268,8 +268,8 @@
             desk.silent.notify_waiters();
         }
         match tell(&shared, holder, desk.pool, report).await {
-            Ok(UpdateReply { resync: false, .. }) => {}
-            Ok(UpdateReply { resync: true, .. }) => desk.resync(),
+            Ok(UpdateReply { resync: false }) => {}
+            Ok(UpdateReply { resync: true }) => desk.resync(),
             Err(_) => {
                 shared.suspect(holder);
                 desk.resync();
--- a/components/peers/src/fleet.rs
+++ b/components/peers/src/fleet.rs
@@ -106,22 +106,6 @@
     pub avoid: Vec<TargetId>,
     /// The engine serves what it has: the generation goes only where there is ample room.
     pub may_stay: bool,
-    /// The dispatcher wished it: the generation goes only where that one meant.
-    pub wished: bool,
-}
-
-/// How a generation's turn on the link of an engine ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum TurnOver {
-    /// It stood still for so long, and goes on at the other engine.
-    Moved {
-        /// For how long, in ms.
-        stopped_ms: u32,
-    },
-    /// It was not moved, and is tried again.
-    Again,
-    /// It goes on at the engine that it was to leave.
-    Stays,
 }
 
 /// A dispatcher's word on it.
@@ -194,7 +178,7 @@
     async fn relocate(request: RelocateRequest) -> RelocateReply;
 
     /// Says that a generation's turn on the link of an engine is over.
-    async fn relocated(pool: PoolId, permit: PermitId, from: TargetId, over: TurnOver);
+    async fn relocated(pool: PoolId, permit: PermitId, from: TargetId);
 
     /// Says that an engine failed a generation.
     async fn engine_failed(pool: PoolId, target: TargetId, fault: EngineFault);
@@ -236,13 +220,8 @@
     fn relocate(&self, request: RelocateRequest) -> impl Future<Output = RelocateReply>;
 
     /// See [`Fleet::relocated`].
-    fn relocated(
-        &self,
-        pool: PoolId,
-        permit: PermitId,
-        from: TargetId,
-        over: TurnOver,
-    ) -> impl Future<Output = ()>;
+    fn relocated(&self, pool: PoolId, permit: PermitId, from: TargetId)
+    -> impl Future<Output = ()>;
 
     /// See [`Fleet::engine_failed`].
     fn engine_failed(
@@ -295,15 +274,8 @@
         self.0.relocate(request).await
     }
 
-    async fn relocated(
-        self,
-        _: Context,
-        pool: PoolId,
-        permit: PermitId,
-        from: TargetId,
-        over: TurnOver,
-    ) {
-        self.0.relocated(pool, permit, from, over).await;
+    async fn relocated(self, _: Context, pool: PoolId, permit: PermitId, from: TargetId) {
+        self.0.relocated(pool, permit, from).await;
     }
 
     async fn engine_failed(self, _: Context, pool: PoolId, target: TargetId, fault: EngineFault) {
--- a/components/peers/src/lib.rs
+++ b/components/peers/src/lib.rs
@@ -17,7 +17,7 @@
 pub use counted::{Counted, Traffic};
 pub use fleet::{
     EngineFault, FetchRequest, FleetCard, FleetClient, FleetDigest, FleetGossip, FleetHandler,
-    HintWord, RelocateReply, RelocateRequest, SharedTable, TargetHint, TurnOver,
+    HintWord, RelocateReply, RelocateRequest, SharedTable, TargetHint,
 };
 pub use keys::KeyRing;
 pub use messages::{
--- a/components/peers/src/messages.rs
+++ b/components/peers/src/messages.rs
@@ -115,12 +115,10 @@
 }
 
 /// Answer to [`UpdateRequest`].
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UpdateReply {
     /// Whether the dispatcher's ledger differs and must be told all open streams.
     pub resync: bool,
-    /// Serial numbers of the asking box's streams that are wished to go on at another engine.
-    pub moves: Vec<u64>,
 }
 
 /// An open stream, told to a new dispatcher.
--- a/components/policy/src/kind.rs
+++ b/components/policy/src/kind.rs
@@ -98,8 +98,6 @@
     pub learns_pace: bool,
     /// What a pause beyond its caller's goal counts for, in milliseconds of reading; 0 where pauses decide nothing.
     pub long_pause_ms: u32,
-    /// Whether generations leave engines that turned bad since they were placed; no gain was measured.
-    pub upkeep: bool,
     /// Open streams that one engine may have, whatever the forecast says; 0 for no limit.
     pub running_limit: u32,
     /// How old an engine's report of its load is when it is read.
@@ -152,7 +150,6 @@
             reading_tokens_per_ms: 100,
             learns_pace: true,
             long_pause_ms: 4_000,
-            upkeep: false,
             running_limit: 0,
             report_lag_ms: 250,
             affinity_tokens: 256,
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -43,7 +43,6 @@
 pub use placement::prefixes::PrefixIndex;
 pub use placement::relocate::Relocation;
 pub use placement::rendezvous::{ranked, winner};
-pub use placement::upkeep::{TurnEnd, Wish, WishCause};
 pub use placement::view::{EngineView, PoolView};
 pub use placement::warmup::Warmup;
 pub use pool::Pool;
--- a/components/policy/src/pace/felt.rs
+++ b/components/policy/src/pace/felt.rs
@@ -46,19 +46,8 @@
 
     /// How events would come at an engine with one stream more, whose prompt is so long.
     pub(crate) fn feel(&self, ledger: &EngineLedger, prompt_tokens: f64) -> Option<Feel> {
-        let streams = ledger.streams.len() as f64 + 1.0;
-        self.feel_with(ledger, streams, prompt_tokens)
-    }
-
-    /// How events come at an engine with so many streams, where prompts that are read are so long.
-    pub(crate) fn feel_with(
-        &self,
-        ledger: &EngineLedger,
-        streams: f64,
-        prompt_tokens: f64,
-    ) -> Option<Feel> {
         let load = |reading_share| Load {
-            streams,
+            streams: ledger.streams.len() as f64 + 1.0,
             reading_share,
         };
         let event_ms = |share| self.book.event_ms(&ledger.pace, load(share), self.now_ms);
--- a/components/policy/src/pace/speed.rs
+++ b/components/policy/src/pace/speed.rs
@@ -101,16 +101,11 @@
         self.heard_ms = now_ms;
     }
 
-    /// Whether it is known by its events, rather than by its own word.
-    pub fn is_seen(&self) -> bool {
-        self.seen.kept.len() >= TRUSTED
-    }
-
     /// Its speed by all that is known; none where nothing is.
     fn raw(&self, usual: &Usual) -> Option<f64> {
         let seen = self.seen.own.map(|seen| seen / usual.seen);
         let said = self.said.own.map(|said| said / usual.said);
-        match self.is_seen() {
+        match self.seen.kept.len() >= TRUSTED {
             true => seen,
             // A disturbance only makes either slower.
             false => match (seen, said) {
--- a/components/policy/src/placement/ledger.rs
+++ b/components/policy/src/placement/ledger.rs
@@ -83,8 +83,6 @@
     pub pause_goal_ms: Option<u32>,
     /// The longest pause that it had, as far as it was told.
     pub longest_ms: u32,
-    /// It was wished that it goes on elsewhere.
-    pub is_wished: bool,
     /// Tokens that it was expected to generate when it was placed.
     pub expected_tokens: f32,
     /// The longest pause that was foretold when it was placed.
--- a/components/policy/src/placement/mod.rs
+++ b/components/policy/src/placement/mod.rs
@@ -10,6 +10,5 @@
 pub(crate) mod reading;
 pub(crate) mod relocate;
 pub(crate) mod rendezvous;
-pub(crate) mod upkeep;
 pub(crate) mod view;
 pub(crate) mod warmup;
--- a/components/policy/src/placement/relocate.rs
+++ b/components/policy/src/placement/relocate.rs
@@ -2,7 +2,7 @@
 
 use crate::pace::felt::{PauseView, Pausing};
 use crate::placement::forecast::Forecast;
-use crate::placement::ledger::{EngineState, RoomView, StreamKey};
+use crate::placement::ledger::{EngineState, RoomView};
 use crate::pool::Pool;
 use prelude::{DataCentreId, PermitId, TargetId};
 
@@ -12,7 +12,7 @@
 
 /// Share of an engine's memory that stays free where a generation goes that may as well stay: in evacuations under
 /// load, moving whatever fitted cost others more than it gained (worth -0.009, standard error 0.005, 6 pairs of days).
-pub(crate) const AMPLE_SHARE: f64 = 0.5;
+const AMPLE_SHARE: f64 = 0.5;
 
 /// A running generation that is to go on at another engine.
 #[derive(Clone, Copy, Debug)]
@@ -27,8 +27,6 @@
     pub arriving: &'a [TargetId],
     /// The engine serves what it has: the generation goes only where there is ample room.
     pub may_stay: bool,
-    /// The only engine that is considered; all are where none is named.
-    pub only: Option<TargetId>,
 }
 
 impl Pool {
@@ -41,10 +39,11 @@
             avoid,
             arriving,
             may_stay,
-            only,
         } = *relocation;
         let key = *self.by_permit.get(&permit)?;
         let stream = self.streams.get(key)?;
+        let current = stream.target;
+        let (prompt_tokens, generated_tokens) = (stream.prompt_tokens, stream.generated_tokens);
         let held = f64::from(stream.prompt_tokens) + f64::from(stream.generated_tokens);
         let generated = f64::from(stream.generated_tokens);
         let goal_ms = stream.goal_left_ms();
@@ -79,8 +78,7 @@
         for ledger in &mut self.engines {
             let id = ledger.info.id;
             let takes = ledger.state == EngineState::Live && ledger.bears_one_more(now_ms);
-            let is_meant = only.is_none_or(|only| only == id);
-            if !takes || id == from || avoid.contains(&id) || !is_meant {
+            if !takes || id == from || avoid.contains(&id) {
                 continue;
             }
             let left = ledger.room_left(&view, &more);
@@ -100,46 +98,21 @@
             }
         }
         let (_, target) = best?;
-        self.carry_over(key, target, &more, now_ms);
-        Some(target)
-    }
-
-    /// A generation whose permit was moved ahead of it did not leave its engine.
-    pub(crate) fn put_back(&mut self, permit: PermitId, from: TargetId, now_ms: u64) {
-        let Some(key) = self.by_permit.get(&permit).copied() else {
-            return;
-        };
-        let Some(stream) = self.streams.get(key) else {
-            return;
-        };
-        if stream.target == from {
-            return;
-        }
-        let generated = f64::from(stream.generated_tokens);
-        let held = f64::from(stream.prompt_tokens) + generated;
-        let mut more = Forecast::default();
-        more.add(held, stream.survival(&self.lengths, generated));
-        self.carry_over(key, from, &more, now_ms);
-    }
-
-    /// Has a stream's room taken at another engine.
-    fn carry_over(&mut self, key: StreamKey, to: TargetId, more: &Forecast, now_ms: u64) {
-        let Some(stream) = self.streams.get_mut(key) else {
-            return;
-        };
-        let from = std::mem::replace(&mut stream.target, to);
-        let (prompt_tokens, generated_tokens) = (stream.prompt_tokens, stream.generated_tokens);
-        if let Some(ledger) = self.engine_mut(from) {
+        if let Some(ledger) = self.engine_mut(current) {
             ledger.remove(key, now_ms);
         }
-        if let Some(ledger) = self.engine_mut(to) {
+        if let Some(ledger) = self.engine_mut(target) {
             ledger.placed(now_ms);
-            ledger.add(key, more);
+            ledger.add(key, &more);
             if generated_tokens == 0 {
                 ledger.reading.sent(key, prompt_tokens, now_ms);
                 ledger.spans.reads(true, now_ms);
             }
         }
+        if let Some(stream) = self.streams.get_mut(key) {
+            stream.target = target;
+        }
+        Some(target)
     }
 
     /// What a generation holds, and whether it goes before others; none where its permit is not known.
--- a/components/policy/src/placement/relocate_tests.rs
+++ b/components/policy/src/placement/relocate_tests.rs
@@ -75,7 +75,6 @@
         avoid,
         arriving,
         may_stay,
-        only: None,
     };
     pool.relocate(&relocation, 0)
 }
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -16,7 +16,6 @@
 use crate::placement::length::{End, LengthModel};
 use crate::placement::prefixes::PrefixIndex;
 use crate::placement::reading::ReadingRate;
-use crate::placement::upkeep::Upkeep;
 use prelude::{BoxId, PermitId, TargetId};
 use std::collections::{HashMap, HashSet, VecDeque};
 
@@ -46,7 +45,6 @@
     pub(crate) tokens_per_ms: f64,
     pub(crate) reading_rate: ReadingRate,
     pub(crate) pace_book: PaceBook,
-    pub(crate) upkeep: Upkeep,
     /// The latest time that it was given: it reads no clock.
     pub(crate) now_ms: u64,
     pub(crate) grants: VecDeque<u64>,
@@ -80,7 +78,6 @@
             tokens_per_ms: PACE_INITIAL,
             reading_rate: ReadingRate::default(),
             pace_book: PaceBook::default(),
-            upkeep: Upkeep::default(),
             now_ms: 0,
             grants: VecDeque::new(),
             pace: GrantPace::default(),
@@ -257,7 +254,6 @@
             told_tokens: told(&demand, self.settings.policy),
             pause_goal_ms: demand.pause_goal_ms,
             longest_ms: 0,
-            is_wished: false,
             expected_tokens: self.expected_tokens(&demand) as f32,
             foretold_ms: self.foretold_ms(&demand, target, now_ms),
         };
--- a/components/policy/src/streams.rs
+++ b/components/policy/src/streams.rs
@@ -56,7 +56,6 @@
         let Some(stream) = self.streams.remove(key) else {
             return;
         };
-        self.upkeep.budget.forget(permit);
         let before = stream.generated_tokens;
         let tokens = tokens.max(before);
         let now_ms = self.now_ms;
--- a/components/relay/src/dispatch/dispatcher.rs
+++ b/components/relay/src/dispatch/dispatcher.rs
@@ -3,10 +3,13 @@
 //! runs where.
 
 use crate::state::Relay;
-use peers::{AcquireRequest, AdoptedStream, OpenStreams, PermitReply, UpdateReply, UpdateRequest};
+use peers::{
+    AcquireRequest, AdoptedStream, OpenStreams, PermitReply, RelocateReply, RelocateRequest,
+    UpdateReply, UpdateRequest,
+};
 use policy::{
-    Adopted, Demand, End, LengthClass, Pool, PoolSettings, ReadingPolicy, Submitted, Turns,
-    Verdict, WaitingPolicy,
+    Adopted, Demand, End, LengthClass, Pool, PoolSettings, ReadingPolicy, Relocation, Submitted,
+    Turns, Verdict, WaitingPolicy,
 };
 use prelude::{
     BoxId, DataCentreId, PermitId, PoolId, Refusal, RefusalReason, TargetId, TargetIncarnation,
@@ -20,6 +23,10 @@
 
 /// How often the requests that wait are looked over.
 const LOOK_EACH: Duration = Duration::from_millis(20);
+/// How long a generation waits here for its turn on a link before it asks again.
+const TURN_WAIT: Duration = Duration::from_millis(150);
+/// How often it looks whether it is its turn.
+const TURN_LOOK_EACH: Duration = Duration::from_millis(8);
 /// Prompt tokens that one engine may have waiting for their first token. A longer row holds the tokens of
 /// all that runs there up; measured in `docs/design/platform.md`.
 const PREFILL_TOKENS: u32 = 7_000;
@@ -41,12 +48,12 @@
     pub(crate) pool: Pool,
     pub(super) waiting: HashMap<PermitId, Waiting>,
     /// None where copies do not go one after another.
-    pub(crate) turns: Option<Turns>,
+    turns: Option<Turns>,
     /// Nothing is granted before this time.
     pub(super) grants_from_ms: u64,
     /// When boxes were last told that this one dispatches.
     pub(super) said_ms: u64,
-    pub(crate) log: slog::Logger,
+    log: slog::Logger,
 }
 
 /// Who waits for a pool's word.
@@ -83,7 +90,6 @@
         near_copy_tokens: on(Mechanism::NearCopies, usual.near_copy_tokens),
         learns_pace: file.has(Mechanism::Pace),
         long_pause_ms: on(Mechanism::PausePlacement, usual.long_pause_ms),
-        upkeep: file.has(Mechanism::Upkeep),
         forecast: file.has(Mechanism::Forecast),
         learns_lengths: file.has(Mechanism::Lengths),
         fair: file.has(Mechanism::Fairness),
@@ -121,6 +127,33 @@
         self.turns = has_turns.then(|| self.turns.take().unwrap_or_default());
     }
 
+    fn relocate(&mut self, request: &RelocateRequest, now_ms: u64) -> RelocateReply {
+        let (permit, from) = (request.permit, request.from);
+        let Some(held_tokens) = self.pool.held_tokens(permit) else {
+            return RelocateReply::NotKnown;
+        };
+        let asked = self.turns.as_mut();
+        if asked.is_some_and(|turns| !turns.ask(from, permit, held_tokens, now_ms)) {
+            return RelocateReply::Wait;
+        }
+        let arriving = self.turns.as_ref();
+        let arriving = arriving.map_or(Vec::new(), |turns| turns.arriving(now_ms));
+        let relocation = Relocation {
+            permit,
+            from,
+            avoid: &request.avoid,
+            arriving: &arriving,
+            may_stay: request.may_stay,
+        };
+        let found = self.pool.relocate(&relocation, now_ms);
+        match (found, &mut self.turns) {
+            (Some(target), Some(turns)) => turns.begin(from, permit, target, now_ms),
+            (None, Some(turns)) => turns.end(from, permit),
+            (_, None) => {}
+        }
+        found.map_or(RelocateReply::NoRoom, RelocateReply::Go)
+    }
+
     pub(crate) fn decide(&mut self, now_ms: u64) {
         if now_ms < self.grants_from_ms {
             return;
@@ -271,6 +304,35 @@
         });
     }
 
+    /// Decides where a running generation goes on, once it is its turn.
+    pub(crate) async fn relocate_here(&self, request: &RelocateRequest) -> RelocateReply {
+        let until = Instant::now() + TURN_WAIT;
+        loop {
+            let reply = self.with_dispatcher(request.pool, |dispatcher, now_ms| {
+                dispatcher.relocate(request, now_ms)
+            });
+            if reply == RelocateReply::Wait && Instant::now() >= until {
+                return reply;
+            }
+            if reply != RelocateReply::Wait {
+                slog::info!(self.log, "relocation"; "box" => request.permit.entry.0,
+                    "permit" => request.permit.serial, "from" => request.from.0,
+                    "word" => ?reply);
+                return reply;
+            }
+            sleep(TURN_LOOK_EACH).await;
+        }
+    }
+
+    /// Ends the turn of a generation.
+    pub(crate) fn relocated_here(&self, pool: PoolId, permit: PermitId, from: TargetId) {
+        self.with_dispatcher(pool, |dispatcher, _| {
+            if let Some(turns) = &mut dispatcher.turns {
+                turns.end(from, permit);
+            }
+        });
+    }
+
     /// Takes progress and ends in.
     pub(crate) fn update_here(&self, request: &UpdateRequest) -> UpdateReply {
         let permit = |serial| PermitId {
@@ -307,11 +369,7 @@
             pool.forget_silent(now_ms);
             let resync = !known || pool.streams_of(request.from) != request.open_streams as usize;
             dispatcher.decide(now_ms);
-            let moves = match self.can_move(request.pool) {
-                true => dispatcher.wishes(request.from, now_ms),
-                false => Vec::new(),
-            };
-            UpdateReply { resync, moves }
+            UpdateReply { resync }
         })
     }
 
@@ -352,6 +410,16 @@
             self.show_forecasts();
         }
     }
+
+    /// Shows by how much forecasts are corrected; ten ranks at the most.
+    fn show_forecasts(&self) {
+        for dispatcher in self.dispatchers.borrow().values() {
+            for (rank, correction) in dispatcher.pool.forecast_corrections() {
+                let rank = rank.to_string();
+                metrics::gauge!("shuntpier_forecast_correction", "rank" => rank).set(correction);
+            }
+        }
+    }
 }
 
 /// A refusal where no dispatcher's word is known.
--- a/components/relay/src/dispatch/heartbeat.rs
+++ b/components/relay/src/dispatch/heartbeat.rs
@@ -3,7 +3,7 @@
 use crate::dispatch::permits::CALL_LIMIT;
 use crate::state::Relay;
 use crate::watch::targets::TargetSlot;
-use peers::{EngineFault, FleetClient, TurnOver, UpdateRequest};
+use peers::{EngineFault, FleetClient, UpdateRequest};
 use prelude::{BoxId, PermitId, PoolId, TargetId};
 use std::future::Future;
 use std::rc::Rc;
@@ -80,20 +80,14 @@
     }
 
     /// Says that a generation's turn on a link is over.
-    pub(crate) fn tell_relocated(
-        self: &Rc<Self>,
-        pool: PoolId,
-        serial: u64,
-        from: TargetId,
-        over: TurnOver,
-    ) {
+    pub(crate) fn tell_relocated(self: &Rc<Self>, pool: PoolId, serial: u64, from: TargetId) {
         let permit = self.permit_id(serial);
         self.tell_dispatcher(
             pool,
             "relocated",
-            |relay| relay.relocated_here(pool, permit, from, over),
+            |relay| relay.relocated_here(pool, permit, from),
             move |client, context| async move {
-                client.relocated(context, pool, permit, from, over).await
+                client.relocated(context, pool, permit, from).await
             },
         );
     }
@@ -152,9 +146,7 @@
             open_streams,
         };
         if dispatcher == self.id {
-            let reply = self.update_here(&update);
-            self.wished(&reply.moves);
-            if reply.resync {
+            if self.update_here(&update).resync {
                 self.tell_all_open_generations(dispatcher, pool).await;
             }
             return;
@@ -165,11 +157,7 @@
                 client.update(context, update).await
             });
         let reply = self.heard_from(dispatcher, call.await, "update");
-        let Some(reply) = reply else {
-            return;
-        };
-        self.wished(&reply.moves);
-        if reply.resync {
+        if reply.is_some_and(|reply| reply.resync) {
             self.tell_all_open_generations(dispatcher, pool).await;
         }
     }
--- a/components/relay/src/dispatch/open_generations.rs
+++ b/components/relay/src/dispatch/open_generations.rs
@@ -15,8 +15,6 @@
     told_tokens: u32,
     gaps: Gaps,
     began_ms: u64,
-    /// Its dispatcher wishes that it goes on elsewhere.
-    is_wished: bool,
 }
 
 impl OpenGeneration {
@@ -60,7 +58,6 @@
             told_tokens: 0,
             gaps: Gaps::default(),
             began_ms: now_ms,
-            is_wished: false,
         };
         self.open.insert(request.permit.serial, run);
     }
@@ -77,18 +74,6 @@
         }
     }
 
-    /// Notes that a generation is wished to go on elsewhere. False where it has ended.
-    pub(crate) fn wished(&mut self, serial: u64) -> bool {
-        let run = self.open.get_mut(&serial);
-        run.map(|run| run.is_wished = true).is_some()
-    }
-
-    /// Whether a generation is wished to go on elsewhere; it is asked once.
-    pub(crate) fn take_wish(&mut self, serial: u64) -> bool {
-        let run = self.open.get_mut(&serial);
-        run.is_some_and(|run| std::mem::take(&mut run.is_wished))
-    }
-
     /// Notes how far a generation is. True where its dispatcher is to be told.
     pub(crate) fn grew(&mut self, serial: u64, tokens: u32) -> bool {
         let Some(run) = self.open.get_mut(&serial) else {
--- a/components/relay/src/dispatch/permits.rs
+++ b/components/relay/src/dispatch/permits.rs
@@ -5,7 +5,7 @@
 use crate::dispatch::dispatcher::refusal;
 use crate::state::{Relay, pool_of};
 use crate::watch::targets::TargetSlot;
-use peers::{AcquireRequest, PermitReply, RelocateReply, RelocateRequest, TurnOver};
+use peers::{AcquireRequest, PermitReply, RelocateReply, RelocateRequest};
 use prelude::{BoxId, PermitId, PoolId, Refusal, RefusalReason, TargetId};
 use std::rc::Rc;
 use std::time::Duration;
@@ -272,10 +272,19 @@
     /// answers, this box decides by what it knows of its own generations.
     pub(crate) async fn relocate(
         self: &Rc<Self>,
+        pool: PoolId,
         serial: u64,
-        request: RelocateRequest,
+        from: TargetId,
+        avoid: &[TargetId],
+        may_stay: bool,
     ) -> Result<TargetSlot, RelocateReply> {
-        let (pool, from) = (request.pool, request.from);
+        let request = RelocateRequest {
+            pool,
+            permit: self.permit_id(serial),
+            from,
+            avoid: avoid.to_vec(),
+            may_stay,
+        };
         let dispatcher = self.dispatchers_of(pool).first().copied();
         let mut reply = match dispatcher {
             Some(id) if id != self.id => self.relocate_at(id, request.clone()).await,
@@ -299,12 +308,8 @@
         let RelocateReply::Go(target) = reply else {
             return Err(reply);
         };
-        let Some(slot) = self.slot_soon(target).await else {
-            if request.may_stay {
-                self.tell_relocated(pool, serial, from, TurnOver::Stays);
-            }
-            return Err(RelocateReply::NoRoom);
-        };
+        let slot = self.slot_soon(target).await;
+        let slot = slot.ok_or(RelocateReply::NoRoom)?;
         self.open_generations.borrow_mut().moved(serial, target);
         Ok(slot)
     }
--- a/components/relay/src/membership/gossip.rs
+++ b/components/relay/src/membership/gossip.rs
@@ -11,7 +11,7 @@
 use peers::{
     AcquireRequest, EngineFault, FetchRequest, FleetCard, FleetDigest, FleetGossip, FleetHandler,
     OpenStreams, PermitReply, RelocateReply, RelocateRequest, SharedTable, TargetChanges,
-    TargetHint, TargetPatch, TurnOver, UpdateReply, UpdateRequest,
+    TargetHint, TargetPatch, UpdateReply, UpdateRequest,
 };
 use prelude::{BoxId, PermitId, PoolId, TargetId};
 use std::net::SocketAddr;
@@ -269,8 +269,8 @@
         self.0.relocate_here(&request).await
     }
 
-    async fn relocated(&self, pool: PoolId, permit: PermitId, from: TargetId, over: TurnOver) {
-        self.0.relocated_here(pool, permit, from, over);
+    async fn relocated(&self, pool: PoolId, permit: PermitId, from: TargetId) {
+        self.0.relocated_here(pool, permit, from);
     }
 
     async fn engine_failed(&self, pool: PoolId, target: TargetId, fault: EngineFault) {
--- a/components/relay/src/migration/mod.rs
+++ b/components/relay/src/migration/mod.rs
@@ -1,5 +1,3 @@
 //! Generations that go on at another engine.
 
-pub(crate) mod job;
-pub(crate) mod moved;
 pub(crate) mod mover;
--- a/components/relay/src/migration/mover.rs
+++ b/components/relay/src/migration/mover.rs
@@ -1,25 +1,91 @@
-//! Watches the engine of one running generation, and has the generation move off an engine that leaves or that its
-//! dispatcher wishes it to leave.
+//! Moves a running generation off an engine that leaves: a first copy while it runs, then a stop with what
+//! is new, then on at the other engine. The decision where to is the dispatcher's.
 
 use crate::dispatch::permits::Permit;
-use crate::migration::job::{Cause, Job};
-use crate::migration::moved::{Moved, Step};
+use crate::forwarding::control::control;
 use crate::state::Relay;
-use crate::watch::targets::Belief;
+use crate::watch::targets::{Belief, TargetSlot};
+use peers::RelocateReply;
+use platform::{CopyReply, copy_call, drop_copy_call, read_copy_reply};
+use prelude::{PoolId, TargetId};
 use routing::EngineTraits;
 use settings::Mechanism;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, watch};
 use tokio::time::sleep;
 
+/// Pause before a copy is asked for again.
+const AGAIN: Duration = Duration::from_millis(60);
+/// The same where its engine stays: there is time, and engines that leave need the links.
+const EVACUATED_AGAIN: Duration = Duration::from_millis(500);
+/// Tries to move one generation.
+const TRIES_MAX: u32 = 30;
 /// How long the source's stream may take to close after the stop.
 const SOURCE_CLOSE_LIMIT: Duration = Duration::from_millis(150);
+/// Generations with fewer tokens left than this end sooner than they move.
+const TOKENS_LEFT_MIN: u32 = 48;
+
+/// A generation whose copy waits for it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Moved {
+    /// The engine that has the copy.
+    pub to: TargetSlot,
+    /// The engine that it ran on, which names the copy.
+    pub source: SocketAddr,
+    pub source_slot: TargetSlot,
+    pub copy: Box<str>,
+}
+
+impl Moved {
+    /// Frees the copy, which nobody will use.
+    pub(crate) fn free(&self, relay: &Rc<Relay>) {
+        let to = relay.targets.borrow().get(self.to).map(|t| t.entry.address);
+        if let Some(to) = to {
+            free_copy(relay, to, &self.copy);
+        }
+    }
+
+    /// Frees what its source has kept of a generation that goes on elsewhere, where the source stays.
+    pub(crate) fn free_source(&self, relay: &Rc<Relay>) {
+        let stays = relay
+            .targets
+            .borrow()
+            .get(self.source_slot)
+            .is_some_and(|t| t.belief == Belief::Ready);
+        if stays {
+            free_copy(relay, self.source, &self.copy);
+        }
+    }
+}
+
+/// What a move tells whoever reads the generation's stream.
+pub(crate) enum Step {
+    /// The generation is about to be stopped: the end of its stream says nothing.
+    Stopping,
+    /// It goes on elsewhere.
+    Continue(Moved),
+    /// It was not stopped, or is not known to be.
+    Failed,
+}
+
+/// Which generation is moved, and from where.
+#[derive(Clone, Debug)]
+struct Job {
+    cause: Cause,
+    pool: PoolId,
+    serial: u64,
+    id: Box<str>,
+    source: TargetSlot,
+    source_id: TargetId,
+    source_address: SocketAddr,
+}
+
 /// Watches the engine of one generation, and moves the generation when it leaves.
 pub(crate) struct Mover {
     relay: Rc<Relay>,
     changes: watch::Receiver<u64>,
-    wishes: watch::Receiver<u64>,
     looked: bool,
     moves: bool,
     /// What the move under way tells. Once this is dropped, the move ends by itself: it frees the copy that it made.
@@ -33,6 +99,25 @@
     stays_evacuated: bool,
 }
 
+/// Why a generation is moved.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Cause {
+    /// Its engine leaves, and takes with it what runs there.
+    Leaves,
+    /// Its engine's data centre is evacuated. The engine serves what it has.
+    Evacuated,
+}
+
+impl Cause {
+    /// Pause before a move is tried again.
+    fn pause(self) -> Duration {
+        match self {
+            Self::Leaves => AGAIN,
+            Self::Evacuated => EVACUATED_AGAIN,
+        }
+    }
+}
+
 impl Drop for Mover {
     fn drop(&mut self) {
         let mut unused = self.waiting.take();
@@ -55,7 +140,6 @@
         Self {
             relay: relay.clone(),
             changes: relay.target_changes.subscribe(),
-            wishes: relay.moves_wished.subscribe(),
             looked: false,
             moves: engine.is_some_and(|engine| engine.moves) && relay.file().has(Mechanism::Moves),
             steps: None,
@@ -103,9 +187,9 @@
                         self.stopping = false;
                         return Step::Failed;
                     }
-                    None if self.cause.is_some_and(Cause::may_stay) => {
+                    None if self.cause == Some(Cause::Evacuated) => {
                         // The engine may still leave; the generation is moved then.
-                        self.stays_evacuated |= self.cause == Some(Cause::Evacuated);
+                        self.stays_evacuated = true;
                         self.steps = None;
                         self.looked = false;
                     }
@@ -113,14 +197,8 @@
                 }
                 continue;
             }
-            if self.looked {
-                let changed = tokio::select! {
-                    changed = self.changes.changed() => changed,
-                    changed = self.wishes.changed() => changed,
-                };
-                if changed.is_err() {
-                    std::future::pending::<()>().await;
-                }
+            if self.looked && self.changes.changed().await.is_err() {
+                std::future::pending::<()>().await;
             }
             self.looked = true;
             self.look(permit, id);
@@ -129,26 +207,19 @@
 
     /// Begins to move the generation where its engine leaves, or is to be left.
     fn look(&mut self, permit: &Permit, id: &str) {
-        if !self.moves {
-            return;
-        }
-        let is_wished = || {
-            let mut open = self.relay.open_generations.borrow_mut();
-            open.take_wish(permit.serial)
-        };
         let targets = self.relay.targets.borrow();
         let Some(target) = targets.get(permit.slot) else {
             return;
         };
-        let leaves_evacuated = targets.is_evacuated(target)
-            && !self.stays_evacuated
-            && self.relay.file().has(Mechanism::EvacuationMoves);
         let cause = match target.belief {
-            Belief::Ready if leaves_evacuated => Cause::Evacuated,
-            Belief::Ready if is_wished() => Cause::Wished,
-            Belief::Ready => return,
+            Belief::Ready if !targets.is_evacuated(target) || self.stays_evacuated => return,
+            Belief::Ready if !self.relay.file().has(Mechanism::EvacuationMoves) => return,
+            Belief::Ready => Cause::Evacuated,
             _ => Cause::Leaves,
         };
+        if !self.moves {
+            return;
+        }
         self.cause = Some(cause);
         let job = Job {
             cause,
@@ -166,13 +237,170 @@
     }
 }
 
-impl Relay {
-    /// Takes in which generations a dispatcher wishes to go on elsewhere.
-    pub(crate) fn wished(&self, serials: &[u64]) {
-        let mut open = self.open_generations.borrow_mut();
-        let known = serials.iter().filter(|serial| open.wished(**serial));
-        if known.count() > 0 {
-            self.moves_wished.send_modify(|count| *count += 1);
+/// A turn on the link of an engine; it is over when this is dropped.
+struct Turn<'a> {
+    relay: &'a Rc<Relay>,
+    job: &'a Job,
+}
+
+impl Drop for Turn<'_> {
+    fn drop(&mut self) {
+        let job = self.job;
+        self.relay
+            .tell_relocated(job.pool, job.serial, job.source_id);
+    }
+}
+
+/// What became of one try to move a generation.
+enum Try {
+    /// It is over, one way or the other.
+    Over,
+    /// It is tried again, elsewhere where an engine is named.
+    Again(&'static str, Option<TargetId>),
+}
+
+impl Job {
+    async fn run(&self, relay: &Rc<Relay>, steps: &mpsc::UnboundedSender<Step>) {
+        let mut avoid: Vec<TargetId> = Vec::new();
+        for tries in 0..TRIES_MAX {
+            let Some(run) = relay.open_generations.borrow().get(self.serial) else {
+                return;
+            };
+            if steps.is_closed() {
+                return;
+            }
+            if run.tokens > 0 && run.request.max_tokens < run.tokens + TOKENS_LEFT_MIN {
+                return self.note(relay, "it ends sooner", tries);
+            }
+            let may_stay = self.cause == Cause::Evacuated;
+            let found = relay
+                .relocate(self.pool, self.serial, self.source_id, &avoid, may_stay)
+                .await;
+            let to = match found {
+                Ok(to) if relay.takes_work(to) => to,
+                Ok(to) => {
+                    // The dispatcher has not heard yet that it leaves too.
+                    avoid.extend(relay.id_of(to));
+                    relay.tell_relocated(self.pool, self.serial, self.source_id);
+                    continue;
+                }
+                Err(RelocateReply::Wait) => continue,
+                Err(reply) => {
+                    slog::info!(relay.log, "not moved"; "id" => &*self.id, "why" => ?reply,
+                        "tries" => tries);
+                    sleep(self.cause.pause()).await;
+                    continue;
+                }
+            };
+            match self.try_to(relay, to, steps).await {
+                Try::Over => return,
+                Try::Again(why, other) => {
+                    self.note(relay, why, tries);
+                    avoid.extend(other);
+                    sleep(self.cause.pause()).await;
+                }
+            }
         }
     }
+
+    /// Copies the generation to an engine, stops it, and has it go on there.
+    async fn try_to(
+        &self,
+        relay: &Rc<Relay>,
+        to: TargetSlot,
+        steps: &mpsc::UnboundedSender<Step>,
+    ) -> Try {
+        let _turn = Turn { relay, job: self };
+        let Some(to_address) = relay.targets.borrow().get(to).map(|t| t.entry.address) else {
+            return Try::Again("the engine is gone", None);
+        };
+        let began_ms = relay.now_ms();
+        let to_id = relay.id_of(to);
+        let first = match self.copy(relay, to, false).await {
+            CopyReply::Done { copy, .. } => copy,
+            CopyReply::NotRunning => return Try::Again("it does not run yet, or no more", None),
+            CopyReply::UnderWay => return Try::Again("another copy is under way", None),
+            reply => {
+                slog::info!(relay.log, "copy failed"; "id" => &*self.id, "reply" => ?reply);
+                return Try::Again("the copy failed", to_id);
+            }
+        };
+        let copied_ms = relay.now_ms();
+        if relay.is_over(to) {
+            // The copy went with the life that held it: a stop now would end the generation.
+            free_copy(relay, to_address, &first);
+            return Try::Again("the engine is gone", to_id);
+        }
+        if steps.send(Step::Stopping).is_err() {
+            // It came to its own end, or its caller left, while it was copied.
+            free_copy(relay, to_address, &first);
+            return Try::Over;
+        }
+        match self.copy(relay, to, true).await {
+            CopyReply::Done { copy, events_made } => {
+                slog::info!(relay.log, "generation stopped to be moved"; "id" => &*self.id,
+                    "events" => events_made, "copied_in_ms" => copied_ms - began_ms,
+                    "stopped_in_ms" => relay.now_ms() - copied_ms);
+                if !self.goes_on(to, copy, steps) {
+                    free_copy(relay, to_address, &first);
+                }
+                Try::Over
+            }
+            CopyReply::NoRoom { kept: Some(copy) } => {
+                slog::info!(relay.log, "generation goes on at its source"; "id" => &*self.id);
+                self.goes_on(self.source, copy, steps);
+                Try::Over
+            }
+            CopyReply::NotRunning => {
+                // It came to its own end meanwhile.
+                free_copy(relay, to_address, &first);
+                Try::Over
+            }
+            reply => {
+                slog::info!(relay.log, "stop failed"; "id" => &*self.id, "reply" => ?reply);
+                free_copy(relay, to_address, &first);
+                match steps.send(Step::Failed) {
+                    Ok(()) => Try::Again("the stop failed", to_id),
+                    Err(_) => Try::Over,
+                }
+            }
+        }
+    }
+
+    /// Has the generation go on. False where nobody waits for that any more.
+    fn goes_on(&self, to: TargetSlot, copy: Box<str>, steps: &mpsc::UnboundedSender<Step>) -> bool {
+        let moved = Moved {
+            to,
+            source: self.source_address,
+            source_slot: self.source,
+            copy,
+        };
+        steps.send(Step::Continue(moved)).is_ok()
+    }
+
+    fn note(&self, relay: &Relay, why: &'static str, tries: u32) {
+        slog::info!(relay.log, "not moved"; "id" => &*self.id, "why" => why, "tries" => tries);
+    }
+
+    async fn copy(&self, relay: &Rc<Relay>, to: TargetSlot, stops: bool) -> CopyReply {
+        let to_address = relay.targets.borrow().get(to).map(|t| t.entry.address);
+        let Some(to_address) = to_address else {
+            return CopyReply::NoRoom { kept: None };
+        };
+        let call = copy_call(self.source_address, &self.id, to_address, stops);
+        let reply = control(relay, self.source_address, &call).await;
+        reply.map_or(CopyReply::Unknown { status: 0 }, |(status, body)| {
+            read_copy_reply(status, &body)
+        })
+    }
+}
+
+/// Frees a copy that nobody will use, at the engine that holds it. Left alone it keeps some thousands of tokens for many
+/// seconds, of which no ledger knows: generations there are preempted.
+fn free_copy(relay: &Rc<Relay>, holder: SocketAddr, copy: &str) {
+    metrics::counter!("shuntpier_copies_freed").increment(1);
+    let (relay, call) = (relay.clone(), drop_copy_call(holder, copy));
+    tokio::task::spawn_local(async move {
+        control(&relay, holder, &call).await;
+    });
 }
--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -112,7 +112,6 @@
         targets: RefCell::default(),
         refused_entries: RefCell::default(),
         target_changes: watch::Sender::new(0),
-        moves_wished: watch::Sender::new(0),
         channels: RefCell::default(),
         held: Holdings::new(held_bounds(&file.limits)),
         balance: RefCell::default(),
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -66,8 +66,6 @@
     pub(crate) refused_entries: RefCell<RefusedEntries>,
     /// Rises with each change of targets that matters.
     pub(crate) target_changes: watch::Sender<u64>,
-    /// Rises as dispatchers wish that generations of this box go on elsewhere.
-    pub(crate) moves_wished: watch::Sender<u64>,
     pub(crate) channels: RefCell<Channels>,
     /// What is kept for callers and targets that read slowly.
     pub(crate) held: Rc<Holdings>,
--- a/components/replay/src/moves.rs
+++ b/components/replay/src/moves.rs
@@ -86,7 +86,6 @@
         let links = self.slots.iter().filter_map(|slot| slot.link.copying);
         let arriving: Vec<TargetId> = links.map(|copying| self.slots[copying.to].id).collect();
         let relocation = Relocation {
-            only: None,
             permit,
             from,
             avoid: &[],
--- a/components/settings/src/fleetfields.rs
+++ b/components/settings/src/fleetfields.rs
@@ -27,7 +27,6 @@
             limits,
             accounts,
             without,
-            with,
             seeds,
             peer_keys,
             log_level,
@@ -44,12 +43,6 @@
                 "mechanisms of decision that are off",
                 without,
             ),
-            Field::new(
-                "with",
-                NewWork,
-                "mechanisms of decision that are on, of those that are off by default",
-                with,
-            ),
             Field::new(
                 "seeds",
                 Live,
--- a/components/settings/src/fleetfields_tests.rs
+++ b/components/settings/src/fleetfields_tests.rs
@@ -23,7 +23,6 @@
 fn each_value_of_the_file_is_declared_once() {
     let mut file = example();
     file.without = vec![crate::Mechanism::Turns];
-    file.with = vec![crate::Mechanism::Upkeep];
     let mut written = Vec::new();
     paths(&serde_json::to_value(&file).unwrap(), "", &mut written);
     let mut declared: Vec<String> = file.fields().iter().map(|f| f.path.to_owned()).collect();
--- a/components/settings/src/fleetfile.rs
+++ b/components/settings/src/fleetfile.rs
@@ -28,9 +28,6 @@
     /// Mechanisms of decision that are off, for measurements; usually none.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub without: Vec<Mechanism>,
-    /// Mechanisms of decision that are on, of those that are off where they are not named.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub with: Vec<Mechanism>,
     /// Boxes that may be asked before any is known from the store.
     #[serde(default)]
     #[schemars(with = "Vec<String>")]
@@ -61,8 +58,7 @@
 impl FleetFile {
     /// Whether a mechanism of decision is on.
     pub fn has(&self, mechanism: Mechanism) -> bool {
-        let is_on = !mechanism.is_off_by_default() || self.with.contains(&mechanism);
-        is_on && !self.without.contains(&mechanism)
+        !self.without.contains(&mechanism)
     }
 }
 
--- a/components/settings/src/mechanism.rs
+++ b/components/settings/src/mechanism.rs
@@ -3,8 +3,7 @@
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
 
-/// A mechanism of decision. Listed under `without` in a box's settings file, it is off; those that are off by default are on
-/// where they are listed under `with`.
+/// A mechanism of decision. Listed under `without` in a box's settings file, it is off.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize, JsonSchema)]
 #[serde(rename_all = "snake_case")]
 pub enum Mechanism {
@@ -36,9 +35,6 @@
     Moves,
     /// Generations leave engines of evacuated data centres.
     EvacuationMoves,
-    /// Generations leave engines that turned bad since they were placed. Off by default: it spared no pauses where it was
-    /// measured, see `docs/design/upkeep.md`.
-    Upkeep,
     /// Copies from one engine go one after another.
     Turns,
     /// An engine that failed a generation is on trial for all boxes.
@@ -68,10 +64,3 @@
     /// Refused callers are told a time worked out for them; without it, one second.
     TimesToComeBack,
 }
-
-impl Mechanism {
-    /// Whether it is off where the settings do not name it.
-    pub fn is_off_by_default(self) -> bool {
-        self == Self::Upkeep
-    }
-}
