--- a/components/policy/src/kind.rs
+++ b/components/policy/src/kind.rs
@@ -140,7 +140,7 @@
             margin_decay_per_s: 0.05,
             ranks: true,
             waiting: WaitingPolicy::FirstToken,
-            corrects_forecasts: true,
+            corrects_forecasts: false,
             urgent_ahead: false,
             memory_ahead: false,
             protection: false,
