--- a/components/relay/src/dispatch/dispatcher.rs
+++ b/components/relay/src/dispatch/dispatcher.rs
@@ -3,13 +3,10 @@
 //! runs where.
 
 use crate::state::Relay;
-use peers::{
-    AcquireRequest, AdoptedStream, OpenStreams, PermitReply, RelocateReply, RelocateRequest,
-    UpdateReply, UpdateRequest,
-};
+use peers::{AcquireRequest, AdoptedStream, OpenStreams, PermitReply, UpdateReply, UpdateRequest};
 use policy::{
-    Adopted, Demand, End, LengthClass, Pool, PoolSettings, ReadingPolicy, Relocation, Submitted,
-    Turns, Verdict, WaitingPolicy,
+    Adopted, Demand, End, LengthClass, Pool, PoolSettings, ReadingPolicy, Submitted, Turns,
+    Verdict, WaitingPolicy,
 };
 use prelude::{
     BoxId, DataCentreId, PermitId, PoolId, Refusal, RefusalReason, TargetId, TargetIncarnation,
@@ -23,10 +20,6 @@
 
 /// How often the requests that wait are looked over.
 const LOOK_EACH: Duration = Duration::from_millis(20);
-/// How long a generation waits here for its turn on a link before it asks again.
-const TURN_WAIT: Duration = Duration::from_millis(150);
-/// How often it looks whether it is its turn.
-const TURN_LOOK_EACH: Duration = Duration::from_millis(8);
 /// Prompt tokens that one engine may have waiting for their first token. A longer row holds the tokens of
 /// all that runs there up; measured in `docs/design/platform.md`.
 const PREFILL_TOKENS: u32 = 7_000;
@@ -48,7 +41,7 @@
     pub(crate) pool: Pool,
     pub(super) waiting: HashMap<PermitId, Waiting>,
     /// None where copies do not go one after another.
-    turns: Option<Turns>,
+    pub(super) turns: Option<Turns>,
     /// Nothing is granted before this time.
     pub(super) grants_from_ms: u64,
     /// When boxes were last told that this one dispatches.
@@ -127,33 +120,6 @@
         self.turns = has_turns.then(|| self.turns.take().unwrap_or_default());
     }
 
-    fn relocate(&mut self, request: &RelocateRequest, now_ms: u64) -> RelocateReply {
-        let (permit, from) = (request.permit, request.from);
-        let Some(held_tokens) = self.pool.held_tokens(permit) else {
-            return RelocateReply::NotKnown;
-        };
-        let asked = self.turns.as_mut();
-        if asked.is_some_and(|turns| !turns.ask(from, permit, held_tokens, now_ms)) {
-            return RelocateReply::Wait;
-        }
-        let arriving = self.turns.as_ref();
-        let arriving = arriving.map_or(Vec::new(), |turns| turns.arriving(now_ms));
-        let relocation = Relocation {
-            permit,
-            from,
-            avoid: &request.avoid,
-            arriving: &arriving,
-            may_stay: request.may_stay,
-        };
-        let found = self.pool.relocate(&relocation, now_ms);
-        match (found, &mut self.turns) {
-            (Some(target), Some(turns)) => turns.begin(from, permit, target, now_ms),
-            (None, Some(turns)) => turns.end(from, permit),
-            (_, None) => {}
-        }
-        found.map_or(RelocateReply::NoRoom, RelocateReply::Go)
-    }
-
     pub(crate) fn decide(&mut self, now_ms: u64) {
         if now_ms < self.grants_from_ms {
             return;
@@ -304,35 +270,6 @@
         });
     }
 
-    /// Decides where a running generation goes on, once it is its turn.
-    pub(crate) async fn relocate_here(&self, request: &RelocateRequest) -> RelocateReply {
-        let until = Instant::now() + TURN_WAIT;
-        loop {
-            let reply = self.with_dispatcher(request.pool, |dispatcher, now_ms| {
-                dispatcher.relocate(request, now_ms)
-            });
-            if reply == RelocateReply::Wait && Instant::now() >= until {
-                return reply;
-            }
-            if reply != RelocateReply::Wait {
-                slog::info!(self.log, "relocation"; "box" => request.permit.entry.0,
-                    "permit" => request.permit.serial, "from" => request.from.0,
-                    "word" => ?reply);
-                return reply;
-            }
-            sleep(TURN_LOOK_EACH).await;
-        }
-    }
-
-    /// Ends the turn of a generation.
-    pub(crate) fn relocated_here(&self, pool: PoolId, permit: PermitId, from: TargetId) {
-        self.with_dispatcher(pool, |dispatcher, _| {
-            if let Some(turns) = &mut dispatcher.turns {
-                turns.end(from, permit);
-            }
-        });
-    }
-
     /// Takes progress and ends in.
     pub(crate) fn update_here(&self, request: &UpdateRequest) -> UpdateReply {
         let permit = |serial| PermitId {
--- a/components/relay/src/dispatch/mod.rs
+++ b/components/relay/src/dispatch/mod.rs
@@ -8,6 +8,7 @@
 pub(crate) mod open_generations;
 pub(crate) mod pace;
 pub(crate) mod permits;
+pub(crate) mod relocation;
 pub(crate) mod reports;
 pub(crate) mod shares;
 pub(crate) mod takeover;
--- /dev/null
+++ b/components/relay/src/dispatch/relocation.rs
@@ -0,0 +1,74 @@
+//! Where a running generation goes on: the dispatcher's word, once it is the generation's turn on the link of the engine that
+//! it leaves.
+
+use crate::dispatch::dispatcher::Dispatcher;
+use crate::state::Relay;
+use peers::{RelocateReply, RelocateRequest};
+use policy::Relocation;
+use prelude::{PermitId, PoolId, TargetId};
+use std::time::Duration;
+use tokio::time::{Instant, sleep};
+
+/// How long a generation waits here for its turn on a link before it asks again.
+const TURN_WAIT: Duration = Duration::from_millis(150);
+/// How often it looks whether it is its turn.
+const TURN_LOOK_EACH: Duration = Duration::from_millis(8);
+impl Dispatcher {
+    fn relocate(&mut self, request: &RelocateRequest, now_ms: u64) -> RelocateReply {
+        let (permit, from) = (request.permit, request.from);
+        let Some(held_tokens) = self.pool.held_tokens(permit) else {
+            return RelocateReply::NotKnown;
+        };
+        let asked = self.turns.as_mut();
+        if asked.is_some_and(|turns| !turns.ask(from, permit, held_tokens, now_ms)) {
+            return RelocateReply::Wait;
+        }
+        let arriving = self.turns.as_ref();
+        let arriving = arriving.map_or(Vec::new(), |turns| turns.arriving(now_ms));
+        let relocation = Relocation {
+            permit,
+            from,
+            avoid: &request.avoid,
+            arriving: &arriving,
+            may_stay: request.may_stay,
+        };
+        let found = self.pool.relocate(&relocation, now_ms);
+        match (found, &mut self.turns) {
+            (Some(target), Some(turns)) => turns.begin(from, permit, target, now_ms),
+            (None, Some(turns)) => turns.end(from, permit),
+            (_, None) => {}
+        }
+        found.map_or(RelocateReply::NoRoom, RelocateReply::Go)
+    }
+}
+
+impl Relay {
+    /// Decides where a running generation goes on, once it is its turn.
+    pub(crate) async fn relocate_here(&self, request: &RelocateRequest) -> RelocateReply {
+        let until = Instant::now() + TURN_WAIT;
+        loop {
+            let reply = self.with_dispatcher(request.pool, |dispatcher, now_ms| {
+                dispatcher.relocate(request, now_ms)
+            });
+            if reply == RelocateReply::Wait && Instant::now() >= until {
+                return reply;
+            }
+            if reply != RelocateReply::Wait {
+                slog::info!(self.log, "relocation"; "box" => request.permit.entry.0,
+                    "permit" => request.permit.serial, "from" => request.from.0,
+                    "word" => ?reply);
+                return reply;
+            }
+            sleep(TURN_LOOK_EACH).await;
+        }
+    }
+
+    /// Ends the turn of a generation.
+    pub(crate) fn relocated_here(&self, pool: PoolId, permit: PermitId, from: TargetId) {
+        self.with_dispatcher(pool, |dispatcher, _| {
+            if let Some(turns) = &mut dispatcher.turns {
+                turns.end(from, permit);
+            }
+        });
+    }
+}
--- a/components/relay/src/migration/mod.rs
+++ b/components/relay/src/migration/mod.rs
@@ -1,3 +1,4 @@
 //! Generations that go on at another engine.
 
+pub(crate) mod moved;
 pub(crate) mod mover;
--- a/components/relay/src/migration/mover.rs
+++ b/components/relay/src/migration/mover.rs
@@ -3,10 +3,11 @@
 
 use crate::dispatch::permits::Permit;
 use crate::forwarding::control::control;
+use crate::migration::moved::{Moved, free_copy};
 use crate::state::Relay;
 use crate::watch::targets::{Belief, TargetSlot};
 use peers::RelocateReply;
-use platform::{CopyReply, copy_call, drop_copy_call, read_copy_reply};
+use platform::{CopyReply, copy_call, read_copy_reply};
 use prelude::{PoolId, TargetId};
 use routing::EngineTraits;
 use settings::Mechanism;
@@ -27,39 +28,6 @@
 /// Generations with fewer tokens left than this end sooner than they move.
 const TOKENS_LEFT_MIN: u32 = 48;
 
-/// A generation whose copy waits for it.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub(crate) struct Moved {
-    /// The engine that has the copy.
-    pub to: TargetSlot,
-    /// The engine that it ran on, which names the copy.
-    pub source: SocketAddr,
-    pub source_slot: TargetSlot,
-    pub copy: Box<str>,
-}
-
-impl Moved {
-    /// Frees the copy, which nobody will use.
-    pub(crate) fn free(&self, relay: &Rc<Relay>) {
-        let to = relay.targets.borrow().get(self.to).map(|t| t.entry.address);
-        if let Some(to) = to {
-            free_copy(relay, to, &self.copy);
-        }
-    }
-
-    /// Frees what its source has kept of a generation that goes on elsewhere, where the source stays.
-    pub(crate) fn free_source(&self, relay: &Rc<Relay>) {
-        let stays = relay
-            .targets
-            .borrow()
-            .get(self.source_slot)
-            .is_some_and(|t| t.belief == Belief::Ready);
-        if stays {
-            free_copy(relay, self.source, &self.copy);
-        }
-    }
-}
-
 /// What a move tells whoever reads the generation's stream.
 pub(crate) enum Step {
     /// The generation is about to be stopped: the end of its stream says nothing.
@@ -394,13 +362,3 @@
         })
     }
 }
-
-/// Frees a copy that nobody will use, at the engine that holds it. Left alone it keeps some thousands of tokens for many
-/// seconds, of which no ledger knows: generations there are preempted.
-fn free_copy(relay: &Rc<Relay>, holder: SocketAddr, copy: &str) {
-    metrics::counter!("shuntpier_copies_freed").increment(1);
-    let (relay, call) = (relay.clone(), drop_copy_call(holder, copy));
-    tokio::task::spawn_local(async move {
-        control(&relay, holder, &call).await;
-    });
-}
