--- a/components/settings/src/fleetcheck.rs
+++ b/components/settings/src/fleetcheck.rs
@@ -60,6 +60,9 @@
     found
 }
 
+/// Channels whose peer acknowledges nothing for this long are closed by the system: a longer limit would mean nothing.
+const UNREAD_LIMIT_MAX_S: f64 = 20.0;
+
 /// The bounds on what is held for others: one that holds nothing would serve nothing.
 fn check_limits(limits: &FleetLimits, found: &mut Vec<Found>) {
     let shares = [
@@ -72,6 +75,13 @@
             found.push(Found::new(&["limits", field], message, None));
         }
     }
+    if limits.unread_limit_s > UNREAD_LIMIT_MAX_S {
+        let message = format!(
+            "{} s: it must be at most {UNREAD_LIMIT_MAX_S}, after which the system closes the channel",
+            limits.unread_limit_s
+        );
+        found.push(Found::new(&["limits", "unread_limit_s"], message, None));
+    }
     let amounts = [
         ("memory_mb", limits.memory_mb, "MB"),
         ("unread_limit_s", limits.unread_limit_s, "s"),
--- a/components/settings/src/fleetcheck_tests.rs
+++ b/components/settings/src/fleetcheck_tests.rs
@@ -121,3 +121,15 @@
     assert_eq!(limits.account_held_bytes(), 10_000_000);
     assert_eq!(limits.target_request_bytes(), 3_000_000);
 }
+
+#[test]
+fn a_limit_for_unread_answers_beyond_the_systems_own_is_a_mistake() {
+    let text = include_str!("../../../examples/fleet-box.yaml");
+    let before = text
+        .lines()
+        .find(|line| line.starts_with("limits:"))
+        .unwrap();
+    let mistakes = check_fleet_file("f", &text.replace(before, "limits: {unread_limit_s: 1e30}"));
+    let mistakes = mistakes.unwrap().mistakes;
+    assert!(mistakes.iter().any(|m| m.message.contains("at most 20")));
+}
