--- a/components/engines/src/stream.rs
+++ b/components/engines/src/stream.rs
@@ -118,13 +118,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn rejects_chunk_of_another_generation() {
-        assert_eq!(chunk_index("g1:4", "g1"), Some(4));
-        assert_eq!(chunk_index("g2:4", "g1"), None);
-        assert_eq!(chunk_index("g1:x", "g1"), None);
-    }
-}
+#[path = "stream_tests.rs"]
+mod tests;
--- a/components/policy/src/retries/retry.rs
+++ b/components/policy/src/retries/retry.rs
@@ -35,17 +35,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn allows_a_share_of_fresh_requests() {
-        let mut budget = RetryBudget::new(0.1);
-        while budget.take() {}
-        for _ in 0..100 {
-            budget.fresh();
-        }
-        let taken = std::iter::repeat_with(|| budget.take()).take_while(|taken| *taken);
-        assert!((9..=10).contains(&taken.count()));
-    }
-}
+#[path = "retry_tests.rs"]
+mod tests;
--- /dev/null
+++ b/components/policy/src/retries/retry_tests.rs
@@ -0,0 +1,12 @@
+use super::*;
+
+#[test]
+fn allows_a_share_of_fresh_requests() {
+    let mut budget = RetryBudget::new(0.1);
+    while budget.take() {}
+    for _ in 0..100 {
+        budget.fresh();
+    }
+    let taken = std::iter::repeat_with(|| budget.take()).take_while(|taken| *taken);
+    assert!((9..=10).contains(&taken.count()));
+}
--- a/components/replay/src/lib.rs
+++ b/components/replay/src/lib.rs
@@ -10,6 +10,7 @@
 mod load;
 mod moves;
 mod request;
+mod serving;
 mod world;
 
 pub use engine::{Engine, EngineSpec, Made, Run};
--- a/components/services/src/keyed.rs
+++ b/components/services/src/keyed.rs
@@ -31,19 +31,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[test]
-    fn refuses_a_key_older_than_the_retention() {
-        let key = "01890a5d-ac96-774b-bcce-b302099a8057";
-        let made_ms = key_time_ms(key).unwrap();
-        assert_eq!(key_age(key, made_ms + 10, 1000), KeyAge::Kept);
-        assert_eq!(key_age(key, made_ms + 2000, 1000), KeyAge::Expired);
-    }
-
-    #[test]
-    fn takes_a_key_without_time_for_kept() {
-        assert_eq!(key_age("order-17", u64::MAX / 2, 1000), KeyAge::Kept);
-    }
-}
+#[path = "keyed_tests.rs"]
+mod tests;
