A dispatcher keeps the room of permits that are on their way when a box tells what it has open

A box that tells what it has open while a grant is on its way names it not, and the dispatcher dropped that permit and gave its room away again. Now a permit without a token is kept for 400 ms.

--- a/components/node/src/dispatch.rs
+++ b/components/node/src/dispatch.rs
@@ -302,7 +302,7 @@
         self.used_ms = now_ms;
         let Adopt(from, streams) = message;
         let permits: HashSet<PermitId> = streams.iter().map(|s| s.request.permit).collect();
-        self.pool.keep_only(from, &permits);
+        self.pool.keep_only(from, &permits, now_ms);
         for stream in streams {
             let adopted = Adopted {
                 demand: self.demand(&stream.request, now_ms),
--- a/components/policy/src/fairness/told_tests.rs
+++ b/components/policy/src/fairness/told_tests.rs
@@ -296,7 +296,7 @@
     let held: Vec<PermitId> = boxes.running.iter().map(|one| one.0.permit).collect();
     for entry in 1..=3 {
         let of_box = held.iter().filter(|permit| permit.entry == BoxId(entry));
-        first.keep_only(BoxId(entry), &of_box.copied().collect());
+        first.keep_only(BoxId(entry), &of_box.copied().collect(), 6_000);
     }
     boxes.tell(&mut first, 6_000);
     boxes.served = [0; 2];
--- a/components/policy/src/holders.rs
+++ b/components/policy/src/holders.rs
@@ -3,6 +3,7 @@
 
 use crate::admission::grant_pace::GrantPace;
 use crate::demand::{Adopted, RANKS};
+use crate::placement::ledger::Stream;
 use crate::placement::length::End;
 use crate::pool::Pool;
 use prelude::{BoxId, PermitId};
@@ -11,6 +12,10 @@
 /// A box that says nothing for this long holds no permits any more.
 pub(crate) const SILENT_BOX_MS: u64 = 10_000;
 
+/// A permit may be so long on its way to the box that asked: the longest answer to a question, and some. Dropped before, its
+/// room would be given away twice, and the engine preempts.
+const ON_ITS_WAY_MS: u64 = 400;
+
 impl Pool {
     /// Takes over a stream that another dispatcher, or none, had placed.
     pub fn adopt(&mut self, adopted: Adopted, now_ms: u64) {
@@ -35,13 +40,17 @@
         self.paces = [GrantPace::default(); RANKS];
     }
 
-    /// Drops the permits of a box that are not among those it says it has.
-    pub fn keep_only(&mut self, entry: BoxId, permits: &HashSet<PermitId>) {
+    /// Drops the permits of a box that are not among those it says it has, but for those that it may not have heard of yet.
+    pub fn keep_only(&mut self, entry: BoxId, permits: &HashSet<PermitId>, now_ms: u64) {
         let of_box = self
             .streams
             .values()
             .filter(|stream| stream.entry() == entry);
-        let extra = of_box.filter(|stream| !permits.contains(&stream.permit));
+        let on_its_way = |stream: &Stream| {
+            stream.generated_tokens == 0 && now_ms < stream.progress_ms + ON_ITS_WAY_MS
+        };
+        let extra =
+            of_box.filter(|stream| !permits.contains(&stream.permit) && !on_its_way(stream));
         let extra: Vec<(PermitId, u32)> = extra
             .map(|stream| (stream.permit, stream.generated_tokens))
             .collect();
--- a/components/policy/src/pool_tests.rs
+++ b/components/policy/src/pool_tests.rs
@@ -291,3 +291,17 @@
     let (greedy, modest) = (served[&OwnerId(1)], served[&OwnerId(2)]);
     assert!(greedy.abs_diff(modest) <= 2, "{greedy} {modest}");
 }
+
+#[test]
+fn a_permit_that_its_box_has_not_heard_of_yet_keeps_its_room() {
+    let mut pool = pool(&[(ENGINE, 2_500)]);
+    pool.submit(demand(1, 1, 1_000), 0);
+    pool.submit(demand(2, 1, 1_000), 0);
+    assert_eq!(granted(&pool.run(0)).len(), 2);
+    // The box tells what it has open; the second permit was on its way when it did.
+    let known = HashSet::from([permit(1)]);
+    pool.keep_only(permit(1).entry, &known, 10);
+    assert_eq!(pool.streams_of(permit(1).entry), 2);
+    pool.keep_only(permit(1).entry, &known, 1_000);
+    assert_eq!(pool.streams_of(permit(1).entry), 1);
+}
