Lines tell which tries are one request, and whether a target ended under it

Each line on a generation and on a failed offer now carries the request's key (account, and a hash of method, host, path and body); where a run breaks off, one channel is opened to the target, and a target that no longer listens, or goes from the list without having said that it leaves, is told with the requests that ran there. No decision depends on it yet.

--- a/components/prelude/src/ids.rs
+++ b/components/prelude/src/ids.rs
@@ -3,7 +3,7 @@
 
 use serde::{Deserialize, Serialize};
 use std::fmt;
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{Xxh3, xxh3_64};
 
 macro_rules! named_key {
     ($(#[$doc:meta])* $name:ident) => {
@@ -121,3 +121,37 @@
     /// Counts the permits of that life.
     pub serial: u64,
 }
+
+/// What a caller asks for: the same for all tries of one account with the same method, host, path and body, whatever
+/// each try is called. The account is told apart, so that no account's request can pass for another's.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+pub struct RequestKey {
+    /// Who asks; the default where nobody has to say so.
+    pub account: AccountId,
+    /// Hash of what is asked.
+    pub digest: u64,
+}
+
+impl RequestKey {
+    /// The key of what an account asks for.
+    pub fn of(account: AccountId, method: &str, host: &str, path: &str, body: &[u8]) -> Self {
+        let mut hasher = Xxh3::new();
+        for text in [method, host, path] {
+            hasher.update(&(text.len() as u64).to_le_bytes());
+            hasher.update(text.as_bytes());
+        }
+        hasher.update(body);
+        Self {
+            account,
+            digest: hasher.digest(),
+        }
+    }
+}
+
+impl fmt::Display for RequestKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{:016x}", self.account, self.digest)
+    }
+}
--- a/components/prelude/src/lib.rs
+++ b/components/prelude/src/lib.rs
@@ -6,7 +6,7 @@
 
 pub use ids::{
     AccountId, BoxId, BoxIncarnation, DataCentreId, ModelId, OwnerId, PartnerId, PermitId, PoolId,
-    RegionId, ServiceId, TargetId, TargetIncarnation, TargetKey,
+    RegionId, RequestKey, ServiceId, TargetId, TargetIncarnation, TargetKey,
 };
 pub use outcome::{Refusal, RefusalReason, RunState, Standing};
 pub use time::{Clock, unix_ms};
--- a/components/relay/src/forwarding/generation.rs
+++ b/components/relay/src/forwarding/generation.rs
@@ -12,6 +12,7 @@
 use crate::ingress::request::{Incoming, Own, Reply, Way};
 use crate::ingress::stopping::refusal_of_stopping;
 use crate::membership::gossip::tell_current;
+use crate::quarantine::broken::Break;
 use crate::state::Relay;
 use crate::watch::targets::TargetSlot;
 use http1::Channel;
@@ -80,7 +81,7 @@
     own: Own,
 ) -> After {
     let own = relay.as_told(own);
-    slog::info!(relay.log, "generation not begun"; "id" => incoming.id(),
+    slog::info!(relay.log, "generation not begun"; "id" => incoming.id(), "request" => %incoming.key,
         "account" => way.account_name(), "rank" => way.rank(),
         "status" => own.status(), "why" => own.why(), "retry_after_ms" => own.retry_after_ms(),
         "after_ms" => relay.now_ms() - incoming.came_ms);
@@ -208,6 +209,7 @@
         let trying = send(relay, incoming, way, slot, None);
         let watched = with_doubt(relay, &permit, SILENT_START_LIMIT, trying);
         let Ok(tried) = timeout_at(until, watched).await else {
+            relay.run_broke(incoming.key, slot, Break::Silent);
             return Started::Own(Own::TimeOver);
         };
         relay.record_outcome(slot, outcome_of(&tried));
@@ -216,7 +218,7 @@
         }
         match tried {
             Tried::Answered(opened) => {
-                slog::info!(relay.log, "generation begun"; "id" => incoming.id(),
+                slog::info!(relay.log, "generation begun"; "id" => incoming.id(), "request" => %incoming.key,
                     "account" => way.account_name(), "rank" => way.rank(),
                     "engine" => relay.name_of(slot), "permit" => permit.serial,
                     "prompt_tokens" => generation.prompt_tokens,
@@ -226,7 +228,10 @@
                     "came_ms" => incoming.came_ms, "after_ms" => relay.now_ms() - incoming.came_ms);
                 return Started::Opened(opened, permit);
             }
-            Tried::MayHaveRun(why) => return Started::Own(Own::MayHaveRun(why)),
+            Tried::MayHaveRun(why) => {
+                relay.run_broke(incoming.key, slot, Break::Closed);
+                return Started::Own(Own::MayHaveRun(why));
+            }
             Tried::NotRun(why) => {
                 avoid = relay.id_of(slot);
                 arrived |= why.arrived();
--- a/components/relay/src/forwarding/offer.rs
+++ b/components/relay/src/forwarding/offer.rs
@@ -6,6 +6,7 @@
 };
 use crate::held::Held;
 use crate::ingress::request::{Incoming, Reply, Way};
+use crate::quarantine::broken::Break;
 use crate::state::Relay;
 use crate::watch::targets::TargetSlot;
 use bytes::Bytes;
@@ -128,6 +129,13 @@
         slot: TargetSlot,
     ) -> Self {
         self.note(relay, incoming, slot);
+        if let Self::MayHaveRun(why) = &self {
+            let how = match *why == NO_ANSWER_IN_TIME {
+                true => Break::Silent,
+                false => Break::Closed,
+            };
+            relay.run_broke(incoming.key, slot, how);
+        }
         let is_common = matches!(self, Self::Answered(_)) && relay.fails_commonly(way.route());
         let word = match self.word() {
             // The route fails everywhere: the target is doubted for this route alone.
@@ -175,7 +183,7 @@
             Self::MayHaveRun(why) => format!("may have run: {why}"),
             Self::Unheld(why) => format!("ran: {why}"),
         };
-        slog::info!(relay.log, "offer failed"; "id" => incoming.id(), "outcome" => outcome,
+        slog::info!(relay.log, "offer failed"; "id" => incoming.id(), "request" => %incoming.key, "outcome" => outcome,
             "target" => relay.name_of(slot), "after_ms" => relay.now_ms() - incoming.came_ms);
     }
 
--- a/components/relay/src/forwarding/stream.rs
+++ b/components/relay/src/forwarding/stream.rs
@@ -12,6 +12,7 @@
 use crate::ingress::request::{Incoming, Own, Reply, Way};
 use crate::migration::moved::Moved;
 use crate::migration::mover::{Mover, Step};
+use crate::quarantine::broken::Break;
 use crate::state::Relay;
 use http1::{Channel, Framing, push_chunk};
 use peers::EngineFault;
@@ -101,7 +102,7 @@
             self.permit.finished();
             self.note_end();
         }
-        slog::info!(self.relay.log, "generation ended"; "id" => self.incoming.id(),
+        slog::info!(self.relay.log, "generation ended"; "id" => self.incoming.id(), "request" => %self.incoming.key,
             "account" => self.way.account_name(), "rank" => self.way.rank(),
             "end" => ?ended, "events" => self.events, "moves" => self.moves,
             "first_event_ms" => self.first_event_ms, "longest_pause_ms" => self.longest_pause_ms,
@@ -201,7 +202,12 @@
                     }
                     None
                 }
-                () = sleep_until(due) => return Ended::TimeOver,
+                () = sleep_until(due) => {
+                    if doubted {
+                        self.broke(Break::Silent);
+                    }
+                    return Ended::TimeOver;
+                }
                 () = sleep_until(self.unsent.look_at()), if writes => {
                     if self.unsent.is_over(self.relay, self.incoming.id()) {
                         return Ended::Unread;
@@ -241,6 +247,7 @@
                     }
                     Err(why) => {
                         self.tell_engine(EngineFault::Broke);
+                        self.broke(Break::Closed);
                         return Ended::Broken(why);
                     }
                 },
@@ -266,12 +273,20 @@
             .tell_engine_failed(permit.pool, permit.slot, fault);
     }
 
+    /// Notes that the generation did not come to its end at its engine.
+    fn broke(&self, how: Break) {
+        self.relay
+            .run_broke(self.incoming.key, self.permit.slot, how);
+    }
+
     /// Whether a stream that came to its end is whole.
     fn whole(&mut self, opened: Opened) -> Ended {
         if self.splitter.is_within_event() {
+            self.broke(Break::Closed);
             return Ended::Broken("the stream ended within an event");
         }
         if self.events == 0 {
+            self.broke(Break::Closed);
             return Ended::Broken("the stream ended without an event");
         }
         opened.finish(self.relay);
--- a/components/relay/src/ingress/accept.rs
+++ b/components/relay/src/ingress/accept.rs
@@ -12,7 +12,7 @@
     BodyError, Channel, ChannelError, Decoder, Framing, HeadError, Listener, Piece, RequestHead,
 };
 use platform::read_facts;
-use prelude::AccountId;
+use prelude::{AccountId, RequestKey};
 use routing::{CallerLimits, RouteKind, Verdict};
 use std::rc::Rc;
 use std::time::Duration;
@@ -305,10 +305,12 @@
             id,
         ));
     }
+    let key = RequestKey::of(way.account_id(), &head.method, host, &head.target, &body);
     let incoming = Incoming {
         head,
         facts,
         body,
+        key,
         _held: held,
         came_ms,
     };
--- a/components/relay/src/ingress/request.rs
+++ b/components/relay/src/ingress/request.rs
@@ -4,7 +4,7 @@
 use crate::state::Declared;
 use bytes::Bytes;
 use http1::RequestHead;
-use prelude::AccountId;
+use prelude::{AccountId, RequestKey};
 use routing::{RequestFacts, Route, RouteKey, ServiceKey};
 use std::rc::Rc;
 
@@ -14,6 +14,8 @@
     pub head: RequestHead,
     pub facts: RequestFacts,
     pub body: Bytes,
+    /// The same for each try of the same request.
+    pub key: RequestKey,
     /// Counts the body.
     pub _held: Held,
     /// When its first byte was read.
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -8,6 +8,7 @@
 mod ingress;
 mod membership;
 mod migration;
+mod quarantine;
 mod reconfigure;
 mod start;
 mod state;
--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -116,6 +116,7 @@
         held: Holdings::new(held_bounds(&file.limits)),
         balance: RefCell::default(),
         calls_ended: Notify::new(),
+        broken_runs: RefCell::default(),
         resends: RefCell::default(),
         members: RefCell::new(Members::new(id, file.limits.link_mbps as u32)),
         dispatchers: RefCell::new(HashMap::new()),
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -10,10 +10,11 @@
 use crate::membership::members::Members;
 use crate::membership::snapshot::pack;
 use crate::membership::stand_back::StandBacks;
+use crate::quarantine::broken::BrokenRuns;
 use crate::watch::election::{Followed, View};
 use crate::watch::evacuation::Evacuation;
 use crate::watch::refused::RefusedEntries;
-use crate::watch::targets::{Change, TargetBook};
+use crate::watch::targets::{Change, TargetBook, TargetSlot};
 use arc_swap::Guard;
 use peers::{FleetCard, FleetClients, FleetDigest, KeyRing};
 use platform::FleetStore;
@@ -73,6 +74,8 @@
     pub(crate) balance: RefCell<CallBalance>,
     /// A request at a target ended: a call that waits may find room.
     pub(crate) calls_ended: Notify,
+    /// Runs that broke off lately.
+    pub(crate) broken_runs: RefCell<BrokenRuns>,
     pub(crate) resends: RefCell<HashMap<Box<str>, ResendWindow>>,
     pub(crate) members: RefCell<Members>,
     pub(crate) dispatchers: RefCell<HashMap<PoolId, Dispatcher>>,
@@ -278,7 +281,7 @@
     }
 
     /// Acts on changes of targets.
-    pub(crate) fn took_changes(&self, changes: &[Change], source: &'static str) {
+    pub(crate) fn took_changes(self: &Rc<Self>, changes: &[Change], source: &'static str) {
         for change in changes {
             let (slot, word) = match change {
                 Change::Came(slot) => (*slot, "came"),
@@ -304,6 +307,9 @@
                 Change::Came(_) | Change::Cold(_) => None,
             };
             if let Some(ended) = ended {
+                if !matches!(change, Change::Leaves(_)) {
+                    self.is_gone(ended);
+                }
                 self.channels.borrow_mut().close(ended);
                 self.targets.borrow_mut().sweep(ended);
             }
@@ -313,6 +319,18 @@
         }
     }
 
+    /// Notes that a life is listed no more.
+    fn is_gone(self: &Rc<Self>, slot: TargetSlot) {
+        let life = {
+            let targets = self.targets.borrow();
+            let unannounced = targets.get(slot).filter(|target| !target.left);
+            unannounced.map(|target| (target.id, target.entry.instance.clone()))
+        };
+        if let Some((target, name)) = life {
+            self.ended_unannounced(target, &name);
+        }
+    }
+
     pub(crate) fn targets_changed(&self) {
         self.sync_dispatchers();
         self.target_changes.send_modify(|count| *count += 1);
