--- a/components/callers/src/errors.rs
+++ b/components/callers/src/errors.rs
@@ -84,7 +84,8 @@
         | RefusalReason::NoTarget
         | RefusalReason::RetryBudgetSpent
         | RefusalReason::ClaimUnavailable
-        | RefusalReason::Stopping => StatusCode::SERVICE_UNAVAILABLE,
+        | RefusalReason::Stopping
+        | RefusalReason::Withheld => StatusCode::SERVICE_UNAVAILABLE,
     }
 }
 
@@ -98,6 +99,7 @@
         RefusalReason::RetryBudgetSpent => "too many retries at this time; it was not run",
         RefusalReason::ClaimUnavailable => "the call could not be recorded; it was not run",
         RefusalReason::KeyExpired => "the key is older than keys are kept; it was not run",
+        RefusalReason::Withheld => "targets end under this request; it was not run",
         RefusalReason::Stopping => "this box is stopping; ask again, another box answers",
     }
 }
--- a/components/node/src/adopt.rs
+++ b/components/node/src/adopt.rs
@@ -80,6 +80,7 @@
             timing: Timing::new(account.id, &account.objectives),
             account: Arc::new(account),
             started: Started {
+                began_ms: self.0.now_ms(),
                 permit,
                 endpoint,
                 generation,
--- a/components/node/src/calls.rs
+++ b/components/node/src/calls.rs
@@ -3,11 +3,12 @@
 
 use crate::claimant::{Found, settled};
 use crate::once::OnceCall;
+use crate::quarantine::{TargetRun, run_broke, served, withheld};
 use crate::shared::{Node, Shared, lock};
 use callers::{ServiceAnswer, ServiceCall};
 use peers::KeyOutcome;
 use policy::EngineState;
-use prelude::{AccountId, Refusal, RefusalReason, ServiceId, TargetId};
+use prelude::{AccountId, Refusal, RefusalReason, RequestKey, ServiceId, TargetId};
 use rand::Rng;
 use services::{CallError, KeyAge, ServiceRequest, ServiceResponse, fingerprint, key_age};
 use settings::{ResolvedAccount, ResolvedService};
@@ -33,8 +34,12 @@
             return ServiceAnswer::NoService;
         };
         let deadline_ms = shared.now_ms() + account.call_deadline_ms;
+        let request = key_of(account.id, &call);
+        if let Some(refusal) = withheld(shared, request) {
+            return refused(refusal.reason, refusal.retry_after_ms);
+        }
         if service.repeatable {
-            return call_repeatable(shared, service, call, deadline_ms).await;
+            return call_repeatable(shared, service, request, call, deadline_ms).await;
         }
         let Some(key) = call.key.clone() else {
             return ServiceAnswer::Invalid(
@@ -129,8 +134,9 @@
 
 /// Sends a call to one worker after the other, until one may have got a byte of it.
 pub(crate) async fn send_once(
-    shared: &Shared,
+    shared: &Arc<Shared>,
     service: &ResolvedService,
+    key: RequestKey,
     request: &ServiceRequest,
     deadline_ms: u64,
 ) -> Sent {
@@ -147,16 +153,28 @@
             return Sent::Nowhere;
         }
         let _open = OpenCall::new(shared, id);
+        let run = TargetRun {
+            request: key,
+            target: lock(&shared.targets).key(id),
+            address: target.address,
+            began_ms: shared.now_ms(),
+        };
         let sent = shared
             .services
             .call(target.address, request, service.repeatable, limit)
             .await;
         match sent {
-            Ok(response) => return Sent::Answered(response),
+            Ok(response) => {
+                if response.status < 500 {
+                    served(shared, key);
+                }
+                return Sent::Answered(response);
+            }
             Err(CallError::NotSent { .. }) => avoid.push(id),
             Err(error @ CallError::MayHaveRun { .. }) => {
                 slog::warn!(shared.log, "a call may have run";
-                    "target" => &target.name, "error" => %error);
+                    "target" => &target.name, "request" => %key, "error" => %error);
+                run_broke(shared, run).await;
                 return Sent::MayHaveRun;
             }
         }
@@ -167,12 +185,16 @@
 async fn call_repeatable(
     shared: &Arc<Shared>,
     service: &ResolvedService,
+    key: RequestKey,
     call: ServiceCall,
     deadline_ms: u64,
 ) -> ServiceAnswer {
     let request = request_of(&call);
-    for _ in 0..WORKERS_TRIED {
-        match send_once(shared, service, &request, deadline_ms).await {
+    for sent in 0..WORKERS_TRIED {
+        if sent > 0 && withheld(shared, key).is_some() {
+            break;
+        }
+        match send_once(shared, service, key, &request, deadline_ms).await {
             Sent::Answered(response) => return done(response, false),
             Sent::Nowhere => return refused(RefusalReason::NoTarget, Some(1000)),
             Sent::MayHaveRun => {}
@@ -239,6 +261,7 @@
         service: service.clone(),
         fingerprint,
         request,
+        key: key_of(account.id, &call),
         call,
         deadline_ms,
     };
@@ -246,6 +269,11 @@
     running.await.unwrap_or_else(|_| unknown())
 }
 
+/// The same for each try of the same call, whatever `Idempotency-Key` it carries.
+pub(crate) fn key_of(account: AccountId, call: &ServiceCall) -> RequestKey {
+    RequestKey::of(account, &call.method, &call.service, &call.path, &call.body)
+}
+
 fn request_fingerprint(call: &ServiceCall) -> u64 {
     let mut bytes = Vec::with_capacity(call.body.len() + call.path.len() + 16);
     bytes.extend_from_slice(call.method.as_bytes());
--- a/components/node/src/chat.rs
+++ b/components/node/src/chat.rs
@@ -4,6 +4,7 @@
 use crate::permits::acquire;
 use crate::poller::refresh_desk;
 use crate::pump::{Run, pump};
+use crate::quarantine::{TargetRun, run_broke, withheld};
 use crate::shared::{Node, OpenStreamGuard, Shared, lock};
 use crate::spread::spread_target;
 use crate::timing::Timing;
@@ -11,7 +12,9 @@
 use callers::{CallerEvent, ChatAnswer, ChatRequest, OpenedStream, StreamAddress, StreamFailure};
 use engines::{Endpoint, EngineStream, StartError};
 use peers::{AcquireRequest, StateOfTarget, TargetWord};
-use prelude::{AccountId, ModelId, PermitId, PoolId, Refusal, RefusalReason, RunState, TargetId};
+use prelude::{
+    AccountId, ModelId, PermitId, PoolId, Refusal, RefusalReason, RequestKey, RunState, TargetId,
+};
 use serde_json::{Value, json};
 use settings::ResolvedAccount;
 use std::sync::Arc;
@@ -29,6 +32,8 @@
 /// A request on its way to an engine; kept to start it again elsewhere.
 #[derive(Clone)]
 pub(crate) struct Wanted {
+    /// The same for each try of the same request.
+    pub request: RequestKey,
     pub acquire: AcquireRequest,
     pub deadline_ms: u64,
     pub body: Bytes,
@@ -40,6 +45,8 @@
     pub endpoint: Endpoint,
     pub generation: Uuid,
     pub stream: EngineStream,
+    /// When it was sent to the engine.
+    pub began_ms: u64,
 }
 
 /// Why a request did not start.
@@ -165,6 +172,7 @@
 ) -> Wanted {
     let limit = account.max_output_tokens;
     let max_tokens = request.max_tokens.unwrap_or(limit).min(limit);
+    let model = request.model;
     let mut body = request.body;
     body.insert("stream".into(), Value::Bool(true));
     body.insert("max_tokens".into(), json!(max_tokens));
@@ -188,7 +196,9 @@
         told_tokens: request.told_output_tokens,
         avoid: None,
     };
+    let request = RequestKey::of(account.id, "chat", &model, "", &body);
     Wanted {
+        request,
         acquire,
         deadline_ms: shared.now_ms() + account.first_token_deadline_ms,
         body,
@@ -211,6 +221,9 @@
 ) -> Result<Started, NotStarted> {
     let mut may_have_begun = false;
     for start in 0..STARTS_MAX {
+        if let Some(refusal) = withheld(shared, wanted.request) {
+            return Err(NotStarted::refused(refusal, may_have_begun));
+        }
         if start > 0 && !desk.take_retry() {
             let spent = Refusal {
                 reason: RefusalReason::RetryBudgetSpent,
@@ -235,6 +248,7 @@
             address: target.address,
         };
         let generation = Uuid::new_v4();
+        let began_ms = shared.now_ms();
         let name = generation.simple().to_string();
         let sent = shared
             .engines
@@ -247,6 +261,7 @@
                     endpoint,
                     generation,
                     stream,
+                    began_ms,
                 });
             }
             Err(StartError::Refused { status, body }) if (400..429).contains(&status) => {
@@ -258,6 +273,13 @@
             Err(StartError::NoAnswer { .. }) => {
                 // Nothing of it was delivered, so a second generation does no harm.
                 may_have_begun = true;
+                let run = TargetRun {
+                    request: wanted.request,
+                    target: endpoint.key,
+                    address: endpoint.address,
+                    began_ms,
+                };
+                run_broke(shared, run).await;
                 let engines = shared.engines.clone();
                 tokio::spawn(async move { engines.cancel(endpoint, &name).await });
             }
--- a/components/node/src/lib.rs
+++ b/components/node/src/lib.rs
@@ -17,6 +17,7 @@
 mod permits;
 mod poller;
 mod pump;
+mod quarantine;
 mod shared;
 mod spread;
 mod start;
--- a/components/node/src/once.rs
+++ b/components/node/src/once.rs
@@ -7,7 +7,7 @@
 use crate::shared::{Shared, lock};
 use callers::{ServiceAnswer, ServiceCall};
 use peers::{ClaimRequest, ClaimResult, KeyOutcome, OutcomeRecord, PeerError};
-use prelude::{BoxId, BoxIncarnation, RefusalReason};
+use prelude::{BoxId, BoxIncarnation, RefusalReason, RequestKey};
 use rand::Rng;
 use settings::ResolvedService;
 use std::sync::Arc;
@@ -30,6 +30,8 @@
     pub service: ResolvedService,
     pub fingerprint: u128,
     pub request: u64,
+    /// The same for each try of the same call.
+    pub key: RequestKey,
     pub call: ServiceCall,
     pub deadline_ms: u64,
 }
@@ -105,7 +107,8 @@
     /// Sends the call under a claim that was won.
     async fn send(self, claim: ClaimRequest, revision: u64) -> ServiceAnswer {
         let request = request_of(&self.call);
-        let sent = send_once(&self.shared, &self.service, &request, self.deadline_ms).await;
+        let (service, deadline_ms) = (&self.service, self.deadline_ms);
+        let sent = send_once(&self.shared, service, self.key, &request, deadline_ms).await;
         let (outcome, answer) = match sent {
             Sent::Nowhere => (
                 KeyOutcome::NotRun,
--- a/components/node/src/pump.rs
+++ b/components/node/src/pump.rs
@@ -2,6 +2,7 @@
 
 use crate::chat::{NotStarted, Started, Wanted, begin, lost_before_first, probe, seal_of};
 use crate::desk::Desk;
+use crate::quarantine::{TargetRun, run_broke, served};
 use crate::shared::{Shared, lock};
 use crate::timing::Timing;
 use callers::{CallerEvent, StreamFailure};
@@ -75,6 +76,9 @@
     match ended {
         Ended::Whole => {
             run.started.permit.finish();
+            if let Some(wanted) = &run.wanted {
+                served(&run.shared, wanted.request);
+            }
             let _ = events.send(CallerEvent::Done).await;
         }
         Ended::Failed(failure) => {
@@ -134,7 +138,11 @@
     events: &mpsc::Sender<CallerEvent>,
     why: &str,
 ) -> Result<(), Ended> {
-    match resume(run).await {
+    let resumed = resume(run).await;
+    if resumed.is_none() {
+        broke(run).await;
+    }
+    match resumed {
         Some(stream) => {
             metrics::counter!("shuntpier_resumes_total").increment(1);
             run.started.stream = stream;
@@ -153,6 +161,21 @@
     }
 }
 
+/// Notes that the generation did not come to its end at its engine.
+async fn broke(run: &Run) {
+    let Some(wanted) = &run.wanted else {
+        return;
+    };
+    let started = &run.started;
+    let at_engine = TargetRun {
+        request: wanted.request,
+        target: started.endpoint.key,
+        address: started.endpoint.address,
+        began_ms: started.began_ms,
+    };
+    run_broke(&run.shared, at_engine).await;
+}
+
 async fn resume(run: &Run) -> Option<EngineStream> {
     let name = run.generation_name();
     let mut pause = RESUME_PAUSE;
--- a/components/node/src/shared.rs
+++ b/components/node/src/shared.rs
@@ -12,6 +12,7 @@
 use engines::EngineClient;
 use operators::{BurnRecorder, Objective, Sample};
 use peers::{BoxCard, PeerClients, SettingsValue, Topology, Traffic};
+use policy::Quarantine;
 use prelude::{AccountId, BoxId, Clock, PermitId, PoolId, RegionId, TargetId};
 use reload::Live;
 use services::ServiceClient;
@@ -45,6 +46,8 @@
     pub changes: watch::Sender<u64>,
     pub members: Mutex<Members>,
     pub targets: Mutex<TargetTable>,
+    /// Requests under which targets ended.
+    pub quarantine: Mutex<Quarantine>,
     pub peers: PeerClients,
     pub traffic: Arc<Traffic>,
     pub topology: Topology,
--- a/components/node/src/spread.rs
+++ b/components/node/src/spread.rs
@@ -1,9 +1,10 @@
 //! Spreads news to all boxes: a notice at once, and a digest now and then that repairs what was
 //! missed.
 
+use crate::quarantine::take_ends;
 use crate::shared::{Shared, lock};
 use peers::{BoxCard, Digest, Notice, SettingsPatch, SettingsValue, TargetWord, next_hops};
-use prelude::BoxId;
+use prelude::{Acquittal, BoxId, TargetEnd};
 use rand::seq::IndexedRandom;
 use std::sync::Arc;
 use std::time::Duration;
@@ -18,6 +19,16 @@
     take_notice(shared, shared.card.id, Notice::Target(word));
 }
 
+/// Begins a notice on targets that ended under requests.
+pub(crate) fn spread_ends(shared: &Arc<Shared>, ends: Vec<TargetEnd>) {
+    take_notice(shared, shared.card.id, Notice::Ends(ends));
+}
+
+/// Tells that ends are not put down to a request, which is known here.
+pub(crate) fn spread_acquittal(shared: &Arc<Shared>, acquittal: Acquittal) {
+    forward(shared, shared.card.id, &Notice::Acquitted(acquittal));
+}
+
 /// Begins a notice on this box itself.
 pub(crate) fn spread_own_card(shared: &Arc<Shared>) {
     forward(shared, shared.card.id, &Notice::Box(shared.own_card()));
@@ -78,6 +89,11 @@
             shared.offer(value)
         }
         Notice::SettingsPatch(patch) => take_patch(shared, origin, patch),
+        Notice::Ends(ends) => take_ends(shared, ends),
+        Notice::Acquitted(acquittal) => {
+            let now_ms = shared.now_ms();
+            lock(&shared.quarantine).acquitted(acquittal, now_ms)
+        }
     };
     if news {
         forward(shared, origin, &notice);
@@ -139,6 +155,7 @@
         revisions: lock(&shared.in_force).revisions(),
         targets: lock(&shared.targets).words(),
         newer,
+        withheld: lock(&shared.quarantine).ends_of_withheld(shared.now_ms()),
     }
 }
 
@@ -157,6 +174,7 @@
     for value in digest.newer {
         shared.offer(&value);
     }
+    take_ends(shared, &digest.withheld);
 }
 
 /// Exchanges digests with one box after another until this box closes.
--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -138,6 +138,7 @@
         told_revisions: Mutex::default(),
         changes: watch::Sender::new(0),
         members: Mutex::new(Members::new(card)),
+        quarantine: Mutex::default(),
         targets: Mutex::new(TargetTable::default()),
         peers: PeerClients::new(keys.clone(), traffic.clone()),
         traffic: traffic.clone(),
--- a/components/node/src/targets.rs
+++ b/components/node/src/targets.rs
@@ -57,6 +57,12 @@
         })
     }
 
+    /// Whether one life of a target was known to leave.
+    pub fn was_leaving(&self, key: TargetKey) -> bool {
+        let left = |record: &Record| record.leaving.is_some_and(|life| life >= key.incarnation);
+        self.listed_leaving.contains(&key.id) || self.records.get(&key.id).is_some_and(left)
+    }
+
     /// Notes that a target answered, in this life.
     pub fn answered(&mut self, key: TargetKey) {
         let record = self.records.entry(key.id).or_default();
--- a/components/peers/src/messages.rs
+++ b/components/peers/src/messages.rs
@@ -2,8 +2,8 @@
 
 use crate::patch::SettingsPatch;
 use prelude::{
-    AccountId, BoxId, BoxIncarnation, DataCentreId, PermitId, PoolId, Refusal, ServiceId, Standing,
-    TargetId, TargetKey,
+    AccountId, Acquittal, BoxId, BoxIncarnation, DataCentreId, PermitId, PoolId, Refusal,
+    ServiceId, Standing, TargetEnd, TargetId, TargetKey,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -207,6 +207,10 @@
     Settings(SettingsValue),
     /// The same, as the difference from the revision before it.
     SettingsPatch(SettingsPatch),
+    /// Targets ended under requests.
+    Ends(Vec<TargetEnd>),
+    /// Ends are not put down to a request.
+    Acquitted(Acquittal),
 }
 
 /// What a box knows, in short. Two boxes exchange it and each then gets what it lacks.
@@ -220,6 +224,8 @@
     pub targets: Vec<TargetWord>,
     /// Branches that the other box lacks; empty in the first message.
     pub newer: Vec<SettingsValue>,
+    /// The ends under requests that are withheld.
+    pub withheld: Vec<TargetEnd>,
 }
 
 /// A box asks the writer of a claim slot to record a claim.
--- a/components/prelude/src/outcome.rs
+++ b/components/prelude/src/outcome.rs
@@ -50,6 +50,8 @@
     KeyExpired,
     /// This box is stopping.
     Stopping,
+    /// Targets end under this request one after another.
+    Withheld,
 }
 
 impl RefusalReason {
@@ -65,6 +67,7 @@
             Self::ClaimUnavailable => "claim_unavailable",
             Self::KeyExpired => "key_expired",
             Self::Stopping => "stopping",
+            Self::Withheld => "withheld",
         }
     }
 }
