--- a/components/operators/src/fleet.rs
+++ b/components/operators/src/fleet.rs
@@ -121,6 +121,9 @@
     pub stopping: bool,
     /// Version of the declarations in force; 0 for none.
     pub declarations: u64,
+    /// The era of the platform's store, which rises when that comes back from a copy; none where it tells none.
+    #[serde(default)]
+    pub store_era: Option<u32>,
     /// Boxes that it knows, itself among them.
     pub boxes: usize,
     /// Whether it follows the platform's store for all.
--- a/components/peers/src/fleet.rs
+++ b/components/peers/src/fleet.rs
@@ -3,7 +3,7 @@
 
 use crate::messages::{AcquireRequest, OpenStreams, PermitReply, UpdateReply, UpdateRequest};
 use crate::targets::{TargetChanges, TargetPatch, TargetSummary};
-use prelude::{Acquittal, BoxId, PermitId, PoolId, TargetEnd, TargetId};
+use prelude::{Acquittal, BoxId, PermitId, PoolId, TargetEnd, TargetId, Version};
 use routing::{Evacuations, TargetLife};
 use serde::{Deserialize, Serialize};
 use std::future::Future;
@@ -37,12 +37,12 @@
     pub from: FleetCard,
     /// Version of the declarations that it has; 0 for none.
     pub table_version: u64,
-    /// The store's revision of the last change of targets that it knows.
-    pub targets_changed_at: u64,
+    /// The store's version of the last change of targets that it knows.
+    pub targets_changed_at: Version,
     /// How long ago it was confirmed that these declarations are the newest, in ms; none where it was not.
     pub table_age_ms: Option<u32>,
-    /// The store's revision up to which it knows all targets.
-    pub targets_current_to: u64,
+    /// The store's version up to which it knows all targets.
+    pub targets_current_to: Version,
     /// How long ago it was confirmed that its view of targets is current, in ms; none where it was not.
     pub targets_age_ms: Option<u32>,
     /// Data centres that operators have evacuated, as far as it knows.
--- a/components/peers/src/targets.rs
+++ b/components/peers/src/targets.rs
@@ -1,6 +1,7 @@
 //! How targets travel between boxes: lists in which names that repeat stand once, and summaries by which two boxes
 //! find out where their lists differ without sending them.
 
+use prelude::Version;
 use routing::{TargetEntry, TargetLife, TargetPhase};
 use serde::{Deserialize, Serialize};
 use std::collections::HashMap;
@@ -35,7 +36,7 @@
     slots: u32,
     leaving: bool,
     cold_left_ms: u32,
-    revision: u64,
+    version: Version,
     born_ms: Option<u64>,
 }
 
@@ -63,7 +64,7 @@
                 slots: entry.slots,
                 leaving: entry.phase == TargetPhase::Leaving,
                 cold_left_ms: entry.cold_left_ms,
-                revision: entry.revision,
+                version: entry.version,
                 born_ms: entry.born_ms,
             })
             .collect();
@@ -89,7 +90,7 @@
                     false => TargetPhase::Ready,
                 },
                 cold_left_ms: row.cold_left_ms,
-                revision: row.revision,
+                version: row.version,
                 born_ms: row.born_ms,
             })
         };
@@ -110,12 +111,12 @@
 /// Changes of the list of targets, for boxes that know all that came before them.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetChanges {
-    /// The store's revision of the last change before these that matters.
-    pub after_revision: u64,
+    /// The store's version of the last change before these that matters.
+    pub after: Version,
     /// Entries that are new or say something new.
     pub listed: TargetList,
-    /// Lives that are listed no more, with the revision of that.
-    pub unlisted: Vec<(TargetLife, u64)>,
+    /// Lives that are listed no more, with the version of that.
+    pub unlisted: Vec<(TargetLife, Version)>,
 }
 
 /// A box's list in short: its targets fall into buckets by their names, and each bucket has a hash. Empty where the
--- a/components/peers/src/targets_tests.rs
+++ b/components/peers/src/targets_tests.rs
@@ -13,7 +13,7 @@
         slots: 24,
         phase: TargetPhase::Ready,
         cold_left_ms: 0,
-        revision: 100_000 + at,
+        version: Version::new(3, 100_000 + at),
     }
 }
 
--- a/components/prelude/src/lib.rs
+++ b/components/prelude/src/lib.rs
@@ -4,6 +4,7 @@
 mod ids;
 mod outcome;
 mod time;
+mod version;
 
 pub use ends::{Acquittal, AcquittedBy, TargetEnd};
 pub use ids::{
@@ -12,3 +13,4 @@
 };
 pub use outcome::{Refusal, RefusalReason, RunState, Standing};
 pub use time::{Clock, unix_ms};
+pub use version::Version;
--- a/components/relay/src/membership/gossip.rs
+++ b/components/relay/src/membership/gossip.rs
@@ -7,6 +7,7 @@
 use crate::membership::snapshot::unpack;
 use crate::state::{Declared, Relay};
 use crate::watch::election::View;
+use crate::watch::era::EraSource;
 use crate::watch::targets::Change;
 use peers::{
     AcquireRequest, EndsTold, EngineFault, FetchRequest, FleetCard, FleetDigest, FleetGossip,
@@ -145,23 +146,30 @@
 fn take_changes(relay: &Relay, digest: &FleetDigest, told: TargetChanges) -> Vec<Change> {
     let now_ms = relay.now_ms();
     let mut targets = relay.targets.borrow_mut();
-    if !targets.is_known() || targets.changed_at < told.after_revision {
+    if !targets.is_known() || targets.changed_at < told.after {
         return Vec::new();
     }
     let mut changes = Vec::new();
     for entry in told.listed.entries() {
         changes.extend(targets.listed(entry, now_ms));
     }
-    for (life, revision) in told.unlisted {
-        changes.extend(targets.life_unlisted(&life, revision));
+    for (life, version) in told.unlisted {
+        changes.extend(targets.life_unlisted(&life, version));
     }
     targets.changed_at = targets.changed_at.max(digest.targets_changed_at);
     targets.current_to = targets.current_to.max(digest.targets_current_to);
     changes
 }
 
-fn take_evacuations(relay: &Relay, digest: &FleetDigest) {
-    relay.change_evacuations("peer", |known| known.adopt(&digest.evacuations));
+fn take_evacuations(relay: &Rc<Relay>, digest: &FleetDigest) {
+    let told = &digest.evacuations;
+    let era = digest.targets_current_to.max(told.version).era();
+    relay.see_era(era, EraSource::Peer);
+    let may_be_copied = relay.is_settling();
+    relay.change_evacuations("peer", |known| match may_be_copied {
+        true => known.join(told),
+        false => known.adopt(told),
+    });
 }
 
 /// Believes another box that what both know is the newest.
--- a/components/relay/src/membership/registration.rs
+++ b/components/relay/src/membership/registration.rs
@@ -8,6 +8,7 @@
 use crate::watch::backoff::Backoff;
 use crate::watch::election::CONFIRM_EACH;
 use peers::FleetCard;
+use platform::Lease;
 use prelude::BoxId;
 use std::rc::Rc;
 use std::time::Duration;
@@ -105,11 +106,11 @@
     followed.any()
 }
 
-async fn keep_once(relay: &Relay, lease: &mut Option<u64>) -> Result<(), StoreError> {
+async fn keep_once(relay: &Relay, lease: &mut Option<Lease>) -> Result<(), StoreError> {
     // A box that has just started finds the key of its former life: two writes less.
     let held = lease.take().or_else(|| relay.former_lease.take());
     if let Some(held) = held {
-        let renewed = relay.store.renew_lease(held).await;
+        let renewed = relay.store.renew(held).await;
         if !matches!(renewed, Ok(false)) {
             *lease = Some(held);
         }
@@ -117,7 +118,7 @@
             return Ok(());
         }
     }
-    let granted = relay.store.grant_lease(LEASE_S).await?;
+    let granted = relay.store.lease(LEASE_S).await?;
     let value = serde_json::to_vec(&lasting_card(relay))
         .map_err(|error| StoreError::NotDone(error.to_string()))?;
     let transaction = Transaction {
@@ -125,12 +126,12 @@
         writes: vec![Write::Put {
             key: format!("{BOX_PREFIX}{}", relay.identity.name),
             value,
-            lease: granted,
+            lease: granted.id,
         }],
     };
     relay.store.transact(&transaction).await?;
     *lease = Some(granted);
-    slog::info!(relay.log, "own key written"; "lease" => granted);
+    slog::info!(relay.log, "own key written"; "lease" => granted.id, "era" => granted.era);
     Ok(())
 }
 
@@ -201,7 +202,10 @@
     let own = items.iter().find(is_own).filter(|item| item.lease != 0);
     let says_this = |item: &&Versioned| card(relay, item) == Some(lasting_card(relay));
     if let Some(item) = own.filter(says_this) {
-        relay.former_lease.set(Some(item.lease));
+        relay.former_lease.set(Some(Lease {
+            id: item.lease,
+            era: item.era,
+        }));
     }
 }
 
--- a/components/relay/src/quarantine/record.rs
+++ b/components/relay/src/quarantine/record.rs
@@ -118,6 +118,14 @@
         }
     }
 
+    /// Has the store keep again what it lost: all that is withheld.
+    pub(crate) fn keep_records_again(self: &Rc<Self>) {
+        let withheld = self.quarantine.borrow().all_withheld(self.now_ms());
+        for row in withheld {
+            tokio::task::spawn_local(write_record(self.clone(), row.request));
+        }
+    }
+
     /// Takes a record away: its request was acquitted.
     pub(super) fn remove_record(self: &Rc<Self>, request: RequestKey) {
         let relay = self.clone();
--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -13,6 +13,7 @@
 use crate::reconfigure::run_settings;
 use crate::state::{Relay, held_bounds};
 use crate::watch::election::View;
+use crate::watch::era::run_eras;
 use crate::watch::evacuation::run_evacuation;
 use crate::watch::watcher::{follow, run_asking, run_missing};
 use http1::Listener;
@@ -135,6 +136,7 @@
         asking: Cell::new(false),
         heard_asker_ms: Cell::new(0),
         seeds_asked: watch::Sender::new(false),
+        era_seen: Cell::new(None),
         former_lease: Cell::new(None),
         boxes_read: watch::Sender::new(false),
         fetching: watch::Sender::new(false),
@@ -158,6 +160,7 @@
     spawn_local(accept::serve(relay.clone(), callers));
     spawn_local(follow(relay.clone(), View::Declarations));
     spawn_local(follow(relay.clone(), View::Targets));
+    spawn_local(run_eras(relay.clone()));
     spawn_local(run_asking(relay.clone()));
     spawn_local(run_missing(relay.clone()));
     spawn_local(read_boxes(relay.clone()));
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -17,7 +17,7 @@
 use crate::watch::targets::{Change, TargetBook, TargetSlot};
 use arc_swap::Guard;
 use peers::{FleetCard, FleetClients, FleetDigest, KeyRing};
-use platform::FleetStore;
+use platform::{FleetStore, Lease};
 use policy::{Quarantine, ResendBound, ResendWindow};
 use prelude::{BoxId, Clock, DataCentreId, ModelId, PoolId};
 use reload::{Live, Snapshot};
@@ -105,8 +105,10 @@
     pub(crate) heard_asker_ms: Cell<u64>,
     /// The boxes that the settings name were asked what they know, or are silent.
     pub(crate) seeds_asked: watch::Sender<bool>,
+    /// The highest era of the store that this box has acted upon; none before it heard of any.
+    pub(crate) era_seen: Cell<Option<u32>>,
     /// The lease of the key that a former life of this box has left.
-    pub(crate) former_lease: Cell<Option<u64>>,
+    pub(crate) former_lease: Cell<Option<Lease>>,
     /// The keys of all boxes were read since this box started.
     pub(crate) boxes_read: watch::Sender<bool>,
     /// What another box knows more is being asked for.
@@ -296,7 +298,7 @@
             if let Some(target) = targets.get(slot) {
                 slog::info!(self.log, "target"; "change" => word, "source" => source,
                     "instance" => &*target.entry.instance, "service" => &*target.entry.service,
-                    "address" => %target.entry.address, "revision" => target.entry.revision,
+                    "address" => %target.entry.address, "version" => %target.entry.version,
                     "born_ms" => target.entry.born_ms, "open" => target.open);
             }
             drop(targets);
--- a/components/relay/src/view.rs
+++ b/components/relay/src/view.rs
@@ -24,6 +24,7 @@
             ready: self.is_ready(),
             stopping: self.is_stopping(),
             declarations: self.declared().map_or(0, |held| held.table.version),
+            store_era: self.era_seen.get(),
             boxes: self.members.borrow().others().len() + 1,
             follows_store: self.following.get().any(),
             generations_open: self.open_generations.borrow().count(),
--- a/components/relay/src/watch/entries.rs
+++ b/components/relay/src/watch/entries.rs
@@ -3,6 +3,7 @@
 use crate::state::Relay;
 use crate::watch::targets::{Change, Missing, TargetBook};
 use platform::{TARGET_PREFIX, born_of, decode_target};
+use prelude::Version;
 use routing::{TargetEntry, TargetLife};
 use store::{Versioned, WatchEvent};
 
@@ -10,10 +11,10 @@
 pub(crate) enum Listing {
     /// An entry that names a target.
     Listed(TargetEntry),
-    /// A name is listed no more: the name, and the revision as of which.
-    Unlisted(Box<str>, u64),
-    /// The entry names no target to use: its name, the birth in it where that can be read, and its revision.
-    Refused(Box<str>, Option<u64>, u64),
+    /// A name is listed no more: the name, and the version as of which.
+    Unlisted(Box<str>, Version),
+    /// The entry names no target to use: its name, the birth in it where that can be read, and its version.
+    Refused(Box<str>, Option<u64>, Version),
 }
 
 impl Listing {
@@ -27,8 +28,8 @@
         match (self, missing_until_ms) {
             (Self::Listed(entry), _) => targets.listed(entry.clone(), now_ms),
             (Self::Unlisted(instance, at), Some(until_ms)) => {
-                let revision = *at;
-                targets.missed(instance, Missing { until_ms, revision })
+                let version = *at;
+                targets.missed(instance, Missing { until_ms, version })
             }
             (Self::Unlisted(instance, at), None) => targets.unlisted(instance, *at),
             (Self::Refused(instance, None, at), _) => targets.unlisted(instance, *at),
@@ -46,7 +47,7 @@
 /// What lies under a key. What cannot be used is told once.
 pub(crate) fn listing(relay: &Relay, item: &Versioned) -> Option<Listing> {
     let mut refused = relay.refused_entries.borrow_mut();
-    let error = match decode_target(&item.key, &item.value, item.revision) {
+    let error = match decode_target(&item.key, &item.value, item.version()) {
         Ok(entry) => {
             refused.passed(&item.key);
             return Some(Listing::Listed(entry));
@@ -56,11 +57,11 @@
     if refused.refused(&item.key, &item.value) {
         metrics::counter!("shuntpier_target_entries_refused").increment(1);
         slog::warn!(relay.log, "entry of a target not used"; "key" => &item.key,
-            "revision" => item.revision, "bytes" => item.value.len(), "error" => %error);
+            "version" => %item.version(), "bytes" => item.value.len(), "error" => %error);
     }
     let instance = item.key.strip_prefix(TARGET_PREFIX)?;
     let born_ms = born_of(&item.value);
-    Some(Listing::Refused(instance.into(), born_ms, item.revision))
+    Some(Listing::Refused(instance.into(), born_ms, item.version()))
 }
 
 /// What an event of the watch on targets says.
@@ -68,9 +69,10 @@
     let Some(value) = event.value else {
         relay.refused_entries.borrow_mut().passed(&event.key);
         let instance = event.key.strip_prefix(TARGET_PREFIX)?;
-        return Some(Listing::Unlisted(instance.into(), event.revision));
+        return Some(Listing::Unlisted(instance.into(), event.version()));
     };
     let item = Versioned {
+        era: event.era,
         key: event.key,
         value,
         revision: event.revision,
--- a/components/relay/src/watch/evacuation.rs
+++ b/components/relay/src/watch/evacuation.rs
@@ -86,18 +86,18 @@
         let Some(Changed { begun, ended }) = changed else {
             return false;
         };
-        let (revision, names) = {
+        let (version, names) = {
             let evacuation = self.evacuation.borrow();
             let known = evacuation.known();
-            (known.revision, known.data_centres.clone())
+            (known.version, known.data_centres.clone())
         };
         for name in &begun {
             slog::info!(self.log, "evacuation begins"; "data_centre" => &**name,
-                "revision" => revision, "source" => source);
+                "version" => %version, "source" => source);
         }
         for name in &ended {
             slog::info!(self.log, "evacuation ends"; "data_centre" => &**name,
-                "revision" => revision, "source" => source);
+                "version" => %version, "source" => source);
         }
         metrics::gauge!("shuntpier_evacuated_data_centres").set(names.len() as f64);
         let ids: HashSet<DataCentreId> = names.iter().map(|n| DataCentreId::from_name(n)).collect();
--- a/components/relay/src/watch/evacuation_tests.rs
+++ b/components/relay/src/watch/evacuation_tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use prelude::Version;
 
 fn changed(begun: &[&str], ended: &[&str]) -> Changed {
     let owned = |names: &[&str]| names.iter().map(|name| (*name).into()).collect();
@@ -11,20 +12,22 @@
 #[test]
 fn says_what_begins_and_what_ends() {
     let mut evacuation = Evacuation::default();
-    let begun = evacuation.change(7, |known| known.ordered("east", true, 3));
+    let begun = evacuation.change(7, |known| known.ordered("east", true, Version::new(0, 3)));
     assert_eq!(begun, Some(changed(&["east"], &[])));
     assert_eq!(
-        evacuation.change(8, |known| known.ordered("east", true, 4)),
+        evacuation.change(8, |known| known.ordered("east", true, Version::new(0, 4))),
         None
     );
-    let both = evacuation.change(9, |known| known.read(["west".into()].into(), 5));
+    let both = evacuation.change(9, |known| {
+        known.read(["west".into()].into(), Version::new(0, 5))
+    });
     assert_eq!(both, Some(changed(&["west"], &["east"])));
 }
 
 #[test]
 fn an_evacuation_that_goes_on_keeps_its_time() {
     let mut evacuation = Evacuation::default();
-    evacuation.change(7, |known| known.ordered("east", true, 3));
-    evacuation.change(99, |known| known.ordered("west", true, 4));
+    evacuation.change(7, |known| known.ordered("east", true, Version::new(0, 3)));
+    evacuation.change(99, |known| known.ordered("west", true, Version::new(0, 4)));
     assert_eq!(evacuation.evacuated["east"].since_ms, 7);
 }
--- a/components/relay/src/watch/listing.rs
+++ b/components/relay/src/watch/listing.rs
@@ -1,8 +1,9 @@
 //! How the store's words on lives are taken in: entries and lists. A word of a former life changes
-//! nothing, however late it comes and whatever its revision is.
+//! nothing, however late it comes and whatever its version is.
 
 use crate::watch::pasts::Past;
 use crate::watch::targets::{Belief, Change, Missing, Target, TargetBook, TargetSlot};
+use prelude::Version;
 use routing::{TargetEntry, TargetLife, TargetPhase};
 use std::collections::HashSet;
 
@@ -35,7 +36,7 @@
     pub fn listed(&mut self, entry: TargetEntry, now_ms: u64) -> Option<Change> {
         let life = entry.life();
         let past = self.past_of(&life);
-        if life.born_ms < past.born_ms {
+        if life.born_ms < past.born_ms || self.may_be_copied(&entry, now_ms) {
             return None;
         }
         let newest = self.newest(&life.instance);
@@ -43,7 +44,7 @@
         match known {
             Some((_, born_ms)) if life.born_ms < born_ms => None,
             Some((slot, born_ms)) if life.born_ms == born_ms => self.renewed(slot, entry, now_ms),
-            _ if entry.revision < past.unlisted_at => {
+            _ if entry.version < past.unlisted_at => {
                 self.hear(&life, entry.phase == TargetPhase::Leaving);
                 self.over(&life)
             }
@@ -61,9 +62,9 @@
     }
 
     fn renewed(&mut self, slot: TargetSlot, entry: TargetEntry, now_ms: u64) -> Option<Change> {
-        let revision = entry.revision;
+        let version = entry.version;
         let target = self.targets.get_mut(slot)?;
-        if revision < target.entry.revision {
+        if version < target.entry.version {
             return None;
         }
         let was = target.belief;
@@ -72,7 +73,7 @@
         if was == now && !(turned_cold && now == Belief::Ready) {
             return None;
         }
-        self.changed_at = self.changed_at.max(revision);
+        self.changed_at = self.changed_at.max(version);
         Some(match now {
             Belief::Ready if was == now => Change::Cold(slot),
             Belief::Ready => Change::Came(slot),
@@ -82,7 +83,7 @@
 
     fn came(&mut self, entry: TargetEntry, now_ms: u64) -> Option<Change> {
         let life = entry.life();
-        self.changed_at = self.changed_at.max(entry.revision);
+        self.changed_at = self.changed_at.max(entry.version);
         let past = self.past_of(&life);
         let left = past.left && past.born_ms == life.born_ms;
         let target = Target::new(entry, left, now_ms);
@@ -107,29 +108,29 @@
     }
 
     /// Notes that no target of a name is listed any more.
-    pub fn unlisted(&mut self, instance: &str, revision: u64) -> Option<Change> {
-        self.pasts.unlisted(instance, revision);
+    pub fn unlisted(&mut self, instance: &str, version: Version) -> Option<Change> {
+        self.pasts.unlisted(instance, version);
         let (slot, _) = self.newest(instance)?;
         let target = self.targets.get_mut(slot)?;
-        if target.belief == Belief::Gone || revision < target.entry.revision {
+        if target.belief == Belief::Gone || version < target.entry.version {
             return None;
         }
         target.belief = Belief::Gone;
         target.missing = None;
-        target.entry.revision = revision;
-        self.changed_at = self.changed_at.max(revision);
+        target.entry.version = version;
+        self.changed_at = self.changed_at.max(version);
         Some(Change::Went(slot))
     }
 
     /// Notes that a life is listed no more. A newer one under its name is not concerned.
-    pub fn life_unlisted(&mut self, life: &TargetLife, revision: u64) -> Option<Change> {
+    pub fn life_unlisted(&mut self, life: &TargetLife, version: Version) -> Option<Change> {
         self.hear(life, false);
         let newest = self.newest(&life.instance).map(|(_, t)| t.entry.born_ms);
         let newest = newest.unwrap_or_else(|| self.past_of(life).born_ms);
         match life.born_ms < newest {
             true => None,
             false => {
-                let went = self.unlisted(&life.instance, revision);
+                let went = self.unlisted(&life.instance, version);
                 went.or_else(|| self.over(life))
             }
         }
@@ -141,33 +142,33 @@
         let (slot, _) = self.newest(instance)?;
         let target = self.targets.get_mut(slot)?;
         if target.belief != Belief::Ready {
-            return self.unlisted(instance, missing.revision);
+            return self.unlisted(instance, missing.version);
         }
         target.missing = target.missing.or(Some(missing));
         None
     }
 
-    /// The names whose entries are still missing after the time that they had, with the revision of that.
-    pub fn still_missing(&self, now_ms: u64) -> Vec<(Box<str>, u64)> {
+    /// The names whose entries are still missing after the time that they had, with the version of that.
+    pub fn still_missing(&self, now_ms: u64) -> Vec<(Box<str>, Version)> {
         let missing = self.targets.values().filter_map(|target| {
             let missing = target
                 .missing
                 .filter(|missing| missing.until_ms <= now_ms)?;
-            Some((target.entry.instance.clone(), missing.revision))
+            Some((target.entry.instance.clone(), missing.version))
         });
         missing.collect()
     }
 
-    /// Takes a whole list in, as it was at `revision`. Where the store has just come back, entries that are missing
+    /// Takes a whole list in, as it was at `version`. Where the store has just come back, entries that are missing
     /// have until `missing_until_ms` to be written again.
     pub fn replace(
         &mut self,
         entries: Vec<TargetEntry>,
-        revision: u64,
+        version: Version,
         missing_until_ms: Option<u64>,
         now_ms: u64,
     ) -> Vec<Change> {
-        self.replace_part(entries, &|_| true, revision, missing_until_ms, now_ms)
+        self.replace_part(entries, &|_| true, version, missing_until_ms, now_ms)
     }
 
     /// The same for a part of the list: the targets whose names `is_in`. A name that is listed with a former life only
@@ -176,10 +177,12 @@
         &mut self,
         entries: Vec<TargetEntry>,
         is_in: &impl Fn(&str) -> bool,
-        revision: u64,
+        version: Version,
         missing_until_ms: Option<u64>,
         now_ms: u64,
     ) -> Vec<Change> {
+        // A copy lacks what came since: it is written again, if it lives.
+        let missing_until_ms = missing_until_ms.max(self.settling_until_ms(now_ms));
         let listed: HashSet<Box<str>> = entries.iter().map(|e| e.instance.clone()).collect();
         let mut changes: Vec<Change> = Vec::new();
         for entry in entries {
@@ -194,11 +197,11 @@
             .collect();
         for instance in missing {
             changes.extend(match missing_until_ms {
-                Some(until_ms) => self.missed(&instance, Missing { until_ms, revision }),
-                None => self.unlisted(&instance, revision),
+                Some(until_ms) => self.missed(&instance, Missing { until_ms, version }),
+                None => self.unlisted(&instance, version),
             });
         }
-        self.current_to = self.current_to.max(revision);
+        self.current_to = self.current_to.max(version);
         self.known = true;
         changes
     }
--- a/components/relay/src/watch/listing_order_tests.rs
+++ b/components/relay/src/watch/listing_order_tests.rs
@@ -1,5 +1,6 @@
 //! Lives of one name, whatever the order in which words of them come, against a plain model of what was said.
 
+use super::tests::at as at_revision;
 use super::tests::{NAME, entry, life};
 use super::*;
 use proptest::prelude::*;
@@ -147,7 +148,7 @@
         let revision = Self::revision(at);
         let other = entry("b", 1, false, BEFORE - 1);
         let entries = holder.into_iter().chain([other]).collect();
-        let changes = self.book.replace(entries, revision, None, 0);
+        let changes = self.book.replace(entries, at_revision(revision), None, 0);
         self.act(changes);
     }
 
@@ -171,7 +172,7 @@
                 self.heard_of(told.as_ref());
                 let change = match told {
                     Some(told) => self.book.listed(told, 0),
-                    None => self.book.unlisted(NAME, Self::revision(at)),
+                    None => self.book.unlisted(NAME, at_revision(Self::revision(at))),
                 };
                 self.act(change);
             }
@@ -184,7 +185,8 @@
                     None => {
                         let former = self.former(at);
                         self.newest = self.newest.max(former.born_ms.unwrap());
-                        self.book.life_unlisted(&former, Self::revision(at))
+                        self.book
+                            .life_unlisted(&former, at_revision(Self::revision(at)))
                     }
                 };
                 self.act(change);
@@ -268,7 +270,7 @@
     /// Takes in what a box with another book tells that differs from this one: one message has all of it.
     fn take_from(&mut self, other: &Self, revision: u64) {
         if let Some(patch) = other.book.patch_for(&self.book.summary(), 0) {
-            let changes = self.book.patch(patch, revision, 0);
+            let changes = self.book.patch(patch, at_revision(revision), 0);
             self.act(changes);
         }
         let changes = self.book.told_leaving(&other.book.leaving());
--- a/components/relay/src/watch/listing_tests.rs
+++ b/components/relay/src/watch/listing_tests.rs
@@ -1,5 +1,10 @@
 use super::*;
 
+/// A version of the first era.
+pub(super) fn at(revision: u64) -> Version {
+    Version::new(0, revision)
+}
+
 pub(super) const NAME: &str = "a";
 pub(super) fn life(born: u64) -> TargetLife {
     TargetLife {
@@ -21,7 +26,7 @@
             false => TargetPhase::Ready,
         },
         cold_left_ms: 0,
-        revision,
+        version: at(revision),
     }
 }
 
@@ -53,7 +58,7 @@
     let mut book = TargetBook::default();
     book.listed(entry(NAME, 2, false, 5), 0);
     let (slot, _) = book.newest(NAME).unwrap();
-    book.unlisted(NAME, 7);
+    book.unlisted(NAME, at(7));
     book.sweep(slot);
     assert!(book.newest(NAME).is_none());
     assert_eq!(book.listed(entry(NAME, 1, false, 9), 0), None);
@@ -66,7 +71,7 @@
     let mut book = TargetBook::default();
     book.listed(entry(NAME, 1, true, 1), 0);
     let (slot, _) = book.newest(NAME).unwrap();
-    book.unlisted(NAME, 2);
+    book.unlisted(NAME, at(2));
     book.sweep(slot);
     let back = book.listed(entry(NAME, 1, false, 3), 0);
     assert!(matches!(back, Some(Change::Leaves(_))));
@@ -77,7 +82,7 @@
 fn an_entry_that_lapsed_with_the_store_has_its_time_though_a_former_life_writes_late() {
     let mut book = TargetBook::default();
     book.listed(entry(NAME, 2, false, 5), 0);
-    book.replace(Vec::new(), 8, Some(2_000), 0);
+    book.replace(Vec::new(), at(8), Some(2_000), 0);
     assert_eq!(book.still_missing(2_000).len(), 1);
     assert_eq!(book.listed(entry(NAME, 1, false, 9), 100), None);
     assert_eq!(book.still_missing(2_000).len(), 1);
@@ -104,8 +109,8 @@
         instance: format!("n-{at}").into(),
         born_ms: Some(2),
     };
-    for at in 0..5_000 {
-        book.life_unlisted(&named(at), at);
+    for nth in 0..5_000 {
+        book.life_unlisted(&named(nth), at(nth));
     }
     let late = TargetEntry {
         instance: "n-4999".into(),
--- a/components/relay/src/watch/mod.rs
+++ b/components/relay/src/watch/mod.rs
@@ -3,6 +3,7 @@
 pub(crate) mod backoff;
 pub(crate) mod election;
 pub(crate) mod entries;
+pub(crate) mod era;
 pub(crate) mod evacuation;
 pub(crate) mod leaving;
 pub(crate) mod life;
--- a/components/relay/src/watch/pasts.rs
+++ b/components/relay/src/watch/pasts.rs
@@ -1,6 +1,7 @@
 //! What is still known of a name once nothing is kept of its lives: which life was the newest, whether it left, and
 //! when it was listed no more. Without it a late word of a former life would bring a dead target back.
 
+use prelude::Version;
 use routing::TargetLife;
 use std::collections::{HashMap, VecDeque};
 
@@ -15,8 +16,8 @@
     pub born_ms: Option<u64>,
     /// That life was seen to leave.
     pub left: bool,
-    /// The store's revision at which the name was not listed.
-    pub unlisted_at: u64,
+    /// The store's version at which the name was not listed.
+    pub unlisted_at: Version,
 }
 
 /// The pasts of names, the latest.
@@ -43,10 +44,10 @@
         }
     }
 
-    /// Notes that a name was not listed at a revision.
-    pub fn unlisted(&mut self, instance: &str, revision: u64) {
+    /// Notes that a name was not listed at a version.
+    pub fn unlisted(&mut self, instance: &str, version: Version) {
         let past = self.past_mut(instance);
-        past.unlisted_at = past.unlisted_at.max(revision);
+        past.unlisted_at = past.unlisted_at.max(version);
     }
 
     /// How many names it knows of.
--- a/components/relay/src/watch/reconcile.rs
+++ b/components/relay/src/watch/reconcile.rs
@@ -4,6 +4,7 @@
 
 use crate::watch::targets::{Belief, Change, Target, TargetBook};
 use peers::{TargetList, TargetPatch, TargetSummary};
+use prelude::Version;
 use routing::TargetEntry;
 use std::collections::HashSet;
 use xxhash_rust::xxh3::xxh3_64;
@@ -71,12 +72,12 @@
         })
     }
 
-    /// Takes another box's buckets in, as its list was at `revision`.
-    pub fn patch(&mut self, patch: TargetPatch, revision: u64, now_ms: u64) -> Vec<Change> {
+    /// Takes another box's buckets in, as its list was at `version`.
+    pub fn patch(&mut self, patch: TargetPatch, version: Version, now_ms: u64) -> Vec<Change> {
         let count = (patch.bucket_count as usize).clamp(1, BUCKETS_MAX);
         let buckets: HashSet<usize> = patch.buckets.iter().map(|at| *at as usize).collect();
         let is_in = |instance: &str| buckets.contains(&bucket_of(instance, count));
-        self.replace_part(patch.listed.entries(), &is_in, revision, None, now_ms)
+        self.replace_part(patch.listed.entries(), &is_in, version, None, now_ms)
     }
 }
 
--- a/components/relay/src/watch/reconcile_tests.rs
+++ b/components/relay/src/watch/reconcile_tests.rs
@@ -12,7 +12,7 @@
         slots: 24,
         phase,
         cold_left_ms: 0,
-        revision: at as u64 + 1,
+        version: Version::new(0, at as u64 + 1),
     }
 }
 
@@ -23,7 +23,7 @@
         false => TargetPhase::Ready,
     };
     let entries = listed.iter().map(|(at, leaves)| entry(*at, phase(*leaves)));
-    book.replace(entries.collect(), revision, None, 0);
+    book.replace(entries.collect(), Version::new(0, revision), None, 0);
     book
 }
 
@@ -40,7 +40,7 @@
     let mut new = TargetBook::default();
     let patch = known.patch_for(&new.summary(), 0).unwrap();
     assert_eq!(patch.listed.len(), 200);
-    new.patch(patch, 500, 0);
+    new.patch(patch, Version::new(0, 500), 0);
     assert_eq!(names(&new), names(&known));
 }
 
@@ -73,7 +73,7 @@
         };
         let (mut mine, theirs) = (book(&listed(&mine), 1_000), book(&listed(&theirs), 2_000));
         if let Some(patch) = theirs.patch_for(&mine.summary(), 0) {
-            mine.patch(patch, 2_000, 0);
+            mine.patch(patch, Version::new(0, 2_000), 0);
         }
         prop_assert_eq!(names(&mine), names(&theirs));
     }
--- a/components/relay/src/watch/targets.rs
+++ b/components/relay/src/watch/targets.rs
@@ -4,7 +4,7 @@
 use crate::watch::pasts::Pasts;
 use platform::WorkerLoad;
 use policy::{Suspicion, Trial, Warmup};
-use prelude::{DataCentreId, TargetId};
+use prelude::{DataCentreId, TargetId, Version};
 use routing::TargetEntry;
 use slotmap::{SlotMap, new_key_type};
 use std::collections::{HashMap, HashSet};
@@ -31,8 +31,8 @@
 pub struct Missing {
     /// When the target is taken to be gone.
     pub until_ms: u64,
-    /// The store's revision at which its entry was missed.
-    pub revision: u64,
+    /// The store's version at which its entry was missed.
+    pub version: Version,
 }
 
 /// One life of a target.
@@ -46,7 +46,7 @@
     pub data_centre: DataCentreId,
     /// Whether it takes new work.
     pub belief: Belief,
-    /// Its entry was missing when the store came back: it is gone if it is still missing then, as of that revision.
+    /// Its entry was missing when the store came back: it is gone if it is still missing then, as of that version.
     pub missing: Option<Missing>,
     /// Until when it is slow from its start.
     pub cold_until_ms: u64,
@@ -132,10 +132,12 @@
     pub(super) by_instance: HashMap<Box<str>, TargetSlot>,
     pub(super) by_id: HashMap<TargetId, TargetSlot>,
     pub(super) pasts: Pasts,
-    /// The store's revision up to which everything is known.
-    pub current_to: u64,
-    /// The revision of the last change that matters: a target came, leaves, or went.
-    pub changed_at: u64,
+    /// The store's version up to which everything is known.
+    pub current_to: Version,
+    /// The version of the last change that matters: a target came, leaves, or went.
+    pub changed_at: Version,
+    /// Until when what the store says may be a copy's, as its era rose.
+    pub(super) settles_until_ms: Option<u64>,
     /// When it was last confirmed that the book is current.
     pub confirmed_ms: Option<u64>,
     /// A list was taken in: from the store, perhaps as it was some seconds ago, or from a peer.
--- a/components/relay/src/watch/watcher.rs
+++ b/components/relay/src/watch/watcher.rs
@@ -8,13 +8,16 @@
     CONFIRM_EACH, Following, TURN_CHECK, View, is_relieved, must_watch, pause_before_trying, rank,
 };
 use crate::watch::entries::{Listing, listing, listing_of};
+use crate::watch::era::EraSource;
 use crate::watch::targets::Change;
 use peers::{TargetChanges, TargetList};
 use platform::{CONFIG_KEY, FleetWatch, OPERATOR_PREFIX, TARGET_PREFIX, evacuated_data_centre};
+use prelude::Version;
+use routing::Evacuations;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
-use store::{KeyValue, StoreError, Versioned, WatchEvent, WatchStream};
+use store::{StoreError, Versioned, WatchEvent, WatchStream};
 use tokio::time::sleep;
 
 /// Pause between two answers of the watch on targets, so that changes at one time cost one call.
@@ -68,11 +71,11 @@
     let mut backoff = Backoff::new();
     while !relay.knows(view) {
         match relay.store.list_stale(prefix_of(view)).await {
-            Ok((items, revision)) => {
+            Ok((items, version)) => {
                 metrics::counter!("shuntpier_store_calls", "of" => view.name()).increment(1);
                 // A peer that told it meanwhile knew better.
                 if !relay.knows(view) {
-                    take_list(relay, view, &items, revision);
+                    take_list(relay, view, &items, version);
                 }
                 return;
             }
@@ -91,16 +94,16 @@
     backoff: &mut Backoff,
 ) -> Result<(), StoreError> {
     let was_known = relay.confirmed_ms(view).is_some();
-    let revision = read(relay, view).await?;
+    let version = read(relay, view).await?;
     backoff.reset();
     if !was_known {
         // A box that has just started learns first whose turn it is.
         return Ok(());
     }
     slog::info!(relay.log, "store followed by this box"; "view" => view.name(),
-        "rank" => rank(relay), "revision" => revision);
+        "rank" => rank(relay), "version" => %version);
     let _following = Following::begin(relay, view);
-    let watch = relay.store.watch(prefix_of(view), revision + 1).await?;
+    let watch = relay.store.watch_after(prefix_of(view), version);
     keep_watching(relay, view, watch).await
 }
 
@@ -133,7 +136,7 @@
         metrics::counter!("shuntpier_store_calls", "of" => view.name()).increment(1);
         match view {
             View::Declarations => take_declared(relay, events),
-            View::Targets => take_targets(relay, events, watch.revision()),
+            View::Targets => take_targets(relay, events, watch.version()),
         }
         relay.confirm(view);
         sleep(pace(relay, view)).await;
@@ -161,32 +164,33 @@
     }
 }
 
-/// Reads a view as it is now, and says at which revision.
-async fn read(relay: &Rc<Relay>, view: View) -> Result<u64, StoreError> {
-    let (items, revision) = relay.store.list(prefix_of(view)).await?;
+/// Reads a view as it is now, and says at which version.
+async fn read(relay: &Rc<Relay>, view: View) -> Result<Version, StoreError> {
+    let (items, version) = relay.store.list_at(prefix_of(view)).await?;
     note_return(relay);
     metrics::counter!("shuntpier_store_calls", "of" => view.name()).increment(1);
-    let newer = take_list(relay, view, &items, revision);
+    let newer = take_list(relay, view, &items, version);
     relay.confirm(view);
     if newer {
         match view {
             View::Declarations => spread_table(relay),
-            // Its revision is in what this box says next; whoever lacks something asks for it.
+            // Its version is in what this box says next; whoever lacks something asks for it.
             View::Targets => tell_current(relay),
         }
     }
-    Ok(revision)
+    Ok(version)
 }
 
 /// Takes a view in as it was read. Says whether that told something new.
-fn take_list(relay: &Rc<Relay>, view: View, items: &[Versioned], revision: u64) -> bool {
+fn take_list(relay: &Rc<Relay>, view: View, items: &[Versioned], version: Version) -> bool {
+    relay.see_era(version.era(), EraSource::Store);
     match view {
         View::Declarations => {
-            read_evacuations(relay, items, revision);
+            read_evacuations(relay, items, version);
             let config = items.iter().find(|item| item.key == CONFIG_KEY);
             config.is_some_and(|item| relay.declare(&item.value, "store"))
         }
-        View::Targets => read_targets(relay, items, revision),
+        View::Targets => read_targets(relay, items, version),
     }
 }
 
@@ -213,20 +217,26 @@
         let gone = relay.targets.borrow().still_missing(relay.now_ms());
         if !gone.is_empty() {
             let gone = gone.into_iter();
-            let listings = gone.map(|(instance, revision)| Listing::Unlisted(instance, revision));
+            let listings = gone.map(|(instance, version)| Listing::Unlisted(instance, version));
             take_listings(&relay, listings.collect(), None);
         }
     }
 }
 
 /// Takes in which data centres are evacuated, as the list of all that operators wrote says it.
-fn read_evacuations(relay: &Rc<Relay>, items: &[Versioned], revision: u64) {
+fn read_evacuations(relay: &Rc<Relay>, items: &[Versioned], version: Version) {
     let named = items
         .iter()
         .filter_map(|item| evacuated_data_centre(&item.key))
         .map(Box::from)
         .collect();
-    if relay.change_evacuations("store", |known| known.read(named, revision)) {
+    let may_be_copied = relay.is_settling();
+    let changed = relay.change_evacuations("store", |known| match may_be_copied {
+        // An order that the copy lacks may stand, and one that it has may have been taken back: more is withheld for now.
+        true => known.join(&Evacuations::of_copy(named, version)),
+        false => known.read(named, version),
+    });
+    if changed {
         tell_current(relay);
     }
 }
@@ -234,8 +244,8 @@
 fn take_declared(relay: &Rc<Relay>, events: Vec<WatchEvent>) {
     for event in events {
         if let Some(name) = evacuated_data_centre(&event.key) {
-            let (holds, revision) = (event.value.is_some(), event.revision);
-            if relay.change_evacuations("store", |known| known.ordered(name, holds, revision)) {
+            let (holds, version) = (event.value.is_some(), event.version());
+            if relay.change_evacuations("store", |known| known.ordered(name, holds, version)) {
                 tell_current(relay);
             }
             continue;
@@ -248,7 +258,7 @@
     }
 }
 
-fn read_targets(relay: &Rc<Relay>, items: &[Versioned], revision: u64) -> bool {
+fn read_targets(relay: &Rc<Relay>, items: &[Versioned], version: Version) -> bool {
     let now_ms = relay.now_ms();
     let missing_until_ms = missing_until_ms(relay);
     let mut changes = Vec::new();
@@ -261,27 +271,28 @@
             None => {}
         }
     }
-    changes.extend(targets.replace(entries, revision, missing_until_ms, now_ms));
+    changes.extend(targets.replace(entries, version, missing_until_ms, now_ms));
+    targets.read_at(version, now_ms);
     drop(targets);
     relay.took_changes(&changes, "store");
     !changes.is_empty()
 }
 
-fn take_targets(relay: &Rc<Relay>, events: Vec<WatchEvent>, revision: u64) {
+fn take_targets(relay: &Rc<Relay>, events: Vec<WatchEvent>, version: Version) {
     let listings: Vec<Listing> = events
         .into_iter()
         .filter_map(|event| listing_of(relay, event))
         .collect();
     take_listings(relay, listings, missing_until_ms(relay));
     let mut targets = relay.targets.borrow_mut();
-    targets.current_to = targets.current_to.max(revision);
+    targets.current_to = targets.current_to.max(version);
 }
 
 /// Takes changes of the list in and tells them to all boxes.
 fn take_listings(relay: &Rc<Relay>, listings: Vec<Listing>, missing_until_ms: Option<u64>) {
     let now_ms = relay.now_ms();
     let mut changes = Vec::new();
-    let after_revision = relay.targets.borrow().changed_at;
+    let after = relay.targets.borrow().changed_at;
     let (mut listed, mut unlisted) = (Vec::new(), Vec::new());
     for listing in listings {
         let mut targets = relay.targets.borrow_mut();
@@ -300,7 +311,7 @@
     relay.took_changes(&changes, "store");
     if !changes.is_empty() {
         let told = TargetChanges {
-            after_revision,
+            after,
             listed: TargetList::new(&listed),
             unlisted,
         };
--- a/components/relay/tests/targets.rs
+++ b/components/relay/tests/targets.rs
@@ -1,9 +1,14 @@
 //! What a box believes of targets, one life at a time.
 
-use prelude::DataCentreId;
+use prelude::{DataCentreId, Version};
 use relay::{Belief, Change, ColdRate, TargetBook};
 use routing::{TargetEntry, TargetLife, TargetPhase};
 
+/// A version of the first era.
+fn at(revision: u64) -> Version {
+    Version::new(0, revision)
+}
+
 fn entry(instance: &str, phase: TargetPhase, revision: u64) -> TargetEntry {
     TargetEntry {
         instance: instance.into(),
@@ -14,7 +19,7 @@
         slots: 4,
         phase,
         cold_left_ms: 0,
-        revision,
+        version: at(revision),
     }
 }
 
@@ -55,7 +60,7 @@
     let mut book = TargetBook::default();
     book.listed(entry("a", TargetPhase::Ready, 5), 0);
     assert_eq!(book.listed(entry("a", TargetPhase::Leaving, 4), 0), None);
-    assert_eq!(book.unlisted("a", 4), None);
+    assert_eq!(book.unlisted("a", at(4)), None);
     assert!(book.choose("records", near(), &[], WARM, 0).is_some());
 }
 
@@ -64,12 +69,12 @@
     let mut book = TargetBook::default();
     book.listed(entry("a", TargetPhase::Ready, 1), 0);
     book.listed(entry("b", TargetPhase::Ready, 2), 0);
-    assert!(book.replace(Vec::new(), 5, Some(2_000), 0).is_empty());
+    assert!(book.replace(Vec::new(), at(5), Some(2_000), 0).is_empty());
     assert!(book.choose("records", near(), &[], WARM, 0).is_some());
     assert!(book.still_missing(1_999).is_empty());
     book.listed(entry("a", TargetPhase::Ready, 6), 1_000);
-    assert_eq!(book.still_missing(2_000), [("b".into(), 5)]);
-    assert!(matches!(book.unlisted("b", 5), Some(Change::Went(_))));
+    assert_eq!(book.still_missing(2_000), [("b".into(), at(5))]);
+    assert!(matches!(book.unlisted("b", at(5)), Some(Change::Went(_))));
     assert!(book.still_missing(9_000).is_empty());
 }
 
@@ -77,7 +82,7 @@
 fn a_target_that_leaves_is_gone_at_once_where_its_entry_is_missing() {
     let mut book = TargetBook::default();
     book.listed(entry("a", TargetPhase::Leaving, 1), 0);
-    assert_eq!(book.replace(Vec::new(), 5, Some(2_000), 0).len(), 1);
+    assert_eq!(book.replace(Vec::new(), at(5), Some(2_000), 0).len(), 1);
 }
 
 #[test]
@@ -86,7 +91,10 @@
     book.listed(entry("a", TargetPhase::Ready, 1), 0);
     let slot = book.choose("records", near(), &[], WARM, 0).unwrap();
     book.opened(slot);
-    assert_eq!(book.replace(Vec::new(), 3, None, 0), [Change::Went(slot)]);
+    assert_eq!(
+        book.replace(Vec::new(), at(3), None, 0),
+        [Change::Went(slot)]
+    );
     assert_eq!(book.get(slot).unwrap().belief, Belief::Gone);
     assert_eq!(
         book.listed(entry("a", TargetPhase::Ready, 4), 0),
@@ -100,7 +108,7 @@
     book.listed(entry("a", TargetPhase::Ready, 1), 0);
     let slot = book.choose("records", near(), &[], WARM, 0).unwrap();
     book.opened(slot);
-    book.unlisted("a", 2);
+    book.unlisted("a", at(2));
     book.sweep(slot);
     assert!(book.get(slot).is_some());
     book.closed(slot);
--- a/components/routing/src/evacuation.rs
+++ b/components/routing/src/evacuation.rs
@@ -1,37 +1,41 @@
 //! Data centres that operators have evacuated: their targets get nothing new until the order is taken back.
 
+use prelude::Version;
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeSet;
 
-/// The evacuated data centres, as the store had them at a revision. Sets that are read from one store are ordered by
-/// their revisions, so a box that adopts only newer ones never goes back.
+/// The evacuated data centres, as the store had them at a version. Sets that are read from one store are ordered by
+/// their versions, so a box that adopts only newer ones never goes back.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Evacuations {
-    /// The store's revision of the last change that is known of; 0 where there was none.
-    pub revision: u64,
+    /// The store's version of the last change that is known of; the default where there was none.
+    pub version: Version,
     /// Their names.
     pub data_centres: BTreeSet<Box<str>>,
+    /// It joins what was known with what a copy says: the set as it is read at the same version is newer.
+    pub is_joined: bool,
 }
 
 impl Evacuations {
-    /// Takes in the whole set as it was read at a revision. Says whether it changed.
-    pub fn read(&mut self, data_centres: BTreeSet<Box<str>>, revision: u64) -> bool {
-        if revision < self.revision {
+    /// Takes in the whole set as it was read at a version. Says whether it changed.
+    pub fn read(&mut self, data_centres: BTreeSet<Box<str>>, version: Version) -> bool {
+        if version < self.version {
             return false;
         }
         // Also where nothing changed: a set that came back to what it was is newer than one in between.
-        self.revision = revision;
+        self.version = version;
         let changed = data_centres != self.data_centres;
         self.data_centres = data_centres;
+        self.is_joined = false;
         changed
     }
 
     /// Takes in one order, or that it was taken back. Says whether the set changed.
-    pub fn ordered(&mut self, data_centre: &str, holds: bool, revision: u64) -> bool {
-        if revision <= self.revision {
+    pub fn ordered(&mut self, data_centre: &str, holds: bool, version: Version) -> bool {
+        if version <= self.version {
             return false;
         }
-        self.revision = revision;
+        self.version = version;
         match holds {
             true => self.data_centres.insert(data_centre.into()),
             false => self.data_centres.remove(data_centre),
@@ -40,7 +44,7 @@
 
     /// Takes over what another box knows, where that is newer. Says whether the set changed.
     pub fn adopt(&mut self, other: &Self) -> bool {
-        if other.revision <= self.revision {
+        if !other.is_later_than(self) {
             return false;
         }
         let changed = self.data_centres != other.data_centres;
@@ -48,8 +52,30 @@
         changed
     }
 
+    /// The set as a store has it that has just come back from a copy. It is older than each order that is written from then on.
+    pub fn of_copy(data_centres: BTreeSet<Box<str>>, read_at: Version) -> Self {
+        Self {
+            version: Version::new(read_at.era(), 0),
+            data_centres,
+            is_joined: true,
+        }
+    }
+
+    /// Takes over all that another set holds beside what this one does. Says whether the set changed.
+    pub fn join(&mut self, other: &Self) -> bool {
+        let before = self.data_centres.len();
+        self.version = self.version.max(other.version);
+        self.is_joined = true;
+        self.data_centres.extend(other.data_centres.iter().cloned());
+        self.data_centres.len() > before
+    }
+
     /// Whether another box that has `other` may know less than this one.
     pub fn is_newer_than(&self, other: &Self) -> bool {
-        self.revision > other.revision && self.data_centres != other.data_centres
+        self.is_later_than(other) && self.data_centres != other.data_centres
+    }
+
+    fn is_later_than(&self, other: &Self) -> bool {
+        (self.version, !self.is_joined) > (other.version, !other.is_joined)
     }
 }
--- a/components/routing/src/target.rs
+++ b/components/routing/src/target.rs
@@ -1,6 +1,6 @@
 //! Targets as the platform lists them.
 
-use prelude::TargetId;
+use prelude::{TargetId, Version};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -52,8 +52,8 @@
     pub phase: TargetPhase,
     /// How much longer it is slow from its start.
     pub cold_left_ms: u32,
-    /// The store's revision at which its phase was read.
-    pub revision: u64,
+    /// The store's version at which its phase was read.
+    pub version: Version,
 }
 
 impl TargetEntry {
--- a/components/routing/tests/evacuation.rs
+++ b/components/routing/tests/evacuation.rs
@@ -1,8 +1,14 @@
 //! A box's view of evacuations never goes back.
 
+use prelude::Version;
 use proptest::prelude::*;
 use routing::Evacuations;
 
+/// A version of the first era.
+fn at(revision: u64) -> Version {
+    Version::new(0, revision)
+}
+
 fn set(names: &[&str]) -> std::collections::BTreeSet<Box<str>> {
     names.iter().map(|name| (*name).into()).collect()
 }
@@ -10,21 +16,22 @@
 #[test]
 fn an_order_holds_until_it_is_taken_back() {
     let mut known = Evacuations::default();
-    assert!(known.ordered("east", true, 5));
-    assert!(!known.ordered("east", true, 6));
-    assert!(known.ordered("east", false, 9));
+    assert!(known.ordered("east", true, at(5)));
+    assert!(!known.ordered("east", true, at(6)));
+    assert!(known.ordered("east", false, at(9)));
     assert_eq!(known.data_centres, set(&[]));
 }
 
 #[test]
 fn an_older_word_changes_nothing() {
     let mut known = Evacuations::default();
-    known.ordered("east", true, 5);
-    assert!(!known.ordered("east", false, 4));
-    assert!(!known.read(set(&[]), 4));
+    known.ordered("east", true, at(5));
+    assert!(!known.ordered("east", false, at(4)));
+    assert!(!known.read(set(&[]), at(4)));
     let older = Evacuations {
-        revision: 4,
+        version: at(4),
         data_centres: set(&["west"]),
+        is_joined: false,
     };
     assert!(!known.adopt(&older));
     assert_eq!(known.data_centres, set(&["east"]));
@@ -33,10 +40,10 @@
 #[test]
 fn a_whole_list_says_what_was_taken_back_unseen() {
     let mut known = Evacuations::default();
-    known.ordered("east", true, 5);
-    assert!(known.read(set(&["west"]), 20));
+    known.ordered("east", true, at(5));
+    assert!(known.read(set(&["west"]), at(20)));
     assert!(
-        !known.ordered("east", true, 12),
+        !known.ordered("east", true, at(12)),
         "it was taken back before the list was read"
     );
 }
@@ -54,19 +61,19 @@
         let mut truth = Evacuations::default();
         let mut history = Vec::new();
         for (at, (name, holds)) in orders.iter().enumerate() {
-            truth.ordered(names[usize::from(*name)], *holds, at as u64 + 1);
+            truth.ordered(names[usize::from(*name)], *holds, Version::new(0, at as u64 + 1));
             history.push(truth.clone());
         }
         let mut boxes = vec![Evacuations::default(); 4];
         for (at, upto) in seen {
             let read = &history[upto % history.len()];
-            boxes[at].read(read.data_centres.clone(), read.revision);
+            boxes[at].read(read.data_centres.clone(), read.version);
         }
         for (from, to) in told {
             let word = boxes[from].clone();
             boxes[to].adopt(&word);
         }
-        boxes[0].read(truth.data_centres.clone(), truth.revision);
+        boxes[0].read(truth.data_centres.clone(), truth.version);
         for to in 1..4 {
             let word = boxes[0].clone();
             boxes[to].adopt(&word);
@@ -74,3 +81,39 @@
         }
     }
 }
+
+/// Orders of a store in its second life.
+fn again(revision: u64) -> Version {
+    Version::new(1, revision)
+}
+
+#[test]
+fn what_a_store_says_that_came_back_from_a_copy_is_newer_whatever_its_revision() {
+    let mut known = Evacuations::default();
+    known.ordered("east", true, at(900));
+    assert!(known.ordered("east", false, again(5)));
+    assert!(
+        !known.ordered("east", true, at(901)),
+        "an answer that came late"
+    );
+    assert!(!known.adopt(&Evacuations {
+        version: at(950),
+        data_centres: set(&["west"]),
+        is_joined: false,
+    }));
+    assert_eq!(known.data_centres, set(&[]));
+}
+
+#[test]
+fn a_copy_takes_no_order_away_and_its_own_stand_until_it_settles() {
+    let mut known = Evacuations::default();
+    known.ordered("east", true, at(900));
+    assert!(known.join(&Evacuations::of_copy(set(&["west"]), again(700))));
+    assert_eq!(known.data_centres, set(&["east", "west"]));
+    assert!(known.ordered("west", false, again(701)));
+    assert!(
+        known.read(set(&[]), again(705)),
+        "nobody wrote the first one again"
+    );
+    assert_eq!(known.data_centres, set(&[]));
+}
--- a/components/services/src/batch_tests.rs
+++ b/components/services/src/batch_tests.rs
@@ -30,6 +30,7 @@
         let held = self.0.lock().unwrap();
         let found = held.values.get(key).cloned();
         Ok(found.map(|(value, revision)| Versioned {
+            era: 0,
             key: key.to_owned(),
             value,
             revision,
@@ -73,6 +74,7 @@
             let (value, revision) = held.values.get(&compare.key)?.clone();
             let key = compare.key.clone();
             Some(Versioned {
+                era: 0,
                 key,
                 value,
                 revision,
--- a/components/store/src/etcd.rs
+++ b/components/store/src/etcd.rs
@@ -160,6 +160,7 @@
 
 fn versioned(message: KeyValueMessage) -> Versioned {
     Versioned {
+        era: 0,
         key: String::from_utf8_lossy(&message.key.0).into_owned(),
         value: message.value.0,
         revision: message.mod_revision.0,
--- a/components/store/src/keyvalue.rs
+++ b/components/store/src/keyvalue.rs
@@ -1,6 +1,7 @@
 //! What is asked of the key-value service.
 
 use crate::watch::WatchEvent;
+use prelude::Version;
 use std::future::Future;
 use thiserror::Error;
 
@@ -11,12 +12,21 @@
     pub key: String,
     /// The value.
     pub value: Vec<u8>,
+    /// The service's era in which it was read; 0 where the service tells none.
+    pub era: u32,
     /// Revision of its last write.
     pub revision: u64,
     /// The lease with which it ends; 0 where there is none, or where the service does not say.
     pub lease: u64,
 }
 
+impl Versioned {
+    /// When it was last written.
+    pub fn version(&self) -> Version {
+        Version::new(self.era, self.revision)
+    }
+}
+
 /// A condition: the key was last written at `revision`; 0 for a key that does not exist.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Compare {
--- a/components/store/src/watch.rs
+++ b/components/store/src/watch.rs
@@ -5,6 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use futures::StreamExt;
 use futures::stream::BoxStream;
+use prelude::Version;
 
 /// Longest line that is read: a value of the service's largest size in base64, and some room.
 const LINE_BYTES_MAX: usize = 4 * 1024 * 1024;
@@ -16,10 +17,19 @@
     pub key: String,
     /// The value; none where the key was removed.
     pub value: Option<Vec<u8>>,
+    /// The service's era; 0 where it tells none.
+    pub era: u32,
     /// Revision of the write.
     pub revision: u64,
 }
 
+impl WatchEvent {
+    /// When it was written.
+    pub fn version(&self) -> Version {
+        Version::new(self.era, self.revision)
+    }
+}
+
 /// An open watch.
 pub struct Watch {
     body: BoxStream<'static, Result<Bytes, reqwest::Error>>,
@@ -69,6 +79,7 @@
     let events = line.result.events.into_iter().map(|event| WatchEvent {
         key: String::from_utf8_lossy(&event.kv.key.0).into_owned(),
         value: (event.kind.as_deref() != Some("DELETE")).then_some(event.kv.value.0),
+        era: 0,
         revision: event.kv.mod_revision.0,
     });
     Ok(events.collect())
--- a/src/cmd/targets.rs
+++ b/src/cmd/targets.rs
@@ -70,6 +70,9 @@
         view.declarations,
         view.boxes
     );
+    if let Some(era) = view.store_era {
+        println!("  store era {era}");
+    }
     for evacuated in &view.evacuations {
         println!(
             "  evacuated: {} for {:.1} s, {} requests of this box still there",
