The soak has the store come back from a copy, once or twice in a row, and a plant that hides its era

After the drill, which may fall together with every other fault, a target leaves and a data centre is evacuated; operators and targets write again 0.1 to 1.5 s after the store is back.

--- a/components/soak/src/lib.rs
+++ b/components/soak/src/lib.rs
@@ -9,6 +9,7 @@
 mod plan;
 mod plant;
 mod play;
+mod restore;
 mod world;
 
 pub use history::{Broken, Report};
--- a/components/soak/src/plan.rs
+++ b/components/soak/src/plan.rs
@@ -60,6 +60,12 @@
     },
     /// The store forgets its history.
     Compact,
+    /// The store is away, comes back from a copy that is so old, and what operators and targets wrote is written again later.
+    Restore {
+        age_ms: u64,
+        away_ms: u64,
+        again_ms: u64,
+    },
     /// The operator takes a key away, or gives it back.
     ToggleKey,
     /// Operators change what changes nothing, several times in a row.
@@ -120,10 +126,35 @@
             step: Step::Stop { at },
         }));
     }
+    if rng.random_bool(0.5) {
+        steps.extend(restore(&mut rng, sizes));
+    }
     steps.sort_by_key(|timed| timed.at_ms);
     steps
 }
 
+/// The store comes back from a copy, perhaps twice, and then a target leaves and a data centre is evacuated.
+fn restore(rng: &mut ChaCha8Rng, sizes: Sizes) -> Vec<Timed> {
+    let mut at_ms = rng.random_range(FIRST_MS..sizes.span_ms / 2);
+    let mut steps = Vec::new();
+    for _ in 0..rng.random_range(1..=2) {
+        let step = Step::Restore {
+            age_ms: rng.random_range(200..2_500),
+            away_ms: rng.random_range(100..1_000),
+            again_ms: rng.random_range(100..1_500),
+        };
+        steps.push(Timed { at_ms, step });
+        at_ms += rng.random_range(1_200..3_000);
+    }
+    let at = rng.random_range(0..sizes.targets);
+    let leaves = Step::TargetLeaves { at };
+    let place = rng.random_range(0..PLACES.len());
+    let lasts_ms = *EVACUATED_MS.end();
+    let evacuated = Step::Evacuate { place, lasts_ms };
+    steps.extend([leaves, evacuated].map(|step| Timed { at_ms, step }));
+    steps
+}
+
 fn step(rng: &mut ChaCha8Rng, sizes: Sizes) -> Step {
     let at = rng.random_range(0..sizes.boxes);
     let lasts_ms = rng.random_range(LASTS_MS);
--- a/components/soak/src/plant.rs
+++ b/components/soak/src/plant.rs
@@ -24,6 +24,8 @@
     Lives,
     /// Entries that are said not to be readable are.
     Unreadable,
+    /// The store does not tell that its era rose.
+    Era,
     /// Planned stops are kills.
     Cut,
     /// A key that is said to be taken away is not.
@@ -35,7 +37,7 @@
 }
 
 /// All of them, with the promise whose check finds each.
-pub const PLANTS: [(Plant, &str, &str); 13] = [
+pub const PLANTS: [(Plant, &str, &str); 14] = [
     (Plant::Twice, "twice", "at most once"),
     (Plant::NotRun, "not-run", "not run is true"),
     (Plant::Mixed, "mixed", "its own whole answer"),
@@ -53,6 +55,7 @@
         "unreadable",
         "no work to an unreadable entry",
     ),
+    (Plant::Era, "era", "no work to a leaving target"),
     (Plant::Cut, "cut", "a planned stop cuts nothing"),
     (Plant::Config, "config", "declarations in force"),
     (Plant::Budget, "budget", "budget of second sends"),
--- a/components/soak/src/play.rs
+++ b/components/soak/src/play.rs
@@ -124,6 +124,7 @@
 
     /// Does what is due, and starts boxes again that have ended.
     fn look_after(&mut self, now_ms: u64) -> miette::Result<()> {
+        self.keep_copies(now_ms);
         while let Some(at) = self.later.iter().position(|(due_ms, _)| *due_ms <= now_ms) {
             let (_, later) = self.later.swap_remove(at);
             self.come(later, now_ms)?;
@@ -188,6 +189,11 @@
                 };
                 self.later.push((now_ms + lasts_ms, well));
             }
+            Step::Restore {
+                age_ms,
+                away_ms,
+                again_ms,
+            } => self.lose_store(*age_ms, *away_ms, *again_ms, now_ms),
             Step::Compact => self.store.compact(),
             Step::ToggleKey => self.toggle_key(),
             Step::Storm { changes } => (0..*changes).for_each(|_| self.declare()),
@@ -260,7 +266,7 @@
         self.later.push((now_ms + lasts_ms, Later::TakeBack(place)));
     }
 
-    fn trouble_store(&mut self, at: Option<usize>, trouble: store::Trouble) {
+    pub(crate) fn trouble_store(&mut self, at: Option<usize>, trouble: store::Trouble) {
         let boxes = self.boxes.iter().enumerate();
         let doors = boxes.filter(|(other, _)| at.is_none_or(|at| at == *other));
         doors.for_each(|(_, one)| one.door.set(trouble));
@@ -347,6 +353,12 @@
                 }
                 self.store.take_back(place);
             }
+            Later::StoreBack {
+                from_ms,
+                age_ms,
+                again_ms,
+            } => self.store_back(from_ms, age_ms, again_ms, now_ms),
+            Later::AllAgain { from_ms } => self.write_all_again(from_ms, now_ms),
             Later::TargetGone(at) => {
                 let instance = self.retired[at].target.instance.clone();
                 self.unlist(&instance);
--- a/components/soak/src/world.rs
+++ b/components/soak/src/world.rs
@@ -8,10 +8,10 @@
 use crate::play::Soak;
 use fleet::engine::{EngineTarget, Fabric};
 use fleet::link::Link;
-use fleet::store::Store;
+use fleet::store::{Store, StoreCopy};
 use fleet::target::{Act, Record, Target};
 use miette::miette;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::path::Path;
 use std::sync::atomic::Ordering;
@@ -52,6 +52,16 @@
     EngineGone(usize),
     GoodFile(usize),
     TakeBack(&'static str),
+    /// The store comes back from a copy, that old as it went away at a time.
+    StoreBack {
+        from_ms: u64,
+        age_ms: u64,
+        again_ms: u64,
+    },
+    /// Operators and targets write again what they had written.
+    AllAgain {
+        from_ms: u64,
+    },
 }
 
 /// What a target writes of itself.
@@ -81,6 +91,8 @@
     pub soak: &'a Soak,
     pub began: Instant,
     pub store: Store,
+    /// Copies of the store, the latest last, with their times.
+    pub copies: VecDeque<(u64, StoreCopy)>,
     pub version: u64,
     pub key_holds: bool,
     pub boxes: Vec<BoxProcess>,
@@ -104,6 +116,9 @@
     pub(crate) fn start(soak: &'a Soak, folder: &Path, sizes: Sizes) -> miette::Result<Self> {
         let store = Store::default();
         store.declare_toggled(1, true);
+        if soak.plant == Some(Plant::Era) {
+            store.hide_era();
+        }
         let addresses: Result<Vec<Vec<SocketAddr>>, _> =
             (0..sizes.boxes).map(|_| free_addresses(3)).collect();
         let addresses = addresses?;
@@ -127,6 +142,7 @@
             soak,
             began: Instant::now(),
             store,
+            copies: VecDeque::new(),
             version: 1,
             key_holds: true,
             boxes: boxes?,
