--- a/components/relay/src/quarantine/record.rs
+++ b/components/relay/src/quarantine/record.rs
@@ -16,7 +16,7 @@
 /// How long a record lasts after its last write: as long as a request is withheld.
 const LEASE_S: u64 = 600;
 /// Ends of a request from which on it is recorded, on a box that hears others.
-const RECORDED_MIN: usize = 2;
+pub(super) const RECORDED_MIN: usize = 2;
 /// How often all records are read, as they were some seconds ago: a tenth of a call's price each time.
 const READ_EACH: Duration = Duration::from_secs(30);
 /// Writes that are tried where others write the same record, or the store is away: some two minutes.
--- a/components/relay/src/quarantine/withhold.rs
+++ b/components/relay/src/quarantine/withhold.rs
@@ -1,6 +1,7 @@
 //! Which requests go to no target, as too many ended under them.
 
 use crate::ingress::request::{Incoming, Own};
+use crate::quarantine::record::RECORDED_MIN;
 use crate::state::Relay;
 use operators::WithheldView;
 use prelude::{AccountId, RequestKey, TargetEnd};
@@ -27,9 +28,13 @@
 
     /// Notes that a request was answered well: targets survive it.
     pub(crate) fn served(self: &Rc<Self>, request: RequestKey) {
-        let acquittal = self.quarantine.borrow_mut().served(request, self.now_ms());
-        if let Some(acquittal) = acquittal {
-            slog::info!(self.log, "request acquitted by an answer"; "request" => %request);
+        let now_ms = self.now_ms();
+        let ends = self.quarantine.borrow().ends_of(request, now_ms).len();
+        let acquittal = self.quarantine.borrow_mut().served(request, now_ms);
+        // One end alone withholds nothing anywhere: most are of requests that stood beside, and telling each would cost more.
+        if let Some(acquittal) = acquittal.filter(|_| ends >= RECORDED_MIN) {
+            slog::info!(self.log, "request acquitted by an answer"; "request" => %request,
+                "ends" => ends);
             self.tell_acquittal(acquittal);
         }
     }
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -312,7 +312,7 @@
             };
             if let Some(ended) = ended {
                 if !matches!(change, Change::Leaves(_)) {
-                    self.is_gone(ended);
+                    self.note_unannounced_end(ended);
                 }
                 self.channels.borrow_mut().close(ended);
                 self.targets.borrow_mut().sweep(ended);
@@ -323,8 +323,8 @@
         }
     }
 
-    /// Notes that a life is listed no more.
-    fn is_gone(self: &Rc<Self>, slot: TargetSlot) {
+    /// Notes the end of a life that is listed no more, where it had not said that it leaves.
+    fn note_unannounced_end(self: &Rc<Self>, slot: TargetSlot) {
         let life = {
             let targets = self.targets.borrow();
             let unannounced = targets.get(slot).filter(|target| !target.left);
