--- a/components/soak/src/play.rs
+++ b/components/soak/src/play.rs
@@ -353,6 +353,7 @@
                 }
                 self.store.take_back(place);
             }
+            Later::StoreGoes => self.trouble_store(None, store::Trouble::Reset),
             Later::StoreBack {
                 from_ms,
                 age_ms,
--- a/components/soak/src/restore.rs
+++ b/components/soak/src/restore.rs
@@ -12,6 +12,8 @@
 const COPIES_MAX: usize = 24;
 /// Writes of others before the store goes away: its revisions go back by as many at least.
 const OTHER_WRITES: usize = 200;
+/// In this time the boxes hear of them.
+const HEARD_MS: u64 = 300;
 
 impl World<'_> {
     /// Copies the store now and then.
@@ -26,10 +28,13 @@
         }
     }
 
-    /// The store goes away, and will come back from a copy.
+    /// Much is written, of which boxes hear; then the store goes away, and will come back from a copy that is older.
     pub(crate) fn lose_store(&mut self, age_ms: u64, away_ms: u64, again_ms: u64, now_ms: u64) {
         let is_away = |later: &(u64, Later)| {
-            matches!(later.1, Later::StoreBack { .. } | Later::AllAgain { .. })
+            matches!(
+                later.1,
+                Later::StoreGoes | Later::StoreBack { .. } | Later::AllAgain { .. }
+            )
         };
         if self.later.iter().any(is_away) {
             return;
@@ -38,13 +43,14 @@
             self.store.put("op/notes", &at.to_string());
         }
         self.write_entries();
-        self.trouble_store(None, store::Trouble::Reset);
+        let goes_ms = now_ms + HEARD_MS;
+        self.later.push((goes_ms, Later::StoreGoes));
         let back = Later::StoreBack {
             from_ms: now_ms,
             age_ms,
             again_ms,
         };
-        self.later.push((now_ms + away_ms, back));
+        self.later.push((goes_ms + away_ms, back));
     }
 
     pub(crate) fn store_back(&mut self, from_ms: u64, age_ms: u64, again_ms: u64, now_ms: u64) {
--- a/components/soak/src/world.rs
+++ b/components/soak/src/world.rs
@@ -52,7 +52,9 @@
     EngineGone(usize),
     GoodFile(usize),
     TakeBack(&'static str),
-    /// The store comes back from a copy, that old as it went away at a time.
+    /// The store goes away.
+    StoreGoes,
+    /// The store comes back from a copy, that old at a time.
     StoreBack {
         from_ms: u64,
         age_ms: u64,
