A peer's older word revives an evacuation while the store settles: a test that fails

Found by playing the tests of the store's drill five at once, 25 times: two_of_them_within_seconds_are_two_eras failed once, a call got 503 after all boxes had seen the evacuation taken back. Read in the code: while settling, a digest sent before the order was taken back is joined whatever its version.

--- a/components/routing/tests/evacuation.rs
+++ b/components/routing/tests/evacuation.rs
@@ -117,3 +117,13 @@
     );
     assert_eq!(known.data_centres, set(&[]));
 }
+
+#[test]
+fn an_older_word_of_the_same_era_brings_nothing_back_while_the_store_settles() {
+    let mut known = Evacuations::default();
+    known.ordered("east", true, again(5));
+    let older = known.clone();
+    known.ordered("east", false, again(6));
+    assert!(!known.join(&older));
+    assert_eq!(known.data_centres, set(&[]));
+}
