--- a/components/routing/src/evacuation.rs
+++ b/components/routing/src/evacuation.rs
@@ -61,8 +61,12 @@
         }
     }
 
-    /// Takes over all that another set holds beside what this one does. Says whether the set changed.
+    /// Takes over all that another set holds beside what this one does, unless it is an older one of the same era: what was
+    /// taken back since would come back with it. Says whether the set changed.
     pub fn join(&mut self, other: &Self) -> bool {
+        if other.version.era() == self.version.era() && !other.is_later_than(self) {
+            return false;
+        }
         let before = self.data_centres.len();
         self.version = self.version.max(other.version);
         self.is_joined = true;
