What decisions and upkeep look at in 10,000 targets: tests that fail

The counters are part of the product (`engines_looked_at`, `TargetBook::looks`); functions that the tests need stand alone, doing what they did.

--- a/components/policy/benches/decisions.rs
+++ b/components/policy/benches/decisions.rs
@@ -1,5 +1,5 @@
-//! What one decision of a dispatcher takes, at 71 engines and 800 open generations: a request comes, is placed or waits, and an
-//! older one ends.
+//! What one decision of a dispatcher takes, at 71 engines and 800 open generations, and in pools of 100 to 10,000 engines: a
+//! request comes, is placed or waits, and an older one ends.
 
 use criterion::{Criterion, criterion_group, criterion_main};
 use policy::{
@@ -48,6 +48,10 @@
 
 /// A pool with so many generations open, those that are older in the middle of their answers.
 fn filled(settings: PoolSettings) -> Pool {
+    filled_at(settings, ENGINES)
+}
+
+fn filled_at(settings: PoolSettings, engines: u64) -> Pool {
     let mut pool = Pool::new(settings);
     let engine = |id| EngineInfo {
         id: TargetId(id),
@@ -55,7 +59,7 @@
         data_centre: DataCentreId(id % 3),
         cold_rate_per_s: None,
     };
-    pool.set_engines(&(1..=ENGINES).map(engine).collect::<Vec<_>>());
+    pool.set_engines(&(1..=engines).map(engine).collect::<Vec<_>>());
     for serial in 0..OPEN {
         step(&mut pool, serial, serial * 12);
     }
@@ -120,5 +124,24 @@
     }
 }
 
-criterion_group!(benches, decisions);
+/// The same work in pools of different sizes.
+fn sizes(criterion: &mut Criterion) {
+    for engines in [100, 1_000, 10_000] {
+        let settings = PoolSettings {
+            first_report_ms: 0,
+            margin_min: 1.25,
+            ..PoolSettings::default()
+        };
+        let mut pool = filled_at(settings, engines);
+        let mut serial = OPEN;
+        criterion.bench_function(&format!("engines_{engines}"), |bencher| {
+            bencher.iter(|| {
+                serial += 1;
+                step(&mut pool, serial, serial * 12);
+            });
+        });
+    }
+}
+
+criterion_group!(benches, decisions, sizes);
 criterion_main!(benches);
--- a/components/policy/src/admission/refusal.rs
+++ b/components/policy/src/admission/refusal.rs
@@ -16,6 +16,7 @@
 impl Pool {
     /// Why a request that just came must be refused, if it must.
     pub(crate) fn refusal(&mut self, demand: &Demand, need: &Need, now_ms: u64) -> Option<Refusal> {
+        self.looked(self.engines.len());
         let live = self
             .engines
             .iter()
--- a/components/policy/src/admission/waiting.rs
+++ b/components/policy/src/admission/waiting.rs
@@ -240,6 +240,7 @@
             left_ms: ledger.reading.left_ms(&self.reading_rate, now_ms),
             tokens_per_ms: ledger.reading.rate(&self.reading_rate),
         };
+        self.looked(self.engines.len());
         let readers = self.engines.iter().filter(takes).map(reader);
         ForwardRun::new(&readers.collect::<Vec<_>>())
     }
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -25,6 +25,7 @@
 
     /// Tells the tree of shares how much room there is.
     fn sync_room(&mut self) {
+        self.looked(self.engines.len());
         let live = self
             .engines
             .iter()
@@ -43,6 +44,7 @@
             }
         }
         let stays = |ledger: &EngineLedger| engines.iter().any(|info| info.id == ledger.info.id);
+        self.looked(self.engines.len() * engines.len() / 2);
         let gone = self.engines.iter().filter(|ledger| !stays(ledger));
         let gone: Vec<TargetId> = gone.map(|ledger| ledger.info.id).collect();
         for target in gone {
--- a/components/policy/src/placement/choose.rs
+++ b/components/policy/src/placement/choose.rs
@@ -53,6 +53,7 @@
         };
         let mut best: Option<(f64, TargetId)> = None;
         let mut nearest: Vec<(f64, TargetId)> = Vec::new();
+        self.looks.set(self.looks.get() + self.engines.len() as u64);
         for ledger in &mut self.engines {
             let limit = self.settings.running_limit as usize;
             let at_limit = limit > 0 && ledger.streams.len() >= limit;
--- a/components/policy/src/placement/relocate.rs
+++ b/components/policy/src/placement/relocate.rs
@@ -75,6 +75,7 @@
             prompt_tokens: 0.0,
         };
         let mut best: Option<(f64, TargetId)> = None;
+        self.looks.set(self.looks.get() + self.engines.len() as u64);
         for ledger in &mut self.engines {
             let id = ledger.info.id;
             let takes = ledger.state == EngineState::Live && ledger.bears_one_more(now_ms);
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -17,6 +17,7 @@
 use crate::placement::prefixes::PrefixIndex;
 use crate::placement::reading::ReadingRate;
 use prelude::{BoxId, PermitId, TargetId};
+use std::cell::Cell;
 use std::collections::{HashMap, HashSet, VecDeque};
 
 /// Candidates that are tried in one run when the first does not fit.
@@ -59,6 +60,8 @@
     /// The boxes whose recent use it charged itself, and since when.
     pub(crate) known: KnownBoxes,
     pub(crate) usage: Usage,
+    /// Engines that were looked at, each time counted.
+    pub(crate) looks: Cell<u64>,
 }
 
 impl Pool {
@@ -88,6 +91,7 @@
             heard_ms: HashMap::new(),
             known: KnownBoxes::default(),
             usage: Usage::default(),
+            looks: Cell::default(),
             settings,
         }
     }
@@ -197,9 +201,18 @@
     }
 
     pub(crate) fn engine_mut(&mut self, target: TargetId) -> Option<&mut EngineLedger> {
-        self.engines
-            .iter_mut()
-            .find(|ledger| ledger.info.id == target)
+        let at = self.engines.iter().position(|l| l.info.id == target);
+        self.looked(at.map_or(self.engines.len(), |at| at + 1));
+        self.engines.get_mut(at?)
+    }
+
+    /// How many engines were looked at since the pool began, each time counted: what decisions cost grows with it.
+    pub fn engines_looked_at(&self) -> u64 {
+        self.looks.get()
+    }
+
+    pub(crate) fn looked(&self, engines: usize) {
+        self.looks.set(self.looks.get() + engines as u64);
     }
 
     pub(crate) fn margin_in_use(&self) -> f64 {
@@ -277,6 +290,7 @@
             return;
         }
         self.remembered_ms = now_ms;
+        self.looked(self.engines.len());
         for ledger in &mut self.engines {
             let own = ledger.own_tokens(&self.streams, self.tokens_per_ms, now_ms);
             ledger.remember(own, now_ms);
@@ -320,6 +334,9 @@
     forecast
 }
 
+#[cfg(test)]
+#[path = "pool_size_tests.rs"]
+mod size_tests;
 #[cfg(test)]
 #[path = "pool_tests.rs"]
 mod tests;
--- a/components/relay/src/dispatch/engines.rs
+++ b/components/relay/src/dispatch/engines.rs
@@ -74,16 +74,10 @@
         let now_ms = self.now_ms();
         {
             let mut targets = self.targets.borrow_mut();
-            let slot = targets.slot_of(target);
-            if let Some(target) = slot.and_then(|slot| targets.get_mut(slot)) {
-                let counts = match fault {
-                    EngineFault::Broke => {
-                        target.trial.failed(now_ms);
-                        true
-                    }
-                    EngineFault::Silent => target.trial.silent(now_ms),
-                };
-                slog::info!(self.log, "engine doubted"; "engine" => &*target.entry.instance,
+            if let Some(slot) = targets.slot_of(target) {
+                let counts = targets.failed_generation(slot, fault, now_ms);
+                let name = targets.get(slot).map(|target| &*target.entry.instance);
+                slog::info!(self.log, "engine doubted"; "engine" => name,
                     "fault" => ?fault, "on_trial" => counts);
             }
         }
--- a/components/relay/src/dispatch/mod.rs
+++ b/components/relay/src/dispatch/mod.rs
@@ -1,5 +1,6 @@
 //! Permits for generations: the pool's dispatcher, and what a box asks it and tells it.
 
+pub(crate) mod asked;
 pub(crate) mod completion;
 pub(crate) mod dispatcher;
 pub(crate) mod engines;
--- a/components/relay/src/dispatch/reports.rs
+++ b/components/relay/src/dispatch/reports.rs
@@ -1,6 +1,7 @@
 //! While the store cannot be read, engines are asked themselves whether they leave. In quiet times nobody
 //! asks: all load on engines is known without it, and each question is paid for.
 
+use crate::dispatch::asked::AskRound;
 use crate::forwarding::control::control;
 use crate::forwarding::outcome::TargetOutcome;
 use crate::state::Relay;
@@ -35,6 +36,7 @@
 /// the store, and those that run something of its own where no box is heard that asks all.
 pub(crate) async fn run_reports(relay: Rc<Relay>) {
     let mut asks = Asks::None;
+    let mut round = AskRound::default();
     loop {
         sleep(ASK_EACH).await;
         let now = whom_to_ask(&relay);
@@ -46,7 +48,7 @@
         }
         relay.asking.set(asks == Asks::All);
         if asks != Asks::None {
-            for (slot, address) in engines(&relay, asks == Asks::All) {
+            for (slot, address) in engines(&relay, asks == Asks::All, &mut round) {
                 tokio::task::spawn_local(ask(relay.clone(), slot, address));
             }
         }
@@ -70,13 +72,10 @@
         sleep(TRY_EACH).await;
         let now_ms = relay.now_ms();
         let open = {
-            let targets = relay.targets.borrow();
-            let open = |(_, target): &(TargetSlot, &Target)| {
-                targets.takes_work(target) && target.trial.is_open(now_ms)
-            };
-            let open = targets.all().filter(open);
-            let open = open.map(|(slot, target)| (slot, target.entry.address));
-            open.collect::<Vec<_>>()
+            let mut targets = relay.targets.borrow_mut();
+            let open = targets.open_trials(now_ms).into_iter();
+            let address = |slot| Some((slot, targets.get(slot)?.entry.address));
+            open.filter_map(address).collect::<Vec<_>>()
         };
         for (slot, address) in open {
             tokio::task::spawn_local(ask(relay.clone(), slot, address));
@@ -96,20 +95,33 @@
     relay.targets_doubted.get() || store_fails || age_ms > UNCONFIRMED_MS
 }
 
-fn engines(relay: &Relay, all: bool) -> Vec<(TargetSlot, SocketAddr)> {
+fn engines(relay: &Relay, all: bool, round: &mut AskRound) -> Vec<(TargetSlot, SocketAddr)> {
     let Some(held) = relay.declared() else {
         return Vec::new();
     };
     let targets = relay.targets.borrow();
-    let with_engines = held.table.services.iter().filter(|s| s.engine.is_some());
-    let engines = with_engines.flat_map(|service| targets.of_service(&service.name));
-    engines
-        .filter(|(_, target)| {
-            let asked = target.open > 0 || (all && !targets.is_evacuated(target));
-            target.belief == Belief::Ready && asked
-        })
-        .map(|(slot, target)| (slot, target.entry.address))
-        .collect()
+    let engine_services = held.table.services.iter().filter(|s| s.engine.is_some());
+    let names: Vec<&str> = engine_services.map(|service| &*service.name).collect();
+    let is_ready =
+        |target: &Target| target.belief == Belief::Ready && names.contains(&&*target.entry.service);
+    let in_use = targets.in_use().into_iter();
+    let in_use: Vec<TargetSlot> = in_use
+        .filter(|slot| targets.get(*slot).is_some_and(is_ready))
+        .collect();
+    let asked = match all {
+        false => round.next(&in_use, &in_use),
+        true => {
+            let listed = names.iter().flat_map(|name| targets.of_service(name));
+            let ready = listed.filter(|(_, target)| {
+                is_ready(target) && (target.open > 0 || !targets.is_evacuated(target))
+            });
+            let mut ready: Vec<TargetSlot> = ready.map(|(slot, _)| slot).collect();
+            ready.sort();
+            round.next(&ready, &in_use)
+        }
+    };
+    let address = |slot| Some((slot, targets.get(slot)?.entry.address));
+    asked.into_iter().filter_map(address).collect()
 }
 
 async fn ask(relay: Rc<Relay>, slot: TargetSlot, address: SocketAddr) {
--- a/components/relay/src/membership/broadcast.rs
+++ b/components/relay/src/membership/broadcast.rs
@@ -18,7 +18,7 @@
 /// Tells all other boxes.
 pub(crate) fn tell_all(relay: &Rc<Relay>, news: &FleetGossip) {
     let others = relay.members.borrow().in_telling_order(relay.now_ms());
-    for group in groups(&others) {
+    for group in first_told(&others) {
         tokio::task::spawn_local(tell_group(relay.clone(), news.clone(), group));
     }
 }
@@ -34,6 +34,11 @@
     }
 }
 
+/// The groups that a box tells news, of which it sends one message each.
+pub(crate) fn first_told(others: &[(BoxId, DataCentreId)]) -> Vec<Vec<BoxId>> {
+    groups(others)
+}
+
 /// The boxes that are told, each first one passing on to the others of its group. Boxes of one data centre follow each
 /// other in `others`, those that should pass on first.
 pub(crate) fn groups(others: &[(BoxId, DataCentreId)]) -> Vec<Vec<BoxId>> {
--- a/components/relay/src/membership/broadcast_tests.rs
+++ b/components/relay/src/membership/broadcast_tests.rs
@@ -56,3 +56,19 @@
         (0..heads.len() as u32).map(BoxId).collect::<Vec<_>>()
     );
 }
+
+#[rstest]
+#[case(195, 5)]
+#[case(361, 5)]
+#[case(986, 5)]
+#[case(2_000, 7)]
+fn news_for_many_boxes_cost_one_message_to_each_data_centre(
+    #[case] count: u32,
+    #[case] places: u32,
+) {
+    let told = first_told(&boxes(count, places));
+    assert_eq!(told.len(), places as usize);
+    let mut all = told.concat();
+    all.sort();
+    assert_eq!(all, (0..count).map(BoxId).collect::<Vec<_>>());
+}
--- a/components/relay/src/membership/gossip.rs
+++ b/components/relay/src/membership/gossip.rs
@@ -190,12 +190,24 @@
     }
 }
 
+/// Whether to ask for changes of targets that another box has. One that knows no list asks at once.
+fn lacks_targets(relay: &Relay, held: &FleetDigest, digest: &FleetDigest) -> bool {
+    let (own, told) = (held.targets_changed_at, digest.targets_changed_at);
+    if !relay.targets.borrow().is_known() {
+        return own < told;
+    }
+    let mut lacking = relay.lacking.get();
+    let is_due = lacking.is_due(own, told, relay.now_ms());
+    relay.lacking.set(lacking);
+    is_due
+}
+
 /// Asks a box that knows more for what this one lacks.
 pub(crate) fn fetch_what_lacks(relay: &Rc<Relay>, digest: &FleetDigest) {
     let held = relay.digest();
     let lacks_table = held.table_version < digest.table_version;
-    let lacks_targets = held.targets_changed_at < digest.targets_changed_at
-        && held.targets_current_to < digest.targets_current_to;
+    let is_behind = held.targets_current_to < digest.targets_current_to;
+    let lacks_targets = is_behind && lacks_targets(relay, &held, digest);
     let lacks = lacks_table || lacks_targets || lacks_boxes(held.boxes, digest.boxes);
     if !lacks || relay.fetching.send_replace(true) {
         return;
--- /dev/null
+++ b/components/relay/src/membership/lacking_tests.rs
@@ -0,0 +1,42 @@
+use super::*;
+
+fn at(revision: u64) -> Version {
+    Version::new(0, revision)
+}
+
+/// Asks of a box that hears a digest each 250 ms for 10 s, while a change comes each 10 ms; it hears of each change by
+/// broadcast so much later than others.
+fn asks_of_one_that_hears(late_ms: u64) -> usize {
+    let mut lacking = Lacking::default();
+    let heard = |now_ms: u64| at(now_ms.saturating_sub(late_ms) / 10);
+    let digests = (0..40).map(|turn| turn * 250);
+    digests
+        .filter(|now_ms| lacking.is_due(heard(*now_ms), at(now_ms / 10), *now_ms))
+        .count()
+}
+
+#[test]
+fn a_box_that_hears_of_all_changes_by_broadcast_asks_for_none() {
+    assert_eq!(asks_of_one_that_hears(0), 0);
+    assert_eq!(asks_of_one_that_hears(40), 0);
+    assert_eq!(asks_of_one_that_hears(200), 0);
+}
+
+#[test]
+fn a_box_that_missed_a_change_asks_for_it_at_a_digest_soon() {
+    let mut lacking = Lacking::default();
+    lacking.is_due(at(5), at(6), 1_000);
+    assert!(lacking.is_due(at(5), at(6), 1_500));
+    // Also where more changed meanwhile.
+    let mut lacking = Lacking::default();
+    lacking.is_due(at(5), at(6), 1_000);
+    lacking.is_due(at(5), at(8), 1_250);
+    assert!(lacking.is_due(at(5), at(9), 1_500));
+}
+
+#[test]
+fn one_that_is_behind_another_only_has_nothing_to_ask_of_the_rest() {
+    let mut lacking = Lacking::default();
+    assert!(!lacking.is_due(at(5), at(6), 1_000));
+    assert!(!lacking.is_due(at(5), at(5), 1_500));
+}
--- a/components/relay/src/membership/members.rs
+++ b/components/relay/src/membership/members.rs
@@ -6,6 +6,7 @@
 use policy::ranked;
 use prelude::{BoxId, DataCentreId};
 use rand::seq::SliceRandom;
+use std::cell::Cell;
 use std::cmp::Reverse;
 use std::collections::HashMap;
 
@@ -21,6 +22,8 @@
 /// How long the platform may still send channels to a box that stops: it asks each second, and believes the second
 /// answer.
 const STILL_IN_MS: u64 = 2_000;
+/// How often the keys of all boxes are read.
+pub(crate) const LIST_EACH_MS: u64 = 30_000;
 /// The number of boxes among which the budget is shared falls only after this time.
 const SHARE_KEPT_MS: u64 = 15_000;
 
@@ -45,6 +48,8 @@
     most_ms: u64,
     follower_ms: u64,
     any_ms: u64,
+    /// Boxes that were looked at to rank them, each time counted.
+    ranked_looks: Cell<u64>,
 }
 
 /// What a card changed.
@@ -74,6 +79,7 @@
             most_ms: 0,
             follower_ms: 0,
             any_ms: 0,
+            ranked_looks: Cell::default(),
         }
     }
 
@@ -237,6 +243,8 @@
     /// The boxes in the order in which they hold `role`: whoever holds one tells many others, so those with
     /// wide links come first. Those that stop or do not answer hold none.
     pub(crate) fn ranked(&self, role: u64, leaving: bool, now_ms: u64) -> Vec<BoxId> {
+        self.ranked_looks
+            .set(self.ranked_looks.get() + self.others.len() as u64);
         let able = |member: &&Member| {
             let known = member.keyed || member.heard_ms + SILENT_MS > now_ms;
             !member.card.leaving && member.suspected_until_ms <= now_ms && known
@@ -258,6 +266,12 @@
         order
     }
 
+    /// How many boxes were looked at to rank them, each time counted: what asking who holds a role costs grows with it.
+    #[cfg(test)]
+    pub(crate) fn ranked_looks(&self) -> u64 {
+        self.ranked_looks.get()
+    }
+
     /// Notes that a box that follows the store said so.
     pub(crate) fn heard_follower(&mut self, now_ms: u64) {
         self.follower_ms = now_ms;
@@ -298,11 +312,22 @@
         stops.flatten().min()
     }
 
+    /// Whether the keys of all boxes are to be read, where they were read so long ago.
+    pub(crate) fn is_list_due(&self, read_ms_ago: u64) -> bool {
+        read_ms_ago >= LIST_EACH_MS
+    }
+
     /// Among how many boxes a shared budget is divided: the most that there were lately.
     pub(crate) fn budget_share(&self) -> usize {
         self.most.max(self.others.len() + 1)
     }
 
+    /// The same boxes, with nothing worked out of them.
+    #[cfg(test)]
+    fn anew(&self) -> Self {
+        self.clone()
+    }
+
     fn count(&mut self, now_ms: u64) {
         let count = self.others.len() + 1;
         if count >= self.most || self.most_ms + SHARE_KEPT_MS < now_ms {
--- a/components/relay/src/membership/members_tests.rs
+++ b/components/relay/src/membership/members_tests.rs
@@ -149,3 +149,102 @@
     assert_eq!(first, [6, 12, 18]);
     assert_eq!(order.len(), 19);
 }
+
+/// So many boxes, one in twenty with a wide link.
+fn crowd(boxes: u32) -> Members {
+    let mut members = Members::new(BoxId(0), 20);
+    for id in 1..boxes {
+        let link_mbps = if id % 20 == 0 { 200 } else { 20 };
+        let card = FleetCard {
+            link_mbps,
+            ..card(id, 1, false)
+        };
+        members.upsert(card, true, 0);
+    }
+    members
+}
+
+#[rstest::rstest]
+#[case::boxes_100(100)]
+#[case::boxes_1_000(1_000)]
+fn who_holds_a_role_is_worked_out_once_while_nothing_changes(#[case] boxes: u32) {
+    let members = crowd(boxes);
+    for at_ms in 0..100 {
+        for role in [ROLE, ROLE + 1] {
+            assert_eq!(members.ranked(role, false, at_ms).len(), boxes as usize);
+        }
+    }
+    let looks = members.ranked_looks();
+    assert!(looks <= 2 * u64::from(boxes), "{looks}");
+}
+
+/// Compares the order with that of a list of boxes of which nothing was asked before.
+fn assert_as_if_new(members: &Members, now_ms: u64) {
+    let fresh = Members {
+        ranked_looks: Cell::default(),
+        ..members.anew()
+    };
+    for leaving in [false, true] {
+        let (order, new) = (
+            members.ranked(ROLE, leaving, now_ms),
+            fresh.ranked(ROLE, leaving, now_ms),
+        );
+        assert_eq!(order, new, "at {now_ms} ms");
+    }
+}
+
+#[test]
+fn who_holds_a_role_follows_what_is_known_of_boxes() {
+    let mut members = crowd(40);
+    let unkeyed = FleetCard {
+        link_mbps: 200,
+        ..card(50, 1, false)
+    };
+    members.upsert(unkeyed, false, 0);
+    assert_as_if_new(&members, 0);
+    for at_ms in (0..40_000).step_by(250) {
+        match at_ms {
+            1_000 => members.suspected(BoxId(20), at_ms),
+            1_500 => members.suspected(BoxId(7), at_ms),
+            3_000 => members.suspected(BoxId(20), at_ms),
+            4_000 => drop(members.heard(BoxId(20), at_ms)),
+            6_000 => drop(members.upsert(card(7, 1, true), false, at_ms)),
+            8_000 => members.set_link(200),
+            9_000 => members.keys_are(&[BoxId(1), BoxId(2), BoxId(20)]),
+            30_000 => drop(members.forget_silent(at_ms)),
+            31_000 => drop(members.upsert(card(60, 1, false), true, at_ms)),
+            _ => {}
+        }
+        assert_as_if_new(&members, at_ms);
+    }
+}
+
+/// How often boxes read the keys of all in an hour of quiet, in bytes a second of one box where a key takes 330.
+fn list_bytes_a_second(boxes: u32) -> f64 {
+    let members = crowd(boxes);
+    let (mut reads, mut read_ms) = (0, 0);
+    for now_ms in (0..3_600_000).step_by(10_000) {
+        if members.is_list_due(now_ms - read_ms) {
+            reads += 1;
+            read_ms = now_ms;
+        }
+    }
+    f64::from(reads) * f64::from(boxes) * 330.0 / 3_600.0
+}
+
+#[rstest::rstest]
+#[case::boxes_8(8)]
+#[case::boxes_100(100)]
+#[case::boxes_1_000(1_000)]
+fn reading_the_keys_of_all_boxes_takes_a_box_about_a_kilobyte_a_second(#[case] boxes: u32) {
+    let bytes = list_bytes_a_second(boxes);
+    assert!(bytes < 1_200.0, "{bytes} bytes a second");
+}
+
+#[test]
+fn a_box_that_hears_of_more_boxes_than_it_knows_reads_their_keys_soon() {
+    let mut members = crowd(1_000);
+    assert!(!members.is_list_due(LIST_EACH_MS - 1));
+    members.told_count(1_000, 5_000);
+    assert!(members.is_list_due(LIST_EACH_MS));
+}
--- a/components/relay/src/membership/mod.rs
+++ b/components/relay/src/membership/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod exchange;
 pub(crate) mod gossip;
 pub(crate) mod hints;
+pub(crate) mod lacking;
 pub(crate) mod members;
 pub(crate) mod registration;
 pub(crate) mod snapshot;
--- a/components/relay/src/membership/registration.rs
+++ b/components/relay/src/membership/registration.rs
@@ -20,8 +20,8 @@
 /// Time after which the key of a box that says nothing goes. Whether a box is there is told by its peers, who call it;
 /// its key only lets those find it that know nobody yet.
 const LEASE_S: u64 = 60;
-/// How often the keys of all boxes are read: a tenth of a call's price each time.
-const READ_EACH: Duration = Duration::from_secs(30);
+/// How often it is looked whether the keys of all boxes are to be read: a tenth of a call's price each time.
+const LOOK_EACH: Duration = Duration::from_secs(5);
 /// A box that peers know writes its key at a moment within this time: all boxes may start at once.
 const FIRST_KEY_WITHIN: Duration = Duration::from_millis(2_000);
 /// When a box that has just started looks again, and once more when all that started with it have written their keys.
@@ -167,7 +167,10 @@
                 if !std::mem::replace(&mut begun, true) {
                     greet(&relay).await;
                 }
-                sleep(pauses.next().unwrap_or(READ_EACH)).await;
+                match pauses.next() {
+                    Some(pause) => sleep(pause).await,
+                    None => until_list_due(&relay).await,
+                }
             }
             Err(error) => {
                 slog::info!(relay.log, "boxes not read"; "error" => %error);
@@ -183,6 +186,17 @@
     }
 }
 
+/// Waits until the keys of all boxes are to be read again.
+async fn until_list_due(relay: &Relay) {
+    let read_ms = relay.now_ms();
+    // Boxes that read at one time do not do so for ever.
+    let wait = LOOK_EACH.mul_f64(rand::random());
+    sleep(wait).await;
+    while !relay.members.borrow().is_list_due(relay.now_ms() - read_ms) {
+        sleep(LOOK_EACH).await;
+    }
+}
+
 fn take_keys(relay: &Relay, items: &[Versioned]) {
     note_former_lease(relay, items);
     let cards: Vec<FleetCard> = items.iter().filter_map(|item| card(relay, item)).collect();
--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -139,6 +139,7 @@
         era_seen: Cell::new(None),
         former_lease: Cell::new(None),
         boxes_read: watch::Sender::new(false),
+        lacking: Cell::default(),
         fetching: watch::Sender::new(false),
         store_doubted: Notify::new(),
         in_progress: Cell::new(0),
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -7,6 +7,7 @@
 use crate::forwarding::channels::Channels;
 use crate::held::{Bounds, Holdings};
 use crate::ingress::request::Own;
+use crate::membership::lacking::Lacking;
 use crate::membership::members::Members;
 use crate::membership::snapshot::pack;
 use crate::membership::stand_back::StandBacks;
@@ -111,6 +112,8 @@
     pub(crate) former_lease: Cell<Option<Lease>>,
     /// The keys of all boxes were read since this box started.
     pub(crate) boxes_read: watch::Sender<bool>,
+    /// Changes of targets that other boxes have and this one lacks.
+    pub(crate) lacking: Cell<Lacking>,
     /// What another box knows more is being asked for.
     pub(crate) fetching: watch::Sender<bool>,
     /// The store failed: its open watches may hang.
--- a/components/relay/src/watch/election.rs
+++ b/components/relay/src/watch/election.rs
@@ -113,11 +113,18 @@
         return QUIET_MS;
     }
     let turn = rank(relay).map_or(u64::MAX, |rank| rank as u64);
-    let away_ms = match turn > TURNS_MAX && another_asks(relay) {
-        true => AWAY_MS + AWAY_TURN_MS * (turn - TURNS_MAX).min(AWAY_TURNS_MAX),
+    let is_away = another_asks(relay);
+    QUIET_MS + turn_ms(turn, is_away)
+}
+
+/// How much longer than the first in rank a box leaves it to others.
+fn turn_ms(turn: u64, is_away: bool) -> u64 {
+    let late = turn.saturating_sub(TURNS_MAX);
+    let late_ms = match is_away && late > 0 {
+        true => AWAY_MS + AWAY_TURN_MS * late.min(AWAY_TURNS_MAX),
         false => 0,
     };
-    QUIET_MS + TURN_MS * turn.min(TURNS_MAX) + away_ms
+    TURN_MS * turn.min(TURNS_MAX) + late_ms
 }
 
 /// Whether another box asks all engines whether they leave.
--- a/components/relay/src/watch/election_tests.rs
+++ b/components/relay/src/watch/election_tests.rs
@@ -12,6 +12,12 @@
     const { assert!(QUIET_MS < ALONE_MS) };
 }
 
+#[test]
+fn the_last_of_a_few_hundred_boxes_looks_itself_within_the_bound_of_such_fleets() {
+    assert!(QUIET_MS + turn_ms(8, false) + READ_MS < BOUND_MS);
+    assert!(QUIET_MS + turn_ms(300, false) + READ_MS < 3_000);
+}
+
 #[test]
 fn a_box_that_misses_one_word_leaves_it_to_those_that_follow() {
     const { assert!(QUIET_MS as u128 > 2 * CONFIRM_EACH.as_millis()) };
@@ -27,3 +33,14 @@
     followed.set(View::Targets, false);
     assert_eq!(followed.views().collect::<Vec<_>>(), [View::Declarations]);
 }
+
+#[test]
+fn boxes_that_hear_nothing_look_one_after_another_however_many_there_are() {
+    // While the first that reads tells the others, a tenth of a second, few more look.
+    for boxes in [100, 1_000, 2_000_u64] {
+        let looks: Vec<u64> = (0..boxes).map(|turn| turn_ms(turn, false)).collect();
+        let at_once = looks.iter().filter(|ms| **ms <= looks[5] + 100).count();
+        assert!(at_once <= 60, "{at_once} of {boxes}");
+        assert!(looks.iter().all(|ms| *ms <= 2_800));
+    }
+}
--- a/components/relay/src/watch/leaving.rs
+++ b/components/relay/src/watch/leaving.rs
@@ -1,6 +1,6 @@
 //! Which lives leave by their own word, and what peers say of that.
 
-use crate::watch::targets::{Belief, Change, TargetBook, TargetSlot};
+use crate::watch::targets::{Belief, Change, Target, TargetBook, TargetSlot};
 use routing::TargetLife;
 
 impl TargetBook {
@@ -19,10 +19,8 @@
 
     /// The lives that leave by their own word. What the store says of leaving travels with its changes.
     pub fn leaving(&self) -> Vec<TargetLife> {
-        let leaving = self
-            .targets
-            .values()
-            .filter(|t| t.belief == Belief::Leaving && t.leaves_by_word);
+        let leaves = |t: &&Target| t.belief == Belief::Leaving && t.leaves_by_word;
+        let leaving = self.all().map(|(_, target)| target).filter(leaves);
         leaving.map(|target| target.entry.life()).collect()
     }
 
--- a/components/relay/src/watch/listing.rs
+++ b/components/relay/src/watch/listing.rs
@@ -149,8 +149,8 @@
     }
 
     /// The names whose entries are still missing after the time that they had, with the version of that.
-    pub fn still_missing(&self, now_ms: u64) -> Vec<(Box<str>, Version)> {
-        let missing = self.targets.values().filter_map(|target| {
+    pub fn still_missing(&mut self, now_ms: u64) -> Vec<(Box<str>, Version)> {
+        let missing = self.all().filter_map(|(_, target)| {
             let missing = target
                 .missing
                 .filter(|missing| missing.until_ms <= now_ms)?;
@@ -212,4 +212,4 @@
 mod order_tests;
 #[cfg(test)]
 #[path = "listing_tests.rs"]
-mod tests;
+pub(crate) mod tests;
--- a/components/relay/src/watch/listing_tests.rs
+++ b/components/relay/src/watch/listing_tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 
 /// A version of the first era.
-pub(super) fn at(revision: u64) -> Version {
+pub(crate) fn at(revision: u64) -> Version {
     Version::new(0, revision)
 }
 
@@ -13,7 +13,7 @@
     }
 }
 
-pub(super) fn entry(instance: &str, born: u64, leaves: bool, revision: u64) -> TargetEntry {
+pub(crate) fn entry(instance: &str, born: u64, leaves: bool, revision: u64) -> TargetEntry {
     TargetEntry {
         instance: instance.into(),
         born_ms: Some(born),
--- a/components/relay/src/watch/targets.rs
+++ b/components/relay/src/watch/targets.rs
@@ -2,11 +2,13 @@
 //! its lives, never for its address or name. How words on lives are taken in is in [`crate::watch::listing`].
 
 use crate::watch::pasts::Pasts;
+use peers::EngineFault;
 use platform::WorkerLoad;
 use policy::{Suspicion, Trial, Warmup};
 use prelude::{DataCentreId, TargetId, Version};
 use routing::TargetEntry;
 use slotmap::{SlotMap, new_key_type};
+use std::cell::Cell;
 use std::collections::{HashMap, HashSet};
 
 new_key_type! {
@@ -143,6 +145,8 @@
     /// A list was taken in: from the store, perhaps as it was some seconds ago, or from a peer.
     pub(super) known: bool,
     evacuated: HashSet<DataCentreId>,
+    /// Targets that were looked at, each time counted.
+    looks: Cell<u64>,
 }
 
 /// What a change of the book means for the rest of the box.
@@ -203,7 +207,8 @@
 
     /// All targets that are still listed, cold for what is left of that.
     pub fn entries(&self, now_ms: u64) -> Vec<TargetEntry> {
-        let listed = self.targets.values().filter(|t| t.belief != Belief::Gone);
+        let listed = self.all().map(|(_, target)| target);
+        let listed = listed.filter(|t| t.belief != Belief::Gone);
         let entry = |target: &Target| TargetEntry {
             cold_left_ms: target.cold_until_ms.saturating_sub(now_ms) as u32,
             ..target.entry.clone()
@@ -213,7 +218,44 @@
 
     /// All targets.
     pub fn all(&self) -> impl Iterator<Item = (TargetSlot, &Target)> {
-        self.targets.iter()
+        self.targets.iter().inspect(move |_| self.looked())
+    }
+
+    /// How many targets were looked at, each time counted: what upkeep costs grows with it.
+    pub fn looks(&self) -> u64 {
+        self.looks.get()
+    }
+
+    fn looked(&self) {
+        self.looks.set(self.looks.get() + 1);
+    }
+
+    /// The targets on trial that are to be asked now.
+    pub fn open_trials(&mut self, now_ms: u64) -> Vec<TargetSlot> {
+        let open = |(_, target): &(TargetSlot, &Target)| {
+            self.takes_work(target) && target.trial.is_open(now_ms)
+        };
+        self.all().filter(open).map(|(slot, _)| slot).collect()
+    }
+
+    /// The targets that have requests of this box.
+    pub fn in_use(&self) -> Vec<TargetSlot> {
+        let used = self.all().filter(|(_, target)| target.open > 0);
+        used.map(|(slot, _)| slot).collect()
+    }
+
+    /// Notes that a target failed a generation, or was silent to one. Says whether that counts as a failure.
+    pub fn failed_generation(&mut self, slot: TargetSlot, fault: EngineFault, now_ms: u64) -> bool {
+        let Some(target) = self.targets.get_mut(slot) else {
+            return false;
+        };
+        match fault {
+            EngineFault::Broke => {
+                target.trial.failed(now_ms);
+                true
+            }
+            EngineFault::Silent => target.trial.silent(now_ms),
+        }
     }
 
     /// The targets of a service.
@@ -221,8 +263,7 @@
         &'a self,
         service: &'a str,
     ) -> impl Iterator<Item = (TargetSlot, &'a Target)> {
-        self.targets
-            .iter()
+        self.all()
             .filter(move |(_, target)| &*target.entry.service == service)
     }
 
@@ -322,3 +363,7 @@
         best.map(|(_, slot)| slot)
     }
 }
+
+#[cfg(test)]
+#[path = "targets_size_tests.rs"]
+mod size_tests;
--- a/components/relay/src/watch/watcher.rs
+++ b/components/relay/src/watch/watcher.rs
@@ -214,7 +214,7 @@
 pub(crate) async fn run_missing(relay: Rc<Relay>) {
     loop {
         sleep(MISSING_LOOK_EACH).await;
-        let gone = relay.targets.borrow().still_missing(relay.now_ms());
+        let gone = relay.targets.borrow_mut().still_missing(relay.now_ms());
         if !gone.is_empty() {
             let gone = gone.into_iter();
             let listings = gone.map(|(instance, version)| Listing::Unlisted(instance, version));
