A decision weighs a bounded number of engines; news of one engine changes that one

Cause: engines were found by a pass over all of them, so that a list of engines and their states cost the square of the pool at each change and each 0.5 s, and a decision passed over all of them for the largest memory, the run forward, the choice and the past of each. Change: `EngineSet` keeps ledgers by key, idle engines by data centre, busy ones, and sums of what takes work. The run forward takes as many free engines as prompts wait, which gives the same time. Ruled out: shards by data centre with a dispatcher each: bounds the same, but shares, ranks and room must then be told between them.

--- a/components/policy/src/admission/protection.rs
+++ b/components/policy/src/admission/protection.rs
@@ -33,7 +33,9 @@
             let left_ms = ledger.reading.left_ms(&self.reading_rate, now_ms);
             ledger.state == EngineState::Live && left_ms <= read_ms
         };
-        self.engines.iter().filter(is_free).count() as f64 > kept
+        // More than are kept, or all were looked at.
+        let mut free = self.engines.iter().filter(is_free);
+        free.nth(kept as usize).is_some()
     }
 
     /// Whether a place is of an account that floods and asks for more than all others.
--- a/components/policy/src/admission/refusal.rs
+++ b/components/policy/src/admission/refusal.rs
@@ -3,7 +3,6 @@
 use crate::admission::outlook::Need;
 use crate::demand::{Demand, Verdict};
 use crate::kind::WaitingPolicy;
-use crate::placement::ledger::EngineState;
 use crate::pool::Pool;
 use prelude::{PermitId, Refusal, RefusalReason};
 use std::collections::HashSet;
@@ -16,13 +15,7 @@
 impl Pool {
     /// Why a request that just came must be refused, if it must.
     pub(crate) fn refusal(&mut self, demand: &Demand, need: &Need, now_ms: u64) -> Option<Refusal> {
-        self.looked(self.engines.len());
-        let live = self
-            .engines
-            .iter()
-            .filter(|ledger| ledger.state == EngineState::Live);
-        let largest = live.map(|ledger| ledger.info.capacity_tokens).max();
-        let Some(largest) = largest else {
+        let Some(largest) = self.engines.largest_tokens() else {
             return Some(Refusal {
                 reason: RefusalReason::NoTarget,
                 retry_after_ms: Some(1000),
--- a/components/policy/src/admission/room_ahead.rs
+++ b/components/policy/src/admission/room_ahead.rs
@@ -34,7 +34,12 @@
     }
 
     /// Looks at all engines. What is left at an engine counts only where a request of `usual_tokens` finds room.
-    pub fn look(&mut self, engines: &mut [EngineLedger], view: &RoomView<'_>, usual_tokens: f64) {
+    pub fn look<'a>(
+        &mut self,
+        engines: impl Iterator<Item = &'a mut EngineLedger>,
+        view: &RoomView<'_>,
+        usual_tokens: f64,
+    ) {
         let pace = view.tokens_per_ms.max(f64::MIN_POSITIVE);
         self.free_tokens = Curve::default();
         self.at_ms = HORIZONS_TOKENS.map(|tokens| f64::from(tokens) / pace);
--- a/components/policy/src/admission/room_ahead_tests.rs
+++ b/components/policy/src/admission/room_ahead_tests.rs
@@ -88,7 +88,7 @@
     };
     let mut room = RoomAhead::default();
     assert!(room.is_stale(0));
-    room.look(&mut engines, &view, 2_000.0);
+    room.look(engines.iter_mut(), &view, 2_000.0);
     assert_eq!(room.free_at(0), 4_000.0);
     assert!(!room.is_stale(10));
     assert!(room.is_stale(20));
--- a/components/policy/src/admission/waiting.rs
+++ b/components/policy/src/admission/waiting.rs
@@ -60,7 +60,7 @@
         };
         self.outlook
             .room
-            .look(&mut self.engines, &view, usual_tokens);
+            .look(self.engines.iter_mut(), &view, usual_tokens);
     }
 
     /// Refusal of a request whose first token would come too late, with the time after which to come back. Otherwise its
@@ -91,6 +91,9 @@
 
     /// Refuses what was let wait a moment ago and will be too late by what is known now.
     pub(crate) fn refuse_early(&mut self, now_ms: u64) -> Vec<(PermitId, Verdict)> {
+        if self.queue.len() == 0 {
+            return Vec::new();
+        }
         self.look_ahead(now_ms);
         let mut returning = std::mem::take(&mut self.outlook.returning);
         let mut run = self.run_forward(now_ms);
@@ -211,7 +214,7 @@
 
     /// How many times longer a request waits to be read because more urgent ones come meanwhile.
     fn held_up(&self, run: &ForwardRun, rank: u8, now_ms: u64) -> f64 {
-        if !self.settings.urgent_ahead && !self.settings.memory_ahead {
+        if !self.counts_what_comes() {
             return 1.0;
         }
         let coming = &self.outlook.coming;
@@ -219,6 +222,11 @@
         (1.0 - urgent.min(URGENT_SHARE_MOST)).recip()
     }
 
+    /// Whether forecasts count what comes meanwhile and is more urgent, and so how much all engines read together.
+    fn counts_what_comes(&self) -> bool {
+        self.settings.urgent_ahead || self.settings.memory_ahead
+    }
+
     /// When a request behind so many of its rank is granted, by the pace at which that rank was granted lately.
     fn by_pace_ms(&self, rank: u8, same_rank: usize) -> f64 {
         if same_rank == 0 {
@@ -240,9 +248,18 @@
             left_ms: ledger.reading.left_ms(&self.reading_rate, now_ms),
             tokens_per_ms: ledger.reading.rate(&self.reading_rate),
         };
-        self.looked(self.engines.len());
-        let readers = self.engines.iter().filter(takes).map(reader);
-        ForwardRun::new(&readers.collect::<Vec<_>>())
+        // Each prompt that waits is read by the engine that is free first: so many free ones are enough for all of them.
+        let wanted = self.queue.len() + 1;
+        let mut readers = Vec::new();
+        let mut free = 0;
+        for reader in self.engines.iter().filter(takes).map(reader) {
+            free += usize::from(reader.left_ms == 0.0);
+            readers.push(reader);
+            if free == wanted && !self.counts_what_comes() {
+                break;
+            }
+        }
+        ForwardRun::new(&readers)
     }
 }
 
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -1,11 +1,11 @@
 //! What a dispatcher is told of its settings and engines: which there are, whether they take work, what they report.
 
 use crate::kind::PoolSettings;
-use crate::placement::ledger::{EngineInfo, EngineLedger, EngineReport, EngineState, StreamKey};
+use crate::placement::ledger::{EngineInfo, EngineReport, EngineState, StreamKey};
 use crate::placement::length::End;
 use crate::pool::Pool;
 use prelude::{AccountId, TargetId};
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 /// Preemptions of one report that raise the margin.
 const PREEMPTIONS_COUNTED: u64 = 2;
@@ -25,44 +25,44 @@
 
     /// Tells the tree of shares how much room there is.
     fn sync_room(&mut self) {
-        self.looked(self.engines.len());
-        let live = self
-            .engines
-            .iter()
-            .filter(|ledger| ledger.state == EngineState::Live);
-        let count = live.clone().count();
-        let memory_tokens = live.map(|ledger| ledger.info.capacity_tokens).sum();
-        self.tree.set_room(count, memory_tokens);
+        let engines = &self.engines;
+        self.tree
+            .set_room(engines.live_count(), engines.live_tokens());
     }
 
     /// Sets which engines there are. Ledgers of engines that stay are kept.
     pub fn set_engines(&mut self, engines: &[EngineInfo]) {
         for info in engines {
-            match self.engine_mut(info.id) {
-                Some(ledger) => ledger.info = *info,
-                None => self.engines.push(EngineLedger::new(*info)),
-            }
+            self.engines.set(*info);
         }
-        let stays = |ledger: &EngineLedger| engines.iter().any(|info| info.id == ledger.info.id);
-        self.looked(self.engines.len() * engines.len() / 2);
-        let gone = self.engines.iter().filter(|ledger| !stays(ledger));
-        let gone: Vec<TargetId> = gone.map(|ledger| ledger.info.id).collect();
+        let stay: HashSet<TargetId> = engines.iter().map(|info| info.id).collect();
+        let ids = self.engines.iter().map(|ledger| ledger.info.id);
+        let gone: Vec<TargetId> = ids.filter(|id| !stay.contains(id)).collect();
         for target in gone {
-            self.set_state(target, EngineState::Gone);
-            self.prefixes.forget(target);
+            self.drop_engine(target);
         }
-        self.engines.retain(|ledger| stays(ledger));
+        self.sync_room();
+    }
+
+    /// Takes in what is new of one engine, and whether it takes new work.
+    pub fn set_engine(&mut self, info: EngineInfo, state: EngineState) {
+        self.engines.set(info);
+        self.set_state(info.id, state);
+        self.sync_room();
+    }
+
+    /// Forgets an engine. Its streams lose their permits.
+    pub fn drop_engine(&mut self, target: TargetId) {
+        self.set_state(target, EngineState::Gone);
+        self.prefixes.forget(target);
+        self.engines.remove(target);
         self.sync_room();
     }
 
     /// Sets whether an engine takes new work. The streams of an engine that is gone lose their
     /// permits.
     pub fn set_state(&mut self, target: TargetId, state: EngineState) {
-        let Some(ledger) = self.engine_mut(target) else {
-            return;
-        };
-        if ledger.state != state {
-            ledger.state = state;
+        if self.engines.set_state(target, state) {
             self.sync_room();
         }
         if state != EngineState::Gone {
--- a/components/policy/src/pace/felt.rs
+++ b/components/policy/src/pace/felt.rs
@@ -130,10 +130,7 @@
         if !self.settings.learns_pace || !self.pace_book.is_settled() {
             return None;
         }
-        let ledger = self
-            .engines
-            .iter()
-            .find(|ledger| ledger.info.id == target)?;
+        let ledger = self.engines.get(target)?;
         let view = self.pause_view(now_ms);
         let feel = view.feel(ledger, f64::from(demand.prompt_tokens))?;
         let window_ms = self.expected_tokens(demand) / self.tokens_per_ms;
--- a/components/policy/src/pace/felt_tests.rs
+++ b/components/policy/src/pace/felt_tests.rs
@@ -65,7 +65,7 @@
 fn teach(pool: &mut Pool, slow: f64) {
     for round in 0..60_u32 {
         let now_ms = u64::from(round) * 300;
-        for (at, speed) in [slow, 1.0].into_iter().enumerate() {
+        for (at, (target, speed)) in [(SLOW, slow), (FAST, 1.0)].into_iter().enumerate() {
             let reading_share = f64::from(round % 3) / 2.0;
             let mean_ms = speed * (30.0 + 32.0 * reading_share);
             let longest_ms = speed * (30.0 + 32.0 * reading_share.ceil());
@@ -75,7 +75,7 @@
                 1.0
             };
             let observed = Observed {
-                target: pool.engines[at].info.id,
+                target,
                 gaps: GapsTold {
                     events: 16,
                     mean_ms: (mean_ms * (1.0 + disturbed) / 2.0) as u16,
@@ -87,7 +87,7 @@
                 read_beside: reading_share > 0.0,
                 expected_ms: None,
             };
-            let pace = &mut pool.engines[at].pace;
+            let pace = &mut pool.engines.get_mut(target).unwrap().pace;
             pool.pace_book.observe(pace, &observed, now_ms);
         }
         let paces = pool.engines.iter().map(|ledger| &ledger.pace);
@@ -99,7 +99,7 @@
 
 /// Has both engines read half of the time.
 fn reading(pool: &mut Pool) {
-    for ledger in &mut pool.engines {
+    for ledger in pool.engines.iter_mut() {
         ledger.spans.reads(true, NOW_MS - 1_000);
         ledger.spans.reads(false, NOW_MS);
     }
@@ -147,7 +147,7 @@
             rest_tokens: tokens,
             prompt_tokens: 3_000.0,
         };
-        view.long_pauses(&pool.engines[0], &pausing)
+        view.long_pauses(pool.engines.get(SLOW).unwrap(), &pausing)
     };
     assert!(
         chance(8.0) < 0.4 * chance(800.0),
--- a/components/policy/src/pace/observed.rs
+++ b/components/policy/src/pace/observed.rs
@@ -47,15 +47,11 @@
         let stream = self.streams.get_mut(key)?;
         stream.longest_ms = stream.longest_ms.max(u32::from(gaps.longest_ms));
         let target = stream.target;
-        let at = self
-            .engines
-            .iter()
-            .position(|ledger| ledger.info.id == target)?;
         if self.settings.learns_pace && self.pace_book.is_due(now_ms) {
             let engines = self.engines.iter().map(|ledger| &ledger.pace);
             self.pace_book.set_usual(engines, now_ms);
         }
-        let ledger = &mut self.engines[at];
+        let ledger = self.engines.get_mut(target)?;
         let over_ms = over_ms(&gaps) as u64;
         let mut observed = Observed {
             target,
--- a/components/policy/src/pace/shown.rs
+++ b/components/policy/src/pace/shown.rs
@@ -66,8 +66,7 @@
 
     /// The pace of an engine; none where it is not known.
     pub fn pace_of(&self, target: TargetId, now_ms: u64) -> Option<PaceShown> {
-        let mut engines = self.engines.iter();
-        let ledger = engines.find(|ledger| ledger.info.id == target)?;
+        let ledger = self.engines.get(target)?;
         let view = self.pause_view(now_ms);
         let feel = view.feel(ledger, PROMPT_TOKENS);
         let new = Pausing {
--- a/components/policy/src/placement/choose.rs
+++ b/components/policy/src/placement/choose.rs
@@ -53,8 +53,10 @@
         };
         let mut best: Option<(f64, TargetId)> = None;
         let mut nearest: Vec<(f64, TargetId)> = Vec::new();
-        self.looks.set(self.looks.get() + self.engines.len() as u64);
-        for ledger in &mut self.engines {
+        for slot in self.engines.weighed(demand.near, now_ms) {
+            let Some(ledger) = self.engines.at_mut(slot) else {
+                continue;
+            };
             let limit = self.settings.running_limit as usize;
             let at_limit = limit > 0 && ledger.streams.len() >= limit;
             let takes = ledger.state == EngineState::Live
--- a/components/policy/src/placement/mod.rs
+++ b/components/policy/src/placement/mod.rs
@@ -1,6 +1,7 @@
 //! Which target takes what: memory, reading, lengths, moves.
 
 pub(crate) mod choose;
+pub(crate) mod engine_set;
 pub(crate) mod forecast;
 pub(crate) mod ledger;
 pub(crate) mod length;
--- a/components/policy/src/placement/relocate.rs
+++ b/components/policy/src/placement/relocate.rs
@@ -10,8 +10,8 @@
 /// taken to have less: twice what a copy to another data centre counts for, which takes twice as long by itself.
 const ARRIVAL_TOKENS: f64 = 24_000.0;
 
-/// Share of an engine's memory that stays free where a generation goes that may as well stay: in evacuations under
-/// load, moving whatever fitted cost others more than it gained (worth -0.009, standard error 0.005, 6 pairs of days).
+/// Share of an engine's memory that stays free where a generation goes that may as well stay: under load, moving whatever
+/// fits costs others more than it gains.
 const AMPLE_SHARE: f64 = 0.5;
 
 /// A running generation that is to go on at another engine.
@@ -75,8 +75,10 @@
             prompt_tokens: 0.0,
         };
         let mut best: Option<(f64, TargetId)> = None;
-        self.looks.set(self.looks.get() + self.engines.len() as u64);
-        for ledger in &mut self.engines {
+        for slot in self.engines.weighed(place, now_ms) {
+            let Some(ledger) = self.engines.at_mut(slot) else {
+                continue;
+            };
             let id = ledger.info.id;
             let takes = ledger.state == EngineState::Live && ledger.bears_one_more(now_ms);
             if !takes || id == from || avoid.contains(&id) {
@@ -99,12 +101,9 @@
             }
         }
         let (_, target) = best?;
-        if let Some(ledger) = self.engine_mut(current) {
-            ledger.remove(key, now_ms);
-        }
-        if let Some(ledger) = self.engine_mut(target) {
+        self.engines.remove_stream(current, key, now_ms);
+        if let Some(ledger) = self.engines.add_stream(target, key, &more, now_ms) {
             ledger.placed(now_ms);
-            ledger.add(key, &more);
             if generated_tokens == 0 {
                 ledger.reading.sent(key, prompt_tokens, now_ms);
                 ledger.spans.reads(true, now_ms);
@@ -123,10 +122,7 @@
     }
 
     fn data_centre_of(&self, target: TargetId) -> Option<DataCentreId> {
-        let ledger = self
-            .engines
-            .iter()
-            .find(|ledger| ledger.info.id == target)?;
+        let ledger = self.engines.get(target)?;
         Some(ledger.info.data_centre)
     }
 }
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -11,13 +11,13 @@
 use crate::fairness::usage::Usage;
 use crate::kind::{PolicyKind, PoolSettings};
 use crate::pace::book::PaceBook;
+use crate::placement::engine_set::EngineSet;
 use crate::placement::forecast::Forecast;
 use crate::placement::ledger::{EngineLedger, Stream, StreamKey, Streams};
 use crate::placement::length::{End, LengthModel};
 use crate::placement::prefixes::PrefixIndex;
 use crate::placement::reading::ReadingRate;
 use prelude::{BoxId, PermitId, TargetId};
-use std::cell::Cell;
 use std::collections::{HashMap, HashSet, VecDeque};
 
 /// Candidates that are tried in one run when the first does not fit.
@@ -33,7 +33,7 @@
 #[derive(Clone, Debug)]
 pub struct Pool {
     pub(crate) settings: PoolSettings,
-    pub(crate) engines: Vec<EngineLedger>,
+    pub(crate) engines: EngineSet,
     pub(crate) streams: Streams,
     pub(crate) by_permit: HashMap<PermitId, StreamKey>,
     pub(crate) queue: Queue,
@@ -57,11 +57,11 @@
     pub(crate) expiry_ms: u64,
     remembered_ms: u64,
     pub(crate) heard_ms: HashMap<BoxId, u64>,
+    /// Streams of each box that hold a permit.
+    pub(crate) streams_by_box: HashMap<BoxId, usize>,
     /// The boxes whose recent use it charged itself, and since when.
     pub(crate) known: KnownBoxes,
     pub(crate) usage: Usage,
-    /// Engines that were looked at, each time counted.
-    pub(crate) looks: Cell<u64>,
 }
 
 impl Pool {
@@ -69,7 +69,7 @@
     pub fn new(settings: PoolSettings) -> Self {
         Self {
             margin: settings.margin_initial,
-            engines: Vec::new(),
+            engines: EngineSet::default(),
             streams: Streams::with_key(),
             by_permit: HashMap::new(),
             queue: Queue::default(),
@@ -89,9 +89,9 @@
             expiry_ms: 0,
             remembered_ms: 0,
             heard_ms: HashMap::new(),
+            streams_by_box: HashMap::new(),
             known: KnownBoxes::default(),
             usage: Usage::default(),
-            looks: Cell::default(),
             settings,
         }
     }
@@ -201,18 +201,12 @@
     }
 
     pub(crate) fn engine_mut(&mut self, target: TargetId) -> Option<&mut EngineLedger> {
-        let at = self.engines.iter().position(|l| l.info.id == target);
-        self.looked(at.map_or(self.engines.len(), |at| at + 1));
-        self.engines.get_mut(at?)
+        self.engines.get_mut(target)
     }
 
     /// How many engines were looked at since the pool began, each time counted: what decisions cost grows with it.
     pub fn engines_looked_at(&self) -> u64 {
-        self.looks.get()
-    }
-
-    pub(crate) fn looked(&self, engines: usize) {
-        self.looks.set(self.looks.get() + engines as u64);
+        self.engines.looks()
     }
 
     pub(crate) fn margin_in_use(&self) -> f64 {
@@ -274,14 +268,13 @@
         let held_tokens = f64::from(prompt_tokens + generated_tokens);
         self.tree.holds(&stream.share, held_tokens);
         self.outlook.room.placed(&forecast);
+        *self.streams_by_box.entry(permit.entry).or_default() += 1;
         let key = self.streams.insert(stream);
         self.by_permit.insert(permit, key);
-        if let Some(ledger) = self.engine_mut(target) {
-            ledger.add(key, &forecast);
-            if generated_tokens == 0 {
-                ledger.reading.sent(key, prompt_tokens, now_ms);
-                ledger.spans.reads(true, now_ms);
-            }
+        let placed = self.engines.add_stream(target, key, &forecast, now_ms);
+        if let Some(ledger) = placed.filter(|_| generated_tokens == 0) {
+            ledger.reading.sent(key, prompt_tokens, now_ms);
+            ledger.spans.reads(true, now_ms);
         }
     }
 
@@ -290,10 +283,12 @@
             return;
         }
         self.remembered_ms = now_ms;
-        self.looked(self.engines.len());
-        for ledger in &mut self.engines {
-            let own = ledger.own_tokens(&self.streams, self.tokens_per_ms, now_ms);
-            ledger.remember(own, now_ms);
+        // An engine that runs nothing has noted that it holds nothing.
+        for slot in self.engines.busy() {
+            if let Some(ledger) = self.engines.at_mut(slot) {
+                let own = ledger.own_tokens(&self.streams, self.tokens_per_ms, now_ms);
+                ledger.remember(own, now_ms);
+            }
         }
     }
 
--- a/components/policy/src/streams.rs
+++ b/components/policy/src/streams.rs
@@ -56,6 +56,7 @@
         let Some(stream) = self.streams.remove(key) else {
             return;
         };
+        self.left_box(stream.entry());
         let before = stream.generated_tokens;
         let tokens = tokens.max(before);
         let now_ms = self.now_ms;
@@ -64,9 +65,7 @@
             self.read(key, stream.target);
         }
         self.outlook.errors.left(permit);
-        if let Some(ledger) = self.engine_mut(stream.target) {
-            ledger.remove(key, now_ms);
-        }
+        self.engines.remove_stream(stream.target, key, now_ms);
         self.learn(stream.class, before, tokens, Some(end));
         let held_tokens = stream.prompt_tokens + before;
         self.tree.holds(&stream.share, -f64::from(held_tokens));
@@ -94,6 +93,15 @@
         }
     }
 
+    fn left_box(&mut self, entry: BoxId) {
+        if let Some(count) = self.streams_by_box.get_mut(&entry) {
+            *count -= 1;
+            if *count == 0 {
+                self.streams_by_box.remove(&entry);
+            }
+        }
+    }
+
     /// The engine of a permit that is held.
     pub fn target_of(&self, permit: PermitId) -> Option<TargetId> {
         let key = self.by_permit.get(&permit)?;
@@ -102,9 +110,6 @@
 
     /// Streams of a box that hold a permit.
     pub fn streams_of(&self, entry: BoxId) -> usize {
-        self.streams
-            .values()
-            .filter(|stream| stream.entry() == entry)
-            .count()
+        self.streams_by_box.get(&entry).copied().unwrap_or(0)
     }
 }
