Targets are found by service and by what holds for few of them; dispatchers are told differences

Cause: targets that leave by their word, are missing, on trial or in use were found by passes over all, some 20 a second in each box; each change of a target brought all engines of a pool up to date; what is known of names that are gone was kept for 1,024 whatever the size. Change: `TargetIndex` with a set for each; a change of a target updates that engine, and each 0.5 s those that are cold, on trial or passed over; pasts are kept for half as many names as there are targets. Whether trials count is worked out only where an engine is on trial.

--- a/components/relay/src/dispatch/dispatcher.rs
+++ b/components/relay/src/dispatch/dispatcher.rs
@@ -21,16 +21,15 @@
 /// How often the requests that wait are looked over.
 const LOOK_EACH: Duration = Duration::from_millis(20);
 /// Prompt tokens that one engine may have waiting for their first token. A longer row holds the tokens of
-/// all that runs there up; measured in `docs/design/platform.md`.
+/// all that runs there up.
 const PREFILL_TOKENS: u32 = 7_000;
 /// Standard deviations of the forecast of memory that are kept free. Boxes hear of no preemption, so that nothing raises a
-/// margin that decays: it ended at none, and 44 generations were preempted on a day with a third of the engines evacuated
-/// where 7 are with this. Replayed on seven load patterns, 1 to 1.5 are alike, 0 and 2 worse by 0.01 to 0.03 of the worth.
+/// margin that decays.
 const MARGIN: f64 = 1.25;
 /// What an engine near the caller's box is preferred by, in tokens of memory: bytes between data centres
 /// are paid for.
 const NEAR_TOKENS: u32 = 1_500;
-/// How often engines are looked over without a cause.
+/// How often engines are looked over of which something holds for a time.
 const SYNC_EACH: Duration = Duration::from_millis(500);
 /// What is told to come back to where nothing is known of the wait.
 const RETRY_AFTER_MS: u64 = 500;
@@ -338,19 +337,22 @@
         })
     }
 
-    /// Looks over engines that are passed over no more, and over requests that wait.
+    /// Looks over engines that are cold, on trial or passed over no more, and over requests that wait.
     pub(crate) async fn run_dispatchers(&self) {
         loop {
             sleep(SYNC_EACH).await;
-            self.sync_dispatchers();
+            let passing = self.targets.borrow_mut().take_passing(self.now_ms());
+            self.sync_engines(&passing);
             self.gauge_shares();
             self.show_forecasts();
         }
     }
 
-    /// Shows by how much forecasts are corrected; ten ranks at the most.
+    /// Shows by how much forecasts are corrected, ten ranks at the most, and how many engines decisions looked at.
     fn show_forecasts(&self) {
         for dispatcher in self.dispatchers.borrow().values() {
+            metrics::gauge!("shuntpier_engines_looked_at")
+                .set(dispatcher.pool.engines_looked_at() as f64);
             for (rank, correction) in dispatcher.pool.forecast_corrections() {
                 let rank = rank.to_string();
                 metrics::gauge!("shuntpier_forecast_correction", "rank" => rank).set(correction);
--- a/components/relay/src/dispatch/engines.rs
+++ b/components/relay/src/dispatch/engines.rs
@@ -1,69 +1,126 @@
 //! Which engines the pools that are dispatched here may use: those that take work, are not doubted and not on trial.
 
-use crate::state::{Relay, pool_of};
-use crate::watch::targets::{Belief, Target, TargetSlot};
+use crate::state::{Declared, Relay, pool_of};
+use crate::watch::targets::{Target, TargetBook};
 use peers::EngineFault;
 use policy::{EngineInfo, EngineState};
 use prelude::{PoolId, TargetId};
+use routing::Service;
 use settings::Mechanism;
 
-/// Whether trials count: where most engines seem to fail, it is not they that do.
-fn trials_count<'a>(engines: impl Iterator<Item = (TargetSlot, &'a Target)>, now_ms: u64) -> bool {
-    let ready = engines.filter(|(_, target)| target.belief == Belief::Ready);
-    let (on, off): (Vec<_>, Vec<_>) = ready.partition(|(_, target)| target.trial.is_on(now_ms));
-    on.len() <= off.len()
+/// A service of the pool that is dispatched, as far as its engines go.
+struct PoolService<'a> {
+    service: &'a Service,
+    memory_tokens: u32,
+    /// Where most engines seem to fail, it is not they that do.
+    trials_count: bool,
+}
+
+impl PoolService<'_> {
+    fn engine(
+        &self,
+        targets: &TargetBook,
+        target: &Target,
+        now_ms: u64,
+    ) -> (EngineInfo, EngineState) {
+        let is_cold = now_ms < target.cold_until_ms;
+        let info = EngineInfo {
+            id: target.id,
+            capacity_tokens: u64::from(self.memory_tokens),
+            data_centre: target.data_centre,
+            cold_rate_per_s: self.service.cold_rate_per_s.filter(|_| is_cold),
+        };
+        let doubted = target.suspicion.is_passed_over(now_ms)
+            || (self.trials_count && target.trial.is_on(now_ms));
+        let state = match targets.takes_work(target) && !doubted {
+            true => EngineState::Live,
+            false => EngineState::Leaving,
+        };
+        (info, state)
+    }
 }
 
 impl Relay {
-    /// Brings the engines of each pool that is dispatched here up to date.
+    /// Brings all engines of each pool that is dispatched here up to date.
     pub(crate) fn sync_dispatchers(&self) {
         let pools: Vec<PoolId> = self.dispatchers.borrow().keys().copied().collect();
         for pool in pools {
-            let (infos, states) = self.engines_of(pool);
+            let engines = self.engines_of(pool);
+            let infos: Vec<EngineInfo> = engines.iter().map(|(info, _)| *info).collect();
             let now_ms = self.now_ms();
             if let Some(dispatcher) = self.dispatchers.borrow_mut().get_mut(&pool) {
                 dispatcher.pool.set_engines(&infos);
-                for (target, state) in states {
-                    dispatcher.pool.set_state(target, state);
+                for (info, state) in engines {
+                    dispatcher.pool.set_state(info.id, state);
                 }
                 dispatcher.decide(now_ms);
             }
         }
     }
 
-    fn engines_of(&self, pool: PoolId) -> (Vec<EngineInfo>, Vec<(TargetId, EngineState)>) {
-        let Some(held) = self.declared() else {
-            return (Vec::new(), Vec::new());
-        };
-        let now_ms = self.now_ms();
-        let mut infos = Vec::new();
-        let mut states = Vec::new();
-        let targets = self.targets.borrow();
-        let of_pool = |service: &&routing::Service| pool_of(&service.name) == pool;
-        for service in held.table.services.iter().filter(of_pool) {
-            let Some(engine) = service.engine else {
+    /// Brings engines up to date of which something is known to have changed.
+    pub(crate) fn sync_engines(&self, changed: &[TargetId]) {
+        let pools: Vec<PoolId> = self.dispatchers.borrow().keys().copied().collect();
+        for pool in pools {
+            let now_ms = self.now_ms();
+            let (held, targets) = (self.declared(), self.targets.borrow());
+            let services: Vec<PoolService> = held
+                .iter()
+                .flat_map(|held| self.services_of(held, &targets, pool))
+                .collect();
+            let mut dispatchers = self.dispatchers.borrow_mut();
+            let Some(dispatcher) = dispatchers.get_mut(&pool) else {
                 continue;
             };
-            let on_trial = trials_count(targets.of_service(&service.name), now_ms);
-            for (_, target) in targets.of_service(&service.name) {
-                infos.push(EngineInfo {
-                    id: target.id,
-                    capacity_tokens: u64::from(engine.memory_tokens),
-                    data_centre: target.data_centre,
-                    cold_rate_per_s: service
-                        .cold_rate_per_s
-                        .filter(|_| now_ms < target.cold_until_ms),
-                });
-                let doubted = target.suspicion.is_passed_over(now_ms)
-                    || (on_trial && target.trial.is_on(now_ms));
-                let state = match targets.takes_work(target) && !doubted {
-                    true => EngineState::Live,
-                    false => EngineState::Leaving,
+            for id in changed {
+                let target = targets.slot_of(*id).and_then(|slot| targets.get(slot));
+                let serves = |target: &Target| {
+                    let of = |of: &&PoolService| of.service.name == target.entry.service;
+                    services.iter().find(of)
                 };
-                states.push((target.id, state));
+                match target.and_then(|target| Some((target, serves(target)?))) {
+                    Some((target, service)) => {
+                        let (info, state) = service.engine(&targets, target, now_ms);
+                        dispatcher.pool.set_engine(info, state);
+                    }
+                    None => dispatcher.pool.drop_engine(*id),
+                }
             }
+            dispatcher.decide(now_ms);
+        }
+    }
+
+    fn services_of<'a>(
+        &self,
+        held: &'a Declared,
+        targets: &TargetBook,
+        pool: PoolId,
+    ) -> Vec<PoolService<'a>> {
+        let now_ms = self.now_ms();
+        let of_pool = held.table.services.iter();
+        let of_pool = of_pool.filter(|service| pool_of(&service.name) == pool);
+        let engines = of_pool.filter_map(|service| {
+            Some(PoolService {
+                service,
+                memory_tokens: service.engine?.memory_tokens,
+                trials_count: !targets.most_on_trial(&service.name, now_ms),
+            })
+        });
+        engines.collect()
+    }
+
+    fn engines_of(&self, pool: PoolId) -> Vec<(EngineInfo, EngineState)> {
+        let Some(held) = self.declared() else {
+            return Vec::new();
+        };
+        let now_ms = self.now_ms();
+        let targets = self.targets.borrow();
+        let mut engines = Vec::new();
+        for service in self.services_of(&held, &targets, pool) {
+            let of_service = targets.of_service(&service.service.name);
+            engines.extend(of_service.map(|(_, target)| service.engine(&targets, target, now_ms)));
         }
-        (infos, states)
+        engines
     }
 
     /// Puts an engine that failed a generation on trial. One that is silent to one caller and makes events for others is not.
@@ -83,7 +140,9 @@
         }
         // The pool may not have been dispatched here before.
         self.with_dispatcher(pool, |_, _| ());
-        self.sync_dispatchers();
+        // Whether trials count may have changed for all that are on trial.
+        let passing = self.targets.borrow_mut().take_passing(now_ms);
+        self.sync_engines(&passing);
     }
 
     /// Notes that an engine made events, the first of a generation among them or not.
--- a/components/relay/src/forwarding/outcome.rs
+++ b/components/relay/src/forwarding/outcome.rs
@@ -3,7 +3,7 @@
 use crate::forwarding::send::NotRun;
 use crate::membership::gossip::tell_current;
 use crate::state::Relay;
-use crate::watch::targets::{Belief, TargetSlot};
+use crate::watch::targets::{Belief, TargetBook, TargetSlot};
 use prelude::TargetId;
 use settings::Mechanism;
 use std::rc::Rc;
@@ -53,21 +53,26 @@
         if word == TargetOutcome::Full {
             targets.full(slot, now_ms);
         }
-        let mut doubted = false;
-        if let Some(target) = targets.get_mut(slot) {
-            match word {
-                TargetOutcome::Well => target.suspicion.succeeded(),
-                TargetOutcome::Failed if self.file().has(Mechanism::Suspicion) => {
-                    let before = target.suspicion.is_passed_over(now_ms);
-                    target.suspicion.failed(now_ms);
-                    doubted = target.suspicion.is_passed_over(now_ms) && !before;
+        let passed_over = |targets: &TargetBook| {
+            let target = targets.get(slot);
+            target.is_some_and(|target| target.suspicion.is_passed_over(now_ms))
+        };
+        let before = passed_over(&targets);
+        match word {
+            TargetOutcome::Well => {
+                if let Some(target) = targets.get_mut(slot) {
+                    target.suspicion.succeeded();
                 }
-                TargetOutcome::Failed
-                | TargetOutcome::Full
-                | TargetOutcome::Left
-                | TargetOutcome::Untried => {}
             }
+            TargetOutcome::Failed if self.file().has(Mechanism::Suspicion) => {
+                targets.failed(slot, now_ms);
+            }
+            TargetOutcome::Failed
+            | TargetOutcome::Full
+            | TargetOutcome::Left
+            | TargetOutcome::Untried => {}
         }
+        let doubted = passed_over(&targets) && !before;
         drop(targets);
         if let Some(change) = left {
             self.took_changes(&[change], "answer");
@@ -75,7 +80,9 @@
         }
         if doubted {
             slog::info!(self.log, "target passed over"; "target" => self.name_of(slot));
-            self.sync_dispatchers();
+            self.id_of(slot)
+                .iter()
+                .for_each(|id| self.sync_engines(&[*id]));
         }
     }
 
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -289,6 +289,7 @@
 
     /// Acts on changes of targets.
     pub(crate) fn took_changes(self: &Rc<Self>, changes: &[Change], source: &'static str) {
+        let mut changed = Vec::new();
         for change in changes {
             let (slot, word) = match change {
                 Change::Came(slot) => (*slot, "came"),
@@ -299,6 +300,7 @@
             };
             let targets = self.targets.borrow();
             if let Some(target) = targets.get(slot) {
+                changed.push(target.id);
                 slog::info!(self.log, "target"; "change" => word, "source" => source,
                     "instance" => &*target.entry.instance, "service" => &*target.entry.service,
                     "address" => %target.entry.address, "version" => %target.entry.version,
@@ -314,6 +316,7 @@
                 Change::Came(_) | Change::Cold(_) => None,
             };
             if let Some(ended) = ended {
+                changed.extend(self.id_of(ended));
                 if !matches!(change, Change::Leaves(_)) {
                     self.note_unannounced_end(ended);
                 }
@@ -322,7 +325,8 @@
             }
         }
         if !changes.is_empty() {
-            self.targets_changed();
+            self.sync_engines(&changed);
+            self.target_changes.send_modify(|count| *count += 1);
         }
     }
 
--- a/components/relay/src/watch/era.rs
+++ b/components/relay/src/watch/era.rs
@@ -32,9 +32,10 @@
     /// The store's era rose: until then its list may be a copy's.
     pub fn era_rose(&mut self, until_ms: u64) {
         self.settles_until_ms = Some(until_ms);
-        for (_, target) in &mut self.targets {
+        for (slot, target) in &mut self.targets {
             // The copy may say otherwise: from now on this is told to boxes that never read it.
             target.leaves_by_word |= target.belief == Belief::Leaving;
+            self.index.note_leaving(slot, target);
         }
     }
 
--- /dev/null
+++ b/components/relay/src/watch/index.rs
@@ -0,0 +1,69 @@
+//! By what targets are found without a pass over all of them: their services, and what holds for few of them.
+
+use crate::watch::targets::{Target, TargetSlot};
+use std::collections::{BTreeSet, HashMap};
+
+/// What targets are found by. A set may name targets that have changed since: whoever reads it looks at each.
+#[derive(Debug, Default)]
+pub(super) struct TargetIndex {
+    by_service: HashMap<Box<str>, BTreeSet<TargetSlot>>,
+    /// Those that leave by their own word.
+    pub leaving: BTreeSet<TargetSlot>,
+    /// Those whose entries are missing in a store that has just come back.
+    pub missing: BTreeSet<TargetSlot>,
+    /// Those that failed a generation, on the box that dispatches to them.
+    pub on_trial: BTreeSet<TargetSlot>,
+    /// Those of which something holds for a time: they are cold, on trial, or failed this box.
+    pub passing: BTreeSet<TargetSlot>,
+    /// Those that have requests of this box.
+    pub in_use: BTreeSet<TargetSlot>,
+}
+
+impl TargetIndex {
+    pub fn add(&mut self, slot: TargetSlot, target: &Target) {
+        let service = target.entry.service.clone();
+        self.by_service.entry(service).or_default().insert(slot);
+        if target.entry.cold_left_ms > 0 {
+            self.passing.insert(slot);
+        }
+        self.note_leaving(slot, target);
+    }
+
+    pub fn remove(&mut self, slot: TargetSlot, service: &str) {
+        self.moved_from(slot, service);
+        for set in [
+            &mut self.leaving,
+            &mut self.missing,
+            &mut self.on_trial,
+            &mut self.passing,
+            &mut self.in_use,
+        ] {
+            set.remove(&slot);
+        }
+    }
+
+    /// Notes that a target has another service than it had.
+    pub fn moved_from(&mut self, slot: TargetSlot, service: &str) {
+        if let Some(slots) = self.by_service.get_mut(service) {
+            slots.remove(&slot);
+            if slots.is_empty() {
+                self.by_service.remove(service);
+            }
+        }
+    }
+
+    pub fn note_leaving(&mut self, slot: TargetSlot, target: &Target) {
+        if target.leaves_by_word {
+            self.leaving.insert(slot);
+        }
+    }
+
+    pub fn count_of_service(&self, service: &str) -> usize {
+        self.by_service.get(service).map_or(0, BTreeSet::len)
+    }
+
+    /// The targets of a service, in the order of the arena.
+    pub fn of_service(&self, service: &str) -> impl Iterator<Item = TargetSlot> + '_ {
+        self.by_service.get(service).into_iter().flatten().copied()
+    }
+}
--- a/components/relay/src/watch/leaving.rs
+++ b/components/relay/src/watch/leaving.rs
@@ -14,13 +14,15 @@
         target.belief = Belief::Leaving;
         target.leaves_by_word = true;
         target.tell_phase();
+        self.index.leaving.insert(slot);
         Some(Change::Leaves(slot))
     }
 
     /// The lives that leave by their own word. What the store says of leaving travels with its changes.
     pub fn leaving(&self) -> Vec<TargetLife> {
         let leaves = |t: &&Target| t.belief == Belief::Leaving && t.leaves_by_word;
-        let leaving = self.all().map(|(_, target)| target).filter(leaves);
+        let told = self.those(self.index.leaving.iter().copied());
+        let leaving = told.map(|(_, target)| target).filter(leaves);
         leaving.map(|target| target.entry.life()).collect()
     }
 
--- a/components/relay/src/watch/listing.rs
+++ b/components/relay/src/watch/listing.rs
@@ -68,8 +68,10 @@
             return None;
         }
         let was = target.belief;
+        let service = target.entry.service.clone();
         let turned_cold = target.renew(entry, now_ms);
         let now = target.belief;
+        self.entry_changed(slot, &service);
         if was == now && !(turned_cold && now == Belief::Ready) {
             return None;
         }
@@ -87,10 +89,8 @@
         let past = self.past_of(&life);
         let left = past.left && past.born_ms == life.born_ms;
         let target = Target::new(entry, left, now_ms);
-        let (id, belief) = (target.id, target.belief);
-        let slot = self.targets.insert(target);
-        self.by_instance.insert(life.instance, slot);
-        self.by_id.insert(id, slot);
+        let belief = target.belief;
+        let slot = self.insert(target);
         Some(match belief {
             Belief::Leaving => Change::Leaves(slot),
             _ => Change::Came(slot),
@@ -145,12 +145,18 @@
             return self.unlisted(instance, missing.version);
         }
         target.missing = target.missing.or(Some(missing));
+        self.index.missing.insert(slot);
         None
     }
 
     /// The names whose entries are still missing after the time that they had, with the version of that.
     pub fn still_missing(&mut self, now_ms: u64) -> Vec<(Box<str>, Version)> {
-        let missing = self.all().filter_map(|(_, target)| {
+        let targets = &self.targets;
+        let is_missing =
+            |slot: &TargetSlot| targets.get(*slot).is_some_and(|t| t.missing.is_some());
+        self.index.missing.retain(is_missing);
+        let missing = self.those(self.index.missing.iter().copied());
+        let missing = missing.filter_map(|(_, target)| {
             let missing = target
                 .missing
                 .filter(|missing| missing.until_ms <= now_ms)?;
--- a/components/relay/src/watch/mod.rs
+++ b/components/relay/src/watch/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod entries;
 pub(crate) mod era;
 pub(crate) mod evacuation;
+pub(crate) mod index;
 pub(crate) mod leaving;
 pub(crate) mod life;
 pub(crate) mod listing;
--- a/components/relay/src/watch/pasts.rs
+++ b/components/relay/src/watch/pasts.rs
@@ -5,9 +5,11 @@
 use routing::TargetLife;
 use std::collections::{HashMap, VecDeque};
 
-/// Names of which this is kept, the latest: some 100 KB. Late words come within seconds, and no fleet starts a thousand
-/// targets in that time.
-const NAMES_MAX: usize = 1_024;
+/// Names of which this is kept at the least, the latest: some 100 KB.
+const NAMES_MIN: usize = 1_024;
+/// The same where there are many targets, as a share of them: late words come within seconds, and no fleet replaces so many
+/// in that time.
+const NAMES_SHARE: f64 = 0.5;
 
 /// What is known of a name. A life without a birth counts as older than every life that has one.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -25,6 +27,7 @@
 pub(super) struct Pasts {
     pasts: HashMap<Box<str>, Past>,
     order: VecDeque<Box<str>>,
+    targets: usize,
 }
 
 impl Pasts {
@@ -50,6 +53,11 @@
         past.unlisted_at = past.unlisted_at.max(version);
     }
 
+    /// Notes how many targets there are.
+    pub fn sized_for(&mut self, targets: usize) {
+        self.targets = self.targets.max(targets);
+    }
+
     /// How many names it knows of.
     #[cfg(test)]
     pub fn len(&self) -> usize {
@@ -59,7 +67,8 @@
     fn past_mut(&mut self, instance: &str) -> &mut Past {
         if !self.pasts.contains_key(instance) {
             self.order.push_back(instance.into());
-            if self.order.len() > NAMES_MAX
+            let names_max = (self.targets as f64 * NAMES_SHARE) as usize;
+            if self.order.len() > names_max.max(NAMES_MIN)
                 && let Some(oldest) = self.order.pop_front()
             {
                 self.pasts.remove(&oldest);
--- a/components/relay/src/watch/reconcile.rs
+++ b/components/relay/src/watch/reconcile.rs
@@ -63,8 +63,12 @@
         if buckets.is_empty() {
             return None;
         }
-        let is_in = |entry: &TargetEntry| buckets.contains(&bucket_of(&entry.instance, count));
-        let listed: Vec<TargetEntry> = self.entries(now_ms).into_iter().filter(is_in).collect();
+        let is_in = |target: &Target| {
+            is_listed(target) && buckets.contains(&bucket_of(&target.entry.instance, count))
+        };
+        let targets = self.all().map(|(_, target)| target);
+        let listed = targets.filter(|target| is_in(target));
+        let listed: Vec<TargetEntry> = listed.map(|target| target.told(now_ms)).collect();
         Some(TargetPatch {
             bucket_count: count as u32,
             buckets: buckets.into_iter().map(|at| at as u32).collect(),
--- a/components/relay/src/watch/targets.rs
+++ b/components/relay/src/watch/targets.rs
@@ -1,6 +1,7 @@
 //! The targets that this box knows, and what it has on each. Whether a target leaves is kept for each of
 //! its lives, never for its address or name. How words on lives are taken in is in [`crate::watch::listing`].
 
+use crate::watch::index::TargetIndex;
 use crate::watch::pasts::Pasts;
 use peers::EngineFault;
 use platform::WorkerLoad;
@@ -108,6 +109,14 @@
 }
 
 impl Target {
+    /// Its entry as others are told it, cold for what is left of that.
+    pub(super) fn told(&self, now_ms: u64) -> TargetEntry {
+        TargetEntry {
+            cold_left_ms: self.cold_until_ms.saturating_sub(now_ms) as u32,
+            ..self.entry.clone()
+        }
+    }
+
     /// How full it is, as a share of its slots, by its last word and our own requests.
     pub fn fullness(&self, now_ms: u64) -> f64 {
         let slots = f64::from(self.entry.slots).max(1.0);
@@ -130,6 +139,7 @@
 #[derive(Debug, Default)]
 pub struct TargetBook {
     pub(super) targets: SlotMap<TargetSlot, Target>,
+    pub(super) index: TargetIndex,
     /// The newest life of each name. A former one is only found by its key.
     pub(super) by_instance: HashMap<Box<str>, TargetSlot>,
     pub(super) by_id: HashMap<TargetId, TargetSlot>,
@@ -205,15 +215,21 @@
         self.known
     }
 
+    /// How many lives of targets it holds.
+    pub fn len(&self) -> usize {
+        self.targets.len()
+    }
+
+    /// Whether it holds none.
+    pub fn is_empty(&self) -> bool {
+        self.targets.is_empty()
+    }
+
     /// All targets that are still listed, cold for what is left of that.
     pub fn entries(&self, now_ms: u64) -> Vec<TargetEntry> {
         let listed = self.all().map(|(_, target)| target);
         let listed = listed.filter(|t| t.belief != Belief::Gone);
-        let entry = |target: &Target| TargetEntry {
-            cold_left_ms: target.cold_until_ms.saturating_sub(now_ms) as u32,
-            ..target.entry.clone()
-        };
-        listed.map(entry).collect()
+        listed.map(|target| target.told(now_ms)).collect()
     }
 
     /// All targets.
@@ -232,16 +248,84 @@
 
     /// The targets on trial that are to be asked now.
     pub fn open_trials(&mut self, now_ms: u64) -> Vec<TargetSlot> {
+        let targets = &self.targets;
+        let is_on = |slot: &TargetSlot| targets.get(*slot).is_some_and(|t| t.trial.is_on(now_ms));
+        self.index.on_trial.retain(is_on);
         let open = |(_, target): &(TargetSlot, &Target)| {
             self.takes_work(target) && target.trial.is_open(now_ms)
         };
-        self.all().filter(open).map(|(slot, _)| slot).collect()
+        let tried = self.those(self.index.on_trial.iter().copied());
+        tried.filter(open).map(|(slot, _)| slot).collect()
+    }
+
+    /// Notes that a target failed this box.
+    pub fn failed(&mut self, slot: TargetSlot, now_ms: u64) {
+        if let Some(target) = self.targets.get_mut(slot) {
+            target.suspicion.failed(now_ms);
+            self.index.passing.insert(slot);
+        }
+    }
+
+    /// The targets of which something held for a time when this was asked last: what is over by now is told once.
+    pub fn take_passing(&mut self, now_ms: u64) -> Vec<TargetId> {
+        let passing = self.those(self.index.passing.iter().copied());
+        let ids = passing.map(|(_, target)| target.id).collect();
+        let targets = &self.targets;
+        let holds = |target: &Target| {
+            now_ms < target.cold_until_ms
+                || target.trial.is_on(now_ms)
+                || target.suspicion.is_passed_over(now_ms)
+        };
+        let is_passing = |slot: &TargetSlot| targets.get(*slot).is_some_and(holds);
+        self.index.passing.retain(is_passing);
+        ids
+    }
+
+    /// Whether more than half of the targets of a service that take work but for their trials are on trial.
+    pub fn most_on_trial(&self, service: &str, now_ms: u64) -> bool {
+        let is_ready = |(_, target): &(TargetSlot, &Target)| target.belief == Belief::Ready;
+        let tried = self.those(self.index.on_trial.iter().copied());
+        let of_service = tried.filter(|(_, target)| &*target.entry.service == service);
+        let on = of_service.filter(|(_, target)| target.trial.is_on(now_ms));
+        let on = on.filter(is_ready).count();
+        // Mostly there is none, and the others need not be counted.
+        on > 0 && on * 2 > self.of_service(service).filter(is_ready).count()
+    }
+
+    pub(super) fn those<'a>(
+        &'a self,
+        slots: impl Iterator<Item = TargetSlot> + 'a,
+    ) -> impl Iterator<Item = (TargetSlot, &'a Target)> {
+        let found = slots.filter_map(move |slot| Some((slot, self.targets.get(slot)?)));
+        found.inspect(move |_| self.looked())
+    }
+
+    /// Takes a life of a target in.
+    pub(super) fn insert(&mut self, target: Target) -> TargetSlot {
+        let (id, instance) = (target.id, target.entry.instance.clone());
+        let slot = self.targets.insert(target);
+        if let Some(target) = self.targets.get(slot) {
+            self.index.add(slot, target);
+        }
+        self.by_instance.insert(instance, slot);
+        self.by_id.insert(id, slot);
+        self.pasts.sized_for(self.targets.len());
+        slot
+    }
+
+    /// Takes what is found of a target in anew after its entry changed; it served `before`.
+    pub(super) fn entry_changed(&mut self, slot: TargetSlot, before: &str) {
+        if let Some(target) = self.targets.get(slot) {
+            if &*target.entry.service != before {
+                self.index.moved_from(slot, before);
+            }
+            self.index.add(slot, target);
+        }
     }
 
     /// The targets that have requests of this box.
     pub fn in_use(&self) -> Vec<TargetSlot> {
-        let used = self.all().filter(|(_, target)| target.open > 0);
-        used.map(|(slot, _)| slot).collect()
+        self.index.in_use.iter().copied().collect()
     }
 
     /// Notes that a target failed a generation, or was silent to one. Says whether that counts as a failure.
@@ -249,6 +333,8 @@
         let Some(target) = self.targets.get_mut(slot) else {
             return false;
         };
+        self.index.on_trial.insert(slot);
+        self.index.passing.insert(slot);
         match fault {
             EngineFault::Broke => {
                 target.trial.failed(now_ms);
@@ -263,8 +349,12 @@
         &'a self,
         service: &'a str,
     ) -> impl Iterator<Item = (TargetSlot, &'a Target)> {
-        self.all()
-            .filter(move |(_, target)| &*target.entry.service == service)
+        self.those(self.index.of_service(service))
+    }
+
+    /// How many targets a service has.
+    pub fn count_of_service(&self, service: &str) -> usize {
+        self.index.count_of_service(service)
     }
 
     /// Notes that a target said that it is full.
@@ -299,6 +389,7 @@
     pub fn opened(&mut self, slot: TargetSlot) {
         if let Some(target) = self.targets.get_mut(slot) {
             target.open += 1;
+            self.index.in_use.insert(slot);
         }
     }
 
@@ -308,6 +399,9 @@
             return;
         };
         target.open = target.open.saturating_sub(1);
+        if target.open == 0 {
+            self.index.in_use.remove(&slot);
+        }
         self.sweep(slot);
     }
 
@@ -319,6 +413,7 @@
         }
         if let Some(target) = self.targets.remove(slot) {
             let instance = &target.entry.instance;
+            self.index.remove(slot, &target.entry.service);
             if target.entry.born_ms.is_some() {
                 self.pasts.heard(&target.entry.life(), target.left);
             }
--- a/components/relay/src/watch/targets_size_tests.rs
+++ b/components/relay/src/watch/targets_size_tests.rs
@@ -105,3 +105,18 @@
     assert_eq!(book.listed(late, NOW_MS), None);
     assert_eq!(book.all().count(), 5_500);
 }
+
+#[test]
+fn what_holds_for_a_time_is_told_until_it_is_over_and_once_more() {
+    let mut book = book(10_000);
+    let failed = slots(&book, 1)[0];
+    let id = book.get(failed).unwrap().id;
+    assert!(book.take_passing(NOW_MS).is_empty());
+    book.failed_generation(failed, EngineFault::Broke, NOW_MS);
+    let looked = looks(&mut book, |book| {
+        assert_eq!(book.take_passing(NOW_MS), [id]);
+        assert_eq!(book.take_passing(NOW_MS + 60_000), [id]);
+        assert!(book.take_passing(NOW_MS + 60_000).is_empty());
+    });
+    assert!(looked <= 8, "{looked}");
+}
