While the store cannot be read a box asks 96 engines at a look at the most

Cause: one box asked all engines each 0.3 s: 30,700 questions a second at 9,220, each a channel. Pools of 96 engines or fewer are asked as before.

--- a/components/relay/src/dispatch/reports.rs
+++ b/components/relay/src/dispatch/reports.rs
@@ -1,7 +1,7 @@
 //! While the store cannot be read, engines are asked themselves whether they leave. In quiet times nobody
 //! asks: all load on engines is known without it, and each question is paid for.
 
-use crate::dispatch::asked::AskRound;
+use crate::dispatch::asked::{ASKED_MAX, AskRound};
 use crate::forwarding::control::control;
 use crate::forwarding::outcome::TargetOutcome;
 use crate::state::Relay;
@@ -60,12 +60,23 @@
         false => Asks::None,
         // The first in rank asks whatever others do, so that two never wait for each other.
         true if rank(relay) == Some(0) => Asks::All,
-        true if another_asks(relay) => Asks::None,
-        true if is_elected(relay) => Asks::All,
+        true if another_asks(relay) && asks_all_at_once(relay) => Asks::None,
+        true if is_elected(relay) && !another_asks(relay) => Asks::All,
         true => Asks::Own,
     }
 }
 
+/// Whether one box asks all engines at each look.
+fn asks_all_at_once(relay: &Relay) -> bool {
+    let Some(held) = relay.declared() else {
+        return true;
+    };
+    let targets = relay.targets.borrow();
+    let services = held.table.services.iter().filter(|s| s.engine.is_some());
+    let engines = services.map(|service| targets.count_of_service(&service.name));
+    engines.sum::<usize>() <= ASKED_MAX
+}
+
 /// Asks the engines that are on trial here, for as long as the box lives.
 pub(crate) async fn run_trials(relay: Rc<Relay>) {
     loop {
