--- a/components/relay/src/membership/broadcast_tests.rs
+++ b/components/relay/src/membership/broadcast_tests.rs
@@ -72,3 +72,26 @@
     all.sort();
     assert_eq!(all, (0..count).map(BoxId).collect::<Vec<_>>());
 }
+
+/// Messages that each box sends, and how many hands news go through, until all boxes of a data centre have them.
+fn passed_on(group: &[u32], hands: u32, sent: &mut Vec<usize>) -> u32 {
+    let parts = parts(&group[1..]);
+    sent.push(parts.len());
+    let deeper = parts.iter().map(|part| passed_on(part, hands + 1, sent));
+    deeper.max().unwrap_or(hands)
+}
+
+#[rstest]
+#[case(10)]
+#[case(39)]
+#[case(197)]
+#[case(400)]
+fn the_boxes_of_a_data_centre_pass_on_within_three_hands(#[case] count: u32) {
+    let group: Vec<u32> = (0..count).collect();
+    let mut sent = Vec::new();
+    let hands = passed_on(&group, 1, &mut sent);
+    assert!(hands <= 3, "{hands} hands");
+    assert_eq!(sent.len(), count as usize, "each box is told once");
+    let most = sent.iter().max().unwrap();
+    assert!(*most <= 24, "{most} messages of one box");
+}
