Who holds a role is worked out once while no box changes

Cause: ranks of all boxes were worked out at each question, some 40 a second in each box. Change: the order is kept until a box comes, goes, is suspected or no more, stops, or falls silent. Ruled out: a time for which it is kept: a lost dispatcher would be asked for so long.

--- a/components/relay/src/dispatch/permits.rs
+++ b/components/relay/src/dispatch/permits.rs
@@ -139,7 +139,7 @@
     }
 
     /// The boxes that dispatch a pool, the first in rank first.
-    pub(crate) fn dispatchers_of(&self, pool: PoolId) -> Vec<BoxId> {
+    pub(crate) fn dispatchers_of(&self, pool: PoolId) -> Rc<[BoxId]> {
         let members = self.members.borrow();
         members.ranked(role_of(pool), self.is_stopping(), self.now_ms())
     }
--- a/components/relay/src/membership/exchange.rs
+++ b/components/relay/src/membership/exchange.rs
@@ -65,8 +65,8 @@
 pub(crate) async fn greet(relay: &Rc<Relay>) {
     let now_ms = relay.now_ms();
     let others = relay.members.borrow().ranked(watcher_role(), true, now_ms);
-    let others: Vec<BoxId> = others.into_iter().take(GREETED_MAX).collect();
-    let greetings = others.into_iter().map(|id| exchange_with(relay, id));
+    let greeted = others.iter().take(GREETED_MAX);
+    let greetings = greeted.map(|id| exchange_with(relay, *id));
     futures::future::join_all(greetings).await;
 }
 
--- a/components/relay/src/membership/members.rs
+++ b/components/relay/src/membership/members.rs
@@ -6,9 +6,10 @@
 use policy::ranked;
 use prelude::{BoxId, DataCentreId};
 use rand::seq::SliceRandom;
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
 
 /// A box that did not answer holds no role for this long; twice as long with each further failure.
 const DOUBT_MS: u64 = 1_000;
@@ -22,7 +23,7 @@
 /// How long the platform may still send channels to a box that stops: it asks each second, and believes the second
 /// answer.
 const STILL_IN_MS: u64 = 2_000;
-/// How often the keys of all boxes are read.
+/// How often the keys of all boxes are read where they are few.
 pub(crate) const LIST_EACH_MS: u64 = 30_000;
 /// The number of boxes among which the budget is shared falls only after this time.
 const SHARE_KEPT_MS: u64 = 15_000;
@@ -38,6 +39,14 @@
     stops_since_ms: Option<u64>,
 }
 
+impl Member {
+    /// Whether it may hold a role, as far as it is known.
+    fn is_able(&self, now_ms: u64) -> bool {
+        let known = self.keyed || self.heard_ms + SILENT_MS > now_ms;
+        !self.card.leaving && self.suspected_until_ms <= now_ms && known
+    }
+}
+
 /// The boxes of a fleet.
 #[derive(Clone, Debug)]
 pub(crate) struct Members {
@@ -50,6 +59,16 @@
     any_ms: u64,
     /// Boxes that were looked at to rank them, each time counted.
     ranked_looks: Cell<u64>,
+    /// Who holds which role, and whether this box may: worked out where it is asked, and kept until a box changes.
+    rankings: RefCell<HashMap<(u64, bool), Ranking>>,
+}
+
+/// The boxes in the order in which they hold a role.
+#[derive(Clone, Debug)]
+struct Ranking {
+    order: Rc<[BoxId]>,
+    /// When a box is suspected no more, or has been silent for too long.
+    until_ms: u64,
 }
 
 /// What a card changed.
@@ -80,12 +99,14 @@
             follower_ms: 0,
             any_ms: 0,
             ranked_looks: Cell::default(),
+            rankings: RefCell::default(),
         }
     }
 
     /// Sets the bandwidth of this box's own link.
     pub(crate) fn set_link(&mut self, link_mbps: u32) {
         self.my_link_mbps = link_mbps;
+        self.changed();
     }
 
     /// Takes the card of a box in, from its key or from its own word.
@@ -96,6 +117,7 @@
         let known = self.others.get(&card.id);
         let same = known.is_some_and(|known| is_same_life(&known.card, &card));
         let before = known.map(|known| (known.card.life, known.card.leaving));
+        let was_able = known.map(|known| (known.is_able(now_ms), known.card.link_mbps));
         let member = self.others.entry(card.id).or_insert_with(|| Member {
             card: card.clone(),
             keyed,
@@ -126,6 +148,10 @@
             member.suspected_until_ms = 0;
             member.failures = 0;
         }
+        let is_able = Some((member.is_able(now_ms), member.card.link_mbps));
+        if was_able != is_able {
+            self.changed();
+        }
         self.count(now_ms);
         match same {
             true if moves && !keyed => Upserted::Moved,
@@ -136,9 +162,11 @@
 
     /// Keeps the keys of just these boxes.
     pub(crate) fn keys_are(&mut self, ids: &[BoxId]) {
+        let ids: HashSet<BoxId> = ids.iter().copied().collect();
         for (id, member) in &mut self.others {
             member.keyed = ids.contains(id);
         }
+        self.changed();
     }
 
     /// Notes that a box answered. Says whether it holds roles again.
@@ -148,9 +176,13 @@
             return Upserted::Known;
         };
         let moves = member.suspected_until_ms > now_ms;
+        let was_able = member.is_able(now_ms);
         member.heard_ms = now_ms;
         member.suspected_until_ms = 0;
         member.failures = 0;
+        if !was_able {
+            self.changed();
+        }
         match moves {
             true => Upserted::Moved,
             false => Upserted::Known,
@@ -163,6 +195,7 @@
             let doubt_ms = (DOUBT_MS << member.failures.min(8)).min(DOUBT_MAX_MS);
             member.failures += 1;
             member.suspected_until_ms = now_ms + doubt_ms;
+            self.changed();
         }
     }
 
@@ -174,6 +207,9 @@
         for id in &gone {
             self.others.remove(id);
         }
+        if !gone.is_empty() {
+            self.changed();
+        }
         self.count(now_ms);
         gone
     }
@@ -242,18 +278,24 @@
 
     /// The boxes in the order in which they hold `role`: whoever holds one tells many others, so those with
     /// wide links come first. Those that stop or do not answer hold none.
-    pub(crate) fn ranked(&self, role: u64, leaving: bool, now_ms: u64) -> Vec<BoxId> {
+    pub(crate) fn ranked(&self, role: u64, leaving: bool, now_ms: u64) -> Rc<[BoxId]> {
+        let mut rankings = self.rankings.borrow_mut();
+        let known = rankings.get(&(role, leaving));
+        if let Some(known) = known.filter(|known| now_ms < known.until_ms) {
+            return known.order.clone();
+        }
+        let ranking = self.rank(role, leaving, now_ms);
+        let order = ranking.order.clone();
+        rankings.insert((role, leaving), ranking);
+        order
+    }
+
+    fn rank(&self, role: u64, leaving: bool, now_ms: u64) -> Ranking {
         self.ranked_looks
             .set(self.ranked_looks.get() + self.others.len() as u64);
-        let able = |member: &&Member| {
-            let known = member.keyed || member.heard_ms + SILENT_MS > now_ms;
-            !member.card.leaving && member.suspected_until_ms <= now_ms && known
-        };
-        let others = self
-            .others
-            .values()
-            .filter(able)
-            .map(|member| (member.card.id, member.card.link_mbps));
+        let others = self.others.values();
+        let others = others.filter(|member| member.is_able(now_ms));
+        let others = others.map(|member| (member.card.id, member.card.link_mbps));
         let me = (!leaving).then_some((self.me, self.my_link_mbps));
         let able: Vec<(BoxId, u32)> = others.chain(me).collect();
         let widest = able.iter().map(|(_, link)| *link).max().unwrap_or_default();
@@ -263,7 +305,20 @@
         let in_order = |boxes: Vec<(BoxId, u32)>| ranked(role, boxes.into_iter().map(|b| b.0));
         let mut order = in_order(wide);
         order.extend(in_order(narrow));
-        order
+        let turns = self.others.values().flat_map(|member| {
+            let silent_ms = (!member.keyed).then_some(member.heard_ms + SILENT_MS);
+            [Some(member.suspected_until_ms), silent_ms]
+        });
+        let turns = turns.flatten().filter(|at_ms| *at_ms > now_ms);
+        Ranking {
+            order: order.into(),
+            until_ms: turns.min().unwrap_or(u64::MAX),
+        }
+    }
+
+    /// Has who holds roles worked out anew.
+    fn changed(&mut self) {
+        self.rankings.get_mut().clear();
     }
 
     /// How many boxes were looked at to rank them, each time counted: what asking who holds a role costs grows with it.
@@ -312,7 +367,8 @@
         stops.flatten().min()
     }
 
-    /// Whether the keys of all boxes are to be read, where they were read so long ago.
+    /// Whether the keys of all boxes are to be read, where they were read so long ago: often while another box knows of more
+    /// than this one, and otherwise the less often the more there are, so that what all read does not grow with their square.
     pub(crate) fn is_list_due(&self, read_ms_ago: u64) -> bool {
         read_ms_ago >= LIST_EACH_MS
     }
@@ -325,7 +381,10 @@
     /// The same boxes, with nothing worked out of them.
     #[cfg(test)]
     fn anew(&self) -> Self {
-        self.clone()
+        Self {
+            rankings: RefCell::default(),
+            ..self.clone()
+        }
     }
 
     fn count(&mut self, now_ms: u64) {
--- a/components/relay/src/membership/members_tests.rs
+++ b/components/relay/src/membership/members_tests.rs
@@ -38,7 +38,7 @@
 fn a_box_that_stops_holds_no_role() {
     let mut members = three();
     members.upsert(card(2, 1, true), false, 10);
-    assert_eq!(members.ranked(ROLE, true, 20), [BoxId(3)]);
+    assert_eq!(*members.ranked(ROLE, true, 20), [BoxId(3)]);
 }
 
 #[test]
--- a/components/relay/src/watch/election.rs
+++ b/components/relay/src/watch/election.rs
@@ -18,7 +18,7 @@
 const QUIET_MS: u64 = 900;
 /// Each further box in rank leaves it this much longer to those before it.
 const TURN_MS: u64 = 200;
-/// Beyond this rank boxes wait no longer: changes must be known within the users' bounds.
+/// Beyond this rank boxes wait little longer: changes must be known within the users' bounds.
 const TURNS_MAX: u64 = 4;
 /// Boxes beyond that rank leave this much more to those before them while one of these asks engines instead of
 /// the store: calls to a store that is away are paid for too.
@@ -61,7 +61,7 @@
 }
 
 /// The boxes that may follow the store, the first in rank first.
-fn ranks(relay: &Relay) -> Vec<BoxId> {
+fn ranks(relay: &Relay) -> Rc<[BoxId]> {
     let members = relay.members.borrow();
     members.ranked(watcher_role(), relay.is_stopping(), relay.now_ms())
 }
@@ -76,8 +76,8 @@
     rank(relay).is_some_and(|rank| rank as u64 <= TURNS_MAX)
 }
 
-/// Waits before the store is tried again. 190 of 195 boxes leave it to the first in rank: in an outage of 10 s all of
-/// them together made some 2,500 calls where each tried as often.
+/// Waits before the store is tried again. Boxes late in rank leave it to the first: in an outage the calls of all that try
+/// grow with their number.
 pub(crate) async fn pause_before_trying(relay: &Relay, pause: Duration) {
     let began = Instant::now();
     let late_pause = match another_asks(relay) {
