--- a/components/relay/src/watch/election.rs
+++ b/components/relay/src/watch/election.rs
@@ -20,6 +20,10 @@
 const TURN_MS: u64 = 200;
 /// Beyond this rank boxes wait little longer: changes must be known within the users' bounds.
 const TURNS_MAX: u64 = 4;
+/// Each of them leaves this much to the one before it, up to so many: the first that reads the store tells all others within
+/// some hundredths of a second, and all reading a long list at once is more than the store can do.
+const LATE_TURN_MS: u64 = 2;
+const LATE_TURNS_MAX: u64 = 1_000;
 /// Boxes beyond that rank leave this much more to those before them while one of these asks engines instead of
 /// the store: calls to a store that is away are paid for too.
 const AWAY_MS: u64 = 2_000;
@@ -122,7 +126,7 @@
     let late = turn.saturating_sub(TURNS_MAX);
     let late_ms = match is_away && late > 0 {
         true => AWAY_MS + AWAY_TURN_MS * late.min(AWAY_TURNS_MAX),
-        false => 0,
+        false => LATE_TURN_MS * late.min(LATE_TURNS_MAX),
     };
     TURN_MS * turn.min(TURNS_MAX) + late_ms
 }
