The keys of all boxes and the records of withheld requests are read the less often the more boxes there are

Cause: each box read the keys of all each 30 s: 11 KB a second at 986 boxes, over the 8 KB that control may take. Change: at most sixteen times less often, by one for each 64 boxes; each 30 s where another box knows of more than this one. Records as the keys, each 30 s where a box hears no other.

--- a/components/relay/src/membership/members.rs
+++ b/components/relay/src/membership/members.rs
@@ -25,6 +25,9 @@
 const STILL_IN_MS: u64 = 2_000;
 /// How often the keys of all boxes are read where they are few.
 pub(crate) const LIST_EACH_MS: u64 = 30_000;
+/// As many boxes read as often as that; more share it.
+const READERS: usize = 64;
+const READ_TIMES_MAX: usize = 16;
 /// The number of boxes among which the budget is shared falls only after this time.
 const SHARE_KEPT_MS: u64 = 15_000;
 
@@ -370,7 +373,17 @@
     /// Whether the keys of all boxes are to be read, where they were read so long ago: often while another box knows of more
     /// than this one, and otherwise the less often the more there are, so that what all read does not grow with their square.
     pub(crate) fn is_list_due(&self, read_ms_ago: u64) -> bool {
-        read_ms_ago >= LIST_EACH_MS
+        let knows_less = self.others.len() + 1 < self.most;
+        let times = match knows_less {
+            true => 1,
+            false => self.read_times(),
+        };
+        read_ms_ago >= LIST_EACH_MS * times
+    }
+
+    /// By how much less often than a few boxes each of so many reads what all of them read.
+    pub(crate) fn read_times(&self) -> u64 {
+        (self.others.len() / READERS).clamp(1, READ_TIMES_MAX) as u64
     }
 
     /// Among how many boxes a shared budget is divided: the most that there were lately.
--- a/components/relay/src/quarantine/record.rs
+++ b/components/relay/src/quarantine/record.rs
@@ -17,7 +17,7 @@
 const LEASE_S: u64 = 600;
 /// Ends of a request from which on it is recorded, on a box that hears others.
 pub(super) const RECORDED_MIN: usize = 2;
-/// How often all records are read, as they were some seconds ago: a tenth of a call's price each time.
+/// How often all records are read where boxes are few, as they were some seconds ago: a tenth of a call's price each time.
 const READ_EACH: Duration = Duration::from_secs(30);
 /// Writes that are tried where others write the same record, or the store is away: some two minutes.
 const TRIES_MAX: usize = 24;
@@ -79,7 +79,7 @@
                 for (request, record) in records {
                     relay.take_ends(&record.ends(request), "store");
                 }
-                sleep(READ_EACH).await;
+                sleep(READ_EACH * read_times(&relay)).await;
             }
             Err(error) => {
                 slog::info!(relay.log, "records not read"; "error" => %error);
@@ -89,6 +89,14 @@
     }
 }
 
+/// A box that hears others is told of ends by them, and reads the less often the more there are.
+fn read_times(relay: &Relay) -> u32 {
+    match relay.hears_nobody(relay.now_ms()) {
+        true => 1,
+        false => relay.members.borrow().read_times() as u32,
+    }
+}
+
 impl Relay {
     /// Reads a record of the store.
     fn decode_record(&self, item: &Versioned) -> Option<(RequestKey, Record)> {
