--- a/components/node/src/start.rs
+++ b/components/node/src/start.rs
@@ -79,7 +79,7 @@
 
 /// Interval at which the box list is read where the settings do not say.
 const BOX_LIST_INTERVAL_MS: u64 = 1_000;
-/// How notices are spread; `docs/design/spread.md` has the figures of the other ways.
+/// How notices are spread.
 const TOPOLOGY: Topology = Topology::FanOut;
 
 /// Starts a box and returns it with the addresses that it listens on.
--- a/components/relay/src/dispatch/completion.rs
+++ b/components/relay/src/dispatch/completion.rs
@@ -66,8 +66,7 @@
     }
 
     /// How long a generation may wait for an engine: beyond that its first token would be late. What would wait
-    /// longer is refused at once by the dispatcher. On 25 days with trouble of each of three deployments worth
-    /// changed by +0.0003, +0.0015 and +0.0042 (standard errors 0.0012, 0.0011, 0.0022) against 0.22 of the goal.
+    /// longer is refused at once by the dispatcher.
     pub(crate) fn wait_ms(&self, goal_ms: u64) -> u64 {
         let in_goal_ms = goal_ms.saturating_sub(self.begin_ms as u64);
         in_goal_ms.max((goal_ms as f64 * WAIT_FLOOR_SHARE) as u64)
--- a/components/relay/src/membership/gossip.rs
+++ b/components/relay/src/membership/gossip.rs
@@ -19,7 +19,7 @@
 use std::rc::Rc;
 
 /// Boxes that one answer names, those with wide links first: the others are learnt from the store and by their own word.
-/// Naming all 195 in each of some twenty answers took 20 KB an answer while all boxes start.
+/// Where all boxes start, each gets some twenty such answers.
 const BOXES_NAMED_MAX: usize = 48;
 /// A box that knows fewer than this share of what another knows asks it for more.
 const BOXES_KNOWN_SHARE: f64 = 0.9;
