--- a/tests/spread.rs
+++ b/tests/spread.rs
@@ -1,7 +1,7 @@
 //! How long changes took to reach all boxes, from the logs of boxes.
 
-use std::io::Write;
-use std::process::{Command, Stdio};
+#[path = "common/logs.rs"]
+mod logs;
 
 fn line(ms: u32, at: &str, message: &str, rest: &str) -> String {
     format!(
@@ -12,19 +12,7 @@
 }
 
 fn spread(log: &str) -> Vec<String> {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_shuntpier"))
-        .arg("spread")
-        .stdin(Stdio::piped())
-        .stdout(Stdio::piped())
-        .spawn()
-        .unwrap();
-    let mut input = child.stdin.take().unwrap();
-    input.write_all(log.as_bytes()).unwrap();
-    drop(input);
-    let output = child.wait_with_output().unwrap();
-    assert!(output.status.success());
-    let text = String::from_utf8(output.stdout).unwrap();
-    text.lines().map(|line| line.trim().to_owned()).collect()
+    logs::lines_of("spread", log)
 }
 
 #[test]
