--- a/components/relay/src/watch/mod.rs
+++ b/components/relay/src/watch/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod pasts;
 pub(crate) mod reconcile;
 pub(crate) mod refused;
+pub(crate) mod target;
 pub(crate) mod target_snapshot;
 pub(crate) mod targets;
 pub(crate) mod watcher;
