--- a/components/relay/src/membership/members.rs
+++ b/components/relay/src/membership/members.rs
@@ -2,24 +2,21 @@
 //! role. A lapsed key is no proof of death, and a live key no proof of life: a box that does not answer is
 //! passed over for a while.
 
+use crate::membership::ranking::Ranking;
 use peers::FleetCard;
-use policy::ranked;
 use prelude::{BoxId, DataCentreId};
 use rand::seq::SliceRandom;
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
-use std::rc::Rc;
 
 /// A box that did not answer holds no role for this long; twice as long with each further failure.
 const DOUBT_MS: u64 = 1_000;
 const DOUBT_MAX_MS: u64 = 16_000;
 /// A box whose key is gone and that says nothing is forgotten after this time.
-const SILENT_MS: u64 = 10_000;
+pub(super) const SILENT_MS: u64 = 10_000;
 /// The life in a box's key, which may have been written by another one.
 pub(crate) const LIFE_UNKNOWN: u32 = 0;
-/// A link is wide where it has this part of the widest one's bandwidth or more.
-const WIDE_PARTS: u64 = 2;
 /// How long the platform may still send channels to a box that stops: it asks each second, and believes the second
 /// answer.
 const STILL_IN_MS: u64 = 2_000;
@@ -32,19 +29,19 @@
 const SHARE_KEPT_MS: u64 = 15_000;
 
 #[derive(Clone, Debug)]
-struct Member {
-    card: FleetCard,
-    keyed: bool,
-    heard_ms: u64,
-    suspected_until_ms: u64,
-    failures: u32,
+pub(super) struct Member {
+    pub(super) card: FleetCard,
+    pub(super) keyed: bool,
+    pub(super) heard_ms: u64,
+    pub(super) suspected_until_ms: u64,
+    pub(super) failures: u32,
     /// Since when it is known to stop by plan.
-    stops_since_ms: Option<u64>,
+    pub(super) stops_since_ms: Option<u64>,
 }
 
 impl Member {
     /// Whether it may hold a role, as far as it is known.
-    fn is_able(&self, now_ms: u64) -> bool {
+    pub(super) fn is_able(&self, now_ms: u64) -> bool {
         let known = self.keyed || self.heard_ms + SILENT_MS > now_ms;
         !self.card.leaving && self.suspected_until_ms <= now_ms && known
     }
@@ -53,25 +50,17 @@
 /// The boxes of a fleet.
 #[derive(Clone, Debug)]
 pub(crate) struct Members {
-    me: BoxId,
-    my_link_mbps: u32,
-    others: HashMap<BoxId, Member>,
+    pub(super) me: BoxId,
+    pub(super) my_link_mbps: u32,
+    pub(super) others: HashMap<BoxId, Member>,
     most: usize,
     most_ms: u64,
     follower_ms: u64,
     any_ms: u64,
     /// Boxes that were looked at to rank them, each time counted.
-    ranked_looks: Cell<u64>,
+    pub(super) ranked_looks: Cell<u64>,
     /// Who holds which role, and whether this box may: worked out where it is asked, and kept until a box changes.
-    rankings: RefCell<HashMap<(u64, bool), Ranking>>,
-}
-
-/// The boxes in the order in which they hold a role.
-#[derive(Clone, Debug)]
-struct Ranking {
-    order: Rc<[BoxId]>,
-    /// When a box is suspected no more, or has been silent for too long.
-    until_ms: u64,
+    pub(super) rankings: RefCell<HashMap<(u64, bool), Ranking>>,
 }
 
 /// What a card changed.
@@ -279,51 +268,6 @@
         self.others.get(&id).map(|member| &member.card)
     }
 
-    /// The boxes in the order in which they hold `role`: whoever holds one tells many others, so those with
-    /// wide links come first. Those that stop or do not answer hold none.
-    pub(crate) fn ranked(&self, role: u64, leaving: bool, now_ms: u64) -> Rc<[BoxId]> {
-        let mut rankings = self.rankings.borrow_mut();
-        let known = rankings.get(&(role, leaving));
-        if let Some(known) = known.filter(|known| now_ms < known.until_ms) {
-            return known.order.clone();
-        }
-        let ranking = self.rank(role, leaving, now_ms);
-        let order = ranking.order.clone();
-        rankings.insert((role, leaving), ranking);
-        order
-    }
-
-    fn rank(&self, role: u64, leaving: bool, now_ms: u64) -> Ranking {
-        self.ranked_looks
-            .set(self.ranked_looks.get() + self.others.len() as u64);
-        let others = self.others.values();
-        let others = others.filter(|member| member.is_able(now_ms));
-        let others = others.map(|member| (member.card.id, member.card.link_mbps));
-        let me = (!leaving).then_some((self.me, self.my_link_mbps));
-        let able: Vec<(BoxId, u32)> = others.chain(me).collect();
-        let widest = able.iter().map(|(_, link)| *link).max().unwrap_or_default();
-        let (wide, narrow): (Vec<_>, Vec<_>) = able
-            .into_iter()
-            .partition(|(_, link)| u64::from(*link) * WIDE_PARTS >= u64::from(widest));
-        let in_order = |boxes: Vec<(BoxId, u32)>| ranked(role, boxes.into_iter().map(|b| b.0));
-        let mut order = in_order(wide);
-        order.extend(in_order(narrow));
-        let turns = self.others.values().flat_map(|member| {
-            let silent_ms = (!member.keyed).then_some(member.heard_ms + SILENT_MS);
-            [Some(member.suspected_until_ms), silent_ms]
-        });
-        let turns = turns.flatten().filter(|at_ms| *at_ms > now_ms);
-        Ranking {
-            order: order.into(),
-            until_ms: turns.min().unwrap_or(u64::MAX),
-        }
-    }
-
-    /// Has who holds roles worked out anew.
-    fn changed(&mut self) {
-        self.rankings.get_mut().clear();
-    }
-
     /// How many boxes were looked at to rank them, each time counted: what asking who holds a role costs grows with it.
     #[cfg(test)]
     pub(crate) fn ranked_looks(&self) -> u64 {
--- a/components/relay/src/membership/mod.rs
+++ b/components/relay/src/membership/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod hints;
 pub(crate) mod lacking;
 pub(crate) mod members;
+pub(crate) mod ranking;
 pub(crate) mod registration;
 pub(crate) mod snapshot;
 pub(crate) mod stand_back;
