--- a/components/relay/src/membership/gossip.rs
+++ b/components/relay/src/membership/gossip.rs
@@ -115,7 +115,9 @@
     if news.asks_engines {
         relay.heard_asker_ms.set(relay.now_ms());
     }
-    let mut changes = take_patch(relay, &news.digest, news.target_patch);
+    let fetched = take_patch(relay, &news.digest, news.target_patch);
+    relay.took_changes(&fetched, "fetch");
+    let mut changes = Vec::new();
     if let Some(told) = news.target_changes {
         changes.extend(take_changes(relay, &news.digest, told));
     }
