What a list read anew shows is told to all boxes, with a hash of the whole

Change: the changes between the list that a watcher had and the one it read are told as those of a watch are, up to 1,024; with them goes a hash of the whole list, so that a box whose list then differs (a target that came and went while the watcher knew of neither) is not taken for current and asks.

--- a/components/peers/src/targets.rs
+++ b/components/peers/src/targets.rs
@@ -117,6 +117,9 @@
     pub listed: TargetList,
     /// Lives that are listed no more, with the version of that.
     pub unlisted: Vec<(TargetLife, Version)>,
+    /// Hash of the whole list with them, where they were found by reading it anew: a box whose list then has another hash
+    /// lacks more than these.
+    pub root: Option<u64>,
 }
 
 /// A box's list in short: its targets fall into buckets by their names, and each bucket has a hash. Empty where the
--- a/components/relay/src/membership/gossip.rs
+++ b/components/relay/src/membership/gossip.rs
@@ -146,21 +146,10 @@
 
 /// Takes changes in, where all that came before them is known.
 fn take_changes(relay: &Relay, digest: &FleetDigest, told: TargetChanges) -> Vec<Change> {
+    let (changed_at, current_to) = (digest.targets_changed_at, digest.targets_current_to);
     let now_ms = relay.now_ms();
     let mut targets = relay.targets.borrow_mut();
-    if !targets.is_known() || targets.changed_at < told.after {
-        return Vec::new();
-    }
-    let mut changes = Vec::new();
-    for entry in told.listed.entries() {
-        changes.extend(targets.listed(entry, now_ms));
-    }
-    for (life, version) in told.unlisted {
-        changes.extend(targets.life_unlisted(&life, version));
-    }
-    targets.changed_at = targets.changed_at.max(digest.targets_changed_at);
-    targets.current_to = targets.current_to.max(digest.targets_current_to);
-    changes
+    targets.take_told(told, changed_at, current_to, now_ms)
 }
 
 fn take_evacuations(relay: &Rc<Relay>, digest: &FleetDigest) {
--- a/components/relay/src/watch/reconcile.rs
+++ b/components/relay/src/watch/reconcile.rs
@@ -3,7 +3,7 @@
 //! of DeCandia et al., "Dynamo", SOSP 2007, with one level).
 
 use crate::watch::targets::{Belief, Change, Target, TargetBook};
-use peers::{TargetList, TargetPatch, TargetSummary};
+use peers::{TargetChanges, TargetList, TargetPatch, TargetSummary};
 use prelude::Version;
 use routing::TargetEntry;
 use std::collections::HashSet;
@@ -42,6 +42,66 @@
         hashes
     }
 
+    /// A hash of the whole list.
+    pub fn root(&self) -> u64 {
+        let listed = self.all().filter(|(_, target)| is_listed(target));
+        listed.fold(0, |root, (_, target)| root ^ hash_of(target))
+    }
+
+    /// What a list that was read anew showed, for boxes that know all that came before `after`.
+    pub fn told_anew(&self, changes: &[Change], after: Version, now_ms: u64) -> TargetChanges {
+        let (mut listed, mut unlisted) = (Vec::new(), Vec::new());
+        for change in changes {
+            let (Change::Came(slot)
+            | Change::Leaves(slot)
+            | Change::Went(slot)
+            | Change::Cold(slot)
+            | Change::Restarted { slot, .. }) = change;
+            match self.get(*slot) {
+                Some(gone) if !is_listed(gone) => {
+                    unlisted.push((gone.entry.life(), gone.entry.version));
+                }
+                Some(target) => listed.push(target.told(now_ms)),
+                None => {}
+            }
+        }
+        TargetChanges {
+            after,
+            listed: TargetList::new(&listed),
+            unlisted,
+            root: Some(self.root()),
+        }
+    }
+
+    /// Takes in what another box tells, which knows all changes up to `changed_at` and the list as of `current_to`. Nothing
+    /// where this box lacks what came before.
+    pub fn take_told(
+        &mut self,
+        told: TargetChanges,
+        changed_at: Version,
+        current_to: Version,
+        now_ms: u64,
+    ) -> Vec<Change> {
+        if !self.is_known() || self.changed_at < told.after {
+            return Vec::new();
+        }
+        let mut changes = Vec::new();
+        for entry in told.listed.entries() {
+            changes.extend(self.listed(entry, now_ms));
+        }
+        for (life, version) in told.unlisted {
+            changes.extend(self.life_unlisted(&life, version));
+        }
+        if told.root.is_none_or(|root| root == self.root()) {
+            self.changed_at = self.changed_at.max(changed_at);
+            self.current_to = self.current_to.max(current_to);
+        } else {
+            // What came and went again while the one that tells knew of neither: it is asked for.
+            self.changed_at = told.after;
+        }
+        changes
+    }
+
     /// This list in short; empty where none is known.
     pub fn summary(&self) -> TargetSummary {
         if !self.is_known() {
--- a/components/relay/src/watch/reconcile_tests.rs
+++ b/components/relay/src/watch/reconcile_tests.rs
@@ -78,3 +78,42 @@
         prop_assert_eq!(names(&mine), names(&theirs));
     }
 }
+
+/// A box that watches reads its list anew, with what it tells; and another box, which takes that in.
+fn told_anew(watcher: &mut TargetBook, other: &mut TargetBook, now: &[(usize, bool)]) {
+    let entries = now.iter().map(|(at, leaves)| match leaves {
+        true => entry(*at, TargetPhase::Leaving),
+        false => entry(*at, TargetPhase::Ready),
+    });
+    let after = watcher.changed_at;
+    let changes = watcher.replace(entries.collect(), Version::new(0, 5_000), None, 0);
+    let told = watcher.told_anew(&changes, after, 0);
+    other.take_told(told, watcher.changed_at, watcher.current_to, 0);
+}
+
+#[test]
+fn what_a_list_read_anew_shows_makes_the_lists_of_others_equal() {
+    let before: Vec<(usize, bool)> = (0..200).map(|at| (at, false)).collect();
+    let (mut watcher, mut other) = (book(&before, 500), book(&before, 400));
+    let now: Vec<(usize, bool)> = (3..210).map(|at| (at, at < 6)).collect();
+    told_anew(&mut watcher, &mut other, &now);
+    assert_eq!(names(&other), names(&watcher));
+    assert_eq!(other.root(), watcher.root());
+    assert_eq!(other.changed_at, watcher.changed_at);
+    assert_eq!(other.current_to, watcher.current_to);
+}
+
+#[test]
+fn a_box_that_knows_of_a_target_that_came_and_went_unseen_does_not_take_its_list_for_current() {
+    let before: Vec<(usize, bool)> = (0..200).map(|at| (at, false)).collect();
+    let mut watcher = book(&before, 500);
+    let mut other = book(&before, 500);
+    other.listed(entry(900, TargetPhase::Ready), 0);
+    let now: Vec<(usize, bool)> = (0..201).map(|at| (at, false)).collect();
+    told_anew(&mut watcher, &mut other, &now);
+    assert!(other.current_to < watcher.current_to && other.changed_at < watcher.changed_at);
+    // It asks then, and the difference is found.
+    let patch = watcher.patch_for(&other.summary(), 0).unwrap();
+    other.patch(patch, watcher.current_to, 0);
+    assert_eq!(names(&other), names(&watcher));
+}
--- a/components/relay/src/watch/watcher.rs
+++ b/components/relay/src/watch/watcher.rs
@@ -32,6 +32,10 @@
 /// within the users' bound of some seconds.
 const DECLARATIONS_PACE: Duration = Duration::from_millis(250);
 
+/// Changes that a list read anew showed are told to all boxes, up to so many: where all ask for them instead, they ask the
+/// few that watch, at once. A list of which more is new is that of a box that knew little.
+const TOLD_MAX: usize = 1_024;
+
 /// A view that was not confirmed for this long was cut off by trouble of the store.
 const AWAY_MS: u64 = 1_000;
 /// After the store has come back, entries that lapsed meanwhile have this long to be written again. The users name
@@ -202,26 +206,37 @@
     let (items, version) = relay.store.list_at(prefix_of(view)).await?;
     note_return(relay);
     metrics::counter!("shuntpier_store_calls", "of" => view.name()).increment(1);
-    let newer = take_list(relay, view, &items, version);
+    let taken = take_list(relay, view, &items, version);
     relay.confirm(view);
-    if newer {
-        match view {
-            View::Declarations => spread_table(relay),
-            // Its version is in what this box says next; whoever lacks something asks for it.
-            View::Targets => tell_current(relay),
-        }
+    match taken {
+        Taken::Nothing => {}
+        Taken::Table => spread_table(relay),
+        Taken::Targets(Some(told)) => spread_targets(relay, told),
+        // Its version is in what this box says next; whoever lacks something asks for it.
+        Taken::Targets(None) => tell_current(relay),
     }
     Ok(version)
 }
 
-/// Takes a view in as it was read. Says whether that told something new.
-fn take_list(relay: &Rc<Relay>, view: View, items: &[Versioned], version: Version) -> bool {
+/// What a view that was read told that was new.
+enum Taken {
+    Nothing,
+    Table,
+    /// What to tell the others; none where that is more than is told.
+    Targets(Option<TargetChanges>),
+}
+
+/// Takes a view in as it was read.
+fn take_list(relay: &Rc<Relay>, view: View, items: &[Versioned], version: Version) -> Taken {
     relay.see_era(version.era(), EraSource::Store);
     match view {
         View::Declarations => {
             read_evacuations(relay, items, version);
             let config = items.iter().find(|item| item.key == CONFIG_KEY);
-            config.is_some_and(|item| relay.declare(&item.value, "store"))
+            match config.is_some_and(|item| relay.declare(&item.value, "store")) {
+                true => Taken::Table,
+                false => Taken::Nothing,
+            }
         }
         View::Targets => read_targets(relay, items, version),
     }
@@ -291,12 +306,13 @@
     }
 }
 
-fn read_targets(relay: &Rc<Relay>, items: &[Versioned], version: Version) -> bool {
+fn read_targets(relay: &Rc<Relay>, items: &[Versioned], version: Version) -> Taken {
     let now_ms = relay.now_ms();
     let missing_until_ms = missing_until_ms(relay);
     let mut changes = Vec::new();
     let mut entries = Vec::new();
     let mut targets = relay.targets.borrow_mut();
+    let after = targets.changed_at;
     for item in items {
         match listing(relay, item) {
             Some(Listing::Listed(entry)) => entries.push(entry),
@@ -306,9 +322,14 @@
     }
     changes.extend(targets.replace(entries, version, missing_until_ms, now_ms));
     targets.read_at(version, now_ms);
+    let is_told = changes.len() <= TOLD_MAX;
+    let told = is_told.then(|| targets.told_anew(&changes, after, now_ms));
     drop(targets);
     relay.took_changes(&changes, "store");
-    !changes.is_empty()
+    match changes.is_empty() {
+        true => Taken::Nothing,
+        false => Taken::Targets(told),
+    }
 }
 
 fn take_targets(relay: &Rc<Relay>, events: Vec<WatchEvent>, version: Version) {
@@ -347,6 +368,7 @@
             after,
             listed: TargetList::new(&listed),
             unlisted,
+            root: None,
         };
         spread_targets(relay, told);
     }
