While another box asks engines, boxes late in rank try the store one by one

Cause: known red: they left it 2 s and 50 ms a rank, made for a store that is away; one that turns the first thirty away and serves the others is the same to them. Change: 25 ms a rank from the usual time on, each its one try; no rank after the fortieth looks with others at once, as they did. Ruled out: telling whether the store was silent or turned a box away: both are seen in either case.

--- a/components/relay/src/watch/election.rs
+++ b/components/relay/src/watch/election.rs
@@ -24,12 +24,9 @@
 /// some hundredths of a second, and all reading a long list at once is more than the store can do.
 const LATE_TURN_MS: u64 = 2;
 const LATE_TURNS_MAX: u64 = 1_000;
-/// Boxes beyond that rank leave this much more to those before them while one of these asks engines instead of
-/// the store: calls to a store that is away are paid for too.
-const AWAY_MS: u64 = 2_000;
-/// And each further one in rank so much more, up to so many: the first that the store answers tells the others.
-const AWAY_TURN_MS: u64 = 50;
-const AWAY_TURNS_MAX: u64 = 40;
+/// The same while one of those before them asks engines instead of the store, which is away or turns it away: each tries once,
+/// and the first that the store answers tells the others. Calls to a store that is away are paid for too.
+const AWAY_TURN_MS: u64 = 25;
 /// Pause of boxes beyond that rank between two tries to follow a store that does not answer, and where another box
 /// says that it is away.
 const LATE_RANK_PAUSE: Duration = Duration::from_millis(1_600);
@@ -125,7 +122,7 @@
 fn turn_ms(turn: u64, is_away: bool) -> u64 {
     let late = turn.saturating_sub(TURNS_MAX);
     let late_ms = match is_away && late > 0 {
-        true => AWAY_MS + AWAY_TURN_MS * late.min(AWAY_TURNS_MAX),
+        true => AWAY_TURN_MS * late.min(LATE_TURNS_MAX),
         false => LATE_TURN_MS * late.min(LATE_TURNS_MAX),
     };
     TURN_MS * turn.min(TURNS_MAX) + late_ms
--- a/components/relay/src/watch/election_tests.rs
+++ b/components/relay/src/watch/election_tests.rs
@@ -50,3 +50,13 @@
     // Where the store turns the first in rank away and serves the others, these hold what nobody else can read.
     assert!(QUIET_MS + turn_ms(TURNS_MAX + 1, true) + READ_MS < 3_000);
 }
+
+#[test]
+fn a_store_that_is_away_is_tried_by_some_boxes_at_a_time() {
+    for boxes in [100, 1_000, 2_000_u64] {
+        let looks: Vec<u64> = (0..boxes).map(|turn| turn_ms(turn, true)).collect();
+        let within = |ms| looks.iter().filter(|at_ms| **at_ms < ms).count();
+        assert!(within(2_000) <= 60, "{} of {boxes}", within(2_000));
+        assert!(looks[30] <= 1_500, "where the first thirty are turned away");
+    }
+}
