--- a/components/relay/src/quarantine/record.rs
+++ b/components/relay/src/quarantine/record.rs
@@ -83,12 +83,17 @@
             }
             Err(error) => {
                 slog::info!(relay.log, "records not read"; "error" => %error);
-                backoff.pause().await;
+                sleep(pause_of_refused(&mut backoff, read_times(&relay))).await;
             }
         }
     }
 }
 
+/// How long a box leaves the store after a read that failed.
+fn pause_of_refused(backoff: &mut Backoff, _times: u32) -> Duration {
+    backoff.next()
+}
+
 /// A box that hears others is told of ends by them, and reads the less often the more there are.
 fn read_times(relay: &Relay) -> u32 {
     match relay.hears_nobody(relay.now_ms()) {
@@ -193,3 +198,7 @@
     let written = relay.store.transact(&transaction).await?;
     Ok(matches!(written, TransactionResult::Done { .. }))
 }
+
+#[cfg(test)]
+#[path = "record_tests.rs"]
+mod tests;
--- a/components/relay/src/quarantine/spread.rs
+++ b/components/relay/src/quarantine/spread.rs
@@ -5,6 +5,7 @@
 use crate::state::Relay;
 use peers::EndsTold;
 use prelude::{Acquittal, BoxId, RequestKey, TargetEnd};
+use rand::Rng;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -84,7 +85,7 @@
     /// Asks some boxes what is withheld. False where none answers.
     async fn ask_what_is_withheld(&self) -> bool {
         let others = self.members.borrow().others();
-        let asked = others.into_iter().take(ASKED_MAX).map(|id| {
+        let asked = asked_of(&others, &mut rand::rng()).into_iter().map(|id| {
             let told = EndsTold {
                 asks_all: true,
                 ..EndsTold::default()
@@ -110,6 +111,11 @@
     }
 }
 
+/// The boxes that one asks, of all others.
+fn asked_of(others: &[BoxId], _random: &mut impl Rng) -> Vec<BoxId> {
+    others.iter().copied().take(ASKED_MAX).collect()
+}
+
 /// Asks what is withheld, on a box that has just started, as soon as it knows another.
 pub(super) async fn ask_at_start(relay: Rc<Relay>) {
     let until_ms = relay.now_ms() + ASKS_FOR_MS;
@@ -130,3 +136,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "spread_tests.rs"]
+mod tests;
