A box that starts asks boxes that it draws what is withheld; a read of records that fails is made again the later the more boxes there are

A second read by the way: a box that starts asks the first three others by number, so that all 986 ask the same three. Change: the pause after such a failure grows with the number of boxes as the time between reads does (986: 1.5, 3, 6 s, ...), and the box asks three others, which may have read them. The three are drawn.

--- a/components/relay/src/quarantine/record.rs
+++ b/components/relay/src/quarantine/record.rs
@@ -83,15 +83,18 @@
             }
             Err(error) => {
                 slog::info!(relay.log, "records not read"; "error" => %error);
+                // Others may have read them.
+                relay.ask_what_is_withheld().await;
                 sleep(pause_of_refused(&mut backoff, read_times(&relay))).await;
             }
         }
     }
 }
 
-/// How long a box leaves the store after a read that failed.
-fn pause_of_refused(backoff: &mut Backoff, _times: u32) -> Duration {
-    backoff.next()
+/// How long a box leaves the store after a read that failed: the longer the more boxes there are, as a store that turns many
+/// away is asked by all of them.
+fn pause_of_refused(backoff: &mut Backoff, times: u32) -> Duration {
+    backoff.next() * times
 }
 
 /// A box that hears others is told of ends by them, and reads the less often the more there are.
--- a/components/relay/src/quarantine/spread.rs
+++ b/components/relay/src/quarantine/spread.rs
@@ -6,6 +6,7 @@
 use peers::EndsTold;
 use prelude::{Acquittal, BoxId, RequestKey, TargetEnd};
 use rand::Rng;
+use rand::seq::IndexedRandom;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -83,7 +84,7 @@
     }
 
     /// Asks some boxes what is withheld. False where none answers.
-    async fn ask_what_is_withheld(&self) -> bool {
+    pub(super) async fn ask_what_is_withheld(&self) -> bool {
         let others = self.members.borrow().others();
         let asked = asked_of(&others, &mut rand::rng()).into_iter().map(|id| {
             let told = EndsTold {
@@ -111,9 +112,9 @@
     }
 }
 
-/// The boxes that one asks, of all others.
-fn asked_of(others: &[BoxId], _random: &mut impl Rng) -> Vec<BoxId> {
-    others.iter().copied().take(ASKED_MAX).collect()
+/// The boxes that one asks, drawn from all others: boxes that start at once would else all ask the same ones.
+fn asked_of(others: &[BoxId], random: &mut impl Rng) -> Vec<BoxId> {
+    others.choose_multiple(random, ASKED_MAX).copied().collect()
 }
 
 /// Asks what is withheld, on a box that has just started, as soon as it knows another.
