--- a/components/policy/src/balance/choose_tests.rs
+++ b/components/policy/src/balance/choose_tests.rs
@@ -253,6 +253,21 @@
     assert!(3 * lost(Choosing::Best) < lost(Choosing::Emptiest));
 }
 
+#[test]
+fn targets_that_hang_cost_few_calls_where_each_gets_few() {
+    let mut servers = vec![Server::new(); 60];
+    for server in &mut servers[..6] {
+        server.hangs_from_ms = 10_000;
+    }
+    let mut model = Model::of(servers);
+    model.boxes = 200;
+    model.calls_per_s = 60;
+    let (times, _) = model.play(Choosing::Best);
+    let lost = times.iter().filter(|took| **took >= LIMIT_MS).count();
+    // Of each target the first, and one each 3 s for 30 s.
+    assert!(lost <= 6 * 11, "{lost}");
+}
+
 #[test]
 fn two_that_are_drawn_are_never_the_same() {
     let empty = Candidate {
