One box's word that a target gives no answer has the others rather use targets that have room

Two boxes without an answer within 2 s spare a target for 1 s; 145 words were told of 58 targets, 44 of them told of again and again in one data centre, 2 to 5 times. The rule asks for evidence that a target with few calls gives too late. Ruled out: that words do not arrive (10,369 lines 'target spared'); that other data centres learn each by themselves (58 pairs of target and data centre for 58 targets). Change: the word of one box adds 0.25 to the target's cost for 4 s: less than a far target's 0.3, so that it sends nothing to another data centre, and a quarter of the slots of the others before it is used again. An own answer takes it back, as before.

--- a/components/policy/src/balance/choose.rs
+++ b/components/policy/src/balance/choose.rs
@@ -2,6 +2,9 @@
 
 /// What is added to the cost of a spared target, in usual times: more than any pace or queue adds.
 const SPARED_COST: f64 = 8.0;
+/// What is added to the cost of a target of which one box got no answer: calls go to others that are as near and have room,
+/// so that those that hang are found by one call and not by one for each box.
+const DOUBTED_COST: f64 = 0.25;
 /// Each cost is raised by a random share of up to this: boxes that know the same would otherwise all go to the same target.
 const NOISE: f64 = 0.15;
 
@@ -18,13 +21,17 @@
     pub extra: f64,
     /// Whether other boxes say that it does not answer.
     pub spared: bool,
+    /// Whether one box, this one or another, got no answer of it lately.
+    pub doubted: bool,
 }
 
 impl Candidate {
     /// The call's expected time there, in usual times, with what speaks against the target added.
     pub fn cost(&self) -> f64 {
         let spared = f64::from(u8::from(self.spared)) * SPARED_COST;
-        self.time_share * (1.0 + self.fullness) + self.failed_share + self.extra + spared
+        let doubted = f64::from(u8::from(self.doubted)) * DOUBTED_COST;
+        let against = self.failed_share + self.extra + spared + doubted;
+        self.time_share * (1.0 + self.fullness) + against
     }
 }
 
--- a/components/policy/src/balance/choose_tests.rs
+++ b/components/policy/src/balance/choose_tests.rs
@@ -72,6 +72,7 @@
             failed_share: 0.0,
             extra: 0.0,
             spared: self.records[at].shared.is_spared(now_ms),
+            doubted: self.records[at].shared.is_doubted(now_ms),
         }
     }
 }
@@ -276,6 +277,7 @@
         failed_share: 0.0,
         extra: 0.0,
         spared: false,
+        doubted: false,
     };
     let spared = Candidate {
         spared: true,
--- a/components/policy/src/balance/doubt.rs
+++ b/components/policy/src/balance/doubt.rs
@@ -19,7 +19,8 @@
 const TOGETHER_MS: u64 = 2_000;
 /// How long a target is spared after two boxes got no answer.
 const SPARED_MS: u64 = 1_000;
-/// How long after that one more failure, of any box, is enough to spare it again.
+/// How long after that one more failure, of any box, is enough to spare it again; and how long one box's word has others
+/// rather use other targets that have room.
 const REMEMBERED_MS: u64 = 4_000;
 
 /// Share of failures among the answers of a route.
@@ -108,6 +109,12 @@
         *self = Self::default();
     }
 
+    /// Whether a box got no answer lately: that box's link may be bad, or the target.
+    pub fn is_doubted(&self, now_ms: u64) -> bool {
+        self.last
+            .is_some_and(|(_, at_ms)| now_ms < at_ms + REMEMBERED_MS)
+    }
+
     /// Whether calls go elsewhere, where they can.
     pub fn is_spared(&self, now_ms: u64) -> bool {
         now_ms < self.spared_until_ms
--- a/components/relay/src/forwarding/balance.rs
+++ b/components/relay/src/forwarding/balance.rs
@@ -128,6 +128,7 @@
             failed_share: target.suspicion.failed_share() + known.map_or(0.0, of_route),
             extra: far + cold,
             spared: known.is_some_and(|record| record.shared.is_spared(now_ms)),
+            doubted: known.is_some_and(|record| record.shared.is_doubted(now_ms)),
         }
     }
 }
