--- a/components/relay/src/quarantine/record.rs
+++ b/components/relay/src/quarantine/record.rs
@@ -83,12 +83,20 @@
             }
             Err(error) => {
                 slog::info!(relay.log, "records not read"; "error" => %error);
-                backoff.pause().await;
+                // Others may have read them.
+                relay.ask_what_is_withheld().await;
+                sleep(pause_of_refused(&mut backoff, read_times(&relay))).await;
             }
         }
     }
 }
 
+/// How long a box leaves the store after a read that failed: the longer the more boxes there are, as a store that turns many
+/// away is asked by all of them.
+fn pause_of_refused(backoff: &mut Backoff, times: u32) -> Duration {
+    backoff.next() * times
+}
+
 /// A box that hears others is told of ends by them, and reads the less often the more there are.
 fn read_times(relay: &Relay) -> u32 {
     match relay.hears_nobody(relay.now_ms()) {
@@ -193,3 +201,7 @@
     let written = relay.store.transact(&transaction).await?;
     Ok(matches!(written, TransactionResult::Done { .. }))
 }
+
+#[cfg(test)]
+#[path = "record_tests.rs"]
+mod tests;
--- a/components/relay/src/quarantine/spread.rs
+++ b/components/relay/src/quarantine/spread.rs
@@ -5,6 +5,8 @@
 use crate::state::Relay;
 use peers::EndsTold;
 use prelude::{Acquittal, BoxId, RequestKey, TargetEnd};
+use rand::Rng;
+use rand::seq::IndexedRandom;
 use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
@@ -82,9 +84,9 @@
     }
 
     /// Asks some boxes what is withheld. False where none answers.
-    async fn ask_what_is_withheld(&self) -> bool {
+    pub(super) async fn ask_what_is_withheld(&self) -> bool {
         let others = self.members.borrow().others();
-        let asked = others.into_iter().take(ASKED_MAX).map(|id| {
+        let asked = asked_of(&others, &mut rand::rng()).into_iter().map(|id| {
             let told = EndsTold {
                 asks_all: true,
                 ..EndsTold::default()
@@ -110,6 +112,11 @@
     }
 }
 
+/// The boxes that one asks, drawn from all others: boxes that start at once would else all ask the same ones.
+fn asked_of(others: &[BoxId], random: &mut impl Rng) -> Vec<BoxId> {
+    others.choose_multiple(random, ASKED_MAX).copied().collect()
+}
+
 /// Asks what is withheld, on a box that has just started, as soon as it knows another.
 pub(super) async fn ask_at_start(relay: Rc<Relay>) {
     let until_ms = relay.now_ms() + ASKS_FOR_MS;
@@ -130,3 +137,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "spread_tests.rs"]
+mod tests;
