--- a/components/relay/src/membership/gossip.rs
+++ b/components/relay/src/membership/gossip.rs
@@ -70,6 +70,7 @@
     let targets = relay.targets.borrow();
     if targets.is_known() && targets.current_to >= other.targets_current_to {
         told.target_patch = targets.patch_for(&request.targets, relay.now_ms());
+        note_list_told(relay, request, told.target_patch.as_ref());
     }
     if lacks_boxes(other.boxes, told.digest.boxes) {
         told.boxes = relay.members.borrow().cards(BOXES_NAMED_MAX);
@@ -77,6 +78,15 @@
     told
 }
 
+/// Notes that a whole list is on its way to a box that had none.
+fn note_list_told(relay: &Relay, request: &FetchRequest, patch: Option<&TargetPatch>) {
+    let whole = patch.filter(|_| request.targets.buckets.is_empty());
+    if let Some(whole) = whole {
+        slog::info!(relay.log, "list of targets told"; "box" => request.digest.from.id.0,
+            "targets" => whole.listed.len());
+    }
+}
+
 fn lacks_boxes(knows: u32, other_knows: u32) -> bool {
     f64::from(knows) < f64::from(other_knows) * BOXES_KNOWN_SHARE
 }
