relay: a box hands out no more whole lists of targets than half its link takes

Cause: each box that starts asks whoever tells it of targets that it lacks, and a box answered all of them at once: 986 lists of some 450 KB at one time, which fits the 438 MB seen on one box after all were killed; the answers came after their callers had given up, who asked again. Ruled out: a limit on the time to answer alone (the answers lie in the link's buffer when it ends). Change: a list is told where those before it have left by half of the link; who is told none hears of it again at its next exchange, from another box.

--- a/components/peers/src/targets.rs
+++ b/components/peers/src/targets.rs
@@ -40,6 +40,9 @@
     born_ms: Option<u64>,
 }
 
+/// What a row takes on the wire without its name, about.
+const ROW_BYTES: usize = 25;
+
 /// A list of targets as it travels: some 36 bytes a target where entries by themselves take 110,
 /// and 9 more where its lives are told apart by their births.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -97,6 +100,12 @@
         self.rows.into_iter().filter_map(entry).collect()
     }
 
+    /// What it takes on the wire, about.
+    pub fn wire_bytes(&self) -> usize {
+        let names = self.rows.iter().map(|row| row.instance.len());
+        names.sum::<usize>() + self.rows.len() * ROW_BYTES
+    }
+
     /// How many targets it holds.
     pub fn len(&self) -> usize {
         self.rows.len()
--- a/components/peers/src/targets_tests.rs
+++ b/components/peers/src/targets_tests.rs
@@ -38,3 +38,13 @@
     let entries = vec![entry(1, Some(7)), entry(1, None), entry(2, Some(0))];
     assert_eq!(TargetList::new(&entries).entries(), entries);
 }
+
+#[test]
+fn what_a_list_takes_on_the_wire_is_known_without_making_it() {
+    for born_ms in [None, Some(1_790_000_000_000)] {
+        let entries: Vec<TargetEntry> = (0..100).map(|at| entry(at, born_ms)).collect();
+        let told = TargetList::new(&entries).wire_bytes() / entries.len();
+        let is = bytes(born_ms);
+        assert!(is.abs_diff(told) * 5 <= is, "{told} of {is}");
+    }
+}
--- a/components/relay/src/membership/gossip.rs
+++ b/components/relay/src/membership/gossip.rs
@@ -68,7 +68,10 @@
         .filter(|held| other.table_version < held.table.version);
     told.table = newer.map(|held| shared(&held));
     let targets = relay.targets.borrow();
-    if targets.is_known() && targets.current_to >= other.targets_current_to {
+    if targets.is_known()
+        && targets.current_to >= other.targets_current_to
+        && may_tell_list(relay, request)
+    {
         told.target_patch = targets.patch_for(&request.targets, relay.now_ms());
         note_list_told(relay, request, told.target_patch.as_ref());
     }
@@ -78,10 +81,21 @@
     told
 }
 
+/// Whether the list may be told to a box: it needs little of it, or the lists told before have left. A box that is told none
+/// hears of it again from the next one that it meets.
+fn may_tell_list(relay: &Relay, request: &FetchRequest) -> bool {
+    let needs_all = request.targets.buckets.is_empty();
+    !needs_all || relay.lists_told.get().is_free(relay.now_ms())
+}
+
 /// Notes that a whole list is on its way to a box that had none.
 fn note_list_told(relay: &Relay, request: &FetchRequest, patch: Option<&TargetPatch>) {
     let whole = patch.filter(|_| request.targets.buckets.is_empty());
     if let Some(whole) = whole {
+        let mut budget = relay.lists_told.get();
+        let link_mbps = relay.file().limits.link_mbps;
+        budget.note(whole.listed.wire_bytes(), link_mbps, relay.now_ms());
+        relay.lists_told.set(budget);
         slog::info!(relay.log, "list of targets told"; "box" => request.digest.from.id.0,
             "targets" => whole.listed.len());
     }
--- a/components/relay/src/membership/mod.rs
+++ b/components/relay/src/membership/mod.rs
@@ -5,6 +5,7 @@
 pub(crate) mod gossip;
 pub(crate) mod hints;
 pub(crate) mod lacking;
+pub(crate) mod list_budget;
 pub(crate) mod members;
 pub(crate) mod ranking;
 pub(crate) mod registration;
--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -141,6 +141,7 @@
         former_lease: Cell::new(None),
         boxes_read: watch::Sender::new(false),
         lacking: Cell::default(),
+        lists_told: Cell::default(),
         fetching: watch::Sender::new(false),
         store_doubted: Notify::new(),
         in_progress: Cell::new(0),
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -8,6 +8,7 @@
 use crate::held::{Bounds, Holdings};
 use crate::ingress::request::Own;
 use crate::membership::lacking::Lacking;
+use crate::membership::list_budget::ListBudget;
 use crate::membership::members::Members;
 use crate::membership::snapshot::pack;
 use crate::membership::stand_back::StandBacks;
@@ -114,6 +115,8 @@
     pub(crate) boxes_read: watch::Sender<bool>,
     /// Changes of targets that other boxes have and this one lacks.
     pub(crate) lacking: Cell<Lacking>,
+    /// Whole lists of targets that this box has handed out.
+    pub(crate) lists_told: Cell<ListBudget>,
     /// What another box knows more is being asked for.
     pub(crate) fetching: watch::Sender<bool>,
     /// The store failed: its open watches may hang.
