--- a/components/relay/src/membership/startup.rs
+++ b/components/relay/src/membership/startup.rs
@@ -12,8 +12,8 @@
 /// boxes died at once nobody else knows anything.
 const SEEDS_LIMIT: Duration = Duration::from_millis(40);
 /// How long a request waits for a box that has just started to learn the declarations and targets. A store
-/// at a sixtieth of its speed answers in a quarter of a second.
-const INFORMED_LIMIT: Duration = Duration::from_millis(500);
+/// at a sixtieth of its speed answers in a quarter of a second, and is asked twice for targets.
+const INFORMED_LIMIT: Duration = Duration::from_millis(1_000);
 
 impl Relay {
     /// Waits until the boxes that the settings name were asked, for a short time at the most.
@@ -42,15 +42,21 @@
         if !self.file().has(Mechanism::HeldStarts) {
             return;
         }
-        let mut changes = self.target_changes.subscribe();
-        let waiting = async {
-            while !self.is_synced() {
-                if changes.changed().await.is_err() {
-                    return;
-                }
-            }
+        let synced = async {
+            self.until_known(View::Declarations).await;
+            self.until_known(View::Targets).await;
         };
         // After the limit the request is answered by what is known, which may be nothing.
-        let _ = timeout(INFORMED_LIMIT, waiting).await;
+        let _ = timeout(INFORMED_LIMIT, synced).await;
+    }
+
+    /// Waits until this box knows a view.
+    pub(crate) async fn until_known(&self, view: View) {
+        let mut changes = self.target_changes.subscribe();
+        while !self.knows(view) {
+            if changes.changed().await.is_err() {
+                return;
+            }
+        }
     }
 }
--- a/components/relay/src/watch/watcher.rs
+++ b/components/relay/src/watch/watcher.rs
@@ -75,9 +75,10 @@
 async fn learn(relay: &Rc<Relay>, view: View) {
     let mut backoff = Backoff::new();
     while !relay.knows(view) {
-        let listed = match view {
-            View::Declarations => relay.store.list_stale(prefix_of(view)).await.map(Some),
-            View::Targets => learn_targets(relay).await,
+        let listed = tokio::select! {
+            listed = read_stale(relay, view) => listed,
+            // What the store still has to say would be read for nothing.
+            () = relay.until_known(view) => return,
         };
         match listed {
             Ok(Some((items, version))) => {
@@ -97,19 +98,22 @@
     }
 }
 
-/// Reads the list of targets. Of a list of many pages the snapshot is taken in instead, and none is left to be.
-async fn learn_targets(relay: &Rc<Relay>) -> Result<Option<(Vec<Versioned>, Version)>, StoreError> {
-    let prefix = prefix_of(View::Targets);
-    let first = relay.store.first_page_stale(prefix).await?;
-    if first.has_more()
+/// Reads a view. Of a long list of targets the snapshot is taken in instead, and none is left to be: it is looked for first,
+/// as a page of the list takes more than the whole snapshot.
+async fn read_stale(
+    relay: &Rc<Relay>,
+    view: View,
+) -> Result<Option<(Vec<Versioned>, Version)>, StoreError> {
+    if view == View::Targets
         && let Some(snapshot) = target_snapshot::read(relay).await?
     {
-        if !relay.knows(View::Targets) {
+        // A peer that told the list meanwhile knew better.
+        if !relay.knows(view) {
             take_snapshot(relay, snapshot);
         }
         return Ok(None);
     }
-    relay.store.rest_stale(prefix, first).await.map(Some)
+    relay.store.list_stale(prefix_of(view)).await.map(Some)
 }
 
 fn take_snapshot(relay: &Rc<Relay>, snapshot: TargetSnapshot) {
