--- a/components/relay/src/forwarding/mod.rs
+++ b/components/relay/src/forwarding/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod generation;
 mod offer;
 pub(crate) mod outcome;
+mod pauses;
 mod room;
 pub(crate) mod send;
 pub(crate) mod stream;
--- a/components/relay/src/forwarding/stream.rs
+++ b/components/relay/src/forwarding/stream.rs
@@ -4,6 +4,7 @@
 use crate::dispatch::permits::Permit;
 use crate::forwarding::events::EventSplitter;
 use crate::forwarding::generation::{outcome_of, send};
+use crate::forwarding::pauses::{PauseIn, Pauses};
 use crate::forwarding::send::{Opened, Tried};
 use crate::forwarding::stream_end::{Ended, deliver_part, deliver_rest};
 use crate::held::deliver::ready;
@@ -31,17 +32,6 @@
 /// one.
 const SILENT_LIMIT: Duration = Duration::from_millis(1_500);
 
-/// Where a pause between two events passed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum PauseIn {
-    /// At the engine, or on the way from it.
-    Engine,
-    /// The caller did not read, and there was no room for more.
-    Caller,
-    /// The generation moved to another engine.
-    Move,
-}
-
 /// Passes the events of one generation on.
 pub(crate) struct StreamForwarder<'a> {
     relay: &'a Rc<Relay>,
@@ -55,12 +45,8 @@
     events: u32,
     head_written: bool,
     first_event_ms: Option<u64>,
-    longest_pause_ms: u64,
-    longest_pause_in: PauseIn,
-    last_event_ms: u64,
+    pauses: Pauses,
     moves: u32,
-    /// Where the time since the last event passes.
-    pause_in: PauseIn,
     /// When its engine began, as this box saw it: with the head of its answer.
     began_ms: u64,
     /// Its engine was not read for a while, as the caller did not read.
@@ -86,11 +72,8 @@
             events: 0,
             head_written: false,
             first_event_ms: None,
-            longest_pause_ms: 0,
-            longest_pause_in: PauseIn::Engine,
-            last_event_ms: 0,
+            pauses: Pauses::new(),
             moves: 0,
-            pause_in: PauseIn::Engine,
             began_ms: relay.now_ms(),
             was_held_up: false,
         }
@@ -109,8 +92,8 @@
         slog::info!(self.relay.log, "generation ended"; "id" => self.incoming.id(), "request" => %self.incoming.key,
             "account" => self.way.account_name(), "rank" => self.way.rank(),
             "end" => ?ended, "events" => self.events, "moves" => self.moves,
-            "first_event_ms" => self.first_event_ms, "longest_pause_ms" => self.longest_pause_ms,
-            "longest_pause_in" => ?self.longest_pause_in,
+            "first_event_ms" => self.first_event_ms, "longest_pause_ms" => self.pauses.longest_ms(),
+            "longest_pause_in" => ?self.pauses.longest_in(),
             "unsent_bytes_most" => self.unsent.most_bytes(),
             "late" => self.is_late(), "paused" => self.is_paused(),
             "after_ms" => self.relay.now_ms() - self.incoming.came_ms);
@@ -157,7 +140,7 @@
     /// Whether a pause was longer than the route's goal allows.
     fn is_paused(&self) -> bool {
         let goal_ms = self.way.route().pause_goal_ms;
-        goal_ms.is_some_and(|goal_ms| self.longest_pause_ms > goal_ms)
+        goal_ms.is_some_and(|goal_ms| self.pauses.longest_ms() > goal_ms)
     }
 
     fn tokens_per_event(&self) -> u32 {
@@ -190,7 +173,7 @@
             if reads && !read_before {
                 // It was not read meanwhile, and could say nothing.
                 silent_at = Instant::now() + SILENT_LIMIT;
-                self.pause_in = PauseIn::Caller;
+                self.pauses.passes_in(PauseIn::Caller);
             }
             if read_before && !reads {
                 self.was_held_up = true;
@@ -314,20 +297,11 @@
             return Ok(());
         }
         let now_ms = self.relay.now_ms();
-        if self.events > 0 {
-            let pause_ms = now_ms.saturating_sub(self.last_event_ms);
-            let pause_in = std::mem::replace(&mut self.pause_in, PauseIn::Engine);
-            if pause_ms > self.longest_pause_ms {
-                self.longest_pause_ms = pause_ms;
-                self.longest_pause_in = pause_in;
-            }
-            if pause_in == PauseIn::Engine {
-                self.permit.took(pause_ms, events.count);
-            }
-        } else {
-            self.first_event_ms = Some(now_ms - self.incoming.came_ms);
+        match self.pauses.event(now_ms) {
+            Some((pause_ms, PauseIn::Engine)) => self.permit.took(pause_ms, events.count),
+            Some(_) => {}
+            None => self.first_event_ms = Some(now_ms - self.incoming.came_ms),
         }
-        self.last_event_ms = now_ms;
         self.events += events.count;
         if events.last_id.is_some() {
             self.last_event = events.last_id;
@@ -388,7 +362,7 @@
                     }
                     self.moves += 1;
                     self.began_ms = self.relay.now_ms();
-                    self.pause_in = PauseIn::Move;
+                    self.pauses.passes_in(PauseIn::Move);
                     self.permit.said_slowness(opened.slowness_percent());
                     metrics::counter!("shuntpier_moves", "end" => "done").increment(1);
                     slog::info!(self.relay.log, "generation goes on"; "id" => self.incoming.id(),
--- a/components/relay/src/ingress/mod.rs
+++ b/components/relay/src/ingress/mod.rs
@@ -4,5 +4,6 @@
 pub(crate) mod lag;
 pub(crate) mod overrun;
 pub(crate) mod readiness;
+mod reading;
 pub(crate) mod request;
 pub(crate) mod stopping;
