--- a/components/relay/src/watch/election.rs
+++ b/components/relay/src/watch/election.rs
@@ -105,7 +105,7 @@
 }
 
 /// How long this box leaves it to others to say that its view is current.
-pub(crate) fn quiet_limit_ms(relay: &Relay) -> u64 {
+pub(crate) fn quiet_limit_ms(relay: &Relay, view: View) -> u64 {
     if is_elected(relay) {
         return 0;
     }
@@ -115,11 +115,15 @@
     }
     let turn = rank(relay).map_or(u64::MAX, |rank| rank as u64);
     let is_away = another_asks(relay);
-    QUIET_MS + turn_ms(turn, is_away)
+    let listed = match view {
+        View::Declarations => 0,
+        View::Targets => relay.targets.borrow().len(),
+    };
+    QUIET_MS + turn_ms(turn, is_away, listed)
 }
 
-/// How much longer than the first in rank a box leaves it to others.
-fn turn_ms(turn: u64, is_away: bool) -> u64 {
+/// How much longer than the first in rank a box leaves it to others, where so many targets are listed.
+fn turn_ms(turn: u64, is_away: bool, _listed: usize) -> u64 {
     let late = turn.saturating_sub(TURNS_MAX);
     let late_ms = match is_away && late > 0 {
         true => AWAY_TURN_MS * late.min(LATE_TURNS_MAX),
@@ -145,7 +149,7 @@
     if now_ms < SETTLE_MS {
         return false;
     }
-    let limit_ms = quiet_limit_ms(relay);
+    let limit_ms = quiet_limit_ms(relay, view);
     limit_ms == 0 || confirmed_ms + limit_ms < now_ms
 }
 
