relay: a fetch asks for targets only where targets are lacking; test that fails: all ask whoever tells all

Change here: a fetch for declarations or boxes carries no summary, and nothing is compared for it. A box that knows no list exchanges each 150 ms instead of 500: it may serve nobody until it has one. The test of what is asked after a telling fails: all boxes ask at once.

--- a/components/peers/src/fleet.rs
+++ b/components/peers/src/fleet.rs
@@ -89,8 +89,8 @@
 pub struct FetchRequest {
     /// What the asker knows.
     pub digest: FleetDigest,
-    /// Its list of targets, in short.
-    pub targets: TargetSummary,
+    /// Its list of targets, in short; none where it does not ask for targets.
+    pub targets: Option<TargetSummary>,
 }
 
 /// A running generation is to go on elsewhere.
--- a/components/relay/src/membership/exchange.rs
+++ b/components/relay/src/membership/exchange.rs
@@ -2,8 +2,9 @@
 //! lacks. What a broadcast missed is found so, and a box that starts learns so what its seeds know.
 
 use crate::membership::gossip::on_gossip;
+use crate::membership::lacking::Lacks;
 use crate::state::Relay;
-use crate::watch::election::watcher_role;
+use crate::watch::election::{View, watcher_role};
 use peers::FetchRequest;
 use prelude::BoxId;
 use std::net::SocketAddr;
@@ -13,6 +14,8 @@
 
 /// How often a box exchanges what it knows with one other.
 const EXCHANGE_EACH: Duration = Duration::from_millis(500);
+/// The same while it knows no list of targets, and may serve nobody.
+const LEARN_EACH: Duration = Duration::from_millis(150);
 /// One exchange of so many goes to any box, the others to boxes of the same data centre: bytes between data centres are
 /// paid for, and two boxes in each hear of everything by broadcast.
 const ANYWHERE_EACH: usize = 4;
@@ -28,7 +31,13 @@
     meet_seeds(&relay).await;
     let mut turn = usize::from(relay.life as u16);
     loop {
-        sleep(EXCHANGE_EACH).await;
+        let knows_list = relay.knows(View::Targets);
+        sleep(if knows_list {
+            EXCHANGE_EACH
+        } else {
+            LEARN_EACH
+        })
+        .await;
         forget_silent(&relay);
         turn = turn.wrapping_add(1);
         match partner(&relay, turn) {
@@ -83,10 +92,12 @@
 }
 
 /// Gets from a box what this one lacks.
-pub(crate) async fn fetch_from(relay: &Rc<Relay>, id: BoxId) {
+pub(crate) async fn fetch_from(relay: &Rc<Relay>, id: BoxId, lacks: Lacks) {
+    slog::debug!(relay.log, "asks for what it lacks"; "of" => id.0, "lacks" => ?lacks);
+    let summary = || relay.targets.borrow().summary();
     let request = FetchRequest {
         digest: relay.digest(),
-        targets: relay.targets.borrow().summary(),
+        targets: lacks.targets.then(summary),
     };
     metrics::counter!("shuntpier_fetches").increment(1);
     let call = relay
--- a/components/relay/src/membership/gossip.rs
+++ b/components/relay/src/membership/gossip.rs
@@ -3,6 +3,7 @@
 
 use crate::membership::broadcast::{pass_on, tell_all};
 use crate::membership::exchange::fetch_from;
+use crate::membership::lacking::Lacks;
 use crate::membership::members::Upserted;
 use crate::membership::snapshot::unpack;
 use crate::state::{Declared, Relay};
@@ -12,7 +13,7 @@
 use peers::{
     AcquireRequest, EndsTold, EngineFault, FetchRequest, FleetCard, FleetDigest, FleetGossip,
     FleetHandler, OpenStreams, PermitReply, RelocateReply, RelocateRequest, SharedTable,
-    TargetChanges, TargetHint, TargetPatch, UpdateReply, UpdateRequest,
+    TargetChanges, TargetHint, TargetPatch, TargetSummary, UpdateReply, UpdateRequest,
 };
 use prelude::{BoxId, PermitId, PoolId, TargetId};
 use std::net::SocketAddr;
@@ -68,12 +69,15 @@
         .filter(|held| other.table_version < held.table.version);
     told.table = newer.map(|held| shared(&held));
     let targets = relay.targets.borrow();
-    if targets.is_known()
+    let asked = request.targets.as_ref();
+    let asked = asked.filter(|summary| may_tell_list(relay, summary));
+    if let Some(summary) = asked
+        && targets.is_known()
         && targets.current_to >= other.targets_current_to
-        && may_tell_list(relay, request)
     {
-        told.target_patch = targets.patch_for(&request.targets, relay.now_ms());
-        note_list_told(relay, request, told.target_patch.as_ref());
+        told.target_patch = targets.patch_for(summary, relay.now_ms());
+        let whole = told.target_patch.as_ref().filter(|_| needs_all(summary));
+        note_list_told(relay, other.from.id, whole);
     }
     if lacks_boxes(other.boxes, told.digest.boxes) {
         told.boxes = relay.members.borrow().cards(BOXES_NAMED_MAX);
@@ -83,20 +87,22 @@
 
 /// Whether the list may be told to a box: it needs little of it, or the lists told before have left. A box that is told none
 /// hears of it again from the next one that it meets.
-fn may_tell_list(relay: &Relay, request: &FetchRequest) -> bool {
-    let needs_all = request.targets.buckets.is_empty();
-    !needs_all || relay.lists_told.get().is_free(relay.now_ms())
+fn may_tell_list(relay: &Relay, summary: &TargetSummary) -> bool {
+    !needs_all(summary) || relay.lists_told.get().is_free(relay.now_ms())
+}
+
+fn needs_all(summary: &TargetSummary) -> bool {
+    summary.buckets.is_empty()
 }
 
 /// Notes that a whole list is on its way to a box that had none.
-fn note_list_told(relay: &Relay, request: &FetchRequest, patch: Option<&TargetPatch>) {
-    let whole = patch.filter(|_| request.targets.buckets.is_empty());
+fn note_list_told(relay: &Relay, to: BoxId, whole: Option<&TargetPatch>) {
     if let Some(whole) = whole {
         let mut budget = relay.lists_told.get();
         let link_mbps = relay.file().limits.link_mbps;
         budget.note(whole.listed.wire_bytes(), link_mbps, relay.now_ms());
         relay.lists_told.set(budget);
-        slog::info!(relay.log, "list of targets told"; "box" => request.digest.from.id.0,
+        slog::info!(relay.log, "list of targets told"; "to" => to.0,
             "targets" => whole.listed.len());
     }
 }
@@ -114,6 +120,24 @@
 
 /// Takes what another box tells.
 pub(crate) fn on_gossip(relay: &Rc<Relay>, news: FleetGossip) {
+    let digest = news.digest.clone();
+    take_gossip(relay, news);
+    fetch_what_lacks(relay, &digest);
+}
+
+/// Takes what another box tells all boxes.
+fn on_telling(relay: &Rc<Relay>, news: FleetGossip) {
+    let digest = news.digest.clone();
+    take_gossip(relay, news);
+    let knows_list = relay.knows(View::Targets);
+    fetch(
+        relay,
+        digest.from.id,
+        lacks(relay, &digest).after_telling(knows_list),
+    );
+}
+
+fn take_gossip(relay: &Rc<Relay>, news: FleetGossip) {
     upsert_member(relay, &news.digest.from, false);
     let now_ms = relay.now_ms();
     relay
@@ -149,7 +173,6 @@
     changes.extend(left);
     relay.took_changes(&changes, "peer");
     take_confirmations(relay, &news.digest);
-    fetch_what_lacks(relay, &news.digest);
 }
 
 fn take_patch(relay: &Relay, digest: &FleetDigest, patch: Option<TargetPatch>) -> Vec<Change> {
@@ -217,19 +240,28 @@
     is_due
 }
 
-/// Asks a box that knows more for what this one lacks.
-pub(crate) fn fetch_what_lacks(relay: &Rc<Relay>, digest: &FleetDigest) {
+fn lacks(relay: &Relay, digest: &FleetDigest) -> Lacks {
     let held = relay.digest();
-    let lacks_table = held.table_version < digest.table_version;
     let is_behind = held.targets_current_to < digest.targets_current_to;
-    let lacks_targets = is_behind && lacks_targets(relay, &held, digest);
-    let lacks = lacks_table || lacks_targets || lacks_boxes(held.boxes, digest.boxes);
-    if !lacks || relay.fetching.send_replace(true) {
+    Lacks {
+        table: held.table_version < digest.table_version,
+        targets: is_behind && lacks_targets(relay, &held, digest),
+        boxes: lacks_boxes(held.boxes, digest.boxes),
+    }
+}
+
+/// Asks a box that knows more for what this one lacks.
+fn fetch_what_lacks(relay: &Rc<Relay>, digest: &FleetDigest) {
+    fetch(relay, digest.from.id, lacks(relay, digest));
+}
+
+fn fetch(relay: &Rc<Relay>, id: BoxId, lacks: Lacks) {
+    if !lacks.any() || relay.fetching.send_replace(true) {
         return;
     }
-    let (relay, id) = (relay.clone(), digest.from.id);
+    let relay = relay.clone();
     tokio::task::spawn_local(async move {
-        fetch_from(&relay, id).await;
+        fetch_from(&relay, id, lacks).await;
         relay.fetching.send_replace(false);
     });
 }
@@ -282,7 +314,7 @@
             let now_ms = self.0.now_ms();
             self.0.members.borrow_mut().heard_follower(now_ms);
         }
-        on_gossip(&self.0, news);
+        on_telling(&self.0, news);
     }
 
     async fn hint(&self, hint: TargetHint) {
--- a/components/relay/src/membership/lacking.rs
+++ b/components/relay/src/membership/lacking.rs
@@ -1,4 +1,4 @@
-//! When a box that hears of a newer list of targets than it has asks for what it lacks. News of a change is mostly on its
+//! What a box lacks that hears what another one knows, and when it asks for it. News of a change is mostly on its
 //! way: while lists change all the time, every box is behind some other one at every moment, and asking costs both a pass
 //! over their lists.
 
@@ -7,7 +7,32 @@
 /// How long news may be on its way: a broadcast through three boxes, one of which is slow or does not answer.
 const ON_ITS_WAY_MS: u64 = 300;
 
-/// What this box was found to lack.
+/// What another box knows and this one lacks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Lacks {
+    /// The operators' declarations, or their newest version.
+    pub table: bool,
+    /// Changes of targets, or the whole list.
+    pub targets: bool,
+    /// Other boxes.
+    pub boxes: bool,
+}
+
+impl Lacks {
+    /// Whether it lacks anything.
+    pub fn any(self) -> bool {
+        self.table || self.targets || self.boxes
+    }
+
+    /// What of it to ask of a box that has told all boxes something, where this one `knows_list`. All hear it at one time: who
+    /// lacks the whole list or other boxes asks for them in an exchange, of which each box has its own.
+    pub fn after_telling(self, knows_list: bool) -> Self {
+        let _ = knows_list;
+        self
+    }
+}
+
+/// Since when this box has lacked changes of targets.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Lacking {
     /// Up to which version another box had changes, and when this box heard so.
--- a/components/relay/src/membership/lacking_tests.rs
+++ b/components/relay/src/membership/lacking_tests.rs
@@ -40,3 +40,37 @@
     assert!(!lacking.is_due(at(5), at(6), 1_000));
     assert!(!lacking.is_due(at(5), at(5), 1_500));
 }
+
+/// Boxes of a fleet that ask whoever tells all of them something, where each lacks that.
+fn ask_at_once(boxes: usize, lacks: Lacks, knows_list: bool) -> usize {
+    let asks = (0..boxes).filter(|_| lacks.after_telling(knows_list).any());
+    asks.count()
+}
+
+#[test]
+fn a_box_that_tells_all_is_not_asked_by_all_for_what_each_lacks_at_a_start() {
+    let lacks_boxes = Lacks {
+        boxes: true,
+        ..Lacks::default()
+    };
+    let lacks_list = Lacks {
+        targets: true,
+        ..Lacks::default()
+    };
+    for boxes in [100, 1_000, 2_000] {
+        assert_eq!(ask_at_once(boxes, lacks_boxes, true), 0);
+        assert_eq!(ask_at_once(boxes, lacks_list, false), 0);
+    }
+}
+
+#[test]
+fn a_change_that_a_box_missed_is_asked_for_as_soon_as_it_is_told_of() {
+    let missed = Lacks {
+        targets: true,
+        table: true,
+        boxes: true,
+    };
+    let asked = missed.after_telling(true);
+    assert!(asked.targets && asked.table);
+    assert!(missed.after_telling(false).table);
+}
