--- a/components/relay/src/membership/mod.rs
+++ b/components/relay/src/membership/mod.rs
@@ -4,6 +4,7 @@
 pub(crate) mod exchange;
 pub(crate) mod gossip;
 pub(crate) mod hints;
+mod key_lease;
 pub(crate) mod lacking;
 pub(crate) mod list_budget;
 pub(crate) mod members;
--- a/components/relay/src/membership/registration.rs
+++ b/components/relay/src/membership/registration.rs
@@ -3,6 +3,7 @@
 
 use crate::membership::exchange::greet;
 use crate::membership::gossip::{tell_current, upsert_member};
+use crate::membership::key_lease::{HeldLease, KeyTerms};
 use crate::membership::members::LIFE_UNKNOWN;
 use crate::state::Relay;
 use crate::watch::backoff::Backoff;
@@ -17,9 +18,6 @@
 
 /// What begins the keys of boxes.
 const BOX_PREFIX: &str = "boxes/";
-/// Time after which the key of a box that says nothing goes. Whether a box is there is told by its peers, who call it;
-/// its key only lets those find it that know nobody yet.
-const LEASE_S: u64 = 60;
 /// How often it is looked whether the keys of all boxes are to be read: a tenth of a call's price each time.
 const LOOK_EACH: Duration = Duration::from_secs(5);
 /// A box that peers know writes its key at a moment within this time: all boxes may start at once.
@@ -27,8 +25,6 @@
 /// When a box that has just started looks again, and once more when all that started with it have written their keys.
 const SECOND_LOOK: Duration = Duration::from_millis(1_500);
 const THIRD_LOOK: Duration = Duration::from_millis(3_000);
-/// How often the lease is renewed.
-const RENEW_EACH: Duration = Duration::from_millis(20_000);
 /// How long a box that knows nobody waits for the keys of all boxes, before it writes its own.
 const FIRST_LOOK_LIMIT: Duration = Duration::from_millis(300);
 /// The shortest pause before a call that failed is made again, where nothing is followed by that call.
@@ -36,7 +32,7 @@
 
 /// Keeps this box's key for as long as it lives, and takes it away when it stops.
 pub(crate) async fn keep_registration(relay: Rc<Relay>) {
-    let mut lease = None;
+    let mut held = None;
     let mut backoff = Backoff::patient();
     let mut pause = first_pause(&relay).await;
     loop {
@@ -45,7 +41,7 @@
             // What it begins to follow is to be confirmed soon.
             () = relay.begins_to_follow.notified() => {}
             () = relay.stopping.cancelled() => {
-                if let Some(lease) = lease {
+                if let Some(HeldLease { lease, .. }) = held {
                     let ended = relay.store.end_lease(lease).await;
                     if let Err(error) = ended {
                         slog::info!(relay.log, "own key not taken away"; "error" => %error);
@@ -54,14 +50,16 @@
                 return;
             }
         }
-        let kept = keep_once(&relay, &mut lease).await;
+        let kept = keep_once(&relay, &mut held).await;
         relay.store_fails.set(kept.is_err());
         pause = match kept {
             Ok(()) => {
                 backoff.reset();
                 match confirm_followed(&relay) {
                     true => CONFIRM_EACH,
-                    false => RENEW_EACH,
+                    false => held
+                        .map_or(KeyTerms::SHORTEST, |held| held.terms)
+                        .renew_each(),
                 }
             }
             Err(error) => {
@@ -106,19 +104,31 @@
     followed.any()
 }
 
-async fn keep_once(relay: &Relay, lease: &mut Option<Lease>) -> Result<(), StoreError> {
-    // A box that has just started finds the key of its former life: two writes less.
-    let held = lease.take().or_else(|| relay.former_lease.take());
-    if let Some(held) = held {
-        let renewed = relay.store.renew(held).await;
-        if !matches!(renewed, Ok(false)) {
-            *lease = Some(held);
-        }
-        if renewed? {
-            return Ok(());
-        }
+async fn keep_once(relay: &Relay, held: &mut Option<HeldLease>) -> Result<(), StoreError> {
+    let wanted = KeyTerms::among(relay.members.borrow().read_times());
+    if let Some(before) = held.filter(|before| !before.terms.is_short_of(wanted)) {
+        *held = renewed(relay, before).await?;
+    } else if let Some(former) = relay.former_lease.take() {
+        // A box that has just started finds the key of its former life: two writes less.
+        *held = renewed(relay, HeldLease::of_former_life(former)).await?;
+    } else {
+        *held = None;
+    }
+    if held.is_none() {
+        *held = Some(write_key(relay, wanted).await?);
     }
-    let granted = relay.store.lease(LEASE_S).await?;
+    Ok(())
+}
+
+/// Renews a lease; none where it is over.
+async fn renewed(relay: &Relay, held: HeldLease) -> Result<Option<HeldLease>, StoreError> {
+    let lives = relay.store.renew(held.lease).await?;
+    Ok(lives.then_some(held))
+}
+
+/// Writes this box's key under a lease of its own.
+async fn write_key(relay: &Relay, terms: KeyTerms) -> Result<HeldLease, StoreError> {
+    let granted = relay.store.lease(terms.lease_s()).await?;
     let value = serde_json::to_vec(&lasting_card(relay))
         .map_err(|error| StoreError::NotDone(error.to_string()))?;
     let transaction = Transaction {
@@ -130,9 +140,12 @@
         }],
     };
     relay.store.transact(&transaction).await?;
-    *lease = Some(granted);
-    slog::info!(relay.log, "own key written"; "lease" => granted.id, "era" => granted.era);
-    Ok(())
+    slog::info!(relay.log, "own key written"; "lease" => granted.id, "era" => granted.era,
+        "lease_s" => terms.lease_s());
+    Ok(HeldLease {
+        lease: granted,
+        terms,
+    })
 }
 
 /// What the key says, which may outlast this life of the box.
