--- a/components/relay/src/membership/gossip.rs
+++ b/components/relay/src/membership/gossip.rs
@@ -130,10 +130,11 @@
     let digest = news.digest.clone();
     take_gossip(relay, news);
     let knows_list = relay.knows(View::Targets);
+    let boxes = relay.members.borrow().budget_share();
     fetch(
         relay,
         digest.from.id,
-        lacks(relay, &digest).after_telling(knows_list),
+        lacks(relay, &digest).after_telling(knows_list, boxes, rand::random()),
     );
 }
 
--- a/components/relay/src/membership/lacking.rs
+++ b/components/relay/src/membership/lacking.rs
@@ -26,7 +26,7 @@
 
     /// What of it to ask of a box that has told all boxes something, where this one `knows_list`. All hear it at one time: who
     /// lacks the whole list or other boxes asks for them in an exchange, of which each box has its own.
-    pub fn after_telling(self, knows_list: bool) -> Self {
+    pub fn after_telling(self, knows_list: bool, _boxes: usize, _lot: f64) -> Self {
         Self {
             targets: self.targets && knows_list,
             boxes: false,
--- a/components/relay/src/membership/lacking_tests.rs
+++ b/components/relay/src/membership/lacking_tests.rs
@@ -43,7 +43,8 @@
 
 /// Boxes of a fleet that ask whoever tells all of them something, where each lacks that.
 fn ask_at_once(boxes: usize, lacks: Lacks, knows_list: bool) -> usize {
-    let asks = (0..boxes).filter(|_| lacks.after_telling(knows_list).any());
+    let lots = (0..boxes).map(|at| at as f64 / boxes as f64);
+    let asks = lots.filter(|lot| lacks.after_telling(knows_list, boxes, *lot).any());
     asks.count()
 }
 
@@ -70,7 +71,21 @@
         table: true,
         boxes: true,
     };
-    let asked = missed.after_telling(true);
-    assert!(asked.targets && asked.table);
-    assert!(missed.after_telling(false).table);
+    for at in 0..24 {
+        let asked = missed.after_telling(true, 24, f64::from(at) / 24.0);
+        assert!(asked.targets && asked.table);
+        assert!(missed.after_telling(false, 24, 0.0).table);
+    }
+}
+
+#[test]
+fn a_change_that_all_missed_is_asked_for_by_some_boxes_who_tell_the_others() {
+    let missed = Lacks {
+        targets: true,
+        ..Lacks::default()
+    };
+    for boxes in [100, 1_000, 2_000] {
+        let asks = ask_at_once(boxes, missed, true);
+        assert!((1..=48).contains(&asks), "{asks} of {boxes}");
+    }
 }
