--- a/components/relay/src/membership/lacking.rs
+++ b/components/relay/src/membership/lacking.rs
@@ -7,6 +7,9 @@
 /// How long news may be on its way: a broadcast through three boxes, one of which is slow or does not answer.
 const ON_ITS_WAY_MS: u64 = 300;
 
+/// So many boxes at the most ask at once a box that has told all.
+const ASK_TELLER_MAX: f64 = 24.0;
+
 /// What another box knows and this one lacks.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Lacks {
@@ -24,11 +27,13 @@
         self.table || self.targets || self.boxes
     }
 
-    /// What of it to ask of a box that has told all boxes something, where this one `knows_list`. All hear it at one time: who
-    /// lacks the whole list or other boxes asks for them in an exchange, of which each box has its own.
-    pub fn after_telling(self, knows_list: bool, _boxes: usize, _lot: f64) -> Self {
+    /// What of it to ask of a box that has told all boxes something, where this one `knows_list`. All of so many `boxes` hear it
+    /// at one time: who lacks the whole list or other boxes asks for them in an exchange, of which each box has its own, and of
+    /// those that missed a change some ask at once, by a `lot` from 0 to 1.
+    pub fn after_telling(self, knows_list: bool, boxes: usize, lot: f64) -> Self {
+        let is_drawn = lot * (boxes as f64) < ASK_TELLER_MAX;
         Self {
-            targets: self.targets && knows_list,
+            targets: self.targets && knows_list && is_drawn,
             boxes: false,
             ..self
         }
