--- a/components/relay/src/membership/exchange.rs
+++ b/components/relay/src/membership/exchange.rs
@@ -31,13 +31,11 @@
     meet_seeds(&relay).await;
     let mut turn = usize::from(relay.life as u16);
     loop {
-        let knows_list = relay.knows(View::Targets);
-        sleep(if knows_list {
-            EXCHANGE_EACH
-        } else {
-            LEARN_EACH
-        })
-        .await;
+        let pause = match relay.knows(View::Targets) {
+            true => EXCHANGE_EACH,
+            false => LEARN_EACH,
+        };
+        sleep(pause).await;
         forget_silent(&relay);
         turn = turn.wrapping_add(1);
         match partner(&relay, turn) {
--- a/components/relay/src/membership/gossip.rs
+++ b/components/relay/src/membership/gossip.rs
@@ -131,13 +131,11 @@
     take_gossip(relay, news);
     let knows_list = relay.knows(View::Targets);
     let boxes = relay.members.borrow().budget_share();
-    fetch(
-        relay,
-        digest.from.id,
-        lacks(relay, &digest).after_telling(knows_list, boxes, rand::random()),
-    );
+    let lacks = lacks(relay, &digest).after_telling(knows_list, boxes, rand::random());
+    ask_for(relay, digest.from.id, lacks);
 }
 
+/// Takes what another box says, and asks for nothing.
 fn take_gossip(relay: &Rc<Relay>, news: FleetGossip) {
     upsert_member(relay, &news.digest.from, false);
     let now_ms = relay.now_ms();
@@ -241,6 +239,7 @@
     is_due
 }
 
+/// What this box lacks of what another one says that it knows.
 fn lacks(relay: &Relay, digest: &FleetDigest) -> Lacks {
     let held = relay.digest();
     let is_behind = held.targets_current_to < digest.targets_current_to;
@@ -253,10 +252,10 @@
 
 /// Asks a box that knows more for what this one lacks.
 fn fetch_what_lacks(relay: &Rc<Relay>, digest: &FleetDigest) {
-    fetch(relay, digest.from.id, lacks(relay, digest));
+    ask_for(relay, digest.from.id, lacks(relay, digest));
 }
 
-fn fetch(relay: &Rc<Relay>, id: BoxId, lacks: Lacks) {
+fn ask_for(relay: &Rc<Relay>, id: BoxId, lacks: Lacks) {
     if !lacks.any() || relay.fetching.send_replace(true) {
         return;
     }
--- a/components/relay/src/membership/registration.rs
+++ b/components/relay/src/membership/registration.rs
@@ -64,9 +64,7 @@
                 backoff.reset();
                 match confirm_followed(&relay) {
                     true => CONFIRM_EACH,
-                    false => held
-                        .map_or(KeyTerms::SHORTEST, |held| held.terms)
-                        .renew_each(),
+                    false => terms_of(held).renew_each(),
                 }
             }
             Err(error) => {
@@ -127,19 +125,26 @@
 
 async fn keep_once(relay: &Relay, held: &mut Option<HeldLease>) -> Result<(), StoreError> {
     let wanted = KeyTerms::among(relay.members.borrow().read_times());
-    *held = held.filter(|held| !held.terms.is_short_of(wanted));
     // A box that has just started finds the key of its former life: two writes less.
     let former = || relay.former_lease.take().map(HeldLease::of_former_life);
-    *held = held.or_else(former);
-    if let Some(before) = *held {
-        *held = renewed(relay, before).await?;
-    }
-    if held.is_none() {
-        *held = Some(write_key(relay, wanted).await?);
+    let lasting = held.filter(|held| !held.terms.is_short_of(wanted));
+    let mut kept = lasting.or_else(former);
+    if let Some(lease) = kept {
+        // It is tried again where the store does not answer.
+        *held = kept;
+        kept = renewed(relay, lease).await?;
     }
+    *held = match kept {
+        Some(_) => kept,
+        None => Some(write_key(relay, wanted).await?),
+    };
     Ok(())
 }
 
+fn terms_of(held: Option<HeldLease>) -> KeyTerms {
+    held.map_or(KeyTerms::SHORTEST, |held| held.terms)
+}
+
 /// Renews a lease; none where it is over.
 async fn renewed(relay: &Relay, held: HeldLease) -> Result<Option<HeldLease>, StoreError> {
     let lives = relay.store.renew(held.lease).await?;
--- a/components/relay/src/watch/election.rs
+++ b/components/relay/src/watch/election.rs
@@ -30,6 +30,7 @@
 /// Each leaves at least as much as reading the list takes of the store's link, for each target of it: where many read at one
 /// time, none has its answer before it gives up.
 const READ_MS_PER_TARGET: f64 = 0.003;
+/// Beyond this place in rank, and while they stop, boxes leave it to others no longer than there.
 const READ_TURNS_MAX: u64 = 10_000;
 /// Pause of boxes beyond that rank between two tries to follow a store that does not answer, and where another box
 /// says that it is away.
