relay: log and count the rate limits that targets announce in their answers

Callers saw nothing of it: two targets that named a limit got twice as many requests, and no line or figure of a box said whether it had read the limit (first hypothesis), kept it for itself (second) or lost it again (third). The head of an answer is now read for it, and a change is one line with target, value, the value before and its source, and one count. Nothing acts on it yet.

--- a/components/relay/src/forwarding/send.rs
+++ b/components/relay/src/forwarding/send.rs
@@ -187,6 +187,7 @@
         if facts.is_misdirected {
             return Tried::NotRun(NotRun::Misdirected);
         }
+        self.observe_answer(slot, &facts);
         let mut opened = Opened {
             decoder: Decoder::new(framing),
             framing,
--- a/components/relay/src/watch/life.rs
+++ b/components/relay/src/watch/life.rs
@@ -27,6 +27,7 @@
             open: 0,
             open_bytes: 0,
             load: None,
+            rate_limit_per_s: None,
             suspicion: Suspicion::default(),
             trial: Trial::default(),
             full_until_ms: 0,
--- a/components/relay/src/watch/target.rs
+++ b/components/relay/src/watch/target.rs
@@ -49,6 +49,8 @@
     pub open_bytes: u64,
     /// What it last said of its load, and when.
     pub load: Option<(WorkerLoad, u64)>,
+    /// Requests a second that it takes from all boxes together, by its last answer.
+    pub rate_limit_per_s: Option<f64>,
     /// Its latest failures.
     pub suspicion: Suspicion,
     /// Whether it may be given work after it failed some, on the box that dispatches to it.
