relay: all boxes together keep the rate limits that targets announce

Cause: the field of the answer was not read (first hypothesis; the line added in shows it at each box that has an answer), and had it been read, no box could have kept it: what a target takes is a sum over all boxes, and nothing summed. The second hypothesis, that each box keeps it for itself, is ruled out by the same lines: no box wrote one before.

Now the limit is known by the order in which the target made its answers; a coordinator for each target, a box of its own data centre, grants one token for each call, and dispatchers place no more on an engine than its limit allows. Every send needs an admission, which is looked at again before the first byte. A box that reaches no coordinator has its own part of the limit.

Why it works: one bucket grants, so the sum holds whatever box the calls come to; what may grant beside it (a role that moves, boxes that are cut off) has a part that keeps the sum within 1.5 times the limit.

--- a/components/operators/src/fleet.rs
+++ b/components/operators/src/fleet.rs
@@ -68,6 +68,9 @@
     /// Bytes of them.
     #[serde(default)]
     pub own_open_bytes: u64,
+    /// Requests a second that it takes from all boxes together, by its own announcement; none where it announces no limit.
+    #[serde(default)]
+    pub rate_limit_per_s: Option<f64>,
     /// What its plain calls showed; none where there were none.
     #[serde(default)]
     pub calls: Option<TargetCallsView>,
--- a/components/peers/src/fleet.rs
+++ b/components/peers/src/fleet.rs
@@ -2,6 +2,7 @@
 //! targets and of boxes, and permits for generations.
 
 use crate::messages::{AcquireRequest, OpenStreams, PermitReply, UpdateReply, UpdateRequest};
+use crate::rates::{RateTokenReply, RateTokenRequest, TargetRate};
 use crate::targets::{TargetChanges, TargetPatch, TargetSummary};
 use prelude::{Acquittal, BoxId, PermitId, PoolId, TargetEnd, TargetId, Version};
 use routing::{Evacuations, TargetLife};
@@ -78,6 +79,8 @@
     /// Lives of targets that the sender knows to leave, from the store, from themselves or because nothing
     /// listens there any more.
     pub leaving: Vec<TargetLife>,
+    /// Rate limits that targets announced, those that the sender knows or some of them.
+    pub rates: Vec<TargetRate>,
     /// Boxes that the receiver is to pass this on to, with their addresses: it may not have met them yet.
     pub pass_on: Vec<(BoxId, SocketAddr)>,
     /// Boxes that the sender knows, or some of them; empty where the other knows as many.
@@ -205,9 +208,11 @@
     /// Asks whether a box that is overrun may say that it is not ready.
     async fn stand_back(from: BoxId) -> bool;
 
-    /// Tells of targets that ended under requests, and gets what the other knows of these. It stands last: a box that does not
-    /// know it fails this call alone.
+    /// Tells of targets that ended under requests, and gets what the other knows of these.
     async fn ends(told: EndsTold) -> EndsTold;
+
+    /// Asks for the token of one call to a target with a rate limit.
+    async fn rate_token(request: RateTokenRequest) -> RateTokenReply;
 }
 
 /// What a box does on each call of [`Fleet`]. All its work is done in one thread.
@@ -259,6 +264,9 @@
 
     /// See [`Fleet::ends`].
     fn ends(&self, told: EndsTold) -> impl Future<Output = EndsTold>;
+
+    /// See [`Fleet::rate_token`].
+    fn rate_token(&self, request: RateTokenRequest) -> impl Future<Output = RateTokenReply>;
 }
 
 /// Answers the calls of [`Fleet`] by a handler.
@@ -317,4 +325,8 @@
     async fn ends(self, _: Context, told: EndsTold) -> EndsTold {
         self.0.ends(told).await
     }
+
+    async fn rate_token(self, _: Context, request: RateTokenRequest) -> RateTokenReply {
+        self.0.rate_token(request).await
+    }
 }
--- a/components/peers/src/lib.rs
+++ b/components/peers/src/lib.rs
@@ -8,6 +8,7 @@
 mod keys;
 mod messages;
 mod patch;
+mod rates;
 mod server;
 mod service;
 mod spread;
@@ -26,6 +27,7 @@
     SettingsValue, StateOfTarget, StreamProgress, TargetWord, UpdateReply, UpdateRequest,
 };
 pub use patch::SettingsPatch;
+pub use rates::{RateTokenReply, RateTokenRequest, TargetRate};
 pub use server::{serve, serve_fleet};
 pub use service::{PeerClient, PeerHandler};
 pub use spread::{Topology, next_hops};
--- a/components/policy/src/admission/mod.rs
+++ b/components/policy/src/admission/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod outlook;
 pub(crate) mod protection;
 pub(crate) mod queue;
+pub(crate) mod rate;
 pub(crate) mod refusal;
 pub(crate) mod returning;
 pub(crate) mod room_ahead;
--- a/components/policy/src/admission/queue.rs
+++ b/components/policy/src/admission/queue.rs
@@ -80,6 +80,12 @@
         ranks
     }
 
+    /// How many requests wait that are as urgent as a rank, or more.
+    pub fn len_up_to(&self, rank: u8) -> usize {
+        let urgent = self.lines.iter().filter(|(at, _)| at.rank <= rank);
+        urgent.map(|(_, line)| line.len()).sum()
+    }
+
     /// How many requests of an account wait.
     pub fn len_of(&self, account: AccountId) -> usize {
         let of_account = self.lines.iter().filter(|(at, _)| at.account == account);
--- /dev/null
+++ b/components/policy/src/admission/rate_tests.rs
@@ -0,0 +1,89 @@
+use crate::admission::test_demands::demand;
+use crate::demand::{Demand, Submitted, Verdict};
+use crate::kind::PoolSettings;
+use crate::placement::ledger::{EngineInfo, EngineReport};
+use crate::placement::length::End;
+use crate::pool::Pool;
+use prelude::{DataCentreId, RefusalReason, TargetId};
+
+const ENGINES: [TargetId; 2] = [TargetId(1), TargetId(2)];
+
+fn pool(rates_per_s: [Option<f64>; 2]) -> Pool {
+    let mut pool = Pool::new(PoolSettings {
+        first_report_ms: 0,
+        ..PoolSettings::default()
+    });
+    pool.set_engines(&ENGINES.map(|id| EngineInfo {
+        id,
+        capacity_tokens: 1_000_000,
+        data_centre: DataCentreId(0),
+        cold_rate_per_s: None,
+    }));
+    for (id, rate_per_s) in ENGINES.into_iter().zip(rates_per_s) {
+        pool.report(id, EngineReport::default(), 0);
+        pool.set_rate_limit(id, rate_per_s, 0);
+    }
+    pool
+}
+
+/// Where requests are placed within ten seconds, where one comes each 50 ms, waits for its deadline, and runs for 100 ms.
+fn placed(pool: &mut Pool) -> Vec<(u64, TargetId)> {
+    let mut placed = Vec::new();
+    let mut running = Vec::new();
+    for now_ms in (0..10_000).step_by(10) {
+        if now_ms % 50 == 0 {
+            pool.submit(short(now_ms, now_ms + 1_000), now_ms);
+        }
+        for (permit, verdict) in pool.run(now_ms) {
+            if let Verdict::Granted { target } = verdict {
+                placed.push((now_ms, target));
+                running.push((now_ms + 100, permit));
+            }
+        }
+        for (_, permit) in running.extract_if(.., |(ends_ms, _)| *ends_ms <= now_ms) {
+            pool.progress(permit, 10, now_ms);
+            pool.release(permit, 10, End::Finished);
+        }
+    }
+    placed
+}
+
+fn short(serial: u64, deadline_ms: u64) -> Demand {
+    Demand {
+        prompt_tokens: 10,
+        deadline_ms,
+        ..demand(serial, 1, 1)
+    }
+}
+
+#[test]
+fn an_engine_is_given_no_more_than_its_rate_limit_and_the_other_the_rest() {
+    let placed = placed(&mut pool([Some(2.0), None]));
+    let at = |engine| placed.iter().filter(|(_, id)| *id == engine).count();
+    assert!(at(ENGINES[0]) <= 20, "{}", at(ENGINES[0]));
+    assert!(at(ENGINES[1]) >= 150, "{}", at(ENGINES[1]));
+}
+
+#[test]
+fn engines_that_are_all_limited_are_used_to_their_limits_and_the_rest_is_refused_at_once() {
+    let mut pool = pool([Some(2.0), Some(3.0)]);
+    let placed = placed(&mut pool);
+    assert!((40..=50).contains(&placed.len()), "{}", placed.len());
+    let Submitted::Refused(refusal) = pool.submit(short(20_000, 10_100), 10_000) else {
+        panic!("it waits");
+    };
+    assert_eq!(refusal.reason, RefusalReason::Crowded);
+    assert!(refusal.retry_after_ms.is_some_and(|ms| ms > 0));
+}
+
+#[test]
+fn an_engine_whose_limit_ends_takes_requests_again() {
+    let mut pool = pool([Some(0.25), Some(0.25)]);
+    assert!(matches!(
+        pool.submit(demand(1, 1, 1), 0),
+        Submitted::Waits { .. }
+    ));
+    assert!(pool.run(100).is_empty());
+    pool.set_rate_limit(ENGINES[1], None, 200);
+    assert_eq!(pool.run(200).len(), 1);
+}
--- a/components/policy/src/admission/refusal.rs
+++ b/components/policy/src/admission/refusal.rs
@@ -27,6 +27,10 @@
                 retry_after_ms: None,
             });
         }
+        let beyond_rates = self.beyond_rates(demand, now_ms);
+        if beyond_rates.is_some() {
+            return beyond_rates;
+        }
         // What fits nowhere says nothing of what needs room, and no room is kept for what goes behind all others.
         if !self.tree.floods(&demand.share) {
             self.outlook.coming.came(demand, need, now_ms);
--- a/components/policy/src/engines.rs
+++ b/components/policy/src/engines.rs
@@ -55,6 +55,7 @@
     pub fn drop_engine(&mut self, target: TargetId) {
         self.set_state(target, EngineState::Gone);
         self.prefixes.forget(target);
+        self.rate_limited.remove(&target);
         self.engines.remove(target);
         self.sync_room();
     }
@@ -82,6 +83,17 @@
         }
     }
 
+    /// Sets how many requests a second an engine takes; none where it names no limit.
+    pub fn set_rate_limit(&mut self, target: TargetId, rate_per_s: Option<f64>, now_ms: u64) {
+        match rate_per_s {
+            Some(_) => self.rate_limited.insert(target),
+            None => self.rate_limited.remove(&target),
+        };
+        if let Some(ledger) = self.engine_mut(target) {
+            ledger.set_rate(rate_per_s, now_ms);
+        }
+    }
+
     /// Takes an engine's report in.
     pub fn report(&mut self, target: TargetId, report: EngineReport, now_ms: u64) {
         let lag_ms = self.settings.report_lag_ms;
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -12,6 +12,7 @@
 mod pace;
 mod placement;
 mod pool;
+mod rate;
 mod retries;
 mod streams;
 
@@ -47,5 +48,9 @@
 pub use placement::view::{EngineView, PoolView};
 pub use placement::warmup::Warmup;
 pub use pool::Pool;
+pub use rate::announced::{AnnouncedRate, RateWord};
+pub use rate::bucket::TokenBucket;
+pub use rate::queue::{RateAsk, RateQueue, RateVerdict};
+pub use rate::share::{RateShare, TAKEN_OVER_MS, TAKEN_OVER_SHARE};
 pub use retries::resend::{ResendBound, ResendWindow};
 pub use retries::retry::RetryBudget;
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -34,6 +34,8 @@
 pub struct Pool {
     pub(crate) settings: PoolSettings,
     pub(crate) engines: EngineSet,
+    /// Engines that name a rate limit.
+    pub(crate) rate_limited: HashSet<TargetId>,
     pub(crate) streams: Streams,
     pub(crate) by_permit: HashMap<PermitId, StreamKey>,
     pub(crate) queue: Queue,
@@ -70,6 +72,7 @@
         Self {
             margin: settings.margin_initial,
             engines: EngineSet::default(),
+            rate_limited: HashSet::new(),
             streams: Streams::with_key(),
             by_permit: HashMap::new(),
             queue: Queue::default(),
--- a/components/relay/src/dispatch/dispatcher.rs
+++ b/components/relay/src/dispatch/dispatcher.rs
@@ -45,6 +45,8 @@
     pub(super) grants_from_ms: u64,
     /// When boxes were last told that this one dispatches.
     pub(super) said_ms: u64,
+    /// When this box began to dispatch the pool.
+    pub(super) began_ms: u64,
     log: slog::Logger,
 }
 
@@ -100,13 +102,14 @@
 }
 
 impl Dispatcher {
-    fn new(file: &FleetFile, log: slog::Logger) -> Self {
+    fn new(file: &FleetFile, log: slog::Logger, now_ms: u64) -> Self {
         Self {
             pool: pool_of_settings(file),
             waiting: HashMap::new(),
             turns: file.has(Mechanism::Turns).then(Turns::default),
             grants_from_ms: 0,
             said_ms: 0,
+            began_ms: now_ms,
             log,
         }
     }
@@ -157,9 +160,8 @@
         act: impl FnOnce(&mut Dispatcher, u64) -> T,
     ) -> T {
         if !self.dispatchers.borrow().contains_key(&pool) {
-            self.dispatchers
-                .borrow_mut()
-                .insert(pool, Dispatcher::new(&self.file(), self.log.clone()));
+            let dispatcher = Dispatcher::new(&self.file(), self.log.clone(), self.now_ms());
+            self.dispatchers.borrow_mut().insert(pool, dispatcher);
             slog::info!(self.log, "dispatching"; "pool" => %pool.model);
             self.sync_dispatchers();
             self.take_over(pool);
--- a/components/relay/src/dispatch/engines.rs
+++ b/components/relay/src/dispatch/engines.rs
@@ -3,7 +3,7 @@
 use crate::state::{Declared, Relay, pool_of};
 use crate::watch::targets::{Target, TargetBook};
 use peers::EngineFault;
-use policy::{EngineInfo, EngineState};
+use policy::{EngineInfo, EngineState, Pool, TAKEN_OVER_MS, TAKEN_OVER_SHARE};
 use prelude::{PoolId, TargetId};
 use routing::Service;
 use settings::Mechanism;
@@ -14,15 +14,28 @@
     memory_tokens: u32,
     /// Where most engines seem to fail, it is not they that do.
     trials_count: bool,
+    /// The part of the engines' rate limits that this box grants.
+    granted_share: f64,
+    /// When this box began to dispatch to them.
+    began_ms: u64,
+}
+
+/// An engine as its pool is to know it.
+struct KnownEngine {
+    info: EngineInfo,
+    state: EngineState,
+    rate_per_s: Option<f64>,
+}
+
+impl KnownEngine {
+    fn set_in(&self, pool: &mut Pool, now_ms: u64) {
+        pool.set_engine(self.info, self.state);
+        pool.set_rate_limit(self.info.id, self.rate_per_s, now_ms);
+    }
 }
 
 impl PoolService<'_> {
-    fn engine(
-        &self,
-        targets: &TargetBook,
-        target: &Target,
-        now_ms: u64,
-    ) -> (EngineInfo, EngineState) {
+    fn engine(&self, targets: &TargetBook, target: &Target, now_ms: u64) -> KnownEngine {
         let is_cold = now_ms < target.cold_until_ms;
         let info = EngineInfo {
             id: target.id,
@@ -36,7 +49,24 @@
             true => EngineState::Live,
             false => EngineState::Leaving,
         };
-        (info, state)
+        KnownEngine {
+            info,
+            state,
+            rate_per_s: self.rate_per_s(target, now_ms),
+        }
+    }
+
+    /// What of an engine's rate limit is granted here; none where it has none.
+    fn rate_per_s(&self, target: &Target, now_ms: u64) -> Option<f64> {
+        let limit = &target.rate_limit;
+        let granted_before = limit.limited_since_ms < self.began_ms;
+        let takes_over = granted_before && now_ms < self.began_ms + TAKEN_OVER_MS;
+        let part = match takes_over {
+            true => TAKEN_OVER_SHARE,
+            false => 1.0,
+        };
+        let rate_per_s = limit.announced.rate_per_s(now_ms)?;
+        Some(rate_per_s * self.granted_share * part)
     }
 }
 
@@ -46,12 +76,12 @@
         let pools: Vec<PoolId> = self.dispatchers.borrow().keys().copied().collect();
         for pool in pools {
             let engines = self.engines_of(pool);
-            let infos: Vec<EngineInfo> = engines.iter().map(|(info, _)| *info).collect();
+            let infos: Vec<EngineInfo> = engines.iter().map(|engine| engine.info).collect();
             let now_ms = self.now_ms();
             if let Some(dispatcher) = self.dispatchers.borrow_mut().get_mut(&pool) {
                 dispatcher.pool.set_engines(&infos);
-                for (info, state) in engines {
-                    dispatcher.pool.set_state(info.id, state);
+                for engine in engines {
+                    engine.set_in(&mut dispatcher.pool, now_ms);
                 }
                 dispatcher.decide(now_ms);
             }
@@ -80,8 +110,8 @@
                 };
                 match target.and_then(|target| Some((target, serves(target)?))) {
                     Some((target, service)) => {
-                        let (info, state) = service.engine(&targets, target, now_ms);
-                        dispatcher.pool.set_engine(info, state);
+                        let engine = service.engine(&targets, target, now_ms);
+                        engine.set_in(&mut dispatcher.pool, now_ms);
                     }
                     None => dispatcher.pool.drop_engine(*id),
                 }
@@ -97,6 +127,9 @@
         pool: PoolId,
     ) -> Vec<PoolService<'a>> {
         let now_ms = self.now_ms();
+        let granted_share = self.granted_share();
+        let dispatchers = self.dispatchers.borrow();
+        let began_ms = dispatchers.get(&pool).map_or(now_ms, |one| one.began_ms);
         let of_pool = held.table.services.iter();
         let of_pool = of_pool.filter(|service| pool_of(&service.name) == pool);
         let engines = of_pool.filter_map(|service| {
@@ -104,12 +137,14 @@
                 service,
                 memory_tokens: service.engine?.memory_tokens,
                 trials_count: !targets.most_on_trial(&service.name, now_ms),
+                granted_share,
+                began_ms,
             })
         });
         engines.collect()
     }
 
-    fn engines_of(&self, pool: PoolId) -> Vec<(EngineInfo, EngineState)> {
+    fn engines_of(&self, pool: PoolId) -> Vec<KnownEngine> {
         let Some(held) = self.declared() else {
             return Vec::new();
         };
--- a/components/relay/src/forwarding/balance.rs
+++ b/components/relay/src/forwarding/balance.rs
@@ -159,11 +159,20 @@
         book.choose(asked.service, near, tried, asked.cold, self.now_ms())
     }
 
-    /// Whether all targets that a call could go to are full, as far as this box knows.
+    /// Whether all targets that a call could go to are full, as far as this box knows. Those with a rate limit are not: a
+    /// call waits for them in the order in which tokens are granted.
     pub(crate) fn is_full(&self, asked: &Asked) -> bool {
         let book = self.targets.borrow();
         let mut balance = self.balance.borrow_mut();
         let (drawn, _) = balance.drawn(self, &book, asked.service);
+        let now_ms = self.now_ms();
+        let is_out_of_tokens = |target: &Target| target.is_out_of_tokens(now_ms);
+        if drawn
+            .iter()
+            .any(|slot| book.get(*slot).is_some_and(is_out_of_tokens))
+        {
+            return false;
+        }
         let against = drawn
             .into_iter()
             .filter_map(|slot| self.against(&balance, &book, slot, asked, &[]));
@@ -182,7 +191,7 @@
         let target = book.get(slot)?;
         let now_ms = self.now_ms();
         let takes_it = book.takes_work(target) && asked.cold.allows(target, now_ms);
-        let is_full = now_ms < target.full_until_ms || !balance.has_room(slot, target.open);
+        let is_full = target.is_full(now_ms) || !balance.has_room(slot, target.open);
         let has_failed = target.suspicion.is_passed_over(now_ms);
         takes_it.then_some((tried.contains(&slot), has_failed, is_full))
     }
--- a/components/relay/src/forwarding/beside.rs
+++ b/components/relay/src/forwarding/beside.rs
@@ -1,7 +1,8 @@
 //! A call that is late at its target and may run twice: a second target is tried beside the first.
 
+use crate::forwarding::admission::SendKind;
 use crate::forwarding::call::{Story, next_offer};
-use crate::forwarding::offer::{Offer, offer};
+use crate::forwarding::offer::{Offer, admit_and_offer, offer, token_ask};
 use crate::forwarding::outcome::TargetOutcome;
 use crate::ingress::request::{Incoming, Way};
 use crate::state::Relay;
@@ -24,6 +25,11 @@
     story: &mut Story,
 ) -> Offer {
     let route = way.route();
+    let ask = token_ask(way, 0, false);
+    let admission = match relay.admit(slot, SendKind::Call(ask)).await {
+        Ok(admission) => admission,
+        Err(why) => return Offer::NotRun(why).noted(relay, incoming, way, slot),
+    };
     let another = route.kind == RouteKind::Repeatable && story.runs + 1 < route.runs_most;
     let beside = another && relay.file().has(Mechanism::SecondBeside);
     let left_ms = incoming.left_ms(route, relay.now_ms());
@@ -32,7 +38,7 @@
         true => patience_ms,
         false => left_ms,
     };
-    let first = offer(relay, incoming, way, slot, story.runs, limit_ms);
+    let first = offer(relay, incoming, way, &admission, story.runs, limit_ms);
     let mut first = pin!(first);
     if !beside {
         let offer = first.await;
@@ -55,8 +61,7 @@
     slog::info!(relay.log, "second try beside the first"; "id" => incoming.id(),
         "first" => relay.name_of(slot), "second" => relay.name_of(second_slot),
         "after_ms" => relay.now_ms() - incoming.came_ms, "patience_ms" => patience_ms);
-    let left_ms = incoming.left_ms(route, relay.now_ms());
-    let second = offer(relay, incoming, way, second_slot, story.runs, left_ms);
+    let second = admit_and_offer(relay, incoming, way, second_slot, story.runs, ask);
     let second = pin!(second);
     let began_ms = incoming.came_ms;
     match select(first, second).await {
--- a/components/relay/src/forwarding/call.rs
+++ b/components/relay/src/forwarding/call.rs
@@ -3,8 +3,8 @@
 
 use crate::forwarding::balance::{Asked, route_key};
 use crate::forwarding::beside::offer_in_time;
-use crate::forwarding::offer::Offer;
-use crate::forwarding::room::{wait_for_request_room, wait_for_room};
+use crate::forwarding::offer::{Offer, admit_and_offer, token_ask};
+use crate::forwarding::room::{wait_for_request_room, wait_for_room, waits_until_ms};
 use crate::forwarding::send::NotRun;
 use crate::ingress::request::{Incoming, Own, Reply, Way};
 use crate::state::Relay;
@@ -24,6 +24,8 @@
     pub(super) offered: Vec<TargetSlot>,
     /// Those of them that hold as many bytes of requests as they may.
     heavy: Vec<TargetSlot>,
+    /// Those of them whose rate limits left no room, and when they do.
+    limited: Vec<(TargetSlot, u64)>,
     /// Offers that reached their target.
     pub(super) arrivals: u32,
     /// Offers after which the request may have run.
@@ -34,6 +36,64 @@
     last: &'static str,
 }
 
+impl Story {
+    /// When a caller that is sent away is told to come back, where that is known.
+    fn come_back_ms(&self, now_ms: u64) -> Option<u64> {
+        let tokens = self.limited.iter().map(|(_, at_ms)| *at_ms);
+        let token_ms = tokens.min().map(|at_ms| at_ms.saturating_sub(now_ms));
+        token_ms.into_iter().chain(self.retry_after_ms).min()
+    }
+
+    /// The target whose rate limit leaves room first, for a request that nobody ran.
+    fn first_token(&self) -> Option<TargetSlot> {
+        if self.runs > 0 {
+            return None;
+        }
+        let first = self.limited.iter().min_by_key(|(_, at_ms)| *at_ms);
+        first.map(|(slot, _)| *slot)
+    }
+
+    /// Takes an offer in. Some where its answer is passed on.
+    fn take(
+        &mut self,
+        offer: Offer,
+        relay: &Relay,
+        incoming: &Incoming,
+        way: &Way,
+        slot: TargetSlot,
+    ) -> Option<Reply> {
+        self.arrivals += u32::from(offer.arrived());
+        match offer {
+            Offer::Answered(reply) => {
+                let may_improve = reply.status >= 500 && way.route().kind == RouteKind::Repeatable;
+                if !may_improve {
+                    return Some(reply);
+                }
+                self.runs += 1;
+                self.last = "the target failed";
+                self.kept = Some(reply);
+            }
+            Offer::NotRun(NotRun::Heavy) => self.heavy.push(slot),
+            Offer::NotRun(NotRun::Limited { retry_after_ms }) => {
+                self.limited.push((slot, relay.now_ms() + retry_after_ms));
+            }
+            Offer::NotRun(NotRun::Refused { retry_after_ms }) => {
+                self.retry_after_ms = self.retry_after_ms.or(retry_after_ms);
+            }
+            Offer::NotRun(_) => {}
+            Offer::Unheld(why) => {
+                let own = Own::MayHaveRun(why);
+                return Some(Reply::own(own, incoming.facts.request_id.as_deref()));
+            }
+            Offer::MayHaveRun(why) => {
+                self.runs += 1;
+                self.last = why;
+            }
+        }
+        None
+    }
+}
+
 /// Serves a plain request.
 pub(crate) async fn call(relay: &Rc<Relay>, incoming: &Incoming, way: &Way) -> Reply {
     let service = &way.service().name;
@@ -45,13 +105,20 @@
         if let Some(reply) = offer_all(relay, incoming, way, &mut story).await {
             return reply;
         }
+        if let Some(slot) = story.first_token() {
+            if let Some(reply) = wait_for_token(relay, incoming, way, slot, &mut story).await {
+                return reply;
+            }
+            break;
+        }
         let sent = story.heavy.len() < story.offered.len();
         if sent || story.heavy.is_empty() || !wait_for_request_room(relay, incoming, way).await {
-            return conclude(relay, incoming, &story, due_ms);
+            break;
         }
         story.offered.clear();
         story.heavy.clear();
     }
+    conclude(relay, incoming, &story, due_ms)
 }
 
 /// Offers a request to one target after another, until there is an answer that is passed on.
@@ -65,38 +132,39 @@
     while let Some(slot) = next_offer(relay, incoming, way, story, due_ms) {
         story.offered.push(slot);
         let offer = offer_in_time(relay, incoming, way, slot, story).await;
-        story.arrivals += u32::from(offer.arrived());
-        match offer {
-            Offer::Answered(reply) => {
-                let may_improve = reply.status >= 500 && way.route().kind == RouteKind::Repeatable;
-                if !may_improve {
-                    return Some(reply);
-                }
-                story.runs += 1;
-                story.last = "the target failed";
-                story.kept = Some(reply);
-            }
-            Offer::NotRun(why) => {
-                if why == NotRun::Heavy {
-                    story.heavy.push(slot);
-                }
-                if let NotRun::Refused { retry_after_ms } = why {
-                    story.retry_after_ms = story.retry_after_ms.or(retry_after_ms);
-                }
-            }
-            Offer::Unheld(why) => {
-                let own = Own::MayHaveRun(why);
-                return Some(Reply::own(own, incoming.facts.request_id.as_deref()));
-            }
-            Offer::MayHaveRun(why) => {
-                story.runs += 1;
-                story.last = why;
-            }
+        let reply = story.take(offer, relay, incoming, way, slot);
+        if reply.is_some() {
+            return reply;
         }
     }
     None
 }
 
+/// Offers a request to a target with a rate limit, once there is a token for it, as long as its answer can be in time.
+async fn wait_for_token(
+    relay: &Rc<Relay>,
+    incoming: &Incoming,
+    way: &Way,
+    slot: TargetSlot,
+    story: &mut Story,
+) -> Option<Reply> {
+    let is_again = story.arrivals > 0;
+    if is_again && !relay.take_resend(&way.service().name) {
+        return None;
+    }
+    let began_ms = relay.now_ms();
+    let wait_ms = waits_until_ms(relay, incoming, way).saturating_sub(began_ms);
+    let ask = token_ask(way, wait_ms, true);
+    story.limited.clear();
+    let offer = admit_and_offer(relay, incoming, way, slot, story.runs, ask).await;
+    slog::info!(relay.log, "call waited for a token"; "id" => incoming.id(),
+        "target" => relay.name_of(slot), "most_ms" => wait_ms,
+        "is_sent" => !matches!(offer, Offer::NotRun(NotRun::Limited { .. })),
+        "after_ms" => relay.now_ms() - began_ms);
+    let offer = offer.noted(relay, incoming, way, slot);
+    story.take(offer, relay, incoming, way, slot)
+}
+
 /// The next target to offer a request to; none where there is none, or no time or budget is left.
 pub(super) fn next_offer(
     relay: &Rc<Relay>,
@@ -148,11 +216,12 @@
     }
     let own = match story.runs {
         0 => Own::NotRun {
-            why: match story.offered.is_empty() {
-                true => "no target serves this",
-                false => "no target took it",
+            why: match (story.offered.is_empty(), story.limited.is_empty()) {
+                (true, _) => "no target serves this",
+                (false, true) => "no target took it",
+                (false, false) => "the targets' rate limits leave no room",
             },
-            retry_after_ms: story.retry_after_ms.unwrap_or(RETRY_AFTER_MS),
+            retry_after_ms: story.come_back_ms(relay.now_ms()).unwrap_or(RETRY_AFTER_MS),
         },
         _ if relay.now_ms() >= due_ms => Own::TimeOver,
         _ => Own::MayHaveRun(story.last),
--- a/components/relay/src/forwarding/generation.rs
+++ b/components/relay/src/forwarding/generation.rs
@@ -3,6 +3,7 @@
 
 use crate::dispatch::dispatcher::refusal;
 use crate::dispatch::permits::{Permit, Want};
+use crate::forwarding::admission::SendKind;
 use crate::forwarding::offer::NO_MEMORY;
 use crate::forwarding::outcome::TargetOutcome;
 use crate::forwarding::send::{Message, NotRun, Opened, Tried, UNREPEATABLE_REST_MS};
@@ -287,6 +288,10 @@
     slot: TargetSlot,
     continuation: Option<&Continuation>,
 ) -> Tried {
+    let admission = match relay.admit(slot, SendKind::Placed).await {
+        Ok(admission) => admission,
+        Err(why) => return Tried::NotRun(why),
+    };
     let Some(instance) = relay.instance_of(slot) else {
         return Tried::NotRun(NotRun::Unreachable);
     };
@@ -306,5 +311,5 @@
         bodiless: false,
         rested_most_ms: UNREPEATABLE_REST_MS,
     };
-    relay.try_at(slot, message).await
+    relay.try_at(&admission, message).await
 }
--- a/components/relay/src/forwarding/mod.rs
+++ b/components/relay/src/forwarding/mod.rs
@@ -1,5 +1,6 @@
 //! Requests on their way to a target, and answers on their way back.
 
+pub(crate) mod admission;
 pub(crate) mod announcements;
 pub(crate) mod balance;
 mod beside;
--- a/components/relay/src/forwarding/offer.rs
+++ b/components/relay/src/forwarding/offer.rs
@@ -1,5 +1,6 @@
 //! One offer of a plain request to one target, its answer read whole.
 
+use crate::forwarding::admission::{Admission, SendKind};
 use crate::forwarding::outcome::TargetOutcome;
 use crate::forwarding::send::{
     ANSWER_TOO_LONG, Message, NotRun, Opened, Tried, UNREPEATABLE_REST_MS,
@@ -7,6 +8,7 @@
 use crate::held::Held;
 use crate::ingress::request::{Incoming, Reply, Way};
 use crate::quarantine::broken::Break;
+use crate::rate_limit::token::TokenAsk;
 use crate::state::Relay;
 use crate::watch::targets::TargetSlot;
 use bytes::Bytes;
@@ -31,15 +33,44 @@
     Unheld(&'static str),
 }
 
-/// Offers a request to a target, for so long.
-pub(super) async fn offer(
+/// The token that a request needs where its target has a rate limit.
+pub(super) fn token_ask(way: &Way, wait_ms: u64, is_last_try: bool) -> TokenAsk {
+    TokenAsk {
+        account: way.account_id(),
+        rank: way.rank(),
+        wait_ms,
+        is_last_try,
+    }
+}
+
+/// Offers a request to a target that admits it, for so long.
+pub(super) async fn admit_and_offer(
     relay: &Rc<Relay>,
     incoming: &Incoming,
     way: &Way,
     slot: TargetSlot,
     runs: u32,
+    ask: TokenAsk,
+) -> Offer {
+    match relay.admit(slot, SendKind::Call(ask)).await {
+        Ok(admission) => {
+            let limit_ms = incoming.left_ms(way.route(), relay.now_ms());
+            offer(relay, incoming, way, &admission, runs, limit_ms).await
+        }
+        Err(why) => Offer::NotRun(why),
+    }
+}
+
+/// Offers an admitted request to its target, for so long.
+pub(super) async fn offer(
+    relay: &Rc<Relay>,
+    incoming: &Incoming,
+    way: &Way,
+    admission: &Admission,
+    runs: u32,
     limit_ms: u64,
 ) -> Offer {
+    let slot = admission.slot;
     let route = way.route();
     let began_ms = relay.now_ms();
     let left_ms = incoming.left_ms(route, relay.now_ms());
@@ -65,7 +96,7 @@
         },
     };
     let mut held = Held::new(&relay.held, Some(way.account_id()));
-    let trying = try_whole(relay, slot, message, &mut held);
+    let trying = try_whole(relay, admission, message, &mut held);
     let offer = timeout(Duration::from_millis(limit_ms), trying).await;
     let mut offer = offer.unwrap_or(Offer::MayHaveRun(NO_ANSWER_IN_TIME));
     if matches!(offer, Offer::MayHaveRun(_)) && held.is_waiting() {
@@ -92,14 +123,14 @@
 
 async fn try_whole(
     relay: &Rc<Relay>,
-    slot: TargetSlot,
+    admission: &Admission,
     message: Message<'_>,
     held: &mut Held,
 ) -> Offer {
-    match relay.try_at(slot, message).await {
+    match relay.try_at(admission, message).await {
         Tried::NotRun(why) => Offer::NotRun(why),
         Tried::MayHaveRun(why) => Offer::MayHaveRun(why),
-        Tried::Answered(opened) => whole(relay, slot, *opened, held).await,
+        Tried::Answered(opened) => whole(relay, admission.slot, *opened, held).await,
     }
 }
 
--- a/components/relay/src/forwarding/outcome.rs
+++ b/components/relay/src/forwarding/outcome.rs
@@ -29,7 +29,7 @@
             NotRun::Refused { .. } => Self::Full,
             NotRun::Misdirected | NotRun::Dead => Self::Left,
             NotRun::Unreachable => Self::Failed,
-            NotRun::Evacuated | NotRun::Heavy => Self::Untried,
+            NotRun::Evacuated | NotRun::Heavy | NotRun::Limited { .. } => Self::Untried,
         }
     }
 }
--- a/components/relay/src/forwarding/room.rs
+++ b/components/relay/src/forwarding/room.rs
@@ -21,7 +21,7 @@
 }
 
 /// Until when a call may wait here.
-fn until_ms(relay: &Relay, incoming: &Incoming, way: &Way) -> u64 {
+pub(super) fn waits_until_ms(relay: &Relay, incoming: &Incoming, way: &Way) -> u64 {
     let route = way.route();
     let usual_ms = relay.usual_ms(route);
     let until_ms = wait_until_ms(route.answer_goal_ms, usual_ms, incoming.came_ms);
@@ -35,7 +35,7 @@
     incoming: &Incoming,
     way: &Way,
 ) -> bool {
-    let left_ms = until_ms(relay, incoming, way).saturating_sub(relay.now_ms());
+    let left_ms = waits_until_ms(relay, incoming, way).saturating_sub(relay.now_ms());
     if left_ms == 0 {
         slog::info!(relay.log, "targets hold enough"; "id" => incoming.id(),
             "service" => &*way.service().name, "bytes" => incoming.body.len(),
@@ -55,7 +55,7 @@
     if !relay.file().has(Mechanism::CallLimits) || !relay.is_full(&asked(relay, way)) {
         return;
     }
-    let until_ms = until_ms(relay, incoming, way);
+    let until_ms = waits_until_ms(relay, incoming, way);
     let began_ms = relay.now_ms();
     loop {
         let left_ms = until_ms.saturating_sub(relay.now_ms());
--- a/components/relay/src/forwarding/send.rs
+++ b/components/relay/src/forwarding/send.rs
@@ -1,6 +1,7 @@
 //! One try at one target, and the one place that says whether it ran: not run (the target's own word, no
 //! channel, nothing written), answered, or it may have run.
 
+use crate::forwarding::admission::Admission;
 use crate::held::Held;
 use crate::state::Relay;
 use crate::watch::targets::TargetSlot;
@@ -36,6 +37,11 @@
     Heavy,
     /// Operators evacuated its data centre: it was not sent.
     Evacuated,
+    /// The target's rate limit leaves no room for it: it was not sent.
+    Limited {
+        /// When it does, from now.
+        retry_after_ms: u64,
+    },
 }
 
 /// What became of one try.
@@ -148,13 +154,13 @@
             })
     }
 
-    /// Sends a request to a target and reads the head of its answer.
-    pub(crate) async fn try_at(self: &Rc<Self>, slot: TargetSlot, message: Message<'_>) -> Tried {
-        if self.is_evacuated(slot) {
-            // It was placed before the order came here.
-            metrics::counter!("shuntpier_evacuated_sends_withheld").increment(1);
-            return Tried::NotRun(NotRun::Evacuated);
-        }
+    /// Sends an admitted request to its target and reads the head of its answer.
+    pub(crate) async fn try_at(
+        self: &Rc<Self>,
+        admission: &Admission,
+        message: Message<'_>,
+    ) -> Tried {
+        let slot = admission.slot;
         let bytes = (message.head.len() + message.body.len()) as u64;
         if !self.has_request_room(slot, bytes) {
             metrics::counter!("shuntpier_target_requests_withheld").increment(1);
@@ -167,6 +173,10 @@
             Ok(channel) => channel,
             Err(why) => return Tried::NotRun(why),
         };
+        if let Some(why) = self.bars(admission) {
+            return Tried::NotRun(why);
+        }
+        let sent_ms = self.now_ms();
         let whole = match write(&mut channel, message).await {
             Written::Whole => true,
             Written::AnsweredEarly => false,
@@ -187,7 +197,7 @@
         if facts.is_misdirected {
             return Tried::NotRun(NotRun::Misdirected);
         }
-        self.observe_answer(slot, &facts);
+        self.observe_answer(slot, &facts, sent_ms);
         let mut opened = Opened {
             decoder: Decoder::new(framing),
             framing,
--- a/components/relay/src/lib.rs
+++ b/components/relay/src/lib.rs
@@ -9,6 +9,7 @@
 mod membership;
 mod migration;
 mod quarantine;
+mod rate_limit;
 mod reconfigure;
 mod start;
 mod state;
@@ -16,5 +17,6 @@
 mod watch;
 
 pub use forwarding::events::{EventError, EventSplitter, Events};
+pub use rate_limit::state::TargetRateLimit;
 pub use start::{Running, StartError, start};
 pub use watch::targets::{Belief, Change, ColdRate, Target, TargetBook, TargetSlot};
--- a/components/relay/src/membership/exchange.rs
+++ b/components/relay/src/membership/exchange.rs
@@ -77,7 +77,8 @@
     futures::future::join_all(greetings).await;
 }
 
-async fn exchange_with(relay: &Rc<Relay>, id: BoxId) {
+/// Exchanges what this box knows with another.
+pub(crate) async fn exchange_with(relay: &Rc<Relay>, id: BoxId) {
     let digest = relay.digest();
     let call = relay
         .peers
--- a/components/relay/src/membership/gossip.rs
+++ b/components/relay/src/membership/gossip.rs
@@ -6,14 +6,16 @@
 use crate::membership::lacking::Lacks;
 use crate::membership::members::Upserted;
 use crate::membership::snapshot::unpack;
+use crate::rate_limit::announced::UNDER_WAY_MS;
 use crate::state::{Declared, Relay};
 use crate::watch::election::View;
 use crate::watch::era::EraSource;
 use crate::watch::targets::Change;
 use peers::{
     AcquireRequest, EndsTold, EngineFault, FetchRequest, FleetCard, FleetDigest, FleetGossip,
-    FleetHandler, OpenStreams, PermitReply, RelocateReply, RelocateRequest, SharedTable,
-    TargetChanges, TargetHint, TargetPatch, TargetSummary, UpdateReply, UpdateRequest,
+    FleetHandler, OpenStreams, PermitReply, RateTokenReply, RateTokenRequest, RelocateReply,
+    RelocateRequest, SharedTable, TargetChanges, TargetHint, TargetPatch, TargetSummary,
+    UpdateReply, UpdateRequest,
 };
 use prelude::{BoxId, PermitId, PoolId, TargetId};
 use std::net::SocketAddr;
@@ -55,6 +57,7 @@
         target_patch: None,
         target_changes: None,
         leaving: relay.targets.borrow().leaving(),
+        rates: relay.known_rates(),
         pass_on: Vec::new(),
         boxes: Vec::new(),
     }
@@ -171,6 +174,7 @@
     let left = relay.targets.borrow_mut().told_leaving(&news.leaving);
     changes.extend(left);
     relay.took_changes(&changes, "peer");
+    relay.observe_peer_rates(&news.rates);
     take_confirmations(relay, &news.digest);
 }
 
@@ -361,4 +365,9 @@
     async fn ends(&self, told: EndsTold) -> EndsTold {
         self.0.on_ends(told)
     }
+
+    async fn rate_token(&self, request: RateTokenRequest) -> RateTokenReply {
+        self.0.observe_peer_rate(&request.rate, UNDER_WAY_MS);
+        self.0.grant_rate_token(&request).await
+    }
 }
--- a/components/relay/src/membership/members.rs
+++ b/components/relay/src/membership/members.rs
@@ -4,6 +4,7 @@
 
 use crate::membership::ranking::Ranking;
 use peers::FleetCard;
+use policy::winner;
 use prelude::{BoxId, DataCentreId};
 use rand::seq::SliceRandom;
 use std::cell::{Cell, RefCell};
@@ -268,6 +269,30 @@
         self.others.get(&id).map(|member| &member.card)
     }
 
+    /// The box that holds a role among those of a data centre, or among all where none there can; this one counts with
+    /// its own data centre `me`, if any. None where there is no box.
+    pub(crate) fn winner_near(
+        &self,
+        role: u64,
+        data_centre: DataCentreId,
+        me: Option<DataCentreId>,
+        now_ms: u64,
+    ) -> Option<BoxId> {
+        let others = self.others.values().filter(|member| member.is_able(now_ms));
+        let place = |member: &Member| DataCentreId::from_name(&member.card.data_centre);
+        let others = others.map(|member| (member.card.id, place(member)));
+        let able = others.chain(me.map(|place| (self.me, place)));
+        let near = able.clone().filter(|(_, place)| *place == data_centre);
+        let near = winner(role, near.map(|(id, _)| id));
+        near.or_else(|| winner(role, able.map(|(id, _)| id)))
+    }
+
+    /// How many boxes can hold a role, this one counted.
+    pub(crate) fn able_count(&self, now_ms: u64) -> usize {
+        let others = self.others.values();
+        others.filter(|member| member.is_able(now_ms)).count() + 1
+    }
+
     /// How many boxes were looked at to rank them, each time counted: what asking who holds a role costs grows with it.
     #[cfg(test)]
     pub(crate) fn ranked_looks(&self) -> u64 {
--- a/components/relay/src/membership/members_tests.rs
+++ b/components/relay/src/membership/members_tests.rs
@@ -248,3 +248,55 @@
     members.told_count(1_000, 5_000);
     assert!(members.is_list_due(LIST_EACH_MS));
 }
+
+/// The boxes 1 to 6, every other one in the barn; this one is 1 and stands in the hall.
+fn two_places() -> Members {
+    let mut members = Members::new(BoxId(1), 1_000);
+    for id in 2..=6 {
+        let data_centre = if id % 2 == 0 { "barn" } else { "hall" };
+        let card = FleetCard {
+            data_centre: data_centre.into(),
+            ..card(id, 1, false)
+        };
+        members.upsert(card, true, 0);
+    }
+    members
+}
+
+#[test]
+fn a_role_near_a_data_centre_is_held_there_as_long_as_a_box_there_can() {
+    let (hall, barn) = (
+        DataCentreId::from_name("hall"),
+        DataCentreId::from_name("barn"),
+    );
+    let mut members = two_places();
+    for role in 0..20 {
+        let holder = members.winner_near(role, barn, Some(hall), 0).unwrap();
+        assert_eq!(holder.0 % 2, 0);
+        let holder = members.winner_near(role, hall, Some(hall), 0).unwrap();
+        assert_eq!(holder.0 % 2, 1);
+    }
+    [2, 4, 6].map(|id| members.suspected(BoxId(id), 0));
+    let holder = members.winner_near(ROLE, barn, Some(hall), 0).unwrap();
+    assert_eq!(holder.0 % 2, 1, "none in the barn answers");
+    assert_eq!(members.able_count(0), 3);
+}
+
+#[test]
+fn all_boxes_name_the_same_holder_of_a_role_near_a_data_centre() {
+    let hall = DataCentreId::from_name("hall");
+    let mine = two_places();
+    let mut others = Members::new(BoxId(3), 1_000);
+    for id in [1, 2, 4, 5, 6] {
+        let data_centre = if id % 2 == 0 { "barn" } else { "hall" };
+        let card = FleetCard {
+            data_centre: data_centre.into(),
+            ..card(id, 1, false)
+        };
+        others.upsert(card, true, 0);
+    }
+    for role in 0..50 {
+        let by_me = mine.winner_near(role, hall, Some(hall), 0);
+        assert_eq!(by_me, others.winner_near(role, hall, Some(hall), 0));
+    }
+}
--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -10,6 +10,7 @@
 use crate::membership::members::{LIFE_UNKNOWN, Members};
 use crate::membership::registration::{box_id, keep_registration, read_boxes};
 use crate::quarantine::record::read_records;
+use crate::rate_limit::state::RateLimits;
 use crate::reconfigure::run_settings;
 use crate::state::{Relay, held_bounds};
 use crate::watch::election::View;
@@ -119,6 +120,7 @@
         held: Holdings::new(held_bounds(&file.limits)),
         balance: RefCell::default(),
         calls_ended: Notify::new(),
+        rate_limits: RateLimits::default(),
         quarantine: RefCell::default(),
         broken_runs: RefCell::default(),
         resends: RefCell::default(),
@@ -190,11 +192,14 @@
         sleep(SWEEP_EACH).await;
         let now_ms = relay.now_ms();
         relay.channels.borrow_mut().sweep(now_ms);
+        relay.sweep_grants();
         metrics::gauge!("shuntpier_generations_open")
             .set(relay.open_generations.borrow().count() as f64);
         let (held_bytes, most_bytes) = relay.held.fill();
         metrics::gauge!("shuntpier_held_bytes").set(held_bytes as f64);
         metrics::gauge!("shuntpier_held_bytes_most").set(most_bytes as f64);
+        metrics::gauge!("shuntpier_rate_limited_targets")
+            .set(relay.targets.borrow().rate_limited_count() as f64);
         metrics::gauge!("shuntpier_requests_open").set(relay.in_progress.get() as f64);
     }
 }
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -13,6 +13,7 @@
 use crate::membership::snapshot::pack;
 use crate::membership::stand_back::StandBacks;
 use crate::quarantine::broken::BrokenRuns;
+use crate::rate_limit::state::RateLimits;
 use crate::watch::election::{Followed, View};
 use crate::watch::evacuation::Evacuation;
 use crate::watch::refused::RefusedEntries;
@@ -76,6 +77,8 @@
     pub(crate) balance: RefCell<CallBalance>,
     /// A request at a target ended: a call that waits may find room.
     pub(crate) calls_ended: Notify,
+    /// Rate limits of targets.
+    pub(crate) rate_limits: RateLimits,
     /// Requests under which targets ended.
     pub(crate) quarantine: RefCell<Quarantine>,
     /// Runs that broke off lately.
--- a/components/relay/src/view.rs
+++ b/components/relay/src/view.rs
@@ -81,6 +81,7 @@
             cold: now_ms < target.cold_until_ms,
             own_open: target.open,
             own_open_bytes: target.open_bytes,
+            rate_limit_per_s: target.rate_limit.announced.rate_per_s(now_ms),
             calls: self.calls_view(&balance, slot, target),
             pace: self.pace_view(target, now_ms),
         };
--- a/components/relay/src/watch/life.rs
+++ b/components/relay/src/watch/life.rs
@@ -1,5 +1,6 @@
 //! One life of a target as its entries tell of it: how it begins, goes on and is over.
 
+use crate::rate_limit::state::TargetRateLimit;
 use crate::watch::targets::{Belief, Target};
 use policy::{Suspicion, Trial, Warmup};
 use prelude::DataCentreId;
@@ -27,7 +28,7 @@
             open: 0,
             open_bytes: 0,
             load: None,
-            rate_limit_per_s: None,
+            rate_limit: TargetRateLimit::default(),
             suspicion: Suspicion::default(),
             trial: Trial::default(),
             full_until_ms: 0,
--- a/components/relay/src/watch/target.rs
+++ b/components/relay/src/watch/target.rs
@@ -1,5 +1,6 @@
 //! One target as a box knows it: what its entry says, what is believed of it, and what it showed.
 
+use crate::rate_limit::state::TargetRateLimit;
 use platform::WorkerLoad;
 use policy::{Suspicion, Trial, Warmup};
 use prelude::{DataCentreId, TargetId, Version};
@@ -49,8 +50,8 @@
     pub open_bytes: u64,
     /// What it last said of its load, and when.
     pub load: Option<(WorkerLoad, u64)>,
-    /// Requests a second that it takes from all boxes together, by its last answer.
-    pub rate_limit_per_s: Option<f64>,
+    /// The rate limit that it announces.
+    pub rate_limit: TargetRateLimit,
     /// Its latest failures.
     pub suspicion: Suspicion,
     /// Whether it may be given work after it failed some, on the box that dispatches to it.
@@ -105,6 +106,16 @@
         }
     }
 
+    /// Whether it takes no more right now: it is full by its own word, or has no tokens left.
+    pub(crate) fn is_full(&self, now_ms: u64) -> bool {
+        now_ms < self.full_until_ms || self.is_out_of_tokens(now_ms)
+    }
+
+    /// Whether its rate limit leaves no token, as far as this box knows.
+    pub(crate) fn is_out_of_tokens(&self, now_ms: u64) -> bool {
+        now_ms < self.rate_limit.no_token_until_ms
+    }
+
     /// How full it is, as a share of its slots, by its last word and our own requests.
     pub fn fullness(&self, now_ms: u64) -> f64 {
         let slots = f64::from(self.entry.slots).max(1.0);
--- a/components/relay/src/watch/targets.rs
+++ b/components/relay/src/watch/targets.rs
@@ -7,6 +7,7 @@
 pub(crate) use crate::watch::target::{COLD_SHARE, FAR_SHARE};
 use peers::EngineFault;
 use prelude::{DataCentreId, TargetId, Version};
+use rand::seq::IteratorRandom;
 use routing::TargetEntry;
 use slotmap::{SlotMap, new_key_type};
 use std::cell::Cell;
@@ -143,6 +144,29 @@
         tried.filter(open).map(|(slot, _)| slot).collect()
     }
 
+    /// Notes that the rate limit of a target changed.
+    pub(crate) fn rate_limit_changed(&mut self, slot: TargetSlot) {
+        let Some(target) = self.targets.get(slot) else {
+            return;
+        };
+        self.index.passing.insert(slot);
+        match target.rate_limit.announced.is_limited() {
+            true => self.index.rate_limited.insert(slot),
+            false => self.index.rate_limited.remove(&slot),
+        };
+    }
+
+    /// Targets with a rate limit: all, or so many drawn at random.
+    pub(crate) fn some_rate_limited(&self, count: usize) -> Vec<TargetSlot> {
+        let limited = self.index.rate_limited.iter().copied();
+        limited.choose_multiple(&mut rand::rng(), count)
+    }
+
+    /// How many targets have a rate limit.
+    pub(crate) fn rate_limited_count(&self) -> usize {
+        self.index.rate_limited.len()
+    }
+
     /// Notes that a target failed this box.
     pub fn failed(&mut self, slot: TargetSlot, now_ms: u64) {
         if let Some(target) = self.targets.get_mut(slot) {
@@ -160,6 +184,7 @@
             now_ms < target.cold_until_ms
                 || target.trial.is_on(now_ms)
                 || target.suspicion.is_passed_over(now_ms)
+                || target.rate_limit.announced.rate_per_s(now_ms).is_some()
         };
         let is_passing = |slot: &TargetSlot| targets.get(*slot).is_some_and(holds);
         self.index.passing.retain(is_passing);
@@ -323,7 +348,7 @@
             let far = f64::from(u8::from(target.data_centre != near)) * FAR_SHARE;
             let cold = f64::from(u8::from(now_ms < target.cold_until_ms)) * COLD_SHARE;
             let passed_over = target.suspicion.is_passed_over(now_ms);
-            let full = now_ms < target.full_until_ms;
+            let full = target.is_full(now_ms);
             let doubt = target.suspicion.failed_share();
             let order = (
                 tried.contains(&slot),
--- a/src/cmd/targets.rs
+++ b/src/cmd/targets.rs
@@ -81,8 +81,10 @@
     }
     for target in &view.targets {
         let cold = if target.cold { " cold" } else { "" };
+        let limit = target.rate_limit_per_s;
+        let limit = limit.map_or(String::new(), |limit| format!(", rate limit {limit:.2}/s"));
         println!(
-            "  {:24} {:16} {:16} {}{cold}, own {} with {:.2} MB",
+            "  {:24} {:16} {:16} {}{cold}, own {} with {:.2} MB{limit}",
             target.name,
             target.service,
             target.data_centre,
