soak: targets and engines announce rate limits; the sum over boxes is checked from what targets see

Nothing in the soak had a target say how much it takes, so that no run could find a box that does not keep it. Two to four limits of 0.2 to 6 requests a second for 7 to 11 s come beside kills, stops, pauses and what else is in the plans; they are drawn from a stream of their own, so that the plan of a seed is what it was, with these beside.

--- a/components/soak/src/checks.rs
+++ b/components/soak/src/checks.rs
@@ -1,5 +1,6 @@
 //! The promises, each checked by what callers and targets saw.
 
+use crate::announced::limits_are_kept;
 use crate::history::{Arrival, Broken, Call, Disturbed, History, Key, Kind, Outcome, Trouble};
 use fleet::caller::{Got, events};
 use std::collections::HashMap;
@@ -23,7 +24,7 @@
 /// What was broken in one run.
 pub(crate) fn check(history: &History) -> Vec<Broken> {
     let arrivals = by_id(history);
-    let checks: [(&'static str, Vec<String>); 11] = [
+    let checks: [(&'static str, Vec<String>); 12] = [
         ("its own whole answer", whole_answers(history, &arrivals)),
         ("each event once, in order", ordered_events(history)),
         ("one generation", one_generation(&arrivals)),
@@ -41,6 +42,7 @@
         ("a planned stop cuts nothing", stops_cut_nothing(history)),
         ("declarations in force", in_force(history)),
         ("budget of second sends", budget(history)),
+        ("rate limits", limits_are_kept(history)),
     ];
     let mut broken: Vec<Broken> = Vec::new();
     for (promise, cases) in checks {
@@ -188,7 +190,7 @@
     any_disturbed(history, call.at, from_ms, to_ms, |_| true)
 }
 
-fn any_disturbed(
+pub(crate) fn any_disturbed(
     history: &History,
     at: usize,
     from_ms: u64,
@@ -207,6 +209,11 @@
         .any(|disturbed| strikes(&disturbed))
 }
 
+/// Whether a trouble ends or stops a box.
+pub(crate) fn is_broken_or_ended(trouble: Trouble) -> bool {
+    matches!(trouble, Trouble::Broken | Trouble::Ended)
+}
+
 fn no_late_work(history: &History) -> Vec<String> {
     let mut broken = Vec::new();
     for leaving in &history.leaving {
--- a/components/soak/src/history.rs
+++ b/components/soak/src/history.rs
@@ -105,6 +105,16 @@
     pub until_ms: u64,
 }
 
+/// A rate limit that a life of a target announced in its answers, for a time.
+#[derive(Clone, Debug)]
+pub(crate) struct AnnouncedLimit {
+    pub target: String,
+    pub life: u64,
+    pub limit_per_s: f64,
+    pub from_ms: u64,
+    pub until_ms: u64,
+}
+
 /// Whether the toggled key holds, from a time on.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct KeyChange {
@@ -124,6 +134,7 @@
     pub crashes: Vec<(u64, u64)>,
     pub leaving: Vec<Leaving>,
     pub garbled: Vec<Garbled>,
+    pub limits: Vec<AnnouncedLimit>,
     pub evacuated: Vec<Evacuated>,
     /// Where each target stands.
     pub places: HashMap<String, &'static str>,
--- a/components/soak/src/lib.rs
+++ b/components/soak/src/lib.rs
@@ -1,6 +1,7 @@
 //! A fault soak of a fleet's boxes: real programs over loopback, faults drawn from a seed, and a check for each
 //! promise by what callers and targets saw.
 
+mod announced;
 mod boxes;
 mod callers;
 mod checks;
--- a/components/soak/src/plan.rs
+++ b/components/soak/src/plan.rs
@@ -34,6 +34,13 @@
 /// How long a data centre stays evacuated, or an entry unreadable: longer than the bound for it.
 const EVACUATED_MS: std::ops::RangeInclusive<u64> = 3_000..=6_000;
 
+/// Announcements of one run.
+const ANNOUNCEMENTS: std::ops::RangeInclusive<usize> = 2..=4;
+/// How long a rate limit is announced: longer than boxes may take to know it, and the span in which it is checked.
+const LIMITED_MS: std::ops::RangeInclusive<u64> = 7_000..=11_000;
+/// The random numbers of announcements.
+const ANNOUNCEMENTS_STREAM: u64 = 1;
+
 /// What is done to the world.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) enum Step {
@@ -90,6 +97,13 @@
     EngineRestarts { at: usize, killed: bool },
     /// The entry of a plain target cannot be read for a time.
     Garble { at: usize, lasts_ms: u64 },
+    /// A plain target, or an engine, announces a rate limit for a time.
+    Limit {
+        at: usize,
+        is_engine: bool,
+        limit_tenths_per_s: u32,
+        lasts_ms: u64,
+    },
 }
 
 /// A step and when it comes, in milliseconds since the run began.
@@ -129,10 +143,39 @@
     if rng.random_bool(0.5) {
         steps.extend(restore(&mut rng, sizes));
     }
+    steps.extend(announcements(seed, sizes));
     steps.sort_by_key(|timed| timed.at_ms);
     steps
 }
 
+/// What targets announce of themselves in their answers, drawn apart from what else comes.
+fn announcements(seed: u64, sizes: Sizes) -> Vec<Timed> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(ANNOUNCEMENTS_STREAM);
+    let count = rng.random_range(ANNOUNCEMENTS);
+    let limit = |rng: &mut ChaCha8Rng| {
+        let is_engine = rng.random_bool(0.3);
+        Step::Limit {
+            at: rng.random_range(
+                0..if is_engine {
+                    sizes.engines
+                } else {
+                    sizes.targets
+                },
+            ),
+            is_engine,
+            limit_tenths_per_s: rng.random_range(2..60),
+            lasts_ms: rng.random_range(LIMITED_MS),
+        }
+    };
+    (0..count)
+        .map(|_| Timed {
+            at_ms: rng.random_range(FIRST_MS..sizes.span_ms),
+            step: limit(&mut rng),
+        })
+        .collect()
+}
+
 /// The store comes back from a copy, perhaps twice, and then a target leaves and a data centre is evacuated.
 fn restore(rng: &mut ChaCha8Rng, sizes: Sizes) -> Vec<Timed> {
     let mut at_ms = rng.random_range(FIRST_MS..sizes.span_ms / 2);
--- a/components/soak/src/plant.rs
+++ b/components/soak/src/plant.rs
@@ -32,12 +32,14 @@
     Config,
     /// Boxes may send anything a second time.
     Budget,
+    /// Targets announce a higher rate limit than is noted.
+    Limit,
     /// Boxes are not started again after the loss of all.
     Recovery,
 }
 
 /// All of them, with the promise whose check finds each.
-pub const PLANTS: [(Plant, &str, &str); 14] = [
+pub const PLANTS: [(Plant, &str, &str); 15] = [
     (Plant::Twice, "twice", "at most once"),
     (Plant::NotRun, "not-run", "not run is true"),
     (Plant::Mixed, "mixed", "its own whole answer"),
@@ -59,6 +61,7 @@
     (Plant::Cut, "cut", "a planned stop cuts nothing"),
     (Plant::Config, "config", "declarations in force"),
     (Plant::Budget, "budget", "budget of second sends"),
+    (Plant::Limit, "limit", "rate limits"),
     (Plant::Recovery, "recovery", "serves again"),
 ];
 
--- a/components/soak/src/play.rs
+++ b/components/soak/src/play.rs
@@ -209,6 +209,12 @@
             }
             Step::TargetRestarts { at } => self.target_restarts(*at),
             Step::EngineRestarts { at, killed } => self.engine_restarts(*at, *killed),
+            Step::Limit {
+                at,
+                is_engine,
+                limit_tenths_per_s,
+                lasts_ms,
+            } => self.limit(*at, *is_engine, *limit_tenths_per_s, *lasts_ms),
             Step::Garble { at, lasts_ms } => self.garble(*at, *lasts_ms),
             Step::EngineLeaves { at } => self.engine_leaves(*at, now_ms),
             Step::EngineCrash { at, lasts_ms } => {
@@ -346,6 +352,7 @@
                 }
             }
             Later::GoodFile(at) => self.boxes[at].write_file(),
+            Later::AnnounceNothing(record) => record.announce(&[]),
             Later::TakeBack(place) => {
                 // What the check allows again from then on may be sent a moment later.
                 if let Some(evacuated) = self.history.evacuated.last_mut() {
--- a/components/soak/src/world.rs
+++ b/components/soak/src/world.rs
@@ -51,6 +51,8 @@
     TargetGone(usize),
     EngineGone(usize),
     GoodFile(usize),
+    /// A target announces nothing any more.
+    AnnounceNothing(Record),
     TakeBack(&'static str),
     /// The store goes away.
     StoreGoes,
@@ -218,6 +220,7 @@
         }
         let link = Link::start(target.address);
         let life = self.begin_life(instance, "records", link.address);
+        self.plant_limit(instance, life, &target.record);
         self.records.push(Kept {
             record: target.record.clone(),
             is_engine: false,
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -34,6 +34,7 @@
 #[case(Plant::TwoRuns)]
 #[case(Plant::Lives)]
 #[case(Plant::Unreadable)]
+#[case(Plant::Limit)]
 fn a_promise_broken_on_purpose_is_found(#[case] plant: Plant) {
     let report = play(&soak(Some(plant)), 11).unwrap();
     let found = report
