relay: a line for each answer in which a target says that it leaves

Requests reached a target for seconds after its answers had said so, and no line of a box told whether it had read that: the first hypothesis (nobody reads it) and the second (it is read and undone by the store's list) could not be told apart. Nothing acts on it yet. What cannot be understood is counted, and told in one line for all fields.

--- a/components/relay/src/forwarding/announcements.rs
+++ b/components/relay/src/forwarding/announcements.rs
@@ -16,11 +16,20 @@
         match facts.rate_limit_per_s {
             Announced::Value(limit_per_s) => self.observe_rate(slot, Some(limit_per_s), sent_ms),
             Announced::Absent => self.observe_rate(slot, None, sent_ms),
-            Announced::Malformed => {
-                metrics::counter!("shuntpier_malformed_announcements", "field" => "rate limit")
-                    .increment(1);
-                slog::warn!(self.log, "rate limit not understood"; "target" => self.name_of(slot));
+            Announced::Malformed => self.not_understood(slot, "rate limit"),
+        }
+        match facts.leaving {
+            Announced::Value(true) => {
+                slog::info!(self.log, "target says that it leaves"; "target" => self.name_of(slot));
             }
+            Announced::Value(false) | Announced::Absent => {}
+            Announced::Malformed => self.not_understood(slot, "leaving"),
         }
     }
+
+    fn not_understood(&self, slot: TargetSlot, field: &'static str) {
+        metrics::counter!("shuntpier_malformed_announcements", "field" => field).increment(1);
+        slog::warn!(self.log, "announcement not understood"; "target" => self.name_of(slot),
+            "field" => field);
+    }
 }
