relay: a target that says in an answer that it leaves gets nothing new

Callers saw nothing of it in the record (the target served on); a call that comes as the target ends is lost. Cause: the field was dropped where heads of answers are read. While the store answers, a leaving target is known from its entry; while it is away, engines are asked themselves, and plain targets by nobody, so that nobody knew for 13 s. Ruled out: that the store's list undid it (it answered nobody meanwhile, and no box had written that the target leaves), and calls that were chosen before (the two of the record came 4 ms before they were sent).

Now an answer that says so ends new work there on this box at once, and all boxes are told. No entry takes it back: where entries name no births, one that vanished and came back as ready would have. Every send looks at it again before its first byte, so that calls that were chosen, wait for a token or for a channel do not go there either; a running generation still goes on at its source.

--- a/components/relay/src/dispatch/reports.rs
+++ b/components/relay/src/dispatch/reports.rs
@@ -148,6 +148,6 @@
     if let Some(report) = report.filter(|report| report.is_leaving) {
         slog::info!(relay.log, "engine says that it leaves"; "engine" => relay.name_of(slot),
             "gone_in_ms" => report.gone_in_ms, "running" => report.running);
-        relay.record_outcome(slot, TargetOutcome::Left);
+        relay.record_outcome(slot, TargetOutcome::Leaves);
     }
 }
--- a/components/relay/src/forwarding/admission.rs
+++ b/components/relay/src/forwarding/admission.rs
@@ -12,9 +12,10 @@
 pub(crate) enum SendKind {
     /// A plain call.
     Call(TokenAsk),
-    /// A generation whose dispatcher placed it on the target, within the target's rate limit, or one that goes on at its
-    /// source, where it was counted when it began.
-    Placed,
+    /// A generation whose dispatcher placed it on the target, within the target's rate limit.
+    Generation,
+    /// A running generation that goes on where it was placed, or at its source, where it was counted when it began.
+    Continuation,
 }
 
 /// The permission to send one request to one target.
@@ -23,6 +24,8 @@
     pub(crate) slot: TargetSlot,
     /// It counts towards the target's rate limit, if that has one.
     is_counted: bool,
+    /// It runs already: a target that leaves serves what it has.
+    is_running: bool,
 }
 
 impl Relay {
@@ -38,17 +41,15 @@
         let mut admission = Admission {
             slot,
             is_counted: true,
+            is_running: matches!(kind, SendKind::Continuation),
         };
         if let Some(why) = self.bars(&admission) {
             return Err(why);
         }
-        match kind {
-            SendKind::Placed => {}
-            SendKind::Call(ask) => {
-                admission.is_counted = self.rate_limit_of(slot).is_some();
-                let token = self.take_rate_token(slot, &ask).await;
-                token.map_err(|retry_after_ms| NotRun::Limited { retry_after_ms })?;
-            }
+        if let SendKind::Call(ask) = kind {
+            admission.is_counted = self.rate_limit_of(slot).is_some();
+            let token = self.take_rate_token(slot, &ask).await;
+            token.map_err(|retry_after_ms| NotRun::Limited { retry_after_ms })?;
         }
         Ok(admission)
     }
@@ -61,6 +62,11 @@
             metrics::counter!("shuntpier_evacuated_sends_withheld").increment(1);
             return Some(NotRun::Evacuated);
         }
+        if !admission.is_running && !self.takes_work(slot) {
+            // It was chosen before the target's word came here.
+            metrics::counter!("shuntpier_leaving_sends_withheld").increment(1);
+            return Some(NotRun::Leaving);
+        }
         if !admission.is_counted && self.rate_limit_of(slot).is_some() {
             // The limit became known after it was admitted.
             metrics::counter!("shuntpier_rate_limited_sends_withheld").increment(1);
--- a/components/relay/src/forwarding/announcements.rs
+++ b/components/relay/src/forwarding/announcements.rs
@@ -1,5 +1,6 @@
 //! What targets announce of themselves in the heads of their answers.
 
+use crate::forwarding::outcome::TargetOutcome;
 use crate::state::Relay;
 use crate::watch::targets::TargetSlot;
 use platform::{Announced, AnswerFacts};
@@ -19,9 +20,7 @@
             Announced::Malformed => self.not_understood(slot, "rate limit"),
         }
         match facts.leaving {
-            Announced::Value(true) => {
-                slog::info!(self.log, "target says that it leaves"; "target" => self.name_of(slot));
-            }
+            Announced::Value(true) => self.record_outcome(slot, TargetOutcome::Leaves),
             Announced::Value(false) | Announced::Absent => {}
             Announced::Malformed => self.not_understood(slot, "leaving"),
         }
--- a/components/relay/src/forwarding/generation.rs
+++ b/components/relay/src/forwarding/generation.rs
@@ -288,7 +288,11 @@
     slot: TargetSlot,
     continuation: Option<&Continuation>,
 ) -> Tried {
-    let admission = match relay.admit(slot, SendKind::Placed).await {
+    let kind = match continuation {
+        Some(_) => SendKind::Continuation,
+        None => SendKind::Generation,
+    };
+    let admission = match relay.admit(slot, kind).await {
         Ok(admission) => admission,
         Err(why) => return Tried::NotRun(why),
     };
--- a/components/relay/src/forwarding/outcome.rs
+++ b/components/relay/src/forwarding/outcome.rs
@@ -17,6 +17,8 @@
     Full,
     /// This life is over, or works for others.
     Left,
+    /// It says itself that it leaves.
+    Leaves,
     /// It failed.
     Failed,
     /// Nothing: it was not sent the request.
@@ -29,7 +31,9 @@
             NotRun::Refused { .. } => Self::Full,
             NotRun::Misdirected | NotRun::Dead => Self::Left,
             NotRun::Unreachable => Self::Failed,
-            NotRun::Evacuated | NotRun::Heavy | NotRun::Limited { .. } => Self::Untried,
+            NotRun::Evacuated | NotRun::Leaving | NotRun::Heavy | NotRun::Limited { .. } => {
+                Self::Untried
+            }
         }
     }
 }
@@ -48,6 +52,7 @@
         let mut targets = self.targets.borrow_mut();
         let left = match word {
             TargetOutcome::Left => targets.leaves(slot),
+            TargetOutcome::Leaves => targets.says_it_leaves(slot),
             _ => None,
         };
         if word == TargetOutcome::Full {
@@ -70,6 +75,7 @@
             TargetOutcome::Failed
             | TargetOutcome::Full
             | TargetOutcome::Left
+            | TargetOutcome::Leaves
             | TargetOutcome::Untried => {}
         }
         let doubted = passed_over(&targets) && !before;
--- a/components/relay/src/forwarding/send.rs
+++ b/components/relay/src/forwarding/send.rs
@@ -37,6 +37,8 @@
     Heavy,
     /// Operators evacuated its data centre: it was not sent.
     Evacuated,
+    /// The target leaves, or is gone: it was not sent.
+    Leaving,
     /// The target's rate limit leaves no room for it: it was not sent.
     Limited {
         /// When it does, from now.
--- a/components/relay/src/watch/leaving.rs
+++ b/components/relay/src/watch/leaving.rs
@@ -4,7 +4,14 @@
 use routing::TargetLife;
 
 impl TargetBook {
-    /// Believes a target's own word that it leaves.
+    /// Believes a target that says itself that it leaves. No entry takes that back, whatever it says and whenever it was
+    /// written.
+    pub fn says_it_leaves(&mut self, slot: TargetSlot) -> Option<Change> {
+        self.targets.get_mut(slot)?.says_it_leaves = true;
+        self.leaves(slot)
+    }
+
+    /// Believes that a target leaves, by its own word, a peer's, or because nothing listens there.
     pub fn leaves(&mut self, slot: TargetSlot) -> Option<Change> {
         let target = self.targets.get_mut(slot)?;
         target.left = true;
--- a/components/relay/src/watch/life.rs
+++ b/components/relay/src/watch/life.rs
@@ -33,6 +33,7 @@
             trial: Trial::default(),
             full_until_ms: 0,
             leaves_by_word: leaves && !says_so,
+            says_it_leaves: false,
             left: leaves,
             entry,
         };
@@ -50,7 +51,7 @@
     /// Takes a newer entry of this life in. Says whether it turned cold by that.
     pub(super) fn renew(&mut self, entry: TargetEntry, now_ms: u64) -> bool {
         let leaving = entry.phase == TargetPhase::Leaving;
-        let stays_left = self.left && entry.born_ms.is_some();
+        let stays_left = self.left && (entry.born_ms.is_some() || self.says_it_leaves);
         let vanished = self.belief == Belief::Gone;
         // A life that was seen to leave never takes work again; one that vanished may come back,
         // as the platform drops entries while its store is in trouble.
--- a/components/relay/src/watch/listing_tests.rs
+++ b/components/relay/src/watch/listing_tests.rs
@@ -119,3 +119,23 @@
     assert_eq!(book.listed(late, 0), None);
     assert!(book.pasts.len() <= 1_024);
 }
+
+#[test]
+fn a_target_that_said_itself_that_it_leaves_takes_no_work_whatever_its_entry_says() {
+    let mut book = TargetBook::default();
+    let nameless = |revision, leaves| TargetEntry {
+        born_ms: None,
+        ..entry(NAME, 0, leaves, revision)
+    };
+    book.listed(nameless(1, false), 0);
+    let (slot, _) = book.newest(NAME).unwrap();
+    book.opened(slot);
+    assert_eq!(book.says_it_leaves(slot), Some(Change::Leaves(slot)));
+    book.listed(nameless(2, false), 10);
+    assert!(!book.takes_work(book.get(slot).unwrap()));
+    // Its entry lapses while the store is away, and is written again.
+    book.unlisted(NAME, at(3));
+    book.listed(nameless(4, false), 20);
+    assert!(!book.takes_work(book.get(slot).unwrap()));
+    assert_eq!(book.leaving().len(), 1);
+}
--- a/components/relay/src/watch/target.rs
+++ b/components/relay/src/watch/target.rs
@@ -60,6 +60,8 @@
     pub full_until_ms: u64,
     /// That it leaves is known from itself or from a box that it told; the store has not said so.
     pub leaves_by_word: bool,
+    /// It said itself that it leaves, which no entry takes back.
+    pub says_it_leaves: bool,
     /// It was seen to leave. Where lives name their births, it takes no work again even if it vanishes and comes back.
     pub left: bool,
 }
