relay: a target that asks a box for a pause gets nothing from it until that is over

Cause: Retry-After was told to the caller of that one request alone; for the box the refusal counted as full for 0.1 s, however long the target asked for. Ruled out by the lines: that the choice passed over it for want of others (each call was served elsewhere within 8 ms), and second sends (first offers of fresh calls are among those that were turned away).

Now a pause is kept for the target's life at that box and holds on each way to it; after it one request in a second is tried until one is taken, at a moment drawn for each box. Dispatchers are told which engines to leave out. Where all ask for pauses, callers are refused at once with what is left of the shortest.

Why it works: what admits a request looks at the pause again before its first byte, so that calls that were chosen or wait do not go there.

--- a/components/bench/src/capacity/dispatch.rs
+++ b/components/bench/src/capacity/dispatch.rs
@@ -4,7 +4,7 @@
 use super::target;
 use crate::process::rss_bytes;
 use policy::{Adopted, Demand, End, EngineInfo, LengthClass, Pool, PoolSettings, Share};
-use prelude::{AccountId, BoxId, DataCentreId, OwnerId, PartnerId, PermitId, TargetId};
+use prelude::{AccountId, Avoided, BoxId, DataCentreId, OwnerId, PartnerId, PermitId, TargetId};
 use std::time::Instant;
 
 const ENGINES: u64 = 4;
@@ -77,7 +77,7 @@
         leaves_ms: u64::MAX,
         prefix: None,
         told_tokens: None,
-        avoid: None,
+        avoid: Avoided::default(),
         near: None,
     }
 }
--- a/components/node/src/adopt.rs
+++ b/components/node/src/adopt.rs
@@ -8,7 +8,7 @@
 use callers::{ChatAnswer, StreamAddress, StreamFailure};
 use engines::{Endpoint, EngineStream, ResumeError};
 use peers::AcquireRequest;
-use prelude::{AccountId, BoxId, PoolId, Refusal, RefusalReason, RunState};
+use prelude::{AccountId, Avoided, BoxId, PoolId, Refusal, RefusalReason, RunState};
 use std::sync::Arc;
 use std::time::Duration;
 use uuid::Uuid;
@@ -70,7 +70,7 @@
             caller_left_ms: 0,
             prefix: None,
             told_tokens: None,
-            avoid: None,
+            avoid: Avoided::default(),
         };
         let permit = adopt_open(&desk, request, endpoint.key, next_index as u32);
         let run = Run {
--- a/components/node/src/chat.rs
+++ b/components/node/src/chat.rs
@@ -13,7 +13,8 @@
 use engines::{Endpoint, EngineStream, StartError};
 use peers::{AcquireRequest, StateOfTarget, TargetWord};
 use prelude::{
-    AccountId, ModelId, PermitId, PoolId, Refusal, RefusalReason, RequestKey, RunState, TargetId,
+    AccountId, Avoided, ModelId, PermitId, PoolId, Refusal, RefusalReason, RequestKey, RunState,
+    TargetId,
 };
 use serde_json::{Value, json};
 use settings::ResolvedAccount;
@@ -194,7 +195,7 @@
         caller_left_ms: 0,
         prefix: request.prefix,
         told_tokens: request.told_output_tokens,
-        avoid: None,
+        avoid: Avoided::default(),
     };
     let request = RequestKey::of(account.id, "chat", &model, "", &body);
     Wanted {
@@ -233,7 +234,7 @@
         }
         let mut request = wanted.acquire;
         request.permit = shared.next_permit();
-        request.avoid = avoid;
+        request.avoid = avoid.into();
         request.wait_left_ms = wanted.deadline_ms.saturating_sub(shared.now_ms()) as u32;
         request.caller_left_ms = request.wait_left_ms;
         let permit = acquire(shared, desk, request)
--- a/components/node/src/desk.rs
+++ b/components/node/src/desk.rs
@@ -6,7 +6,7 @@
     AcquireRequest, AdoptedStream, BoxCard, EndedStream, GapsSeen, StreamProgress, UpdateRequest,
 };
 use policy::{EngineState, LocalPool, PolicyKind, PoolSettings, RetryBudget, Verdict};
-use prelude::{BoxId, PermitId, PoolId, TargetId, TargetKey};
+use prelude::{Avoided, BoxId, PermitId, PoolId, TargetId, TargetKey};
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
@@ -132,7 +132,7 @@
         &self,
         permit: PermitId,
         deadline_ms: u64,
-        avoid: Option<TargetId>,
+        avoid: Avoided,
         now_ms: u64,
     ) -> oneshot::Receiver<Verdict> {
         let (verdict, decided) = oneshot::channel();
--- a/components/operators/src/fleet.rs
+++ b/components/operators/src/fleet.rs
@@ -68,6 +68,9 @@
     /// Bytes of them.
     #[serde(default)]
     pub own_open_bytes: u64,
+    /// What is left of the pause that it asked this box for, in milliseconds; none where it asked for none.
+    #[serde(default)]
+    pub pause_left_ms: Option<u64>,
     /// Requests a second that it takes from all boxes together, by its own announcement; none where it announces no limit.
     #[serde(default)]
     pub rate_limit_per_s: Option<f64>,
@@ -90,8 +93,11 @@
     pub fullness: f64,
     /// Calls of this box that it is given at once; none where it refused none as full.
     pub limit: Option<f64>,
-    /// Whether calls go elsewhere, as two boxes got no answer.
+    /// Whether calls go elsewhere, as two boxes got no answer or were turned away.
     pub spared: bool,
+    /// Whether calls rather go to others that have room, as one box did.
+    #[serde(default)]
+    pub doubted: bool,
     /// Whether this box passes it over, as it failed this box.
     pub passed_over: bool,
     /// Share of failures by route.
--- a/components/peers/src/fleet.rs
+++ b/components/peers/src/fleet.rs
@@ -131,6 +131,8 @@
     Slowness(u32),
     /// It gave no answer.
     NoAnswer,
+    /// It turned a request away and asked the box for a pause.
+    TurnedAway,
 }
 
 /// A word on a target, for boxes of the same data centre.
--- a/components/peers/src/messages.rs
+++ b/components/peers/src/messages.rs
@@ -2,7 +2,7 @@
 
 use crate::patch::SettingsPatch;
 use prelude::{
-    AccountId, Acquittal, BoxId, BoxIncarnation, DataCentreId, PermitId, PoolId, Refusal,
+    AccountId, Acquittal, Avoided, BoxId, BoxIncarnation, DataCentreId, PermitId, PoolId, Refusal,
     ServiceId, Standing, TargetEnd, TargetId, TargetKey,
 };
 use serde::{Deserialize, Serialize};
@@ -37,8 +37,8 @@
     pub prefix: Option<(u64, u32)>,
     /// True length, for the oracle policy.
     pub told_tokens: Option<u32>,
-    /// An engine that just failed it.
-    pub avoid: Option<TargetId>,
+    /// Engines that it is not to be placed on.
+    pub avoid: Avoided,
 }
 
 /// A dispatcher's word on a permit.
--- a/components/policy/benches/decisions.rs
+++ b/components/policy/benches/decisions.rs
@@ -6,7 +6,7 @@
     Demand, End, EngineInfo, GapsTold, LengthClass, Pool, PoolSettings, ReadingPolicy, Share,
     WaitingPolicy,
 };
-use prelude::{AccountId, BoxId, DataCentreId, OwnerId, PartnerId, PermitId, TargetId};
+use prelude::{AccountId, Avoided, BoxId, DataCentreId, OwnerId, PartnerId, PermitId, TargetId};
 use std::hint::black_box;
 
 const ENGINES: u64 = 71;
@@ -41,7 +41,7 @@
         leaves_ms: now_ms + 6_000,
         prefix: None,
         told_tokens: None,
-        avoid: None,
+        avoid: Avoided::default(),
         near: Some(DataCentreId(serial % 3)),
     }
 }
--- a/components/policy/src/admission/test_demands.rs
+++ b/components/policy/src/admission/test_demands.rs
@@ -3,7 +3,7 @@
 use crate::demand::Demand;
 use crate::fairness::tree::Share;
 use crate::placement::length::LengthClass;
-use prelude::{AccountId, BoxId, OwnerId, PartnerId, PermitId};
+use prelude::{AccountId, Avoided, BoxId, OwnerId, PartnerId, PermitId};
 
 /// A request of 1,000 prompt tokens, due after 5 s.
 pub(crate) fn demand(serial: u64, account: u64, rank: u8) -> Demand {
@@ -31,7 +31,7 @@
         leaves_ms: 10_000,
         prefix: None,
         told_tokens: None,
-        avoid: None,
+        avoid: Avoided::default(),
         near: None,
     }
 }
--- a/components/policy/src/admission/waiting_tests.rs
+++ b/components/policy/src/admission/waiting_tests.rs
@@ -4,7 +4,7 @@
 use crate::pool::Pool;
 use crate::{Demand, PoolSettings, Submitted, Verdict};
 use prelude::{
-    AccountId, BoxId, DataCentreId, OwnerId, PartnerId, PermitId, RefusalReason, TargetId,
+    AccountId, Avoided, BoxId, DataCentreId, OwnerId, PartnerId, PermitId, RefusalReason, TargetId,
 };
 
 /// One engine that reads 5 tokens a millisecond, by what a pool takes for known at first.
@@ -49,7 +49,7 @@
         leaves_ms: 10_000,
         prefix: None,
         told_tokens: None,
-        avoid: None,
+        avoid: Avoided::default(),
         near: None,
     }
 }
--- a/components/policy/src/demand.rs
+++ b/components/policy/src/demand.rs
@@ -2,7 +2,7 @@
 
 use crate::fairness::tree::Share;
 use crate::placement::length::LengthClass;
-use prelude::{DataCentreId, PermitId, Refusal, TargetId};
+use prelude::{Avoided, DataCentreId, PermitId, Refusal, TargetId};
 use serde::{Deserialize, Serialize};
 
 /// How many ranks of urgency there are.
@@ -35,8 +35,8 @@
     pub prefix: Option<(u64, u32)>,
     /// Its true length, for the oracle policy.
     pub told_tokens: Option<u32>,
-    /// An engine that just failed it.
-    pub avoid: Option<TargetId>,
+    /// Engines that it is not to be placed on.
+    pub avoid: Avoided,
     /// The data centre of the box that serves its caller.
     pub near: Option<DataCentreId>,
 }
--- a/components/policy/src/fairness/told_tests.rs
+++ b/components/policy/src/fairness/told_tests.rs
@@ -4,7 +4,7 @@
 use crate::placement::ledger::{EngineInfo, EngineReport};
 use crate::placement::length::{End, LengthClass};
 use crate::{Submitted, Verdict};
-use prelude::{AccountId, DataCentreId, OwnerId, PartnerId, PermitId, TargetId};
+use prelude::{AccountId, Avoided, DataCentreId, OwnerId, PartnerId, PermitId, TargetId};
 use rstest::rstest;
 
 const CAPACITY_TOKENS: u64 = 20_000;
@@ -44,7 +44,7 @@
         leaves_ms: u64::MAX,
         prefix: None,
         told_tokens: None,
-        avoid: None,
+        avoid: Avoided::default(),
         near: None,
     }
 }
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -28,6 +28,7 @@
 pub use fairness::told::UsedLately;
 pub use fairness::tree::{FairTree, Share};
 pub use fairness::usage::{AccountUse, RankUse};
+pub use health::backoff::Backoff;
 pub use health::quarantine::{Quarantine, Withheld};
 pub use health::suspicion::Suspicion;
 pub use health::trial::Trial;
--- a/components/policy/src/pace/felt_tests.rs
+++ b/components/policy/src/pace/felt_tests.rs
@@ -5,7 +5,7 @@
 use crate::pace::observed::{GapsTold, Observed};
 use crate::placement::ledger::EngineInfo;
 use crate::placement::length::LengthClass;
-use prelude::{AccountId, BoxId, DataCentreId, OwnerId, PartnerId, PermitId};
+use prelude::{AccountId, Avoided, BoxId, DataCentreId, OwnerId, PartnerId, PermitId};
 
 const SLOW: TargetId = TargetId(1);
 const FAST: TargetId = TargetId(2);
@@ -40,7 +40,7 @@
         leaves_ms: u64::MAX,
         prefix: None,
         told_tokens: None,
-        avoid: None,
+        avoid: Avoided::default(),
         near: None,
     }
 }
--- a/components/policy/src/placement/choose.rs
+++ b/components/policy/src/placement/choose.rs
@@ -62,7 +62,7 @@
             let takes = ledger.state == EngineState::Live
                 && !reserved.contains(&ledger.info.id)
                 && (ledger.report.is_some() || !needs_report)
-                && demand.avoid != Some(ledger.info.id)
+                && !demand.avoid.contains(ledger.info.id)
                 && !at_limit
                 && ledger.bears_one_more(now_ms)
                 && !ledger.is_backed_up(now_ms);
--- a/components/policy/src/placement/local.rs
+++ b/components/policy/src/placement/local.rs
@@ -4,7 +4,7 @@
 use crate::demand::Verdict;
 use crate::kind::PolicyKind;
 use crate::placement::ledger::EngineState;
-use prelude::{PermitId, Refusal, RefusalReason, TargetId};
+use prelude::{Avoided, PermitId, Refusal, RefusalReason, TargetId};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use std::collections::VecDeque;
@@ -33,7 +33,7 @@
 struct Waiting {
     permit: PermitId,
     deadline_ms: u64,
-    avoid: Option<TargetId>,
+    avoid: Avoided,
 }
 
 /// What one box knows of a pool, and the requests that wait for room under a concurrency limit.
@@ -94,7 +94,7 @@
     }
 
     /// Adds a request that waits.
-    pub fn submit(&mut self, permit: PermitId, deadline_ms: u64, avoid: Option<TargetId>) {
+    pub fn submit(&mut self, permit: PermitId, deadline_ms: u64, avoid: Avoided) {
         self.queue.push_back(Waiting {
             permit,
             deadline_ms,
@@ -162,7 +162,7 @@
         self.targets.iter_mut().find(|target| target.id == id)
     }
 
-    fn choose(&mut self, avoid: Option<TargetId>) -> Option<TargetId> {
+    fn choose(&mut self, avoid: Avoided) -> Option<TargetId> {
         let limit = self.limit;
         let has_room = |target: &&LocalTarget| {
             target.state == EngineState::Live && (limit == 0 || target.load() < limit)
@@ -170,7 +170,7 @@
         let open: Vec<LocalTarget> = self.targets.iter().filter(has_room).copied().collect();
         let preferred: Vec<LocalTarget> = open
             .iter()
-            .filter(|target| Some(target.id) != avoid)
+            .filter(|target| !avoid.contains(target.id))
             .copied()
             .collect();
         let choices = if preferred.is_empty() {
--- a/components/policy/src/placement/local_tests.rs
+++ b/components/policy/src/placement/local_tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use prelude::BoxId;
+use prelude::{Avoided, BoxId};
 use rstest::rstest;
 
 fn pool(kind: PolicyKind, limit: u32) -> LocalPool {
@@ -16,7 +16,7 @@
             life: 0,
             serial,
         };
-        pool.submit(permit, 1000, None);
+        pool.submit(permit, 1000, Avoided::default());
     }
     pool.run(0).len()
 }
--- a/components/policy/src/placement/relocate_tests.rs
+++ b/components/policy/src/placement/relocate_tests.rs
@@ -1,7 +1,7 @@
 use crate::placement::ledger::EngineInfo;
 use crate::pool::Pool;
 use crate::{Adopted, Demand, LengthClass, PoolSettings, Relocation, Share};
-use prelude::{AccountId, BoxId, DataCentreId, OwnerId, PartnerId, PermitId, TargetId};
+use prelude::{AccountId, Avoided, BoxId, DataCentreId, OwnerId, PartnerId, PermitId, TargetId};
 
 const FROM: TargetId = TargetId(1);
 const NEAR: TargetId = TargetId(2);
@@ -34,7 +34,7 @@
         leaves_ms: u64::MAX,
         prefix: None,
         told_tokens: None,
-        avoid: None,
+        avoid: Avoided::default(),
         near: None,
     };
     Adopted {
--- a/components/policy/src/pool_tests.rs
+++ b/components/policy/src/pool_tests.rs
@@ -4,7 +4,9 @@
 use crate::holders::SILENT_BOX_MS;
 use crate::placement::ledger::{EngineInfo, EngineReport, EngineState};
 use crate::placement::length::LengthClass;
-use prelude::{AccountId, DataCentreId, OwnerId, PartnerId, RefusalReason, TargetIncarnation};
+use prelude::{
+    AccountId, Avoided, DataCentreId, OwnerId, PartnerId, RefusalReason, TargetIncarnation,
+};
 
 const ENGINE: TargetId = TargetId(1);
 const OTHER_ENGINE: TargetId = TargetId(2);
@@ -59,7 +61,7 @@
         leaves_ms: u64::MAX,
         prefix: None,
         told_tokens: None,
-        avoid: None,
+        avoid: Avoided::default(),
         near: None,
     }
 }
--- a/components/prelude/src/lib.rs
+++ b/components/prelude/src/lib.rs
@@ -1,11 +1,13 @@
 //! The types that every package of shuntpier uses: keys, time, outcomes.
 
+mod avoided;
 mod ends;
 mod ids;
 mod outcome;
 mod time;
 mod version;
 
+pub use avoided::Avoided;
 pub use ends::{Acquittal, AcquittedBy, TargetEnd};
 pub use ids::{
     AccountId, BoxId, BoxIncarnation, DataCentreId, KeyError, ModelId, OwnerId, PartnerId,
--- a/components/relay/src/dispatch/permits.rs
+++ b/components/relay/src/dispatch/permits.rs
@@ -6,7 +6,7 @@
 use crate::state::{Relay, pool_of};
 use crate::watch::targets::TargetSlot;
 use peers::{AcquireRequest, PermitReply, RelocateReply, RelocateRequest};
-use prelude::{BoxId, PermitId, PoolId, Refusal, RefusalReason, TargetId};
+use prelude::{Avoided, BoxId, PermitId, PoolId, Refusal, RefusalReason, TargetId};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::Instant;
@@ -45,7 +45,7 @@
     pub wait_until_ms: u64,
     /// When its caller leaves.
     pub due_ms: u64,
-    pub avoid: Option<TargetId>,
+    pub avoid: Avoided,
 }
 
 impl Want<'_> {
--- a/components/relay/src/dispatch/permits_tests.rs
+++ b/components/relay/src/dispatch/permits_tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use prelude::Avoided;
 
 #[test]
 fn a_request_that_is_asked_again_keeps_its_callers_time_of_coming() {
@@ -14,7 +15,7 @@
         pause_goal_ms: None,
         wait_until_ms: 2_000,
         due_ms: 6_100,
-        avoid: None,
+        avoid: Avoided::default(),
     };
     let first = want.request(PermitId::default(), 1_100);
     assert_eq!((first.waited_ms, first.wait_left_ms), (100, 900));
--- a/components/relay/src/forwarding/admission.rs
+++ b/components/relay/src/forwarding/admission.rs
@@ -14,18 +14,27 @@
     Call(TokenAsk),
     /// A generation whose dispatcher placed it on the target, within the target's rate limit.
     Generation,
-    /// A running generation that goes on where it was placed, or at its source, where it was counted when it began.
+    /// A running generation that goes on where it was placed.
     Continuation,
+    /// A running generation that goes on at its source, as it could not where it was placed. It was counted there when it
+    /// began, and is lost if it is not sent.
+    Resumption,
 }
 
 /// The permission to send one request to one target.
 #[derive(Debug)]
 pub(crate) struct Admission {
     pub(crate) slot: TargetSlot,
+    kind: SendKind,
     /// It counts towards the target's rate limit, if that has one.
     is_counted: bool,
-    /// It runs already: a target that leaves serves what it has.
-    is_running: bool,
+}
+
+impl SendKind {
+    /// Whether it runs already: a target that leaves serves what it has.
+    fn is_running(self) -> bool {
+        matches!(self, Self::Continuation | Self::Resumption)
+    }
 }
 
 impl Relay {
@@ -40,8 +49,8 @@
     ) -> Result<Admission, NotRun> {
         let mut admission = Admission {
             slot,
+            kind,
             is_counted: true,
-            is_running: matches!(kind, SendKind::Continuation),
         };
         if let Some(why) = self.bars(&admission) {
             return Err(why);
@@ -62,11 +71,15 @@
             metrics::counter!("shuntpier_evacuated_sends_withheld").increment(1);
             return Some(NotRun::Evacuated);
         }
-        if !admission.is_running && !self.takes_work(slot) {
+        if !admission.kind.is_running() && !self.takes_work(slot) {
             // It was chosen before the target's word came here.
             metrics::counter!("shuntpier_leaving_sends_withheld").increment(1);
             return Some(NotRun::Leaving);
         }
+        if let Some(retry_after_ms) = self.pause_left_ms(admission) {
+            metrics::counter!("shuntpier_backoff_sends_withheld").increment(1);
+            return Some(NotRun::BackingOff { retry_after_ms });
+        }
         if !admission.is_counted && self.rate_limit_of(slot).is_some() {
             // The limit became known after it was admitted.
             metrics::counter!("shuntpier_rate_limited_sends_withheld").increment(1);
@@ -74,4 +87,13 @@
         }
         None
     }
+
+    /// What is left of the pause that a target asked this box for, where a request is kept from it by that.
+    fn pause_left_ms(&self, admission: &Admission) -> Option<u64> {
+        if matches!(admission.kind, SendKind::Resumption) {
+            return None;
+        }
+        let targets = self.targets.borrow();
+        targets.get(admission.slot)?.backoff.left_ms(self.now_ms())
+    }
 }
--- a/components/relay/src/forwarding/announcements.rs
+++ b/components/relay/src/forwarding/announcements.rs
@@ -3,17 +3,23 @@
 use crate::forwarding::outcome::TargetOutcome;
 use crate::state::Relay;
 use crate::watch::targets::TargetSlot;
+use peers::HintWord;
 use platform::{Announced, AnswerFacts};
 use std::rc::Rc;
 
+/// Statuses with which a target turns a request away.
+const TURNED_AWAY: [u16; 2] = [429, 503];
+
 impl Relay {
     /// Takes in what an answer announces of its target. Its request was sent at `sent_ms`.
     pub(crate) fn observe_answer(
         self: &Rc<Self>,
         slot: TargetSlot,
+        status: u16,
         facts: &AnswerFacts,
         sent_ms: u64,
     ) {
+        self.observe_pause(slot, status, facts, sent_ms);
         match facts.rate_limit_per_s {
             Announced::Value(limit_per_s) => self.observe_rate(slot, Some(limit_per_s), sent_ms),
             Announced::Absent => self.observe_rate(slot, None, sent_ms),
@@ -26,6 +32,41 @@
         }
     }
 
+    /// A target that turns a request away may ask this box for a pause.
+    fn observe_pause(
+        self: &Rc<Self>,
+        slot: TargetSlot,
+        status: u16,
+        facts: &AnswerFacts,
+        sent_ms: u64,
+    ) {
+        let is_turned_away = TURNED_AWAY.contains(&status);
+        match facts.retry_after_ms {
+            Announced::Value(pause_ms) if is_turned_away => self.pause_asked(slot, pause_ms),
+            Announced::Malformed if is_turned_away => self.not_understood(slot, "retry after"),
+            _ if facts.is_not_run => {}
+            _ => {
+                if let Some(target) = self.targets.borrow_mut().get_mut(slot) {
+                    target.backoff.answered(sent_ms);
+                }
+            }
+        }
+    }
+
+    fn pause_asked(self: &Rc<Self>, slot: TargetSlot, pause_ms: u64) {
+        let now_ms = self.now_ms();
+        let is_new = self
+            .targets
+            .borrow_mut()
+            .asked_for_pause(slot, pause_ms, now_ms);
+        if is_new && pause_ms > 0 {
+            metrics::counter!("shuntpier_target_pauses").increment(1);
+            slog::info!(self.log, "target asks for a pause"; "target" => self.name_of(slot),
+                "pause_ms" => pause_ms);
+            self.tell_hint(slot, HintWord::TurnedAway);
+        }
+    }
+
     fn not_understood(&self, slot: TargetSlot, field: &'static str) {
         metrics::counter!("shuntpier_malformed_announcements", "field" => field).increment(1);
         slog::warn!(self.log, "announcement not understood"; "target" => self.name_of(slot),
--- a/components/relay/src/forwarding/balance.rs
+++ b/components/relay/src/forwarding/balance.rs
@@ -179,6 +179,19 @@
         against.min() == Some((false, false, true))
     }
 
+    /// Whether all targets that a call could go to asked this box for pauses which last beyond a time.
+    pub(crate) fn all_back_off_beyond(&self, asked: &Asked, until_ms: u64) -> bool {
+        let now_ms = self.now_ms();
+        let book = self.targets.borrow();
+        let of_service = book.of_service(asked.service);
+        let mut taking = of_service.filter(|(_, target)| book.takes_work(target));
+        let is_beyond = |target: &Target| {
+            let left_ms = target.backoff.left_ms(now_ms);
+            left_ms.is_some_and(|left_ms| now_ms + left_ms > until_ms)
+        };
+        taking.all(|(_, target)| is_beyond(target))
+    }
+
     /// What speaks against a target; none where it takes no call.
     fn against(
         &self,
--- a/components/relay/src/forwarding/call.rs
+++ b/components/relay/src/forwarding/call.rs
@@ -77,8 +77,15 @@
             Offer::NotRun(NotRun::Limited { retry_after_ms }) => {
                 self.limited.push((slot, relay.now_ms() + retry_after_ms));
             }
+            Offer::NotRun(NotRun::BackingOff { retry_after_ms }) => {
+                self.retry_after_ms = self
+                    .retry_after_ms
+                    .into_iter()
+                    .chain([retry_after_ms])
+                    .min();
+            }
             Offer::NotRun(NotRun::Refused { retry_after_ms }) => {
-                self.retry_after_ms = self.retry_after_ms.or(retry_after_ms);
+                self.retry_after_ms = self.retry_after_ms.into_iter().chain(retry_after_ms).min();
             }
             Offer::NotRun(_) => {}
             Offer::Unheld(why) => {
--- a/components/relay/src/forwarding/call_records.rs
+++ b/components/relay/src/forwarding/call_records.rs
@@ -79,11 +79,11 @@
         };
         match word {
             HintWord::Slowness(percent) => record.slowness.told(percent, 0, now_ms),
-            HintWord::NoAnswer => {
+            HintWord::NoAnswer | HintWord::TurnedAway => {
                 let before = record.shared.is_spared(now_ms);
                 record.shared.failed_at(from.0.into(), now_ms);
                 if record.shared.is_spared(now_ms) && !before {
-                    slog::info!(self.log, "target spared: boxes got no answer";
+                    slog::info!(self.log, "target spared: boxes got no answer, or were turned away";
                         "target" => self.name_of(slot), "from" => from.0);
                 }
             }
--- a/components/relay/src/forwarding/generation.rs
+++ b/components/relay/src/forwarding/generation.rs
@@ -15,11 +15,11 @@
 use crate::membership::gossip::tell_current;
 use crate::quarantine::broken::Break;
 use crate::state::Relay;
-use crate::watch::targets::TargetSlot;
+use crate::watch::targets::{Target, TargetSlot};
 use http1::Channel;
 use peers::EngineFault;
 use platform::{Continuation, Forwarding, PRIORITY_MOST, forward, relayed_head};
-use prelude::{Refusal, RefusalReason, TargetId};
+use prelude::{Avoided, Refusal, RefusalReason, TargetId};
 use settings::Mechanism;
 use std::future::Future;
 use std::pin::pin;
@@ -171,11 +171,16 @@
         false => relay.completion.borrow().wait_ms(goal_ms),
     };
     let wait_until_ms = incoming.came_ms + wait_ms;
-    let mut avoid: Option<TargetId> = None;
+    let mut failed: Option<TargetId> = None;
     let mut last = refusal(RefusalReason::Crowded);
     let mut arrived = false;
     for _ in 0..OFFERS_MAX {
         let now_ms = relay.now_ms();
+        let service = &way.service().name;
+        if let Some(retry_after_ms) = relay.all_back_off_ms(service, wait_until_ms) {
+            last.retry_after_ms = Some(retry_after_ms);
+            break;
+        }
         let want = Want {
             id: incoming.id(),
             service: &way.service().name,
@@ -188,7 +193,7 @@
             pause_goal_ms: route.pause_goal_ms,
             wait_until_ms: wait_until_ms.min(due_ms),
             due_ms,
-            avoid,
+            avoid: relay.avoided(service, failed),
         };
         if arrived && !relay.take_resend(&way.service().name) {
             return Started::Own(not_run(refusal(RefusalReason::RetryBudgetSpent)));
@@ -202,7 +207,7 @@
         let slot = permit.slot;
         if !relay.takes_work(slot) {
             // The dispatcher has not heard yet that it leaves.
-            avoid = relay.id_of(slot);
+            failed = relay.id_of(slot);
             tell_current(relay);
             continue;
         }
@@ -211,7 +216,7 @@
             return Started::Own(own);
         }
         let granted_ms = relay.now_ms();
-        let trying = send(relay, incoming, way, slot, None);
+        let trying = send(relay, incoming, way, slot, None, SendKind::Generation);
         let watched = with_doubt(relay, &permit, SILENT_START_LIMIT, trying);
         let Ok(tried) = timeout_at(until, watched).await else {
             relay.run_broke(incoming.key, slot, granted_ms, Break::Silent);
@@ -238,7 +243,7 @@
                 return Started::Own(Own::MayHaveRun(why));
             }
             Tried::NotRun(why) => {
-                avoid = relay.id_of(slot);
+                failed = relay.id_of(slot);
                 arrived |= why.arrived();
                 slog::info!(relay.log, "engine did not take it"; "id" => incoming.id(),
                     "engine" => relay.name_of(slot), "why" => ?why);
@@ -280,6 +285,39 @@
     }
 }
 
+impl Relay {
+    /// The engines of a service that a generation is not to be placed on: one that failed it, and those that asked this box
+    /// for a pause.
+    fn avoided(&self, service: &str, failed: Option<TargetId>) -> Avoided {
+        let backing_off = self
+            .targets
+            .borrow_mut()
+            .backing_off(service, self.now_ms());
+        let backing_off = backing_off.into_iter().map(|(id, _)| id);
+        failed.into_iter().chain(backing_off).collect()
+    }
+
+    /// Where all engines of a service that take work asked this box for pauses which last beyond a time: when the first is over,
+    /// from now.
+    fn all_back_off_ms(&self, service: &str, until_ms: u64) -> Option<u64> {
+        let now_ms = self.now_ms();
+        let mut targets = self.targets.borrow_mut();
+        let backing_off = targets.backing_off(service, now_ms);
+        if backing_off.is_empty() {
+            return None;
+        }
+        let mut ready = targets.of_service(service);
+        let takes = |target: &Target| {
+            targets.takes_work(target) && target.backoff.left_ms(now_ms).is_none()
+        };
+        if ready.any(|(_, target)| takes(target)) {
+            return None;
+        }
+        let first_ms = backing_off.into_iter().map(|(_, left_ms)| left_ms).min();
+        first_ms.filter(|left_ms| now_ms + left_ms > until_ms)
+    }
+}
+
 /// Sends a generation to an engine, from its start or where it goes on.
 pub(crate) async fn send(
     relay: &Rc<Relay>,
@@ -287,11 +325,8 @@
     way: &Way,
     slot: TargetSlot,
     continuation: Option<&Continuation>,
+    kind: SendKind,
 ) -> Tried {
-    let kind = match continuation {
-        Some(_) => SendKind::Continuation,
-        None => SendKind::Generation,
-    };
     let admission = match relay.admit(slot, kind).await {
         Ok(admission) => admission,
         Err(why) => return Tried::NotRun(why),
--- a/components/relay/src/forwarding/offer.rs
+++ b/components/relay/src/forwarding/offer.rs
@@ -185,7 +185,14 @@
             Self::NotRun(NotRun::Unreachable) => true,
             _ => false,
         };
-        if matches!(self, Self::NotRun(NotRun::Refused { .. })) {
+        // One that says when to come back is kept from calls by that alone.
+        let is_full = matches!(
+            self,
+            Self::NotRun(NotRun::Refused {
+                retry_after_ms: None
+            })
+        );
+        if is_full {
             relay.call_refused(slot);
         }
         if is_silent {
--- a/components/relay/src/forwarding/outcome.rs
+++ b/components/relay/src/forwarding/outcome.rs
@@ -31,9 +31,11 @@
             NotRun::Refused { .. } => Self::Full,
             NotRun::Misdirected | NotRun::Dead => Self::Left,
             NotRun::Unreachable => Self::Failed,
-            NotRun::Evacuated | NotRun::Leaving | NotRun::Heavy | NotRun::Limited { .. } => {
-                Self::Untried
-            }
+            NotRun::Evacuated
+            | NotRun::Leaving
+            | NotRun::Heavy
+            | NotRun::BackingOff { .. }
+            | NotRun::Limited { .. } => Self::Untried,
         }
     }
 }
--- a/components/relay/src/forwarding/room.rs
+++ b/components/relay/src/forwarding/room.rs
@@ -57,6 +57,9 @@
     }
     let until_ms = waits_until_ms(relay, incoming, way);
     let began_ms = relay.now_ms();
+    if relay.all_back_off_beyond(&asked(relay, way), until_ms) {
+        return;
+    }
     loop {
         let left_ms = until_ms.saturating_sub(relay.now_ms());
         if left_ms == 0 {
--- a/components/relay/src/forwarding/send.rs
+++ b/components/relay/src/forwarding/send.rs
@@ -39,6 +39,11 @@
     Evacuated,
     /// The target leaves, or is gone: it was not sent.
     Leaving,
+    /// The target asked this box for a pause: it was not sent.
+    BackingOff {
+        /// When that is over, from now.
+        retry_after_ms: u64,
+    },
     /// The target's rate limit leaves no room for it: it was not sent.
     Limited {
         /// When it does, from now.
@@ -179,6 +184,9 @@
             return Tried::NotRun(why);
         }
         let sent_ms = self.now_ms();
+        if let Some(target) = self.targets.borrow_mut().get_mut(slot) {
+            target.backoff.sent(sent_ms);
+        }
         let whole = match write(&mut channel, message).await {
             Written::Whole => true,
             Written::AnsweredEarly => false,
@@ -199,7 +207,7 @@
         if facts.is_misdirected {
             return Tried::NotRun(NotRun::Misdirected);
         }
-        self.observe_answer(slot, &facts, sent_ms);
+        self.observe_answer(slot, head.status, &facts, sent_ms);
         let mut opened = Opened {
             decoder: Decoder::new(framing),
             framing,
@@ -210,7 +218,7 @@
             open,
         };
         if opened.facts.is_not_run {
-            let retry_after_ms = opened.facts.retry_after_ms;
+            let retry_after_ms = opened.facts.retry_after_ms.value();
             // The short body is read so that the channel can be used again; its loss changes nothing.
             let mut held = Held::new(&self.held, None);
             let _ = opened.read_whole(&mut held).await;
--- a/components/relay/src/forwarding/stream.rs
+++ b/components/relay/src/forwarding/stream.rs
@@ -2,6 +2,7 @@
 
 use crate::dispatch::completion::CompletionSample;
 use crate::dispatch::permits::Permit;
+use crate::forwarding::admission::SendKind;
 use crate::forwarding::events::EventSplitter;
 use crate::forwarding::generation::{outcome_of, send};
 use crate::forwarding::pauses::{PauseIn, Pauses};
@@ -338,7 +339,11 @@
             copy: from.copy.clone(),
             last_event: self.last_event.clone(),
         };
-        for slot in [from.to, from.source_slot] {
+        let ways = [
+            (from.to, SendKind::Continuation),
+            (from.source_slot, SendKind::Resumption),
+        ];
+        for (slot, kind) in ways {
             let sent_ms = self.relay.now_ms();
             let trying = send(
                 self.relay,
@@ -346,6 +351,7 @@
                 self.way,
                 slot,
                 Some(&continuation),
+                kind,
             );
             let Ok(tried) = timeout_at(due, trying).await else {
                 return Err(Ended::TimeOver);
--- a/components/relay/src/watch/index.rs
+++ b/components/relay/src/watch/index.rs
@@ -15,6 +15,8 @@
     pub on_trial: BTreeSet<TargetSlot>,
     /// Those of which something holds for a time: they are cold, on trial, or failed this box.
     pub passing: BTreeSet<TargetSlot>,
+    /// Those that asked this box for a pause.
+    pub backing_off: BTreeSet<TargetSlot>,
     /// Those that announce a rate limit.
     pub rate_limited: BTreeSet<TargetSlot>,
     /// Those that have requests of this box.
@@ -38,6 +40,7 @@
             &mut self.missing,
             &mut self.on_trial,
             &mut self.passing,
+            &mut self.backing_off,
             &mut self.rate_limited,
             &mut self.in_use,
         ] {
--- a/components/relay/src/watch/life.rs
+++ b/components/relay/src/watch/life.rs
@@ -2,7 +2,7 @@
 
 use crate::rate_limit::state::TargetRateLimit;
 use crate::watch::targets::{Belief, Target};
-use policy::{Suspicion, Trial, Warmup};
+use policy::{Backoff, Suspicion, Trial, Warmup};
 use prelude::DataCentreId;
 use routing::{TargetEntry, TargetPhase};
 
@@ -28,6 +28,7 @@
             open: 0,
             open_bytes: 0,
             load: None,
+            backoff: Backoff::default(),
             rate_limit: TargetRateLimit::default(),
             suspicion: Suspicion::default(),
             trial: Trial::default(),
--- a/components/relay/src/watch/target.rs
+++ b/components/relay/src/watch/target.rs
@@ -2,7 +2,7 @@
 
 use crate::rate_limit::state::TargetRateLimit;
 use platform::WorkerLoad;
-use policy::{Suspicion, Trial, Warmup};
+use policy::{Backoff, Suspicion, Trial, Warmup};
 use prelude::{DataCentreId, TargetId, Version};
 use routing::TargetEntry;
 
@@ -50,6 +50,8 @@
     pub open_bytes: u64,
     /// What it last said of its load, and when.
     pub load: Option<(WorkerLoad, u64)>,
+    /// The pause that it asked this box for.
+    pub backoff: Backoff,
     /// The rate limit that it announces.
     pub rate_limit: TargetRateLimit,
     /// Its latest failures.
@@ -108,9 +110,11 @@
         }
     }
 
-    /// Whether it takes no more right now: it is full by its own word, or has no tokens left.
+    /// Whether it takes no more right now: it is full by its own word, asked for a pause, or has no tokens left.
     pub(crate) fn is_full(&self, now_ms: u64) -> bool {
-        now_ms < self.full_until_ms || self.is_out_of_tokens(now_ms)
+        now_ms < self.full_until_ms
+            || self.backoff.left_ms(now_ms).is_some()
+            || self.is_out_of_tokens(now_ms)
     }
 
     /// Whether its rate limit leaves no token, as far as this box knows.
--- a/components/relay/src/watch/targets.rs
+++ b/components/relay/src/watch/targets.rs
@@ -144,6 +144,29 @@
         tried.filter(open).map(|(slot, _)| slot).collect()
     }
 
+    /// Notes that a target asked this box for a pause. Says whether it had not before.
+    pub(crate) fn asked_for_pause(&mut self, slot: TargetSlot, pause_ms: u64, now_ms: u64) -> bool {
+        let Some(target) = self.targets.get_mut(slot) else {
+            return false;
+        };
+        let is_new = target.backoff.left_ms(now_ms).is_none();
+        target.backoff.asked(pause_ms, rand::random(), now_ms);
+        self.index.backing_off.insert(slot);
+        is_new
+    }
+
+    /// The targets of a service that asked this box for a pause which is not over, and how long each is.
+    pub(crate) fn backing_off(&mut self, service: &str, now_ms: u64) -> Vec<(TargetId, u64)> {
+        let targets = &self.targets;
+        let is_on = |slot: &TargetSlot| targets.get(*slot).is_some_and(|t| t.backoff.is_on(now_ms));
+        self.index.backing_off.retain(is_on);
+        let backing_off = self.those(self.index.backing_off.iter().copied());
+        let of_service = backing_off.filter(|(_, target)| &*target.entry.service == service);
+        of_service
+            .filter_map(|(_, target)| Some((target.id, target.backoff.left_ms(now_ms)?)))
+            .collect()
+    }
+
     /// Notes that the rate limit of a target changed.
     pub(crate) fn rate_limit_changed(&mut self, slot: TargetSlot) {
         let Some(target) = self.targets.get(slot) else {
--- a/components/replay/src/serving.rs
+++ b/components/replay/src/serving.rs
@@ -5,7 +5,7 @@
 use crate::request::Phase;
 use crate::world::{Occasion, World};
 use policy::{Demand, End, LengthClass, Share, Submitted, Verdict, WaitingPolicy};
-use prelude::{AccountId, BoxId, DataCentreId, OwnerId, PartnerId, PermitId, Refusal};
+use prelude::{AccountId, Avoided, BoxId, DataCentreId, OwnerId, PartnerId, PermitId, Refusal};
 
 /// What a box takes for the way of a first token where its time is forecast.
 const WAY_MS: u64 = 40;
@@ -56,7 +56,7 @@
             leaves_ms: request.at_ms + kind.stay_ms,
             prefix: None,
             told_tokens: None,
-            avoid: None,
+            avoid: Avoided::default(),
             near: Some(DataCentreId(u64::from(request.data_centre))),
         }
     }
--- a/src/cmd/targets.rs
+++ b/src/cmd/targets.rs
@@ -82,9 +82,12 @@
     for target in &view.targets {
         let cold = if target.cold { " cold" } else { "" };
         let limit = target.rate_limit_per_s;
-        let limit = limit.map_or(String::new(), |limit| format!(", rate limit {limit:.2}/s"));
+        let mut asks = limit.map_or(String::new(), |limit| format!(", rate limit {limit:.2}/s"));
+        if let Some(left_ms) = target.pause_left_ms {
+            asks += &format!(", asked this box for a pause, {left_ms} ms left");
+        }
         println!(
-            "  {:24} {:16} {:16} {}{cold}, own {} with {:.2} MB{limit}",
+            "  {:24} {:16} {:16} {}{cold}, own {} with {:.2} MB{asks}",
             target.name,
             target.service,
             target.data_centre,
@@ -111,7 +114,9 @@
         line += &format!(", limit {limit:.1}");
     }
     if calls.spared {
-        line += ", spared: boxes got no answer";
+        line += ", spared: boxes got no answer, or were turned away";
+    } else if calls.doubted {
+        line += ", doubted: a box got no answer, or was turned away";
     }
     if calls.passed_over {
         line += ", passed over: it failed this box";
