soak: targets say in their answers that they leave, or ask for pauses; both checked from what targets see

Four to eight announcements come in a run, drawn apart from the other faults: rate limits, targets whose answers say that they leave 2.5 to 6 s before the store does, targets that turn all away and ask for 1.5 to 7 s. Checked strictly: nothing sent 2 s after a box passed on such an answer reaches the target through it; two requests at the most in the rest of a pause.

--- a/components/soak/src/announced.rs
+++ b/components/soak/src/announced.rs
@@ -1,10 +1,11 @@
 //! What targets announce of themselves in their answers: how a run has them do so, and what boxes may send them then.
 
 use crate::checks::{any_disturbed, is_broken_or_ended};
-use crate::history::{AnnouncedLimit, Arrival, Call, History};
+use crate::history::{AnnouncedLimit, Arrival, Call, History, Outcome, SaysItLeaves};
 use crate::plant::Plant;
+use crate::play::SERVES_ON_MS;
 use crate::world::{Later, World};
-use fleet::target::Record;
+use fleet::target::{Act, Record};
 use std::collections::HashMap;
 
 /// A limit binds boxes from this time after it was first named.
@@ -20,6 +21,15 @@
 const PLANTED_LIMIT_PER_S: f64 = 0.5;
 const PLANTED_ANNOUNCED: &str = "500";
 
+/// A target that says that it leaves gets nothing that is sent so much later.
+const LEAVING_MS: u64 = 2_000;
+/// What was under way when a target asked for a pause still comes within this time.
+const UNDER_WAY_MS: u64 = 500;
+/// Requests of one box that a target gets at the most in the rest of a pause.
+const WITHIN_PAUSE_MAX: usize = 2;
+/// More requests than a target turns away.
+const SHED_MAX: usize = 5_000;
+
 impl World<'_> {
     /// Has a target announce a rate limit for a time, unless it does already.
     pub(crate) fn limit(
@@ -61,28 +71,66 @@
             .push((now_ms + lasts_ms, Later::AnnounceNothing(record)));
     }
 
-    /// Has a target announce another limit than the history says.
-    pub(crate) fn plant_limit(&mut self, target: &str, life: u64, record: &Record) {
-        if self.soak.plant == Some(Plant::Limit) {
-            record.announce(&[("Server-Limit", PLANTED_ANNOUNCED)]);
-            self.history.limits.push(AnnouncedLimit {
-                target: target.to_owned(),
-                life,
-                limit_per_s: PLANTED_LIMIT_PER_S,
-                from_ms: 0,
-                until_ms: u64::MAX,
-            });
+    /// Has a plain target say in its answers that it leaves, and another come. Its entry says so later.
+    pub(crate) fn says_it_leaves(&mut self, at: usize, store_late_ms: u64) {
+        let name = self.name("t");
+        let fresh = self.start_target(&name);
+        let old = std::mem::replace(&mut self.plain[at], fresh);
+        let target = old.target.instance.clone();
+        let now_ms = self.now_ms();
+        let life = self.entries.get(&target).map_or(0, |entry| entry.life);
+        old.target.record.announce(&[("Server-Leaving", "1")]);
+        self.note_says_it_leaves(&target, life, now_ms);
+        self.retired.push(old);
+        let listed_ms = now_ms + store_late_ms;
+        self.later.push((listed_ms, Later::ListTarget(target)));
+        let gone = Later::TargetGone(self.retired.len() - 1);
+        self.later.push((listed_ms + SERVES_ON_MS, gone));
+    }
+
+    fn note_says_it_leaves(&mut self, target: &str, life: u64, from_ms: u64) {
+        self.history.say_they_leave.push(SaysItLeaves {
+            target: target.to_owned(),
+            life,
+            from_ms,
+        });
+    }
+
+    /// Has a plain target turn all requests away for a time, and ask for a pause.
+    pub(crate) fn shed(&mut self, at: usize, pause_ms: u64, lasts_ms: u64) {
+        let record = self.plain[at].target.record.clone();
+        record.will(&vec![Act::Sheds(pause_ms); SHED_MAX]);
+        let well = Later::ForgetActs(record);
+        self.later.push((self.now_ms() + lasts_ms, well));
+    }
+
+    /// Has a target announce something else than the history says, where that is planted.
+    pub(crate) fn plant_announcements(&mut self, target: &str, life: u64, record: &Record) {
+        match self.soak.plant {
+            Some(Plant::Limit) => {
+                record.announce(&[("Server-Limit", PLANTED_ANNOUNCED)]);
+                self.history.limits.push(AnnouncedLimit {
+                    target: target.to_owned(),
+                    life,
+                    limit_per_s: PLANTED_LIMIT_PER_S,
+                    from_ms: 0,
+                    until_ms: u64::MAX,
+                });
+            }
+            Some(Plant::Leaving) => self.note_says_it_leaves(target, life, 0),
+            _ => {}
         }
     }
 }
 
+fn sent_by(history: &History) -> HashMap<&str, &Call> {
+    let calls = history.calls.iter();
+    calls.map(|call| (call.id.as_str(), call)).collect()
+}
+
 /// Where a target announces a limit, the sum of what boxes send it that passed such answers on keeps it.
 pub(crate) fn limits_are_kept(history: &History) -> Vec<String> {
-    let sent_by: HashMap<&str, &Call> = history
-        .calls
-        .iter()
-        .map(|call| (call.id.as_str(), call))
-        .collect();
+    let sent_by = sent_by(history);
     let limits = history.limits.iter();
     limits
         .filter_map(|limit| over_limit(history, limit, &sent_by))
@@ -143,6 +191,96 @@
     times
 }
 
+/// Nothing that was sent later than the bound after a box had passed on an answer in which a target says that it leaves reaches
+/// it from that box.
+pub(crate) fn words_on_leaving_hold(history: &History) -> Vec<String> {
+    let sent_by = sent_by(history);
+    let mut broken = Vec::new();
+    for word in &history.say_they_leave {
+        let there = |arrival: &&Arrival| {
+            (&arrival.target, arrival.life) == (&word.target, word.life)
+                && arrival.at_ms >= word.from_ms
+        };
+        let there: Vec<(&Arrival, &Call)> = history
+            .arrivals
+            .iter()
+            .filter(there)
+            .filter_map(|arrival| Some((arrival, *sent_by.get(arrival.id.as_str())?)))
+            .collect();
+        let late = there
+            .iter()
+            .filter(|(arrival, call)| is_late(history, &there, arrival, call));
+        broken.extend(late.map(|(arrival, call)| {
+            let (id, target, at) = (&arrival.id, &word.target, call.at);
+            format!("{id} reached {target} through box {at}, which had passed on that it leaves")
+        }));
+    }
+    broken
+}
+
+/// Whether a call's box had passed on an answer of the target long enough before the call was sent.
+fn is_late(history: &History, there: &[(&Arrival, &Call)], arrival: &Arrival, call: &Call) -> bool {
+    let bound_ms = LEAVING_MS + history.slack_ms;
+    let passed_on = |(before, passed): &&(&Arrival, &Call)| {
+        let is_of_box = passed.at == call.at && passed.ended_ms + bound_ms < call.sent_ms;
+        is_of_box && is_answer_of(passed, &before.target)
+    };
+    let since_ms = there
+        .iter()
+        .filter(passed_on)
+        .map(|(_, passed)| passed.ended_ms);
+    // A box that was broken since knows nothing of it.
+    since_ms.max().is_some_and(|since_ms| {
+        !any_disturbed(
+            history,
+            call.at,
+            since_ms,
+            arrival.at_ms,
+            is_broken_or_ended,
+        )
+    })
+}
+
+fn is_answer_of(call: &Call, target: &str) -> bool {
+    let Outcome::Answered(got) = &call.outcome else {
+        return false;
+    };
+    got.status == 200 && got.text() == format!("answer to {} by {target}", call.id)
+}
+
+/// A target that asked a box for a pause gets two requests from it at the most until that is over.
+pub(crate) fn pauses_are_kept(history: &History) -> Vec<String> {
+    let sent_by = sent_by(history);
+    let box_of = |arrival: &Arrival| Some(sent_by.get(arrival.id.as_str())?.at);
+    let mut broken = Vec::new();
+    for asked in &history.arrivals {
+        let (Some(pause_ms), Some(at)) = (asked.pause_ms, box_of(asked)) else {
+            continue;
+        };
+        let (from_ms, until_ms) = (asked.at_ms, asked.at_ms + pause_ms);
+        let is_cut = history.troubled_links.iter().any(|link| {
+            link.target == asked.target && link.from_ms <= until_ms && link.to_ms >= from_ms
+        });
+        if is_cut || any_disturbed(history, at, from_ms, until_ms, is_broken_or_ended) {
+            continue;
+        }
+        let pause = from_ms + UNDER_WAY_MS + history.slack_ms..until_ms;
+        let within = |arrival: &&Arrival| {
+            (&arrival.target, arrival.life) == (&asked.target, asked.life)
+                && pause.contains(&arrival.at_ms)
+                && box_of(arrival) == Some(at)
+        };
+        let count = history.arrivals.iter().filter(within).count();
+        if count > WITHIN_PAUSE_MAX {
+            let target = &asked.target;
+            broken.push(format!(
+                "{count} requests reached {target} through box {at}, which it had asked for {pause_ms} ms at {from_ms} ms"
+            ));
+        }
+    }
+    broken
+}
+
 #[cfg(test)]
 #[path = "announced_tests.rs"]
 mod tests;
--- a/components/soak/src/announced_tests.rs
+++ b/components/soak/src/announced_tests.rs
@@ -22,6 +22,7 @@
             kind: Kind::Repeatable,
             at_ms,
             ran: true,
+            pause_ms: None,
         });
     }
     history.limits.push(AnnouncedLimit {
@@ -63,3 +64,68 @@
     history.limits[0].life = 2;
     assert!(limits_are_kept(&history).is_empty());
 }
+
+/// One box's calls to a target, one each 500 ms, all answered.
+fn calls_to_one(answers: impl Fn(u64) -> Option<u64>) -> History {
+    let mut history = History::default();
+    for serial in 0..12 {
+        let (id, at_ms) = (serial.to_string(), serial * 500);
+        history.calls.push(Call {
+            id: id.clone(),
+            kind: Kind::Repeatable,
+            key: Key::Kept,
+            at: 0,
+            sent_ms: at_ms,
+            ended_ms: at_ms + 10,
+            outcome: Outcome::Answered(fleet::caller::Got {
+                status: 200,
+                head: String::new(),
+                body: format!("answer to {id} by t").into_bytes(),
+                whole: true,
+            }),
+        });
+        history.arrivals.push(Arrival {
+            id,
+            target: "t".into(),
+            life: 1,
+            kind: Kind::Repeatable,
+            at_ms,
+            ran: true,
+            pause_ms: answers(at_ms),
+        });
+    }
+    history
+}
+
+#[test]
+fn finds_calls_that_reach_a_target_long_after_its_answers_said_that_it_leaves() {
+    let mut history = calls_to_one(|_| None);
+    assert!(words_on_leaving_hold(&history).is_empty());
+    history.say_they_leave.push(SaysItLeaves {
+        target: "t".into(),
+        life: 1,
+        from_ms: 1_000,
+    });
+    // The first answer that says so ends at 1,010 ms.
+    let late = words_on_leaving_hold(&history);
+    assert_eq!(late.len(), 5, "{late:?}");
+    history.disturbed.push(Disturbed {
+        trouble: Trouble::Ended,
+        at: Some(0),
+        from_ms: 0,
+        to_ms: 6_000,
+    });
+    assert!(words_on_leaving_hold(&history).is_empty());
+}
+
+#[test]
+fn finds_calls_that_reach_a_target_within_the_pause_that_it_asked_for() {
+    let once = |at_ms| (at_ms == 1_000).then_some(3_000);
+    let mut history = calls_to_one(once);
+    assert_eq!(pauses_are_kept(&history).len(), 1);
+    // Two within the pause are allowed.
+    history
+        .arrivals
+        .retain(|arrival| arrival.at_ms <= 2_000 || arrival.at_ms >= 4_000);
+    assert!(pauses_are_kept(&history).is_empty());
+}
--- a/components/soak/src/checks.rs
+++ b/components/soak/src/checks.rs
@@ -1,6 +1,6 @@
 //! The promises, each checked by what callers and targets saw.
 
-use crate::announced::limits_are_kept;
+use crate::announced::{limits_are_kept, pauses_are_kept, words_on_leaving_hold};
 use crate::history::{Arrival, Broken, Call, Disturbed, History, Key, Kind, Outcome, Trouble};
 use fleet::caller::{Got, events};
 use std::collections::HashMap;
@@ -24,7 +24,7 @@
 /// What was broken in one run.
 pub(crate) fn check(history: &History) -> Vec<Broken> {
     let arrivals = by_id(history);
-    let checks: [(&'static str, Vec<String>); 12] = [
+    let checks: [(&'static str, Vec<String>); 14] = [
         ("its own whole answer", whole_answers(history, &arrivals)),
         ("each event once, in order", ordered_events(history)),
         ("one generation", one_generation(&arrivals)),
@@ -43,6 +43,11 @@
         ("declarations in force", in_force(history)),
         ("budget of second sends", budget(history)),
         ("rate limits", limits_are_kept(history)),
+        (
+            "no work to a target that says it leaves",
+            words_on_leaving_hold(history),
+        ),
+        ("pauses that targets ask for", pauses_are_kept(history)),
     ];
     let mut broken: Vec<Broken> = Vec::new();
     for (promise, cases) in checks {
--- a/components/soak/src/checks_tests.rs
+++ b/components/soak/src/checks_tests.rs
@@ -30,6 +30,7 @@
         kind,
         at_ms,
         ran: true,
+        pause_ms: None,
     }
 }
 
--- a/components/soak/src/history.rs
+++ b/components/soak/src/history.rs
@@ -79,6 +79,8 @@
     pub kind: Kind,
     pub at_ms: u64,
     pub ran: bool,
+    /// The pause that the target asked for with its answer.
+    pub pause_ms: Option<u64>,
 }
 
 /// A life of a target of which the store said that it leaves.
@@ -115,6 +117,22 @@
     pub until_ms: u64,
 }
 
+/// A life of a target whose answers say that it leaves, from a time on.
+#[derive(Clone, Debug)]
+pub(crate) struct SaysItLeaves {
+    pub target: String,
+    pub life: u64,
+    pub from_ms: u64,
+}
+
+/// A time in which the link before a target had trouble.
+#[derive(Clone, Debug)]
+pub(crate) struct TroubledLink {
+    pub target: String,
+    pub from_ms: u64,
+    pub to_ms: u64,
+}
+
 /// Whether the toggled key holds, from a time on.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct KeyChange {
@@ -135,6 +153,8 @@
     pub leaving: Vec<Leaving>,
     pub garbled: Vec<Garbled>,
     pub limits: Vec<AnnouncedLimit>,
+    pub say_they_leave: Vec<SaysItLeaves>,
+    pub troubled_links: Vec<TroubledLink>,
     pub evacuated: Vec<Evacuated>,
     /// Where each target stands.
     pub places: HashMap<String, &'static str>,
--- a/components/soak/src/plan.rs
+++ b/components/soak/src/plan.rs
@@ -35,9 +35,13 @@
 const EVACUATED_MS: std::ops::RangeInclusive<u64> = 3_000..=6_000;
 
 /// Announcements of one run.
-const ANNOUNCEMENTS: std::ops::RangeInclusive<usize> = 2..=4;
+const ANNOUNCEMENTS: std::ops::RangeInclusive<usize> = 4..=8;
 /// How long a rate limit is announced: longer than boxes may take to know it, and the span in which it is checked.
 const LIMITED_MS: std::ops::RangeInclusive<u64> = 7_000..=11_000;
+/// How much later than its answers the store says that a target leaves.
+const STORE_LATE_MS: std::ops::RangeInclusive<u64> = 2_500..=6_000;
+/// The pauses that targets ask for, and for how long they do.
+const PAUSE_MS: std::ops::RangeInclusive<u64> = 1_500..=7_000;
 /// The random numbers of announcements.
 const ANNOUNCEMENTS_STREAM: u64 = 1;
 
@@ -104,6 +108,14 @@
         limit_tenths_per_s: u32,
         lasts_ms: u64,
     },
+    /// A plain target says in its answers that it leaves, and the store hears of it late. Another comes.
+    SaysItLeaves { at: usize, store_late_ms: u64 },
+    /// A plain target turns all requests away for a time, and asks for a pause each time.
+    Sheds {
+        at: usize,
+        pause_ms: u64,
+        lasts_ms: u64,
+    },
 }
 
 /// A step and when it comes, in milliseconds since the run began.
@@ -153,29 +165,40 @@
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
     rng.set_stream(ANNOUNCEMENTS_STREAM);
     let count = rng.random_range(ANNOUNCEMENTS);
-    let limit = |rng: &mut ChaCha8Rng| {
-        let is_engine = rng.random_bool(0.3);
-        Step::Limit {
-            at: rng.random_range(
-                0..if is_engine {
-                    sizes.engines
-                } else {
-                    sizes.targets
-                },
-            ),
-            is_engine,
-            limit_tenths_per_s: rng.random_range(2..60),
-            lasts_ms: rng.random_range(LIMITED_MS),
-        }
+    let announcement = |rng: &mut ChaCha8Rng| match rng.random_range(0..3) {
+        0 => Step::SaysItLeaves {
+            at: rng.random_range(0..sizes.targets),
+            store_late_ms: rng.random_range(STORE_LATE_MS),
+        },
+        1 => Step::Sheds {
+            at: rng.random_range(0..sizes.targets),
+            pause_ms: rng.random_range(PAUSE_MS),
+            lasts_ms: rng.random_range(PAUSE_MS),
+        },
+        _ => limit(rng, sizes),
     };
     (0..count)
         .map(|_| Timed {
             at_ms: rng.random_range(FIRST_MS..sizes.span_ms),
-            step: limit(&mut rng),
+            step: announcement(&mut rng),
         })
         .collect()
 }
 
+fn limit(rng: &mut ChaCha8Rng, sizes: Sizes) -> Step {
+    let is_engine = rng.random_bool(0.3);
+    let count = match is_engine {
+        true => sizes.engines,
+        false => sizes.targets,
+    };
+    Step::Limit {
+        at: rng.random_range(0..count),
+        is_engine,
+        limit_tenths_per_s: rng.random_range(2..60),
+        lasts_ms: rng.random_range(LIMITED_MS),
+    }
+}
+
 /// The store comes back from a copy, perhaps twice, and then a target leaves and a data centre is evacuated.
 fn restore(rng: &mut ChaCha8Rng, sizes: Sizes) -> Vec<Timed> {
     let mut at_ms = rng.random_range(FIRST_MS..sizes.span_ms / 2);
--- a/components/soak/src/plan_tests.rs
+++ b/components/soak/src/plan_tests.rs
@@ -20,5 +20,5 @@
         .iter()
         .map(|timed| std::mem::discriminant(&timed.step))
         .collect();
-    assert_eq!(kinds.len(), 19);
+    assert_eq!(kinds.len(), 21);
 }
--- a/components/soak/src/plant.rs
+++ b/components/soak/src/plant.rs
@@ -34,12 +34,16 @@
     Budget,
     /// Targets announce a higher rate limit than is noted.
     Limit,
+    /// Targets do not say in their answers that they leave.
+    Leaving,
+    /// Targets do not ask for the pauses that are noted.
+    Pause,
     /// Boxes are not started again after the loss of all.
     Recovery,
 }
 
 /// All of them, with the promise whose check finds each.
-pub const PLANTS: [(Plant, &str, &str); 15] = [
+pub const PLANTS: [(Plant, &str, &str); 17] = [
     (Plant::Twice, "twice", "at most once"),
     (Plant::NotRun, "not-run", "not run is true"),
     (Plant::Mixed, "mixed", "its own whole answer"),
@@ -62,6 +66,12 @@
     (Plant::Config, "config", "declarations in force"),
     (Plant::Budget, "budget", "budget of second sends"),
     (Plant::Limit, "limit", "rate limits"),
+    (
+        Plant::Leaving,
+        "leaving",
+        "no work to a target that says it leaves",
+    ),
+    (Plant::Pause, "pause", "pauses that targets ask for"),
     (Plant::Recovery, "recovery", "serves again"),
 ];
 
--- a/components/soak/src/play.rs
+++ b/components/soak/src/play.rs
@@ -3,7 +3,7 @@
 use crate::boxes::BoxProcess;
 use crate::callers::Callers;
 use crate::checks::check;
-use crate::history::{Evacuated, Outcome, Report, Trouble};
+use crate::history::{Evacuated, Outcome, Report, Trouble, TroubledLink};
 use crate::lives::is_served;
 use crate::plan::{FileChange, PLACES, Sizes, Step, Timed, plan};
 use crate::plant::Plant;
@@ -20,7 +20,7 @@
 /// Pause between the end of a box and its next start.
 const RESTART_MS: u64 = 300;
 /// A target that leaves serves on for this long.
-const SERVES_ON_MS: u64 = 4_500;
+pub(crate) const SERVES_ON_MS: u64 = 4_500;
 /// How much later the store is told that a target leaves, where that is planted.
 const PLANTED_LATE_MS: u64 = 4_000;
 /// After the loss of all boxes calls are served within this time.
@@ -205,6 +205,11 @@
                 lasts_ms,
             } => {
                 self.plain[*at].link.set(*trouble);
+                self.history.troubled_links.push(TroubledLink {
+                    target: self.plain[*at].target.instance.clone(),
+                    from_ms: now_ms,
+                    to_ms: now_ms + lasts_ms,
+                });
                 self.later.push((now_ms + lasts_ms, Later::LinkWell(*at)));
             }
             Step::TargetRestarts { at } => self.target_restarts(*at),
@@ -215,6 +220,12 @@
                 limit_tenths_per_s,
                 lasts_ms,
             } => self.limit(*at, *is_engine, *limit_tenths_per_s, *lasts_ms),
+            Step::SaysItLeaves { at, store_late_ms } => self.says_it_leaves(*at, *store_late_ms),
+            Step::Sheds {
+                at,
+                pause_ms,
+                lasts_ms,
+            } => self.shed(*at, *pause_ms, *lasts_ms),
             Step::Garble { at, lasts_ms } => self.garble(*at, *lasts_ms),
             Step::EngineLeaves { at } => self.engine_leaves(*at, now_ms),
             Step::EngineCrash { at, lasts_ms } => {
@@ -353,6 +364,7 @@
             }
             Later::GoodFile(at) => self.boxes[at].write_file(),
             Later::AnnounceNothing(record) => record.announce(&[]),
+            Later::ForgetActs(record) => record.forget_acts(),
             Later::TakeBack(place) => {
                 // What the check allows again from then on may be sent a moment later.
                 if let Some(evacuated) = self.history.evacuated.last_mut() {
--- a/components/soak/src/world.rs
+++ b/components/soak/src/world.rs
@@ -27,6 +27,9 @@
 /// Acts that a target is given where it breaks its word throughout.
 const PLANTED_ACTS: usize = 50_000;
 
+/// The pause for which targets do not ask, where that is planted.
+const PLANTED_PAUSE_MS: u64 = 7_000;
+
 /// Something that ends, or comes, at a time.
 pub(crate) enum Later {
     StartBox(usize),
@@ -53,6 +56,8 @@
     GoodFile(usize),
     /// A target announces nothing any more.
     AnnounceNothing(Record),
+    /// A target does what it was to do no more.
+    ForgetActs(Record),
     TakeBack(&'static str),
     /// The store goes away.
     StoreGoes,
@@ -213,6 +218,7 @@
             Some(Plant::NotRun) => Some(Act::DeniesRun),
             Some(Plant::Mixed) => Some(Act::OtherBody),
             Some(Plant::Budget) => Some(Act::Fails),
+            Some(Plant::Pause) => Some(Act::ShedsUntold(PLANTED_PAUSE_MS)),
             _ => None,
         };
         if let Some(act) = planted {
@@ -220,7 +226,7 @@
         }
         let link = Link::start(target.address);
         let life = self.begin_life(instance, "records", link.address);
-        self.plant_limit(instance, life, &target.record);
+        self.plant_announcements(instance, life, &target.record);
         self.records.push(Kept {
             record: target.record.clone(),
             is_engine: false,
@@ -340,6 +346,7 @@
                     kind,
                     at_ms: seen.at.saturating_duration_since(self.began).as_millis() as u64,
                     ran: seen.ran,
+                    pause_ms: seen.pause_ms,
                 });
             }
         }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -35,6 +35,8 @@
 #[case(Plant::Lives)]
 #[case(Plant::Unreadable)]
 #[case(Plant::Limit)]
+#[case(Plant::Leaving)]
+#[case(Plant::Pause)]
 fn a_promise_broken_on_purpose_is_found(#[case] plant: Plant) {
     let report = play(&soak(Some(plant)), 11).unwrap();
     let found = report
