node: a worker that asks for a pause gets no calls from that box until it is over

Callers of a service with two workers, one of which turns calls away and asks for a pause, were turned away by it about every other time, and the worker had all of them. Cause: Retry-After was read by nobody. Now each box keeps the pause, as the fleet's boxes do, and where all workers ask for pauses a call is refused as not run with what is left of the shortest.

Measured: a_worker_that_asks_for_a_pause_gets_no_calls_from_that_box_until_it_is_over fails before (more than one call of 20 turned away) and passes now.

--- a/components/node/src/calls.rs
+++ b/components/node/src/calls.rs
@@ -18,6 +18,12 @@
 
 /// Workers that are tried when one cannot be reached.
 const WORKERS_TRIED: usize = 3;
+/// When a refused caller is told to come back, where no worker says so.
+const NO_WORKER_RETRY_MS: u64 = 1_000;
+/// No worker is there.
+const NOWHERE: Sent = Sent::Nowhere {
+    retry_after_ms: None,
+};
 
 impl Node {
     pub(crate) async fn call_service(
@@ -61,6 +67,12 @@
     })
 }
 
+/// Refuses a call that no worker takes.
+pub(crate) fn no_worker(retry_after_ms: Option<u64>) -> ServiceAnswer {
+    let retry_after_ms = retry_after_ms.unwrap_or(NO_WORKER_RETRY_MS);
+    refused(RefusalReason::NoTarget, Some(retry_after_ms))
+}
+
 pub(crate) fn unknown() -> ServiceAnswer {
     metrics::counter!("shuntpier_unknown_total").increment(1);
     ServiceAnswer::Unknown(
@@ -84,11 +96,15 @@
 }
 
 /// The better of two live workers drawn at random, by this box's own calls.
+///
+/// # Errors
+/// There is none; when one that asked for a pause takes calls again, from now.
 fn choose_worker(
     shared: &Shared,
     service: &ResolvedService,
     avoid: &[TargetId],
-) -> Option<TargetId> {
+) -> Result<TargetId, Option<u64>> {
+    let now_ms = shared.now_ms();
     let settings = shared.settings();
     let targets = lock(&shared.targets);
     let takes_work = |id: &&TargetId| {
@@ -96,14 +112,20 @@
         !leaves && !avoid.contains(id) && targets.state(**id) == EngineState::Live
     };
     let live: Vec<TargetId> = service.targets.iter().filter(takes_work).copied().collect();
+    let pause_left_ms = |id: &TargetId| targets.pause_left_ms(*id, now_ms);
+    let first_ms = live.iter().filter_map(pause_left_ms).min();
+    let live: Vec<TargetId> = live
+        .into_iter()
+        .filter(|id| pause_left_ms(id).is_none())
+        .collect();
     if live.is_empty() {
-        return None;
+        return Err(first_ms);
     }
     let mut rng = rand::rng();
     let first = live[rng.random_range(0..live.len())];
     let second = live[rng.random_range(0..live.len())];
     let fewer = targets.own_open(second) < targets.own_open(first);
-    Some(if fewer { second } else { first })
+    Ok(if fewer { second } else { first })
 }
 
 /// Counts a call at a worker until it is dropped.
@@ -128,7 +150,11 @@
 /// How a call went that was sent at most once.
 pub(crate) enum Sent {
     Answered(ServiceResponse),
-    Nowhere,
+    /// To no worker.
+    Nowhere {
+        /// When one takes calls again that asked for a pause, from now.
+        retry_after_ms: Option<u64>,
+    },
     MayHaveRun,
 }
 
@@ -142,22 +168,25 @@
 ) -> Sent {
     let mut avoid = Vec::new();
     for _ in 0..WORKERS_TRIED {
-        let Some(id) = choose_worker(shared, service, &avoid) else {
-            return Sent::Nowhere;
+        let id = match choose_worker(shared, service, &avoid) {
+            Ok(id) => id,
+            Err(retry_after_ms) => return Sent::Nowhere { retry_after_ms },
         };
         let Some(target) = shared.target(id) else {
-            return Sent::Nowhere;
+            return NOWHERE;
         };
         let limit = left(shared, deadline_ms);
         if limit.is_zero() {
-            return Sent::Nowhere;
+            return NOWHERE;
         }
+        let sent_ms = shared.now_ms();
+        lock(&shared.targets).sent(id, sent_ms);
         let _open = OpenCall::new(shared, id);
         let run = TargetRun {
             request: key,
             target: lock(&shared.targets).key(id),
             address: target.address,
-            began_ms: shared.now_ms(),
+            began_ms: sent_ms,
         };
         let sent = shared
             .services
@@ -168,6 +197,7 @@
                 if response.status < 500 {
                     served(shared, key);
                 }
+                note_pause(shared, id, &response, sent_ms);
                 return Sent::Answered(response);
             }
             Err(CallError::NotSent { .. }) => avoid.push(id),
@@ -179,7 +209,21 @@
             }
         }
     }
-    Sent::Nowhere
+    NOWHERE
+}
+
+/// Notes the pause that a worker asked for, or that it took a call.
+fn note_pause(shared: &Shared, id: TargetId, response: &ServiceResponse, sent_ms: u64) {
+    let now_ms = shared.now_ms();
+    let mut targets = lock(&shared.targets);
+    match response.pause_ms {
+        Some(pause_ms) => targets.asked_for_pause(id, pause_ms, now_ms),
+        None => targets.took(id, sent_ms),
+    }
+    drop(targets);
+    if let Some(pause_ms) = response.pause_ms {
+        slog::info!(shared.log, "target asks for a pause"; "target" => id.0, "pause_ms" => pause_ms);
+    }
 }
 
 async fn call_repeatable(
@@ -196,7 +240,7 @@
         }
         match send_once(shared, service, key, &request, deadline_ms).await {
             Sent::Answered(response) => return done(response, false),
-            Sent::Nowhere => return refused(RefusalReason::NoTarget, Some(1000)),
+            Sent::Nowhere { retry_after_ms } => return no_worker(retry_after_ms),
             Sent::MayHaveRun => {}
         }
     }
--- a/components/node/src/once.rs
+++ b/components/node/src/once.rs
@@ -1,7 +1,9 @@
 //! A call that may run at most once: claims its key, sends it, and says what became of it, or finds out
 //! what became of it under another's claim.
 
-use crate::calls::{Sent, answer_of, done, left, refused, request_of, send_once, unknown};
+use crate::calls::{
+    Sent, answer_of, done, left, no_worker, refused, request_of, send_once, unknown,
+};
 use crate::claimant::CallEnd;
 use crate::claims::{claim, record_outcome};
 use crate::shared::{Shared, lock};
@@ -110,10 +112,7 @@
         let (service, deadline_ms) = (&self.service, self.deadline_ms);
         let sent = send_once(&self.shared, service, self.key, &request, deadline_ms).await;
         let (outcome, answer) = match sent {
-            Sent::Nowhere => (
-                KeyOutcome::NotRun,
-                refused(RefusalReason::NoTarget, Some(1000)),
-            ),
+            Sent::Nowhere { retry_after_ms } => (KeyOutcome::NotRun, no_worker(retry_after_ms)),
             Sent::MayHaveRun => (KeyOutcome::MayHaveRun, unknown()),
             Sent::Answered(response) => {
                 let outcome = KeyOutcome::Done {
--- a/components/node/src/targets.rs
+++ b/components/node/src/targets.rs
@@ -2,7 +2,7 @@
 //! leaving, then gone, never back. A target that comes back does so in a higher life.
 
 use peers::{StateOfTarget, TargetWord};
-use policy::EngineState;
+use policy::{Backoff, EngineState};
 use prelude::{TargetId, TargetIncarnation, TargetKey};
 use std::collections::{HashMap, HashSet};
 
@@ -16,6 +16,8 @@
     gone: Option<TargetIncarnation>,
     failures: u32,
     own_open: u32,
+    /// The pause that it asked this box for.
+    backoff: Backoff,
 }
 
 /// All targets.
@@ -122,6 +124,31 @@
         changed
     }
 
+    /// Notes that a target turned a call of this box away and asked for a pause.
+    pub fn asked_for_pause(&mut self, id: TargetId, pause_ms: u64, now_ms: u64) {
+        let record = self.records.entry(id).or_default();
+        record.backoff.asked(pause_ms, rand::random(), now_ms);
+    }
+
+    /// What is left of the pause that a target asked this box for; none where it takes calls.
+    pub fn pause_left_ms(&self, id: TargetId, now_ms: u64) -> Option<u64> {
+        self.records.get(&id)?.backoff.left_ms(now_ms)
+    }
+
+    /// Notes that a call is sent to a target.
+    pub fn sent(&mut self, id: TargetId, now_ms: u64) {
+        if let Some(record) = self.records.get_mut(&id) {
+            record.backoff.sent(now_ms);
+        }
+    }
+
+    /// Notes that a target took a call that was sent at a time.
+    pub fn took(&mut self, id: TargetId, sent_ms: u64) {
+        if let Some(record) = self.records.get_mut(&id) {
+            record.backoff.answered(sent_ms);
+        }
+    }
+
     /// Counts a stream or call of this box.
     pub fn opened(&mut self, id: TargetId) {
         self.records.entry(id).or_default().own_open += 1;
--- a/components/services/src/client.rs
+++ b/components/services/src/client.rs
@@ -33,6 +33,21 @@
     pub content_type: Option<String>,
     /// The body.
     pub body: Bytes,
+    /// The pause that a worker asks for which turns the call away (429, 503), in milliseconds.
+    pub pause_ms: Option<u64>,
+}
+
+/// Statuses with which a worker turns a call away.
+const TURNED_AWAY: [u16; 2] = [429, 503];
+/// The longest pause that is taken for one, in seconds.
+const PAUSE_MAX_S: f64 = 86_400.0;
+
+/// What `Retry-After` asks for in seconds. A date asks for nothing.
+fn pause_ms(headers: &header::HeaderMap) -> Option<u64> {
+    let text = headers.get(header::RETRY_AFTER)?.to_str().ok()?;
+    let seconds: f64 = text.trim().parse().ok()?;
+    let is_sound = (0.0..=PAUSE_MAX_S).contains(&seconds);
+    is_sound.then_some((seconds * 1_000.0) as u64)
 }
 
 /// Why a call gave no answer.
@@ -130,6 +145,8 @@
         let content_type = content_type
             .and_then(|value| value.to_str().ok())
             .map(str::to_owned);
+        let turned_away = TURNED_AWAY.contains(&status);
+        let pause_ms = pause_ms(response.headers()).filter(|_| turned_away);
         let body = response
             .bytes()
             .await
@@ -141,6 +158,7 @@
             status,
             content_type,
             body,
+            pause_ms,
         })
     }
 }
--- a/components/standins/src/service.rs
+++ b/components/standins/src/service.rs
@@ -34,6 +34,8 @@
     stalled_until_ms: AtomicU64,
     lose_answers: AtomicBool,
     leaving: AtomicBool,
+    pause_ms: AtomicU64,
+    turned_away: AtomicU64,
     open: AtomicU64,
     started_ms: AtomicU64,
 }
@@ -98,6 +100,17 @@
         self.state.leaving.store(true, Ordering::Relaxed);
     }
 
+    /// Turns each call away from now on, and asks for a pause.
+    pub fn shed(&self, pause: Duration) {
+        let pause_ms = pause.as_millis() as u64;
+        self.state.pause_ms.store(pause_ms, Ordering::Relaxed);
+    }
+
+    /// Calls that were turned away so far.
+    pub fn turned_away(&self) -> u64 {
+        self.state.turned_away.load(Ordering::Relaxed)
+    }
+
     /// Ends it at once.
     pub fn kill(self) {
         self.host.kill();
@@ -136,6 +149,13 @@
     body: Bytes,
     state: Arc<State>,
 ) -> warp::reply::Response {
+    let pause_ms = state.pause_ms.load(Ordering::Relaxed);
+    if pause_ms > 0 {
+        state.turned_away.fetch_add(1, Ordering::Relaxed);
+        let refused = warp::reply::with_status("", StatusCode::SERVICE_UNAVAILABLE);
+        let pause_s = (pause_ms as f64 / 1_000.0).to_string();
+        return warp::reply::with_header(refused, "retry-after", pause_s).into_response();
+    }
     state.open.fetch_add(1, Ordering::Relaxed);
     let stalled_ms = state
         .stalled_until_ms
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -149,3 +149,25 @@
     assert_eq!(call(&trial, 0, "order", "body").await, first);
     assert_eq!(runs(&trial, "order"), 1);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_worker_that_asks_for_a_pause_gets_no_calls_from_that_box_until_it_is_over() {
+    let trial = trial(TrialPlan::default()).await;
+    trial.workers[0].shed(Duration::from_secs(60));
+    for number in 0..20 {
+        call(&trial, 0, &format!("order-{number}"), "body").await;
+    }
+    assert!(trial.workers[0].turned_away() <= 1);
+    trial.workers[1].shed(Duration::from_secs(60));
+    call(&trial, 0, "before-last", "body").await;
+    let last = call(&trial, 0, "last", "body").await;
+    let CallOutcome::NotRun(error) = last else {
+        panic!("{last:?}");
+    };
+    let retry_after_ms = error.retry_after_ms.unwrap();
+    assert!(
+        (1_000..=66_000).contains(&retry_after_ms),
+        "{retry_after_ms}"
+    );
+    assert!(trial.workers[1].turned_away() <= 1);
+}
