node: an engine that asks for a pause gets no generations from that box until it is over

The same fault as for workers: an engine that turns a generation away is left out for that one request, and gets the next one. Callers wait a round trip and a start of their retry budget more. The box keeps the pause and asks its dispatcher for other engines. Retry-After is read by one function for all three clients.

--- a/components/engines/src/client.rs
+++ b/components/engines/src/client.rs
@@ -45,6 +45,8 @@
         status: u16,
         /// What the engine said.
         body: Bytes,
+        /// The pause that it asks for, in milliseconds.
+        pause_ms: Option<u64>,
     },
     /// It was sent, and no answer came: the engine may be running it.
     #[error("the engine at {address} did not answer: {cause}")]
@@ -142,8 +144,16 @@
         };
         if !response.status().is_success() {
             let status = response.status().as_u16();
+            let retry_after = response.headers().get(header::RETRY_AFTER);
+            let pause_ms = retry_after
+                .and_then(|text| text.to_str().ok())
+                .and_then(prelude::retry_after_ms);
             let body = response.bytes().await.unwrap_or_default();
-            return Err(StartError::Refused { status, body });
+            return Err(StartError::Refused {
+                status,
+                body,
+                pause_ms,
+            });
         }
         Ok(self.stream(response, generation, 0))
     }
--- a/components/node/src/calls.rs
+++ b/components/node/src/calls.rs
@@ -197,7 +197,7 @@
                 if response.status < 500 {
                     served(shared, key);
                 }
-                note_pause(shared, id, &response, sent_ms);
+                note_pause(shared, id, response.pause_ms, sent_ms);
                 return Sent::Answered(response);
             }
             Err(CallError::NotSent { .. }) => avoid.push(id),
@@ -212,16 +212,16 @@
     NOWHERE
 }
 
-/// Notes the pause that a worker asked for, or that it took a call.
-fn note_pause(shared: &Shared, id: TargetId, response: &ServiceResponse, sent_ms: u64) {
+/// Notes the pause that a target asked for, or that it took what was sent.
+pub(crate) fn note_pause(shared: &Shared, id: TargetId, pause_ms: Option<u64>, sent_ms: u64) {
     let now_ms = shared.now_ms();
     let mut targets = lock(&shared.targets);
-    match response.pause_ms {
+    match pause_ms {
         Some(pause_ms) => targets.asked_for_pause(id, pause_ms, now_ms),
         None => targets.took(id, sent_ms),
     }
     drop(targets);
-    if let Some(pause_ms) = response.pause_ms {
+    if let Some(pause_ms) = pause_ms {
         slog::info!(shared.log, "target asks for a pause"; "target" => id.0, "pause_ms" => pause_ms);
     }
 }
--- a/components/node/src/chat.rs
+++ b/components/node/src/chat.rs
@@ -1,5 +1,6 @@
 //! Starts generations: permit, engine, stream.
 
+use crate::calls::note_pause;
 use crate::desk::{Desk, Permit};
 use crate::permits::acquire;
 use crate::poller::refresh_desk;
@@ -212,6 +213,12 @@
     doublings * 2 + u8::from(urgent)
 }
 
+/// The engines that a generation is not to be placed on: one that failed it, and those that asked this box for a pause.
+fn avoided(shared: &Shared, failed: Option<TargetId>) -> Avoided {
+    let paused = lock(&shared.targets).paused(shared.now_ms());
+    failed.into_iter().chain(paused).collect()
+}
+
 /// Waits for a permit and starts the generation; where the engine fails before it took the request,
 /// goes elsewhere within the retry budget.
 pub(crate) async fn begin(
@@ -234,7 +241,7 @@
         }
         let mut request = wanted.acquire;
         request.permit = shared.next_permit();
-        request.avoid = avoid.into();
+        request.avoid = avoided(shared, avoid);
         request.wait_left_ms = wanted.deadline_ms.saturating_sub(shared.now_ms()) as u32;
         request.caller_left_ms = request.wait_left_ms;
         let permit = acquire(shared, desk, request)
@@ -250,6 +257,7 @@
         };
         let generation = Uuid::new_v4();
         let began_ms = shared.now_ms();
+        lock(&shared.targets).sent(endpoint.key.id, began_ms);
         let name = generation.simple().to_string();
         let sent = shared
             .engines
@@ -257,6 +265,7 @@
             .await;
         match sent {
             Ok(stream) => {
+                note_pause(shared, endpoint.key.id, None, began_ms);
                 return Ok(Started {
                     permit,
                     endpoint,
@@ -265,11 +274,13 @@
                     began_ms,
                 });
             }
-            Err(StartError::Refused { status, body }) if (400..429).contains(&status) => {
+            Err(StartError::Refused { status, body, .. }) if (400..429).contains(&status) => {
                 let said = String::from_utf8_lossy(&body).into_owned();
                 return Err(NotStarted::Invalid(format!("the engine refused: {said}")));
             }
-            Err(StartError::Refused { .. }) => {}
+            Err(StartError::Refused { pause_ms, .. }) => {
+                note_pause(shared, endpoint.key.id, pause_ms, began_ms);
+            }
             Err(StartError::NotReached { .. }) => probe(shared, endpoint).await,
             Err(StartError::NoAnswer { .. }) => {
                 // Nothing of it was delivered, so a second generation does no harm.
--- a/components/node/src/targets.rs
+++ b/components/node/src/targets.rs
@@ -135,6 +135,13 @@
         self.records.get(&id)?.backoff.left_ms(now_ms)
     }
 
+    /// The targets that asked this box for pauses which are not over.
+    pub fn paused(&self, now_ms: u64) -> Vec<TargetId> {
+        let is_paused = |record: &Record| record.backoff.left_ms(now_ms).is_some();
+        let paused = self.records.iter().filter(|(_, record)| is_paused(record));
+        paused.map(|(id, _)| *id).collect()
+    }
+
     /// Notes that a call is sent to a target.
     pub fn sent(&mut self, id: TargetId, now_ms: u64) {
         if let Some(record) = self.records.get_mut(&id) {
--- a/components/prelude/src/lib.rs
+++ b/components/prelude/src/lib.rs
@@ -14,5 +14,5 @@
     PermitId, PoolId, RegionId, RequestKey, ServiceId, TargetId, TargetIncarnation, TargetKey,
 };
 pub use outcome::{Refusal, RefusalReason, RunState, Standing};
-pub use time::{Clock, unix_ms};
+pub use time::{Clock, retry_after_ms, unix_ms};
 pub use version::Version;
--- a/components/prelude/src/time.rs
+++ b/components/prelude/src/time.rs
@@ -43,6 +43,16 @@
     }
 }
 
+/// The longest time to come back that is taken for one, in seconds.
+const RETRY_AFTER_MAX_S: f64 = 86_400.0;
+
+/// The milliseconds of a `Retry-After` in seconds; none where it is a date, or no time within a day.
+pub fn retry_after_ms(text: &str) -> Option<u64> {
+    let seconds: f64 = text.trim().parse().ok()?;
+    let is_sound = (0.0..=RETRY_AFTER_MAX_S).contains(&seconds);
+    is_sound.then_some((seconds * 1_000.0) as u64)
+}
+
 /// Milliseconds since the Unix epoch. Used for names and records, never to decide safety.
 pub fn unix_ms() -> u64 {
     SystemTime::now()
--- a/components/services/src/client.rs
+++ b/components/services/src/client.rs
@@ -39,15 +39,9 @@
 
 /// Statuses with which a worker turns a call away.
 const TURNED_AWAY: [u16; 2] = [429, 503];
-/// The longest pause that is taken for one, in seconds.
-const PAUSE_MAX_S: f64 = 86_400.0;
-
-/// What `Retry-After` asks for in seconds. A date asks for nothing.
+/// The pause that the head of an answer asks for.
 fn pause_ms(headers: &header::HeaderMap) -> Option<u64> {
-    let text = headers.get(header::RETRY_AFTER)?.to_str().ok()?;
-    let seconds: f64 = text.trim().parse().ok()?;
-    let is_sound = (0.0..=PAUSE_MAX_S).contains(&seconds);
-    is_sound.then_some((seconds * 1_000.0) as u64)
+    prelude::retry_after_ms(headers.get(header::RETRY_AFTER)?.to_str().ok()?)
 }
 
 /// Why a call gave no answer.
--- a/components/standins/src/engine/api.rs
+++ b/components/standins/src/engine/api.rs
@@ -41,6 +41,9 @@
         .and(with(state))
         .then(
             |id: Option<String>, body: ChatBody, state: Arc<State>| async move {
+                if let Some(turned_away) = turn_away(&state) {
+                    return turned_away;
+                }
                 let generation = id.unwrap_or_else(|| state.next_name());
                 state.start(&generation, &body);
                 open_stream(&state, &generation, 0)
@@ -48,6 +51,18 @@
         )
 }
 
+/// The answer of an engine that asks for a pause.
+fn turn_away(state: &State) -> Option<warp::reply::Response> {
+    let pause_ms = state.pause_ms.load(Ordering::Relaxed);
+    if pause_ms == 0 {
+        return None;
+    }
+    state.turned_away.fetch_add(1, Ordering::Relaxed);
+    let refused = status(StatusCode::SERVICE_UNAVAILABLE, "come back later");
+    let pause_s = (pause_ms as f64 / 1_000.0).to_string();
+    Some(warp::reply::with_header(refused, "retry-after", pause_s).into_response())
+}
+
 fn resume(state: Arc<State>) -> impl Filter<Extract = (impl Reply,), Error = Rejection> + Clone {
     warp::path!("v1" / "chat" / "completions" / String)
         .and(warp::get())
--- a/components/standins/src/engine/server.rs
+++ b/components/standins/src/engine/server.rs
@@ -103,6 +103,9 @@
     pub steps: AtomicU64,
     pub unnamed: AtomicU64,
     pub left_at_ms: AtomicU64,
+    /// The pause that is asked for with each generation that is turned away; 0 where none is.
+    pub pause_ms: AtomicU64,
+    pub turned_away: AtomicU64,
 }
 
 /// What is guarded by the lock.
@@ -264,6 +267,8 @@
                 steps: AtomicU64::new(0),
                 unnamed: AtomicU64::new(0),
                 left_at_ms: AtomicU64::new(0),
+                pause_ms: AtomicU64::new(0),
+                turned_away: AtomicU64::new(0),
             });
             tokio::spawn(run_steps(state.clone()));
             tokio::spawn(api::serve(state.clone(), listener));
@@ -333,6 +338,17 @@
         self.state.lock().core.foreign_tokens = tokens;
     }
 
+    /// Turns each generation away from now on, and asks for a pause.
+    pub fn shed(&self, pause: Duration) {
+        let pause_ms = pause.as_millis() as u64;
+        self.state.pause_ms.store(pause_ms, Ordering::Relaxed);
+    }
+
+    /// Generations that were turned away so far.
+    pub fn turned_away(&self) -> u64 {
+        self.state.turned_away.load(Ordering::Relaxed)
+    }
+
     /// Ends it at once.
     pub fn kill(self) {
         self.host.kill();
--- a/tests/streams.rs
+++ b/tests/streams.rs
@@ -254,3 +254,23 @@
     assert!(answer.is_whole());
     drop(unread);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_engine_that_asks_for_a_pause_gets_no_generations_from_that_box_until_it_is_over() {
+    let trial = trial(plan(2)).await;
+    let engines: Vec<_> = trial.engines.iter().flatten().collect();
+    let (sheds, other) = (engines[0], engines[1]);
+    sheds.shed(Duration::from_secs(60));
+    // The other one has less room: without a pause the next goes to the first again.
+    other.set_foreign_tokens(8_000);
+    let first_box = &trial.callers()[..1];
+    let mut turned_away = Vec::new();
+    for number in 0..20 {
+        let spec = chat_of(&trial, &format!("chat-{number}"), 3);
+        let answer = Caller::new().chat(first_box, &spec).await;
+        assert_eq!(answer.end, ChatEnd::Whole);
+        turned_away.push(sheds.turned_away());
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert!(sheds.turned_away() <= 1, "{turned_away:?}");
+}
