--- a/components/relay/src/rate_limit/coordinator.rs
+++ b/components/relay/src/rate_limit/coordinator.rs
@@ -205,7 +205,7 @@
         all.retain(|target, grants| {
             let slot = self.targets.borrow().slot_of(*target);
             let is_limited = slot.is_some_and(|slot| self.rate_limit_of(slot).is_some());
-            is_limited || !grants.queue.is_empty()
+            is_limited || grants.waiting.values().any(|asker| !asker.is_closed())
         });
     }
 }
