--- a/components/policy/src/rate/queue.rs
+++ b/components/policy/src/rate/queue.rs
@@ -70,11 +70,6 @@
         }
     }
 
-    /// Whether nobody waits.
-    pub fn is_empty(&self) -> bool {
-        self.waiting.is_empty()
-    }
-
     /// Takes a call in. None where it waits.
     pub fn ask(&mut self, ask: RateAsk, rate_per_s: f64, now_ms: u64) -> Option<RateVerdict> {
         refill(&mut self.bucket, rate_per_s, now_ms);
