--- a/components/policy/src/admission/rate.rs
+++ b/components/policy/src/admission/rate.rs
@@ -25,7 +25,9 @@
         let limited = self.rate_limited.iter();
         let ledgers = limited.filter_map(|target| self.engines.get(*target));
         let live = ledgers.filter(|ledger| ledger.state == EngineState::Live);
-        let tokens: Vec<_> = live.filter_map(|ledger| ledger.tokens(now_ms)).collect();
+        let tokens: Vec<_> = live
+            .filter_map(|ledger| ledger.rate.tokens(now_ms))
+            .collect();
         if tokens.is_empty() || tokens.len() < self.engines.live_count() {
             return None;
         }
--- a/components/policy/src/placement/ledger.rs
+++ b/components/policy/src/placement/ledger.rs
@@ -8,8 +8,7 @@
 use crate::placement::forecast::{Forecast, HORIZONS_TOKENS};
 use crate::placement::length::{LengthClass, LengthModel};
 use crate::placement::reading::Reading;
-use crate::rate::bucket::TokenBucket;
-use crate::rate::share::refill;
+use crate::rate::engine::EngineRate;
 use prelude::{BoxId, DataCentreId, PermitId, TargetId, TargetIncarnation};
 use slotmap::{SlotMap, new_key_type};
 use std::collections::VecDeque;
@@ -198,8 +197,8 @@
     own_past: VecDeque<(u64, f64)>,
     /// When requests were placed here, in the last second.
     placed_ms: VecDeque<u64>,
-    /// Requests a second that may be placed here, and the tokens for them; none where the engine names no limit.
-    rate: Option<(f64, TokenBucket)>,
+    /// The rate limit that the engine announces.
+    pub(crate) rate: EngineRate,
 }
 
 impl EngineLedger {
@@ -219,35 +218,13 @@
             forecast_ms: None,
             own_past: VecDeque::new(),
             placed_ms: VecDeque::new(),
-            rate: None,
+            rate: EngineRate::default(),
         }
     }
 
-    /// Sets how many requests a second may be placed here.
-    pub fn set_rate(&mut self, rate_per_s: Option<f64>, now_ms: u64) {
-        let bucket = self.rate.map(|(_, bucket)| bucket);
-        let bucket = bucket.unwrap_or_else(|| TokenBucket::new(0.0, now_ms));
-        self.rate = rate_per_s.map(|rate_per_s| (rate_per_s, bucket));
-    }
-
-    /// Its rate limit, and its tokens as they are now; none where it names no limit.
-    pub(crate) fn tokens(&self, now_ms: u64) -> Option<(f64, TokenBucket)> {
-        let (rate_per_s, mut bucket) = self.rate?;
-        refill(&mut bucket, rate_per_s, now_ms);
-        Some((rate_per_s, bucket))
-    }
-
-    fn has_token(&self, now_ms: u64) -> bool {
-        let tokens = self.tokens(now_ms);
-        tokens.is_none_or(|(_, bucket)| bucket.has_token())
-    }
-
     /// Notes that a request is placed here.
     pub fn placed(&mut self, now_ms: u64) {
-        if let Some((rate_per_s, bucket)) = &mut self.rate {
-            refill(bucket, *rate_per_s, now_ms);
-            bucket.borrow();
-        }
+        self.rate.placed(now_ms);
         self.placed_ms.push_back(now_ms);
         while self
             .placed_ms
@@ -260,7 +237,7 @@
 
     /// Whether it may get one more request now, as far as it is cold or has a rate limit.
     pub fn bears_one_more(&self, now_ms: u64) -> bool {
-        if !self.has_token(now_ms) {
+        if !self.rate.has_token(now_ms) {
             return false;
         }
         let Some(rate_per_s) = self.info.cold_rate_per_s else {
--- a/components/policy/src/rate/mod.rs
+++ b/components/policy/src/rate/mod.rs
@@ -2,5 +2,6 @@
 
 pub(crate) mod announced;
 pub(crate) mod bucket;
+pub(crate) mod engine;
 pub(crate) mod queue;
 pub(crate) mod share;
--- a/components/relay/src/watch/mod.rs
+++ b/components/relay/src/watch/mod.rs
@@ -1,6 +1,7 @@
 //! What the platform's store says: the operators' declarations, targets, evacuations, and which boxes watch it for all.
 
 pub(crate) mod backoff;
+pub(crate) mod changes;
 pub(crate) mod election;
 pub(crate) mod entries;
 pub(crate) mod era;
--- a/components/soak/src/announced.rs
+++ b/components/soak/src/announced.rs
@@ -2,8 +2,8 @@
 
 use crate::checks::{any_disturbed, is_broken_or_ended};
 use crate::history::{AnnouncedLimit, Arrival, Call, History, Outcome, SaysItLeaves};
+use crate::lives::SERVES_ON_MS;
 use crate::plant::Plant;
-use crate::play::SERVES_ON_MS;
 use crate::world::{Later, World};
 use fleet::target::{Act, Record};
 use std::collections::HashMap;
--- a/components/soak/src/checks.rs
+++ b/components/soak/src/checks.rs
@@ -1,6 +1,7 @@
 //! The promises, each checked by what callers and targets saw.
 
 use crate::announced::{limits_are_kept, pauses_are_kept, words_on_leaving_hold};
+use crate::budget::budget;
 use crate::history::{Arrival, Broken, Call, Disturbed, History, Key, Kind, Outcome, Trouble};
 use fleet::caller::{Got, events};
 use std::collections::HashMap;
@@ -12,10 +13,6 @@
 const IN_FORCE_MS: u64 = 2_000;
 /// A box is bound by times only after it was undisturbed for this long.
 const IN_TOUCH_MS: u64 = 3_000;
-/// The budget of second sends: a share of requests, and some more, in each window.
-pub(crate) const RESEND_SHARE: f64 = 0.2;
-pub(crate) const RESEND_SPARE: f64 = 50.0;
-const RESEND_WINDOW_MS: u64 = 10_000;
 /// Statuses that say that a request was not run.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 /// Of one promise, so many cases are told.
@@ -364,41 +361,6 @@
     broken
 }
 
-/// In each window, second sends are a share of the requests and some more.
-fn budget(history: &History) -> Vec<String> {
-    let mut seen: HashMap<&str, u32> = HashMap::new();
-    let mut again: Vec<u64> = Vec::new();
-    let plain = history
-        .arrivals
-        .iter()
-        .filter(|arrival| arrival.kind != Kind::Stream);
-    for arrival in plain {
-        let count = seen.entry(&arrival.id).or_default();
-        *count += 1;
-        if *count > 1 {
-            again.push(arrival.at_ms);
-        }
-    }
-    again.sort_unstable();
-    for from_ms in &again {
-        let in_window = |at_ms: &u64| (*from_ms..from_ms + RESEND_WINDOW_MS).contains(at_ms);
-        let sent = again.iter().filter(|at_ms| in_window(at_ms)).count();
-        // Requests of the window before count too, where there were more.
-        let wide = from_ms.saturating_sub(RESEND_WINDOW_MS)..from_ms + RESEND_WINDOW_MS;
-        let requests = history
-            .calls
-            .iter()
-            .filter(|call| call.kind != Kind::Stream && wide.contains(&call.sent_ms));
-        let bound = RESEND_SHARE * requests.count() as f64 + RESEND_SPARE;
-        if sent as f64 > bound {
-            return vec![format!(
-                "{sent} second sends from {from_ms} ms on, {bound:.0} allowed"
-            )];
-        }
-    }
-    Vec::new()
-}
-
 #[cfg(test)]
 #[path = "checks_tests.rs"]
 mod tests;
--- a/components/soak/src/lib.rs
+++ b/components/soak/src/lib.rs
@@ -3,6 +3,7 @@
 
 mod announced;
 mod boxes;
+mod budget;
 mod callers;
 mod checks;
 mod history;
--- a/components/soak/src/lives.rs
+++ b/components/soak/src/lives.rs
@@ -1,4 +1,4 @@
-//! Targets that start again under their names, and entries that cannot be read.
+//! Targets that leave, that start again under their names, and entries that cannot be read.
 
 use crate::history::{Garbled, Leaving};
 use crate::plant::Plant;
@@ -8,6 +8,10 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
+/// A target that leaves serves on for this long.
+pub(crate) const SERVES_ON_MS: u64 = 4_500;
+/// How much later the store is told that a target leaves, where that is planted.
+const PLANTED_LATE_MS: u64 = 4_000;
 /// How long a write of a killed process may be on its way.
 const LATE_WRITE_MS: u64 = 400;
 /// When the target that holds the name writes its entry again.
@@ -20,6 +24,39 @@
 const CRASH_SEEN_MS: u64 = 1_000;
 
 impl World<'_> {
+    /// Has a target leave, in the store's words or, where that is planted, only in the history's.
+    fn say_leaving(&mut self, instance: &str) {
+        self.note_leaving(instance);
+        if self.soak.plant == Some(Plant::LateWork) {
+            let later = Later::ListTarget(instance.to_owned());
+            self.later.push((self.now_ms() + PLANTED_LATE_MS, later));
+        } else {
+            self.list_leaving(instance);
+        }
+    }
+
+    pub(crate) fn target_leaves(&mut self, at: usize, now_ms: u64) {
+        let name = self.name("t");
+        let fresh = self.start_target(&name);
+        let old = std::mem::replace(&mut self.plain[at], fresh);
+        let instance = old.target.instance.clone();
+        self.say_leaving(&instance);
+        self.retired.push(old);
+        let gone = Later::TargetGone(self.retired.len() - 1);
+        self.later.push((now_ms + SERVES_ON_MS, gone));
+    }
+
+    pub(crate) fn engine_leaves(&mut self, at: usize, now_ms: u64) {
+        let name = self.name("e");
+        let fresh = self.start_engine(&name);
+        let old = std::mem::replace(&mut self.engines[at], fresh);
+        let instance = old.instance.clone();
+        self.say_leaving(&instance);
+        self.retired_engines.push(old);
+        let gone = Later::EngineGone(self.retired_engines.len() - 1);
+        self.later.push((now_ms + SERVES_ON_MS, gone));
+    }
+
     pub(crate) fn note_leaving(&mut self, instance: &str) {
         let told_ms = self.now_ms();
         if let Some(entry) = self.entries.get(instance) {
--- a/components/soak/src/play.rs
+++ b/components/soak/src/play.rs
@@ -19,10 +19,6 @@
 const BAD_MS: u64 = 2_600;
 /// Pause between the end of a box and its next start.
 const RESTART_MS: u64 = 300;
-/// A target that leaves serves on for this long.
-pub(crate) const SERVES_ON_MS: u64 = 4_500;
-/// How much later the store is told that a target leaves, where that is planted.
-const PLANTED_LATE_MS: u64 = 4_000;
 /// After the loss of all boxes calls are served within this time.
 pub(crate) const RECOVERY_MS: u64 = 12_000;
 /// Calls in a row that count as served again.
@@ -303,39 +299,6 @@
         self.note_key();
     }
 
-    /// Has a target leave, in the store's words or, where that is planted, only in the history's.
-    fn say_leaving(&mut self, instance: &str) {
-        self.note_leaving(instance);
-        if self.soak.plant == Some(Plant::LateWork) {
-            let later = Later::ListTarget(instance.to_owned());
-            self.later.push((self.now_ms() + PLANTED_LATE_MS, later));
-        } else {
-            self.list_leaving(instance);
-        }
-    }
-
-    fn target_leaves(&mut self, at: usize, now_ms: u64) {
-        let name = self.name("t");
-        let fresh = self.start_target(&name);
-        let old = std::mem::replace(&mut self.plain[at], fresh);
-        let instance = old.target.instance.clone();
-        self.say_leaving(&instance);
-        self.retired.push(old);
-        let gone = Later::TargetGone(self.retired.len() - 1);
-        self.later.push((now_ms + SERVES_ON_MS, gone));
-    }
-
-    fn engine_leaves(&mut self, at: usize, now_ms: u64) {
-        let name = self.name("e");
-        let fresh = self.start_engine(&name);
-        let old = std::mem::replace(&mut self.engines[at], fresh);
-        let instance = old.instance.clone();
-        self.say_leaving(&instance);
-        self.retired_engines.push(old);
-        let gone = Later::EngineGone(self.retired_engines.len() - 1);
-        self.later.push((now_ms + SERVES_ON_MS, gone));
-    }
-
     fn come(&mut self, later: Later, now_ms: u64) -> miette::Result<()> {
         match later {
             Later::StartBox(at) => self.boxes[at].start()?,
--- a/components/soak/src/world.rs
+++ b/components/soak/src/world.rs
@@ -1,7 +1,7 @@
 //! The world of one run: a platform in small, and boxes as processes.
 
 use crate::boxes::{BoxProcess, Common, free_addresses};
-use crate::checks::{RESEND_SHARE, RESEND_SPARE};
+use crate::budget::{RESEND_SHARE, RESEND_SPARE};
 use crate::history::{Arrival, Disturbed, History, KeyChange, Kind, Trouble};
 use crate::plan::{PLACES, Sizes};
 use crate::plant::Plant;
