--- a/components/policy/src/placement/warmup.rs
+++ b/components/policy/src/placement/warmup.rs
@@ -1,6 +1,8 @@
 //! What a cold target can bear. Its rate holds for all boxes together; each box takes its part of it, and begins at a
 //! moment of its own, so that boxes that all see it come back do not send together.
 
+use crate::rate::bucket::TokenBucket;
+
 /// Share of the rate that is used: boxes see the number of boxes late, and a request that is under way counts where it
 /// arrives.
 const USED: f64 = 0.8;
@@ -9,35 +11,25 @@
 
 /// One box's part of what a cold target can bear.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Warmup {
-    saved: f64,
-    at_ms: u64,
-}
+pub struct Warmup(TokenBucket);
 
 impl Warmup {
     /// The part of a box from a moment on; `draw` is even between 0 and 1, and tells when its first request is due.
     pub fn new(draw: f64, now_ms: u64) -> Self {
-        Self {
-            saved: draw.clamp(0.0, 1.0) * SAVED_MAX,
-            at_ms: now_ms,
-        }
-    }
-
-    fn saved(&self, rate_per_s: f64, boxes: usize, now_ms: u64) -> f64 {
-        let passed_s = now_ms.saturating_sub(self.at_ms) as f64 / 1000.0;
-        let own_rate = rate_per_s * USED / boxes.max(1) as f64;
-        (self.saved + passed_s * own_rate).min(SAVED_MAX)
+        Self(TokenBucket::new(draw.clamp(0.0, 1.0) * SAVED_MAX, now_ms))
     }
 
     /// Whether a box among `boxes` may send the target a request now.
     pub fn allows(&self, rate_per_s: f64, boxes: usize, now_ms: u64) -> bool {
-        self.saved(rate_per_s, boxes, now_ms) >= SAVED_MAX
+        let own_rate = rate_per_s * USED / boxes.max(1) as f64;
+        let mut bucket = self.0;
+        bucket.refill(own_rate, SAVED_MAX, now_ms);
+        bucket.has_token()
     }
 
     /// Notes that it sent one.
-    pub fn sent(&mut self, rate_per_s: f64, boxes: usize, now_ms: u64) {
-        self.saved = (self.saved(rate_per_s, boxes, now_ms) - 1.0).max(0.0);
-        self.at_ms = now_ms;
+    pub fn sent(&mut self, now_ms: u64) {
+        self.0 = TokenBucket::new(0.0, now_ms);
     }
 }
 
--- a/components/policy/src/placement/warmup_tests.rs
+++ b/components/policy/src/placement/warmup_tests.rs
@@ -9,7 +9,7 @@
     for now_ms in (0..seconds * 1000).step_by(5) {
         for part in &mut parts {
             if part.allows(rate_per_s, boxes, now_ms) {
-                part.sent(rate_per_s, boxes, now_ms);
+                part.sent(now_ms);
                 each_second[(now_ms / 1000) as usize] += 1;
             }
         }
@@ -35,6 +35,6 @@
 #[test]
 fn a_box_that_waited_for_long_sends_no_burst() {
     let mut part = Warmup::new(0.0, 0);
-    part.sent(25.0, 1, 60_000);
+    part.sent(60_000);
     assert!(!part.allows(25.0, 1, 60_001));
 }
--- a/components/relay/src/watch/target.rs
+++ b/components/relay/src/watch/target.rs
@@ -95,8 +95,8 @@
     }
 
     pub(super) fn sent(self, target: &mut Target, now_ms: u64) {
-        if let Some(rate_per_s) = self.rate_per_s.filter(|_| now_ms < target.cold_until_ms) {
-            target.warmup.sent(rate_per_s, self.boxes, now_ms);
+        if self.rate_per_s.is_some() && now_ms < target.cold_until_ms {
+            target.warmup.sent(now_ms);
         }
     }
 }
