--- a/components/relay/src/dispatch/dispatcher.rs
+++ b/components/relay/src/dispatch/dispatcher.rs
@@ -324,6 +324,10 @@
             let kept: HashSet<PermitId> = demands.iter().map(|(d, _)| d.permit).collect();
             let had_other_dispatcher = dispatcher.pool.adopt_usage(from, &used, now_ms);
             let must_announce = had_other_dispatcher && dispatcher.record_other_dispatcher(now_ms);
+            slog::info!(dispatcher.log, "open generations adopted"; "box" => from.0,
+                "generations" => demands.len(), "accounts" => used.len(),
+                "is_new" => had_other_dispatcher, "after_ms" => now_ms - dispatcher.began_ms,
+                "queued" => dispatcher.waiting.len());
             dispatcher.pool.reconcile_permits(from, &kept, now_ms);
             for (demand, stream) in demands {
                 let adopted = RunningStream {
