policy: a new dispatcher does not refuse by its forecast what another has admitted

Cause: Pool::resubmit promises that a request which was queued before waits until it is granted or expires, as a new dispatcher knows less. The check on arrival keeps to it; the check of the queue at each scheduling did not. When the dispatcher was lost a second later, this box forecast 70 s for the queue and refused 60 callers that had waited 1.8 of 30 s, within 80 ms of taking over.

Change: the queue keeps whether a request was admitted before, and the forecast refuses none of these. They expire like any other.

Measured: the new test fails without the change.

--- a/components/policy/src/admission/first_token.rs
+++ b/components/policy/src/admission/first_token.rs
@@ -92,7 +92,8 @@
         None
     }
 
-    /// Refuses recently admitted requests whose first tokens would now be late.
+    /// Refuses recently admitted requests whose first tokens would now be late, except those that
+    /// another dispatcher has admitted: a new dispatcher's forecast rests on few measurements.
     pub(crate) fn refuse_late_forecasts(&mut self, now_ms: u64) -> Vec<(PermitId, Verdict)> {
         if self.queue.len() == 0 {
             return Vec::new();
@@ -103,7 +104,8 @@
         let mut queue_ahead = QueueAhead::default();
         let mut rank = 0;
         let mut verdicts = Vec::new();
-        for (demand, need) in self.queue.in_order(&self.tree) {
+        for waiting in self.queue.waiting_in_order(&self.tree) {
+            let (demand, need) = (&waiting.demand, &waiting.need);
             if demand.clamped_rank() != rank {
                 rank = demand.clamped_rank();
                 queue_ahead.same_rank_requests = 0;
@@ -114,7 +116,8 @@
             };
             let waited_ms = now_ms.saturating_sub(demand.arrived_ms) as f64;
             let is_early = waited_ms <= goal_ms(demand) * EARLY_REFUSAL_SHARE;
-            if is_early && self.is_late(demand, first, now_ms) {
+            let is_refusable = is_early && !waiting.is_readmitted;
+            if is_refusable && self.is_late(demand, first, now_ms) {
                 let refusal = self.crowded_refusal(
                     simulation.clone(),
                     demand,
--- a/components/policy/src/admission/queue.rs
+++ b/components/policy/src/admission/queue.rs
@@ -40,13 +40,18 @@
     }
 }
 
+/// A queued request.
 #[derive(Clone, Debug)]
-struct WaitingRequest {
-    demand: Demand,
+pub(crate) struct WaitingRequest {
+    /// The request.
+    pub demand: Demand,
     /// Latest time at which its prefill must start.
     start_by_ms: u64,
     /// Expected memory use.
-    need: MemoryNeed,
+    pub need: MemoryNeed,
+    /// Whether it was admitted before, mostly by another dispatcher. It is then not refused by a
+    /// forecast.
+    pub is_readmitted: bool,
 }
 
 impl WaitingRequest {
@@ -127,12 +132,27 @@
     /// when callers leave, latest start and arrival, as boxes send their requests to a new
     /// dispatcher in any order.
     pub fn push(&mut self, demand: Demand, start_by_ms: u64, need: MemoryNeed) {
-        let subqueue = self.subqueues.entry(QueueKey::of(&demand)).or_default();
-        let waiting = WaitingRequest {
+        self.insert(WaitingRequest {
             demand,
             start_by_ms,
             need,
-        };
+            is_readmitted: false,
+        });
+    }
+
+    /// Inserts a request that was admitted before, as [`Self::push`] does.
+    pub fn push_readmitted(&mut self, demand: Demand, start_by_ms: u64, need: MemoryNeed) {
+        self.insert(WaitingRequest {
+            demand,
+            start_by_ms,
+            need,
+            is_readmitted: true,
+        });
+    }
+
+    fn insert(&mut self, waiting: WaitingRequest) {
+        let queue_key = QueueKey::of(&waiting.demand);
+        let subqueue = self.subqueues.entry(queue_key).or_default();
         let key = waiting.key();
         let at = subqueue.partition_point(|other| other.key() <= key);
         subqueue.insert(at, waiting);
@@ -210,6 +230,14 @@
 
     /// Returns all waiting requests in the order of service, with their memory needs.
     pub fn in_order(&self, tree: &FairTree) -> Vec<(&Demand, &MemoryNeed)> {
+        let requests = self.waiting_in_order(tree).into_iter();
+        requests
+            .map(|waiting| (&waiting.demand, &waiting.need))
+            .collect()
+    }
+
+    /// Returns all waiting requests in the order of service.
+    pub fn waiting_in_order(&self, tree: &FairTree) -> Vec<&WaitingRequest> {
         let mut waiting: Vec<(bool, &WaitingRequest)> = Vec::with_capacity(self.len);
         for subqueue in self.subqueues.values() {
             let is_flooding = subqueue
@@ -226,10 +254,7 @@
                 demand.permit,
             )
         });
-        let requests = waiting
-            .into_iter()
-            .map(|(_, waiting)| (&waiting.demand, &waiting.need));
-        requests.collect()
+        waiting.into_iter().map(|(_, waiting)| waiting).collect()
     }
 
     /// Sums up the requests served before `demand`, whose prefill must start by `start_by_ms`, and
--- a/components/policy/src/fairness/recent_usage_tests.rs
+++ b/components/policy/src/fairness/recent_usage_tests.rs
@@ -397,3 +397,22 @@
     let expired = verdicts.iter().find(|(permit, _)| permit.serial == 901);
     assert!(matches!(expired, Some((_, Verdict::Refused(_)))));
 }
+
+/// Guards against a takeover that refuses the whole queue of the previous dispatcher: one slow first
+/// token on a box that had dispatched for a moment made its forecast of the queue exceed every goal.
+#[test]
+fn a_new_dispatcher_does_not_refuse_waiting_requests_by_its_forecast() {
+    let mut pool = pool();
+    let in_time = |serial| Demand {
+        deadline_ms: 100_500,
+        caller_deadline_ms: 102_000,
+        ..demand(1, serial, OTHER, 100_000)
+    };
+    for serial in 1..=400 {
+        pool.resubmit(in_time(serial), 100_000);
+    }
+    let verdicts = [100_000, 100_040].map(|at_ms| pool.schedule(at_ms));
+    let mut refused = verdicts.iter().flatten();
+    assert!(!refused.any(|(_, verdict)| matches!(verdict, Verdict::Refused(_))));
+    assert!(pool.queue.len() > 0, "no request waits");
+}
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -150,7 +150,10 @@
         self.record_queued_ranks(now_ms);
         self.tree.add_waiting(&demand.share);
         let begins_by_ms = self.start_by_ms(&demand);
-        self.queue.push(demand, begins_by_ms, need);
+        match was_queued_before {
+            true => self.queue.push_readmitted(demand, begins_by_ms, need),
+            false => self.queue.push(demand, begins_by_ms, need),
+        }
         SubmitOutcome::Queued { position }
     }
 
