relay: log the measurements behind refusals by forecast

Refusals after a takeover could not be told apart by cause: the line of a refusal has the place in the queue, not what the forecast rests on. The dispatcher now logs, once a second at most, its prefill rate, the number of first tokens it was measured from, the time between grants and since when it dispatches.

--- a/components/policy/src/admission/first_token.rs
+++ b/components/policy/src/admission/first_token.rs
@@ -37,6 +37,17 @@
 const RETRY_GOAL_SHARE: f64 = 0.5;
 const MIN_RETRY_AFTER_MS: u64 = 100;
 
+/// The measurements that first-token forecasts rest on.
+#[derive(Clone, Copy, Debug)]
+pub struct ForecastInputs {
+    /// Prefill rate of the pool's engines, in tokens per millisecond.
+    pub prefill_tokens_per_ms: f64,
+    /// Number of first tokens that the prefill rate was measured from.
+    pub prefill_observations: f64,
+    /// Mean time between grants of the rank; `None` if too few were measured.
+    pub ms_per_grant: Option<f64>,
+}
+
 /// Forecast time from now to a request's first token.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct FirstTokenForecast {
@@ -243,6 +254,16 @@
             .map(|rank| (rank, errors.correction_factor(rank, self.now_ms)))
     }
 
+    /// Returns the measurements that forecasts for a rank rest on, for the log.
+    pub fn forecast_inputs(&self, rank: u8) -> ForecastInputs {
+        let rank = usize::from(rank).min(self.rank_grant_rates.len() - 1);
+        ForecastInputs {
+            prefill_tokens_per_ms: self.prefill_rate.tokens_per_ms(),
+            prefill_observations: self.prefill_rate.observations(),
+            ms_per_grant: self.rank_grant_rates[rank].ms_per_grant(),
+        }
+    }
+
     /// Returns the factor by which arrivals of more urgent requests lengthen the wait for prefill.
     fn urgent_slowdown(&self, simulation: &PrefillSimulation, rank: u8, now_ms: u64) -> f64 {
         if !self.counts_arrivals() {
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -16,6 +16,7 @@
 mod settings;
 mod streams;
 
+pub use admission::first_token::ForecastInputs;
 pub use balance::choose::{Candidate, SelectionPolicy, choose_target};
 pub use balance::failures::{FailureRate, RouteFailures, SharedSuspicion};
 pub use balance::hedge::hedge_delay_ms;
--- a/components/policy/src/placement/prefill.rs
+++ b/components/policy/src/placement/prefill.rs
@@ -46,6 +46,11 @@
         self.tokens_per_ms
     }
 
+    /// Number of first tokens that the rate was measured from.
+    pub fn observations(&self) -> f64 {
+        self.observations
+    }
+
     fn observe(&mut self, tokens_per_ms: f64) {
         self.observations += 1.0;
         let weight = self.observations.recip().max(POOL_WEIGHT_MIN);
--- a/components/relay/src/dispatch/dispatcher.rs
+++ b/components/relay/src/dispatch/dispatcher.rs
@@ -30,6 +30,8 @@
 const NEAR_TOKENS: u32 = 1_500;
 /// How often engines in a temporary state (cold, on probation, ejected) are checked.
 const SYNC_INTERVAL: Duration = Duration::from_millis(500);
+/// Minimum time between two log lines on the measurements behind refusals.
+const FORECAST_LOG_INTERVAL_MS: u64 = 1_000;
 /// Retry delay of a refusal if the wait is unknown.
 const RETRY_AFTER_MS: u64 = 500;
 
@@ -46,6 +48,8 @@
     pub(super) announced_ms: u64,
     /// When this box began to dispatch the pool.
     pub(super) began_ms: u64,
+    /// When the measurements behind a refusal were last logged.
+    forecast_logged_ms: Option<u64>,
     log: slog::Logger,
 }
 
@@ -109,6 +113,7 @@
             grants_from_ms: 0,
             announced_ms: 0,
             began_ms: now_ms,
+            forecast_logged_ms: None,
             log,
         }
     }
@@ -135,6 +140,9 @@
                     "waited_ms" => now_ms.saturating_sub(waiting.arrived_ms),
                     "waiting" => self.waiting.len());
             }
+            if let Verdict::Refused(refusal) = verdict {
+                self.log_forecast(refusal, waiting.rank, now_ms);
+            }
             if waiting.verdict_sender.send(verdict).is_err() {
                 // The waiting call is gone, so that the permit is released.
                 self.pool.release(permit, 0, StreamEnd::Censored);
@@ -143,6 +151,25 @@
     }
 }
 
+impl Dispatcher {
+    /// Logs the measurements behind a refusal by forecast, once in [`FORECAST_LOG_INTERVAL_MS`] at most.
+    fn log_forecast(&mut self, refusal: Refusal, rank: u8, now_ms: u64) {
+        let is_recent = |logged_ms| now_ms < logged_ms + FORECAST_LOG_INTERVAL_MS;
+        if refusal.reason != RefusalReason::Crowded
+            || self.forecast_logged_ms.is_some_and(is_recent)
+        {
+            return;
+        }
+        self.forecast_logged_ms = Some(now_ms);
+        let inputs = self.pool.forecast_inputs(rank);
+        slog::info!(self.log, "refusing by forecast"; "rank" => rank, "waiting" => self.waiting.len(),
+            "prefill_tokens_per_ms" => format_args!("{:.2}", inputs.prefill_tokens_per_ms),
+            "prefill_observations" => inputs.prefill_observations,
+            "ms_per_grant" => inputs.ms_per_grant.map(f64::round),
+            "dispatching_ms" => now_ms.saturating_sub(self.began_ms));
+    }
+}
+
 pub(crate) fn granted(target: TargetId) -> PermitReply {
     PermitReply::Granted {
         target: TargetKey {
@@ -234,6 +261,7 @@
             match outcome {
                 SubmitOutcome::Refused(refusal) => {
                     dispatcher.waiting.remove(&request.permit);
+                    dispatcher.log_forecast(refusal, demand.rank, now_ms);
                     Some(dispatcher.refusal_reply(refusal, &demand))
                 }
                 SubmitOutcome::Queued { .. } => {
