policy: a dispatcher refuses by forecast only once its rates are measured

What callers saw: callers that a dispatcher had just admitted, or that came right after a takeover, were refused as crowded though there was room for them in time.

Cause: after a takeover, or after the measured grant rate was discarded, forecasts rested on one or two measurements.

Change: forecasts refuse no request for 6 s, twice the half-life of the grant rate, after a takeover or a reset of the grant rate.

--- a/components/policy/src/admission/refusal.rs
+++ b/components/policy/src/admission/refusal.rs
@@ -43,6 +43,9 @@
                 .arrivals
                 .record(demand, need, now_ms);
         }
+        if !self.trusts_forecasts(now_ms) {
+            return None;
+        }
         if self.settings.waiting == WaitingPolicy::FirstToken {
             return self.late_refusal(demand, need, now_ms);
         }
@@ -73,7 +76,7 @@
         }
         self.next_expiry_check_ms = now_ms + EXPIRY_CHECK_MS;
         let uses_forecasts = self.settings.waiting == WaitingPolicy::FirstToken;
-        let mut verdicts = match uses_forecasts {
+        let mut verdicts = match uses_forecasts && self.trusts_forecasts(now_ms) {
             true => self.refuse_late_forecasts(now_ms),
             false => Vec::new(),
         };
--- a/components/policy/src/box_permits.rs
+++ b/components/policy/src/box_permits.rs
@@ -12,6 +12,9 @@
 /// A box that has not reported for this long loses its permits.
 pub(crate) const BOX_TIMEOUT_MS: u64 = 10_000;
 
+/// How long a dispatcher measures before its forecasts refuse requests: twice the half-life of the
+/// grant rate.
+const FORECAST_WARMUP_MS: u64 = 6_000;
 /// How long a granted permit may be in flight to its box: slightly more than the longest reply
 /// time. Releasing it earlier would allocate its memory twice and make the engine preempt.
 const GRANT_DELIVERY_MS: u64 = 400;
@@ -34,11 +37,23 @@
         self.place_stream(adopted.demand, adopted.target, generated_tokens, now_ms);
     }
 
+    /// Begins to dispatch requests that another dispatcher may have served before. Until the rates
+    /// are measured, forecasts refuse no request.
+    pub fn begin_takeover(&mut self, now_ms: u64) {
+        self.forecasts_from_ms = now_ms + FORECAST_WARMUP_MS;
+    }
+
     /// Discards the measured grant rate, which does not count requests that waited at another
     /// dispatcher.
-    pub fn reset_grant_rate(&mut self) {
+    pub fn reset_grant_rate(&mut self, now_ms: u64) {
         self.grant_rate = GrantRate::default();
         self.rank_grant_rates = [GrantRate::default(); RANK_COUNT];
+        self.begin_takeover(now_ms);
+    }
+
+    /// Whether enough was measured for forecasts to refuse requests.
+    pub(crate) fn trusts_forecasts(&self, now_ms: u64) -> bool {
+        now_ms >= self.forecasts_from_ms
     }
 
     /// Releases the permits of a box that are missing from the list it reports, except those that
--- a/components/policy/src/fairness/recent_usage_tests.rs
+++ b/components/policy/src/fairness/recent_usage_tests.rs
@@ -416,3 +416,29 @@
     assert!(!refused.any(|(_, verdict)| matches!(verdict, Verdict::Refused(_))));
     assert!(pool.queue.len() > 0, "no request waits");
 }
+
+/// Guards against refusals that rest on one or two measurements: a box that had dispatched for 3 s
+/// forecast 0.29 tokens/ms from one first token, and 0.6 s per grant from two grants.
+#[test]
+fn a_dispatcher_refuses_by_forecast_only_after_its_rates_are_measured() {
+    let mut pool = pool();
+    let in_time = |serial, at_ms| Demand {
+        deadline_ms: at_ms + 500,
+        caller_deadline_ms: at_ms + 2_000,
+        ..demand(1, serial, OTHER, at_ms)
+    };
+    let mut refused_count = |pool: &mut Pool, first, at_ms| {
+        let submitted =
+            (first..first + 400).map(|serial| pool.submit(in_time(serial, at_ms), at_ms));
+        let refused = submitted.filter(|outcome| matches!(outcome, SubmitOutcome::Refused(_)));
+        refused.count()
+    };
+    pool.begin_takeover(100_000);
+    assert_eq!(refused_count(&mut pool, 1, 100_000), 0);
+    assert!(
+        pool.schedule(100_040)
+            .iter()
+            .all(|(_, verdict)| matches!(verdict, Verdict::Granted { .. }))
+    );
+    assert!(refused_count(&mut pool, 1_001, 110_000) > 0);
+}
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -67,6 +67,8 @@
     pub(crate) streams_by_box: HashMap<BoxId, usize>,
     /// The boxes whose recent usage this dispatcher charged itself, and since when.
     pub(crate) observed_boxes: ObservedBoxes,
+    /// Forecasts refuse no request before this time.
+    pub(crate) forecasts_from_ms: u64,
     pub(crate) usage: Usage,
 }
 
@@ -98,6 +100,7 @@
             last_seen_ms: HashMap::new(),
             streams_by_box: HashMap::new(),
             observed_boxes: ObservedBoxes::default(),
+            forecasts_from_ms: 0,
             usage: Usage::default(),
             settings,
         }
--- a/components/relay/src/dispatch/takeover.rs
+++ b/components/relay/src/dispatch/takeover.rs
@@ -31,14 +31,14 @@
         if must_announce {
             self.announced_ms = now_ms;
         }
-        self.drop_abandoned_requests();
+        self.drop_abandoned_requests(now_ms);
         must_announce
     }
 
     /// Drops queued requests whose caller no longer waits for a verdict here. Most have gone to another box, and the grant
     /// rate measured while they were queued would cause refusals of others. A request that is between two calls keeps its
     /// place, as it sends the time that it has waited.
-    fn drop_abandoned_requests(&mut self) {
+    fn drop_abandoned_requests(&mut self, now_ms: u64) {
         let abandoned = self
             .waiting
             .extract_if(|_, waiting| waiting.verdict_sender.is_closed());
@@ -47,7 +47,7 @@
             self.pool.withdraw(*permit);
         }
         if !abandoned.is_empty() {
-            self.pool.reset_grant_rate();
+            self.pool.reset_grant_rate(now_ms);
         }
     }
 }
@@ -62,6 +62,7 @@
         let now_ms = self.now_ms();
         if let Some(dispatcher) = self.dispatchers.borrow_mut().get_mut(&pool) {
             dispatcher.hold_grants(now_ms);
+            dispatcher.pool.begin_takeover(now_ms);
             dispatcher.announced_ms = now_ms;
         }
         let open = self.open_generations.borrow().snapshot(pool, now_ms);
