relay: keep a permit that is granted between two calls of its box

What callers saw: on busy boxes, and most after a takeover, callers were overtaken by later ones, and engines stood partly empty for the time of a round trip.

Cause: a box asks for a permit in calls of 200 ms. A grant that came between two calls, or after one had timed out, was released at once; the request was queued again by the next call and its permit decided anew.

Change: the dispatcher keeps such a permit for 400 ms, as long as a reply may be on its way, and hands it to the next call. If none comes, it is released and a line says so.

--- a/components/relay/src/dispatch/dispatcher.rs
+++ b/components/relay/src/dispatch/dispatcher.rs
@@ -12,7 +12,7 @@
     TargetKey,
 };
 use settings::{FleetFile, Mechanism};
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, timeout_at};
@@ -32,6 +32,9 @@
 const SYNC_INTERVAL: Duration = Duration::from_millis(500);
 /// Minimum time between two log lines on the measurements behind refusals.
 const FORECAST_LOG_INTERVAL_MS: u64 = 1_000;
+/// How long a permit is kept for a box whose call had ended when it was granted. The box calls again within a round trip
+/// or after a timeout.
+const CLAIM_TIMEOUT_MS: u64 = 400;
 /// Retry delay of a refusal if the wait is unknown.
 const RETRY_AFTER_MS: u64 = 500;
 
@@ -40,6 +43,9 @@
 pub(crate) struct Dispatcher {
     pub(crate) pool: Pool,
     pub(super) waiting: HashMap<PermitId, WaitingRequest>,
+    /// Permits that were granted between two calls of their box, by the time at which they are released if they are not
+    /// claimed.
+    unclaimed: VecDeque<(u64, PermitId)>,
     /// Limits transfers to one at a time per link; none if the mechanism is off.
     pub(super) transfer_slots: Option<TransferSlots>,
     /// Nothing is granted before this time.
@@ -109,6 +115,7 @@
         Self {
             pool: pool_from_settings(file),
             waiting: HashMap::new(),
+            unclaimed: VecDeque::new(),
             transfer_slots: file.has(Mechanism::Turns).then(TransferSlots::default),
             grants_from_ms: 0,
             announced_ms: 0,
@@ -130,6 +137,7 @@
         if now_ms < self.grants_from_ms {
             return;
         }
+        self.release_unclaimed(now_ms);
         for (permit, verdict) in self.pool.schedule(now_ms) {
             let Some(waiting) = self.waiting.remove(&permit) else {
                 continue;
@@ -143,12 +151,32 @@
             if let Verdict::Refused(refusal) = verdict {
                 self.log_forecast(refusal, waiting.rank, now_ms);
             }
-            if waiting.verdict_sender.send(verdict).is_err() {
-                // The waiting call is gone, so that the permit is released.
-                self.pool.release(permit, 0, StreamEnd::Censored);
+            let is_granted = matches!(verdict, Verdict::Granted { .. });
+            if waiting.verdict_sender.send(verdict).is_err() && is_granted {
+                // A release now would cost the request its place: its box is between two calls.
+                self.unclaimed
+                    .push_back((now_ms + CLAIM_TIMEOUT_MS, permit));
             }
         }
     }
+
+    /// Returns the engine of a permit that was granted before, and marks it as claimed.
+    fn claim(&mut self, permit: PermitId) -> Option<TargetId> {
+        let target = self.pool.target_of(permit)?;
+        self.unclaimed.retain(|(_, unclaimed)| *unclaimed != permit);
+        Some(target)
+    }
+
+    /// Releases the permits that their boxes have not claimed in time.
+    fn release_unclaimed(&mut self, now_ms: u64) {
+        while let Some((_, permit)) = self
+            .unclaimed
+            .pop_front_if(|(until_ms, _)| *until_ms <= now_ms)
+        {
+            slog::info!(self.log, "permit not claimed"; "entry" => permit.entry.0, "permit" => permit.serial);
+            self.pool.release(permit, 0, StreamEnd::Censored);
+        }
+    }
 }
 
 impl Dispatcher {
@@ -244,7 +272,7 @@
         let demand = self.demand(&request, received_ms);
         let (verdict_sender, mut verdict_receiver) = oneshot::channel();
         let immediate = self.with_dispatcher(request.pool, |dispatcher, now_ms| {
-            if let Some(target) = dispatcher.pool.target_of(request.permit) {
+            if let Some(target) = dispatcher.claim(request.permit) {
                 return Some(granted(target));
             }
             let waiting = WaitingRequest {
@@ -356,6 +384,9 @@
                 "generations" => demands.len(), "accounts" => used.len(),
                 "is_new" => had_other_dispatcher, "after_ms" => now_ms - dispatcher.began_ms,
                 "queued" => dispatcher.waiting.len());
+            dispatcher
+                .unclaimed
+                .retain(|(_, permit)| !kept.contains(permit));
             dispatcher.pool.reconcile_permits(from, &kept, now_ms);
             for (demand, stream) in demands {
                 let adopted = RunningStream {
@@ -401,3 +432,7 @@
         retry_after_ms: Some(RETRY_AFTER_MS),
     }
 }
+
+#[cfg(test)]
+#[path = "dispatcher_tests.rs"]
+mod tests;
