relay: a new dispatcher grants nothing until all boxes have reported, for 250 ms at most

What callers saw: after the loss of a dispatcher one account was served late by many grants.

Cause: a box that begins to dispatch held grants for 80 ms, whatever had been reported by then. On busy boxes reports came later. A box that lost its dispatcher for 217 ms granted itself six more by its own list. 40 generations ran on an engine for 30, and the account that got none of these grants was then served 22 times in a row.

Change: grants are held until the reports of all eligible boxes have come, 250 ms at most, the time-out of a report. Where all report at once, the hold is shorter than before.

--- a/components/relay/src/dispatch/dispatcher.rs
+++ b/components/relay/src/dispatch/dispatcher.rs
@@ -50,6 +50,8 @@
     pub(super) transfer_slots: Option<TransferSlots>,
     /// Nothing is granted before this time.
     pub(super) grants_from_ms: u64,
+    /// Boxes whose reports a takeover waits for.
+    pub(super) awaited_boxes: HashSet<BoxId>,
     /// When this box last announced itself as the dispatcher.
     pub(super) announced_ms: u64,
     /// When this box began to dispatch the pool.
@@ -118,6 +120,7 @@
             unclaimed: VecDeque::new(),
             transfer_slots: file.has(Mechanism::Turns).then(TransferSlots::default),
             grants_from_ms: 0,
+            awaited_boxes: HashSet::new(),
             announced_ms: 0,
             began_ms: now_ms,
             forecast_logged_ms: None,
@@ -396,6 +399,7 @@
                 };
                 dispatcher.pool.adopt(adopted, now_ms);
             }
+            dispatcher.record_report(from, now_ms);
             dispatcher.decide(now_ms);
             must_announce
         })
--- a/components/relay/src/dispatch/dispatcher_tests.rs
+++ b/components/relay/src/dispatch/dispatcher_tests.rs
@@ -33,8 +33,8 @@
     }
 }
 
-/// Returns a dispatcher that grants a permit at time 0 to a request whose call has just ended.
-fn dispatcher_with_ended_call() -> (Dispatcher, PermitId) {
+/// Returns a dispatcher of one idle engine.
+fn dispatcher() -> Dispatcher {
     let file = FleetFile::read(include_str!("../../../../examples/fleet-box.yaml")).unwrap();
     let log = slog::Logger::root(slog::Discard, slog::o!());
     let mut dispatcher = Dispatcher::new(&file, log, 0);
@@ -47,6 +47,11 @@
     dispatcher
         .pool
         .apply_report(ENGINE, EngineReport::default(), 0);
+    dispatcher
+}
+
+/// Queues a request whose call has already ended.
+fn queue_request(dispatcher: &mut Dispatcher) -> PermitId {
     let demand = demand(1);
     let permit = demand.permit;
     let (verdict_sender, _) = oneshot::channel();
@@ -57,6 +62,13 @@
     };
     dispatcher.waiting.insert(permit, waiting);
     dispatcher.pool.submit(demand, 0);
+    permit
+}
+
+/// Returns a dispatcher that grants a permit at time 0 to a request whose call has just ended.
+fn dispatcher_with_ended_call() -> (Dispatcher, PermitId) {
+    let mut dispatcher = dispatcher();
+    let permit = queue_request(&mut dispatcher);
     dispatcher.decide(0);
     (dispatcher, permit)
 }
@@ -80,3 +92,29 @@
     dispatcher.decide(CLAIM_TIMEOUT_MS);
     assert_eq!(dispatcher.pool.target_of(permit), None);
 }
+
+/// Guards against grants before all boxes have reported to a new dispatcher: they overcommitted the engine and served the
+/// accounts by the usage of some boxes only.
+#[test]
+fn a_new_dispatcher_grants_nothing_until_the_last_box_has_reported() {
+    let mut dispatcher = dispatcher();
+    let permit = queue_request(&mut dispatcher);
+    dispatcher.hold_for_reports(HashSet::from([BoxId(1), BoxId(2)]), 0);
+    dispatcher.record_report(BoxId(2), 100);
+    dispatcher.decide(120);
+    assert_eq!(dispatcher.pool.target_of(permit), None);
+    dispatcher.record_report(BoxId(1), 122);
+    dispatcher.decide(122);
+    assert_eq!(dispatcher.pool.target_of(permit), Some(ENGINE));
+}
+
+#[test]
+fn a_new_dispatcher_does_not_wait_for_boxes_that_report_nothing() {
+    let mut dispatcher = dispatcher();
+    let permit = queue_request(&mut dispatcher);
+    dispatcher.hold_for_reports(HashSet::from([BoxId(1)]), 0);
+    dispatcher.decide(249);
+    assert_eq!(dispatcher.pool.target_of(permit), None);
+    dispatcher.decide(250);
+    assert_eq!(dispatcher.pool.target_of(permit), Some(ENGINE));
+}
--- a/components/relay/src/dispatch/takeover.rs
+++ b/components/relay/src/dispatch/takeover.rs
@@ -3,20 +3,40 @@
 //! are submitted again, so that they keep their place in the queue.
 
 use crate::dispatch::dispatcher::Dispatcher;
+use crate::dispatch::permits::CALL_TIMEOUT;
 use crate::membership::gossip::broadcast_digest;
 use crate::membership::members::MemberUpdate;
 use crate::state::Relay;
 use crate::watch::election::ISOLATION_TIMEOUT_MS;
-use prelude::{PermitId, PoolId};
+use prelude::{BoxId, PermitId, PoolId};
+use std::collections::HashSet;
 use std::rc::Rc;
 
 /// How long grants are held. This is a small part of any goal for the time to first token.
 const TAKEOVER_HOLD_MS: u64 = 80;
+/// How long a box that begins to dispatch waits for the reports of all others at most. A report that takes longer has failed
+/// and is sent again.
+const REPORTS_TIMEOUT_MS: u64 = CALL_TIMEOUT.as_millis() as u64;
 /// Grants are not held again within this time. Each box reports within a second, so that all reports of one takeover
 /// delay callers by 80 ms only once.
 const HOLD_COOLDOWN_MS: u64 = 1_000;
 
 impl Dispatcher {
+    /// Holds grants until all `boxes` have reported their open generations, for [`REPORTS_TIMEOUT_MS`] at most. Grants
+    /// that precede a report use memory that is taken, and charge accounts by what the other boxes have reported.
+    pub(super) fn hold_for_reports(&mut self, boxes: HashSet<BoxId>, now_ms: u64) {
+        self.awaited_boxes = boxes;
+        self.grants_from_ms = now_ms + REPORTS_TIMEOUT_MS;
+    }
+
+    /// Records the report of a box. Ends the hold with the last one.
+    pub(super) fn record_report(&mut self, from: BoxId, now_ms: u64) {
+        let was_awaited = self.awaited_boxes.remove(&from);
+        if was_awaited && self.awaited_boxes.is_empty() {
+            self.grants_from_ms = self.grants_from_ms.min(now_ms);
+        }
+    }
+
     /// Holds grants for [`TAKEOVER_HOLD_MS`], unless they were held less than [`HOLD_COOLDOWN_MS`] ago.
     fn hold_grants(&mut self, now_ms: u64) {
         if self.grants_from_ms == 0 || now_ms >= self.grants_from_ms + HOLD_COOLDOWN_MS {
@@ -54,14 +74,16 @@
 
 impl Relay {
     /// Begins to dispatch a pool that another box may have dispatched before. Adopts the open generations of this box at once,
-    /// and holds grants so that the other boxes have time to report theirs.
+    /// and holds grants until the other boxes have reported theirs.
     pub(crate) fn begin_dispatching(&self, pool: PoolId) {
         if self.members.borrow().others().is_empty() {
             return;
         }
         let now_ms = self.now_ms();
+        let candidates = self.dispatchers_of(pool);
+        let others = candidates.iter().copied().filter(|id| *id != self.id);
         if let Some(dispatcher) = self.dispatchers.borrow_mut().get_mut(&pool) {
-            dispatcher.hold_grants(now_ms);
+            dispatcher.hold_for_reports(others.collect(), now_ms);
             dispatcher.pool.begin_takeover(now_ms);
             dispatcher.announced_ms = now_ms;
         }
