relay: a takeover waits for reports only if a box reports open generations, and not past a goal

Change: grants are held for 80 ms as before. If a report with open generations has come, another dispatcher has granted them, and the reports of all others are awaited for 250 ms at most. A waiting request that is about to miss its goal ends the wait.

--- a/components/policy/src/admission/queue.rs
+++ b/components/policy/src/admission/queue.rs
@@ -224,6 +224,12 @@
         })
     }
 
+    /// Returns whether a request is about to miss its goal.
+    pub fn has_due(&self, now_ms: u64) -> bool {
+        let mut waiting = self.subqueues.values().flatten();
+        waiting.any(|waiting| waiting.start_by_ms <= now_ms + DUE_WITHIN_MS)
+    }
+
     pub fn front(&self, queue_key: QueueKey) -> Option<&Demand> {
         Some(&self.subqueues.get(&queue_key)?.front()?.demand)
     }
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -160,6 +160,11 @@
         SubmitOutcome::Queued { position }
     }
 
+    /// Returns whether a queued request is about to miss its goal.
+    pub fn has_due_request(&self, now_ms: u64) -> bool {
+        self.queue.has_due(now_ms)
+    }
+
     /// Removes a queued request, or releases its permit if it was granted meanwhile.
     pub fn withdraw(&mut self, permit: PermitId) {
         if let Some(demand) = self.queue.remove(permit) {
--- a/components/relay/src/dispatch/dispatcher.rs
+++ b/components/relay/src/dispatch/dispatcher.rs
@@ -52,6 +52,10 @@
     pub(super) grants_from_ms: u64,
     /// Boxes whose reports a takeover waits for.
     pub(super) awaited_boxes: HashSet<BoxId>,
+    /// When a takeover stops waiting for reports.
+    pub(super) reports_until_ms: u64,
+    /// Whether a box has reported open generations since this one began to dispatch.
+    pub(super) is_takeover: bool,
     /// When this box last announced itself as the dispatcher.
     pub(super) announced_ms: u64,
     /// When this box began to dispatch the pool.
@@ -121,6 +125,8 @@
             transfer_slots: file.has(Mechanism::Turns).then(TransferSlots::default),
             grants_from_ms: 0,
             awaited_boxes: HashSet::new(),
+            reports_until_ms: 0,
+            is_takeover: false,
             announced_ms: 0,
             began_ms: now_ms,
             forecast_logged_ms: None,
@@ -137,7 +143,7 @@
     }
 
     pub(crate) fn decide(&mut self, now_ms: u64) {
-        if now_ms < self.grants_from_ms {
+        if self.holds_grants(now_ms) {
             return;
         }
         self.release_unclaimed(now_ms);
@@ -391,6 +397,7 @@
                 .unclaimed
                 .retain(|(_, permit)| !kept.contains(permit));
             dispatcher.pool.reconcile_permits(from, &kept, now_ms);
+            let generations = demands.len();
             for (demand, stream) in demands {
                 let adopted = RunningStream {
                     demand,
@@ -399,7 +406,7 @@
                 };
                 dispatcher.pool.adopt(adopted, now_ms);
             }
-            dispatcher.record_report(from, now_ms);
+            dispatcher.record_report(from, generations, now_ms);
             dispatcher.decide(now_ms);
             must_announce
         })
--- a/components/relay/src/dispatch/dispatcher_tests.rs
+++ b/components/relay/src/dispatch/dispatcher_tests.rs
@@ -1,6 +1,8 @@
 use super::*;
+use crate::dispatch::takeover::{REPORTS_TIMEOUT_MS, TAKEOVER_HOLD_MS};
 use policy::{EngineInfo, EngineReport, Share};
 use prelude::{AccountId, Avoided};
+use rstest::rstest;
 use settings::LiveSettings;
 
 const ENGINE: TargetId = TargetId(1);
@@ -52,7 +54,10 @@
 
 /// Queues a request whose call has already ended.
 fn queue_request(dispatcher: &mut Dispatcher) -> PermitId {
-    let demand = demand(1);
+    queue(dispatcher, demand(1))
+}
+
+fn queue(dispatcher: &mut Dispatcher, demand: Demand) -> PermitId {
     let permit = demand.permit;
     let (verdict_sender, _) = oneshot::channel();
     let waiting = WaitingRequest {
@@ -100,21 +105,38 @@
     let mut dispatcher = dispatcher();
     let permit = queue_request(&mut dispatcher);
     dispatcher.hold_for_reports(HashSet::from([BoxId(1), BoxId(2)]), 0);
-    dispatcher.record_report(BoxId(2), 100);
+    dispatcher.record_report(BoxId(2), 1, 100);
     dispatcher.decide(120);
     assert_eq!(dispatcher.pool.target_of(permit), None);
-    dispatcher.record_report(BoxId(1), 122);
+    dispatcher.record_report(BoxId(1), 0, 122);
     dispatcher.decide(122);
     assert_eq!(dispatcher.pool.target_of(permit), Some(ENGINE));
 }
 
-#[test]
-fn a_new_dispatcher_does_not_wait_for_boxes_that_report_nothing() {
+/// The cases are the open generations that one of two boxes reports, the latest start of a waiting request, and the time of
+/// the first grant.
+#[rstest]
+#[case::takeover(1, 10_000, REPORTS_TIMEOUT_MS)]
+#[case::first_dispatcher(0, 10_000, TAKEOVER_HOLD_MS)]
+#[case::due_request(1, 250, 150)]
+fn a_new_dispatcher_does_not_wait_long_for_boxes_that_report_nothing(
+    #[case] generations: usize,
+    #[case] deadline_ms: u64,
+    #[case] granted_ms: u64,
+) {
     let mut dispatcher = dispatcher();
-    let permit = queue_request(&mut dispatcher);
-    dispatcher.hold_for_reports(HashSet::from([BoxId(1)]), 0);
-    dispatcher.decide(249);
+    let permit = queue(
+        &mut dispatcher,
+        Demand {
+            deadline_ms,
+            prompt_tokens: 0,
+            ..demand(1)
+        },
+    );
+    dispatcher.hold_for_reports(HashSet::from([BoxId(1), BoxId(2)]), 0);
+    dispatcher.record_report(BoxId(2), generations, 10);
+    dispatcher.decide(granted_ms - 1);
     assert_eq!(dispatcher.pool.target_of(permit), None);
-    dispatcher.decide(250);
+    dispatcher.decide(granted_ms);
     assert_eq!(dispatcher.pool.target_of(permit), Some(ENGINE));
 }
--- a/components/relay/src/dispatch/takeover.rs
+++ b/components/relay/src/dispatch/takeover.rs
@@ -13,30 +13,43 @@
 use std::rc::Rc;
 
 /// How long grants are held. This is a small part of any goal for the time to first token.
-const TAKEOVER_HOLD_MS: u64 = 80;
+pub(super) const TAKEOVER_HOLD_MS: u64 = 80;
 /// How long a box that begins to dispatch waits for the reports of all others at most. A report that takes longer has failed
 /// and is sent again.
-const REPORTS_TIMEOUT_MS: u64 = CALL_TIMEOUT.as_millis() as u64;
+pub(super) const REPORTS_TIMEOUT_MS: u64 = CALL_TIMEOUT.as_millis() as u64;
 /// Grants are not held again within this time. Each box reports within a second, so that all reports of one takeover
 /// delay callers by 80 ms only once.
 const HOLD_COOLDOWN_MS: u64 = 1_000;
 
 impl Dispatcher {
-    /// Holds grants until all `boxes` have reported their open generations, for [`REPORTS_TIMEOUT_MS`] at most. Grants
-    /// that precede a report use memory that is taken, and charge accounts by what the other boxes have reported.
+    /// Holds grants for [`TAKEOVER_HOLD_MS`]. If any box then reports open generations, another dispatcher has granted them,
+    /// and the reports of all `boxes` are awaited, for [`REPORTS_TIMEOUT_MS`] at most: grants that precede a report use
+    /// memory that is taken, and charge accounts by what the other boxes have reported.
     pub(super) fn hold_for_reports(&mut self, boxes: HashSet<BoxId>, now_ms: u64) {
         self.awaited_boxes = boxes;
-        self.grants_from_ms = now_ms + REPORTS_TIMEOUT_MS;
+        self.grants_from_ms = now_ms + TAKEOVER_HOLD_MS;
+        self.reports_until_ms = now_ms + REPORTS_TIMEOUT_MS;
+        self.is_takeover = false;
     }
 
-    /// Records the report of a box. Ends the hold with the last one.
-    pub(super) fn record_report(&mut self, from: BoxId, now_ms: u64) {
+    /// Records that a box has reported this many open generations. The last report ends the hold.
+    pub(super) fn record_report(&mut self, from: BoxId, generations: usize, now_ms: u64) {
+        self.is_takeover |= generations > 0;
         let was_awaited = self.awaited_boxes.remove(&from);
         if was_awaited && self.awaited_boxes.is_empty() {
             self.grants_from_ms = self.grants_from_ms.min(now_ms);
         }
     }
 
+    /// Whether grants are held now. A request that would miss its goal does not wait for reports.
+    pub(super) fn holds_grants(&self, now_ms: u64) -> bool {
+        let awaits_reports = self.is_takeover
+            && !self.awaited_boxes.is_empty()
+            && now_ms < self.reports_until_ms
+            && !self.pool.has_due_request(now_ms);
+        now_ms < self.grants_from_ms || awaits_reports
+    }
+
     /// Holds grants for [`TAKEOVER_HOLD_MS`], unless they were held less than [`HOLD_COOLDOWN_MS`] ago.
     fn hold_grants(&mut self, now_ms: u64) {
         if self.grants_from_ms == 0 || now_ms >= self.grants_from_ms + HOLD_COOLDOWN_MS {
