relay: an acquittal also deletes the record that another box writes meanwhile

What callers saw: a request that an operator had cleared, or a target had answered, stayed in the store as a crashing one for ten minutes, and boxes that started in that time refused it again.

Cause: the box that takes an acquittal deletes the record once. A box whose write was on its way (read, lease, compare and swap: the record is absent before the write and after the deletion alike) put it back, and a deletion that the store did not answer was given up.

Change: each box remembers whose records it has written, and deletes a record again when the write ends after the acquittal or the acquittal comes after the write. A deletion is retried like a write, until the request is suspected again. Lines for written and deleted records.

--- a/components/relay/src/quarantine/broadcast.rs
+++ b/components/relay/src/quarantine/broadcast.rs
@@ -73,7 +73,7 @@
         }
     }
 
-    fn apply_report(&self, report: &EndsTold) {
+    fn apply_report(self: &Rc<Self>, report: &EndsTold) {
         self.apply_crashes(&report.ends, "peer");
         let now_ms = self.now_ms();
         for acquittal in &report.acquittals {
@@ -84,12 +84,13 @@
             if is_new {
                 slog::info!(self.log, "request acquitted"; "request" => %acquittal.request,
                     "by" => ?acquittal.by, "source" => "peer");
+                self.remove_own_record(acquittal.request);
             }
         }
     }
 
     /// Fetches the crashes of withheld requests from a few random peers. Returns false if none answers.
-    pub(super) async fn fetch_withheld(&self) -> bool {
+    pub(super) async fn fetch_withheld(self: &Rc<Self>) -> bool {
         let others = self.members.borrow().others();
         let queries = choose_peers(&others, &mut rand::rng())
             .into_iter()
@@ -105,7 +106,7 @@
     }
 
     /// Sends a report to one box and applies its reply. Returns false without a reply.
-    async fn send_report(&self, id: BoxId, report: EndsTold) -> bool {
+    async fn send_report(self: &Rc<Self>, id: BoxId, report: EndsTold) -> bool {
         let call = self
             .peers
             .call(id, CALL_TIMEOUT, |client, context| async move {
--- a/components/relay/src/quarantine/record.rs
+++ b/components/relay/src/quarantine/record.rs
@@ -24,6 +24,9 @@
 /// Attempts to write a record on conflicts with other boxes or while the store is unavailable: about two minutes.
 const WRITE_ATTEMPTS_MAX: usize = 24;
 
+/// Requests whose records this box has written that are remembered at most, before those no longer suspected are forgotten.
+const RECORDED_REQUESTS_MAX: usize = 1_024;
+
 /// The stored value: the crashes of one request.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct Record {
@@ -155,19 +158,59 @@
 
     /// Deletes the record of a request that was acquitted.
     pub(super) fn remove_record(self: &Rc<Self>, request: RequestKey) {
-        let relay = self.clone();
-        tokio::task::spawn_local(async move {
-            let transaction = Transaction {
-                compare: Vec::new(),
-                writes: vec![Write::Delete {
-                    key: key_of(request),
-                }],
-            };
-            if let Err(error) = relay.store.transact(&transaction).await {
-                // The record expires with its lease.
-                slog::info!(relay.log, "failed to delete a quarantine record"; "error" => %error);
+        self.recorded_requests.borrow_mut().remove(&request);
+        tokio::task::spawn_local(delete_record(self.clone(), request));
+    }
+
+    /// Deletes the record of a request that another box acquitted, if this box has written it: its write may have come after
+    /// the deletion by the other box.
+    pub(super) fn remove_own_record(self: &Rc<Self>, request: RequestKey) {
+        if self.recorded_requests.borrow().contains(&request) {
+            self.remove_record(request);
+        }
+    }
+
+    /// Remembers that this box writes the record of a request. Forgets the requests that are no longer suspected if there are
+    /// too many.
+    fn remember_write(&self, request: RequestKey) {
+        let mut recorded = self.recorded_requests.borrow_mut();
+        if recorded.len() >= RECORDED_REQUESTS_MAX {
+            recorded.retain(|request| self.is_suspected(*request));
+        }
+        recorded.insert(request);
+    }
+
+    /// Whether any crash counts against a request.
+    fn is_suspected(&self, request: RequestKey) -> bool {
+        let quarantine = self.quarantine.borrow();
+        !quarantine.crashes_of(request, self.now_ms()).is_empty()
+    }
+}
+
+/// Deletes a record, with retries. Gives up once the request is suspected again, as the record may then be a new one.
+async fn delete_record(relay: Rc<Relay>, request: RequestKey) {
+    let transaction = Transaction {
+        compare: Vec::new(),
+        writes: vec![Write::Delete {
+            key: key_of(request),
+        }],
+    };
+    let mut backoff = Backoff::with_long_pauses();
+    for _ in 0..WRITE_ATTEMPTS_MAX {
+        if relay.is_suspected(request) {
+            return;
+        }
+        match relay.store.transact(&transaction).await {
+            Ok(_) => {
+                slog::info!(relay.log, "quarantine record deleted"; "request" => %request);
+                return;
             }
-        });
+            Err(error) => {
+                slog::info!(relay.log, "failed to delete a quarantine record"; "request" => %request,
+                    "error" => %error);
+                backoff.pause().await;
+            }
+        }
     }
 }
 
@@ -204,6 +247,10 @@
         .iter()
         .all(|crash| recorded.contains(crash.target))
     {
+        if item.is_some() && known_crashes.is_empty() {
+            // A write of this box that seemed to fail may have come after the acquittal.
+            relay.remove_own_record(request);
+        }
         return Ok(true);
     }
     let value = serde_json::to_vec(&Record::from_crashes(&known_crashes))
@@ -216,8 +263,18 @@
         }],
         writes: vec![Write::Put { key, value, lease }],
     };
+    relay.remember_write(request);
     let result = relay.store.transact(&transaction).await?;
-    Ok(matches!(result, TransactionResult::Done { .. }))
+    let is_written = matches!(result, TransactionResult::Done { .. });
+    if is_written {
+        slog::info!(relay.log, "quarantine record written"; "request" => %request,
+            "ends" => known_crashes.len());
+    }
+    if is_written && !relay.is_suspected(request) {
+        // It was acquitted while the write was on its way.
+        relay.remove_record(request);
+    }
+    Ok(is_written)
 }
 
 #[cfg(test)]
--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -122,6 +122,7 @@
         calls_ended: Notify::new(),
         rate_limits: RateLimits::default(),
         quarantine: RefCell::default(),
+        recorded_requests: RefCell::default(),
         broken_runs: RefCell::default(),
         retry_windows: RefCell::default(),
         members: RefCell::new(Members::new(id, file.limits.link_mbps as u32)),
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -22,7 +22,7 @@
 use peers::{FleetCard, FleetClients, FleetDigest, KeyRing};
 use platform::{FleetStore, Lease};
 use policy::{Quarantine, RetryLimit, RetryWindow};
-use prelude::{BoxId, Clock, DataCentreId, ModelId, PoolId};
+use prelude::{BoxId, Clock, DataCentreId, ModelId, PoolId, RequestKey};
 use reload::{Live, Snapshot};
 use routing::RoutingTable;
 use settings::{FleetFile, FleetIdentity, FleetLimits, FleetPromises, Mechanism};
@@ -81,6 +81,8 @@
     pub(crate) rate_limits: RateLimits,
     /// Requests during which targets crashed.
     pub(crate) quarantine: RefCell<Quarantine>,
+    /// Requests whose records in the store this box has written.
+    pub(crate) recorded_requests: RefCell<HashSet<RequestKey>>,
     /// Runs that broke off recently.
     pub(crate) broken_runs: RefCell<BrokenRuns>,
     pub(crate) retry_windows: RefCell<HashMap<Box<str>, RetryWindow>>,
