--- a/components/policy/src/admission/first_token.rs
+++ b/components/policy/src/admission/first_token.rs
@@ -37,6 +37,17 @@
 const RETRY_GOAL_SHARE: f64 = 0.5;
 const MIN_RETRY_AFTER_MS: u64 = 100;
 
+/// The measurements that first-token forecasts rest on.
+#[derive(Clone, Copy, Debug)]
+pub struct ForecastInputs {
+    /// Prefill rate of the pool's engines, in tokens per millisecond.
+    pub prefill_tokens_per_ms: f64,
+    /// Number of first tokens that the prefill rate was measured from.
+    pub prefill_observations: f64,
+    /// Mean time between grants of the rank; `None` if too few were measured.
+    pub ms_per_grant: Option<f64>,
+}
+
 /// Forecast time from now to a request's first token.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct FirstTokenForecast {
@@ -92,7 +103,8 @@
         None
     }
 
-    /// Refuses recently admitted requests whose first tokens would now be late.
+    /// Refuses recently admitted requests whose first tokens would now be late, except those that
+    /// another dispatcher has admitted: a new dispatcher's forecast rests on few measurements.
     pub(crate) fn refuse_late_forecasts(&mut self, now_ms: u64) -> Vec<(PermitId, Verdict)> {
         if self.queue.len() == 0 {
             return Vec::new();
@@ -103,7 +115,8 @@
         let mut queue_ahead = QueueAhead::default();
         let mut rank = 0;
         let mut verdicts = Vec::new();
-        for (demand, need) in self.queue.in_order(&self.tree) {
+        for waiting in self.queue.waiting_in_order(&self.tree) {
+            let (demand, need) = (&waiting.demand, &waiting.need);
             if demand.clamped_rank() != rank {
                 rank = demand.clamped_rank();
                 queue_ahead.same_rank_requests = 0;
@@ -114,7 +127,8 @@
             };
             let waited_ms = now_ms.saturating_sub(demand.arrived_ms) as f64;
             let is_early = waited_ms <= goal_ms(demand) * EARLY_REFUSAL_SHARE;
-            if is_early && self.is_late(demand, first, now_ms) {
+            let is_refusable = is_early && !waiting.is_readmitted;
+            if is_refusable && self.is_late(demand, first, now_ms) {
                 let refusal = self.crowded_refusal(
                     simulation.clone(),
                     demand,
@@ -240,6 +254,16 @@
             .map(|rank| (rank, errors.correction_factor(rank, self.now_ms)))
     }
 
+    /// Returns the measurements that forecasts for a rank rest on, for the log.
+    pub fn forecast_inputs(&self, rank: u8) -> ForecastInputs {
+        let rank = usize::from(rank).min(self.rank_grant_rates.len() - 1);
+        ForecastInputs {
+            prefill_tokens_per_ms: self.prefill_rate.tokens_per_ms(),
+            prefill_observations: self.prefill_rate.observations(),
+            ms_per_grant: self.rank_grant_rates[rank].ms_per_grant(),
+        }
+    }
+
     /// Returns the factor by which arrivals of more urgent requests lengthen the wait for prefill.
     fn urgent_slowdown(&self, simulation: &PrefillSimulation, rank: u8, now_ms: u64) -> f64 {
         if !self.counts_arrivals() {
--- a/components/policy/src/pool.rs
+++ b/components/policy/src/pool.rs
@@ -67,6 +67,8 @@
     pub(crate) streams_by_box: HashMap<BoxId, usize>,
     /// The boxes whose recent usage this dispatcher charged itself, and since when.
     pub(crate) observed_boxes: ObservedBoxes,
+    /// Forecasts refuse no request before this time.
+    pub(crate) forecasts_from_ms: u64,
     pub(crate) usage: Usage,
 }
 
@@ -98,6 +100,7 @@
             last_seen_ms: HashMap::new(),
             streams_by_box: HashMap::new(),
             observed_boxes: ObservedBoxes::default(),
+            forecasts_from_ms: 0,
             usage: Usage::default(),
             settings,
         }
@@ -150,10 +153,18 @@
         self.record_queued_ranks(now_ms);
         self.tree.add_waiting(&demand.share);
         let begins_by_ms = self.start_by_ms(&demand);
-        self.queue.push(demand, begins_by_ms, need);
+        match was_queued_before {
+            true => self.queue.push_readmitted(demand, begins_by_ms, need),
+            false => self.queue.push(demand, begins_by_ms, need),
+        }
         SubmitOutcome::Queued { position }
     }
 
+    /// Returns whether a queued request is about to miss its goal.
+    pub fn has_due_request(&self, now_ms: u64) -> bool {
+        self.queue.has_due(now_ms)
+    }
+
     /// Removes a queued request, or releases its permit if it was granted meanwhile.
     pub fn withdraw(&mut self, permit: PermitId) {
         if let Some(demand) = self.queue.remove(permit) {
--- a/components/relay/src/dispatch/dispatcher.rs
+++ b/components/relay/src/dispatch/dispatcher.rs
@@ -12,7 +12,7 @@
     TargetKey,
 };
 use settings::{FleetFile, Mechanism};
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 use tokio::sync::oneshot;
 use tokio::time::{Instant, sleep, timeout_at};
@@ -30,6 +30,11 @@
 const NEAR_TOKENS: u32 = 1_500;
 /// How often engines in a temporary state (cold, on probation, ejected) are checked.
 const SYNC_INTERVAL: Duration = Duration::from_millis(500);
+/// Minimum time between two log lines on the measurements behind refusals.
+const FORECAST_LOG_INTERVAL_MS: u64 = 1_000;
+/// How long a permit is kept for a box whose call had ended when it was granted. The box calls again within a round trip
+/// or after a timeout.
+const CLAIM_TIMEOUT_MS: u64 = 400;
 /// Retry delay of a refusal if the wait is unknown.
 const RETRY_AFTER_MS: u64 = 500;
 
@@ -38,14 +43,25 @@
 pub(crate) struct Dispatcher {
     pub(crate) pool: Pool,
     pub(super) waiting: HashMap<PermitId, WaitingRequest>,
+    /// Permits that were granted between two calls of their box, by the time at which they are released if they are not
+    /// claimed.
+    unclaimed: VecDeque<(u64, PermitId)>,
     /// Limits transfers to one at a time per link; none if the mechanism is off.
     pub(super) transfer_slots: Option<TransferSlots>,
     /// Nothing is granted before this time.
     pub(super) grants_from_ms: u64,
+    /// Boxes whose reports a takeover waits for.
+    pub(super) awaited_boxes: HashSet<BoxId>,
+    /// When a takeover stops waiting for reports.
+    pub(super) reports_until_ms: u64,
+    /// Whether a box has reported open generations since this one began to dispatch.
+    pub(super) is_takeover: bool,
     /// When this box last announced itself as the dispatcher.
     pub(super) announced_ms: u64,
     /// When this box began to dispatch the pool.
     pub(super) began_ms: u64,
+    /// When the measurements behind a refusal were last logged.
+    forecast_logged_ms: Option<u64>,
     log: slog::Logger,
 }
 
@@ -105,10 +121,15 @@
         Self {
             pool: pool_from_settings(file),
             waiting: HashMap::new(),
+            unclaimed: VecDeque::new(),
             transfer_slots: file.has(Mechanism::Turns).then(TransferSlots::default),
             grants_from_ms: 0,
+            awaited_boxes: HashSet::new(),
+            reports_until_ms: 0,
+            is_takeover: false,
             announced_ms: 0,
             began_ms: now_ms,
+            forecast_logged_ms: None,
             log,
         }
     }
@@ -122,9 +143,10 @@
     }
 
     pub(crate) fn decide(&mut self, now_ms: u64) {
-        if now_ms < self.grants_from_ms {
+        if self.holds_grants(now_ms) {
             return;
         }
+        self.release_unclaimed(now_ms);
         for (permit, verdict) in self.pool.schedule(now_ms) {
             let Some(waiting) = self.waiting.remove(&permit) else {
                 continue;
@@ -135,12 +157,54 @@
                     "waited_ms" => now_ms.saturating_sub(waiting.arrived_ms),
                     "waiting" => self.waiting.len());
             }
-            if waiting.verdict_sender.send(verdict).is_err() {
-                // The waiting call is gone, so that the permit is released.
-                self.pool.release(permit, 0, StreamEnd::Censored);
+            if let Verdict::Refused(refusal) = verdict {
+                self.log_forecast(refusal, waiting.rank, now_ms);
+            }
+            let is_granted = matches!(verdict, Verdict::Granted { .. });
+            if waiting.verdict_sender.send(verdict).is_err() && is_granted {
+                // A release now would cost the request its place: its box is between two calls.
+                self.unclaimed
+                    .push_back((now_ms + CLAIM_TIMEOUT_MS, permit));
             }
         }
     }
+
+    /// Returns the engine of a permit that was granted before, and marks it as claimed.
+    fn claim(&mut self, permit: PermitId) -> Option<TargetId> {
+        let target = self.pool.target_of(permit)?;
+        self.unclaimed.retain(|(_, unclaimed)| *unclaimed != permit);
+        Some(target)
+    }
+
+    /// Releases the permits that their boxes have not claimed in time.
+    fn release_unclaimed(&mut self, now_ms: u64) {
+        while let Some((_, permit)) = self
+            .unclaimed
+            .pop_front_if(|(until_ms, _)| *until_ms <= now_ms)
+        {
+            slog::info!(self.log, "permit not claimed"; "entry" => permit.entry.0, "permit" => permit.serial);
+            self.pool.release(permit, 0, StreamEnd::Censored);
+        }
+    }
+}
+
+impl Dispatcher {
+    /// Logs the measurements behind a refusal by forecast, once in [`FORECAST_LOG_INTERVAL_MS`] at most.
+    fn log_forecast(&mut self, refusal: Refusal, rank: u8, now_ms: u64) {
+        let is_recent = |logged_ms| now_ms < logged_ms + FORECAST_LOG_INTERVAL_MS;
+        if refusal.reason != RefusalReason::Crowded
+            || self.forecast_logged_ms.is_some_and(is_recent)
+        {
+            return;
+        }
+        self.forecast_logged_ms = Some(now_ms);
+        let inputs = self.pool.forecast_inputs(rank);
+        slog::info!(self.log, "refusing by forecast"; "rank" => rank, "waiting" => self.waiting.len(),
+            "prefill_tokens_per_ms" => format_args!("{:.2}", inputs.prefill_tokens_per_ms),
+            "prefill_observations" => inputs.prefill_observations,
+            "ms_per_grant" => inputs.ms_per_grant.map(f64::round),
+            "dispatching_ms" => now_ms.saturating_sub(self.began_ms));
+    }
 }
 
 pub(crate) fn granted(target: TargetId) -> PermitReply {
@@ -217,7 +281,7 @@
         let demand = self.demand(&request, received_ms);
         let (verdict_sender, mut verdict_receiver) = oneshot::channel();
         let immediate = self.with_dispatcher(request.pool, |dispatcher, now_ms| {
-            if let Some(target) = dispatcher.pool.target_of(request.permit) {
+            if let Some(target) = dispatcher.claim(request.permit) {
                 return Some(granted(target));
             }
             let waiting = WaitingRequest {
@@ -234,6 +298,7 @@
             match outcome {
                 SubmitOutcome::Refused(refusal) => {
                     dispatcher.waiting.remove(&request.permit);
+                    dispatcher.log_forecast(refusal, demand.rank, now_ms);
                     Some(dispatcher.refusal_reply(refusal, &demand))
                 }
                 SubmitOutcome::Queued { .. } => {
@@ -324,7 +389,15 @@
             let kept: HashSet<PermitId> = demands.iter().map(|(d, _)| d.permit).collect();
             let had_other_dispatcher = dispatcher.pool.adopt_usage(from, &used, now_ms);
             let must_announce = had_other_dispatcher && dispatcher.record_other_dispatcher(now_ms);
+            slog::info!(dispatcher.log, "open generations adopted"; "box" => from.0,
+                "generations" => demands.len(), "accounts" => used.len(),
+                "is_new" => had_other_dispatcher, "after_ms" => now_ms - dispatcher.began_ms,
+                "queued" => dispatcher.waiting.len());
+            dispatcher
+                .unclaimed
+                .retain(|(_, permit)| !kept.contains(permit));
             dispatcher.pool.reconcile_permits(from, &kept, now_ms);
+            let generations = demands.len();
             for (demand, stream) in demands {
                 let adopted = RunningStream {
                     demand,
@@ -333,6 +406,7 @@
                 };
                 dispatcher.pool.adopt(adopted, now_ms);
             }
+            dispatcher.record_report(from, generations, now_ms);
             dispatcher.decide(now_ms);
             must_announce
         })
@@ -369,3 +443,7 @@
         retry_after_ms: Some(RETRY_AFTER_MS),
     }
 }
+
+#[cfg(test)]
+#[path = "dispatcher_tests.rs"]
+mod tests;
--- a/components/relay/src/dispatch/takeover.rs
+++ b/components/relay/src/dispatch/takeover.rs
@@ -3,20 +3,53 @@
 //! are submitted again, so that they keep their place in the queue.
 
 use crate::dispatch::dispatcher::Dispatcher;
+use crate::dispatch::permits::CALL_TIMEOUT;
 use crate::membership::gossip::broadcast_digest;
 use crate::membership::members::MemberUpdate;
 use crate::state::Relay;
 use crate::watch::election::ISOLATION_TIMEOUT_MS;
-use prelude::{PermitId, PoolId};
+use prelude::{BoxId, PermitId, PoolId};
+use std::collections::HashSet;
 use std::rc::Rc;
 
 /// How long grants are held. This is a small part of any goal for the time to first token.
-const TAKEOVER_HOLD_MS: u64 = 80;
+pub(super) const TAKEOVER_HOLD_MS: u64 = 80;
+/// How long a box that begins to dispatch waits for the reports of all others at most. A report that takes longer has failed
+/// and is sent again.
+pub(super) const REPORTS_TIMEOUT_MS: u64 = CALL_TIMEOUT.as_millis() as u64;
 /// Grants are not held again within this time. Each box reports within a second, so that all reports of one takeover
 /// delay callers by 80 ms only once.
 const HOLD_COOLDOWN_MS: u64 = 1_000;
 
 impl Dispatcher {
+    /// Holds grants for [`TAKEOVER_HOLD_MS`]. If any box then reports open generations, another dispatcher has granted them,
+    /// and the reports of all `boxes` are awaited, for [`REPORTS_TIMEOUT_MS`] at most: grants that precede a report use
+    /// memory that is taken, and charge accounts by what the other boxes have reported.
+    pub(super) fn hold_for_reports(&mut self, boxes: HashSet<BoxId>, now_ms: u64) {
+        self.awaited_boxes = boxes;
+        self.grants_from_ms = now_ms + TAKEOVER_HOLD_MS;
+        self.reports_until_ms = now_ms + REPORTS_TIMEOUT_MS;
+        self.is_takeover = false;
+    }
+
+    /// Records that a box has reported this many open generations. The last report ends the hold.
+    pub(super) fn record_report(&mut self, from: BoxId, generations: usize, now_ms: u64) {
+        self.is_takeover |= generations > 0;
+        let was_awaited = self.awaited_boxes.remove(&from);
+        if was_awaited && self.awaited_boxes.is_empty() {
+            self.grants_from_ms = self.grants_from_ms.min(now_ms);
+        }
+    }
+
+    /// Whether grants are held now. A request that would miss its goal does not wait for reports.
+    pub(super) fn holds_grants(&self, now_ms: u64) -> bool {
+        let awaits_reports = self.is_takeover
+            && !self.awaited_boxes.is_empty()
+            && now_ms < self.reports_until_ms
+            && !self.pool.has_due_request(now_ms);
+        now_ms < self.grants_from_ms || awaits_reports
+    }
+
     /// Holds grants for [`TAKEOVER_HOLD_MS`], unless they were held less than [`HOLD_COOLDOWN_MS`] ago.
     fn hold_grants(&mut self, now_ms: u64) {
         if self.grants_from_ms == 0 || now_ms >= self.grants_from_ms + HOLD_COOLDOWN_MS {
@@ -31,14 +64,14 @@
         if must_announce {
             self.announced_ms = now_ms;
         }
-        self.drop_abandoned_requests();
+        self.drop_abandoned_requests(now_ms);
         must_announce
     }
 
     /// Drops queued requests whose caller no longer waits for a verdict here. Most have gone to another box, and the grant
     /// rate measured while they were queued would cause refusals of others. A request that is between two calls keeps its
     /// place, as it sends the time that it has waited.
-    fn drop_abandoned_requests(&mut self) {
+    fn drop_abandoned_requests(&mut self, now_ms: u64) {
         let abandoned = self
             .waiting
             .extract_if(|_, waiting| waiting.verdict_sender.is_closed());
@@ -47,21 +80,24 @@
             self.pool.withdraw(*permit);
         }
         if !abandoned.is_empty() {
-            self.pool.reset_grant_rate();
+            self.pool.reset_grant_rate(now_ms);
         }
     }
 }
 
 impl Relay {
     /// Begins to dispatch a pool that another box may have dispatched before. Adopts the open generations of this box at once,
-    /// and holds grants so that the other boxes have time to report theirs.
+    /// and holds grants until the other boxes have reported theirs.
     pub(crate) fn begin_dispatching(&self, pool: PoolId) {
         if self.members.borrow().others().is_empty() {
             return;
         }
         let now_ms = self.now_ms();
+        let candidates = self.dispatchers_of(pool);
+        let others = candidates.iter().copied().filter(|id| *id != self.id);
         if let Some(dispatcher) = self.dispatchers.borrow_mut().get_mut(&pool) {
-            dispatcher.hold_grants(now_ms);
+            dispatcher.hold_for_reports(others.collect(), now_ms);
+            dispatcher.pool.begin_takeover(now_ms);
             dispatcher.announced_ms = now_ms;
         }
         let open = self.open_generations.borrow().snapshot(pool, now_ms);
