policy: the report of one box moves no call to a more distant target

What callers saw: after one box got no answer from a target, one in four calls of the other boxes went to another data centre for 4 s, slower and paid for.

Cause: a report adds 0.25 to the cost of a target, distance 0.3, and the noise on costs is up to 0.15 of the whole: 1.4 for the near target against 1.3 for the far one.

Change: a report counts against a target only if another is as near, not reported and not full.

--- a/components/policy/src/balance/choose.rs
+++ b/components/policy/src/balance/choose.rs
@@ -27,6 +27,11 @@
 }
 
 impl Candidate {
+    /// Whether this target is at least as near as `other`, and neither suspected nor full.
+    fn replaces(&self, other: &Self) -> bool {
+        !self.suspected && self.fullness < 1.0 && self.penalty <= other.penalty
+    }
+
     /// Expected latency of the call there, in multiples of the baseline, plus all penalties.
     pub fn cost(&self) -> f64 {
         let deprioritized = f64::from(u8::from(self.deprioritized)) * DEPRIORITIZED_COST;
@@ -54,6 +59,15 @@
     candidates: &[Candidate],
     mut random: impl FnMut() -> f64,
 ) -> Option<usize> {
+    // The report of a single box never moves a call to a more distant target: noise could exceed the difference in cost.
+    let candidates: Vec<Candidate> = candidates
+        .iter()
+        .map(|candidate| Candidate {
+            suspected: candidate.suspected
+                && candidates.iter().any(|other| other.replaces(candidate)),
+            ..*candidate
+        })
+        .collect();
     let count = candidates.len();
     match policy {
         SelectionPolicy::LeastLoaded => {
--- a/components/policy/src/balance/choose_tests.rs
+++ b/components/policy/src/balance/choose_tests.rs
@@ -296,16 +296,19 @@
     assert!(lost_calls <= 6 * 11, "{lost_calls}");
 }
 
+/// An idle target in the data centre of the box.
+const IDLE: Candidate = Candidate {
+    latency_ratio: 1.0,
+    fullness: 0.0,
+    excess_failure_rate: 0.0,
+    penalty: 0.0,
+    deprioritized: false,
+    suspected: false,
+};
+
 #[test]
 fn two_choices_never_compares_a_target_with_itself() {
-    let empty = Candidate {
-        latency_ratio: 1.0,
-        fullness: 0.0,
-        excess_failure_rate: 0.0,
-        penalty: 0.0,
-        deprioritized: false,
-        suspected: false,
-    };
+    let empty = IDLE;
     let deprioritized = Candidate {
         deprioritized: true,
         ..empty
@@ -327,3 +330,25 @@
         None
     );
 }
+
+/// Guards against calls that leave their data centre on the report of one box: with noise on the costs, one in four did while
+/// the report counted.
+#[test]
+fn a_report_of_one_box_moves_calls_only_to_targets_that_are_as_near() {
+    let near = Candidate {
+        suspected: true,
+        ..IDLE
+    };
+    let far = Candidate {
+        penalty: 0.3,
+        ..IDLE
+    };
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut choose = |candidates: &[Candidate]| {
+        choose_target(SelectionPolicy::LowestCost, candidates, || rng.random())
+    };
+    for _ in 0..10_000 {
+        assert_eq!(choose(&[near, far]), Some(0));
+        assert_eq!(choose(&[near, far, IDLE]), Some(2));
+    }
+}
