relay: group what a takeover waits for; delete a record found after an acquittal

Found by reading the changes: a write that had failed without an answer and was applied after the acquittal left its record, as the box no longer counted it among those it had written. No behaviour changes beside.

--- a/components/policy/src/fairness/recent_usage_tests.rs
+++ b/components/policy/src/fairness/recent_usage_tests.rs
@@ -427,7 +427,7 @@
         caller_deadline_ms: at_ms + 2_000,
         ..demand(1, serial, OTHER, at_ms)
     };
-    let mut refused_count = |pool: &mut Pool, first, at_ms| {
+    let refused_count = |pool: &mut Pool, first, at_ms| {
         let submitted =
             (first..first + 400).map(|serial| pool.submit(in_time(serial, at_ms), at_ms));
         let refused = submitted.filter(|outcome| matches!(outcome, SubmitOutcome::Refused(_)));
--- a/components/relay/src/dispatch/dispatcher.rs
+++ b/components/relay/src/dispatch/dispatcher.rs
@@ -1,6 +1,7 @@
 //! The dispatcher of a pool of engines, on the box that has the role: a [`policy::Pool`] and the requests that wait
 //! for its verdict. It is soft state: after a takeover the other boxes report what runs where.
 
+use crate::dispatch::takeover::ReportWait;
 use crate::state::Relay;
 use peers::{AcquireRequest, AdoptedStream, OpenStreams, PermitReply, UpdateReply, UpdateRequest};
 use policy::{
@@ -50,12 +51,8 @@
     pub(super) transfer_slots: Option<TransferSlots>,
     /// Nothing is granted before this time.
     pub(super) grants_from_ms: u64,
-    /// Boxes whose reports a takeover waits for.
-    pub(super) awaited_boxes: HashSet<BoxId>,
-    /// When a takeover stops waiting for reports.
-    pub(super) reports_until_ms: u64,
-    /// Whether a box has reported open generations since this one began to dispatch.
-    pub(super) is_takeover: bool,
+    /// The reports that a takeover waits for.
+    pub(super) report_wait: ReportWait,
     /// When this box last announced itself as the dispatcher.
     pub(super) announced_ms: u64,
     /// When this box began to dispatch the pool.
@@ -124,9 +121,7 @@
             unclaimed: VecDeque::new(),
             transfer_slots: file.has(Mechanism::Turns).then(TransferSlots::default),
             grants_from_ms: 0,
-            awaited_boxes: HashSet::new(),
-            reports_until_ms: 0,
-            is_takeover: false,
+            report_wait: ReportWait::default(),
             announced_ms: 0,
             began_ms: now_ms,
             forecast_logged_ms: None,
@@ -186,9 +181,7 @@
             self.pool.release(permit, 0, StreamEnd::Censored);
         }
     }
-}
 
-impl Dispatcher {
     /// Logs the measurements behind a refusal by forecast, once in [`FORECAST_LOG_INTERVAL_MS`] at most.
     fn log_forecast(&mut self, refusal: Refusal, rank: u8, now_ms: u64) {
         let is_recent = |logged_ms| now_ms < logged_ms + FORECAST_LOG_INTERVAL_MS;
@@ -391,7 +384,7 @@
             let must_announce = had_other_dispatcher && dispatcher.record_other_dispatcher(now_ms);
             slog::info!(dispatcher.log, "open generations adopted"; "box" => from.0,
                 "generations" => demands.len(), "accounts" => used.len(),
-                "is_new" => had_other_dispatcher, "after_ms" => now_ms - dispatcher.began_ms,
+                "is_new" => had_other_dispatcher, "after_ms" => now_ms.saturating_sub(dispatcher.began_ms),
                 "queued" => dispatcher.waiting.len());
             dispatcher
                 .unclaimed
--- a/components/relay/src/dispatch/takeover.rs
+++ b/components/relay/src/dispatch/takeover.rs
@@ -21,33 +21,51 @@
 /// delay callers by 80 ms only once.
 const HOLD_COOLDOWN_MS: u64 = 1_000;
 
+/// The reports that a takeover waits for. Grants that precede a report use memory that is taken, and charge accounts by what
+/// the other boxes have reported.
+#[derive(Clone, Debug, Default)]
+pub(super) struct ReportWait {
+    /// Boxes that have not reported.
+    awaited: HashSet<BoxId>,
+    until_ms: u64,
+    /// Whether any box has reported open generations, which another dispatcher has granted.
+    found_generations: bool,
+}
+
+impl ReportWait {
+    /// Records the report of a box. Returns whether it was the last one awaited.
+    fn record(&mut self, from: BoxId, generations: usize) -> bool {
+        self.found_generations |= generations > 0;
+        self.awaited.remove(&from) && self.awaited.is_empty()
+    }
+
+    fn is_active(&self, now_ms: u64) -> bool {
+        self.found_generations && !self.awaited.is_empty() && now_ms < self.until_ms
+    }
+}
+
 impl Dispatcher {
-    /// Holds grants for [`TAKEOVER_HOLD_MS`]. If any box then reports open generations, another dispatcher has granted them,
-    /// and the reports of all `boxes` are awaited, for [`REPORTS_TIMEOUT_MS`] at most: grants that precede a report use
-    /// memory that is taken, and charge accounts by what the other boxes have reported.
+    /// Holds grants for [`TAKEOVER_HOLD_MS`], and longer for the reports of `boxes` if any box reports open generations.
     pub(super) fn hold_for_reports(&mut self, boxes: HashSet<BoxId>, now_ms: u64) {
-        self.awaited_boxes = boxes;
         self.grants_from_ms = now_ms + TAKEOVER_HOLD_MS;
-        self.reports_until_ms = now_ms + REPORTS_TIMEOUT_MS;
-        self.is_takeover = false;
+        self.report_wait = ReportWait {
+            awaited: boxes,
+            until_ms: now_ms + REPORTS_TIMEOUT_MS,
+            found_generations: false,
+        };
     }
 
     /// Records that a box has reported this many open generations. The last report ends the hold.
     pub(super) fn record_report(&mut self, from: BoxId, generations: usize, now_ms: u64) {
-        self.is_takeover |= generations > 0;
-        let was_awaited = self.awaited_boxes.remove(&from);
-        if was_awaited && self.awaited_boxes.is_empty() {
+        if self.report_wait.record(from, generations) {
             self.grants_from_ms = self.grants_from_ms.min(now_ms);
         }
     }
 
     /// Whether grants are held now. A request that would miss its goal does not wait for reports.
     pub(super) fn holds_grants(&self, now_ms: u64) -> bool {
-        let awaits_reports = self.is_takeover
-            && !self.awaited_boxes.is_empty()
-            && now_ms < self.reports_until_ms
-            && !self.pool.has_due_request(now_ms);
-        now_ms < self.grants_from_ms || awaits_reports
+        let awaits_reports = self.report_wait.is_active(now_ms);
+        now_ms < self.grants_from_ms || (awaits_reports && !self.pool.has_due_request(now_ms))
     }
 
     /// Holds grants for [`TAKEOVER_HOLD_MS`], unless they were held less than [`HOLD_COOLDOWN_MS`] ago.
--- a/components/relay/src/quarantine/record.rs
+++ b/components/relay/src/quarantine/record.rs
@@ -248,8 +248,8 @@
         .all(|crash| recorded.contains(crash.target))
     {
         if item.is_some() && known_crashes.is_empty() {
-            // A write of this box that seemed to fail may have come after the acquittal.
-            relay.remove_own_record(request);
+            // A write that seemed to fail may have come after the acquittal.
+            relay.remove_record(request);
         }
         return Ok(true);
     }
