relay: a box knows and shows which services it cannot reach

Reachability is judged by service from this box's own connection attempts: three distinct targets (or all of a smaller service) that fail without a success between. After a first failure, or a silence in which no target of the service was in contact, a few targets are probed by connecting. Lines 'service unreachable from this box' (failed targets, age of the evidence) and 'service reachable again', gauge shuntpier_unreachable_services, counters shuntpier_services_lost and shuntpier_reachability_probes, and a line in 'shuntpier targets'. Requests are sent as before.

'box.source_address' sets the local address of connections to targets, for hosts with several.

--- a/components/http1/src/channel.rs
+++ b/components/http1/src/channel.rs
@@ -4,7 +4,7 @@
 use bytes::{Buf, BytesMut};
 use socket2::{SockRef, TcpKeepalive};
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 use thiserror::Error;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -62,6 +62,18 @@
     socket.set_tcp_user_timeout(Some(unacknowledged))
 }
 
+async fn connect_stream(source: Option<IpAddr>, address: SocketAddr) -> io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = match source {
+        IpAddr::V4(_) => TcpSocket::new_v4()?,
+        IpAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
+
 /// Takes channels.
 #[derive(Debug)]
 pub struct Listener(TcpListener);
@@ -115,7 +127,19 @@
     /// # Errors
     /// The system's, or [`io::ErrorKind::TimedOut`] after `limit`. Nothing was sent.
     pub async fn connect(address: SocketAddr, limit: Duration) -> io::Result<Self> {
-        let connecting = TcpStream::connect(address);
+        Self::connect_from(None, address, limit).await
+    }
+
+    /// Opens a channel from a local address; the system chooses one if there is none.
+    ///
+    /// # Errors
+    /// As [`Channel::connect`].
+    pub async fn connect_from(
+        source: Option<IpAddr>,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> io::Result<Self> {
+        let connecting = connect_stream(source, address);
         match tokio::time::timeout(limit, connecting).await {
             Ok(io) => Self::new(io?, UNACKNOWLEDGED_LIMIT),
             Err(_) => Err(io::ErrorKind::TimedOut.into()),
--- a/components/operators/src/fleet.rs
+++ b/components/operators/src/fleet.rs
@@ -23,6 +23,15 @@
     pub open: u32,
 }
 
+/// A service of which one box can connect to no target.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct UnreachableView {
+    /// The service's name.
+    pub service: String,
+    /// For how long, in seconds.
+    pub for_s: f64,
+}
+
 /// How fast a target makes events, as the box that dispatches its pool sees it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct TargetPaceView {
@@ -147,6 +156,9 @@
     /// How many it may hold.
     #[serde(default)]
     pub held_bytes_most: u64,
+    /// Services of which it can connect to no target.
+    #[serde(default)]
+    pub unreachable: Vec<UnreachableView>,
     /// Requests that are sent to no target.
     #[serde(default)]
     pub withheld: Vec<WithheldView>,
--- a/components/operators/src/lib.rs
+++ b/components/operators/src/lib.rs
@@ -14,7 +14,7 @@
 pub use console::{Console, MemberView, NodeView, TargetView, serve};
 pub use fleet::{
     EvacuationView, FleetConsole, FleetTargetView, FleetView, TargetCallsView, TargetPaceView,
-    WithheldView, serve_fleet,
+    UnreachableView, WithheldView, serve_fleet,
 };
 pub use metrics::install_metrics;
 pub use settings::{FieldView, SettingsView};
--- a/components/policy/src/health/mod.rs
+++ b/components/policy/src/health/mod.rs
@@ -1,6 +1,7 @@
-//! Target health: outlier ejection, probation, `Retry-After` pauses, and requests that crash targets.
+//! Target health: outlier ejection, probation, `Retry-After` pauses, reachability, and requests that crash targets.
 
 pub(crate) mod outlier;
 pub(crate) mod probation;
 pub(crate) mod quarantine;
+pub(crate) mod reachability;
 pub(crate) mod retry_after;
--- a/components/relay/src/forwarding/attempt.rs
+++ b/components/relay/src/forwarding/attempt.rs
@@ -109,6 +109,7 @@
         attempt = AttemptResult::OutOfMemory(NO_MEMORY);
     }
     if let AttemptResult::MayHaveRun(why) = attempt {
+        relay.probe_if_silent(&resolved.service().name, started_ms);
         let break_kind = match why == NO_ANSWER_IN_TIME {
             true => RunFailure::Silent,
             false => RunFailure::ConnectionClosed,
--- a/components/relay/src/forwarding/control.rs
+++ b/components/relay/src/forwarding/control.rs
@@ -2,7 +2,7 @@
 
 use crate::state::Relay;
 use bytes::Bytes;
-use http1::{Channel, exchange};
+use http1::exchange;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -18,7 +18,7 @@
     address: SocketAddr,
     request: &[u8],
 ) -> Option<(u16, Bytes)> {
-    let channel = Channel::connect(address, CONNECT_TIMEOUT).await;
+    let channel = relay.connect_target(address, CONNECT_TIMEOUT).await;
     let mut channel = match channel {
         Ok(channel) => channel,
         Err(error) => {
--- a/components/relay/src/forwarding/generation.rs
+++ b/components/relay/src/forwarding/generation.rs
@@ -233,7 +233,7 @@
         }
         let granted_ms = relay.now_ms();
         let sending = send_generation(relay, incoming, resolved, slot, None, SendKind::Generation);
-        let monitored = report_if_silent(relay, &permit, FIRST_RESPONSE_TIMEOUT, sending);
+        let monitored = report_if_silent(relay, resolved, &permit, FIRST_RESPONSE_TIMEOUT, sending);
         let Ok(result) = timeout_at(deadline, monitored).await else {
             relay.record_broken_run(incoming.key, slot, granted_ms, RunFailure::Silent);
             return StartResult::LocalReply(LocalReply::DeadlineExceeded);
@@ -280,15 +280,18 @@
 /// Waits for an engine. If it is silent for `limit`, reports it to the dispatcher once and continues to wait.
 async fn report_if_silent<T>(
     relay: &Rc<Relay>,
+    resolved: &ResolvedRoute,
     permit: &Permit,
     limit: Duration,
     waiting: impl Future<Output = T>,
 ) -> T {
     let mut waiting = pin!(waiting);
+    let started_ms = relay.now_ms();
     tokio::select! {
         biased;
         output = &mut waiting => return output,
         () = sleep(limit) => {
+            relay.probe_if_silent(&resolved.service().name, started_ms);
             relay.notify_engine_failed(permit.pool, permit.slot, EngineFault::Silent);
         }
     }
--- a/components/relay/src/forwarding/hedge.rs
+++ b/components/relay/src/forwarding/hedge.rs
@@ -53,9 +53,11 @@
         return attempt.recorded(relay, incoming, resolved, slot);
     }
     let hedge_delay = Duration::from_millis(hedge_delay_ms);
+    let first_sent_ms = relay.now_ms();
     if let Ok(attempt) = timeout(hedge_delay, first.as_mut()).await {
         return attempt.recorded(relay, incoming, resolved, slot);
     }
+    relay.probe_if_silent(&resolved.service().name, first_sent_ms);
     // The first target received the request and may run it, so the hedge counts as a retry.
     attempts.runs += 1;
     attempts.sends += 1;
--- a/components/relay/src/forwarding/mod.rs
+++ b/components/relay/src/forwarding/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod idle_channels;
 pub(crate) mod outcome;
 mod pauses;
+pub(crate) mod reachability;
 pub(crate) mod send;
 pub(crate) mod stream;
 mod stream_end;
--- /dev/null
+++ b/components/relay/src/forwarding/reachability.rs
@@ -0,0 +1,217 @@
+//! Which services this box can reach, from its own connection attempts. After a first failure, and while a service is lost,
+//! a few of its targets are probed by connecting, so that neither the verdict nor its end waits for requests.
+
+use crate::state::Relay;
+use crate::watch::targets::{TargetSlot, TargetState};
+use http1::Channel;
+use policy::{FAILED_TARGETS_MIN, Reachability, ReachabilityChange};
+use rand::seq::IteratorRandom;
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+/// Interval of probes while a service is suspected or lost.
+const PROBE_INTERVAL: Duration = Duration::from_millis(200);
+/// Timeout of a probe: a few round trips between data centres.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+/// A probe succeeds if its connection stays open for this long: a middlebox may accept connections and reset them.
+const PROBE_HOLD: Duration = Duration::from_millis(50);
+
+/// Reachability of the services, by name.
+#[derive(Default)]
+pub(crate) struct Paths {
+    services: RefCell<HashMap<Box<str>, Reachability>>,
+    /// Notified when a service becomes suspected.
+    suspected: Notify,
+    /// Notified when a service is lost or restored.
+    changed: Notify,
+}
+
+impl Paths {
+    fn suspected(&self, now_ms: u64) -> Vec<Box<str>> {
+        let services = self.services.borrow();
+        let suspected = services
+            .iter()
+            .filter(|(_, path)| path.is_suspected(now_ms));
+        suspected.map(|(service, _)| service.clone()).collect()
+    }
+}
+
+/// Whether an error of a connection attempt is evidence against the path, not against this box's own resources.
+fn is_path_error(error: &io::Error) -> bool {
+    use io::ErrorKind::{
+        ConnectionRefused, ConnectionReset, HostUnreachable, NetworkUnreachable, TimedOut,
+    };
+    matches!(
+        error.kind(),
+        ConnectionRefused | ConnectionReset | HostUnreachable | NetworkUnreachable | TimedOut
+    )
+}
+
+impl Relay {
+    /// Opens a connection to a target.
+    pub(crate) async fn connect_target(
+        &self,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> io::Result<Channel> {
+        Channel::connect_from(self.identity.source_address, address, limit).await
+    }
+
+    /// The lost services, and for how long (ms).
+    pub(crate) fn lost_services(&self) -> Vec<(Box<str>, u64)> {
+        let now_ms = self.now_ms();
+        let services = self.paths.services.borrow();
+        let lost = |(service, path): (&Box<str>, &Reachability)| {
+            Some((service.clone(), path.lost_for_ms(now_ms)?))
+        };
+        services.iter().filter_map(lost).collect()
+    }
+
+    /// Records the outcome of a connection attempt to a target. A new connection that fails before an answer counts as
+    /// a failed attempt.
+    pub(crate) fn record_connect(
+        self: &Rc<Self>,
+        slot: TargetSlot,
+        result: Result<(), &io::Error>,
+    ) {
+        let (service, target, target_count) = {
+            let targets = self.targets.borrow();
+            let Some(target) = targets.get(slot) else {
+                return;
+            };
+            let service = target.entry.service.clone();
+            let target_count = targets.count_of_service(&service);
+            (service, target.id, target_count)
+        };
+        let now_ms = self.now_ms();
+        let (change, is_suspected) = {
+            let mut services = self.paths.services.borrow_mut();
+            let path = services.entry(service.clone()).or_default();
+            let change = match result {
+                Ok(()) => path.record_success(now_ms),
+                Err(error) if is_path_error(error) => {
+                    path.record_failure(target, target_count, now_ms)
+                }
+                Err(_) => None,
+            };
+            (change, path.is_suspected(now_ms))
+        };
+        if is_suspected {
+            self.paths.suspected.notify_one();
+        }
+        if let Some(change) = change {
+            self.handle_reachability_change(&service, change);
+        }
+    }
+
+    /// Records that a target of a service answered.
+    pub(crate) fn record_target_answer(&self, slot: TargetSlot) {
+        let service = {
+            let targets = self.targets.borrow();
+            targets.get(slot).map(|target| target.entry.service.clone())
+        };
+        if let Some(service) = service {
+            let now_ms = self.now_ms();
+            let mut services = self.paths.services.borrow_mut();
+            services.entry(service).or_default().record_answer(now_ms);
+        }
+    }
+
+    /// Probes a service if none of its targets was in contact after `since_ms`, when a request was sent that is still
+    /// unanswered.
+    pub(crate) fn probe_if_silent(self: &Rc<Self>, service: &str, since_ms: u64) {
+        let is_probed = {
+            let services = self.paths.services.borrow();
+            services.get(service).is_some_and(|path| {
+                path.has_contact_since(since_ms) || path.is_suspected(self.now_ms())
+            })
+        };
+        if !is_probed {
+            self.probe_service(service);
+        }
+    }
+
+    fn handle_reachability_change(self: &Rc<Self>, service: &str, change: ReachabilityChange) {
+        match change {
+            ReachabilityChange::Lost {
+                failed_targets,
+                evidence_age_ms,
+            } => {
+                slog::warn!(self.log, "service unreachable from this box"; "service" => service,
+                    "failed_targets" => failed_targets, "evidence_age_ms" => evidence_age_ms);
+                metrics::counter!("shuntpier_services_lost").increment(1);
+                // The other services may be lost too.
+                self.probe_all_services();
+            }
+            ReachabilityChange::Restored { lost_ms } => {
+                slog::warn!(self.log, "service reachable again"; "service" => service,
+                    "lost_ms" => lost_ms);
+            }
+        }
+        metrics::gauge!("shuntpier_unreachable_services").set(self.lost_services().len() as f64);
+        self.paths.changed.notify_waiters();
+    }
+
+    fn probe_all_services(self: &Rc<Self>) {
+        let Some(declared) = self.declared() else {
+            return;
+        };
+        for service in &declared.table.services {
+            self.probe_service(&service.name);
+        }
+    }
+
+    /// Connects to a few random targets of a service.
+    fn probe_service(self: &Rc<Self>, service: &str) {
+        let probed: Vec<(TargetSlot, SocketAddr)> = {
+            let targets = self.targets.borrow();
+            let ready = targets
+                .of_service(service)
+                .filter(|(_, target)| target.state == TargetState::Ready);
+            let addresses = ready.map(|(slot, target)| (slot, target.entry.address));
+            addresses.choose_multiple(&mut rand::rng(), FAILED_TARGETS_MIN)
+        };
+        if probed.is_empty() {
+            // Without targets there is nothing to lose.
+            self.paths.services.borrow_mut().remove(service);
+            self.paths.changed.notify_waiters();
+        }
+        for (slot, address) in probed {
+            spawn_local(probe(self.clone(), slot, address));
+        }
+    }
+}
+
+async fn probe(relay: Rc<Relay>, slot: TargetSlot, address: SocketAddr) {
+    metrics::counter!("shuntpier_reachability_probes").increment(1);
+    let result = match relay.connect_target(address, PROBE_TIMEOUT).await {
+        Ok(mut channel) => match timeout(PROBE_HOLD, channel.gone()).await {
+            Ok(()) => Err(io::ErrorKind::ConnectionReset.into()),
+            Err(_) => Ok(()),
+        },
+        Err(error) => Err(error),
+    };
+    relay.record_connect(slot, result.as_ref().map(|()| ()));
+}
+
+/// Probes the services that are suspected or lost until the process ends.
+pub(crate) async fn run_reachability_probes(relay: Rc<Relay>) {
+    loop {
+        let suspected = relay.paths.suspected(relay.now_ms());
+        if suspected.is_empty() {
+            relay.paths.suspected.notified().await;
+            continue;
+        }
+        for service in &suspected {
+            relay.probe_service(service);
+        }
+        sleep(PROBE_INTERVAL).await;
+    }
+}
--- a/components/relay/src/forwarding/send.rs
+++ b/components/relay/src/forwarding/send.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 use http1::{Channel, Decoder, Framing, Piece, ResponseHead};
 use platform::ResponseMetadata;
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -73,6 +74,13 @@
     open_request: OpenRequest,
 }
 
+/// A channel to a target.
+struct TargetChannel {
+    channel: Channel,
+    /// Opened for this request, and not reused.
+    is_new: bool,
+}
+
 /// Counts a request as open at a target until it is dropped.
 pub(crate) struct OpenRequest {
     relay: Rc<Relay>,
@@ -136,27 +144,38 @@
         has_byte_capacity(in_use, more, share)
     }
 
-    async fn channel_to(&self, slot: TargetSlot, max_idle_ms: u64) -> Result<Channel, NotRun> {
+    async fn channel_to(
+        self: &Rc<Self>,
+        slot: TargetSlot,
+        max_idle_ms: u64,
+    ) -> Result<TargetChannel, NotRun> {
         let now_ms = self.now_ms();
         let idle = self.channels.borrow_mut().take(slot, max_idle_ms, now_ms);
         if let Some(channel) = idle {
-            return Ok(channel);
+            return Ok(TargetChannel {
+                channel,
+                is_new: false,
+            });
         }
         let address = self.targets.borrow().get(slot).map(|t| t.entry.address);
         let Some(address) = address else {
             return Err(NotRun::Unreachable);
         };
         metrics::counter!("shuntpier_target_channels").increment(1);
-        Channel::connect(address, CONNECT_TIMEOUT)
-            .await
-            .map_err(|error| {
-                slog::info!(self.log, "connecting to target failed"; "address" => %address,
+        let connection = self.connect_target(address, CONNECT_TIMEOUT).await;
+        let connection = connection.map(|channel| TargetChannel {
+            channel,
+            is_new: true,
+        });
+        connection.map_err(|error| {
+            self.record_connect(slot, Err(&error));
+            slog::info!(self.log, "connecting to target failed"; "address" => %address,
                     "error" => %error);
-                match error.kind() {
-                    std::io::ErrorKind::ConnectionRefused => NotRun::ConnectionRefused,
-                    _ => NotRun::Unreachable,
-                }
-            })
+            match error.kind() {
+                ErrorKind::ConnectionRefused => NotRun::ConnectionRefused,
+                _ => NotRun::Unreachable,
+            }
+        })
     }
 
     /// Sends an admitted request to its target and reads the head of the response.
@@ -174,8 +193,12 @@
             return SendResult::NotRun(NotRun::ByteLimit);
         }
         let open_request = OpenRequest::new(self, slot, bytes);
-        let mut channel = match self.channel_to(slot, request.max_idle_ms).await {
-            Ok(channel) => channel,
+        let opened = self.channel_to(slot, request.max_idle_ms).await;
+        let TargetChannel {
+            mut channel,
+            is_new,
+        } = match opened {
+            Ok(opened) => opened,
             Err(why) => return SendResult::NotRun(why),
         };
         if let Some(why) = self.refusal_reason(admission) {
@@ -185,7 +208,11 @@
         if let Some(target) = self.targets.borrow_mut().get_mut(slot) {
             target.backoff.record_sent(sent_ms);
         }
-        let is_request_complete = match write(&mut channel, request).await {
+        let written = write(&mut channel, request).await;
+        if is_new && matches!(written, Written::Nothing | Written::Partial) {
+            self.record_connect(slot, Err(&ErrorKind::ConnectionReset.into()));
+        }
+        let is_request_complete = match written {
             Written::Complete => true,
             Written::AnsweredEarly => false,
             Written::Nothing => return SendResult::NotRun(NotRun::Unreachable),
@@ -196,8 +223,17 @@
         let answer = read_matching_head(&mut channel, request).await;
         let (head, metadata, framing) = match answer {
             Ok(answer) => answer,
-            Err(why) => return SendResult::MayHaveRun(why),
+            Err(why) => {
+                if is_new {
+                    self.record_connect(slot, Err(&ErrorKind::ConnectionReset.into()));
+                }
+                return SendResult::MayHaveRun(why);
+            }
         };
+        match is_new {
+            true => self.record_connect(slot, Ok(())),
+            false => self.record_target_answer(slot),
+        }
         let now_ms = self.now_ms();
         if let (Some(load), Some(target)) = (metadata.load, self.targets.borrow_mut().get_mut(slot))
         {
@@ -245,7 +281,7 @@
         Ok(written) if written < first.len() => return Written::AnsweredEarly,
         Ok(_) if is_joined => return Written::Complete,
         Ok(_) => {}
-        Err(error) if error.kind() == std::io::ErrorKind::BrokenPipe => return Written::Nothing,
+        Err(error) if error.kind() == ErrorKind::BrokenPipe => return Written::Nothing,
         Err(_) => return Written::Partial,
     }
     match channel.write_or_read(request.body).await {
--- a/components/relay/src/forwarding/stream.rs
+++ b/components/relay/src/forwarding/stream.rs
@@ -216,6 +216,8 @@
                 step = migrator.next_step(&self.permit, self.incoming.id()) => Some(step),
                 () = sleep_until(silent_at), if !suspected && wants_read => {
                     suspected = true;
+                    let silent_since_ms = self.relay.now_ms() - SILENCE_TIMEOUT.as_millis() as u64;
+                    self.relay.probe_if_silent(&self.resolved.service().name, silent_since_ms);
                     self.report_fault(EngineFault::Silent);
                     None
                 }
--- a/components/relay/src/quarantine/broken_runs.rs
+++ b/components/relay/src/quarantine/broken_runs.rs
@@ -3,7 +3,6 @@
 
 use crate::state::Relay;
 use crate::watch::targets::{Target, TargetSlot, TargetState};
-use http1::Channel;
 use prelude::{RequestKey, TargetEnd, TargetId};
 use std::collections::HashMap;
 use std::io::ErrorKind;
@@ -131,7 +130,7 @@
 
 /// Connects to a target at which a run was interrupted. A refused connection means that it crashed.
 async fn check_target(relay: Rc<Relay>, slot: TargetSlot, target: TargetId, address: SocketAddr) {
-    let connection = Channel::connect(address, CONNECT_TIMEOUT).await;
+    let connection = relay.connect_target(address, CONNECT_TIMEOUT).await;
     let error = connection.err();
     let has_ended = error
         .as_ref()
--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -2,6 +2,7 @@
 
 use crate::buffered::BufferBudget;
 use crate::dispatch::engine_polls::{run_engine_polls, run_probes};
+use crate::forwarding::reachability::{Paths, run_reachability_probes};
 use crate::ingress::accept;
 use crate::ingress::overload::run_overload_monitor;
 use crate::ingress::readiness;
@@ -117,6 +118,7 @@
         refused_entries: RefCell::default(),
         target_changes: watch::Sender::new(0),
         channels: RefCell::default(),
+        paths: Paths::default(),
         memory: BufferBudget::new(memory_bounds(&file.limits)),
         balance: RefCell::default(),
         calls_ended: Notify::new(),
@@ -179,6 +181,7 @@
     spawn_local(async move { dispatching.run_dispatchers().await });
     spawn_local(run_engine_polls(relay.clone()));
     spawn_local(run_probes(relay.clone()));
+    spawn_local(run_reachability_probes(relay.clone()));
     spawn_local(run_settings(relay.clone()));
     spawn_local(run_evacuation(relay.clone()));
     spawn_local(run_sweeps(relay.clone()));
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -6,6 +6,7 @@
 use crate::dispatch::open_generations::OpenGenerations;
 use crate::forwarding::balance::CallBalancer;
 use crate::forwarding::idle_channels::IdleChannels;
+use crate::forwarding::reachability::Paths;
 use crate::ingress::request::LocalReply;
 use crate::membership::compression::compress;
 use crate::membership::list_budget::ListBudget;
@@ -71,6 +72,8 @@
     /// Incremented with each change of targets or declarations that can affect waiting requests.
     pub(crate) target_changes: watch::Sender<u64>,
     pub(crate) channels: RefCell<IdleChannels>,
+    /// Which services this box can reach.
+    pub(crate) paths: Paths,
     /// Budget of memory for buffered requests and answers of slow readers.
     pub(crate) memory: Rc<BufferBudget>,
     /// Statistics of calls to plain targets.
--- a/components/relay/src/view.rs
+++ b/components/relay/src/view.rs
@@ -4,7 +4,9 @@
 use crate::state::{Relay, pool_of};
 use crate::watch::targets::TargetSlot;
 use crate::watch::targets::{Target, TargetRegistry, TargetState};
-use operators::{EvacuationView, FleetTargetView, FleetView, TargetCallsView, TargetPaceView};
+use operators::{
+    EvacuationView, FleetTargetView, FleetView, TargetCallsView, TargetPaceView, UnreachableView,
+};
 use policy::TargetStats;
 
 fn target_state(targets: &TargetRegistry, target: &Target) -> &'static str {
@@ -31,6 +33,7 @@
             requests_open: self.in_progress.get(),
             held_bytes: self.memory.usage().0,
             held_bytes_most: self.memory.usage().1,
+            unreachable: self.unreachable_views(),
             withheld: self.withheld_views(),
             evacuations: self.evacuation_views(),
             targets: self.target_views(),
@@ -38,6 +41,14 @@
         }
     }
 
+    fn unreachable_views(&self) -> Vec<UnreachableView> {
+        let view = |(service, lost_ms): (Box<str>, u64)| UnreachableView {
+            service: service.into(),
+            for_s: lost_ms as f64 / 1000.0,
+        };
+        self.lost_services().into_iter().map(view).collect()
+    }
+
     fn evacuation_views(&self) -> Vec<EvacuationView> {
         let now_ms = self.now_ms();
         let evacuated = self.evacuation.borrow().since_ms();
--- a/components/settings/src/fleetfields.rs
+++ b/components/settings/src/fleetfields.rs
@@ -81,6 +81,7 @@
             callers_address,
             readiness_address,
             peers_address,
+            source_address,
             metrics_address,
         } = self;
         vec![
@@ -109,6 +110,12 @@
                 "where other boxes connect",
                 peers_address,
             ),
+            Field::new(
+                "box.source_address",
+                Restart,
+                "the local address of connections to targets",
+                source_address,
+            ),
             Field::new(
                 "box.metrics_address",
                 Restart,
--- a/components/settings/src/fleetfile.rs
+++ b/components/settings/src/fleetfile.rs
@@ -5,7 +5,7 @@
 use prelude::AccountId;
 use schemars::JsonSchema;
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 /// What `shuntpier relay --settings FILE` reads.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize, JsonSchema)]
@@ -80,6 +80,10 @@
     /// Where other boxes connect.
     #[schemars(with = "String")]
     pub peers_address: SocketAddr,
+    /// The local address of connections to targets, for hosts with several; left out, the system chooses.
+    #[serde(default)]
+    #[schemars(with = "Option<String>")]
+    pub source_address: Option<IpAddr>,
     /// Where counters are read; left out for none.
     #[serde(default)]
     #[schemars(with = "Option<String>")]
--- a/src/cmd/targets.rs
+++ b/src/cmd/targets.rs
@@ -73,6 +73,12 @@
     if let Some(era) = view.store_era {
         println!("  store era {era}");
     }
+    for lost in &view.unreachable {
+        println!(
+            "  unreachable from this box: {} for {:.1} s",
+            lost.service, lost.for_s
+        );
+    }
     for evacuated in &view.evacuations {
         println!(
             "  evacuated: {} for {:.1} s, {} requests of this box still there",
