relay: a box that has lost the targets of a service relays its requests through another box

Cause: a box knew no way to a target but its own, and drew no conclusion from all of its connections failing: each call paid the time-outs of connecting anew until its time was over. Change: while a service is lost, its requests go to another box, on the interface for callers, marked with how long ago they arrived and an HMAC with the boxes' key. That box serves them as its own callers' (account, rank, limits, deadline), and relays none further; if it has lost the service too, it says so and the next of three boxes is asked. Connection attempts under way end with the verdict, a hedge goes to another box, a request whose attempts all failed awaits the probes under way. A request that may have run is relayed only if it may run twice. If no box helps it is refused at once, not run. Channels in use are left alone.

--- a/components/peers/src/fleet.rs
+++ b/components/peers/src/fleet.rs
@@ -22,6 +22,9 @@
     pub name: Box<str>,
     /// Where its peers reach it.
     pub address: SocketAddr,
+    /// Where callers reach it, and boxes that relay requests; none in a key that an earlier version wrote.
+    #[serde(default)]
+    pub callers_address: Option<SocketAddr>,
     /// The data centre it stands in.
     pub data_centre: Box<str>,
     /// Whether it stops.
--- a/components/peers/src/lib.rs
+++ b/components/peers/src/lib.rs
@@ -9,6 +9,7 @@
 mod messages;
 mod patch;
 mod rates;
+mod relay_proof;
 mod server;
 mod service;
 mod spread;
--- a/components/relay/src/forwarding/call.rs
+++ b/components/relay/src/forwarding/call.rs
@@ -7,6 +7,7 @@
     wait_deadline_ms, wait_for_byte_capacity, wait_for_capacity,
 };
 use crate::forwarding::hedge::attempt_with_hedge;
+use crate::forwarding::relay::{NO_HELPER_REPLY, relay_call};
 use crate::forwarding::send::NotRun;
 use crate::ingress::request::{IncomingRequest, LocalReply, Reply, ResolvedRoute};
 use crate::state::Relay;
@@ -112,14 +113,21 @@
     resolved: &ResolvedRoute,
 ) -> Reply {
     let service = &resolved.service().name;
-    relay.with_retry_window(service, |window, now_ms| window.record_request(now_ms));
     let mut attempts = CallAttempts::default();
     let deadline_ms = incoming.deadline_ms(resolved.route());
-    wait_for_capacity(relay, incoming, resolved).await;
+    if !relay.relays(service) {
+        relay.with_retry_window(service, |window, now_ms| window.record_request(now_ms));
+        wait_for_capacity(relay, incoming, resolved).await;
+    }
     loop {
         if let Some(reply) = attempt_all(relay, incoming, resolved, &mut attempts).await {
             return reply;
         }
+        if relay.relays_after_probes(service).await
+            && may_relay(relay, incoming, resolved, &attempts)
+        {
+            return relay_whole(relay, incoming, resolved, &mut attempts).await;
+        }
         if let Some(slot) = attempts.first_rate_limited() {
             if let Some(reply) =
                 wait_for_token(relay, incoming, resolved, slot, &mut attempts).await
@@ -141,6 +149,45 @@
     final_reply(relay, incoming, &attempts, deadline_ms)
 }
 
+/// Whether a request that targets may have run already may run once more at another box.
+fn may_relay(
+    relay: &Relay,
+    incoming: &IncomingRequest,
+    resolved: &ResolvedRoute,
+    attempts: &CallAttempts,
+) -> bool {
+    let route = resolved.route();
+    let may_run_again = route.kind == RouteKind::Repeatable
+        && attempts.runs < route.runs_most
+        && relay.withheld_reply(incoming).is_none();
+    let is_in_time = relay.now_ms() < incoming.deadline_ms(route);
+    let is_within_budget = || attempts.sends == 0 || relay.try_take_retry(&resolved.service().name);
+    is_in_time && (attempts.runs == 0 || may_run_again) && is_within_budget()
+}
+
+/// Relays a request to another box.
+async fn relay_whole(
+    relay: &Rc<Relay>,
+    incoming: &IncomingRequest,
+    resolved: &ResolvedRoute,
+    attempts: &mut CallAttempts,
+) -> Reply {
+    match relay_call(relay, incoming, resolved, attempts.runs).await {
+        AttemptResult::Answered(reply) => return reply,
+        AttemptResult::NotRun(_) if attempts.runs == 0 => {
+            let local = relay.caller_reply(NO_HELPER_REPLY);
+            return Reply::local(local, incoming.facts.request_id.as_deref());
+        }
+        AttemptResult::NotRun(_) => {}
+        AttemptResult::MayHaveRun(why) | AttemptResult::OutOfMemory(why) => {
+            attempts.runs += 1;
+            attempts.last_failure = why;
+        }
+    }
+    let deadline_ms = incoming.deadline_ms(resolved.route());
+    final_reply(relay, incoming, attempts, deadline_ms)
+}
+
 /// Attempts a request at one target after another until there is a reply to forward.
 async fn attempt_all(
     relay: &Rc<Relay>,
@@ -213,6 +260,9 @@
         return None;
     }
     let service = &resolved.service().name;
+    if relay.relays(service) {
+        return None;
+    }
     let query = target_query(relay, resolved);
     let slot = relay.choose_call_target(&query, &attempts.attempted)?;
     if attempts.attempted.contains(&slot) {
--- a/components/relay/src/forwarding/generation.rs
+++ b/components/relay/src/forwarding/generation.rs
@@ -7,6 +7,7 @@
 use crate::forwarding::admission::SendKind;
 use crate::forwarding::attempt::NO_MEMORY;
 use crate::forwarding::outcome::TargetOutcome;
+use crate::forwarding::relay_stream::{RelayedEnd, relay_generation};
 use crate::forwarding::send::{
     NotRun, OpenResponse, OutgoingRequest, SendResult, UNREPEATABLE_MAX_IDLE_MS,
 };
@@ -58,7 +59,9 @@
         return reply_not_started(relay, caller, incoming, resolved, local).await;
     }
     let service = &resolved.service().name;
-    relay.with_retry_window(service, |window, now_ms| window.record_request(now_ms));
+    if !relay.relays(service) {
+        relay.with_retry_window(service, |window, now_ms| window.record_request(now_ms));
+    }
     let started = tokio::select! {
         started = start_generation(relay, incoming, resolved) => started,
         () = caller.gone() => {
@@ -69,6 +72,12 @@
         }
     };
     match started {
+        StartResult::Relayed => match relay_generation(relay, caller, incoming, resolved).await {
+            RelayedEnd::Delivered(action) => action,
+            RelayedEnd::LocalReply(local) => {
+                reply_not_started(relay, caller, incoming, resolved, local).await
+            }
+        },
         StartResult::LocalReply(local) => {
             reply_not_started(relay, caller, incoming, resolved, local).await
         }
@@ -147,6 +156,8 @@
 }
 
 enum StartResult {
+    /// Not run: another box is to serve it.
+    Relayed,
     OpenResponse(Box<OpenResponse>, Permit),
     LocalReply(LocalReply),
 }
@@ -191,6 +202,9 @@
     for _ in 0..MAX_ATTEMPTS {
         let now_ms = relay.now_ms();
         let service = &resolved.service().name;
+        if relay.relays(service) {
+            return StartResult::Relayed;
+        }
         if let Some(retry_after_ms) = relay.first_backoff_end_ms(service, wait_until_ms) {
             last_refusal.retry_after_ms = Some(retry_after_ms);
             break;
@@ -215,7 +229,11 @@
             )));
         }
         let requested_ms = now_ms;
-        let permit = match relay.acquire(&want).await {
+        let acquired = tokio::select! {
+            acquired = relay.acquire(&want) => acquired,
+            () = relay.wait_until_relayed(service) => return StartResult::Relayed,
+        };
+        let permit = match acquired {
             Ok(permit) => permit,
             Err(refusal) => return StartResult::LocalReply(not_run_reply(refusal)),
         };
@@ -274,6 +292,9 @@
             }
         }
     }
+    if relay.relays_after_probes(&resolved.service().name).await {
+        return StartResult::Relayed;
+    }
     StartResult::LocalReply(not_run_reply(last_refusal))
 }
 
--- a/components/relay/src/forwarding/hedge.rs
+++ b/components/relay/src/forwarding/hedge.rs
@@ -4,6 +4,7 @@
 use crate::forwarding::attempt::{AttemptResult, admit_and_attempt, attempt, new_token_request};
 use crate::forwarding::call::{CallAttempts, next_target};
 use crate::forwarding::outcome::TargetOutcome;
+use crate::forwarding::relay::relay_call;
 use crate::ingress::request::{IncomingRequest, ResolvedRoute};
 use crate::state::Relay;
 use crate::watch::targets::TargetSlot;
@@ -54,31 +55,41 @@
     }
     let hedge_delay = Duration::from_millis(hedge_delay_ms);
     let first_sent_ms = relay.now_ms();
-    if let Ok(attempt) = timeout(hedge_delay, first.as_mut()).await {
+    let service = &resolved.service().name;
+    let answered = tokio::select! {
+        answered = timeout(hedge_delay, first.as_mut()) => answered.ok(),
+        () = relay.wait_until_relayed(service) => None,
+    };
+    if let Some(attempt) = answered {
         return attempt.recorded(relay, incoming, resolved, slot);
     }
-    relay.probe_if_silent(&resolved.service().name, first_sent_ms);
+    relay.probe_if_silent(service, first_sent_ms);
     // The first target received the request and may run it, so the hedge counts as a retry.
     attempts.runs += 1;
     attempts.sends += 1;
     let deadline_ms = incoming.deadline_ms(route);
-    let Some(hedge_slot) = next_target(relay, incoming, resolved, attempts, deadline_ms) else {
+    let hedge_slot = next_target(relay, incoming, resolved, attempts, deadline_ms);
+    if hedge_slot.is_none() && !(relay.relays(service) && relay.try_take_retry(service)) {
         attempts.runs -= 1;
         attempts.sends -= 1;
         return first.await.recorded(relay, incoming, resolved, slot);
-    };
-    attempts.attempted.push(hedge_slot);
+    }
+    attempts.attempted.extend(hedge_slot);
     slog::info!(relay.log, "second try beside the first"; "id" => incoming.id(),
-        "first" => relay.name_of(slot), "second" => relay.name_of(hedge_slot),
+        "first" => relay.name_of(slot), "second" => hedge_slot.map(|slot| relay.name_of(slot)),
         "after_ms" => relay.now_ms() - incoming.arrived_ms, "hedge_delay_ms" => hedge_delay_ms);
-    let hedge = admit_and_attempt(
-        relay,
-        incoming,
-        resolved,
-        hedge_slot,
-        attempts.runs,
-        token_request,
-    );
+    let runs = attempts.runs;
+    let hedge = async {
+        if let Some(hedge_slot) = hedge_slot {
+            let attempt =
+                admit_and_attempt(relay, incoming, resolved, hedge_slot, runs, token_request).await;
+            let attempt = attempt.recorded(relay, incoming, resolved, hedge_slot);
+            if !matches!(attempt, AttemptResult::NotRun(_)) || !relay.relays(service) {
+                return attempt;
+            }
+        }
+        relay_call(relay, incoming, resolved, runs).await
+    };
     let hedge = pin!(hedge);
     let started_ms = incoming.arrived_ms;
     match select(first, hedge).await {
@@ -88,13 +99,9 @@
                 count_hedge("first");
                 return attempt;
             }
-            better_of(
-                attempt,
-                hedge.await.recorded(relay, incoming, resolved, hedge_slot),
-            )
+            better_of(attempt, hedge.await)
         }
         Either::Right((attempt, first)) => {
-            let attempt = attempt.recorded(relay, incoming, resolved, hedge_slot);
             if attempt.is_success() {
                 count_hedge("second");
                 record_unanswered_first(relay, route, slot, relay.now_ms() - started_ms);
--- a/components/relay/src/forwarding/reachability.rs
+++ b/components/relay/src/forwarding/reachability.rs
@@ -14,7 +14,7 @@
 use std::time::Duration;
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::{Instant, sleep, timeout};
 
 /// Interval of probes while a service is suspected or lost.
 const PROBE_INTERVAL: Duration = Duration::from_millis(200);
@@ -23,6 +23,9 @@
 /// A probe succeeds if its connection stays open for this long: a middlebox may accept connections and reset them.
 const PROBE_HOLD: Duration = Duration::from_millis(50);
 
+/// How often a request that failed checks whether the probes have ended.
+const VERDICT_POLL: Duration = Duration::from_millis(10);
+
 /// Reachability of the services, by name.
 #[derive(Default)]
 pub(crate) struct Paths {
@@ -34,6 +37,13 @@
 }
 
 impl Paths {
+    fn is_suspected(&self, service: &str, now_ms: u64) -> bool {
+        let services = self.services.borrow();
+        services
+            .get(service)
+            .is_some_and(|path| path.is_suspected(now_ms))
+    }
+
     fn suspected(&self, now_ms: u64) -> Vec<Box<str>> {
         let services = self.services.borrow();
         let suspected = services
@@ -46,11 +56,18 @@
 /// Whether an error of a connection attempt is evidence against the path, not against this box's own resources.
 fn is_path_error(error: &io::Error) -> bool {
     use io::ErrorKind::{
-        ConnectionRefused, ConnectionReset, HostUnreachable, NetworkUnreachable, TimedOut,
+        BrokenPipe, ConnectionAborted, ConnectionRefused, ConnectionReset, HostUnreachable,
+        NetworkUnreachable, TimedOut,
     };
     matches!(
         error.kind(),
-        ConnectionRefused | ConnectionReset | HostUnreachable | NetworkUnreachable | TimedOut
+        BrokenPipe
+            | ConnectionAborted
+            | ConnectionRefused
+            | ConnectionReset
+            | HostUnreachable
+            | NetworkUnreachable
+            | TimedOut
     )
 }
 
@@ -64,6 +81,42 @@
         Channel::connect_from(self.identity.source_address, address, limit).await
     }
 
+    /// Whether this box can open no connection to any target of a service.
+    pub(crate) fn is_service_lost(&self, service: &str) -> bool {
+        let services = self.paths.services.borrow();
+        services.get(service).is_some_and(Reachability::is_lost)
+    }
+
+    /// Waits until requests for a service are relayed to other boxes.
+    pub(crate) async fn wait_until_relayed(&self, service: &str) {
+        loop {
+            let changed = self.paths.changed.notified();
+            if self.relays(service) {
+                return;
+            }
+            changed.await;
+        }
+    }
+
+    /// Whether requests for a service are relayed, as soon as the probes under way have shown it.
+    pub(crate) async fn relays_after_probes(&self, service: &str) -> bool {
+        let deadline = Instant::now() + PROBE_TIMEOUT + PROBE_HOLD;
+        while !self.relays(service) {
+            if !self.paths.is_suspected(service, self.now_ms()) || Instant::now() >= deadline {
+                return false;
+            }
+            sleep(VERDICT_POLL).await;
+        }
+        true
+    }
+
+    /// The service of a target; empty if this box no longer tracks it.
+    pub(crate) fn service_of(&self, slot: TargetSlot) -> Box<str> {
+        let targets = self.targets.borrow();
+        let target = targets.get(slot);
+        target.map_or_else(Box::default, |target| target.entry.service.clone())
+    }
+
     /// The lost services, and for how long (ms).
     pub(crate) fn lost_services(&self) -> Vec<(Box<str>, u64)> {
         let now_ms = self.now_ms();
--- a/components/relay/src/forwarding/send.rs
+++ b/components/relay/src/forwarding/send.rs
@@ -71,7 +71,8 @@
     framing: Framing,
     /// The request was written completely, so that the channel may be reused.
     is_request_complete: bool,
-    open_request: OpenRequest,
+    /// None for the response of another box.
+    open_request: Option<OpenRequest>,
 }
 
 /// A channel to a target.
@@ -162,7 +163,12 @@
             return Err(NotRun::Unreachable);
         };
         metrics::counter!("shuntpier_target_channels").increment(1);
-        let connection = self.connect_target(address, CONNECT_TIMEOUT).await;
+        let service = self.service_of(slot);
+        let connection = tokio::select! {
+            connection = self.connect_target(address, CONNECT_TIMEOUT) => connection,
+            // The connection attempts of other requests have failed: this one is hopeless, and another box can help.
+            () = self.wait_until_relayed(&service) => return Err(NotRun::Unreachable),
+        };
         let connection = connection.map(|channel| TargetChannel {
             channel,
             is_new: true,
@@ -250,7 +256,7 @@
             head,
             metadata,
             is_request_complete,
-            open_request,
+            open_request: Some(open_request),
         };
         if response.metadata.is_not_run {
             let retry_after_ms = response.metadata.retry_after_ms.value();
@@ -264,6 +270,31 @@
     }
 }
 
+/// Sends a request to another box on a new channel and reads the head of its response. The error says what failed; none if
+/// nothing was sent.
+pub(super) async fn exchange_heads(
+    mut channel: Channel,
+    request: OutgoingRequest<'_>,
+) -> Result<OpenResponse, Option<&'static str>> {
+    let is_request_complete = match write(&mut channel, request).await {
+        Written::Complete => true,
+        Written::AnsweredEarly => false,
+        Written::Nothing => return Err(None),
+        Written::Partial => return Err(Some("the channel failed while it was written to")),
+    };
+    let answer = read_matching_head(&mut channel, request).await;
+    let (head, metadata, framing) = answer.map_err(Some)?;
+    Ok(OpenResponse {
+        decoder: Decoder::new(framing),
+        framing,
+        channel,
+        head,
+        metadata,
+        is_request_complete,
+        open_request: None,
+    })
+}
+
 enum Written {
     Complete,
     AnsweredEarly,
@@ -420,14 +451,14 @@
     pub(crate) fn recycle_channel(self, relay: &Relay) {
         let is_reusable =
             self.is_request_complete && !self.head.closes && self.channel.buffer.is_empty();
-        if !is_reusable {
+        let Some(open_request) = self.open_request.filter(|_| is_reusable) else {
             return;
-        }
-        if relay.takes_work(self.open_request.slot) {
+        };
+        if relay.takes_work(open_request.slot) {
             let now_ms = relay.now_ms();
             let mut channels = relay.channels.borrow_mut();
             channels.put(
-                self.open_request.slot,
+                open_request.slot,
                 self.channel,
                 self.metadata.keep_alive_ms,
                 now_ms,
--- a/components/relay/src/ingress/accept.rs
+++ b/components/relay/src/ingress/accept.rs
@@ -12,7 +12,7 @@
 use http1::{Channel, Listener, RequestHead};
 use platform::parse_request_headers;
 use prelude::RequestKey;
-use routing::{CallerLimits, RouteKind, Verdict};
+use routing::{CallerLimits, RequestFacts, RouteKind, Verdict};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -195,17 +195,27 @@
         &head.target,
         &body,
     );
+    let relayed_ms = verified_elapsed_ms(relay, &facts);
     let incoming = IncomingRequest {
+        is_relayed: relayed_ms.is_some(),
         head,
         facts,
         body,
         key,
         _memory: memory,
-        arrived_ms,
+        arrived_ms: arrived_ms.saturating_sub(relayed_ms.unwrap_or_default()),
     };
     Ok((incoming, resolved))
 }
 
+/// How long ago a relayed request arrived at the box that relays it, in ms; none if no box relays the request.
+fn verified_elapsed_ms(relay: &Relay, facts: &RequestFacts) -> Option<u64> {
+    let mark = facts.relayed.as_ref()?;
+    let id = facts.request_id.as_deref().unwrap_or_default();
+    let is_verified = relay.keys.verify_relayed(id, mark.elapsed_ms, &mark.proof);
+    is_verified.then_some(mark.elapsed_ms)
+}
+
 async fn serve_resolved(
     relay: &Rc<Relay>,
     channel: &mut Channel,
@@ -217,6 +227,11 @@
         let reply = Reply::local(local, incoming.facts.request_id.as_deref());
         return write_reply(relay, channel, incoming.id(), reply, false).await;
     }
+    if incoming.is_relayed && relay.is_service_lost(&resolved.service().name) {
+        count_response(LocalReply::Unreachable.status(), "own");
+        let reply = Reply::local(LocalReply::Unreachable, Some(incoming.id()));
+        return write_reply(relay, channel, incoming.id(), reply, false).await;
+    }
     if resolved.route().kind == RouteKind::Generation {
         return serve_generation(relay, channel, incoming, resolved).await;
     }
--- a/components/relay/src/ingress/request.rs
+++ b/components/relay/src/ingress/request.rs
@@ -18,8 +18,10 @@
     pub key: RequestKey,
     /// Reserves memory for the body.
     pub _memory: BufferReservation,
-    /// When the first byte was read.
+    /// When the first byte was read, here or at the box that relays the request.
     pub arrived_ms: u64,
+    /// Another box relays the request, so this one does not.
+    pub is_relayed: bool,
 }
 
 /// Route, service and account of a request, by the declarations that were in force when it was read.
@@ -101,6 +103,8 @@
     /// Not run: the request is quarantined because several targets crashed under it. It has no Retry-After because the
     /// end of the quarantine is unknown.
     Withheld,
+    /// Not run: this box reaches no target for a request that another box relays.
+    Unreachable,
     /// The request may have run.
     MayHaveRun(&'static str),
     /// The deadline passed; the request may have run.
@@ -116,7 +120,7 @@
             Self::SlowHead => 408,
             Self::BodyTooLong => 413,
             Self::HeadTooLong => 431,
-            Self::NotRun { .. } | Self::Withheld => 503,
+            Self::NotRun { .. } | Self::Withheld | Self::Unreachable => 503,
             Self::MayHaveRun(_) => 502,
             Self::DeadlineExceeded => 504,
         }
@@ -130,6 +134,7 @@
             Self::SlowHead => "the head took too long",
             Self::BodyTooLong => "the body is too long",
             Self::HeadTooLong => "the head is too long",
+            Self::Unreachable => "this box reaches no target",
             Self::Withheld => "targets end under this request",
             Self::DeadlineExceeded => "the time of the request is over",
         }
@@ -176,7 +181,12 @@
     pub(crate) fn local(local: LocalReply, request_id: Option<&str>) -> Self {
         Self {
             status: local.status(),
-            head: platform::local_reply_head(local.status(), request_id, local.retry_after_ms()),
+            head: match local {
+                LocalReply::Unreachable => {
+                    platform::unreachable_reply_head(local.status(), request_id, None)
+                }
+                _ => platform::local_reply_head(local.status(), request_id, local.retry_after_ms()),
+            },
             body: local.body(),
             local: Some(local),
             memory: None,
--- a/components/relay/src/membership/members.rs
+++ b/components/relay/src/membership/members.rs
@@ -9,6 +9,7 @@
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
 
 /// How long a box that did not answer is suspected and holds no role, in ms; doubled with each further failure.
 const SUSPICION_MS: u64 = 1_000;
@@ -265,6 +266,25 @@
         }
     }
 
+    /// The boxes that may serve requests of this box's callers: id, address for callers, and whether they are in the given data
+    /// centre.
+    pub(crate) fn relay_candidates(
+        &self,
+        data_centre: &str,
+        now_ms: u64,
+    ) -> Vec<(BoxId, SocketAddr, bool)> {
+        let eligible = self.others.values().filter(|one| one.is_eligible(now_ms));
+        let candidate = |member: &Member| {
+            let card = &member.card;
+            Some((
+                card.id,
+                card.callers_address?,
+                &*card.data_centre == data_centre,
+            ))
+        };
+        eligible.filter_map(candidate).collect()
+    }
+
     /// The card of one box.
     pub(crate) fn card(&self, id: BoxId) -> Option<&FleetCard> {
         self.others.get(&id).map(|member| &member.card)
--- a/components/relay/src/membership/members_tests.rs
+++ b/components/relay/src/membership/members_tests.rs
@@ -7,6 +7,7 @@
         id: BoxId(id),
         life,
         name: format!("box-{id}").into(),
+        callers_address: None,
         address: "127.0.0.1:1".parse().unwrap(),
         data_centre: "hall".into(),
         leaving,
--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -119,6 +119,7 @@
         target_changes: watch::Sender::new(0),
         channels: RefCell::default(),
         paths: Paths::default(),
+        relay_peers: RefCell::default(),
         memory: BufferBudget::new(memory_bounds(&file.limits)),
         balance: RefCell::default(),
         calls_ended: Notify::new(),
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -7,6 +7,7 @@
 use crate::forwarding::balance::CallBalancer;
 use crate::forwarding::idle_channels::IdleChannels;
 use crate::forwarding::reachability::Paths;
+use crate::forwarding::relay_peers::RelayPeers;
 use crate::ingress::request::LocalReply;
 use crate::membership::compression::compress;
 use crate::membership::list_budget::ListBudget;
@@ -74,6 +75,8 @@
     pub(crate) channels: RefCell<IdleChannels>,
     /// Which services this box can reach.
     pub(crate) paths: Paths,
+    /// Boxes that requests are relayed to.
+    pub(crate) relay_peers: RefCell<RelayPeers>,
     /// Budget of memory for buffered requests and answers of slow readers.
     pub(crate) memory: Rc<BufferBudget>,
     /// Statistics of calls to plain targets.
@@ -217,6 +220,7 @@
             life: self.incarnation,
             name: self.identity.name.as_str().into(),
             address: self.identity.peers_address,
+            callers_address: Some(self.identity.callers_address),
             data_centre: self.identity.data_centre.as_str().into(),
             leaving: self.is_stopping(),
             link_mbps: self.settings().limits.link_mbps as u32,
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -7,7 +7,7 @@
 mod target;
 
 pub use evacuation::Evacuations;
-pub use request::{GenerationRequest, PromptPart, RequestFacts};
+pub use request::{GenerationRequest, PromptPart, RelayMark, RequestFacts};
 pub use table::{
     AccountRule, CallerLimits, EngineTraits, Route, RouteKey, RouteKind, RoutingTable, Service,
     ServiceKey, ServiceShare, TableError, Verdict,
--- a/components/routing/src/request.rs
+++ b/components/routing/src/request.rs
@@ -33,4 +33,15 @@
     pub key: Option<Box<str>>,
     /// What is asked of a model engine, where it is one that is asked.
     pub generation: Option<GenerationRequest>,
+    /// The mark of a request that claims to be relayed by another box.
+    pub relayed: Option<RelayMark>,
+}
+
+/// Marks a request that one box relays to another.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct RelayMark {
+    /// How long ago the request arrived at the first box, in ms.
+    pub elapsed_ms: u64,
+    /// The proof that a box made the mark.
+    pub proof: Box<str>,
 }
