relay: a refused connection is evidence of the box that saw it, and ends with the next one that is accepted

Cause: a refused connection at one box was taken for the end of that incarnation, told to all boxes, and never taken back. Other boxes of the data centre are told once and connect themselves: only their own connection counts. Refusals of a service that the box has lost count for no target. They spend no retry budget, as before, and are no failures in a target's statistics. 'shuntpier targets' shows them; lines 'target refuses connections' and 'target accepts connections again'.

--- a/components/operators/src/fleet.rs
+++ b/components/operators/src/fleet.rs
@@ -72,6 +72,9 @@
     pub state: String,
     /// Whether it is slow from its start.
     pub cold: bool,
+    /// Whether its last connection from this box was refused.
+    #[serde(default)]
+    pub refusing: bool,
     /// Requests that this box has open there.
     pub own_open: u32,
     /// Bytes of them.
--- a/components/peers/src/fleet.rs
+++ b/components/peers/src/fleet.rs
@@ -136,6 +136,8 @@
     NoAnswer,
     /// It turned a request away and asked the box for a pause.
     TurnedAway,
+    /// It refused a connection. The receiver checks it with a connection of its own.
+    Refused,
 }
 
 /// A word on a target, for boxes of the same data centre.
--- a/components/policy/src/health/mod.rs
+++ b/components/policy/src/health/mod.rs
@@ -4,4 +4,5 @@
 pub(crate) mod probation;
 pub(crate) mod quarantine;
 pub(crate) mod reachability;
+pub(crate) mod refusals;
 pub(crate) mod retry_after;
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -33,6 +33,7 @@
 pub use health::probation::Probation;
 pub use health::quarantine::{Quarantine, WithheldRequest};
 pub use health::reachability::{FAILED_TARGETS_MIN, Reachability, ReachabilityChange};
+pub use health::refusals::RefusedConnections;
 pub use health::retry_after::RetryAfterBackoff;
 pub use pace::disturbance::Disturbance;
 pub use pace::model::{EnginePace, PaceModel};
--- a/components/relay/src/forwarding/call_stats.rs
+++ b/components/relay/src/forwarding/call_stats.rs
@@ -84,6 +84,7 @@
         };
         match hint {
             HintWord::Slowness(percent) => stats.slowness.update(percent, 0, now_ms),
+            HintWord::Refused => {}
             HintWord::NoAnswer | HintWord::TurnedAway => {
                 let was_deprioritized = stats.suspicion.is_deprioritized(now_ms);
                 stats.suspicion.record_no_answer(from.0.into(), now_ms);
--- a/components/relay/src/forwarding/generation.rs
+++ b/components/relay/src/forwarding/generation.rs
@@ -257,7 +257,11 @@
             return StartResult::LocalReply(LocalReply::DeadlineExceeded);
         };
         relay.record_outcome(slot, outcome_of(&result));
-        if outcome_of(&result) == TargetOutcome::Failure {
+        let is_engine_failure = matches!(
+            outcome_of(&result),
+            TargetOutcome::Failure | TargetOutcome::RefusedConnection
+        );
+        if is_engine_failure {
             relay.notify_engine_failed(permit.pool, slot, EngineFault::Broke);
         }
         match result {
--- a/components/relay/src/forwarding/outcome.rs
+++ b/components/relay/src/forwarding/outcome.rs
@@ -15,10 +15,12 @@
     Success,
     /// It refused the request as full.
     Full,
-    /// This incarnation has ended, or another target listens at its address.
+    /// Another target listens at its address.
     Gone,
     /// It announced that it is leaving.
     Leaving,
+    /// It refused a connection, for which it is probed until it accepts one.
+    RefusedConnection,
     /// It failed or could not be reached.
     Failure,
     /// No evidence, for example because the request was not sent.
@@ -29,7 +31,8 @@
     fn from(why: NotRun) -> Self {
         match why {
             NotRun::Refused { .. } => Self::Full,
-            NotRun::Misdirected | NotRun::ConnectionRefused => Self::Gone,
+            NotRun::Misdirected => Self::Gone,
+            NotRun::ConnectionRefused => Self::RefusedConnection,
             NotRun::Unreachable => Self::Failure,
             NotRun::Evacuated
             | NotRun::Leaving
@@ -76,6 +79,7 @@
             }
             TargetOutcome::Failure
             | TargetOutcome::Full
+            | TargetOutcome::RefusedConnection
             | TargetOutcome::Gone
             | TargetOutcome::Leaving
             | TargetOutcome::Unknown => {}
--- a/components/relay/src/forwarding/reachability.rs
+++ b/components/relay/src/forwarding/reachability.rs
@@ -1,10 +1,11 @@
-//! Which services this box can reach, from its own connection attempts. After a first failure, and while a service is lost,
+//! Which services this box can reach, and which targets refuse its connections, from its own connection attempts. After a first failure, and while a service is lost,
 //! a few of its targets are probed by connecting, so that neither the verdict nor its end waits for requests.
 
 use crate::state::Relay;
 use crate::watch::targets::{TargetSlot, TargetState};
 use http1::Channel;
-use policy::{FAILED_TARGETS_MIN, Reachability, ReachabilityChange};
+use peers::HintWord;
+use policy::{FAILED_TARGETS_MIN, Reachability, ReachabilityChange, RefusedConnections};
 use rand::seq::IteratorRandom;
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -30,7 +31,8 @@
 #[derive(Default)]
 pub(crate) struct Paths {
     services: RefCell<HashMap<Box<str>, Reachability>>,
-    /// Notified when a service becomes suspected.
+    refused: RefCell<RefusedConnections<TargetSlot>>,
+    /// Notified when a service becomes suspected, or a target refuses a connection.
     suspected: Notify,
     /// Notified when a service is lost or restored.
     changed: Notify,
@@ -98,6 +100,18 @@
         }
     }
 
+    /// Whether this box reaches other targets of a service, as soon as the probes under way have shown it.
+    pub(crate) async fn is_path_sound_after_probes(&self, service: &str) -> bool {
+        let deadline = Instant::now() + PROBE_TIMEOUT + PROBE_HOLD;
+        while self.paths.is_suspected(service, self.now_ms()) {
+            if self.is_service_lost(service) || Instant::now() >= deadline {
+                return false;
+            }
+            sleep(VERDICT_POLL).await;
+        }
+        true
+    }
+
     /// Whether requests for a service are relayed, as soon as the probes under way have shown it.
     pub(crate) async fn relays_after_probes(&self, service: &str) -> bool {
         let deadline = Instant::now() + PROBE_TIMEOUT + PROBE_HOLD;
@@ -162,6 +176,95 @@
         if let Some(change) = change {
             self.handle_reachability_change(&service, change);
         }
+        match result {
+            Ok(()) => self.accept_again(&[slot]),
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                self.record_refused(slot, &service);
+            }
+            Err(_) => {}
+        }
+    }
+
+    /// Records a refused connection. The target gets no work from this box until it accepts a connection. Other boxes only
+    /// check it themselves, as the path of this box may be what fails.
+    fn record_refused(self: &Rc<Self>, slot: TargetSlot, service: &str) {
+        if self.is_service_lost(service) {
+            return;
+        }
+        let now_ms = self.now_ms();
+        let is_new = self.paths.refused.borrow_mut().record_refusal(slot, now_ms);
+        if !is_new {
+            return;
+        }
+        self.paths.suspected.notify_one();
+        slog::info!(self.log, "target refuses connections"; "target" => self.name_of(slot));
+        metrics::counter!("shuntpier_targets_refusing").increment(1);
+        self.set_refusing(slot, true);
+        self.broadcast_hint(slot, HintWord::Refused);
+    }
+
+    /// Lets targets get work from this box again.
+    fn accept_again(self: &Rc<Self>, slots: &[TargetSlot]) {
+        for slot in slots {
+            let was_refusing = self.paths.refused.borrow_mut().remove(*slot);
+            if was_refusing {
+                slog::info!(self.log, "target accepts connections again"; "target" => self.name_of(*slot));
+                self.set_refusing(*slot, false);
+            }
+        }
+    }
+
+    fn set_refusing(self: &Rc<Self>, slot: TargetSlot, is_refusing: bool) {
+        let id = {
+            let mut targets = self.targets.borrow_mut();
+            let Some(target) = targets.get_mut(slot) else {
+                return;
+            };
+            target.is_refusing = is_refusing;
+            target.id
+        };
+        self.sync_engines(&[id]);
+        self.target_changes.send_modify(|count| *count += 1);
+    }
+
+    /// The targets of a service that refuse connections.
+    fn refusing_targets(&self, service: &str) -> Vec<TargetSlot> {
+        let targets = self.targets.borrow();
+        let is_of_service = |slot: &TargetSlot| {
+            let target = targets.get(*slot);
+            target.is_some_and(|target| &*target.entry.service == service)
+        };
+        let mut refusing = self.paths.refused.borrow().all();
+        refusing.retain(is_of_service);
+        refusing
+    }
+
+    /// Connects to a target that another box reports as refusing connections.
+    pub(crate) fn check_reported_refusal(self: &Rc<Self>, slot: TargetSlot) {
+        let address = self
+            .targets
+            .borrow()
+            .get(slot)
+            .map(|target| target.entry.address);
+        if let Some(address) = address {
+            spawn_local(probe(self.clone(), slot, address));
+        }
+    }
+
+    /// Probes the targets that refuse connections.
+    fn probe_refusing_targets(self: &Rc<Self>) {
+        let due = self.paths.refused.borrow().due(self.now_ms());
+        for slot in due {
+            let address = self
+                .targets
+                .borrow()
+                .get(slot)
+                .map(|target| target.entry.address);
+            match address {
+                Some(address) => drop(spawn_local(probe(self.clone(), slot, address))),
+                None => drop(self.paths.refused.borrow_mut().remove(slot)),
+            }
+        }
     }
 
     /// Records that a target of a service answered.
@@ -200,6 +303,8 @@
                 slog::warn!(self.log, "service unreachable from this box"; "service" => service,
                     "failed_targets" => failed_targets, "evidence_age_ms" => evidence_age_ms);
                 metrics::counter!("shuntpier_services_lost").increment(1);
+                // The refusals are this box's own.
+                self.accept_again(&self.refusing_targets(service));
                 // The other services may be lost too.
                 self.probe_all_services();
             }
@@ -258,10 +363,11 @@
 pub(crate) async fn run_reachability_probes(relay: Rc<Relay>) {
     loop {
         let suspected = relay.paths.suspected(relay.now_ms());
-        if suspected.is_empty() {
+        if suspected.is_empty() && relay.paths.refused.borrow().is_empty() {
             relay.paths.suspected.notified().await;
             continue;
         }
+        relay.probe_refusing_targets();
         for service in &suspected {
             relay.probe_service(service);
         }
--- a/components/relay/src/forwarding/send.rs
+++ b/components/relay/src/forwarding/send.rs
@@ -28,7 +28,7 @@
 pub(crate) enum NotRun {
     /// No channel could be opened, or nothing could be written.
     Unreachable,
-    /// Nothing listens at the address: this incarnation of the target has ended.
+    /// Nothing listens at the address now.
     ConnectionRefused,
     /// The target refused the request.
     Refused { retry_after_ms: Option<u64> },
--- a/components/relay/src/membership/hints.rs
+++ b/components/relay/src/membership/hints.rs
@@ -60,7 +60,10 @@
         let slot = self.targets.borrow().slot_of(hint.target);
         if let Some(slot) = slot {
             metrics::counter!("shuntpier_target_hints", "outcome" => "taken").increment(1);
-            self.apply_hint(slot, hint.from, hint.word);
+            match hint.word {
+                HintWord::Refused => self.check_reported_refusal(slot),
+                word => self.apply_hint(slot, hint.from, word),
+            }
         }
         for id in group {
             tokio::task::spawn_local(send_hint(self.clone(), hint.clone(), vec![id]));
--- a/components/relay/src/view.rs
+++ b/components/relay/src/view.rs
@@ -90,6 +90,7 @@
             address: target.entry.address.to_string(),
             state: target_state(&targets, target).into(),
             cold: now_ms < target.cold_until_ms,
+            refusing: target.is_refusing,
             own_open: target.open,
             own_open_bytes: target.open_bytes,
             pause_left_ms: target.backoff.remaining_ms(now_ms),
--- a/components/relay/src/watch/incarnation.rs
+++ b/components/relay/src/watch/incarnation.rs
@@ -35,6 +35,7 @@
             full_until_ms: 0,
             leaving_reported: leaves && !says_so,
             announced_leaving: false,
+            is_refusing: false,
             was_leaving: leaves,
             entry,
         };
--- a/components/relay/src/watch/leaving.rs
+++ b/components/relay/src/watch/leaving.rs
@@ -10,7 +10,7 @@
         self.mark_leaving(slot)
     }
 
-    /// Marks a target as leaving: it announced it, a peer reported it, or nothing listens at its address.
+    /// Marks a target as leaving: it announced it, a peer reported it, or another target listens at its address.
     pub fn mark_leaving(&mut self, slot: TargetSlot) -> Option<Change> {
         let target = self.targets.get_mut(slot)?;
         target.was_leaving = true;
--- a/components/relay/src/watch/target.rs
+++ b/components/relay/src/watch/target.rs
@@ -65,6 +65,8 @@
     pub leaving_reported: bool,
     /// It announced its leaving itself, which no entry reverts.
     pub announced_leaving: bool,
+    /// Its last connection from this box was refused; it is probed until it accepts one.
+    pub is_refusing: bool,
     /// It was seen to leave. If its entries carry a birth time, it never takes work again, even if it is removed and
     /// listed again.
     pub was_leaving: bool,
--- a/components/relay/src/watch/targets.rs
+++ b/components/relay/src/watch/targets.rs
@@ -93,7 +93,7 @@
 
     /// Whether a target takes new work. Every placement, send, copy and poll uses this check.
     pub fn takes_work(&self, target: &Target) -> bool {
-        target.state == TargetState::Ready && !self.is_evacuated(target)
+        target.state == TargetState::Ready && !target.is_refusing && !self.is_evacuated(target)
     }
 
     /// Whether any list of targets is known.
--- a/src/cmd/targets.rs
+++ b/src/cmd/targets.rs
@@ -87,13 +87,18 @@
     }
     for target in &view.targets {
         let cold = if target.cold { " cold" } else { "" };
+        let refusing = if target.refusing {
+            ", refuses connections"
+        } else {
+            ""
+        };
         let limit = target.rate_limit_per_s;
         let mut asks = limit.map_or(String::new(), |limit| format!(", rate limit {limit:.2}/s"));
         if let Some(left_ms) = target.pause_left_ms {
             asks += &format!(", asked this box for a pause, {left_ms} ms left");
         }
         println!(
-            "  {:24} {:16} {:16} {}{cold}, own {} with {:.2} MB{asks}",
+            "  {:24} {:16} {:16} {}{cold}{refusing}, own {} with {:.2} MB{asks}",
             target.name,
             target.service,
             target.data_centre,
