relay: a refused connection counts as a crash only if the box reaches other targets

The check now awaits the probes of the service: without another target that is reached, the end of the entry in the store decides. Not provoked in a test of its own; the tests of crashes.rs pass.

--- a/components/relay/src/quarantine/broken_runs.rs
+++ b/components/relay/src/quarantine/broken_runs.rs
@@ -128,13 +128,21 @@
     }
 }
 
-/// Connects to a target at which a run was interrupted. A refused connection means that it crashed.
+/// Connects to a target at which a run was interrupted. A refused connection means that it crashed, unless this box's own
+/// path is what fails; then the end of its entry in the store decides.
 async fn check_target(relay: Rc<Relay>, slot: TargetSlot, target: TargetId, address: SocketAddr) {
     let connection = relay.connect_target(address, CONNECT_TIMEOUT).await;
     let error = connection.err();
-    let has_ended = error
+    if let Some(error) = &error {
+        relay.record_connect(slot, Err(error));
+    }
+    let is_refused = error
         .as_ref()
         .is_some_and(|error| error.kind() == ErrorKind::ConnectionRefused);
+    let has_ended = is_refused
+        && relay
+            .is_path_sound_after_probes(&relay.service_of(slot))
+            .await;
     let name = relay.name_of(slot);
     slog::info!(relay.log, "checked whether a target crashed"; "target" => &name,
         "ended" => has_ended, "error" => error.map(|error| error.to_string()));
