relay: a box that cannot reach the targets of a service reports none of them as failed

Change: 'no answer', a refused or failed connection, and silence are reported at once if a target of the service was in contact within 0.5 s, else as soon as the probes show that another target is reached, else not. An engine that breaks off an accepted connection is reported at once, as before. The files of reachability and refused connections are divided.

--- a/components/peers/src/relay_proof.rs
+++ b/components/peers/src/relay_proof.rs
@@ -38,7 +38,7 @@
 }
 
 fn decode_hex(text: &str) -> Option<Vec<u8>> {
-    if !text.is_ascii() || text.len() % 2 != 0 {
+    if !text.is_ascii() || !text.len().is_multiple_of(2) {
         return None;
     }
     let digits = (0..text.len()).step_by(2);
--- a/components/relay/src/dispatch/heartbeat.rs
+++ b/components/relay/src/dispatch/heartbeat.rs
@@ -103,6 +103,31 @@
             return;
         };
         slog::info!(self.log, "engine failed"; "engine" => self.name_of(slot), "fault" => ?fault);
+        match fault {
+            // The engine had accepted the connection.
+            EngineFault::Broke if !self.is_service_lost(&self.service_of(slot)) => {
+                self.report_engine_failure(pool, target, fault);
+            }
+            EngineFault::Broke | EngineFault::Silent => {
+                self.report_if_path_is_sound(slot, move |relay| {
+                    relay.report_engine_failure(pool, target, fault);
+                });
+            }
+        }
+    }
+
+    /// Notifies the dispatcher of an engine that this box cannot connect to.
+    pub(crate) fn notify_engine_unreachable(self: &Rc<Self>, pool: PoolId, slot: TargetSlot) {
+        let Some(target) = self.id_of(slot) else {
+            return;
+        };
+        slog::info!(self.log, "engine failed"; "engine" => self.name_of(slot), "fault" => "Unreachable");
+        self.report_if_path_is_sound(slot, move |relay| {
+            relay.report_engine_failure(pool, target, EngineFault::Broke);
+        });
+    }
+
+    fn report_engine_failure(self: &Rc<Self>, pool: PoolId, target: TargetId, fault: EngineFault) {
         self.notify_dispatcher(
             pool,
             "engine_failed",
--- a/components/relay/src/forwarding/call_stats.rs
+++ b/components/relay/src/forwarding/call_stats.rs
@@ -57,7 +57,9 @@
     /// Records that a call got no answer, and sends a hint about it to other boxes.
     pub(crate) fn record_no_answer(self: &Rc<Self>, slot: TargetSlot) {
         self.apply_hint(slot, self.id, HintWord::NoAnswer);
-        self.broadcast_hint(slot, HintWord::NoAnswer);
+        self.report_if_path_is_sound(slot, move |relay| {
+            relay.broadcast_hint(slot, HintWord::NoAnswer);
+        });
     }
 
     /// Records the slowness that a target reports, and sends it to other boxes if it changed.
--- a/components/relay/src/forwarding/generation.rs
+++ b/components/relay/src/forwarding/generation.rs
@@ -257,12 +257,14 @@
             return StartResult::LocalReply(LocalReply::DeadlineExceeded);
         };
         relay.record_outcome(slot, outcome_of(&result));
-        let is_engine_failure = matches!(
-            outcome_of(&result),
-            TargetOutcome::Failure | TargetOutcome::RefusedConnection
-        );
-        if is_engine_failure {
-            relay.notify_engine_failed(permit.pool, slot, EngineFault::Broke);
+        match &result {
+            SendResult::NotRun(NotRun::Unreachable | NotRun::ConnectionRefused) => {
+                relay.notify_engine_unreachable(permit.pool, slot);
+            }
+            failed if outcome_of(failed) == TargetOutcome::Failure => {
+                relay.notify_engine_failed(permit.pool, slot, EngineFault::Broke);
+            }
+            _ => {}
         }
         match result {
             SendResult::Answered(response) => {
--- a/components/relay/src/forwarding/mod.rs
+++ b/components/relay/src/forwarding/mod.rs
@@ -15,6 +15,7 @@
 pub(crate) mod outcome;
 mod pauses;
 pub(crate) mod reachability;
+mod refused;
 mod relay;
 pub(crate) mod relay_peers;
 mod relay_stream;
--- a/components/relay/src/forwarding/reachability.rs
+++ b/components/relay/src/forwarding/reachability.rs
@@ -1,10 +1,9 @@
-//! Which services this box can reach, and which targets refuse its connections, from its own connection attempts. After a first failure, and while a service is lost,
+//! Which services this box can reach, from its own connection attempts. After a first failure, and while a service is lost,
 //! a few of its targets are probed by connecting, so that neither the verdict nor its end waits for requests.
 
 use crate::state::Relay;
 use crate::watch::targets::{TargetSlot, TargetState};
 use http1::Channel;
-use peers::HintWord;
 use policy::{FAILED_TARGETS_MIN, Reachability, ReachabilityChange, RefusedConnections};
 use rand::seq::IteratorRandom;
 use std::cell::RefCell;
@@ -24,6 +23,8 @@
 /// A probe succeeds if its connection stays open for this long: a middlebox may accept connections and reset them.
 const PROBE_HOLD: Duration = Duration::from_millis(50);
 
+/// A path on which a target was in contact within this time is sound.
+const CONTACT_VALID_MS: u64 = 500;
 /// How often a request that failed checks whether the probes have ended.
 const VERDICT_POLL: Duration = Duration::from_millis(10);
 
@@ -31,9 +32,10 @@
 #[derive(Default)]
 pub(crate) struct Paths {
     services: RefCell<HashMap<Box<str>, Reachability>>,
-    refused: RefCell<RefusedConnections<TargetSlot>>,
+    /// The targets that refuse connections; see [`crate::forwarding::refused`].
+    pub(super) refused: RefCell<RefusedConnections<TargetSlot>>,
     /// Notified when a service becomes suspected, or a target refuses a connection.
-    suspected: Notify,
+    pub(super) suspected: Notify,
     /// Notified when a service is lost or restored.
     changed: Notify,
 }
@@ -100,16 +102,50 @@
         }
     }
 
-    /// Whether this box reaches other targets of a service, as soon as the probes under way have shown it.
-    pub(crate) async fn is_path_sound_after_probes(&self, service: &str) -> bool {
+    /// Whether a target of a service is in contact after a failure at `failed_ms`, as soon as the probes under way show it.
+    pub(crate) async fn is_path_sound_after(&self, service: &str, failed_ms: u64) -> bool {
         let deadline = Instant::now() + PROBE_TIMEOUT + PROBE_HOLD;
-        while self.paths.is_suspected(service, self.now_ms()) {
-            if self.is_service_lost(service) || Instant::now() >= deadline {
-                return false;
+        while Instant::now() < deadline && !self.is_service_lost(service) {
+            let is_in_contact = {
+                let services = self.paths.services.borrow();
+                let path = services.get(service);
+                path.is_some_and(|path| path.has_contact_since(failed_ms))
+            };
+            if is_in_contact && !self.paths.is_suspected(service, self.now_ms()) {
+                return true;
             }
             sleep(VERDICT_POLL).await;
         }
-        true
+        false
+    }
+
+    /// Calls `report`, which notifies other boxes of a failure of a target, if this box's own path is sound: at once if a
+    /// target of the service was in contact just now, else once the probes have shown it. A box that has lost its targets
+    /// reports none of them.
+    pub(crate) fn report_if_path_is_sound(
+        self: &Rc<Self>,
+        slot: TargetSlot,
+        report: impl FnOnce(&Rc<Self>) + 'static,
+    ) {
+        let service = self.service_of(slot);
+        let now_ms = self.now_ms();
+        let contact_since_ms = now_ms.saturating_sub(CONTACT_VALID_MS);
+        let is_sound = {
+            let services = self.paths.services.borrow();
+            services.get(&service).is_some_and(|path| {
+                path.has_contact_since(contact_since_ms) && !path.is_suspected(now_ms)
+            })
+        };
+        if is_sound {
+            return report(self);
+        }
+        self.probe_if_silent(&service, contact_since_ms);
+        let relay = self.clone();
+        spawn_local(async move {
+            if relay.is_path_sound_after(&service, now_ms).await {
+                report(&relay);
+            }
+        });
     }
 
     /// Whether requests for a service are relayed, as soon as the probes under way have shown it.
@@ -135,10 +171,11 @@
     pub(crate) fn lost_services(&self) -> Vec<(Box<str>, u64)> {
         let now_ms = self.now_ms();
         let services = self.paths.services.borrow();
-        let lost = |(service, path): (&Box<str>, &Reachability)| {
-            Some((service.clone(), path.lost_for_ms(now_ms)?))
-        };
-        services.iter().filter_map(lost).collect()
+        let lost = services.iter().filter_map(|(service, path)| {
+            let lost_ms = path.lost_for_ms(now_ms)?;
+            Some((service.clone(), lost_ms))
+        });
+        lost.collect()
     }
 
     /// Records the outcome of a connection attempt to a target. A new connection that fails before an answer counts as
@@ -185,88 +222,6 @@
         }
     }
 
-    /// Records a refused connection. The target gets no work from this box until it accepts a connection. Other boxes only
-    /// check it themselves, as the path of this box may be what fails.
-    fn record_refused(self: &Rc<Self>, slot: TargetSlot, service: &str) {
-        if self.is_service_lost(service) {
-            return;
-        }
-        let now_ms = self.now_ms();
-        let is_new = self.paths.refused.borrow_mut().record_refusal(slot, now_ms);
-        if !is_new {
-            return;
-        }
-        self.paths.suspected.notify_one();
-        slog::info!(self.log, "target refuses connections"; "target" => self.name_of(slot));
-        metrics::counter!("shuntpier_targets_refusing").increment(1);
-        self.set_refusing(slot, true);
-        self.broadcast_hint(slot, HintWord::Refused);
-    }
-
-    /// Lets targets get work from this box again.
-    fn accept_again(self: &Rc<Self>, slots: &[TargetSlot]) {
-        for slot in slots {
-            let was_refusing = self.paths.refused.borrow_mut().remove(*slot);
-            if was_refusing {
-                slog::info!(self.log, "target accepts connections again"; "target" => self.name_of(*slot));
-                self.set_refusing(*slot, false);
-            }
-        }
-    }
-
-    fn set_refusing(self: &Rc<Self>, slot: TargetSlot, is_refusing: bool) {
-        let id = {
-            let mut targets = self.targets.borrow_mut();
-            let Some(target) = targets.get_mut(slot) else {
-                return;
-            };
-            target.is_refusing = is_refusing;
-            target.id
-        };
-        self.sync_engines(&[id]);
-        self.target_changes.send_modify(|count| *count += 1);
-    }
-
-    /// The targets of a service that refuse connections.
-    fn refusing_targets(&self, service: &str) -> Vec<TargetSlot> {
-        let targets = self.targets.borrow();
-        let is_of_service = |slot: &TargetSlot| {
-            let target = targets.get(*slot);
-            target.is_some_and(|target| &*target.entry.service == service)
-        };
-        let mut refusing = self.paths.refused.borrow().all();
-        refusing.retain(is_of_service);
-        refusing
-    }
-
-    /// Connects to a target that another box reports as refusing connections.
-    pub(crate) fn check_reported_refusal(self: &Rc<Self>, slot: TargetSlot) {
-        let address = self
-            .targets
-            .borrow()
-            .get(slot)
-            .map(|target| target.entry.address);
-        if let Some(address) = address {
-            spawn_local(probe(self.clone(), slot, address));
-        }
-    }
-
-    /// Probes the targets that refuse connections.
-    fn probe_refusing_targets(self: &Rc<Self>) {
-        let due = self.paths.refused.borrow().due(self.now_ms());
-        for slot in due {
-            let address = self
-                .targets
-                .borrow()
-                .get(slot)
-                .map(|target| target.entry.address);
-            match address {
-                Some(address) => drop(spawn_local(probe(self.clone(), slot, address))),
-                None => drop(self.paths.refused.borrow_mut().remove(slot)),
-            }
-        }
-    }
-
     /// Records that a target of a service answered.
     pub(crate) fn record_target_answer(&self, slot: TargetSlot) {
         let service = {
@@ -347,7 +302,8 @@
     }
 }
 
-async fn probe(relay: Rc<Relay>, slot: TargetSlot, address: SocketAddr) {
+/// Connects to a target and records the outcome.
+pub(super) async fn probe(relay: Rc<Relay>, slot: TargetSlot, address: SocketAddr) {
     metrics::counter!("shuntpier_reachability_probes").increment(1);
     let result = match relay.connect_target(address, PROBE_TIMEOUT).await {
         Ok(mut channel) => match timeout(PROBE_HOLD, channel.gone()).await {
@@ -356,7 +312,7 @@
         },
         Err(error) => Err(error),
     };
-    relay.record_connect(slot, result.as_ref().map(|()| ()));
+    relay.record_connect(slot, result.as_ref().copied());
 }
 
 /// Probes the services that are suspected or lost until the process ends.
--- a/components/relay/src/quarantine/broken_runs.rs
+++ b/components/relay/src/quarantine/broken_runs.rs
@@ -131,6 +131,7 @@
 /// Connects to a target at which a run was interrupted. A refused connection means that it crashed, unless this box's own
 /// path is what fails; then the end of its entry in the store decides.
 async fn check_target(relay: Rc<Relay>, slot: TargetSlot, target: TargetId, address: SocketAddr) {
+    let checked_ms = relay.now_ms();
     let connection = relay.connect_target(address, CONNECT_TIMEOUT).await;
     let error = connection.err();
     if let Some(error) = &error {
@@ -141,7 +142,7 @@
         .is_some_and(|error| error.kind() == ErrorKind::ConnectionRefused);
     let has_ended = is_refused
         && relay
-            .is_path_sound_after_probes(&relay.service_of(slot))
+            .is_path_sound_after(&relay.service_of(slot), checked_ms)
             .await;
     let name = relay.name_of(slot);
     slog::info!(relay.log, "checked whether a target crashed"; "target" => &name,
