relay: a box that loses its targets while it serves a relayed request does not relay it again

Found by reading: only the arrival of a relayed request was checked. A box that lost the service later relayed it once more, without a bound. It now answers that it reaches no target, if nothing may have run, and the next box is asked. No test provokes the loss midway.

--- a/components/relay/src/forwarding/call.rs
+++ b/components/relay/src/forwarding/call.rs
@@ -123,9 +123,11 @@
         if let Some(reply) = attempt_all(relay, incoming, resolved, &mut attempts).await {
             return reply;
         }
-        if relay.relays_after_probes(service).await
-            && may_relay(relay, incoming, resolved, &attempts)
-        {
+        let is_lost = relay.relays_after_probes(service).await;
+        if is_lost && incoming.is_relayed && attempts.runs == 0 {
+            return Reply::local(LocalReply::Unreachable, Some(incoming.id()));
+        }
+        if is_lost && may_relay(relay, incoming, resolved, &attempts) {
             return relay_whole(relay, incoming, resolved, &mut attempts).await;
         }
         if let Some(slot) = attempts.first_rate_limited() {
@@ -162,7 +164,10 @@
         && relay.withheld_reply(incoming).is_none();
     let is_in_time = relay.now_ms() < incoming.deadline_ms(route);
     let is_within_budget = || attempts.sends == 0 || relay.try_take_retry(&resolved.service().name);
-    is_in_time && (attempts.runs == 0 || may_run_again) && is_within_budget()
+    !incoming.is_relayed
+        && is_in_time
+        && (attempts.runs == 0 || may_run_again)
+        && is_within_budget()
 }
 
 /// Relays a request to another box.
--- a/components/relay/src/forwarding/generation.rs
+++ b/components/relay/src/forwarding/generation.rs
@@ -162,6 +162,16 @@
     LocalReply(LocalReply),
 }
 
+impl StartResult {
+    /// The result for a generation whose engines this box cannot reach: another box is asked once.
+    fn unreachable(incoming: &IncomingRequest) -> Self {
+        match incoming.is_relayed {
+            true => Self::LocalReply(LocalReply::Unreachable),
+            false => Self::Relayed,
+        }
+    }
+}
+
 fn not_run_reply(refusal: Refusal) -> LocalReply {
     LocalReply::NotRun {
         why: refusal.reason.as_str(),
@@ -203,7 +213,7 @@
         let now_ms = relay.now_ms();
         let service = &resolved.service().name;
         if relay.relays(service) {
-            return StartResult::Relayed;
+            return StartResult::unreachable(incoming);
         }
         if let Some(retry_after_ms) = relay.first_backoff_end_ms(service, wait_until_ms) {
             last_refusal.retry_after_ms = Some(retry_after_ms);
@@ -231,7 +241,7 @@
         let requested_ms = now_ms;
         let acquired = tokio::select! {
             acquired = relay.acquire(&want) => acquired,
-            () = relay.wait_until_relayed(service) => return StartResult::Relayed,
+            () = relay.wait_until_relayed(service) => return StartResult::unreachable(incoming),
         };
         let permit = match acquired {
             Ok(permit) => permit,
@@ -299,7 +309,7 @@
         }
     }
     if relay.relays_after_probes(&resolved.service().name).await {
-        return StartResult::Relayed;
+        return StartResult::unreachable(incoming);
     }
     StartResult::LocalReply(not_run_reply(last_refusal))
 }
--- a/components/relay/src/forwarding/hedge.rs
+++ b/components/relay/src/forwarding/hedge.rs
@@ -69,7 +69,8 @@
     attempts.sends += 1;
     let deadline_ms = incoming.deadline_ms(route);
     let hedge_slot = next_target(relay, incoming, resolved, attempts, deadline_ms);
-    if hedge_slot.is_none() && !(relay.relays(service) && relay.try_take_retry(service)) {
+    let may_relay = relay.relays(service) && !incoming.is_relayed;
+    if hedge_slot.is_none() && !(may_relay && relay.try_take_retry(service)) {
         attempts.runs -= 1;
         attempts.sends -= 1;
         return first.await.recorded(relay, incoming, resolved, slot);
@@ -84,7 +85,8 @@
             let attempt =
                 admit_and_attempt(relay, incoming, resolved, hedge_slot, runs, token_request).await;
             let attempt = attempt.recorded(relay, incoming, resolved, hedge_slot);
-            if !matches!(attempt, AttemptResult::NotRun(_)) || !relay.relays(service) {
+            let may_relay = relay.relays(service) && !incoming.is_relayed;
+            if !matches!(attempt, AttemptResult::NotRun(_)) || !may_relay {
                 return attempt;
             }
         }
