relay: only the box whose request was refused reports it, and a connection that the verdict ends has not run

Both found by reading. A box that checked a reported refusal reported it again, so that each of n boxes connected n times to a dead address. A first attempt that was still connecting as the service was lost counted as possibly run when the hedge was polled first: its caller was then told that the outcome is unknown. Tests of platform that concern them pass.

--- a/components/relay/src/forwarding/hedge.rs
+++ b/components/relay/src/forwarding/hedge.rs
@@ -57,6 +57,8 @@
     let first_sent_ms = relay.now_ms();
     let service = &resolved.service().name;
     let answered = tokio::select! {
+        // The verdict also ends an attempt that is still connecting, which has not run.
+        biased;
         answered = timeout(hedge_delay, first.as_mut()) => answered.ok(),
         () = relay.wait_until_relayed(service) => None,
     };
--- a/components/relay/src/forwarding/reachability.rs
+++ b/components/relay/src/forwarding/reachability.rs
@@ -179,16 +179,16 @@
     }
 
     /// Records the outcome of a connection attempt to a target. A new connection that fails before an answer counts as
-    /// a failed attempt.
+    /// a failed attempt. Returns whether the target refuses connections and did not before.
     pub(crate) fn record_connect(
         self: &Rc<Self>,
         slot: TargetSlot,
         result: Result<(), &io::Error>,
-    ) {
+    ) -> bool {
         let (service, target, target_count) = {
             let targets = self.targets.borrow();
             let Some(target) = targets.get(slot) else {
-                return;
+                return false;
             };
             let service = target.entry.service.clone();
             let target_count = targets.count_of_service(&service);
@@ -214,11 +214,14 @@
             self.handle_reachability_change(&service, change);
         }
         match result {
-            Ok(()) => self.accept_again(&[slot]),
-            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                self.record_refused(slot, &service);
+            Ok(()) => {
+                self.accept_again(&[slot]);
+                false
+            }
+            Err(error) => {
+                error.kind() == io::ErrorKind::ConnectionRefused
+                    && self.record_refused(slot, &service)
             }
-            Err(_) => {}
         }
     }
 
--- a/components/relay/src/forwarding/refused.rs
+++ b/components/relay/src/forwarding/refused.rs
@@ -8,21 +8,27 @@
 use tokio::task::spawn_local;
 
 impl Relay {
-    /// Records a refused connection. The target gets no work from this box until it accepts a connection. Other boxes only
-    /// check it themselves, as the path of this box may be what fails.
-    pub(super) fn record_refused(self: &Rc<Self>, slot: TargetSlot, service: &str) {
+    /// Records a refused connection. The target gets no work from this box until it accepts a connection. Returns whether it
+    /// was accepting them before.
+    pub(super) fn record_refused(self: &Rc<Self>, slot: TargetSlot, service: &str) -> bool {
         if self.is_service_lost(service) {
-            return;
+            return false;
         }
         let now_ms = self.now_ms();
         let is_new = self.paths.refused.borrow_mut().record_refusal(slot, now_ms);
         if !is_new {
-            return;
+            return false;
         }
         self.paths.suspected.notify_one();
         slog::info!(self.log, "target refuses connections"; "target" => self.name_of(slot));
         metrics::counter!("shuntpier_targets_refusing").increment(1);
         self.set_refusing(slot, true);
+        true
+    }
+
+    /// Notifies other boxes of a target that refuses connections. They check it themselves, as the path of this box may be
+    /// what fails.
+    pub(super) fn report_refusal(self: &Rc<Self>, slot: TargetSlot) {
         self.report_if_path_is_sound(slot, move |relay| {
             relay.broadcast_hint(slot, HintWord::Refused);
         });
@@ -66,11 +72,11 @@
 
     /// Connects to a target that another box reports as refusing connections.
     pub(crate) fn check_reported_refusal(self: &Rc<Self>, slot: TargetSlot) {
-        let address = self
-            .targets
-            .borrow()
-            .get(slot)
-            .map(|target| target.entry.address);
+        let address = {
+            let targets = self.targets.borrow();
+            let unchecked = targets.get(slot).filter(|target| !target.is_refusing);
+            unchecked.map(|target| target.entry.address)
+        };
         if let Some(address) = address {
             spawn_local(probe(self.clone(), slot, address));
         }
--- a/components/relay/src/forwarding/send.rs
+++ b/components/relay/src/forwarding/send.rs
@@ -174,7 +174,9 @@
             is_new: true,
         });
         connection.map_err(|error| {
-            self.record_connect(slot, Err(&error));
+            if self.record_connect(slot, Err(&error)) {
+                self.report_refusal(slot);
+            }
             slog::info!(self.log, "connecting to target failed"; "address" => %address,
                     "error" => %error);
             match error.kind() {
@@ -236,9 +238,10 @@
                 return SendResult::MayHaveRun(why);
             }
         };
-        match is_new {
-            true => self.record_connect(slot, Ok(())),
-            false => self.record_target_answer(slot),
+        if is_new {
+            self.record_connect(slot, Ok(()));
+        } else {
+            self.record_target_answer(slot);
         }
         let now_ms = self.now_ms();
         if let (Some(load), Some(target)) = (metadata.load, self.targets.borrow_mut().get_mut(slot))
