soak: boxes are cut off from targets

Steps drawn apart from the others, so that plans of known seeds stay as they are: one box to all of them lose all plain targets (packets dropped, connections reset, new ones dropped), beside kills, pauses, restarts, changes and store trouble. Engines are not cut, and no check compares first tries at cut boxes with others yet.

--- a/components/bench/src/soak.rs
+++ b/components/bench/src/soak.rs
@@ -38,6 +38,8 @@
     /// What a machine that stalls is allowed beyond each bound, in milliseconds
     #[bpaf(argument("MS"), fallback(500))]
     pub slack_ms: u64,
+    /// Also cut boxes off from targets
+    pub partitions: bool,
     /// Runs at a time
     #[bpaf(argument("N"), fallback(2))]
     pub parallel: usize,
@@ -107,6 +109,7 @@
         callers: options.callers,
         span_ms: (options.span_s * 1000.0) as u64,
         slack_ms: options.slack_ms,
+        has_partitions: options.partitions,
         plant: options.plant,
     })
 }
--- a/components/soak/src/boxes.rs
+++ b/components/soak/src/boxes.rs
@@ -6,7 +6,7 @@
 use miette::{IntoDiagnostic, WrapErr, miette};
 use serde_json::{Value, json};
 use std::fs::{File, OpenOptions};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
@@ -52,6 +52,11 @@
     Err(miette!("no ports are free from {} on", PORTS.start))
 }
 
+/// The local address of a box's connections to targets, by which links know it.
+pub(crate) fn source_address(at: usize) -> Ipv4Addr {
+    Ipv4Addr::new(127, 0, 1, 10 + at as u8)
+}
+
 /// What the boxes of one run have in common.
 pub(crate) struct Common<'a> {
     pub program: &'a Path,
@@ -66,18 +71,20 @@
 impl BoxProcess {
     /// Writes the settings of a box; nothing runs yet.
     pub fn new(
-        name: &str,
+        at: usize,
         addresses: &[SocketAddr],
         store: &Store,
         common: &Common<'_>,
     ) -> miette::Result<Self> {
+        let name = format!("box-{at}");
         let [callers, readiness, peers] = addresses else {
             return Err(miette!("a box has three addresses"));
         };
         let (door_thread, door) = store.open_endpoint();
         let file = json!({
             "box": { "name": name, "data_centre": "hall", "callers_address": callers,
-                "readiness_address": readiness, "peers_address": peers },
+                "readiness_address": readiness, "peers_address": peers,
+                "source_address": source_address(at) },
             "store": { "address": door.address },
             "promises": { "resend_share": common.resend_share, "resend_spare": common.resend_spare },
             "seeds": common.seeds,
--- a/components/soak/src/plan.rs
+++ b/components/soak/src/plan.rs
@@ -44,6 +44,10 @@
 const PAUSE_MS: std::ops::RangeInclusive<u64> = 1_500..=7_000;
 /// The random numbers of announcements.
 const ANNOUNCEMENTS_STREAM: u64 = 1;
+/// The same for partitions.
+const PARTITIONS_STREAM: u64 = 2;
+/// How long a partition lasts, and the time until the next.
+const PARTITION_MS: std::ops::RangeInclusive<u64> = 300..=4_000;
 
 /// What is done to the world.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -91,6 +95,12 @@
         trouble: link::LinkFault,
         lasts_ms: u64,
     },
+    /// Boxes are cut off from all plain targets, while callers, the store and the other boxes reach them.
+    Partition {
+        boxes: Vec<usize>,
+        mode: link::PartitionMode,
+        lasts_ms: u64,
+    },
     /// An engine leaves, and another comes.
     EngineLeaves { at: usize },
     /// An engine breaks streams off within an event.
@@ -132,6 +142,8 @@
     pub targets: usize,
     pub engines: usize,
     pub span_ms: u64,
+    /// Whether boxes are cut off from targets.
+    pub has_partitions: bool,
 }
 
 /// The plan of a seed.
@@ -156,6 +168,9 @@
         steps.extend(restore(&mut rng, sizes));
     }
     steps.extend(announcements(seed, sizes));
+    if sizes.has_partitions {
+        steps.extend(partitions(seed, sizes));
+    }
     steps.sort_by_key(|timed| timed.at_ms);
     steps
 }
@@ -185,6 +200,28 @@
         .collect()
 }
 
+/// Boxes that are cut off from targets, drawn apart from what else comes. They follow one another, so that links have one
+/// partition at a time.
+fn partitions(seed: u64, sizes: Sizes) -> Vec<Timed> {
+    use link::PartitionMode::*;
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(PARTITIONS_STREAM);
+    let mut steps = Vec::new();
+    let mut at_ms = rng.random_range(FIRST_MS..sizes.span_ms / 2);
+    while at_ms < sizes.span_ms {
+        let lasts_ms = rng.random_range(PARTITION_MS);
+        let count = rng.random_range(1..=sizes.boxes);
+        let step = Step::Partition {
+            boxes: rand::seq::index::sample(&mut rng, sizes.boxes, count).into_vec(),
+            mode: *[Drop, Reset, DropNew].choose(&mut rng).unwrap_or(&Drop),
+            lasts_ms,
+        };
+        steps.push(Timed { at_ms, step });
+        at_ms += lasts_ms + rng.random_range(PARTITION_MS);
+    }
+    steps
+}
+
 fn limit(rng: &mut ChaCha8Rng, sizes: Sizes) -> Step {
     let is_engine = rng.random_bool(0.3);
     let count = match is_engine {
--- a/components/soak/src/play.rs
+++ b/components/soak/src/play.rs
@@ -1,6 +1,6 @@
 //! Plays one run: a platform in small, boxes as processes, callers, and the plan of a seed.
 
-use crate::boxes::BoxProcess;
+use crate::boxes::{BoxProcess, source_address};
 use crate::callers::Callers;
 use crate::checks::check;
 use crate::history::{Evacuated, Outcome, Report, Trouble, TroubledLink};
@@ -8,6 +8,7 @@
 use crate::plan::{FileChange, PLACES, Sizes, Step, Timed, plan};
 use crate::plant::Plant;
 use crate::world::{LOOK_EACH, Later, World};
+use fleet::link::Partition;
 use fleet::{link, store};
 use miette::{IntoDiagnostic, miette};
 use std::path::PathBuf;
@@ -44,6 +45,8 @@
     pub span_ms: u64,
     /// What a machine that stalls is allowed beyond each bound, in milliseconds.
     pub slack_ms: u64,
+    /// Whether boxes are cut off from targets.
+    pub has_partitions: bool,
     /// A promise that is broken on purpose.
     pub plant: Option<Plant>,
 }
@@ -62,6 +65,7 @@
         targets: 3,
         engines: 3,
         span_ms: soak.span_ms,
+        has_partitions: soak.has_partitions,
     };
     let steps = plan(seed, sizes);
     let mut world = World::start(soak, &folder, sizes)?;
@@ -208,6 +212,19 @@
                 });
                 self.later.push((now_ms + lasts_ms, Later::LinkWell(*at)));
             }
+            Step::Partition {
+                boxes,
+                mode,
+                lasts_ms,
+            } => {
+                let clients = boxes.iter().map(|at| source_address(*at)).collect();
+                let mode = *mode;
+                self.set_partition(Some(Partition { clients, mode }));
+                let boxes = boxes.clone();
+                let from_ms = now_ms;
+                let heals = Later::PartitionHeals { boxes, from_ms };
+                self.later.push((now_ms + lasts_ms, heals));
+            }
             Step::TargetRestarts { at } => self.target_restarts(*at),
             Step::EngineRestarts { at, killed } => self.engine_restarts(*at, *killed),
             Step::Limit {
@@ -311,6 +328,13 @@
                 self.trouble_store(at, store::StoreFault::None);
                 self.disturb(Trouble::Store, at, from_ms, now_ms);
             }
+            Later::PartitionHeals { boxes, from_ms } => {
+                self.set_partition(None);
+                // What a cut box's callers send reaches targets through other boxes.
+                boxes
+                    .iter()
+                    .for_each(|at| self.disturb(Trouble::Broken, Some(*at), from_ms, now_ms));
+            }
             Later::LinkWell(at) => self.plain[at].link.set(link::LinkFault::None),
             Later::EngineWell { at, from_ms } => {
                 self.engines[at]
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -12,6 +12,7 @@
         span_ms: 5_000,
         // A machine that also builds may stall for seconds; bounds are checked by hand with less.
         slack_ms: 4_000,
+        has_partitions: false,
         plant,
     }
 }
@@ -25,6 +26,18 @@
     assert!(report.served > 0, "{report:#?}");
 }
 
+#[rstest]
+#[case(13)]
+fn no_promise_is_broken_while_boxes_are_cut_off_from_targets(#[case] seed: u64) {
+    let cut = Soak {
+        has_partitions: true,
+        ..soak(None)
+    };
+    let report = play(&cut, seed).unwrap();
+    assert!(report.broken.is_empty(), "{report:#?}");
+    assert!(report.served > 0, "{report:#?}");
+}
+
 /// Plants that show whatever the seed's plan is.
 #[rstest]
 #[case(Plant::Twice)]
