policy: a service counts as lost only when a later failure confirms it, by five targets

Change: five distinct targets (all, of a smaller service), confirmed by a failure 150 ms after the last of them, with no success between; probes go first to targets that did not fail.

--- a/components/policy/src/health/reachability.rs
+++ b/components/policy/src/health/reachability.rs
@@ -5,7 +5,10 @@
 
 /// Distinct targets whose connections fail, without a success in between, before the service counts as lost. A smaller
 /// service counts as lost when all of its targets failed.
-pub const FAILED_TARGETS_MIN: usize = 3;
+pub const FAILED_TARGETS_MIN: usize = 5;
+/// A further failure this long after the last of these confirms the loss. A connection that is refused fails sooner than one
+/// that is tried at the same time succeeds.
+const CONFIRMATION_MS: u64 = 150;
 /// Failures that are not confirmed for this long no longer count.
 const EVIDENCE_VALID_MS: u64 = 2_000;
 /// Connections must succeed for this long before a lost service is used again. It doubles with each loss within
@@ -61,15 +64,17 @@
             .retain(|(_, at_ms)| now_ms < at_ms + EVIDENCE_VALID_MS);
         self.last_failure_ms = now_ms;
         self.succeeding_since_ms = None;
-        if !self.failed.iter().any(|(failed, _)| *failed == target)
-            && self.failed.len() < FAILED_TARGETS_MIN
-        {
+        if !self.has_failed(target) && self.failed.len() < FAILED_TARGETS_MIN {
             self.failed.push((target, now_ms));
         }
         let needed = target_count.clamp(1, FAILED_TARGETS_MIN);
         if self.lost_since_ms.is_some() || self.failed.len() < needed {
             return None;
         }
+        let last_ms = self.failed.iter().map(|(_, at_ms)| *at_ms).max();
+        if now_ms < last_ms.unwrap_or(now_ms) + CONFIRMATION_MS {
+            return None;
+        }
         let is_flapping = self.losses > 0 && now_ms < self.last_loss_ms + FLAP_WINDOW_MS;
         self.losses = match is_flapping {
             true => self.losses.saturating_add(1),
@@ -110,6 +115,11 @@
         self.last_contact_ms.is_some_and(|at_ms| at_ms > since_ms)
     }
 
+    /// Whether connections to a target failed without a success of any target since.
+    pub fn has_failed(&self, target: TargetId) -> bool {
+        self.failed.iter().any(|(failed, _)| *failed == target)
+    }
+
     /// Whether no target can be reached.
     pub fn is_lost(&self) -> bool {
         self.lost_since_ms.is_some()
--- a/components/relay/src/forwarding/reachability.rs
+++ b/components/relay/src/forwarding/reachability.rs
@@ -2,7 +2,7 @@
 //! a few of its targets are probed by connecting, so that neither the verdict nor its end waits for requests.
 
 use crate::state::Relay;
-use crate::watch::targets::{TargetSlot, TargetState};
+use crate::watch::targets::{Target, TargetSlot, TargetState};
 use http1::Channel;
 use policy::{FAILED_TARGETS_MIN, Reachability, ReachabilityChange, RefusedConnections};
 use rand::seq::IteratorRandom;
@@ -25,6 +25,8 @@
 
 /// A path on which a target was in contact within this time is sound.
 const CONTACT_VALID_MS: u64 = 500;
+/// How long a request that failed waits for the verdict: a round of probes, and one that confirms it.
+const VERDICT_TIMEOUT: Duration = Duration::from_millis(700);
 /// How often a request that failed checks whether the probes have ended.
 const VERDICT_POLL: Duration = Duration::from_millis(10);
 
@@ -104,7 +106,7 @@
 
     /// Whether a target of a service is in contact after a failure at `failed_ms`, as soon as the probes under way show it.
     pub(crate) async fn is_path_sound_after(&self, service: &str, failed_ms: u64) -> bool {
-        let deadline = Instant::now() + PROBE_TIMEOUT + PROBE_HOLD;
+        let deadline = Instant::now() + VERDICT_TIMEOUT;
         while Instant::now() < deadline && !self.is_service_lost(service) {
             let is_in_contact = {
                 let services = self.paths.services.borrow();
@@ -150,7 +152,7 @@
 
     /// Whether requests for a service are relayed, as soon as the probes under way have shown it.
     pub(crate) async fn relays_after_probes(&self, service: &str) -> bool {
-        let deadline = Instant::now() + PROBE_TIMEOUT + PROBE_HOLD;
+        let deadline = Instant::now() + VERDICT_TIMEOUT;
         while !self.relays(service) {
             if !self.paths.is_suspected(service, self.now_ms()) || Instant::now() >= deadline {
                 return false;
@@ -284,15 +286,26 @@
         }
     }
 
-    /// Connects to a few random targets of a service.
+    /// Connects to a few random targets of a service, to those first that did not fail before.
     fn probe_service(self: &Rc<Self>, service: &str) {
         let probed: Vec<(TargetSlot, SocketAddr)> = {
             let targets = self.targets.borrow();
+            let services = self.paths.services.borrow();
+            let path = services.get(service);
             let ready = targets
                 .of_service(service)
                 .filter(|(_, target)| target.state == TargetState::Ready);
-            let addresses = ready.map(|(slot, target)| (slot, target.entry.address));
-            addresses.choose_multiple(&mut rand::rng(), FAILED_TARGETS_MIN)
+            let (failed, untried): (Vec<_>, Vec<_>) =
+                ready.partition(|(_, target)| path.is_some_and(|path| path.has_failed(target.id)));
+            let address = |(slot, target): (TargetSlot, &Target)| (slot, target.entry.address);
+            let rng = &mut rand::rng();
+            let mut probed = untried
+                .into_iter()
+                .map(address)
+                .choose_multiple(rng, FAILED_TARGETS_MIN);
+            let rest = FAILED_TARGETS_MIN - probed.len();
+            probed.extend(failed.into_iter().map(address).choose_multiple(rng, rest));
+            probed
         };
         if probed.is_empty() {
             // Without targets there is nothing to lose.
