--- a/components/relay/src/forwarding/attempt.rs
+++ b/components/relay/src/forwarding/attempt.rs
@@ -2,10 +2,9 @@
 
 use crate::buffered::BufferReservation;
 use crate::forwarding::admission::{Admission, SendKind};
+use crate::forwarding::open_response::{ANSWER_TOO_LONG, OpenResponse};
 use crate::forwarding::outcome::TargetOutcome;
-use crate::forwarding::send::{
-    ANSWER_TOO_LONG, NotRun, OpenResponse, OutgoingRequest, SendResult, UNREPEATABLE_MAX_IDLE_MS,
-};
+use crate::forwarding::send::{NotRun, OutgoingRequest, SendResult, UNREPEATABLE_MAX_IDLE_MS};
 use crate::ingress::request::{IncomingRequest, Reply, ResolvedRoute};
 use crate::quarantine::broken_runs::RunFailure;
 use crate::rate_limit::token::TokenRequest;
--- a/components/relay/src/forwarding/generation.rs
+++ b/components/relay/src/forwarding/generation.rs
@@ -6,11 +6,10 @@
 use crate::dispatch::permits::{Permit, PermitDemand};
 use crate::forwarding::admission::SendKind;
 use crate::forwarding::attempt::NO_MEMORY;
+use crate::forwarding::open_response::OpenResponse;
 use crate::forwarding::outcome::TargetOutcome;
 use crate::forwarding::relay_stream::{RelayedEnd, relay_generation};
-use crate::forwarding::send::{
-    NotRun, OpenResponse, OutgoingRequest, SendResult, UNREPEATABLE_MAX_IDLE_MS,
-};
+use crate::forwarding::send::{NotRun, OutgoingRequest, SendResult, UNREPEATABLE_MAX_IDLE_MS};
 use crate::forwarding::stream::StreamForwarder;
 use crate::ingress::accept::{ChannelAction, count_response, write_reply};
 use crate::ingress::request::{IncomingRequest, LocalReply, Reply, ResolvedRoute};
--- a/components/relay/src/forwarding/mod.rs
+++ b/components/relay/src/forwarding/mod.rs
@@ -12,6 +12,7 @@
 pub(crate) mod generation;
 mod hedge;
 pub(crate) mod idle_channels;
+pub(crate) mod open_response;
 pub(crate) mod outcome;
 mod pauses;
 pub(crate) mod reachability;
--- a/components/relay/src/forwarding/relay.rs
+++ b/components/relay/src/forwarding/relay.rs
@@ -3,10 +3,9 @@
 
 use crate::buffered::BufferReservation;
 use crate::forwarding::attempt::{AttemptResult, NO_MEMORY};
+use crate::forwarding::open_response::{ANSWER_TOO_LONG, OpenResponse};
 use crate::forwarding::relay_peers::ChosenHelper;
-use crate::forwarding::send::{
-    ANSWER_TOO_LONG, NotRun, OpenResponse, OutgoingRequest, exchange_heads,
-};
+use crate::forwarding::send::{NotRun, OutgoingRequest, exchange_heads};
 use crate::ingress::request::{IncomingRequest, LocalReply, Reply, ResolvedRoute};
 use crate::state::Relay;
 use http1::Channel;
--- a/components/relay/src/forwarding/relay_stream.rs
+++ b/components/relay/src/forwarding/relay_stream.rs
@@ -2,10 +2,10 @@
 
 use crate::buffered::deliver::wait_writable;
 use crate::buffered::unsent::Unsent;
+use crate::forwarding::open_response::OpenResponse;
 use crate::forwarding::relay::{
     NO_HELPER_REPLY, OpenRelay, RelayResult, open_at_helper, relay_time_left,
 };
-use crate::forwarding::send::OpenResponse;
 use crate::forwarding::stream_end::{StreamEnd, deliver_partial, deliver_remaining};
 use crate::ingress::accept::ChannelAction;
 use crate::ingress::request::{IncomingRequest, LocalReply, ResolvedRoute};
