relay: a line when a target refuses connections for 3 s although the store lists it

Unit test: a_target_that_refuses_connections_for_long_is_returned_once; tests of refused connections pass.

--- a/components/policy/src/health/refusals.rs
+++ b/components/policy/src/health/refusals.rs
@@ -12,7 +12,9 @@
 #[derive(Clone, Copy, Debug)]
 struct Refusals {
     count: u32,
+    since_ms: u64,
     probe_at_ms: u64,
+    is_reported: bool,
 }
 
 /// The targets whose last connection from this box was refused.
@@ -31,7 +33,9 @@
         let is_new = !self.0.contains_key(&target);
         let refusals = self.0.entry(target).or_insert(Refusals {
             count: 0,
+            since_ms: now_ms,
             probe_at_ms: now_ms,
+            is_reported: false,
         });
         // Refusals of concurrent requests count once.
         if now_ms >= refusals.probe_at_ms {
@@ -56,6 +60,19 @@
         due.map(|(target, _)| *target).collect()
     }
 
+    /// The targets that have refused connections for at least `min_ms`, and for how long (ms). Each is returned once.
+    pub fn take_lasting(&mut self, min_ms: u64, now_ms: u64) -> Vec<(K, u64)> {
+        let mut lasting = Vec::new();
+        for (target, refusals) in &mut self.0 {
+            let lasted_ms = now_ms - refusals.since_ms;
+            if lasted_ms >= min_ms && !refusals.is_reported {
+                refusals.is_reported = true;
+                lasting.push((*target, lasted_ms));
+            }
+        }
+        lasting
+    }
+
     /// All targets that refuse connections.
     pub fn all(&self) -> Vec<K> {
         self.0.keys().copied().collect()
--- a/components/policy/src/health/refusals_tests.rs
+++ b/components/policy/src/health/refusals_tests.rs
@@ -31,3 +31,16 @@
     assert!(!refused.remove(1));
     assert!(refused.is_empty());
 }
+
+#[test]
+fn a_target_that_refuses_connections_for_long_is_returned_once() {
+    let mut refused = RefusedConnections::default();
+    refused.record_refusal(1, 0);
+    refused.record_refusal(2, 2_000);
+    assert_eq!(refused.take_lasting(3_000, 2_900), []);
+    assert_eq!(refused.take_lasting(3_000, 3_100), [(1, 3_100)]);
+    assert_eq!(refused.take_lasting(3_000, 3_200), []);
+    refused.remove(1);
+    refused.record_refusal(1, 4_000);
+    assert_eq!(refused.take_lasting(3_000, 7_000).len(), 2);
+}
--- a/components/relay/src/forwarding/refused.rs
+++ b/components/relay/src/forwarding/refused.rs
@@ -7,6 +7,9 @@
 use std::rc::Rc;
 use tokio::task::spawn_local;
 
+/// A target that refuses connections for longer than this is reported to operators, in ms.
+const LASTING_MS: u64 = 3_000;
+
 impl Relay {
     /// Records a refused connection. The target gets no work from this box until it accepts a connection. Returns whether it
     /// was accepting them before.
@@ -82,8 +85,22 @@
         }
     }
 
+    /// Logs the targets that have refused connections for long although the store still lists them.
+    fn log_lasting_refusals(&self) {
+        let now_ms = self.now_ms();
+        let mut refused = self.paths.refused.borrow_mut();
+        for (slot, lasted_ms) in refused.take_lasting(LASTING_MS, now_ms) {
+            if self.is_gone(slot) {
+                continue;
+            }
+            slog::warn!(self.log, "target refuses connections but the store lists it";
+                "target" => self.name_of(slot), "for_ms" => lasted_ms);
+        }
+    }
+
     /// Probes the targets that refuse connections.
     pub(super) fn probe_refusing_targets(self: &Rc<Self>) {
+        self.log_lasting_refusals();
         let due = self.paths.refused.borrow().due(self.now_ms());
         for slot in due {
             let address = self
