relay: a line when a box ignores an evacuation that the store lists

To tell apart how an order reached a box and why it was not applied: the line names the version of the list, the version known to the box and whether the store is settling after a restore.

--- a/components/relay/src/watch/evacuation.rs
+++ b/components/relay/src/watch/evacuation.rs
@@ -3,7 +3,7 @@
 
 use crate::state::Relay;
 use crate::watch::targets::TargetSlot;
-use prelude::DataCentreId;
+use prelude::{DataCentreId, Version};
 use routing::Evacuations;
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::rc::Rc;
@@ -107,6 +107,17 @@
         true
     }
 
+    /// Logs evacuations that are in a list of the store but not in force on this box.
+    pub(crate) fn log_ignored_evacuations(&self, listed: &BTreeSet<Box<str>>, read_at: Version) {
+        let evacuation = self.evacuation.borrow();
+        let known = evacuation.known();
+        for name in listed.difference(&known.data_centres) {
+            slog::warn!(self.log, "listed evacuation ignored"; "data_centre" => &**name,
+                "read_at" => %read_at, "known_version" => %known.version,
+                "is_settling" => self.is_settling());
+        }
+    }
+
     /// Closes idle channels to targets in evacuated data centres.
     fn close_evacuated_channels(&self) {
         let targets = self.targets.borrow();
--- a/components/relay/src/watch/watcher.rs
+++ b/components/relay/src/watch/watcher.rs
@@ -18,6 +18,7 @@
 use platform::{CONFIG_KEY, FleetWatch, OPERATOR_PREFIX, TARGET_PREFIX, evacuated_data_centre};
 use prelude::Version;
 use routing::Evacuations;
+use std::collections::BTreeSet;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -281,7 +282,7 @@
 
 /// Applies the evacuations in a complete list of the operators' declarations.
 fn apply_evacuations(relay: &Rc<Relay>, items: &[Versioned], version: Version) {
-    let named = items
+    let named: BTreeSet<Box<str>> = items
         .iter()
         .filter_map(|item| evacuated_data_centre(&item.key))
         .map(Box::from)
@@ -290,9 +291,10 @@
     let changed = relay.update_evacuations("store", |known| match may_be_stale {
         // The stale backup may be missing an order that is in force, or contain one that was withdrawn. Until the
         // store settles, data centres of either set get no work.
-        true => known.join(&Evacuations::of_copy(named, version)),
-        false => known.read(named, version),
+        true => known.join(&Evacuations::of_copy(named.clone(), version)),
+        false => known.read(named.clone(), version),
     });
+    relay.log_ignored_evacuations(&named, version);
     if changed {
         broadcast_digest(relay);
     }
