relay: an evacuation that a list contains takes effect while the store settles

Callers' requests reached a data centre up to 3.9 s after operators had evacuated it, if the order was written within 6 s of the store's return from a backup and no watch returned it.

Cause: a list that is read while the store settles was joined with the known orders under version (era, 0), so that later orders count as newer. From the second such list on, that version was not later than the known one, and the list was dropped with all orders in it. Watches begin after the list, so nothing else returned the order until the store had settled.

Change: a list that is read while the store settles adds its orders whenever it is not older than what is known, and carries the version of the latest order in it, so that peers with older orders accept it.

The new test of boxes failed before (evacuation begins after 'store era settled') and passes now.

--- a/components/relay/src/watch/watcher.rs
+++ b/components/relay/src/watch/watcher.rs
@@ -17,8 +17,7 @@
 use peers::{TargetChanges, TargetList};
 use platform::{CONFIG_KEY, FleetWatch, OPERATOR_PREFIX, TARGET_PREFIX, evacuated_data_centre};
 use prelude::Version;
-use routing::Evacuations;
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -282,19 +281,19 @@
 
 /// Applies the evacuations in a complete list of the operators' declarations.
 fn apply_evacuations(relay: &Rc<Relay>, items: &[Versioned], version: Version) {
-    let named: BTreeSet<Box<str>> = items
+    let listed: BTreeMap<Box<str>, Version> = items
         .iter()
-        .filter_map(|item| evacuated_data_centre(&item.key))
-        .map(Box::from)
+        .filter_map(|item| Some((evacuated_data_centre(&item.key)?.into(), item.version())))
         .collect();
+    let names: BTreeSet<Box<str>> = listed.keys().cloned().collect();
     let may_be_stale = relay.is_settling();
     let changed = relay.update_evacuations("store", |known| match may_be_stale {
         // The stale backup may be missing an order that is in force, or contain one that was withdrawn. Until the
         // store settles, data centres of either set get no work.
-        true => known.join(&Evacuations::of_copy(named.clone(), version)),
-        false => known.read(named.clone(), version),
+        true => known.join_list(listed, version),
+        false => known.read(names.clone(), version),
     });
-    relay.log_ignored_evacuations(&named, version);
+    relay.log_ignored_evacuations(&names, version);
     if changed {
         broadcast_digest(relay);
     }
--- a/components/routing/src/evacuation.rs
+++ b/components/routing/src/evacuation.rs
@@ -2,7 +2,7 @@
 
 use prelude::Version;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// The evacuated data centres, as the store had them at a version. Sets that are read from one store are ordered by
 /// their versions, so a box that adopts only newer ones never goes back.
@@ -61,12 +61,30 @@
         }
     }
 
+    /// Applies a list read at `read_at` from a store that may have lost recent writes. `listed` maps each data centre to the
+    /// version at which its order was written. All of them are in force, and known orders that are not listed stay in
+    /// force. Returns whether the set changed.
+    pub fn join_list(&mut self, listed: BTreeMap<Box<str>, Version>, read_at: Version) -> bool {
+        if read_at < self.version {
+            return false;
+        }
+        let written_at = listed.values().copied().max().unwrap_or_default();
+        let mut copy = Self::of_copy(listed.into_keys().collect(), read_at);
+        // Boxes that know only older orders accept the set from this one.
+        copy.version = copy.version.max(written_at);
+        self.unite(&copy)
+    }
+
     /// Takes over all that another set holds beside what this one does, unless it is an older one of the same era: what was
     /// taken back since would come back with it. Says whether the set changed.
     pub fn join(&mut self, other: &Self) -> bool {
         if other.version.era() == self.version.era() && !other.is_later_than(self) {
             return false;
         }
+        self.unite(other)
+    }
+
+    fn unite(&mut self, other: &Self) -> bool {
         let before = self.data_centres.len();
         self.version = self.version.max(other.version);
         self.is_joined = true;
--- a/components/routing/tests/evacuation.rs
+++ b/components/routing/tests/evacuation.rs
@@ -127,3 +127,33 @@
     assert!(!known.join(&older));
     assert_eq!(known.data_centres, set(&[]));
 }
+
+fn listed(orders: &[(&str, u64)]) -> std::collections::BTreeMap<Box<str>, Version> {
+    let orders = orders.iter();
+    orders
+        .map(|(name, revision)| ((*name).into(), again(*revision)))
+        .collect()
+}
+
+/// Guards against orders that are dropped because a list contains them and no watch returned them.
+#[test]
+fn an_order_in_a_later_list_takes_effect_while_the_store_settles() {
+    let mut known = Evacuations::default();
+    known.ordered("east", true, at(900));
+    known.join_list(listed(&[]), again(700));
+    assert!(known.join_list(listed(&[("west", 705)]), again(710)));
+    assert_eq!(known.data_centres, set(&["east", "west"]));
+    let mut peer = Evacuations::default();
+    peer.join_list(listed(&[]), again(700));
+    assert!(peer.join(&known), "the peer learns it too");
+    assert_eq!(peer.data_centres, set(&["east", "west"]));
+}
+
+#[test]
+fn a_delayed_list_brings_no_withdrawn_order_back_while_the_store_settles() {
+    let mut known = Evacuations::default();
+    known.join_list(listed(&[("west", 705)]), again(710));
+    assert!(known.ordered("west", false, again(720)));
+    assert!(!known.join_list(listed(&[("west", 705)]), again(715)));
+    assert_eq!(known.data_centres, set(&[]));
+}
