relay: a target that is listed again keeps what it announced

Requests reached a target within the pause that it had asked for, after its entry could not be read for a time.

Cause: a removed target without open requests was dropped from the registry with all its state. When the same incarnation was listed again it began without its pause, its announced rate limit, its ejection and its probation; one whose entries carry no birth time also lost its announcement that it leaves.

Change: removed incarnations with such state are retained, the latest 1,024, and continue with it when they are listed again. A new incarnation under the name begins without it. The flag for refused connections is not retained, as nothing probes a removed target; the first connection sets it again.

--- a/components/relay/src/watch/incarnation.rs
+++ b/components/relay/src/watch/incarnation.rs
@@ -43,6 +43,24 @@
         target
     }
 
+    /// An incarnation that was removed and is listed again. `left`: it was seen to leave meanwhile.
+    pub(super) fn relisted(mut self, entry: TargetEntry, left: bool, now_ms: u64) -> Self {
+        self.was_leaving |= left;
+        // Nothing probes a removed target.
+        self.is_refusing = false;
+        self.update_entry(entry, now_ms);
+        self
+    }
+
+    /// Whether it announced anything or this box observed anything that its entry does not contain.
+    pub(super) fn has_state(&self) -> bool {
+        self.announced_leaving
+            || self.rate_limit.announced.is_limited()
+            || self.backoff != RetryAfterBackoff::default()
+            || self.outlier != OutlierEjection::default()
+            || self.probation != Probation::default()
+    }
+
     /// Sets the phase of the entry to the believed state, so that peers receive it.
     pub(super) fn sync_entry_phase(&mut self) {
         if self.state == TargetState::Leaving {
--- a/components/relay/src/watch/index.rs
+++ b/components/relay/src/watch/index.rs
@@ -30,9 +30,22 @@
         if target.entry.cold_left_ms > 0 {
             self.transient.insert(slot);
         }
+        if target.has_state() {
+            self.add_state(slot, target);
+        }
         self.update_leaving(slot, target);
     }
 
+    /// Adds a target to the sets of rare states.
+    fn add_state(&mut self, slot: TargetSlot, target: &Target) {
+        self.on_probation.insert(slot);
+        self.transient.insert(slot);
+        self.backing_off.insert(slot);
+        if target.rate_limit.announced.is_limited() {
+            self.rate_limited.insert(slot);
+        }
+    }
+
     pub fn remove(&mut self, slot: TargetSlot, service: &str) {
         self.remove_from_service(slot, service);
         for set in [
--- a/components/relay/src/watch/listing.rs
+++ b/components/relay/src/watch/listing.rs
@@ -98,7 +98,10 @@
         self.changed_at = self.changed_at.max(entry.version);
         let tombstone = self.tombstone_of(&incarnation);
         let left = tombstone.was_leaving && tombstone.born_ms == incarnation.born_ms;
-        let target = Target::new(entry, left, now_ms);
+        let target = match self.retained.take(incarnation.id()) {
+            Some(removed) => removed.relisted(entry, left, now_ms),
+            None => Target::new(entry, left, now_ms),
+        };
         let state = target.state;
         let slot = self.insert(target);
         Some(match state {
--- a/components/relay/src/watch/mod.rs
+++ b/components/relay/src/watch/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) mod listing;
 pub(crate) mod reconcile;
 pub(crate) mod refused;
+pub(crate) mod retained;
 pub(crate) mod target;
 pub(crate) mod target_snapshot;
 pub(crate) mod targets;
--- a/components/relay/src/watch/targets.rs
+++ b/components/relay/src/watch/targets.rs
@@ -2,6 +2,7 @@
 //! address or name. Entries and lists are applied in [`crate::watch::listing`].
 
 use crate::watch::index::TargetIndex;
+use crate::watch::retained::RetainedTargets;
 pub(crate) use crate::watch::target::{COLD_PENALTY_SHARE, REMOTE_PENALTY_SHARE};
 pub use crate::watch::target::{ColdRate, Missing, Target, TargetState};
 use crate::watch::tombstones::Tombstones;
@@ -30,6 +31,7 @@
     pub(super) by_instance: HashMap<Box<str>, TargetSlot>,
     pub(super) by_id: HashMap<TargetId, TargetSlot>,
     pub(super) tombstones: Tombstones,
+    pub(super) retained: RetainedTargets,
     /// The store's version up to which the list is complete.
     pub current_to: Version,
     /// The version of the last relevant change: a target was added, leaves, or was removed.
@@ -371,6 +373,7 @@
                 self.by_instance.remove(instance);
             }
             self.by_id.remove(&target.id);
+            self.retained.retain(target);
         }
     }
 
