relay: how long a call to a peer waited, and how long that peer was silent

'peer did not answer' now names both. A wait much longer than the limit of the call shows that this process was not scheduled; a short silence shows a peer that is slow and not gone.

--- a/components/peers/src/client.rs
+++ b/components/peers/src/client.rs
@@ -36,10 +36,12 @@
         cause: std::io::Error,
     },
     /// The call was sent and no answer came.
-    #[error("box {id} did not answer: {cause}")]
+    #[error("box {id} did not answer within {waited_ms} ms: {cause}")]
     NoAnswer {
         /// The box.
         id: BoxId,
+        /// How long this box waited, in ms. Much more than the limit if this process was not scheduled.
+        waited_ms: u64,
         /// Why.
         cause: RpcError,
     },
@@ -194,7 +196,8 @@
         slot.note_use();
         let client = self.client(id, &slot).await?;
         let mut context = context::current();
-        context.deadline = Instant::now() + limit;
+        let sent_at = Instant::now();
+        context.deadline = sent_at + limit;
         self.traffic.calls.fetch_add(1, Ordering::Relaxed);
         let answered = match tokio::time::timeout(limit, call(client, context)).await {
             Ok(answered) => answered,
@@ -206,7 +209,12 @@
                 if !matches!(cause, RpcError::DeadlineExceeded) {
                     *slot.client.lock().await = None;
                 }
-                Err(PeerError::NoAnswer { id, cause })
+                let waited_ms = sent_at.elapsed().as_millis() as u64;
+                Err(PeerError::NoAnswer {
+                    id,
+                    waited_ms,
+                    cause,
+                })
             }
         }
     }
--- a/components/relay/src/dispatch/heartbeat.rs
+++ b/components/relay/src/dispatch/heartbeat.rs
@@ -34,9 +34,11 @@
                 Some(value)
             }
             Err(error) => {
+                let last_seen_ms = self.members.borrow().last_seen_ms(id);
                 self.members.borrow_mut().record_failure(id, now_ms);
                 self.peer_suspected.notify_waiters();
                 slog::info!(self.log, "peer did not answer"; "call" => call, "box" => id.0,
+                    "silent_ms" => last_seen_ms.map(|seen_ms| now_ms.saturating_sub(seen_ms)),
                     "error" => %error);
                 metrics::counter!("shuntpier_peer_failures").increment(1);
                 None
--- a/components/relay/src/membership/members.rs
+++ b/components/relay/src/membership/members.rs
@@ -333,6 +333,11 @@
         self.store_follower_ms
     }
 
+    /// Time at which a box last answered or called this one, in ms; none if the box is not known.
+    pub(crate) fn last_seen_ms(&self, id: BoxId) -> Option<u64> {
+        self.others.get(&id).map(|member| member.last_seen_ms)
+    }
+
     /// Time at which any box last answered or called this one, in ms.
     pub(crate) fn last_contact_ms(&self) -> u64 {
         self.contact_ms
