peers: a caller that was not scheduled does not take its peer for silent

Boxes that were starved of processor for a moment left a dispatcher that had answered: its callers were overtaken by those of other boxes, and two boxes dispatched at a time.

Cause: when a process is scheduled again after the limit of a call, the timer and the answer in the socket are due at once, and the timer was seen first; the peer was suspected for a second.

Change: time by which a call overran its limit is added to the limit, 10 ms at least and the limit at most, so that an answer in the socket is read and a call that was not written yet is answered.

--- a/components/peers/src/client.rs
+++ b/components/peers/src/client.rs
@@ -11,6 +11,7 @@
 use std::collections::HashMap;
 use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::sync::atomic::Ordering;
 use std::sync::{Arc, Mutex, PoisonError};
 use std::time::{Duration, Instant};
@@ -36,10 +37,12 @@
         cause: std::io::Error,
     },
     /// The call was sent and no answer came.
-    #[error("box {id} did not answer within {waited_ms} ms: {cause}")]
+    #[error("box {id} did not answer within {limit_ms} ms (waited {waited_ms} ms): {cause}")]
     NoAnswer {
         /// The box.
         id: BoxId,
+        /// How long it had to answer, in ms.
+        limit_ms: u64,
         /// How long this box waited, in ms. Much more than the limit if this process was not scheduled.
         waited_ms: u64,
         /// Why.
@@ -47,6 +50,21 @@
     },
 }
 
+impl PeerError {
+    /// How long the box had to answer, in ms, if the call was sent and it did not answer in time. Any other error shows
+    /// that its process or the path to it is gone.
+    pub fn timeout_ms(&self) -> Option<u64> {
+        match self {
+            Self::NoAnswer {
+                limit_ms,
+                cause: RpcError::DeadlineExceeded,
+                ..
+            } => Some(*limit_ms),
+            _ => None,
+        }
+    }
+}
+
 const CONNECT_LIMIT: Duration = Duration::from_millis(300);
 
 /// Bytes on a link that are not acknowledged for this long end it: behind a cut nothing is said, and the system's
@@ -96,6 +114,13 @@
 /// Links of the boxes of a platform's fleet.
 pub type FleetClients = Links<FleetClient>;
 
+/// Time to read an answer that is already in the socket.
+const READ_TIME: Duration = Duration::from_millis(10);
+
+/// How much longer than its caller a link waits for an answer, so that it does not drop one that arrives while this
+/// process is not scheduled. A caller that gives up cancels its call.
+const DEADLINE_MARGIN: Duration = Duration::from_secs(10);
+
 /// A link that carried no call for this long is closed. A box calls many others once and few of them often; a link that
 /// rests takes some 25 KB at each side.
 const IDLE_LIMIT: Duration = Duration::from_secs(8);
@@ -197,13 +222,9 @@
         let client = self.client(id, &slot).await?;
         let mut context = context::current();
         let sent_at = Instant::now();
-        context.deadline = sent_at + limit;
+        context.deadline = sent_at + limit + DEADLINE_MARGIN;
         self.traffic.calls.fetch_add(1, Ordering::Relaxed);
-        let answered = match tokio::time::timeout(limit, call(client, context)).await {
-            Ok(answered) => answered,
-            Err(_) => Err(RpcError::DeadlineExceeded),
-        };
-        match answered {
+        match answer_within(limit, call(client, context)).await {
             Ok(value) => Ok(value),
             Err(cause) => {
                 if !matches!(cause, RpcError::DeadlineExceeded) {
@@ -212,6 +233,7 @@
                 let waited_ms = sent_at.elapsed().as_millis() as u64;
                 Err(PeerError::NoAnswer {
                     id,
+                    limit_ms: limit.as_millis() as u64,
                     waited_ms,
                     cause,
                 })
@@ -254,6 +276,25 @@
     }
 }
 
+/// Waits for the answer to a call. Time in which this process was not scheduled does not count against the peer: the
+/// answer may wait in the socket, or the call may not have been written yet.
+async fn answer_within<T>(
+    limit: Duration,
+    call: impl Future<Output = Result<T, RpcError>>,
+) -> Result<T, RpcError> {
+    let mut call = pin!(call);
+    let called_at = tokio::time::Instant::now();
+    if let Ok(answered) = tokio::time::timeout(limit, &mut call).await {
+        return answered;
+    }
+    let overrun = called_at.elapsed().saturating_sub(limit);
+    let extension = overrun.clamp(READ_TIME, limit.max(READ_TIME));
+    match tokio::time::timeout(extension, call).await {
+        Ok(answered) => answered,
+        Err(_) => Err(RpcError::DeadlineExceeded),
+    }
+}
+
 #[cfg(test)]
 #[path = "client_tests.rs"]
 mod tests;
