relay: one late answer does not end a dispatcher's role

After a partition a box left the dispatcher that had come back, and in a burst boxes dispatched by themselves, so that their callers were overtaken.

Cause: a box was suspected for a second after a single call without an answer within 120 ms, also if it had answered all others. After two such calls a box dispatched by itself. On busy machines a process is not scheduled for that long.

Change: a box is suspected after a silence of 240 ms since its last contact, counted from when its answer was due; time in which it may hold an answer does not count. A link that is refused or closed is still proof at once. A call after one without an answer asks for an immediate reply, and a box decides by its own view after three calls without an answer. 'peer did not answer' says whether the box is suspected. The tokens of rate limits use the same rule.

--- a/components/relay/src/dispatch/heartbeat.rs
+++ b/components/relay/src/dispatch/heartbeat.rs
@@ -3,7 +3,7 @@
 use crate::dispatch::permits::CALL_TIMEOUT;
 use crate::state::Relay;
 use crate::watch::targets::TargetSlot;
-use peers::{EngineFault, FleetClient, UpdateRequest};
+use peers::{EngineFault, FleetClient, PeerError, UpdateRequest};
 use prelude::{BoxId, PermitId, PoolId, TargetId};
 use std::future::Future;
 use std::rc::Rc;
@@ -24,6 +24,17 @@
         id: BoxId,
         answered: Result<T, peers::PeerError>,
         call: &'static str,
+    ) -> Option<T> {
+        self.record_held_result(id, answered, call, 0)
+    }
+
+    /// Like [`Self::record_peer_result`] for a call whose answer the peer may hold for `held_ms`. That time is no silence.
+    pub(crate) fn record_held_result<T>(
+        &self,
+        id: BoxId,
+        answered: Result<T, peers::PeerError>,
+        call: &'static str,
+        held_ms: u32,
     ) -> Option<T> {
         let now_ms = self.now_ms();
         match answered {
@@ -34,18 +45,37 @@
                 Some(value)
             }
             Err(error) => {
-                let last_seen_ms = self.members.borrow().last_seen_ms(id);
-                self.members.borrow_mut().record_failure(id, now_ms);
-                self.peer_suspected.notify_waiters();
-                slog::info!(self.log, "peer did not answer"; "call" => call, "box" => id.0,
-                    "silent_ms" => last_seen_ms.map(|seen_ms| now_ms.saturating_sub(seen_ms)),
-                    "error" => %error);
-                metrics::counter!("shuntpier_peer_failures").increment(1);
+                self.record_peer_failure(id, &error, call, held_ms);
                 None
             }
         }
     }
 
+    fn record_peer_failure(&self, id: BoxId, error: &PeerError, call: &'static str, held_ms: u32) {
+        let now_ms = self.now_ms();
+        let last_seen_ms = self.members.borrow().last_seen_ms(id);
+        let is_suspected = {
+            let mut members = self.members.borrow_mut();
+            match error.timeout_ms() {
+                Some(limit_ms) => {
+                    let late_ms = limit_ms.saturating_sub(held_ms.into());
+                    members.record_timeout(id, late_ms, now_ms)
+                }
+                None => {
+                    members.record_failure(id, now_ms);
+                    true
+                }
+            }
+        };
+        if is_suspected {
+            self.peer_suspected.notify_waiters();
+        }
+        slog::info!(self.log, "peer did not answer"; "call" => call, "box" => id.0,
+            "silent_ms" => last_seen_ms.map(|seen_ms| now_ms.saturating_sub(seen_ms)),
+            "suspected" => is_suspected, "error" => %error);
+        metrics::counter!("shuntpier_peer_failures").increment(1);
+    }
+
     /// Notifies a pool's dispatcher without waiting for the answer. Calls `here` if this box is the dispatcher, `there` if not.
     fn notify_dispatcher<F, Fut>(
         self: &Rc<Self>,
--- a/components/relay/src/dispatch/permits.rs
+++ b/components/relay/src/dispatch/permits.rs
@@ -22,8 +22,11 @@
 const TARGET_WAIT_TIMEOUT: Duration = Duration::from_millis(100);
 /// Timeout of other calls to a dispatcher.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(250);
-/// Number of dispatchers that are tried before a box decides by its own view.
-const DISPATCHERS_TRIED_MAX: usize = 2;
+/// The same after a call without an answer, which shows sooner whether the dispatcher is silent.
+const WAIT_AFTER_TIMEOUT_MS: u32 = 1;
+/// Number of calls in a row without an answer after which a box decides by its own view: two to a dispatcher that may only
+/// be late, and one to the next in rank.
+const UNANSWERED_CALLS_MAX: usize = 3;
 
 /// What a generation needs of a permit.
 #[derive(Clone, Copy, Debug)]
@@ -201,7 +204,7 @@
         loop {
             let first = self.dispatchers_of(request.pool).first().copied();
             let dispatcher = first
-                .filter(|_| failed < DISPATCHERS_TRIED_MAX)
+                .filter(|_| failed < UNANSWERED_CALLS_MAX)
                 .unwrap_or(self.id);
             let is_synced = self.sync_new_dispatcher(dispatcher, request.pool).await;
             let now_ms = self.now_ms();
@@ -235,7 +238,7 @@
                     return Err(refusal);
                 }
                 Some(PermitReply::Waiting { .. }) => wait_ms = WAIT_PER_CALL_MS,
-                None => {}
+                None => wait_ms = wait_ms.min(WAIT_AFTER_TIMEOUT_MS),
             }
             if self.now_ms() >= demand.wait_deadline_ms {
                 return Err(refusal(RefusalReason::DeadlinePassed));
@@ -269,7 +272,7 @@
             .call(dispatcher, limit, |client, context| async move {
                 client.acquire(context, request, wait_ms).await
             });
-        self.record_peer_result(dispatcher, call.await, "acquire")
+        self.record_held_result(dispatcher, call.await, "acquire", wait_ms)
     }
 
     /// Asks the dispatcher for an engine on which a running generation can continue, and moves its permit there. If no
--- a/components/relay/src/membership/members.rs
+++ b/components/relay/src/membership/members.rs
@@ -11,6 +11,9 @@
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
+/// How long a box must have left calls without an answer, after its last contact, to be suspected, in ms. A box that is
+/// not scheduled for a moment answers the next call.
+const MIN_SILENCE_MS: u64 = 240;
 /// How long a box that did not answer is suspected and holds no role, in ms; doubled with each further failure.
 const SUSPICION_MS: u64 = 1_000;
 const SUSPICION_MAX_MS: u64 = 16_000;
@@ -36,6 +39,8 @@
     pub(super) last_seen_ms: u64,
     pub(super) suspected_until_ms: u64,
     pub(super) failures: u32,
+    /// Since when the box has left calls without an answer, in ms; none since its last contact.
+    pub(super) unanswered_since_ms: Option<u64>,
     /// Since when the box is known to be stopping gracefully, in ms.
     pub(super) stopping_since_ms: Option<u64>,
 }
@@ -117,6 +122,7 @@
             last_seen_ms: now_ms,
             suspected_until_ms: 0,
             failures: 0,
+            unanswered_since_ms: None,
             stopping_since_ms: None,
         });
         let changes_roles =
@@ -141,6 +147,7 @@
             member.last_seen_ms = now_ms;
             member.suspected_until_ms = 0;
             member.failures = 0;
+            member.unanswered_since_ms = None;
         }
         let is_eligible = Some((member.is_eligible(now_ms), member.card.link_mbps));
         if was_eligible != is_eligible {
@@ -174,6 +181,7 @@
         member.last_seen_ms = now_ms;
         member.suspected_until_ms = 0;
         member.failures = 0;
+        member.unanswered_since_ms = None;
         if !was_eligible {
             self.invalidate_rankings();
         }
@@ -183,7 +191,22 @@
         }
     }
 
-    /// Records that a box did not answer, and suspects it for a while.
+    /// Records that a box did not answer a call in time; the answer was due `late_ms` ago. Suspects the box if it has been
+    /// silent for `MIN_SILENCE_MS`. Returns whether it is suspected.
+    pub(crate) fn record_timeout(&mut self, id: BoxId, late_ms: u64, now_ms: u64) -> bool {
+        let Some(member) = self.others.get_mut(&id) else {
+            return false;
+        };
+        let due_ms = now_ms.saturating_sub(late_ms);
+        let since_ms = *member.unanswered_since_ms.get_or_insert(due_ms);
+        let is_silent = since_ms + MIN_SILENCE_MS <= now_ms;
+        if is_silent {
+            self.record_failure(id, now_ms);
+        }
+        is_silent
+    }
+
+    /// Records that a box cannot be reached or has been silent, and suspects it for a while.
     pub(crate) fn record_failure(&mut self, id: BoxId, now_ms: u64) {
         if let Some(member) = self.others.get_mut(&id) {
             let suspicion_ms = (SUSPICION_MS << member.failures.min(8)).min(SUSPICION_MAX_MS);
--- a/components/relay/src/membership/members_tests.rs
+++ b/components/relay/src/membership/members_tests.rs
@@ -35,6 +35,30 @@
     assert_eq!(members.ranked(ROLE, true, 3_001)[0], first);
 }
 
+/// Guards against a dispatcher that loses its role because it was not scheduled for a moment.
+#[test]
+fn a_box_that_answers_one_call_late_keeps_its_roles() {
+    let mut members = three_boxes();
+    let first = members.ranked(ROLE, true, 0)[0];
+    assert!(!members.record_timeout(first, 120, 120));
+    assert_eq!(members.ranked(ROLE, true, 121)[0], first);
+    members.record_contact(first, 150);
+    assert!(!members.record_timeout(first, 120, 300));
+    assert_eq!(members.ranked(ROLE, true, 301)[0], first);
+}
+
+#[test]
+fn a_box_that_leaves_calls_unanswered_for_long_enough_is_suspected() {
+    let mut members = three_boxes();
+    let first = members.ranked(ROLE, true, 0)[0];
+    assert!(!members.record_timeout(first, 120, 120));
+    assert!(members.record_timeout(first, 120, 240));
+    assert_ne!(members.ranked(ROLE, true, 241)[0], first);
+    members.record_contact(first, 300);
+    assert!(members.record_timeout(first, 250, 900));
+    assert_ne!(members.ranked(ROLE, true, 901)[0], first);
+}
+
 #[test]
 fn a_stopping_box_holds_no_role() {
     let mut members = three_boxes();
--- a/components/relay/src/rate_limit/token.rs
+++ b/components/relay/src/rate_limit/token.rs
@@ -115,13 +115,14 @@
         coordinator: BoxId,
         request: RateTokenRequest,
     ) -> Option<RateTokenReply> {
-        let limit = Duration::from_millis(u64::from(request.wait_ms)) + CALL_SLACK;
+        let wait_ms = request.wait_ms;
+        let limit = Duration::from_millis(u64::from(wait_ms)) + CALL_SLACK;
         let call = self
             .peers
             .call(coordinator, limit, |client, context| async move {
                 client.rate_token(context, request).await
             });
-        self.record_peer_result(coordinator, call.await, "rate token")
+        self.record_held_result(coordinator, call.await, "rate token", wait_ms)
     }
 
     /// Takes a token from this box's own share of the limit.
