relay: a box that starts while the store settles keeps the orders that its peers keep

Work went to an evacuated data centre through boxes that had started within 6 s of the store's return from a backup, if the backup lacked the order and operators had not written it again.

Cause: a box that starts takes the first era that it observes for no rise, so it does not settle. As soon as it read the declarations itself, it took orders that its peers kept for withdrawn, and if it was elected, no box was left that kept them. Found by looking through what is held back while an era settles.

Change: a box that started less than 6 s ago and hears of such orders from a peer settles for 5 s as its peers do.

--- a/components/relay/src/membership/gossip.rs
+++ b/components/relay/src/membership/gossip.rs
@@ -209,6 +209,9 @@
     let reported = &digest.evacuations;
     let era = digest.targets_current_to.max(reported.version).era();
     relay.observe_era(era, EraSource::Peer);
+    if reported.is_kept_in(era) {
+        relay.observe_kept_evacuations(era);
+    }
     let may_be_copied = relay.is_settling();
     relay.update_evacuations("peer", |known| match may_be_copied {
         true => known.join(reported),
--- a/components/relay/src/watch/era.rs
+++ b/components/relay/src/watch/era.rs
@@ -107,8 +107,7 @@
             EraSource::Store => SETTLE_MS,
             EraSource::Peer => SETTLE_MS - PEER_SETTLE_LEAD_MS,
         };
-        let until_ms = self.now_ms() + settle_ms;
-        self.targets.borrow_mut().record_era_rise(until_ms);
+        self.begin_settling(era, settle_ms);
         let withheld = self
             .quarantine
             .borrow()
@@ -123,9 +122,27 @@
         metrics::counter!("shuntpier_store_era_rises").increment(1);
         // Open watches refer to a history that no longer exists.
         self.store_suspected.notify_waiters();
-        tokio::task::spawn_local(settle(self.clone(), era, settle_ms));
         tokio::task::spawn_local(rewrite_records(self.clone()));
     }
+
+    /// Records that a peer keeps evacuations that the restored store may have lost. A box that started since the restore
+    /// keeps them for the same time.
+    pub(crate) fn observe_kept_evacuations(self: &Rc<Self>, era: u32) {
+        let is_new = self.now_ms() < SETTLE_MS;
+        let is_current = self.observed_era.get() == Some(era);
+        if !is_new || !is_current || self.is_settling() {
+            return;
+        }
+        let settle_ms = SETTLE_MS - PEER_SETTLE_LEAD_MS;
+        slog::info!(self.log, "store era settles"; "era" => era, "settles_in_ms" => settle_ms);
+        self.begin_settling(era, settle_ms);
+    }
+
+    fn begin_settling(self: &Rc<Self>, era: u32, settle_ms: u64) {
+        let until_ms = self.now_ms() + settle_ms;
+        self.targets.borrow_mut().record_era_rise(until_ms);
+        tokio::task::spawn_local(settle(self.clone(), era, settle_ms));
+    }
 }
 
 /// Restarts this box's reads and watches once the store has settled.
--- a/components/routing/src/evacuation.rs
+++ b/components/routing/src/evacuation.rs
@@ -97,6 +97,12 @@
         self.is_later_than(other) && self.data_centres != other.data_centres
     }
 
+    /// Whether the set contains orders that the store of an era may have lost.
+    pub fn is_kept_in(&self, era: u32) -> bool {
+        let may_be_lost = self.is_joined || self.version.era() < era;
+        may_be_lost && !self.data_centres.is_empty()
+    }
+
     fn is_later_than(&self, other: &Self) -> bool {
         (self.version, !self.is_joined) > (other.version, !other.is_joined)
     }
