relay: boxes that have read the same backup learn from each other which orders it lacks

An evacuation that one box had received just before the store was lost was not applied on the others until the store had settled or operators wrote it again.

Cause: both sets then have the same version, the start of the era, and sets of the same era were only joined if the other was later. At the start of an era neither can lack an order because it was withdrawn, so they are joined.

--- a/components/routing/src/evacuation.rs
+++ b/components/routing/src/evacuation.rs
@@ -78,7 +78,8 @@
     /// Takes over all that another set holds beside what this one does, unless it is an older one of the same era: what was
     /// taken back since would come back with it. Says whether the set changed.
     pub fn join(&mut self, other: &Self) -> bool {
-        if other.version.era() == self.version.era() && !other.is_later_than(self) {
+        let is_same_era = other.version.era() == self.version.era();
+        if is_same_era && !other.is_later_than(self) && !self.both_start_era(other) {
             return false;
         }
         self.unite(other)
@@ -97,6 +98,13 @@
         self.is_later_than(other) && self.data_centres != other.data_centres
     }
 
+    /// Whether both sets join what was known with a copy, and nothing written since. Neither lacks an order because it was
+    /// withdrawn.
+    fn both_start_era(&self, other: &Self) -> bool {
+        let is_start = self.version.revision() == 0 && self.version == other.version;
+        is_start && self.is_joined && other.is_joined
+    }
+
     /// Whether the set contains orders that the store of an era may have lost.
     pub fn is_kept_in(&self, era: u32) -> bool {
         let may_be_lost = self.is_joined || self.version.era() < era;
--- a/components/routing/tests/evacuation.rs
+++ b/components/routing/tests/evacuation.rs
@@ -149,6 +149,19 @@
     assert_eq!(peer.data_centres, set(&["east", "west"]));
 }
 
+/// Guards against an order that only one box received before the store was restored, and that the copy lacks.
+#[test]
+fn boxes_that_have_read_the_same_copy_learn_from_each_other_what_it_lacks() {
+    let mut known = Evacuations::default();
+    known.ordered("east", true, at(900));
+    known.join_list(listed(&[]), again(700));
+    let mut peer = Evacuations::default();
+    peer.join_list(listed(&[]), again(700));
+    assert!(peer.join(&known));
+    assert_eq!(peer.data_centres, set(&["east"]));
+    assert!(!known.join(&peer));
+}
+
 #[test]
 fn a_delayed_list_brings_no_withdrawn_order_back_while_the_store_settles() {
     let mut known = Evacuations::default();
