--- a/components/bench/src/soak.rs
+++ b/components/bench/src/soak.rs
@@ -20,6 +20,9 @@
     /// Seed of the faults; with --minutes, drawn anew if left out
     #[bpaf(argument("N"))]
     pub seed: Option<u64>,
+    /// Seed of one run, as a broken run prints it: that run is played --runs times
+    #[bpaf(argument("N"))]
+    pub run_seed: Option<u64>,
     /// Runs to make
     #[bpaf(argument("N"), fallback(5))]
     pub runs: u64,
@@ -83,7 +86,8 @@
         }
         let left = until.map_or(options.runs - next.min(options.runs), |_| u64::MAX);
         let count = left.min(options.parallel.max(1) as u64);
-        let seeds = (next..next + count).map(|run| first.wrapping_add(run));
+        let seed_of = |run| options.run_seed.unwrap_or(first.wrapping_add(run));
+        let seeds = (next..next + count).map(seed_of);
         reports.extend(play_together(&soak, seeds.collect())?);
         next += count;
     }
@@ -149,16 +153,21 @@
         broken_runs: broken_runs.count(),
         reports,
     };
-    if json {
-        match serde_json::to_string_pretty(&summary).into_diagnostic() {
-            Ok(text) => println!("{text}"),
-            Err(error) => eprintln!("{error}"),
-        }
-    }
-    println!(
+    let totals = format!(
         "{} runs, {} calls, {} served, {} runs with a broken promise",
         summary.runs, summary.calls, summary.served, summary.broken_runs
     );
+    match json {
+        true => {
+            // Standard output is one JSON value.
+            eprintln!("{totals}");
+            match serde_json::to_string_pretty(&summary).into_diagnostic() {
+                Ok(text) => println!("{text}"),
+                Err(error) => eprintln!("{error}"),
+            }
+        }
+        false => println!("{totals}"),
+    }
     match summary.broken_runs {
         0 => ExitCode::SUCCESS,
         _ => ExitCode::FAILURE,
