--- a/components/relay/src/dispatch/permits.rs
+++ b/components/relay/src/dispatch/permits.rs
@@ -16,14 +16,14 @@
 const FIRST_REPLY_TIMEOUT: Duration = Duration::from_millis(120);
 /// How long a dispatcher keeps a call open for a request that has to wait, before the box calls again.
 const WAIT_PER_CALL_MS: u32 = 200;
+/// The same after a call without an answer: a prompt reply shows sooner whether the dispatcher is silent.
+const WAIT_AFTER_TIMEOUT_MS: u32 = 1;
 /// Additional time that the reply to such a call may take.
 const WAIT_SLACK: Duration = Duration::from_millis(120);
 /// How long a box waits until it knows a target that its dispatcher has granted.
 const TARGET_WAIT_TIMEOUT: Duration = Duration::from_millis(100);
 /// Timeout of other calls to a dispatcher.
 pub(crate) const CALL_TIMEOUT: Duration = Duration::from_millis(250);
-/// The same after a call without an answer, which shows sooner whether the dispatcher is silent.
-const WAIT_AFTER_TIMEOUT_MS: u32 = 1;
 /// Number of calls in a row without an answer after which a box decides by its own view: two to a dispatcher that may only
 /// be late, and one to the next in rank.
 const UNANSWERED_CALLS_MAX: usize = 3;
--- a/components/relay/src/watch/era.rs
+++ b/components/relay/src/watch/era.rs
@@ -128,6 +128,7 @@
     /// Records that a peer keeps evacuations that the restored store may have lost. A box that started since the restore
     /// keeps them for the same time.
     pub(crate) fn observe_kept_evacuations(self: &Rc<Self>, era: u32) {
+        // The clock counts from the start of the box.
         let is_new = self.now_ms() < SETTLE_MS;
         let is_current = self.observed_era.get() == Some(era);
         if !is_new || !is_current || self.is_settling() {
--- a/components/routing/src/evacuation.rs
+++ b/components/routing/src/evacuation.rs
@@ -98,8 +98,8 @@
         self.is_later_than(other) && self.data_centres != other.data_centres
     }
 
-    /// Whether both sets join what was known with a copy, and nothing written since. Neither lacks an order because it was
-    /// withdrawn.
+    /// Whether both sets join what was known with a copy, and nothing written since. An order that only one of them has was
+    /// not withdrawn.
     fn both_start_era(&self, other: &Self) -> bool {
         let is_start = self.version.revision() == 0 && self.version == other.version;
         is_start && self.is_joined && other.is_joined
--- a/components/routing/tests/evacuation.rs
+++ b/components/routing/tests/evacuation.rs
@@ -145,13 +145,13 @@
     assert_eq!(known.data_centres, set(&["east", "west"]));
     let mut peer = Evacuations::default();
     peer.join_list(listed(&[]), again(700));
-    assert!(peer.join(&known), "the peer learns it too");
+    assert!(peer.join(&known), "the peer applies it too");
     assert_eq!(peer.data_centres, set(&["east", "west"]));
 }
 
-/// Guards against an order that only one box received before the store was restored, and that the copy lacks.
+/// Guards against an order that only one box received before the store was restored, and that is missing in the copy.
 #[test]
-fn boxes_that_have_read_the_same_copy_learn_from_each_other_what_it_lacks() {
+fn boxes_that_have_read_the_same_copy_learn_missing_orders_from_each_other() {
     let mut known = Evacuations::default();
     known.ordered("east", true, at(900));
     known.join_list(listed(&[]), again(700));
