relay: logs of generations name the shared parts of their prompts

Lines of generations that begin, end or do not begin could not tell which part of a prompt the requests had in common under which engines crashed, only that their keys differ.

--- a/components/relay/src/forwarding/generation.rs
+++ b/components/relay/src/forwarding/generation.rs
@@ -101,6 +101,7 @@
 ) -> ChannelAction {
     let local = relay.caller_reply(local);
     slog::info!(relay.log, "generation not begun"; "id" => incoming.id(), "request" => %incoming.key,
+        "parts" => incoming.shared_part_ids(),
         "account" => resolved.account_name(), "rank" => resolved.rank(),
         "status" => local.status(), "why" => local.why(), "retry_after_ms" => local.retry_after_ms(),
         "after_ms" => relay.now_ms() - incoming.arrived_ms);
@@ -278,6 +279,7 @@
         match result {
             SendResult::Answered(response) => {
                 slog::info!(relay.log, "generation begun"; "id" => incoming.id(), "request" => %incoming.key,
+                    "parts" => incoming.shared_part_ids(),
                     "account" => resolved.account_name(), "rank" => resolved.rank(),
                     "engine" => relay.name_of(slot), "permit" => permit.serial,
                     "prompt_tokens" => generation.prompt_tokens,
--- a/components/relay/src/forwarding/stream.rs
+++ b/components/relay/src/forwarding/stream.rs
@@ -96,6 +96,7 @@
             self.record_completion();
         }
         slog::info!(self.relay.log, "generation ended"; "id" => self.incoming.id(), "request" => %self.incoming.key,
+            "parts" => self.incoming.shared_part_ids(),
             "account" => self.resolved.account_name(), "rank" => self.resolved.rank(),
             "end" => ?ended, "events" => self.events, "moves" => self.moves,
             "first_event_ms" => self.first_event_ms, "longest_pause_ms" => self.pauses.longest_ms(),
--- a/components/relay/src/ingress/request.rs
+++ b/components/relay/src/ingress/request.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http1::RequestHead;
 use prelude::{AccountId, RequestKey};
-use routing::{RequestFacts, Route, RouteKey, ServiceKey};
+use routing::{GenerationRequest, RequestFacts, Route, RouteKey, ServiceKey};
 use std::rc::Rc;
 
 /// A request that was read completely.
@@ -68,6 +68,14 @@
         self.facts.request_id.as_deref().unwrap_or_default()
     }
 
+    /// The ids of the prompt parts that other requests may share, for logs: hexadecimal, separated by commas.
+    pub(crate) fn shared_part_ids(&self) -> String {
+        let generation = self.facts.generation.as_ref();
+        let parts = generation.map_or(&[][..], GenerationRequest::shared_parts);
+        let ids: Vec<String> = parts.iter().map(|part| format!("{:x}", part.id)).collect();
+        ids.join(",")
+    }
+
     /// The request's deadline: the end of the caller's wait or of the route's hold limit, whichever is earlier.
     pub(crate) fn deadline_ms(&self, route: &Route) -> u64 {
         let caller = self.facts.wait_limit_ms.unwrap_or(route.hold_limit_ms);
--- a/components/routing/src/request.rs
+++ b/components/routing/src/request.rs
@@ -22,6 +22,13 @@
     pub guess_tokens: Option<u32>,
 }
 
+impl GenerationRequest {
+    /// The parts of the prompt that other requests may share: all but the last.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        self.parts.split_last().map_or(&[], |(_, shared)| shared)
+    }
+}
+
 /// What the head of a request says beside method, path and fields that are only passed on.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RequestFacts {
