--- a/components/node/src/quarantine.rs
+++ b/components/node/src/quarantine.rs
@@ -3,7 +3,7 @@
 
 use crate::shared::{Shared, lock};
 use crate::spread::{spread_acquittal, spread_ends};
-use prelude::{Refusal, RefusalReason, RequestKey, TargetEnd, TargetId, TargetKey};
+use prelude::{Refusal, RefusalReason, RequestKey, RunId, TargetEnd, TargetId, TargetKey};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -46,7 +46,7 @@
 
 /// Notes that a request was answered well.
 pub(crate) fn served(shared: &Arc<Shared>, request: RequestKey) {
-    let acquittal = lock(&shared.quarantine).record_answer(request, shared.now_ms());
+    let acquittal = lock(&shared.quarantine).record_answer(request.into(), shared.now_ms());
     if let Some(acquittal) = acquittal {
         slog::info!(shared.log, "request acquitted by an answer"; "request" => %request);
         spread_acquittal(shared, acquittal);
@@ -60,8 +60,9 @@
     }
     let now_ms = shared.now_ms();
     let end = TargetEnd {
-        request: run.request,
+        suspect: run.request.into(),
         target: life_id(run.target),
+        runs: vec![RunId::of(run.request)],
         ran_ms: now_ms.saturating_sub(run.began_ms) as u32,
         age_ms: 0,
     };
@@ -92,14 +93,9 @@
 /// Takes ends in. Says whether any is news.
 pub(crate) fn take_ends(shared: &Shared, ends: &[TargetEnd]) -> bool {
     let now_ms = shared.now_ms();
-    let mut quarantine = lock(&shared.quarantine);
-    let mut news = false;
-    for end in ends {
-        let before = quarantine.is_withheld(end.request, now_ms);
-        news |= quarantine.record_crash(end, now_ms);
-        if !before && quarantine.is_withheld(end.request, now_ms) {
-            slog::warn!(shared.log, "request to be withheld"; "request" => %end.request);
-        }
+    let recorded = lock(&shared.quarantine).record_crashes(ends, now_ms);
+    for cause in &recorded.new_causes {
+        slog::warn!(shared.log, "request to be withheld"; "request" => cause.to_string());
     }
-    news
+    !recorded.new_crashes.is_empty()
 }
--- a/components/operators/src/fleet.rs
+++ b/components/operators/src/fleet.rs
@@ -3,7 +3,7 @@
 use crate::metrics::{install_metrics, metrics_text};
 use crate::settings::SettingsView;
 use crate::shares::PoolSharesView;
-use prelude::RequestKey;
+use prelude::Suspect;
 use serde::{Deserialize, Serialize};
 use std::future::Future;
 use std::io;
@@ -116,12 +116,12 @@
     pub failed_by_route: Vec<(String, f64)>,
 }
 
-/// A request that a box sends to no target, as too many ended under it.
+/// A request, or prompts with certain parts, that a box sends to no target, as too many ended under them.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct WithheldView {
-    /// Its key, as log lines show it under `request`.
+    /// Its key, as log lines show it under `request`; of prompts the keys of the parts, joined by `+`.
     pub request: String,
-    /// The account that asks; none where it is declared no more, or nobody has to say who asks.
+    /// The account that asks; none for prompt parts, where it is declared no more, or nobody has to say who asks.
     pub account: Option<String>,
     /// Targets that ended under it.
     pub targets_ended: usize,
@@ -182,11 +182,11 @@
     /// Its settings in force.
     fn settings(&self) -> SettingsView;
 
-    /// Has all boxes send a withheld request on again. False where nothing is known of it; none where the box ends.
-    fn clear(&self, request: RequestKey) -> impl Future<Output = Option<bool>> + Send;
+    /// Has all boxes send requests with a withheld suspect on again. False where nothing is known of it; none where the box ends.
+    fn clear(&self, suspect: Suspect) -> impl Future<Output = Option<bool>> + Send;
 }
 
-/// Installs the metrics recorder and serves `/metrics`, `/fleet`, `/settings` and, by POST, `/clear/REQUEST` at an address.
+/// Installs the metrics recorder and serves `/metrics`, `/fleet`, `/settings` and, by POST, `/clear/KEY` at an address.
 ///
 /// # Errors
 /// The system's, where the address is taken or not ours, or where another recorder is installed.
@@ -206,10 +206,10 @@
             warp::reply::with_status(warp::reply::json(&view), status)
         });
     let clear = warp::post()
-        .and(warp::path!("clear" / RequestKey))
+        .and(warp::path!("clear" / Suspect))
         .and(with.clone())
-        .then(|request: RequestKey, console: C| async move {
-            match console.clear(request).await {
+        .then(|suspect: Suspect, console: C| async move {
+            match console.clear(suspect).await {
                 Some(true) => StatusCode::NO_CONTENT,
                 Some(false) => StatusCode::NOT_FOUND,
                 None => StatusCode::SERVICE_UNAVAILABLE,
--- /dev/null
+++ b/components/policy/src/health/evidence.rs
@@ -0,0 +1,141 @@
+//! Evidence on what crashes targets: the crashes during requests with each suspect, and when each suspect was last answered.
+
+use prelude::{RunId, Suspect, TargetId};
+use std::collections::{HashMap, VecDeque};
+
+/// Crashes kept for each suspect.
+const CRASHES_MAX: usize = 8;
+/// Interrupted runs kept for each crash.
+const RUNS_MAX: usize = 64;
+/// Recently answered suspects kept.
+pub(super) const ANSWERS_MAX: usize = 2_048;
+/// Crashes of a request within this time after its answer have another cause: a target survived the request.
+pub(super) const ANSWER_GRACE_MS: u64 = 10_000;
+
+/// A crash during requests with one suspect.
+#[derive(Clone, Debug)]
+pub(super) struct Crash {
+    pub target: TargetId,
+    /// The interrupted runs with the suspect, sorted.
+    pub runs: Vec<RunId>,
+    /// How long the latest of them had run.
+    pub ran_ms: u32,
+    pub at_ms: u64,
+}
+
+impl Crash {
+    /// Merges another report of the same crash. Returns whether it names runs that were not known.
+    fn merge(&mut self, other: Crash) -> bool {
+        // Several attempts or boxes report the same crash: the earliest report is the most accurate.
+        self.at_ms = self.at_ms.min(other.at_ms);
+        self.ran_ms = self.ran_ms.min(other.ran_ms);
+        let known = self.runs.clone();
+        self.runs.extend(other.runs);
+        self.sort_runs();
+        self.runs != known
+    }
+
+    fn sort_runs(&mut self) {
+        self.runs.sort_unstable();
+        self.runs.dedup();
+        self.runs.truncate(RUNS_MAX);
+    }
+}
+
+/// The crashes during requests with one suspect.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Evidence {
+    pub crashes: Vec<Crash>,
+    /// Crashes up to this time do not count. Crashes before the start of this box have the time 0.
+    pub cleared_to_ms: Option<u64>,
+}
+
+impl Evidence {
+    /// The crashes that count against the suspect.
+    pub fn counted_crashes(&self) -> impl Iterator<Item = &Crash> {
+        self.crashes
+            .iter()
+            .filter(|crash| self.cleared_to_ms.is_none_or(|to_ms| crash.at_ms > to_ms))
+    }
+
+    /// The number of crashes that count.
+    pub fn count(&self) -> usize {
+        self.counted_crashes().count()
+    }
+
+    pub fn last_crash_ms(&self) -> u64 {
+        self.counted_crashes()
+            .map(|crash| crash.at_ms)
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// The longest time it had run when a target crashed. The request that causes a crash has usually just started.
+    pub fn longest_run_ms(&self) -> u32 {
+        self.counted_crashes()
+            .map(|crash| crash.ran_ms)
+            .max()
+            .unwrap_or(0)
+    }
+
+    /// Discards the crashes up to a time.
+    pub fn clear_to(&mut self, at_ms: u64) {
+        self.cleared_to_ms = self.cleared_to_ms.max(Some(at_ms));
+    }
+
+    /// Adds a crash. Returns whether it, or one of its runs, was unknown.
+    pub fn insert(&mut self, mut crash: Crash) -> bool {
+        let mut known = self.crashes.iter_mut();
+        if let Some(known) = known.find(|known| known.target == crash.target) {
+            return known.merge(crash);
+        }
+        if self.crashes.len() >= CRASHES_MAX {
+            let crashes = self.crashes.iter().enumerate();
+            let oldest = crashes.min_by_key(|(_, crash)| crash.at_ms);
+            if let Some(at) = oldest.map(|(at, _)| at) {
+                self.crashes.swap_remove(at);
+            }
+        }
+        crash.sort_runs();
+        self.crashes.push(crash);
+        true
+    }
+}
+
+/// Suspects that were answered recently.
+#[derive(Clone, Debug, Default)]
+pub(super) struct RecentAnswers {
+    pub answered_ms: HashMap<Suspect, u64>,
+    pub in_order: VecDeque<(Suspect, u64)>,
+}
+
+impl RecentAnswers {
+    pub fn insert(&mut self, suspect: Suspect, now_ms: u64) {
+        self.answered_ms.insert(suspect, now_ms);
+        self.in_order.push_back((suspect, now_ms));
+        while let Some((oldest, at_ms)) = self.in_order.front().copied() {
+            if self.in_order.len() <= ANSWERS_MAX && now_ms < at_ms + ANSWER_GRACE_MS {
+                break;
+            }
+            self.in_order.pop_front();
+            if self.answered_ms.get(&oldest) == Some(&at_ms) {
+                self.answered_ms.remove(&oldest);
+            }
+        }
+    }
+
+    /// The time up to which a recent answer clears a suspect.
+    pub fn clears_to_ms(&self, suspect: Suspect) -> Option<u64> {
+        let answered_ms = *self.answered_ms.get(&suspect)?;
+        Some(cleared_by_answer_ms(suspect, answered_ms))
+    }
+}
+
+/// The time up to which an answer at `answered_ms` clears a suspect. A prompt part may become fatal at any time, as with a new
+/// release of the targets, so its answer speaks for the past only.
+pub(super) fn cleared_by_answer_ms(suspect: Suspect, answered_ms: u64) -> u64 {
+    match suspect {
+        Suspect::Request(_) => answered_ms + ANSWER_GRACE_MS,
+        Suspect::Part(_) => answered_ms,
+    }
+}
--- a/components/policy/src/health/mod.rs
+++ b/components/policy/src/health/mod.rs
@@ -1,5 +1,8 @@
-//! Target health: outlier ejection, probation, `Retry-After` pauses, reachability, and requests that crash targets.
+//! Target health: outlier ejection, probation, `Retry-After` pauses, reachability, and requests and prompt parts that crash
+//! targets.
 
+mod causes;
+mod evidence;
 pub(crate) mod outlier;
 pub(crate) mod probation;
 pub(crate) mod quarantine;
--- a/components/policy/src/health/quarantine.rs
+++ b/components/policy/src/health/quarantine.rs
@@ -1,183 +1,243 @@
-//! Quarantine of requests that crash targets ("queries of death"). A crash breaks off all requests that run on the target, and
-//! does not show which of them caused it; over several crashes only the cause was present each time. The smallest set of
-//! requests that explains the crashes is withheld, found by greedy set cover (Chvátal 1979), as in group testing.
-
-use prelude::{Acquittal, AcquittedBy, RequestKey, TargetEnd, TargetId};
-use std::collections::{HashMap, HashSet, VecDeque};
-
-/// Targets that a request must have crashed, not counting those that a stronger suspect explains, before it is withheld. One
-/// or two crashes also hit innocent requests on the same target. In 200 series of five crashes on nine engines with 64 slots
-/// each, with half of the interrupted requests retried at once, 285 of 64,000 interrupted innocent requests reached three
-/// crashes, and none was withheld (test `innocent_requests_are_rarely_withheld`).
-const CRASHES_MIN: usize = 3;
+//! Quarantine of requests and prompt parts that crash targets ("queries of death"). A crash breaks off all requests that run on
+//! the target, and does not show which of them caused it; over several crashes only the cause was present each time. The
+//! smallest set of suspects that explains the crashes is withheld, found by greedy set cover (Chvátal 1979), as in group
+//! testing.
+//!
+//! Many requests share a prompt part, and several targets may fail at about the same time for another reason. So requests with
+//! a suspected part are held until answers elsewhere can acquit it, and a single one is sent on trial later: the longer the
+//! time over which the crashes came, the later.
+
+use super::causes::{Cause, likely_causes};
+use super::evidence::{Crash, Evidence, RecentAnswers, cleared_by_answer_ms};
+use prelude::{Acquittal, AcquittedBy, PartKey, RequestKey, Suspect, TargetEnd};
+use std::collections::HashMap;
+use std::fmt;
+use xxhash_rust::xxh3::xxh3_64;
+
 /// How long a request is withheld after its last crash: the fault is fixed by a new release of the target, and until then
-/// each attempt costs all requests on the same target.
+/// each attempt costs all requests on the same target. Prompt parts are withheld no longer.
 const WITHHELD_MS: u64 = 600_000;
 /// How long a crash counts. Within this time, one more crash withholds a released request again at once.
 const CRASH_MEMORY_MS: u64 = 3_600_000;
-/// Crashes within this time after an answer to the same request have another cause: a target survived the request.
-const ANSWER_GRACE_MS: u64 = 10_000;
-/// Suspected requests kept. The one with the fewest crashes is evicted first, and among equals the one whose last
-/// crash is oldest.
+/// How long requests with suspected prompt parts are held for answers at other targets before they are withheld.
+const DECISION_MS: u64 = 500;
+/// How long a prompt part is withheld at least.
+const PART_WITHHELD_MIN_MS: u64 = 2_000;
+/// How long a prompt part is withheld, as a multiple of the time between its first and last crash. Crashes within a short time
+/// may have another cause in common, such as the loss of a rack. A trial that crashes its target extends that time.
+const PART_WITHHELD_FACTOR: u64 = 10;
+/// Time between two trials. A trial has crashed its target or was answered by then.
+const TRIAL_INTERVAL_MS: u64 = 5_000;
+/// How long a trial may begin. Boxes differ by less than the rest of the interval in when they learned of a crash.
+const TRIAL_WINDOW_MS: u64 = 2_500;
+/// Suspects kept. The one with the fewest crashes is evicted first, and among equals the one whose last crash is oldest.
 const SUSPECTS_MAX: usize = 1_024;
-/// Crashes kept for each suspected request.
-const CRASHES_MAX: usize = 8;
-/// Recently answered requests kept.
-const ANSWERS_MAX: usize = 2_048;
 
-/// A withheld request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct WithheldRequest {
-    /// The request.
-    pub request: RequestKey,
+/// Suspects whose requests are withheld.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct WithheldCause {
+    /// One request, or prompt parts: a request is withheld if its prompt contains all of them. Sorted.
+    pub suspects: Vec<Suspect>,
     /// Targets that it crashed, up to the number that is kept.
     pub crashes: usize,
-    /// How much longer it is withheld.
+    /// Time between the first and the last of them, in ms.
+    pub crashed_over_ms: u64,
+    /// How much longer it is withheld at least, in ms.
     pub remaining_ms: u64,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Crash {
-    target: TargetId,
-    ran_ms: u32,
-    at_ms: u64,
+impl fmt::Display for WithheldCause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let names: Vec<String> = self.suspects.iter().map(Suspect::to_string).collect();
+        f.write_str(&names.join("+"))
+    }
 }
 
-/// The crashes during one request.
-#[derive(Clone, Debug, Default)]
-struct Suspect {
-    crashes: Vec<Crash>,
-    /// Crashes up to this time do not count. Crashes before the start of this box have the time 0.
-    cleared_to_ms: Option<u64>,
+/// What reported crashes change.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct RecordedCrashes {
+    /// The reports of which something was unknown.
+    pub new_crashes: Vec<TargetEnd>,
+    /// The causes whose requests are no longer sent.
+    pub new_causes: Vec<WithheldCause>,
 }
 
-impl Suspect {
-    fn counted_crashes(&self) -> impl Iterator<Item = &Crash> {
-        self.crashes
-            .iter()
-            .filter(|crash| self.cleared_to_ms.is_none_or(|to_ms| crash.at_ms > to_ms))
-    }
+/// A trial, the same on all boxes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Trial {
+    /// The role of the boxes that send the trials of one cause, one after another.
+    pub role: u64,
+    /// The number of the trial.
+    pub number: u64,
+}
+
+/// Whether a request may be sent to a target.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum QuarantineVerdict {
+    /// It may be sent.
+    Send,
+    /// It is held until answers to other requests have had time to acquit its prompt parts.
+    Held {
+        /// For how long, in ms.
+        remaining_ms: u64,
+    },
+    /// One box may send one such request to find out whether targets survive it.
+    Trial(Trial),
+    /// It must not be sent.
+    Withheld,
+}
+
+/// A cause and since when it is known to this box.
+#[derive(Clone, Debug)]
+struct KnownCause {
+    cause: Cause,
+    found_ms: u64,
+}
 
-    fn last_crash_ms(&self) -> u64 {
-        self.counted_crashes()
-            .map(|crash| crash.at_ms)
-            .max()
-            .unwrap_or(0)
+impl KnownCause {
+    fn is_request(&self) -> bool {
+        matches!(self.cause.suspects[..], [Suspect::Request(_)])
     }
 
-    /// The longest time it had run when a target crashed. The request that causes a crash has usually just started.
-    fn longest_run_ms(&self) -> u32 {
-        self.counted_crashes()
-            .map(|crash| crash.ran_ms)
-            .max()
-            .unwrap_or(0)
+    /// Until when its requests are withheld.
+    fn withheld_to_ms(&self) -> u64 {
+        let over_ms = self.cause.crashed_over_ms();
+        let withheld_ms = match self.is_request() {
+            true => WITHHELD_MS,
+            false => (PART_WITHHELD_FACTOR * over_ms).clamp(PART_WITHHELD_MIN_MS, WITHHELD_MS),
+        };
+        self.cause.last_crash_ms() + withheld_ms
     }
 
-    /// Adds a crash. Returns whether it was unknown.
-    fn insert(&mut self, crash: Crash) -> bool {
-        if let Some(known) = self
-            .crashes
-            .iter_mut()
-            .find(|known| known.target == crash.target)
-        {
-            // Several attempts or boxes report the same crash: the earliest report is the most accurate.
-            known.at_ms = known.at_ms.min(crash.at_ms);
-            known.ran_ms = known.ran_ms.min(crash.ran_ms);
-            return false;
+    fn verdict(&self, now_ms: u64) -> QuarantineVerdict {
+        let withheld_to_ms = self.withheld_to_ms();
+        let held_to_ms = self.found_ms + DECISION_MS;
+        match self.is_request() {
+            true if now_ms < withheld_to_ms => QuarantineVerdict::Withheld,
+            true => QuarantineVerdict::Send,
+            false if now_ms < held_to_ms => QuarantineVerdict::Held {
+                remaining_ms: held_to_ms - now_ms,
+            },
+            false if now_ms < withheld_to_ms => QuarantineVerdict::Withheld,
+            false => self.trial(now_ms - withheld_to_ms),
         }
-        if self.crashes.len() >= CRASHES_MAX {
-            let oldest = self
-                .crashes
-                .iter()
-                .enumerate()
-                .min_by_key(|(_, crash)| crash.at_ms);
-            if let Some(at) = oldest.map(|(at, _)| at) {
-                self.crashes.swap_remove(at);
-            }
+    }
+
+    /// The verdict at a time after its requests were withheld.
+    fn trial(&self, elapsed_ms: u64) -> QuarantineVerdict {
+        if elapsed_ms % TRIAL_INTERVAL_MS >= TRIAL_WINDOW_MS {
+            return QuarantineVerdict::Withheld;
         }
-        self.crashes.push(crash);
-        true
+        QuarantineVerdict::Trial(Trial {
+            role: self.trial_role(),
+            number: elapsed_ms / TRIAL_INTERVAL_MS,
+        })
     }
-}
 
-/// Requests that were answered recently.
-#[derive(Clone, Debug, Default)]
-struct RecentAnswers {
-    answered_ms: HashMap<RequestKey, u64>,
-    in_order: VecDeque<(RequestKey, u64)>,
-}
+    fn trial_role(&self) -> u64 {
+        let names: Vec<String> = self.cause.suspects.iter().map(Suspect::to_string).collect();
+        xxh3_64(names.join("+").as_bytes())
+    }
 
-impl RecentAnswers {
-    fn insert(&mut self, request: RequestKey, now_ms: u64) {
-        self.answered_ms.insert(request, now_ms);
-        self.in_order.push_back((request, now_ms));
-        while let Some((oldest, at_ms)) = self.in_order.front().copied() {
-            if self.in_order.len() <= ANSWERS_MAX && now_ms < at_ms + ANSWER_GRACE_MS {
-                break;
-            }
-            self.in_order.pop_front();
-            if self.answered_ms.get(&oldest) == Some(&at_ms) {
-                self.answered_ms.remove(&oldest);
-            }
-        }
+    fn concerns(&self, request: RequestKey, parts: &[PartKey]) -> bool {
+        self.cause.suspects.iter().all(|suspect| match suspect {
+            Suspect::Request(suspected) => *suspected == request,
+            Suspect::Part(part) => parts.contains(part),
+        })
     }
 }
 
-/// Suspected and withheld requests, by the crashes that all boxes report. It reads no clock: all times are on the clock of its
-/// own box.
+/// Suspects and the causes among them, by the crashes that all boxes report. It reads no clock: all times are on the clock of
+/// its own box.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
-    suspects: HashMap<RequestKey, Suspect>,
-    withheld: HashSet<RequestKey>,
+    suspects: HashMap<Suspect, Evidence>,
+    causes: Vec<KnownCause>,
     recent_answers: RecentAnswers,
 }
 
 impl Quarantine {
-    /// Records that a target crashed during a request, observed by this box or reported by another. Returns whether the crash
-    /// was unknown.
-    pub fn record_crash(&mut self, reported: &TargetEnd, now_ms: u64) -> bool {
+    /// Records crashes of targets, observed by this box or reported by another.
+    pub fn record_crashes(&mut self, reported: &[TargetEnd], now_ms: u64) -> RecordedCrashes {
+        let before = self.withheld_causes(now_ms);
+        let mut new_crashes = Vec::new();
+        for crash in reported {
+            if self.record(crash, now_ms) {
+                new_crashes.push(crash.clone());
+            }
+        }
+        self.update_causes(now_ms);
+        let mut new_causes = self.withheld_causes(now_ms);
+        new_causes.retain(|cause| before.iter().all(|known| known.suspects != cause.suspects));
+        RecordedCrashes {
+            new_crashes,
+            new_causes,
+        }
+    }
+
+    fn record(&mut self, reported: &TargetEnd, now_ms: u64) -> bool {
         let at_ms = now_ms.saturating_sub(u64::from(reported.age_ms));
         if now_ms >= at_ms + CRASH_MEMORY_MS {
             return false;
         }
-        self.evict_weakest(reported.request);
-        let answered_ms = self
-            .recent_answers
-            .answered_ms
-            .get(&reported.request)
-            .copied();
-        let suspect = self.suspects.entry(reported.request).or_default();
-        if let Some(answered_ms) = answered_ms {
-            suspect.cleared_to_ms = suspect
-                .cleared_to_ms
-                .max(Some(answered_ms + ANSWER_GRACE_MS));
-        }
-        let is_new = suspect.insert(Crash {
+        self.evict_weakest(reported.suspect);
+        let cleared_to_ms = self.recent_answers.clears_to_ms(reported.suspect);
+        let evidence = self.suspects.entry(reported.suspect).or_default();
+        evidence.cleared_to_ms = evidence.cleared_to_ms.max(cleared_to_ms);
+        evidence.insert(Crash {
             target: reported.target,
+            runs: reported.runs.clone(),
             ran_ms: reported.ran_ms,
             at_ms,
-        });
-        self.update_withheld(now_ms);
-        is_new
+        })
     }
 
-    /// Records a successful answer to a request. Returns the acquittal to send to other boxes, if they may suspect the request.
-    pub fn record_answer(&mut self, request: RequestKey, now_ms: u64) -> Option<Acquittal> {
-        self.recent_answers.insert(request, now_ms);
-        self.acquit(request, AcquittedBy::Answer, now_ms)
+    /// Records that targets answer requests with a suspect. Returns the acquittal to send to other boxes, if they may suspect
+    /// it.
+    pub fn record_answer(&mut self, suspect: Suspect, now_ms: u64) -> Option<Acquittal> {
+        self.recent_answers.insert(suspect, now_ms);
+        self.acquit(suspect, AcquittedBy::Answer, now_ms)
     }
 
-    /// Discards all crashes of a request so far, on behalf of an operator. Returns the acquittal to send to other boxes; none if
-    /// the request is not suspected.
-    pub fn clear(&mut self, request: RequestKey, now_ms: u64) -> Option<Acquittal> {
-        self.acquit(request, AcquittedBy::Operator, now_ms)
+    /// The acquittal of a suspect that was answered recently, for a box that reports crashes.
+    pub fn recent_acquittal(&self, suspect: Suspect, now_ms: u64) -> Option<Acquittal> {
+        let answered_ms = *self.recent_answers.answered_ms.get(&suspect)?;
+        Some(Acquittal {
+            suspect,
+            by: AcquittedBy::Answer,
+            age_ms: age_ms(answered_ms, now_ms),
+        })
+    }
+
+    /// Discards all crashes so far of a suspect and of those that were present at the same crashes, on behalf of an operator.
+    /// Returns the acquittals to send to other boxes; none if it is not suspected.
+    pub fn clear(&mut self, suspect: Suspect, now_ms: u64) -> Vec<Acquittal> {
+        let causes = self.causes.iter();
+        let causes = causes.filter(|known| known.cause.suspects.contains(&suspect));
+        let mut cleared: Vec<Suspect> = causes
+            .flat_map(|known| {
+                known
+                    .cause
+                    .suspects
+                    .iter()
+                    .chain(&known.cause.implied_parts)
+            })
+            .copied()
+            .chain([suspect])
+            .collect();
+        cleared.sort_unstable();
+        cleared.dedup();
+        cleared
+            .into_iter()
+            .filter_map(|suspect| self.acquit(suspect, AcquittedBy::Operator, now_ms))
+            .collect()
     }
 
-    fn acquit(&mut self, request: RequestKey, by: AcquittedBy, now_ms: u64) -> Option<Acquittal> {
-        let suspect = self.suspects.get(&request)?;
-        suspect.counted_crashes().next()?;
+    fn acquit(&mut self, suspect: Suspect, by: AcquittedBy, now_ms: u64) -> Option<Acquittal> {
+        let evidence = self.suspects.get(&suspect)?;
+        evidence.counted_crashes().next()?;
         let acquittal = Acquittal {
-            request,
+            suspect,
             by,
             age_ms: 0,
         };
@@ -185,124 +245,139 @@
         Some(acquittal)
     }
 
-    /// Applies an acquittal: earlier crashes no longer count against its request. Returns whether any crash was discarded.
+    /// Applies an acquittal: earlier crashes no longer count against its suspect. Returns whether any crash was discarded.
     pub fn apply_acquittal(&mut self, acquittal: &Acquittal, now_ms: u64) -> bool {
         let at_ms = now_ms.saturating_sub(u64::from(acquittal.age_ms));
         let to_ms = match acquittal.by {
-            // Crashes shortly after an answer have another cause too.
-            AcquittedBy::Answer => at_ms + ANSWER_GRACE_MS,
+            AcquittedBy::Answer => cleared_by_answer_ms(acquittal.suspect, at_ms),
             AcquittedBy::Operator => at_ms,
         };
-        let Some(suspect) = self.suspects.get_mut(&acquittal.request) else {
+        let Some(evidence) = self.suspects.get_mut(&acquittal.suspect) else {
             return false;
         };
-        let is_new = suspect.counted_crashes().any(|crash| crash.at_ms <= to_ms);
-        suspect.cleared_to_ms = suspect.cleared_to_ms.max(Some(to_ms));
-        self.update_withheld(now_ms);
+        let is_new = evidence.counted_crashes().any(|crash| crash.at_ms <= to_ms);
+        evidence.clear_to(to_ms);
+        self.update_causes(now_ms);
         is_new
     }
 
-    /// Whether a request must not be sent to any target.
+    /// Whether a request with these prompt parts may be sent to a target.
+    pub fn verdict(
+        &self,
+        request: RequestKey,
+        parts: &[PartKey],
+        now_ms: u64,
+    ) -> QuarantineVerdict {
+        let concerned = self.causes.iter();
+        let concerned = concerned.filter(|known| known.concerns(request, parts));
+        let strictness = |verdict: &QuarantineVerdict| match verdict {
+            QuarantineVerdict::Send => 0,
+            QuarantineVerdict::Held { .. } => 1,
+            QuarantineVerdict::Trial(_) => 2,
+            QuarantineVerdict::Withheld => 3,
+        };
+        concerned
+            .map(|known| known.verdict(now_ms))
+            .max_by_key(strictness)
+            .unwrap_or(QuarantineVerdict::Send)
+    }
+
+    /// Whether a request must not be sent to any target, whatever its prompt.
     pub fn is_withheld(&self, request: RequestKey, now_ms: u64) -> bool {
-        self.withheld.contains(&request) && self.remaining_ms(request, now_ms) > 0
+        self.verdict(request, &[], now_ms) == QuarantineVerdict::Withheld
     }
 
-    fn remaining_ms(&self, request: RequestKey, now_ms: u64) -> u64 {
-        let last_crash_ms = self
-            .suspects
-            .get(&request)
-            .map_or(0, Suspect::last_crash_ms);
-        (last_crash_ms + WITHHELD_MS).saturating_sub(now_ms)
+    /// Whether requests with a suspect are held or withheld.
+    pub fn is_implicated(&self, suspect: Suspect, now_ms: u64) -> bool {
+        self.causes.iter().any(|known| {
+            known.cause.suspects.contains(&suspect)
+                && known.verdict(now_ms) != QuarantineVerdict::Send
+        })
     }
 
-    /// The withheld requests, sorted by key.
-    pub fn withheld_requests(&self, now_ms: u64) -> Vec<WithheldRequest> {
-        let row = |request: &RequestKey| WithheldRequest {
-            request: *request,
-            crashes: self.suspects[request].counted_crashes().count(),
-            remaining_ms: self.remaining_ms(*request, now_ms),
+    /// The causes whose requests are not sent, sorted by suspects.
+    pub fn withheld_causes(&self, now_ms: u64) -> Vec<WithheldCause> {
+        let row = |known: &KnownCause| WithheldCause {
+            suspects: known.cause.suspects.clone(),
+            crashes: known.cause.crashes.len(),
+            crashed_over_ms: known.cause.crashed_over_ms(),
+            remaining_ms: known.withheld_to_ms().saturating_sub(now_ms),
         };
-        let rows = self.withheld.iter().map(row);
-        let mut rows: Vec<WithheldRequest> = rows.filter(|row| row.remaining_ms > 0).collect();
-        rows.sort_unstable_by_key(|row| row.request);
+        let withheld = |known: &&KnownCause| known.verdict(now_ms) != QuarantineVerdict::Send;
+        let mut rows: Vec<WithheldCause> = self.causes.iter().filter(withheld).map(row).collect();
+        rows.sort_unstable_by(|a, b| a.suspects.cmp(&b.suspects));
         rows
     }
 
-    /// The crashes that count against a request, in the form that is sent to other boxes.
-    pub fn crashes_of(&self, request: RequestKey, now_ms: u64) -> Vec<TargetEnd> {
-        let Some(suspect) = self.suspects.get(&request) else {
+    /// The crashes that count against a suspect, in the form that is sent to other boxes.
+    pub fn crashes_of(&self, suspect: Suspect, now_ms: u64) -> Vec<TargetEnd> {
+        let Some(evidence) = self.suspects.get(&suspect) else {
             return Vec::new();
         };
-        let age_ms = |at_ms: u64| u32::try_from(now_ms.saturating_sub(at_ms)).unwrap_or(u32::MAX);
         let reported = |crash: &Crash| TargetEnd {
-            request,
+            suspect,
             target: crash.target,
+            runs: crash.runs.clone(),
             ran_ms: crash.ran_ms,
-            age_ms: age_ms(crash.at_ms),
+            age_ms: age_ms(crash.at_ms, now_ms),
         };
-        suspect.counted_crashes().map(reported).collect()
+        evidence.counted_crashes().map(reported).collect()
     }
 
-    /// The crashes of all withheld requests, for a box that has just started.
+    /// The crashes of all withheld causes, for a box that has just started.
     pub fn crashes_of_withheld(&self, now_ms: u64) -> Vec<TargetEnd> {
-        let requests = self.withheld.iter();
-        requests
-            .flat_map(|request| self.crashes_of(*request, now_ms))
+        let withheld = self.withheld_causes(now_ms);
+        let suspects = withheld.iter().flat_map(|cause| &cause.suspects);
+        suspects
+            .flat_map(|suspect| self.crashes_of(*suspect, now_ms))
             .collect()
     }
 
-    /// Recomputes the withheld requests by greedy set cover. Of two requests with equally many crashes, the one with the shorter
-    /// runs comes first.
-    fn update_withheld(&mut self, now_ms: u64) {
-        self.suspects.retain(|_, suspect| {
-            suspect
+    /// Recomputes the causes. One that stays the same keeps the time since when it is known.
+    fn update_causes(&mut self, now_ms: u64) {
+        self.suspects.retain(|_, evidence| {
+            evidence
                 .crashes
                 .retain(|crash| now_ms < crash.at_ms + CRASH_MEMORY_MS);
-            !suspect.crashes.is_empty()
+            !evidence.crashes.is_empty()
         });
-        let crash_count = |suspect: &Suspect| suspect.counted_crashes().count();
-        let suspects = self
-            .suspects
-            .iter()
-            .filter(|(_, suspect)| crash_count(suspect) >= CRASHES_MIN);
-        let mut candidates: Vec<(&RequestKey, &Suspect)> = suspects.collect();
-        candidates.sort_unstable_by_key(|(request, suspect)| {
-            let by_crashes = std::cmp::Reverse(crash_count(suspect));
-            (by_crashes, suspect.longest_run_ms(), **request)
-        });
-        let mut explained: HashSet<TargetId> = HashSet::new();
-        let mut withheld = HashSet::new();
-        for (request, suspect) in candidates {
-            let targets = suspect.counted_crashes().map(|crash| crash.target);
-            let unexplained: Vec<TargetId> = targets
-                .filter(|target| !explained.contains(target))
-                .collect();
-            if unexplained.len() >= CRASHES_MIN {
-                explained.extend(unexplained);
-                withheld.insert(*request);
-            }
-        }
-        self.withheld = withheld;
+        let before = std::mem::take(&mut self.causes);
+        let found_ms = |cause: &Cause| {
+            let mut known = before.iter();
+            let known = known.find(|known| known.cause.suspects == cause.suspects);
+            known.map_or(now_ms, |known| known.found_ms)
+        };
+        self.causes = likely_causes(&self.suspects)
+            .into_iter()
+            .map(|cause| KnownCause {
+                found_ms: found_ms(&cause),
+                cause,
+            })
+            .collect();
     }
 
     /// Evicts the weakest suspect if there is no room for one more.
-    fn evict_weakest(&mut self, request: RequestKey) {
-        if self.suspects.len() < SUSPECTS_MAX || self.suspects.contains_key(&request) {
+    fn evict_weakest(&mut self, suspect: Suspect) {
+        if self.suspects.len() < SUSPECTS_MAX || self.suspects.contains_key(&suspect) {
             return;
         }
-        let weakest = self.suspects.iter().min_by_key(|(request, suspect)| {
-            (
-                suspect.counted_crashes().count(),
-                suspect.last_crash_ms(),
-                **request,
-            )
+        let weakest = self.suspects.iter().min_by_key(|(suspect, evidence)| {
+            (evidence.count(), evidence.last_crash_ms(), **suspect)
         });
-        if let Some(weakest) = weakest.map(|(request, _)| *request) {
+        if let Some(weakest) = weakest.map(|(suspect, _)| *suspect) {
             self.suspects.remove(&weakest);
         }
     }
 }
 
+fn age_ms(at_ms: u64, now_ms: u64) -> u32 {
+    u32::try_from(now_ms.saturating_sub(at_ms)).unwrap_or(u32::MAX)
+}
+
 #[cfg(test)]
 #[path = "quarantine_tests.rs"]
 mod tests;
+
+#[cfg(test)]
+#[path = "quarantine_parts_tests.rs"]
+mod parts_tests;
--- /dev/null
+++ b/components/policy/src/health/quarantine_parts_tests.rs
@@ -0,0 +1,392 @@
+use super::*;
+use prelude::{AccountId, RunId, TargetId};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use std::collections::HashSet;
+
+fn part(id: u64) -> PartKey {
+    PartKey { engines: 1, id }
+}
+
+fn request(digest: u64) -> RequestKey {
+    RequestKey {
+        account: AccountId(1),
+        digest,
+    }
+}
+
+/// Reports of a crash that interrupted a request with these parts before it began.
+fn crash(digest: u64, parts: &[u64], target: u64) -> Vec<TargetEnd> {
+    let suspects = parts.iter().map(|id| Suspect::Part(part(*id)));
+    suspects
+        .chain([Suspect::Request(request(digest))])
+        .map(|suspect| TargetEnd {
+            suspect,
+            target: TargetId(target),
+            runs: vec![RunId::of(request(digest))],
+            ran_ms: 60,
+            age_ms: 0,
+        })
+        .collect()
+}
+
+/// Crashes 3 s apart, each under another request. Prompts are separated by spaces, and their parts by commas. Returns the time
+/// of the decision, too.
+fn after(prompts: &str) -> (Quarantine, u64) {
+    let mut quarantine = Quarantine::default();
+    let mut now_ms = 10_000;
+    for (at, prompt) in (1..).zip(prompts.split(' ')) {
+        let parts: Vec<u64> = prompt.split(',').map(|id| id.parse().unwrap()).collect();
+        now_ms += 3_000;
+        quarantine.record_crashes(&crash(at, &parts, at), now_ms);
+    }
+    (quarantine, now_ms + DECISION_MS)
+}
+
+fn verdict_of(quarantine: &Quarantine, parts: &[u64], now_ms: u64) -> QuarantineVerdict {
+    let parts: Vec<PartKey> = parts.iter().map(|id| part(*id)).collect();
+    quarantine.verdict(request(999), &parts, now_ms)
+}
+
+fn is_withheld(quarantine: &Quarantine, parts: &[u64], now_ms: u64) -> bool {
+    verdict_of(quarantine, parts, now_ms) == QuarantineVerdict::Withheld
+}
+
+fn answer(quarantine: &mut Quarantine, parts: &[u64], now_ms: u64) {
+    for id in parts {
+        quarantine.record_answer(Suspect::Part(part(*id)), now_ms);
+    }
+}
+
+/// Part 7 is fatal in all tests.
+#[rstest]
+#[case::it_is_the_only_shared_part("7 7 7", &[7])]
+#[case::it_is_the_first_part("7,1 7,2 7,3", &[7, 4])]
+#[case::it_is_the_last_shared_part("1,7 2,7 3,7", &[4, 7])]
+#[case::another_part_was_there_at_most_crashes("1,7 1,7 1,7 2,7 3,7", &[4, 7])]
+fn a_part_under_which_targets_crash_is_withheld_whatever_else_is_in_the_prompt(
+    #[case] prompts: &str,
+    #[case] next: &[u64],
+) {
+    let (quarantine, now_ms) = after(prompts);
+    assert!(is_withheld(&quarantine, next, now_ms));
+    assert!(!is_withheld(&quarantine, &[8, 9], now_ms));
+}
+
+#[test]
+fn requests_with_only_some_of_the_parts_that_were_always_there_are_sent() {
+    let (quarantine, now_ms) = after("1,7 1,7 1,7");
+    assert!(is_withheld(&quarantine, &[1, 7], now_ms));
+    for parts in [&[1][..], &[7], &[1, 2], &[2, 7]] {
+        let verdict = verdict_of(&quarantine, parts, now_ms);
+        assert_eq!(verdict, QuarantineVerdict::Send, "{parts:?}");
+    }
+}
+
+#[test]
+fn an_answer_with_one_of_the_parts_leaves_the_others_as_the_cause() {
+    let (mut quarantine, now_ms) = after("1,7 1,7 1,7");
+    answer(&mut quarantine, &[1, 2], now_ms);
+    assert!(is_withheld(&quarantine, &[2, 7], now_ms + DECISION_MS));
+    assert_eq!(
+        verdict_of(&quarantine, &[1], now_ms),
+        QuarantineVerdict::Send
+    );
+}
+
+#[test]
+fn a_part_that_crashes_targets_with_any_other_part_is_withheld_with_all_of_them() {
+    let (quarantine, now_ms) = after("7,1 7,1 7,1 7,2 7,2");
+    assert!(is_withheld(&quarantine, &[7, 3], now_ms));
+}
+
+#[test]
+fn answers_before_the_crashes_do_not_shield_a_part() {
+    let mut quarantine = Quarantine::default();
+    answer(&mut quarantine, &[7], 9_990);
+    for target in 1..=3 {
+        quarantine.record_crashes(&crash(target, &[7], target), 10_000 + target * 300);
+    }
+    assert!(is_withheld(&quarantine, &[7], 12_000));
+}
+
+#[test]
+fn a_part_that_is_answered_between_crashes_is_not_withheld() {
+    let mut quarantine = Quarantine::default();
+    for target in 1..=10 {
+        let now_ms = 10_000 + target * 1_000;
+        quarantine.record_crashes(&crash(target, &[5], target), now_ms);
+        answer(&mut quarantine, &[5], now_ms + 500);
+        assert_eq!(
+            verdict_of(&quarantine, &[5], now_ms + 600),
+            QuarantineVerdict::Send
+        );
+    }
+}
+
+#[test]
+fn requests_are_held_while_answers_elsewhere_may_still_acquit_a_part() {
+    let mut quarantine = Quarantine::default();
+    for target in 1..=4 {
+        quarantine.record_crashes(&crash(target, &[5], target), 10_000);
+    }
+    let held = QuarantineVerdict::Held {
+        remaining_ms: DECISION_MS,
+    };
+    assert_eq!(verdict_of(&quarantine, &[5], 10_000), held);
+    answer(&mut quarantine, &[5], 10_200);
+    assert_eq!(
+        verdict_of(&quarantine, &[5], 10_200),
+        QuarantineVerdict::Send
+    );
+}
+
+/// Targets that fail together for another reason look like a fatal part. One trial shows the difference.
+#[test]
+fn a_part_withheld_after_simultaneous_crashes_is_acquitted_by_a_trial() {
+    let mut quarantine = Quarantine::default();
+    for target in 1..=4 {
+        quarantine.record_crashes(&crash(target, &[5], target), 10_000);
+    }
+    let trial_ms = 10_000 + PART_WITHHELD_MIN_MS;
+    assert!(is_withheld(&quarantine, &[5], trial_ms - 1));
+    let verdict = verdict_of(&quarantine, &[5], trial_ms);
+    assert!(matches!(verdict, QuarantineVerdict::Trial(trial) if trial.number == 0));
+    assert!(is_withheld(&quarantine, &[5], trial_ms + TRIAL_WINDOW_MS));
+    answer(&mut quarantine, &[5], trial_ms + 100);
+    assert_eq!(
+        verdict_of(&quarantine, &[5], trial_ms + 101),
+        QuarantineVerdict::Send
+    );
+}
+
+#[test]
+fn each_trial_that_crashes_its_target_withholds_the_part_for_much_longer() {
+    let (mut quarantine, mut now_ms) = after("7 7 7");
+    let mut trials = 0;
+    while now_ms < 310_000 {
+        now_ms += 50;
+        if let QuarantineVerdict::Trial(_) = verdict_of(&quarantine, &[7], now_ms) {
+            trials += 1;
+            quarantine.record_crashes(&crash(100 + trials, &[7], 100 + trials), now_ms + 50);
+        }
+    }
+    assert_eq!(trials, 1);
+}
+
+#[test]
+fn a_request_that_crashes_targets_is_withheld_without_its_parts() {
+    let mut quarantine = Quarantine::default();
+    for target in 1..=3 {
+        quarantine.record_crashes(&crash(42, &[1, 2], target), 10_000 + target * 1_000);
+    }
+    let parts = [part(1), part(2)];
+    let later_ms = 14_000;
+    assert!(quarantine.is_withheld(request(42), later_ms));
+    assert_eq!(
+        quarantine.verdict(request(43), &parts, later_ms),
+        QuarantineVerdict::Send
+    );
+}
+
+#[test]
+fn an_operator_clears_all_parts_of_a_cause_at_once() {
+    let (mut quarantine, now_ms) = after("1,7 1,7 1,7");
+    assert_eq!(quarantine.clear(Suspect::Part(part(7)), now_ms).len(), 2);
+    assert!(quarantine.withheld_causes(now_ms).is_empty());
+}
+
+#[test]
+fn the_same_part_at_other_engines_is_sent() {
+    let (quarantine, now_ms) = after("7 7 7");
+    let elsewhere = PartKey { engines: 2, id: 7 };
+    let verdict = quarantine.verdict(request(999), &[elsewhere], now_ms);
+    assert_eq!(verdict, QuarantineVerdict::Send);
+}
+
+/// The fatal part of the simulated prompts.
+const FATAL: u64 = 7;
+const ENGINES: usize = 9;
+const SLOTS: usize = 64;
+const STEP_MS: u64 = 10;
+const FIRST_EVENT_MS: std::ops::Range<u64> = 80..400;
+const RUN_MS: std::ops::Range<u64> = 1_000..8_000;
+const RESTART_MS: u64 = 3_000;
+/// Sound requests in a second.
+const SOUND_PER_S: f64 = 12.0;
+
+struct Run {
+    digest: u64,
+    parts: Vec<u64>,
+    begins_ms: u64,
+    ends_ms: u64,
+}
+
+#[derive(Default)]
+struct Engine {
+    target: u64,
+    up_at_ms: u64,
+    runs: Vec<Run>,
+}
+
+/// Simulated engines under sound requests, and others with a fatal part that share their account's parts.
+struct Simulation {
+    random: ChaCha8Rng,
+    quarantine: Quarantine,
+    engines: Vec<Engine>,
+    now_ms: u64,
+    next: u64,
+    trials: HashSet<Trial>,
+    crashes: u64,
+    fatal_sent: u64,
+    sound: u64,
+    sound_refused: u64,
+}
+
+impl Simulation {
+    fn new(seed: u64) -> Self {
+        let engine = |target| Engine {
+            target,
+            ..Engine::default()
+        };
+        Self {
+            random: ChaCha8Rng::seed_from_u64(seed),
+            quarantine: Quarantine::default(),
+            engines: (0..ENGINES as u64).map(engine).collect(),
+            now_ms: 1_000,
+            next: 1_000,
+            trials: HashSet::new(),
+            crashes: 0,
+            fatal_sent: 0,
+            sound: 0,
+            sound_refused: 0,
+        }
+    }
+
+    fn new_id(&mut self) -> u64 {
+        self.next += 1;
+        self.next
+    }
+
+    /// The parts of a sound prompt: that of its route, and that of one of ten accounts.
+    fn sound_parts(&mut self) -> Vec<u64> {
+        let account = 100 + (10.0 * self.random.random::<f64>().powi(2)) as u64;
+        vec![1, account]
+    }
+
+    /// Sends a request if its prompt is not withheld. Returns whether it was refused.
+    fn send(&mut self, parts: Vec<u64>) -> bool {
+        let digest = self.new_id();
+        let keys: Vec<PartKey> = parts.iter().map(|id| part(*id)).collect();
+        let may_send = match self.quarantine.verdict(request(digest), &keys, self.now_ms) {
+            QuarantineVerdict::Send => true,
+            QuarantineVerdict::Trial(trial) => self.trials.insert(trial),
+            QuarantineVerdict::Held { .. } | QuarantineVerdict::Withheld => false,
+        };
+        let up = self.engines.iter_mut();
+        let up = up.filter(|engine| engine.up_at_ms <= self.now_ms && engine.runs.len() < SLOTS);
+        let Some(engine) = up.min_by_key(|engine| engine.runs.len()) else {
+            return false;
+        };
+        if may_send {
+            self.fatal_sent += u64::from(parts.contains(&FATAL));
+            let begins_ms = self.now_ms + self.random.random_range(FIRST_EVENT_MS);
+            let ends_ms = begins_ms + self.random.random_range(RUN_MS);
+            engine.runs.push(Run {
+                digest,
+                parts,
+                begins_ms,
+                ends_ms,
+            });
+        }
+        !may_send
+    }
+
+    fn step(&mut self, fatal_per_s: f64) {
+        self.now_ms += STEP_MS;
+        let per_step = STEP_MS as f64 / 1_000.0;
+        if self.random.random_bool(SOUND_PER_S * per_step) {
+            let parts = self.sound_parts();
+            self.sound += 1;
+            self.sound_refused += u64::from(self.send(parts));
+        }
+        if self.random.random_bool(fatal_per_s * per_step) {
+            self.send(vec![1, FATAL, 100]);
+        }
+        for at in 0..ENGINES {
+            self.advance(at);
+        }
+    }
+
+    /// Lets the runs of an engine begin and end, and crashes it under a fatal one.
+    fn advance(&mut self, at: usize) {
+        let now_ms = self.now_ms;
+        let begun = |run: &&Run| run.begins_ms <= now_ms && now_ms < run.begins_ms + STEP_MS;
+        let begun: Vec<&Run> = self.engines[at].runs.iter().filter(begun).collect();
+        if begun.iter().any(|run| run.parts.contains(&FATAL)) {
+            self.crash(at);
+            return;
+        }
+        for id in begun.iter().flat_map(|run| &run.parts) {
+            self.quarantine
+                .record_answer(Suspect::Part(part(*id)), now_ms);
+        }
+        self.engines[at].runs.retain(|run| now_ms < run.ends_ms);
+    }
+
+    fn crash(&mut self, at: usize) {
+        self.crashes += 1;
+        let target = self.new_id();
+        let replacement = Engine {
+            target,
+            up_at_ms: self.now_ms + RESTART_MS,
+            runs: Vec::new(),
+        };
+        let crashed = std::mem::replace(&mut self.engines[at], replacement);
+        for run in &crashed.runs {
+            let parts: &[u64] = match run.begins_ms + STEP_MS <= self.now_ms {
+                true => &[],
+                false => &run.parts,
+            };
+            let reports = crash(run.digest, parts, crashed.target);
+            self.quarantine.record_crashes(&reports, self.now_ms);
+        }
+    }
+}
+
+/// Both errors at once: engines that crash under the fatal part, and sound requests that are refused for a part they share
+/// with it.
+#[rstest]
+#[case::one_in_two_seconds(0.5)]
+#[case::five_in_a_second(5.0)]
+#[case::fifty_in_a_second(50.0)]
+fn a_fatal_part_is_withheld_and_hardly_any_sound_request_with_it(#[case] fatal_per_s: f64) {
+    const SERIES: u64 = 40;
+    let (mut crashes, mut late_sends, mut sound, mut refused) = (0, 0, 0, 0);
+    for seed in 0..SERIES {
+        let mut simulation = Simulation::new(seed);
+        let mut fifth_crash_ms = None;
+        let mut sent_before = 0;
+        while simulation.now_ms < 31_000 {
+            simulation.step(fatal_per_s);
+            if simulation.crashes >= 5 && fifth_crash_ms.is_none() {
+                fifth_crash_ms = Some(simulation.now_ms);
+            }
+            if fifth_crash_ms.is_none_or(|at_ms| simulation.now_ms < at_ms + 3_000) {
+                sent_before = simulation.fatal_sent;
+            }
+        }
+        crashes += simulation.crashes;
+        late_sends = late_sends.max(simulation.fatal_sent - sent_before);
+        sound += simulation.sound;
+        refused += simulation.sound_refused;
+    }
+    println!(
+        "{fatal_per_s} a second: {:.1} engines crash in 30 s, at most {late_sends} late sends, \
+         {refused} of {sound} sound requests refused",
+        crashes as f64 / SERIES as f64
+    );
+    assert!(late_sends <= 3, "{late_sends} requests sent late");
+    assert!(refused * 20 < sound, "{refused} of {sound}");
+}
--- a/components/policy/src/health/quarantine_tests.rs
+++ b/components/policy/src/health/quarantine_tests.rs
@@ -1,5 +1,7 @@
 use super::*;
-use prelude::AccountId;
+use crate::health::causes::CRASHES_MIN;
+use crate::health::evidence::{ANSWER_GRACE_MS, ANSWERS_MAX};
+use prelude::{AccountId, RunId, TargetId};
 use proptest::prelude::{any, prop, prop_assert_eq, proptest};
 use rand::Rng;
 use rand::SeedableRng;
@@ -17,8 +19,9 @@
 /// A crash that is reported at the time at which it happens.
 fn crash(digest: u64, target: u64, ran_ms: u32) -> TargetEnd {
     TargetEnd {
-        request: request(digest),
+        suspect: request(digest).into(),
         target: TargetId(target),
+        runs: vec![RunId::of(request(digest))],
         ran_ms,
         age_ms: 0,
     }
@@ -27,7 +30,7 @@
 fn after(crashes: &[(u64, u64, u32)]) -> Quarantine {
     let mut quarantine = Quarantine::default();
     for (at_ms, (digest, target, ran_ms)) in (1_000..).zip(crashes) {
-        quarantine.record_crash(&crash(*digest, *target, *ran_ms), at_ms);
+        quarantine.record_crashes(&[crash(*digest, *target, *ran_ms)], at_ms);
     }
     quarantine
 }
@@ -53,29 +56,33 @@
     let later_ms = 1_002 + WITHHELD_MS;
     assert!(quarantine.is_withheld(request(7), later_ms - 1));
     assert!(!quarantine.is_withheld(request(7), later_ms));
-    quarantine.record_crash(&crash(7, 4, 40), later_ms + 1);
+    quarantine.record_crashes(&[crash(7, 4, 40)], later_ms + 1);
     assert!(quarantine.is_withheld(request(7), later_ms + 2));
 }
 
 #[test]
 fn ignores_crashes_of_a_request_that_was_answered_recently() {
     let mut answered_before = Quarantine::default();
-    answered_before.record_answer(request(7), 500);
+    answered_before.record_answer(request(7).into(), 500);
     for target in 1..=3 {
-        answered_before.record_crash(&crash(7, target, 40), 1_000);
+        answered_before.record_crashes(&[crash(7, target, 40)], 1_000);
     }
     assert!(!answered_before.is_withheld(request(7), 1_001));
     let mut answered_after = after(&[(7, 1, 40), (7, 2, 40), (7, 3, 40)]);
-    assert!(answered_after.record_answer(request(7), 2_000).is_some());
+    assert!(
+        answered_after
+            .record_answer(request(7).into(), 2_000)
+            .is_some()
+    );
     assert!(!answered_after.is_withheld(request(7), 2_001));
 }
 
 #[test]
 fn counts_crashes_long_after_the_last_answer() {
     let mut quarantine = Quarantine::default();
-    quarantine.record_answer(request(7), 0);
+    quarantine.record_answer(request(7).into(), 0);
     for target in 1..=3 {
-        quarantine.record_crash(&crash(7, target, 40), ANSWER_GRACE_MS + target);
+        quarantine.record_crashes(&[crash(7, target, 40)], ANSWER_GRACE_MS + target);
     }
     assert!(quarantine.is_withheld(request(7), ANSWER_GRACE_MS + 10));
 }
@@ -84,7 +91,7 @@
 fn applies_the_acquittal_of_another_box() {
     let mut quarantine = after(&[(7, 1, 40), (7, 2, 40), (7, 3, 40)]);
     let acquittal = Acquittal {
-        request: request(7),
+        suspect: request(7).into(),
         by: AcquittedBy::Answer,
         age_ms: 5,
     };
@@ -101,7 +108,7 @@
             age_ms: 60_000,
             ..crash(7, target, 40)
         };
-        restarted.record_crash(&report, 20);
+        restarted.record_crashes(&[report], 20);
     }
     assert!(restarted.is_withheld(request(7), 21));
 }
@@ -109,13 +116,13 @@
 #[test]
 fn counts_new_crashes_after_an_operator_cleared_the_request() {
     let mut quarantine = after(&[(7, 1, 40), (7, 2, 40), (7, 3, 40)]);
-    assert!(quarantine.clear(request(7), 2_000).is_some());
+    assert!(!quarantine.clear(request(7).into(), 2_000).is_empty());
     assert!(!quarantine.is_withheld(request(7), 2_001));
     for target in 4..=6 {
-        quarantine.record_crash(&crash(7, target, 40), 3_000);
+        quarantine.record_crashes(&[crash(7, target, 40)], 3_000);
     }
     assert!(quarantine.is_withheld(request(7), 3_001));
-    assert!(quarantine.clear(request(9), 3_001).is_none());
+    assert!(quarantine.clear(request(9).into(), 3_001).is_empty());
 }
 
 #[test]
@@ -136,8 +143,8 @@
 fn releases_a_bystander_once_another_request_explains_more_crashes() {
     let mut quarantine = after(&[(8, 1, 20), (7, 1, 40), (8, 2, 20), (7, 2, 40), (8, 3, 20)]);
     assert!(quarantine.is_withheld(request(8), 2_000));
-    quarantine.record_crash(&crash(7, 3, 40), 2_000);
-    quarantine.record_crash(&crash(7, 4, 40), 2_001);
+    quarantine.record_crashes(&[crash(7, 3, 40)], 2_000);
+    quarantine.record_crashes(&[crash(7, 4, 40)], 2_001);
     assert!(quarantine.is_withheld(request(7), 2_002));
     assert!(!quarantine.is_withheld(request(8), 2_002));
 }
@@ -146,7 +153,7 @@
 fn keeps_a_bounded_number_of_suspects_with_the_most_crashes() {
     let mut quarantine = after(&[(7, 1, 40), (7, 2, 40), (7, 3, 40)]);
     for digest in 100..100 + 3 * SUSPECTS_MAX as u64 {
-        quarantine.record_crash(&crash(digest, 9, 40), 2_000 + digest);
+        quarantine.record_crashes(&[crash(digest, 9, 40)], 2_000 + digest);
     }
     assert_eq!(quarantine.suspects.len(), SUSPECTS_MAX);
     assert!(quarantine.is_withheld(request(7), 10_000));
@@ -156,7 +163,7 @@
 fn keeps_a_bounded_number_of_answers() {
     let mut quarantine = Quarantine::default();
     for digest in 0..5 * ANSWERS_MAX as u64 {
-        quarantine.record_answer(request(digest), digest / 100);
+        quarantine.record_answer(request(digest).into(), digest / 100);
     }
     assert!(quarantine.recent_answers.answered_ms.len() <= ANSWERS_MAX + 1);
     assert!(quarantine.recent_answers.in_order.len() <= ANSWERS_MAX + 1);
@@ -170,7 +177,7 @@
     ) {
         let apply = |quarantine: &mut Quarantine, crashes: &[(u64, u64, u32)]| {
             for (digest, target, ran_ms) in crashes {
-                quarantine.record_crash(&crash(*digest, *target, *ran_ms), 1_000);
+                quarantine.record_crashes(&[crash(*digest, *target, *ran_ms)], 1_000);
             }
         };
         let (mut first, mut second) = (Quarantine::default(), Quarantine::default());
@@ -179,7 +186,7 @@
         let mut random = ChaCha8Rng::seed_from_u64(order);
         shuffled.shuffle(&mut random);
         apply(&mut second, &shuffled);
-        prop_assert_eq!(first.withheld_requests(2_000), second.withheld_requests(2_000));
+        prop_assert_eq!(first.withheld_causes(2_000), second.withheld_causes(2_000));
     }
 }
 
@@ -235,7 +242,7 @@
         for (digest, started_ms) in &interrupted {
             let ran_ms = (self.now_ms - started_ms) as u32;
             self.quarantine
-                .record_crash(&crash(*digest, self.incarnations, ran_ms), self.now_ms);
+                .record_crashes(&[crash(*digest, self.incarnations, ran_ms)], self.now_ms);
         }
         let others: Vec<usize> = (0..self.engines.len())
             .filter(|other| *other != at)
@@ -253,16 +260,16 @@
 
     /// Innocent requests with enough crashes to be withheld if no other request explained them.
     fn innocents_with_enough_crashes(&self) -> usize {
-        let enough = |suspect: &&Suspect| suspect.counted_crashes().count() >= CRASHES_MIN;
+        let enough = |evidence: &&Evidence| evidence.count() >= CRASHES_MIN;
         let all = self.quarantine.suspects.values().filter(enough).count();
         all - 1
     }
 
     fn innocents_withheld(&self) -> usize {
-        let withheld = self.quarantine.withheld_requests(self.now_ms);
+        let withheld = self.quarantine.withheld_causes(self.now_ms);
         withheld
             .iter()
-            .filter(|row| row.request != request(FATAL))
+            .filter(|row| row.suspects != [request(FATAL).into()])
             .count()
     }
 }
--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -31,7 +31,9 @@
 pub use fairness::usage::{AccountUsage, RankCounts};
 pub use health::outlier::OutlierEjection;
 pub use health::probation::Probation;
-pub use health::quarantine::{Quarantine, WithheldRequest};
+pub use health::quarantine::{
+    Quarantine, QuarantineVerdict, RecordedCrashes, Trial, WithheldCause,
+};
 pub use health::reachability::{FAILED_TARGETS_MIN, Reachability, ReachabilityChange};
 pub use health::refusals::RefusedConnections;
 pub use health::retry_after::RetryAfterBackoff;
--- a/components/prelude/src/lib.rs
+++ b/components/prelude/src/lib.rs
@@ -8,7 +8,7 @@
 mod version;
 
 pub use avoided::Avoided;
-pub use ends::{Acquittal, AcquittedBy, TargetEnd};
+pub use ends::{Acquittal, AcquittedBy, PartKey, RunId, Suspect, TargetEnd};
 pub use ids::{
     AccountId, BoxId, BoxIncarnation, DataCentreId, KeyError, ModelId, OwnerId, PartnerId,
     PermitId, PoolId, RegionId, RequestKey, ServiceId, TargetId, TargetIncarnation, TargetKey,
--- a/components/relay/src/forwarding/attempt.rs
+++ b/components/relay/src/forwarding/attempt.rs
@@ -6,7 +6,7 @@
 use crate::forwarding::outcome::TargetOutcome;
 use crate::forwarding::send::{NotRun, OutgoingRequest, SendResult, UNREPEATABLE_MAX_IDLE_MS};
 use crate::ingress::request::{IncomingRequest, Reply, ResolvedRoute};
-use crate::quarantine::broken_runs::RunFailure;
+use crate::quarantine::broken_runs::{RunFailure, RunProgress};
 use crate::rate_limit::token::TokenRequest;
 use crate::state::Relay;
 use crate::watch::targets::TargetSlot;
@@ -113,11 +113,17 @@
             true => RunFailure::Silent,
             false => RunFailure::ConnectionClosed,
         };
-        relay.record_broken_run(incoming.key, slot, started_ms, break_kind);
+        relay.record_broken_run(
+            incoming,
+            slot,
+            started_ms,
+            break_kind,
+            RunProgress::NotBegun,
+        );
     }
     if let AttemptResult::Answered(reply) = &mut attempt {
         if reply.status < 500 {
-            relay.record_served_request(incoming.key);
+            relay.record_served_request(incoming);
         }
         reply.memory = Some(Rc::new(memory));
         let took_ms = relay.now_ms() - started_ms;
--- a/components/relay/src/forwarding/generation.rs
+++ b/components/relay/src/forwarding/generation.rs
@@ -15,7 +15,7 @@
 use crate::ingress::request::{IncomingRequest, LocalReply, Reply, ResolvedRoute};
 use crate::ingress::stopping::refuse_if_stopping;
 use crate::membership::gossip::broadcast_digest;
-use crate::quarantine::broken_runs::RunFailure;
+use crate::quarantine::broken_runs::{RunFailure, RunProgress};
 use crate::state::Relay;
 use crate::watch::targets::{Target, TargetSlot};
 use http1::Channel;
@@ -44,6 +44,8 @@
 const RANK_COUNT: u8 = 7;
 /// An engine that has not started to answer after this time is suspected: three times the median start time.
 const FIRST_RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Why a generation was cancelled at its engine before it began: another engine crashed under a part of its prompt.
+pub(crate) const TAKEN_BACK: &str = "engines end under a part of this prompt";
 /// The kind of generations without a length hint; ranks count down from here.
 const UNKNOWN_LENGTH_KIND: u8 = 255;
 
@@ -242,6 +244,9 @@
         let acquired = tokio::select! {
             acquired = relay.acquire(&want) => acquired,
             () = relay.wait_until_relayed(service) => return StartResult::unreachable(incoming),
+            () = relay.wait_until_withheld(incoming) => {
+                return StartResult::LocalReply(LocalReply::Withheld);
+            }
         };
         let permit = match acquired {
             Ok(permit) => permit,
@@ -255,15 +260,28 @@
             broadcast_digest(relay);
             continue;
         }
-        if let Some(local) = relay.withheld_reply(incoming) {
+        if let Some(local) = relay.decided_withheld_reply(incoming).await {
             // The request was quarantined while it waited for its permit.
             return StartResult::LocalReply(local);
         }
+        relay.begin_trial(incoming);
         let granted_ms = relay.now_ms();
         let sending = send_generation(relay, incoming, resolved, slot, None, SendKind::Generation);
         let monitored = report_if_silent(relay, resolved, &permit, FIRST_RESPONSE_TIMEOUT, sending);
-        let Ok(result) = timeout_at(deadline, monitored).await else {
-            relay.record_broken_run(incoming.key, slot, granted_ms, RunFailure::Silent);
+        let sent = tokio::select! {
+            sent = timeout_at(deadline, monitored) => sent,
+            () = relay.wait_until_withheld(incoming) => {
+                return StartResult::LocalReply(LocalReply::MayHaveRun(TAKEN_BACK));
+            }
+        };
+        let Ok(result) = sent else {
+            relay.record_broken_run(
+                incoming,
+                slot,
+                granted_ms,
+                RunFailure::Silent,
+                RunProgress::NotBegun,
+            );
             return StartResult::LocalReply(LocalReply::DeadlineExceeded);
         };
         relay.record_outcome(slot, outcome_of(&result));
@@ -291,10 +309,11 @@
             }
             SendResult::MayHaveRun(why) => {
                 relay.record_broken_run(
-                    incoming.key,
+                    incoming,
                     slot,
                     granted_ms,
                     RunFailure::ConnectionClosed,
+                    RunProgress::NotBegun,
                 );
                 return StartResult::LocalReply(LocalReply::MayHaveRun(why));
             }
--- a/components/relay/src/forwarding/stream.rs
+++ b/components/relay/src/forwarding/stream.rs
@@ -6,7 +6,7 @@
 use crate::dispatch::permits::Permit;
 use crate::forwarding::admission::SendKind;
 use crate::forwarding::events::EventSplitter;
-use crate::forwarding::generation::{outcome_of, send_generation};
+use crate::forwarding::generation::{TAKEN_BACK, outcome_of, send_generation};
 use crate::forwarding::open_response::OpenResponse;
 use crate::forwarding::pauses::{PauseCause, Pauses};
 use crate::forwarding::send::SendResult;
@@ -15,7 +15,7 @@
 use crate::ingress::request::{IncomingRequest, LocalReply, Reply, ResolvedRoute};
 use crate::migration::migrated_copy::MigratedCopy;
 use crate::migration::migrator::{MigrationStep, Migrator};
-use crate::quarantine::broken_runs::RunFailure;
+use crate::quarantine::broken_runs::{RunFailure, RunProgress};
 use crate::state::Relay;
 use http1::{Channel, Framing, push_chunk};
 use peers::EngineFault;
@@ -30,6 +30,8 @@
     response.head.framing == Framing::UntilClose
 }
 
+/// Events of an answer from which on its engine has survived the prompt.
+const SURVIVED_EVENTS: u32 = 2;
 /// An engine that sends no event for this long within a stream is suspected. This is many times the event interval of a
 /// fully loaded engine.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -92,7 +94,8 @@
         let is_complete = ended == StreamEnd::Whole;
         if is_complete {
             self.permit.mark_finished();
-            self.relay.record_served_request(self.incoming.key);
+            self.relay.record_served_request(self.incoming);
+            self.relay.record_served_parts(&self.incoming.parts);
             self.record_completion();
         }
         slog::info!(self.relay.log, "generation ended"; "id" => self.incoming.id(), "request" => %self.incoming.key,
@@ -215,6 +218,9 @@
                     None
                 }
                 () = self.unsent.wait_for_room(), if !wants_read => None,
+                () = self.relay.wait_until_withheld(self.incoming), if self.events == 0 => {
+                    return StreamEnd::Broken(TAKEN_BACK);
+                }
                 step = migrator.next_step(&self.permit, self.incoming.id()) => Some(step),
                 () = sleep_until(silent_at), if !suspected && wants_read => {
                     suspected = true;
@@ -279,7 +285,15 @@
     fn record_break(&self, kind: RunFailure) {
         let slot = self.permit.slot;
         self.relay
-            .record_broken_run(self.incoming.key, slot, self.started_ms, kind);
+            .record_broken_run(self.incoming, slot, self.started_ms, kind, self.progress());
+    }
+
+    /// A single event may be the last thing that an engine sends before it crashes under the prompt.
+    fn progress(&self) -> RunProgress {
+        match self.events >= SURVIVED_EVENTS {
+            true => RunProgress::Begun,
+            false => RunProgress::NotBegun,
+        }
     }
 
     /// Checks that a stream that ended is complete.
@@ -317,7 +331,11 @@
             Some(_) => {}
             None => self.first_event_ms = Some(now_ms - self.incoming.arrived_ms),
         }
+        let had_survived = self.events >= SURVIVED_EVENTS;
         self.events += events.count;
+        if !had_survived && self.events >= SURVIVED_EVENTS {
+            self.relay.record_served_parts(&self.incoming.parts);
+        }
         if events.last_id.is_some() {
             self.last_event = events.last_id;
         }
@@ -363,6 +381,15 @@
             (from.source_slot, SendKind::Resumption),
         ];
         for (slot, kind) in attempts {
+            if self
+                .relay
+                .decided_withheld_reply(self.incoming)
+                .await
+                .is_some()
+            {
+                from.free(self.relay);
+                return Err(StreamEnd::Broken(TAKEN_BACK));
+            }
             let sent_ms = self.relay.now_ms();
             let sending = send_generation(
                 self.relay,
@@ -398,9 +425,13 @@
                 }
                 SendResult::Answered(_) => break,
                 SendResult::MayHaveRun(_) => {
-                    let key = self.incoming.key;
-                    self.relay
-                        .record_broken_run(key, slot, sent_ms, RunFailure::ConnectionClosed);
+                    self.relay.record_broken_run(
+                        self.incoming,
+                        slot,
+                        sent_ms,
+                        RunFailure::ConnectionClosed,
+                        RunProgress::NotBegun,
+                    );
                     break;
                 }
                 SendResult::NotRun(why) => {
--- a/components/relay/src/ingress/accept.rs
+++ b/components/relay/src/ingress/accept.rs
@@ -11,8 +11,9 @@
 use bytes::Bytes;
 use http1::{Channel, Listener, RequestHead};
 use platform::parse_request_headers;
-use prelude::RequestKey;
-use routing::{CallerLimits, RequestFacts, RouteKind, Verdict};
+use prelude::{PartKey, RequestKey};
+use routing::{CallerLimits, PromptPart, RequestFacts, RouteKind, Verdict};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::time::sleep;
@@ -197,6 +198,8 @@
     );
     let relayed_ms = verified_elapsed_ms(relay, &facts);
     let incoming = IncomingRequest {
+        parts: part_keys(&resolved, &facts),
+        is_on_trial: Cell::new(false),
         is_relayed: relayed_ms.is_some(),
         head,
         facts,
@@ -208,6 +211,21 @@
     Ok((incoming, resolved))
 }
 
+/// The keys of the shared parts of a prompt; none for a request that is not a generation.
+fn part_keys(resolved: &ResolvedRoute, facts: &RequestFacts) -> Box<[PartKey]> {
+    let generation = facts.generation.as_ref();
+    let Some(generation) = generation.filter(|_| resolved.route().kind == RouteKind::Generation)
+    else {
+        return Box::default();
+    };
+    let engines = PartKey::engines_of(&resolved.service().name, &generation.model);
+    let key = |part: &PromptPart| PartKey {
+        engines,
+        id: part.id,
+    };
+    generation.shared_parts().iter().map(key).collect()
+}
+
 /// How long ago a relayed request arrived at the box that relays it, in ms; none if no box relays the request.
 fn verified_elapsed_ms(relay: &Relay, facts: &RequestFacts) -> Option<u64> {
     let mark = facts.relayed.as_ref()?;
@@ -222,7 +240,7 @@
     incoming: &IncomingRequest,
     resolved: &ResolvedRoute,
 ) -> ChannelAction {
-    if let Some(local) = relay.withheld_reply(incoming) {
+    if let Some(local) = relay.decided_withheld_reply(incoming).await {
         count_response(local.status(), "own");
         let reply = Reply::local(local, incoming.facts.request_id.as_deref());
         return write_reply(relay, channel, incoming.id(), reply, false).await;
--- a/components/relay/src/ingress/request.rs
+++ b/components/relay/src/ingress/request.rs
@@ -4,8 +4,9 @@
 use crate::state::Declared;
 use bytes::Bytes;
 use http1::RequestHead;
-use prelude::{AccountId, RequestKey};
+use prelude::{AccountId, PartKey, RequestKey};
 use routing::{GenerationRequest, RequestFacts, Route, RouteKey, ServiceKey};
+use std::cell::Cell;
 use std::rc::Rc;
 
 /// A request that was read completely.
@@ -16,6 +17,10 @@
     pub body: Bytes,
     /// Identifies the request by its content, the same for all retries.
     pub key: RequestKey,
+    /// The prompt parts that other requests may share.
+    pub parts: Box<[PartKey]>,
+    /// It is sent to find out whether targets survive it.
+    pub is_on_trial: Cell<bool>,
     /// Reserves memory for the body.
     pub _memory: BufferReservation,
     /// When the first byte was read, here or at the box that relays the request.
@@ -108,8 +113,8 @@
         why: &'static str,
         retry_after_ms: u64,
     },
-    /// Not run: the request is quarantined because several targets crashed under it. It has no Retry-After because the
-    /// end of the quarantine is unknown.
+    /// Not run: the request, or a part of its prompt, is quarantined because several targets crashed under it. It has no
+    /// Retry-After because the end of the quarantine is unknown.
     Withheld,
     /// Not run: this box reaches no target for a request that another box relays.
     Unreachable,
--- a/components/relay/src/membership/ranking.rs
+++ b/components/relay/src/membership/ranking.rs
@@ -31,6 +31,13 @@
         order
     }
 
+    /// Whether this box holds a role at a turn: boxes take turns, in the order of the role.
+    pub(crate) fn has_turn(&self, role: u64, turn: u64, leaving: bool, now_ms: u64) -> bool {
+        let order = self.ranked(role, leaving, now_ms);
+        let at = turn as usize % order.len().max(1);
+        order.get(at) == Some(&self.own_id)
+    }
+
     fn rank(&self, role: u64, leaving: bool, now_ms: u64) -> Ranking {
         self.ranking_checks
             .set(self.ranking_checks.get() + self.others.len() as u64);
--- a/components/relay/src/quarantine/broadcast.rs
+++ b/components/relay/src/quarantine/broadcast.rs
@@ -1,10 +1,12 @@
-//! Exchange between boxes about requests that crash targets. Each crash and each acquittal is broadcast to all boxes at once;
-//! a box that starts fetches the withheld requests from its peers.
+//! Exchange between boxes about requests and prompt parts that crash targets. Crashes and acquittals are broadcast to all boxes
+//! at once; a box that starts fetches the withheld requests from its peers. A box that is about to withhold a prompt part asks
+//! others whether they were answered.
 
 use crate::membership::broadcast::broadcast_groups;
 use crate::state::Relay;
 use peers::EndsTold;
-use prelude::{Acquittal, BoxId, RequestKey, TargetEnd};
+use policy::WithheldCause;
+use prelude::{Acquittal, BoxId, Suspect, TargetEnd};
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use std::collections::BTreeSet;
@@ -16,6 +18,10 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Number of peers that a starting box queries at once.
 const QUERIED_PEERS_MAX: usize = 3;
+/// Number of peers that a box asks for answers with a suspected prompt part.
+const ASKED_PEERS_MAX: usize = 16;
+/// When it asks them again, for answers that came since. The verdict takes effect later than that.
+const SECOND_QUERY_DELAY: Duration = Duration::from_millis(300);
 /// Interval of the queries of a starting box until a peer answers, and for how long it queries. Later crashes are broadcast
 /// to it in any case.
 const QUERY_INTERVAL: Duration = Duration::from_millis(100);
@@ -39,7 +45,7 @@
             acquittals: vec![acquittal],
             ..EndsTold::default()
         });
-        self.remove_record(acquittal.request);
+        self.remove_record(acquittal.suspect);
     }
 
     fn broadcast_report(self: &Rc<Self>, report: &EndsTold) {
@@ -50,7 +56,7 @@
     }
 
     /// Applies a report of another box, forwards it to the boxes in `pass_on`, and replies with known crashes: of all withheld
-    /// requests if asked for these, else of the reported requests.
+    /// requests if asked for these, else of the reported suspects, and with acquittals of those that this box was answered.
     pub(crate) fn handle_crash_report(self: &Rc<Self>, mut report: EndsTold) -> EndsTold {
         for id in std::mem::take(&mut report.pass_on) {
             tokio::task::spawn_local(send_to_group(self.clone(), report.clone(), vec![id]));
@@ -58,17 +64,18 @@
         self.apply_report(&report);
         let now_ms = self.now_ms();
         let quarantine = self.quarantine.borrow();
-        let ends = match report.asks_all {
-            true => quarantine.crashes_of_withheld(now_ms),
-            false => {
-                let requests: BTreeSet<RequestKey> =
-                    report.ends.iter().map(|crash| crash.request).collect();
-                let crashes_of = |request: RequestKey| quarantine.crashes_of(request, now_ms);
-                requests.into_iter().flat_map(crashes_of).collect()
-            }
-        };
+        if report.asks_all {
+            return EndsTold {
+                ends: quarantine.crashes_of_withheld(now_ms),
+                ..EndsTold::default()
+            };
+        }
+        let suspects: BTreeSet<Suspect> = report.ends.iter().map(|crash| crash.suspect).collect();
+        let crashes_of = |suspect: &Suspect| quarantine.crashes_of(*suspect, now_ms);
+        let acquittal_of = |suspect: &Suspect| quarantine.recent_acquittal(*suspect, now_ms);
         EndsTold {
-            ends,
+            ends: suspects.iter().flat_map(crashes_of).collect(),
+            acquittals: suspects.iter().filter_map(acquittal_of).collect(),
             ..EndsTold::default()
         }
     }
@@ -82,9 +89,29 @@
                 .borrow_mut()
                 .apply_acquittal(acquittal, now_ms);
             if is_new {
-                slog::info!(self.log, "request acquitted"; "request" => %acquittal.request,
+                slog::info!(self.log, "request acquitted"; "request" => %acquittal.suspect,
                     "by" => ?acquittal.by, "source" => "peer");
-                self.remove_own_record(acquittal.request);
+                self.remove_own_record(acquittal.suspect);
+                self.quarantine_changed();
+            }
+        }
+    }
+
+    /// Asks other boxes whether they were answered with the prompt parts of a cause.
+    pub(super) fn query_answers(self: &Rc<Self>, cause: &WithheldCause) {
+        let is_part = |suspect: &Suspect| matches!(suspect, Suspect::Part(_));
+        if !cause.suspects.iter().all(is_part) {
+            return;
+        }
+        let others = self.members.borrow().others();
+        let asked: Vec<BoxId> = others
+            .choose_multiple(&mut rand::rng(), ASKED_PEERS_MAX)
+            .copied()
+            .collect();
+        for delay in [Duration::ZERO, SECOND_QUERY_DELAY] {
+            for id in &asked {
+                let query = send_query(self.clone(), *id, cause.suspects.clone(), delay);
+                tokio::task::spawn_local(query);
             }
         }
     }
@@ -137,6 +164,18 @@
     }
 }
 
+/// Sends the crashes of some suspects to a box after a delay, and applies what it knows of them.
+async fn send_query(relay: Rc<Relay>, id: BoxId, suspects: Vec<Suspect>, delay: Duration) {
+    sleep(delay).await;
+    let now_ms = relay.now_ms();
+    let crashes_of = |suspect: &Suspect| relay.quarantine.borrow().crashes_of(*suspect, now_ms);
+    let report = EndsTold {
+        ends: suspects.iter().flat_map(crashes_of).collect(),
+        ..EndsTold::default()
+    };
+    relay.send_report(id, report).await;
+}
+
 /// Sends a report to the first box of a group that answers, which forwards it to the rest of the group.
 async fn send_to_group(relay: Rc<Relay>, mut report: EndsTold, group: Vec<BoxId>) {
     let mut remaining = &group[..];
--- a/components/relay/src/quarantine/broken_runs.rs
+++ b/components/relay/src/quarantine/broken_runs.rs
@@ -1,10 +1,12 @@
 //! Interrupted runs, and whether their target crashed. A target may drop one connection and keep running; only the end of a
-//! target that did not announce that it leaves counts as a crash, and against the requests that ran there.
+//! target that did not announce that it leaves counts as a crash, against the requests that ran there, and against the prompt
+//! parts of those that had not begun to be answered.
 
+use crate::ingress::request::IncomingRequest;
 use crate::state::Relay;
 use crate::watch::targets::{Target, TargetSlot, TargetState};
-use prelude::{RequestKey, TargetEnd, TargetId};
-use std::collections::HashMap;
+use prelude::{PartKey, RequestKey, RunId, Suspect, TargetEnd, TargetId};
+use std::collections::{BTreeMap, HashMap};
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -27,14 +29,32 @@
     Silent,
 }
 
-#[derive(Clone, Copy, Debug)]
+/// How far a run had come when it was interrupted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum RunProgress {
+    /// Its target had not begun to answer it, or had just begun.
+    NotBegun,
+    /// Its target survived the beginning of the answer.
+    Begun,
+}
+
+#[derive(Clone, Debug)]
 struct BrokenRun {
     request: RequestKey,
+    /// The shared parts of the prompt; empty if the target survived the beginning of the answer.
+    parts: Box<[PartKey]>,
     /// How long the request had run, in ms.
     ran_ms: u32,
     at_ms: u64,
 }
 
+impl BrokenRun {
+    fn suspects(&self) -> impl Iterator<Item = Suspect> {
+        let parts = self.parts.iter().copied().map(Suspect::Part);
+        parts.chain([Suspect::Request(self.request)])
+    }
+}
+
 /// The interrupted runs of one incarnation of a target.
 #[derive(Debug, Default)]
 struct TargetRuns {
@@ -66,17 +86,27 @@
         }
     }
 
-    /// Removes a target that crashed; returns one crash for each request that was interrupted there.
+    /// Removes a target that crashed; returns one crash for each suspect of the runs that were interrupted there.
     fn take_crashes(&mut self, target: TargetId, now_ms: u64) -> Vec<TargetEnd> {
         self.remove_expired(now_ms);
         let target_runs = self.0.remove(&target).unwrap_or_default();
-        let crash = |run: &BrokenRun| TargetEnd {
-            request: run.request,
-            target,
-            ran_ms: run.ran_ms,
-            age_ms: now_ms.saturating_sub(run.at_ms) as u32,
-        };
-        target_runs.runs.iter().map(crash).collect()
+        let mut crashes: BTreeMap<Suspect, TargetEnd> = BTreeMap::new();
+        for run in &target_runs.runs {
+            let age_ms = now_ms.saturating_sub(run.at_ms) as u32;
+            for suspect in run.suspects() {
+                let crash = crashes.entry(suspect).or_insert_with(|| TargetEnd {
+                    suspect,
+                    target,
+                    runs: Vec::new(),
+                    ran_ms: run.ran_ms,
+                    age_ms,
+                });
+                crash.runs.push(RunId::of(run.request));
+                crash.ran_ms = crash.ran_ms.min(run.ran_ms);
+                crash.age_ms = crash.age_ms.max(age_ms);
+            }
+        }
+        crashes.into_values().collect()
     }
 
     fn remove_expired(&mut self, now_ms: u64) {
@@ -94,10 +124,11 @@
     /// began.
     pub(crate) fn record_broken_run(
         self: &Rc<Self>,
-        request: RequestKey,
+        incoming: &IncomingRequest,
         slot: TargetSlot,
         started_ms: u64,
         failure: RunFailure,
+        progress: RunProgress,
     ) {
         let now_ms = self.now_ms();
         let (target, address) = {
@@ -110,7 +141,11 @@
             (target.id, target.entry.address)
         };
         let run = BrokenRun {
-            request,
+            request: incoming.key,
+            parts: match progress {
+                RunProgress::NotBegun => incoming.parts.clone(),
+                RunProgress::Begun => Box::default(),
+            },
             ran_ms: now_ms.saturating_sub(started_ms) as u32,
             at_ms: now_ms,
         };
--- a/components/relay/src/quarantine/record.rs
+++ b/components/relay/src/quarantine/record.rs
@@ -1,12 +1,13 @@
-//! Records of requests that crash targets, in the platform's store. They survive a restart of all boxes, and merge the
-//! observations of boxes that cannot reach each other. A single crash is not recorded: most requests that run during a crash
-//! did not cause it.
+//! Records of requests and prompt parts that crash targets, in the platform's store. They survive a restart of all boxes, and
+//! merge the observations of boxes that cannot reach each other. A single crash is not recorded: most requests that run during
+//! a crash did not cause it.
 
 use crate::quarantine::broadcast::fetch_withheld_at_start;
 use crate::state::Relay;
 use crate::watch::backoff::Backoff;
-use prelude::{RequestKey, TargetEnd, TargetId};
+use prelude::{RunId, Suspect, TargetEnd, TargetId};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 use store::{Compare, KeyValue, StoreError, Transaction, TransactionResult, Versioned, Write};
@@ -24,40 +25,50 @@
 /// Attempts to write a record on conflicts with other boxes or while the store is unavailable: about two minutes.
 const WRITE_ATTEMPTS_MAX: usize = 24;
 
-/// Requests whose records this box has written that are remembered at most, before those no longer suspected are forgotten.
-const RECORDED_REQUESTS_MAX: usize = 1_024;
+/// Suspects whose records this box has written that are remembered at most, before those no longer suspected are forgotten.
+const RECORDED_SUSPECTS_MAX: usize = 1_024;
 
-/// The stored value: the crashes of one request.
+/// The stored value: the crashes of one suspect.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct Record {
     ends: Vec<RecordedCrash>,
 }
 
 /// A crash of a target.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 struct RecordedCrash {
     target: TargetId,
     ran_ms: u32,
+    /// The interrupted runs with the suspect.
+    #[serde(default)]
+    runs: Vec<RunId>,
+    /// How long it was before the last recorded crash, in ms.
+    #[serde(default)]
+    before_last_ms: u32,
 }
 
 impl Record {
     fn from_crashes(crashes: &[TargetEnd]) -> Self {
+        let last_age_ms = crashes.iter().map(|crash| crash.age_ms).min();
         let recorded = |crash: &TargetEnd| RecordedCrash {
             target: crash.target,
             ran_ms: crash.ran_ms,
+            runs: crash.runs.clone(),
+            before_last_ms: crash.age_ms - last_age_ms.unwrap_or_default(),
         };
         Self {
             ends: crashes.iter().map(recorded).collect(),
         }
     }
 
-    /// The crashes with an age of 0: a record has no times, and it expires with its lease anyway.
-    fn crashes(&self, request: RequestKey) -> Vec<TargetEnd> {
+    /// The crashes, the last of them with an age of 0: a record does not tell when it was, and expires with its lease anyway.
+    fn crashes(&self, suspect: Suspect) -> Vec<TargetEnd> {
         let crash = |recorded: &RecordedCrash| TargetEnd {
-            request,
+            suspect,
             target: recorded.target,
+            runs: recorded.runs.clone(),
             ran_ms: recorded.ran_ms,
-            age_ms: 0,
+            age_ms: recorded.before_last_ms,
         };
         self.ends.iter().map(crash).collect()
     }
@@ -67,8 +78,8 @@
     }
 }
 
-fn key_of(request: RequestKey) -> String {
-    format!("{PREFIX}{request}")
+fn key_of(suspect: Suspect) -> String {
+    format!("{PREFIX}{suspect}")
 }
 
 /// Reads all records at the start of the box and then periodically; also asks peers for withheld requests at the start.
@@ -81,9 +92,10 @@
             Ok((items, _)) => {
                 backoff.reset();
                 let records = items.iter().filter_map(|item| relay.decode_record(item));
-                for (request, record) in records {
-                    relay.apply_crashes(&record.crashes(request), "store");
-                }
+                let crashes: Vec<TargetEnd> = records
+                    .flat_map(|(suspect, record)| record.crashes(suspect))
+                    .collect();
+                relay.apply_crashes(&crashes, "store");
                 sleep(READ_INTERVAL * read_interval_factor(&relay)).await;
             }
             Err(error) => {
@@ -117,10 +129,10 @@
 
 impl Relay {
     /// Decodes a record; logs and skips an invalid one.
-    fn decode_record(&self, item: &Versioned) -> Option<(RequestKey, Record)> {
-        let request = item.key.strip_prefix(PREFIX)?.parse().ok()?;
+    fn decode_record(&self, item: &Versioned) -> Option<(Suspect, Record)> {
+        let suspect = item.key.strip_prefix(PREFIX)?.parse().ok()?;
         match serde_json::from_slice(&item.value) {
-            Ok(record) => Some((request, record)),
+            Ok(record) => Some((suspect, record)),
             Err(error) => {
                 slog::warn!(self.log, "ignoring an invalid quarantine record"; "key" => &item.key, "error" => %error);
                 None
@@ -128,85 +140,104 @@
         }
     }
 
-    /// Starts writing the records of requests with new crashes, if they have enough crashes to be recorded.
+    /// Starts writing the records of suspects with new crashes, if these are to be recorded.
     pub(super) fn store_crashes(self: &Rc<Self>, new_crashes: &[TargetEnd]) {
+        let mut recorded: BTreeSet<Suspect> = new_crashes
+            .iter()
+            .map(|crash| crash.suspect)
+            .filter(|suspect| self.is_to_be_recorded(*suspect))
+            .collect();
+        let causes = self.quarantine.borrow().withheld_causes(self.now_ms());
+        for cause in causes {
+            // A cause is known from the records of all its suspects only.
+            if cause
+                .suspects
+                .iter()
+                .any(|suspect| recorded.contains(suspect))
+            {
+                recorded.extend(cause.suspects);
+            }
+        }
+        for suspect in recorded {
+            tokio::task::spawn_local(write_record(self.clone(), suspect));
+        }
+    }
+
+    /// Whether a suspect has enough crashes to be recorded. Sound prompt parts are present at many crashes, so parts are
+    /// recorded once they are withheld.
+    fn is_to_be_recorded(&self, suspect: Suspect) -> bool {
         let now_ms = self.now_ms();
+        let quarantine = self.quarantine.borrow();
         // Boxes without contact to a peer share crashes through the records alone.
-        let min_crashes = match self.has_no_peer_contact(now_ms) {
-            true => 1,
-            false => RECORDED_CRASHES_MIN,
-        };
-        for crash in new_crashes {
-            let known_crashes = self
-                .quarantine
-                .borrow()
-                .crashes_of(crash.request, now_ms)
-                .len();
-            if known_crashes >= min_crashes {
-                tokio::task::spawn_local(write_record(self.clone(), crash.request));
+        if self.has_no_peer_contact(now_ms) {
+            return true;
+        }
+        match suspect {
+            Suspect::Request(_) => {
+                quarantine.crashes_of(suspect, now_ms).len() >= RECORDED_CRASHES_MIN
             }
+            Suspect::Part(_) => quarantine.is_implicated(suspect, now_ms),
         }
     }
 
-    /// Writes the records of all withheld requests again, after the store lost them.
+    /// Writes the records of all that is withheld again, after the store lost them.
     pub(crate) fn rewrite_records(self: &Rc<Self>) {
-        let requests = self.quarantine.borrow().withheld_requests(self.now_ms());
-        for withheld_request in requests {
-            tokio::task::spawn_local(write_record(self.clone(), withheld_request.request));
+        let causes = self.quarantine.borrow().withheld_causes(self.now_ms());
+        for suspect in causes.into_iter().flat_map(|cause| cause.suspects) {
+            tokio::task::spawn_local(write_record(self.clone(), suspect));
         }
     }
 
-    /// Deletes the record of a request that was acquitted.
-    pub(super) fn remove_record(self: &Rc<Self>, request: RequestKey) {
-        self.recorded_requests.borrow_mut().remove(&request);
-        tokio::task::spawn_local(delete_record(self.clone(), request));
+    /// Deletes the record of a suspect that was acquitted.
+    pub(super) fn remove_record(self: &Rc<Self>, suspect: Suspect) {
+        self.recorded_suspects.borrow_mut().remove(&suspect);
+        tokio::task::spawn_local(delete_record(self.clone(), suspect));
     }
 
-    /// Deletes the record of a request that another box acquitted, if this box has written it: its write may have come after
+    /// Deletes the record of a suspect that another box acquitted, if this box has written it: its write may have come after
     /// the deletion by the other box.
-    pub(super) fn remove_own_record(self: &Rc<Self>, request: RequestKey) {
-        if self.recorded_requests.borrow().contains(&request) {
-            self.remove_record(request);
+    pub(super) fn remove_own_record(self: &Rc<Self>, suspect: Suspect) {
+        if self.recorded_suspects.borrow().contains(&suspect) {
+            self.remove_record(suspect);
         }
     }
 
-    /// Remembers that this box writes the record of a request. Forgets the requests that are no longer suspected if there are
-    /// too many.
-    fn remember_write(&self, request: RequestKey) {
-        let mut recorded = self.recorded_requests.borrow_mut();
-        if recorded.len() >= RECORDED_REQUESTS_MAX {
-            recorded.retain(|request| self.is_suspected(*request));
+    /// Remembers that this box writes the record of a suspect. Forgets those that are no longer suspected if there are too many.
+    fn remember_write(&self, suspect: Suspect) {
+        let mut recorded = self.recorded_suspects.borrow_mut();
+        if recorded.len() >= RECORDED_SUSPECTS_MAX {
+            recorded.retain(|suspect| self.is_suspected(*suspect));
         }
-        recorded.insert(request);
+        recorded.insert(suspect);
     }
 
-    /// Whether any crash counts against a request.
-    fn is_suspected(&self, request: RequestKey) -> bool {
+    /// Whether any crash counts against a suspect.
+    fn is_suspected(&self, suspect: Suspect) -> bool {
         let quarantine = self.quarantine.borrow();
-        !quarantine.crashes_of(request, self.now_ms()).is_empty()
+        !quarantine.crashes_of(suspect, self.now_ms()).is_empty()
     }
 }
 
-/// Deletes a record, with retries. Gives up once the request is suspected again, as the record may then be a new one.
-async fn delete_record(relay: Rc<Relay>, request: RequestKey) {
+/// Deletes a record, with retries. Gives up once it is suspected again, as the record may then be a new one.
+async fn delete_record(relay: Rc<Relay>, suspect: Suspect) {
     let transaction = Transaction {
         compare: Vec::new(),
         writes: vec![Write::Delete {
-            key: key_of(request),
+            key: key_of(suspect),
         }],
     };
     let mut backoff = Backoff::with_long_pauses();
     for _ in 0..WRITE_ATTEMPTS_MAX {
-        if relay.is_suspected(request) {
+        if relay.is_suspected(suspect) {
             return;
         }
         match relay.store.transact(&transaction).await {
             Ok(_) => {
-                slog::info!(relay.log, "quarantine record deleted"; "request" => %request);
+                slog::info!(relay.log, "quarantine record deleted"; "request" => %suspect);
                 return;
             }
             Err(error) => {
-                slog::info!(relay.log, "failed to delete a quarantine record"; "request" => %request,
+                slog::info!(relay.log, "failed to delete a quarantine record"; "request" => %suspect,
                     "error" => %error);
                 backoff.pause().await;
             }
@@ -214,15 +245,15 @@
     }
 }
 
-/// Merges the known crashes of a request into its record, with retries.
-async fn write_record(relay: Rc<Relay>, request: RequestKey) {
+/// Merges the known crashes of a suspect into its record, with retries.
+async fn write_record(relay: Rc<Relay>, suspect: Suspect) {
     let mut backoff = Backoff::with_long_pauses();
     for _ in 0..WRITE_ATTEMPTS_MAX {
-        match try_merge_record(&relay, request).await {
+        match try_merge_record(&relay, suspect).await {
             Ok(true) => return,
             Ok(false) => {}
             Err(error) => {
-                slog::info!(relay.log, "failed to write a quarantine record"; "request" => %request,
+                slog::info!(relay.log, "failed to write a quarantine record"; "request" => %suspect,
                     "error" => %error);
                 backoff.pause().await;
             }
@@ -232,24 +263,24 @@
 
 /// Reads the record, applies its crashes, and writes it if this box knows more of them. Returns false if another box wrote
 /// it in the meantime.
-async fn try_merge_record(relay: &Rc<Relay>, request: RequestKey) -> Result<bool, StoreError> {
-    let key = key_of(request);
+async fn try_merge_record(relay: &Rc<Relay>, suspect: Suspect) -> Result<bool, StoreError> {
+    let key = key_of(suspect);
     let item = relay.store.get(&key).await?;
     let decoded = item.as_ref().and_then(|item| relay.decode_record(item));
     let recorded = decoded.map_or(Record::default(), |(_, record)| record);
-    let new_crashes = relay.apply_crashes(&recorded.crashes(request), "store");
+    let new_crashes = relay.apply_crashes(&recorded.crashes(suspect), "store");
     relay.broadcast_crashes(&new_crashes);
     let known_crashes = relay
         .quarantine
         .borrow()
-        .crashes_of(request, relay.now_ms());
+        .crashes_of(suspect, relay.now_ms());
     if known_crashes
         .iter()
         .all(|crash| recorded.contains(crash.target))
     {
         if item.is_some() && known_crashes.is_empty() {
             // A write that seemed to fail may have come after the acquittal.
-            relay.remove_record(request);
+            relay.remove_record(suspect);
         }
         return Ok(true);
     }
@@ -263,16 +294,16 @@
         }],
         writes: vec![Write::Put { key, value, lease }],
     };
-    relay.remember_write(request);
+    relay.remember_write(suspect);
     let result = relay.store.transact(&transaction).await?;
     let is_written = matches!(result, TransactionResult::Done { .. });
     if is_written {
-        slog::info!(relay.log, "quarantine record written"; "request" => %request,
+        slog::info!(relay.log, "quarantine record written"; "request" => %suspect,
             "ends" => known_crashes.len());
     }
-    if is_written && !relay.is_suspected(request) {
+    if is_written && !relay.is_suspected(suspect) {
         // It was acquitted while the write was on its way.
-        relay.remove_record(request);
+        relay.remove_record(suspect);
     }
     Ok(is_written)
 }
--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -23,7 +23,7 @@
 use operators::FleetView;
 use peers::{FleetClients, KeyRing, Traffic};
 use platform::FleetStore;
-use prelude::{Clock, DataCentreId, RequestKey};
+use prelude::{Clock, DataCentreId, Suspect};
 use reload::Live;
 use settings::{FleetFile, FleetIdentity};
 use slog::Logger;
@@ -125,7 +125,9 @@
         calls_ended: Notify::new(),
         rate_limits: RateLimits::default(),
         quarantine: RefCell::default(),
-        recorded_requests: RefCell::default(),
+        quarantine_changes: watch::Sender::new(0),
+        last_trials: RefCell::default(),
+        recorded_suspects: RefCell::default(),
         broken_runs: RefCell::default(),
         retry_windows: RefCell::default(),
         members: RefCell::new(Members::new(id, file.limits.link_mbps as u32)),
@@ -221,9 +223,9 @@
         self.0.view()
     }
 
-    /// Lets all boxes forward a withheld request again. Returns false if the request is unknown.
-    pub fn clear_request(&self, request: RequestKey) -> bool {
-        self.0.clear_request(request)
+    /// Lets all boxes forward requests with a withheld suspect again. Returns false if it is unknown.
+    pub fn clear_suspect(&self, suspect: Suspect) -> bool {
+        self.0.clear_suspect(suspect)
     }
 
     /// Stops gracefully: accepts no new channels, answers requests in progress, and returns when none is left or when the
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -24,7 +24,7 @@
 use peers::{FleetCard, FleetClients, FleetDigest, KeyRing};
 use platform::{FleetStore, Lease};
 use policy::{Quarantine, RetryLimit, RetryWindow};
-use prelude::{BoxId, Clock, DataCentreId, ModelId, PoolId, RequestKey};
+use prelude::{BoxId, Clock, DataCentreId, ModelId, PoolId, Suspect};
 use reload::{Live, Snapshot};
 use routing::RoutingTable;
 use settings::{FleetFile, FleetIdentity, FleetLimits, FleetPromises, Mechanism};
@@ -85,10 +85,14 @@
     pub(crate) calls_ended: Notify,
     /// Rate limits of targets.
     pub(crate) rate_limits: RateLimits,
-    /// Requests during which targets crashed.
+    /// Requests and prompt parts under which targets crashed.
     pub(crate) quarantine: RefCell<Quarantine>,
-    /// Requests whose records in the store this box has written.
-    pub(crate) recorded_requests: RefCell<HashSet<RequestKey>>,
+    /// Counts changes of the quarantine, for requests that wait for its verdict.
+    pub(crate) quarantine_changes: watch::Sender<u64>,
+    /// The last trial that this box has begun of each cause, by its role.
+    pub(crate) last_trials: RefCell<HashMap<u64, u64>>,
+    /// Requests and prompt parts whose records in the store this box has written.
+    pub(crate) recorded_suspects: RefCell<HashSet<Suspect>>,
     /// Runs that broke off recently.
     pub(crate) broken_runs: RefCell<BrokenRuns>,
     pub(crate) retry_windows: RefCell<HashMap<Box<str>, RetryWindow>>,
--- a/components/relay/src/watch/era.rs
+++ b/components/relay/src/watch/era.rs
@@ -111,7 +111,7 @@
         let withheld = self
             .quarantine
             .borrow()
-            .withheld_requests(self.now_ms())
+            .withheld_causes(self.now_ms())
             .len();
         slog::warn!(self.log, "store era rose"; "before" => before, "era" => era,
             "source" => ?source, "settles_in_ms" => settle_ms,
--- a/components/routing/src/request.rs
+++ b/components/routing/src/request.rs
@@ -12,6 +12,8 @@
 /// What is asked of a model engine.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct GenerationRequest {
+    /// The model.
+    pub model: Box<str>,
     /// The parts of the prompt, in order. The last belongs to this request or its session alone.
     pub parts: Vec<PromptPart>,
     /// Tokens of the prompt.
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -161,9 +161,9 @@
         some("name at least one box by --box ADDRESS")
     )]
     pub boxes: Vec<std::net::SocketAddr>,
-    /// Have all boxes send this request on again; REQUEST as this command and log lines show it
-    #[bpaf(argument("REQUEST"), optional)]
-    pub clear: Option<prelude::RequestKey>,
+    /// Have all boxes send this on again; KEY of a request or prompt part as this command and log lines show it
+    #[bpaf(argument("KEY"), optional)]
+    pub clear: Option<prelude::Suspect>,
 }
 
 #[derive(Clone, Debug, Bpaf)]
--- a/src/cmd/relay.rs
+++ b/src/cmd/relay.rs
@@ -4,7 +4,7 @@
 use crate::cmd::read_file;
 use miette::{IntoDiagnostic, WrapErr, miette};
 use operators::{FleetConsole, FleetView, SettingsView};
-use prelude::RequestKey;
+use prelude::Suspect;
 use relay::Running;
 use reload::Live;
 use settings::{FleetFile, LogLevel, check_fleet_file};
@@ -93,7 +93,7 @@
 /// What operators ask of a box or have it do, with whom to answer.
 enum Question {
     View(oneshot::Sender<FleetView>),
-    Clear(RequestKey, oneshot::Sender<bool>),
+    Clear(Suspect, oneshot::Sender<bool>),
 }
 
 impl Question {
@@ -101,7 +101,7 @@
         // Whoever asked may have left.
         match self {
             Self::View(asker) => drop(asker.send(running.view())),
-            Self::Clear(request, asker) => drop(asker.send(running.clear_request(request))),
+            Self::Clear(suspect, asker) => drop(asker.send(running.clear_suspect(suspect))),
         }
     }
 }
@@ -120,9 +120,9 @@
         answer.await.ok()
     }
 
-    async fn clear(&self, request: RequestKey) -> Option<bool> {
+    async fn clear(&self, suspect: Suspect) -> Option<bool> {
         let (asker, answer) = oneshot::channel();
-        let question = Question::Clear(request, asker);
+        let question = Question::Clear(suspect, asker);
         self.questions.send(question).await.ok()?;
         answer.await.ok()
     }
--- a/src/cmd/withheld.rs
+++ b/src/cmd/withheld.rs
@@ -1,4 +1,4 @@
-//! `withheld`: requests that boxes send to no target, as too many ended under them; and sending one on again.
+//! `withheld`: requests and prompt parts that boxes send to no target, as too many ended under them; and sending them on again.
 
 use crate::cli::WithheldOptions;
 use crate::cmd::{ask_box, order_box, runtime};
@@ -6,14 +6,14 @@
 use std::net::SocketAddr;
 use std::process::ExitCode;
 
-/// Prints a row for each box and request, or clears one on all boxes. Exits with 1 where a box does not answer, or knows
-/// nothing of the request.
+/// Prints a row for each box and request or combination of prompt parts, or clears one on all boxes. Exits with 1 where a box
+/// does not answer, or knows nothing of it.
 pub fn run(options: &WithheldOptions) -> miette::Result<ExitCode> {
     runtime()?.block_on(async {
         let mut all_well = true;
         for address in &options.boxes {
             let done = match options.clear {
-                Some(request) => order_box(*address, &format!("clear/{request}")).await,
+                Some(suspect) => order_box(*address, &format!("clear/{suspect}")).await,
                 None => show(*address).await,
             };
             if let Err(error) = done {
@@ -30,11 +30,7 @@
 
 async fn show(address: SocketAddr) -> Result<(), String> {
     let view = ask_box::<FleetView>(address, "fleet").await?;
-    println!(
-        "box {}: {} requests withheld",
-        view.name,
-        view.withheld.len()
-    );
+    println!("box {}: {} withheld", view.name, view.withheld.len());
     view.withheld.iter().for_each(print_row);
     Ok(())
 }
