relay: a stream that breaks off does not look whole to a caller of HTTP/1.0

Such a caller has no chunks: the close of its channel is the end of the stream. A stream that broke off between two events was closed in good order, so its caller took it for whole. Found by tests of streams that have neither length nor chunks; the engines' side was sound.

The channel is now set to be reset on close as soon as the head of a stream without chunks is written, and set back when all of it was delivered. That holds for relayed streams and where the process ends, too.

--- a/components/http1/src/channel.rs
+++ b/components/http1/src/channel.rs
@@ -174,6 +174,13 @@
         }
     }
 
+    /// Sets whether the channel is reset when it is closed, also by the end of the process, so that the peer does not take the
+    /// close for the end of a message. What is not sent by then is lost.
+    pub fn set_reset_on_close(&self, resets: bool) {
+        // Where the system can't, the peer sees the close alone.
+        let _ = SockRef::from(&self.io).set_linger(resets.then_some(Duration::ZERO));
+    }
+
     /// Waits until something may be written. What comes meanwhile is kept.
     ///
     /// # Errors
--- a/components/relay/src/forwarding/relay_stream.rs
+++ b/components/relay/src/forwarding/relay_stream.rs
@@ -123,14 +123,14 @@
                 () = self.unsent.wait_for_room(), if !wants_read => {}
                 piece = response.next(), if wants_read => match piece {
                     Ok(Some(data)) => {
-                        self.write_head(response, closes_channel);
+                        self.write_head(caller, response, closes_channel);
                         self.push(&data);
                         if self.unsent.write(caller, 0).is_err() {
                             return StreamEnd::CallerLeft;
                         }
                     }
                     Ok(None) => {
-                        self.write_head(response, closes_channel);
+                        self.write_head(caller, response, closes_channel);
                         return StreamEnd::Whole;
                     }
                     Err(why) => return StreamEnd::Broken(why),
@@ -139,13 +139,15 @@
         }
     }
 
-    fn write_head(&mut self, response: &OpenResponse, closes_channel: bool) {
+    fn write_head(&mut self, caller: &Channel, response: &OpenResponse, closes_channel: bool) {
         if std::mem::replace(&mut self.is_head_written, true) {
             return;
         }
         let mut head = forwarded_response_head(&response.head);
-        if !self.incoming.head.old {
-            head.extend_from_slice(b"Transfer-Encoding: chunked\r\n");
+        match self.incoming.head.old {
+            false => head.extend_from_slice(b"Transfer-Encoding: chunked\r\n"),
+            // Only the close of the channel tells the caller that the answer is whole.
+            true => caller.set_reset_on_close(true),
         }
         if closes_channel {
             head.extend_from_slice(b"Connection: close\r\n");
--- a/components/relay/src/forwarding/stream.rs
+++ b/components/relay/src/forwarding/stream.rs
@@ -345,8 +345,10 @@
         let is_chunked = !self.incoming.head.old;
         if !std::mem::replace(&mut self.is_head_written, true) {
             out.extend_from_slice(head);
-            if is_chunked {
-                out.extend_from_slice(b"Transfer-Encoding: chunked\r\n");
+            match is_chunked {
+                true => out.extend_from_slice(b"Transfer-Encoding: chunked\r\n"),
+                // Only the close of the channel tells the caller that the stream is whole.
+                false => caller.set_reset_on_close(true),
             }
             if closes_channel {
                 out.extend_from_slice(b"Connection: close\r\n");
--- a/components/relay/src/forwarding/stream_end.rs
+++ b/components/relay/src/forwarding/stream_end.rs
@@ -54,6 +54,9 @@
             "end" => ?delivered, "took_ms" => relay.now_ms() - started_ms,
             "after_ms" => relay.now_ms() - incoming.arrived_ms);
     }
+    if delivered == Delivered::Whole {
+        caller.set_reset_on_close(false);
+    }
     match delivered {
         Delivered::Whole if closes_channel => ChannelAction::Close,
         Delivered::Whole => ChannelAction::Keep,
