soak: a prompt part crashes engines

At most three of them may reach engines through boxes in touch from 3 s after the fifth crash on. The plant fatal-part turns the quarantine off.

--- a/components/bench/src/soak.rs
+++ b/components/bench/src/soak.rs
@@ -43,6 +43,8 @@
     pub slack_ms: u64,
     /// Also cut boxes off from targets
     pub partitions: bool,
+    /// Also send requests with a prompt part that crashes engines
+    pub fatal_part: bool,
     /// Runs at a time
     #[bpaf(argument("N"), fallback(2))]
     pub parallel: usize,
@@ -114,6 +116,7 @@
         span_ms: (options.span_s * 1000.0) as u64,
         slack_ms: options.slack_ms,
         has_partitions: options.partitions,
+        has_fatal_part: options.fatal_part,
         plant: options.plant,
     })
 }
--- a/components/soak/src/boxes.rs
+++ b/components/soak/src/boxes.rs
@@ -66,6 +66,8 @@
     pub resend_share: f64,
     /// Second sends beyond that.
     pub resend_spare: f64,
+    /// Mechanisms that are off.
+    pub without: &'a [&'a str],
 }
 
 impl BoxProcess {
@@ -89,6 +91,7 @@
             "promises": { "resend_share": common.resend_share, "resend_spare": common.resend_spare },
             "seeds": common.seeds,
             "peer_keys": [PEER_KEY],
+            "without": common.without,
         });
         Ok(Self {
             program: common.program.to_owned(),
--- a/components/soak/src/checks.rs
+++ b/components/soak/src/checks.rs
@@ -2,6 +2,7 @@
 
 use crate::announced::{limits_are_kept, pauses_are_kept, words_on_leaving_hold};
 use crate::budget::budget;
+use crate::fatal_part::fatal_part_is_withheld;
 use crate::history::{Arrival, Broken, Call, Disturbed, History, Key, Kind, Outcome, Trouble};
 use fleet::caller::{Response, expected_events};
 use std::collections::HashMap;
@@ -21,7 +22,7 @@
 /// What was broken in one run.
 pub(crate) fn check(history: &History) -> Vec<Broken> {
     let arrivals = by_id(history);
-    let checks: [(&'static str, Vec<String>); 14] = [
+    let checks: [(&'static str, Vec<String>); 15] = [
         ("its own whole answer", whole_answers(history, &arrivals)),
         ("each event once, in order", ordered_events(history)),
         ("one generation", one_generation(&arrivals)),
@@ -45,6 +46,10 @@
             words_on_leaving_hold(history),
         ),
         ("pauses that targets ask for", pauses_are_kept(history)),
+        (
+            "a part that crashes engines is withheld",
+            fatal_part_is_withheld(history),
+        ),
     ];
     let mut broken: Vec<Broken> = Vec::new();
     for (promise, cases) in checks {
--- a/components/soak/src/history.rs
+++ b/components/soak/src/history.rs
@@ -148,6 +148,10 @@
     pub disturbed: Vec<Disturbed>,
     /// Planned stops: the box, and when it was asked to stop.
     pub stops: Vec<(usize, u64)>,
+    /// The calls with a prompt part that crashes engines; they are among all calls, too.
+    pub fatal_calls: Vec<Call>,
+    /// When engines crashed under them.
+    pub engine_crashes: Vec<u64>,
     /// Times in which engines broke streams off.
     pub crashes: Vec<(u64, u64)>,
     pub leaving: Vec<Leaving>,
--- a/components/soak/src/lib.rs
+++ b/components/soak/src/lib.rs
@@ -6,6 +6,7 @@
 mod budget;
 mod callers;
 mod checks;
+mod fatal_part;
 mod history;
 mod lives;
 mod plan;
--- a/components/soak/src/plan.rs
+++ b/components/soak/src/plan.rs
@@ -46,6 +46,10 @@
 const ANNOUNCEMENTS_STREAM: u64 = 1;
 /// The same for partitions.
 const PARTITIONS_STREAM: u64 = 2;
+/// The same for prompt parts that crash engines.
+const FATAL_PARTS_STREAM: u64 = 3;
+/// How long requests with such a part come.
+const FATAL_PART_MS: std::ops::RangeInclusive<u64> = 7_000..=10_000;
 /// How long a partition lasts, and the time until the next.
 const PARTITION_MS: std::ops::RangeInclusive<u64> = 300..=4_000;
 
@@ -101,6 +105,8 @@
         mode: link::PartitionMode,
         lasts_ms: u64,
     },
+    /// Requests with a prompt part that crashes engines come for a time.
+    FatalPart { lasts_ms: u64 },
     /// An engine leaves, and another comes.
     EngineLeaves { at: usize },
     /// An engine breaks streams off within an event.
@@ -144,6 +150,8 @@
     pub span_ms: u64,
     /// Whether boxes are cut off from targets.
     pub has_partitions: bool,
+    /// Whether a prompt part crashes engines.
+    pub has_fatal_part: bool,
 }
 
 /// The plan of a seed.
@@ -171,10 +179,26 @@
     if sizes.has_partitions {
         steps.extend(partitions(seed, sizes));
     }
+    if sizes.has_fatal_part {
+        steps.push(fatal_part(seed, sizes));
+    }
     steps.sort_by_key(|timed| timed.at_ms);
     steps
 }
 
+/// Requests with a part that crashes engines, drawn apart from what else comes.
+fn fatal_part(seed: u64, sizes: Sizes) -> Timed {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(FATAL_PARTS_STREAM);
+    let step = Step::FatalPart {
+        lasts_ms: rng.random_range(FATAL_PART_MS),
+    };
+    Timed {
+        at_ms: rng.random_range(FIRST_MS..sizes.span_ms / 2),
+        step,
+    }
+}
+
 /// What targets announce of themselves in their answers, drawn apart from what else comes.
 fn announcements(seed: u64, sizes: Sizes) -> Vec<Timed> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
--- a/components/soak/src/plan_tests.rs
+++ b/components/soak/src/plan_tests.rs
@@ -6,6 +6,7 @@
     engines: 3,
     span_ms: 8_000,
     has_partitions: true,
+    has_fatal_part: true,
 };
 
 #[test]
@@ -21,5 +22,5 @@
         .iter()
         .map(|timed| std::mem::discriminant(&timed.step))
         .collect();
-    assert_eq!(kinds.len(), 22);
+    assert_eq!(kinds.len(), 23);
 }
--- a/components/soak/src/plant.rs
+++ b/components/soak/src/plant.rs
@@ -38,12 +38,14 @@
     Leaving,
     /// Targets do not ask for the pauses that are noted.
     Pause,
+    /// Boxes withhold nothing that crashes engines.
+    FatalPart,
     /// Boxes are not started again after the loss of all.
     Recovery,
 }
 
 /// All of them, with the promise whose check finds each.
-pub const PLANTS: [(Plant, &str, &str); 17] = [
+pub const PLANTS: [(Plant, &str, &str); 18] = [
     (Plant::Twice, "twice", "at most once"),
     (Plant::NotRun, "not-run", "not run is true"),
     (Plant::Mixed, "mixed", "its own whole answer"),
@@ -72,6 +74,11 @@
         "no work to a target that says it leaves",
     ),
     (Plant::Pause, "pause", "pauses that targets ask for"),
+    (
+        Plant::FatalPart,
+        "fatal-part",
+        "a part that crashes engines is withheld",
+    ),
     (Plant::Recovery, "recovery", "serves again"),
 ];
 
--- a/components/soak/src/play.rs
+++ b/components/soak/src/play.rs
@@ -3,6 +3,7 @@
 use crate::boxes::{BoxProcess, source_address};
 use crate::callers::Callers;
 use crate::checks::check;
+use crate::fatal_part::FatalCallers;
 use crate::history::{Evacuated, Outcome, Report, Trouble, TroubledLink};
 use crate::lives::is_served;
 use crate::plan::{FileChange, PLACES, Sizes, Step, Timed, plan};
@@ -47,6 +48,8 @@
     pub slack_ms: u64,
     /// Whether boxes are cut off from targets.
     pub has_partitions: bool,
+    /// Whether a prompt part crashes engines.
+    pub has_fatal_part: bool,
     /// A promise that is broken on purpose.
     pub plant: Option<Plant>,
 }
@@ -66,6 +69,7 @@
         engines: 3,
         span_ms: soak.span_ms,
         has_partitions: soak.has_partitions,
+        has_fatal_part: soak.has_fatal_part,
     };
     let steps = plan(seed, sizes);
     let mut world = World::start(soak, &folder, sizes)?;
@@ -77,6 +81,7 @@
     let (calls, unreadable) = callers.end();
     let mut history = world.end();
     history.calls = calls;
+    history.calls.extend(history.fatal_calls.clone());
     history.unreadable = unreadable;
     let broken = check(&history);
     let served = history.calls.iter().filter(
@@ -129,6 +134,12 @@
             let (_, later) = self.later.swap_remove(at);
             self.come(later, now_ms)?;
         }
+        for at in 0..self.engines.len() {
+            if self.engines[at].has_ended() {
+                self.history.engine_crashes.push(now_ms);
+                self.engine_restarts(at, true);
+            }
+        }
         for at in 0..self.boxes.len() {
             let Some(since_ms) = self.stopping[at] else {
                 continue;
@@ -225,6 +236,11 @@
                 let heals = Later::PartitionHeals { boxes, from_ms };
                 self.later.push((now_ms + lasts_ms, heals));
             }
+            Step::FatalPart { lasts_ms } => {
+                let callers = FatalCallers::start(&self.addresses(), now_ms, self.began);
+                let ends = Later::FatalPartEnds(callers);
+                self.later.push((now_ms + lasts_ms, ends));
+            }
             Step::TargetRestarts { at } => self.target_restarts(*at),
             Step::EngineRestarts { at, killed } => self.engine_restarts(*at, *killed),
             Step::Limit {
@@ -335,6 +351,7 @@
                     .iter()
                     .for_each(|at| self.disturb(Trouble::Broken, Some(*at), from_ms, now_ms));
             }
+            Later::FatalPartEnds(callers) => self.history.fatal_calls.extend(callers.end()),
             Later::LinkWell(at) => self.plain[at].link.set(link::LinkFault::None),
             Later::EngineWell { at, from_ms } => {
                 self.engines[at]
--- a/components/soak/src/world.rs
+++ b/components/soak/src/world.rs
@@ -2,6 +2,7 @@
 
 use crate::boxes::{BoxProcess, Common, free_addresses};
 use crate::budget::{RESEND_SHARE, RESEND_SPARE};
+use crate::fatal_part::FatalCallers;
 use crate::history::{Arrival, Disturbed, History, KeyChange, Kind, Trouble};
 use crate::plan::{PLACES, Sizes};
 use crate::plant::Plant;
@@ -42,6 +43,8 @@
         from_ms: u64,
     },
     LinkWell(usize),
+    /// No more requests with a part that crashes engines come.
+    FatalPartEnds(FatalCallers),
     /// Boxes reach the targets again.
     PartitionHeals {
         boxes: Vec<usize>,
@@ -146,6 +149,10 @@
             seeds: &seeds,
             resend_share: if loose { 1.0 } else { RESEND_SHARE },
             resend_spare: if loose { 50_000.0 } else { RESEND_SPARE },
+            without: match soak.plant {
+                Some(Plant::FatalPart) => &["quarantine"],
+                _ => &[],
+            },
         };
         let boxes: Result<Vec<BoxProcess>, _> = addresses
             .iter()
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -13,6 +13,7 @@
         // A machine that also builds may stall for seconds; bounds are checked by hand with less.
         slack_ms: 4_000,
         has_partitions: false,
+        has_fatal_part: false,
         plant,
     }
 }
@@ -38,6 +39,18 @@
     assert!(report.served > 0, "{report:#?}");
 }
 
+#[rstest]
+#[case(14)]
+fn no_promise_is_broken_while_a_prompt_part_crashes_engines(#[case] seed: u64) {
+    let fatal = Soak {
+        has_fatal_part: true,
+        ..soak(None)
+    };
+    let report = play(&fatal, seed).unwrap();
+    assert!(report.broken.is_empty(), "{report:#?}");
+    assert!(report.served > 0, "{report:#?}");
+}
+
 /// Plants that show whatever the seed's plan is.
 #[rstest]
 #[case(Plant::Twice)]
