soak: a crash under a fatal part excuses streams from the last look on

An engine that crashes breaks its streams off before the soak sees its end, up to a look later. The check is otherwise the same.

--- a/components/soak/src/play.rs
+++ b/components/soak/src/play.rs
@@ -136,10 +136,13 @@
         }
         for at in 0..self.engines.len() {
             if self.engines[at].has_ended() {
+                // It broke its streams off some time since the last look.
+                self.history.crashes.push((self.looked_ms, now_ms));
                 self.history.engine_crashes.push(now_ms);
                 self.engine_restarts(at, true);
             }
         }
+        self.looked_ms = now_ms;
         for at in 0..self.boxes.len() {
             let Some(since_ms) = self.stopping[at] else {
                 continue;
--- a/components/soak/src/world.rs
+++ b/components/soak/src/world.rs
@@ -126,6 +126,8 @@
     pub retired: Vec<Plain>,
     pub retired_engines: Vec<EngineTarget>,
     pub later: Vec<(u64, Later)>,
+    /// When the world was last looked over.
+    pub looked_ms: u64,
     /// Settings files that were changed.
     pub files: u64,
     pub history: History,
@@ -178,6 +180,7 @@
             retired: Vec::new(),
             retired_engines: Vec::new(),
             later: Vec::new(),
+            looked_ms: 0,
             files: 0,
             history: History {
                 events: EVENTS,
