relay: a dispatcher that was isolated awaits the reports of all boxes

After a partition an engine for 30 generations ran 49 to 55: its memory runs out, and generations are preempted and read anew.

Cause: a dispatcher that nobody had answered for 1.2 s held grants for 80 ms after its first contact and awaited no reports. The first box to reconnect may have nothing open; the report of another one with 22 or 23 generations came 31 and 109 ms after the first grants. It now awaits the reports of all boxes, for 500 ms at most and not past the goal of a waiting request.

With the former hold in place the new unit test fails each time.

--- a/components/relay/src/dispatch/dispatcher_tests.rs
+++ b/components/relay/src/dispatch/dispatcher_tests.rs
@@ -1,5 +1,5 @@
 use super::*;
-use crate::dispatch::takeover::{REPORTS_TIMEOUT_MS, TAKEOVER_HOLD_MS};
+use crate::dispatch::takeover::{RECONNECT_TIMEOUT_MS, REPORTS_TIMEOUT_MS, TAKEOVER_HOLD_MS};
 use policy::{EngineInfo, EngineReport, Share};
 use prelude::{AccountId, Avoided};
 use rstest::rstest;
@@ -113,6 +113,21 @@
     assert_eq!(dispatcher.pool.target_of(permit), Some(ENGINE));
 }
 
+/// Guards against grants of a dispatcher that was isolated, after the empty report of the first box that reaches it: others had
+/// filled the engine meanwhile.
+#[test]
+fn a_dispatcher_that_was_isolated_grants_nothing_until_the_last_box_has_reported() {
+    let mut dispatcher = dispatcher();
+    let permit = queue_request(&mut dispatcher);
+    dispatcher.hold_after_isolation(HashSet::from([BoxId(1), BoxId(2)]), 0);
+    dispatcher.record_report(BoxId(2), 0, 10);
+    dispatcher.decide(RECONNECT_TIMEOUT_MS - 1);
+    assert_eq!(dispatcher.pool.target_of(permit), None);
+    dispatcher.record_report(BoxId(1), 1, RECONNECT_TIMEOUT_MS - 1);
+    dispatcher.decide(RECONNECT_TIMEOUT_MS - 1);
+    assert_eq!(dispatcher.pool.target_of(permit), Some(ENGINE));
+}
+
 /// The cases are the open generations that one of two boxes reports, the latest start of a waiting request, and the time of
 /// the first grant.
 #[rstest]
--- a/components/relay/src/dispatch/takeover.rs
+++ b/components/relay/src/dispatch/takeover.rs
@@ -17,6 +17,8 @@
 /// How long a box that begins to dispatch waits for the reports of all others at most. A report that takes longer has failed
 /// and is sent again.
 pub(super) const REPORTS_TIMEOUT_MS: u64 = CALL_TIMEOUT.as_millis() as u64;
+/// The same for a box that was isolated: the others reconnect first.
+pub(super) const RECONNECT_TIMEOUT_MS: u64 = 2 * REPORTS_TIMEOUT_MS;
 /// Grants are not held again within this time. Each box reports within a second, so that all reports of one takeover
 /// delay callers by 80 ms only once.
 const HOLD_COOLDOWN_MS: u64 = 1_000;
@@ -28,19 +30,19 @@
     /// Boxes that have not reported.
     awaited: HashSet<BoxId>,
     until_ms: u64,
-    /// Whether any box has reported open generations, which another dispatcher has granted.
-    found_generations: bool,
+    /// Whether another dispatcher has granted open generations: a box has reported some, or this box was isolated.
+    expects_generations: bool,
 }
 
 impl ReportWait {
     /// Records the report of a box. Returns whether it was the last one awaited.
     fn record(&mut self, from: BoxId, generations: usize) -> bool {
-        self.found_generations |= generations > 0;
+        self.expects_generations |= generations > 0;
         self.awaited.remove(&from) && self.awaited.is_empty()
     }
 
     fn is_active(&self, now_ms: u64) -> bool {
-        self.found_generations && !self.awaited.is_empty() && now_ms < self.until_ms
+        self.expects_generations && !self.awaited.is_empty() && now_ms < self.until_ms
     }
 }
 
@@ -51,10 +53,18 @@
         self.report_wait = ReportWait {
             awaited: boxes,
             until_ms: now_ms + REPORTS_TIMEOUT_MS,
-            found_generations: false,
+            expects_generations: false,
         };
     }
 
+    /// Holds grants of a dispatcher that was isolated. The reports of `boxes` are awaited in any case: the first box to
+    /// reconnect may have no generation open, while others have many.
+    pub(super) fn hold_after_isolation(&mut self, boxes: HashSet<BoxId>, now_ms: u64) {
+        self.hold_for_reports(boxes, now_ms);
+        self.report_wait.until_ms = now_ms + RECONNECT_TIMEOUT_MS;
+        self.report_wait.expects_generations = true;
+    }
+
     /// Records that a box has reported this many open generations. The last report ends the hold.
     pub(super) fn record_report(&mut self, from: BoxId, generations: usize, now_ms: u64) {
         if self.report_wait.record(from, generations) {
@@ -139,10 +149,13 @@
     pub(crate) fn handle_peer_contact(&self, update: MemberUpdate, had_lost_peers: bool) {
         if had_lost_peers {
             let now_ms = self.now_ms();
+            // Boxes that do not answer this one yet may have generations open.
+            let others: HashSet<BoxId> = self.members.borrow().others().into_iter().collect();
             for (pool, dispatcher) in self.dispatchers.borrow_mut().iter_mut() {
-                dispatcher.hold_grants(now_ms);
+                dispatcher.hold_after_isolation(others.clone(), now_ms);
                 slog::info!(self.log, "dispatcher was isolated"; "pool" => %pool.model,
-                    "grants_from_ms" => dispatcher.grants_from_ms, "now_ms" => now_ms);
+                    "grants_from_ms" => dispatcher.grants_from_ms, "now_ms" => now_ms,
+                    "awaited" => others.len());
             }
         }
         if had_lost_peers || update != MemberUpdate::Unchanged {
