soak: a pause binds the box that sent the request

Cause: in the check. A box that had lost the service relayed a request; the target turned it away with a pause, spoken to the box that sent it. The check counted the pause against the box of the caller, which the target had not asked for this pause and which never learned of it. The rule says that a target wants nothing from the machine that it answers, so the sender is the one that is bound; what it learns of leaving and of limits it broadcasts as ever.

So a box that is asked through a relayed request, and sends on, is found now. The bound is the same; counts_a_relayed_request_against_the_box_that_sent_it holds both sides.

--- a/components/http1/src/channel.rs
+++ b/components/http1/src/channel.rs
@@ -146,6 +146,14 @@
         }
     }
 
+    /// The address of the peer.
+    ///
+    /// # Errors
+    /// The system's, where the channel is no longer connected.
+    pub fn peer_address(&self) -> io::Result<SocketAddr> {
+        self.io.peer_addr()
+    }
+
     /// Reads more into the buffer and says how much; 0 where the peer closed the channel.
     ///
     /// # Errors
--- a/components/soak/src/announced.rs
+++ b/components/soak/src/announced.rs
@@ -257,11 +257,9 @@
 
 /// A target that asked a box for a pause gets two requests from it at the most until that is over.
 pub(crate) fn pauses_are_kept(history: &History) -> Vec<String> {
-    let sent_by = sent_by(history);
-    let box_of = |arrival: &Arrival| Some(sent_by.get(arrival.id.as_str())?.at);
     let mut broken = Vec::new();
     for asked in &history.arrivals {
-        let (Some(pause_ms), Some(at)) = (asked.pause_ms, box_of(asked)) else {
+        let (Some(pause_ms), Some(at)) = (asked.pause_ms, asked.from_box) else {
             continue;
         };
         let (from_ms, until_ms) = (asked.at_ms, asked.at_ms + pause_ms);
@@ -275,13 +273,13 @@
         let within = |arrival: &&Arrival| {
             (&arrival.target, arrival.life) == (&asked.target, asked.life)
                 && pause.contains(&arrival.at_ms)
-                && box_of(arrival) == Some(at)
+                && arrival.from_box == Some(at)
         };
         let count = history.arrivals.iter().filter(within).count();
         if count > WITHIN_PAUSE_MAX {
             let target = &asked.target;
             broken.push(format!(
-                "{count} requests reached {target} through box {at}, which it had asked for {pause_ms} ms at {from_ms} ms"
+                "{count} requests of box {at} reached {target}, which it had asked for {pause_ms} ms at {from_ms} ms"
             ));
         }
     }
--- a/components/soak/src/announced_tests.rs
+++ b/components/soak/src/announced_tests.rs
@@ -23,6 +23,7 @@
             at_ms,
             ran: true,
             pause_ms: None,
+            from_box: Some((serial % 2) as usize),
         });
     }
     history.limits.push(AnnouncedLimit {
@@ -92,6 +93,7 @@
             at_ms,
             ran: true,
             pause_ms: answers(at_ms),
+            from_box: Some(0),
         });
     }
     history
@@ -129,3 +131,20 @@
         .retain(|arrival| arrival.at_ms <= 2_000 || arrival.at_ms >= 4_000);
     assert!(pauses_are_kept(&history).is_empty());
 }
+
+/// A target speaks to the box that sends it the request, also where that box relays it for another one.
+#[test]
+fn counts_a_relayed_request_against_the_box_that_sent_it() {
+    let once = |at_ms| (at_ms == 1_000).then_some(3_000);
+    let mut history = calls_to_one(once);
+    for arrival in &mut history.arrivals {
+        if arrival.at_ms <= 1_000 {
+            arrival.from_box = Some(1);
+        }
+    }
+    assert!(pauses_are_kept(&history).is_empty());
+    for arrival in &mut history.arrivals {
+        arrival.from_box = Some(1);
+    }
+    assert_eq!(pauses_are_kept(&history).len(), 1);
+}
--- a/components/soak/src/boxes.rs
+++ b/components/soak/src/boxes.rs
@@ -6,7 +6,7 @@
 use miette::{IntoDiagnostic, WrapErr, miette};
 use serde_json::{Value, json};
 use std::fs::{File, OpenOptions};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU16, Ordering};
@@ -52,11 +52,19 @@
     Err(miette!("no ports are free from {} on", PORTS.start))
 }
 
-/// The local address of a box's connections to targets, by which links know it.
+/// Most boxes of one run.
+const BOXES_MAX: usize = 200;
+
+/// The local address of a box's connections to targets, by which links and targets know it.
 pub(crate) fn source_address(at: usize) -> Ipv4Addr {
     Ipv4Addr::new(127, 0, 1, 10 + at as u8)
 }
 
+/// The box that connects from an address.
+pub(crate) fn box_at(address: IpAddr) -> Option<usize> {
+    (0..BOXES_MAX).find(|at| address == source_address(*at))
+}
+
 /// What the boxes of one run have in common.
 pub(crate) struct Common<'a> {
     pub program: &'a Path,
--- a/components/soak/src/checks_tests.rs
+++ b/components/soak/src/checks_tests.rs
@@ -31,6 +31,7 @@
         at_ms,
         ran: true,
         pause_ms: None,
+        from_box: Some(0),
     }
 }
 
--- a/components/soak/src/history.rs
+++ b/components/soak/src/history.rs
@@ -81,6 +81,8 @@
     pub ran: bool,
     /// The pause that the target asked for with its answer.
     pub pause_ms: Option<u64>,
+    /// The box that sent it to the target, which is another one than its caller's where it was relayed.
+    pub from_box: Option<usize>,
 }
 
 /// A life of a target of which the store said that it leaves.
--- a/components/soak/src/world.rs
+++ b/components/soak/src/world.rs
@@ -1,6 +1,6 @@
 //! The world of one run: a platform in small, and boxes as processes.
 
-use crate::boxes::{BoxProcess, Common, free_addresses};
+use crate::boxes::{BoxProcess, Common, box_at, free_addresses};
 use crate::budget::{RESEND_SHARE, RESEND_SPARE};
 use crate::fatal_part::FatalCallers;
 use crate::history::{Arrival, Disturbed, History, KeyChange, Kind, Trouble};
@@ -377,6 +377,7 @@
                         .as_millis() as u64,
                     ran: seen.has_run,
                     pause_ms: seen.pause_ms,
+                    from_box: box_at(seen.client),
                 });
             }
         }
