--- a/components/policy/src/health/causes.rs
+++ b/components/policy/src/health/causes.rs
@@ -3,7 +3,7 @@
 //!
 //! Requests that crash targets may always share several prompt parts. Which of them is fatal is not known until a request with
 //! only some of them is answered, so a cause is the combination of all parts that were present each time: other requests with
-//! one of them go on, and their answers or crashes narrow the cause down.
+//! one of them are still sent, and their answers or crashes narrow the cause down.
 
 use super::evidence::{Crash, Evidence};
 use prelude::{RunId, Suspect, TargetId};
--- a/components/soak/src/fatal_part.rs
+++ b/components/soak/src/fatal_part.rs
@@ -24,7 +24,7 @@
 const IN_FORCE_MS: u64 = 3_000;
 const LATE_MAX: usize = 3;
 
-/// Callers that send requests with the part to all boxes, no two alike, until they are told to stop.
+/// Callers that send requests with the part to all boxes, no two alike, until it is stopped.
 pub(crate) struct FatalCallers {
     stop: Arc<AtomicBool>,
     threads: Vec<JoinHandle<Vec<Call>>>,
