Quarantine: an answer from before a crash does not clear it, however late its report comes

A part that becomes fatal crashed one more engine than needed: after the third crash the box that had seen all of them lifted its verdict, and withheld nothing.

Cause: boxes report the age of an answer; the receiver took its own time less that age, so an answer seemed newer by the report's time in transit. The longest time in transit (the round trip of an answer to a query, 400 ms for what comes unasked) now adds to the age. An operator's acquittal holds for all that was known.

--- a/components/relay/src/quarantine/broadcast.rs
+++ b/components/relay/src/quarantine/broadcast.rs
@@ -3,10 +3,11 @@
 //! others whether they were answered.
 
 use crate::membership::broadcast::broadcast_groups;
+use crate::rate_limit::announced::TRANSIT_MAX_MS;
 use crate::state::Relay;
 use peers::EndsTold;
 use policy::WithheldCause;
-use prelude::{Acquittal, BoxId, Suspect, TargetEnd};
+use prelude::{Acquittal, AcquittedBy, BoxId, Suspect, TargetEnd};
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use std::collections::BTreeSet;
@@ -61,7 +62,7 @@
         for id in std::mem::take(&mut report.pass_on) {
             tokio::task::spawn_local(send_to_group(self.clone(), report.clone(), vec![id]));
         }
-        self.apply_report(&report);
+        self.apply_report(&report, TRANSIT_MAX_MS);
         let now_ms = self.now_ms();
         let quarantine = self.quarantine.borrow();
         if report.asks_all {
@@ -80,14 +81,16 @@
         }
     }
 
-    fn apply_report(self: &Rc<Self>, report: &EndsTold) {
+    /// Applies a report that was in transit for `transit_max_ms` at most.
+    fn apply_report(self: &Rc<Self>, report: &EndsTold, transit_max_ms: u64) {
         self.apply_crashes(&report.ends, "peer");
         let now_ms = self.now_ms();
         for acquittal in &report.acquittals {
+            let acquittal = oldest_possible(*acquittal, transit_max_ms);
             let is_new = self
                 .quarantine
                 .borrow_mut()
-                .apply_acquittal(acquittal, now_ms);
+                .apply_acquittal(&acquittal, now_ms);
             if is_new {
                 slog::info!(self.log, "request acquitted"; "request" => %acquittal.suspect,
                     "by" => ?acquittal.by, "source" => "peer");
@@ -134,6 +137,7 @@
 
     /// Sends a report to one box and applies its reply. Returns false without a reply.
     async fn send_report(self: &Rc<Self>, id: BoxId, report: EndsTold) -> bool {
+        let sent_ms = self.now_ms();
         let call = self
             .peers
             .call(id, CALL_TIMEOUT, |client, context| async move {
@@ -141,12 +145,25 @@
             });
         let answer = self.record_peer_result(id, call.await, "ends");
         if let Some(answer) = &answer {
-            self.apply_report(answer);
+            self.apply_report(answer, self.now_ms() - sent_ms);
         }
         answer.is_some()
     }
 }
 
+/// An acquittal with the greatest age that it may have: its answer may have come before crashes that happened while the report
+/// was in transit, and must not clear them.
+fn oldest_possible(acquittal: Acquittal, transit_max_ms: u64) -> Acquittal {
+    let transit_max_ms = match acquittal.by {
+        AcquittedBy::Answer => u32::try_from(transit_max_ms).unwrap_or(u32::MAX),
+        AcquittedBy::Operator => 0,
+    };
+    Acquittal {
+        age_ms: acquittal.age_ms.saturating_add(transit_max_ms),
+        ..acquittal
+    }
+}
+
 /// Chooses the peers to query, at random: otherwise boxes that start together would all query the same peers.
 fn choose_peers(others: &[BoxId], random: &mut impl Rng) -> Vec<BoxId> {
     others
