relay: log what a retry was decided from

Each retry, taken or denied, names its service, the requests and retries that the box counted, the number of boxes that it divided the slack by, and the age of its incarnation. Needed to tell whether restarts or a wrong number of boxes let retries pile up.

--- a/components/policy/src/retries/window.rs
+++ b/components/policy/src/retries/window.rs
@@ -26,6 +26,15 @@
     pub window_ms: u64,
 }
 
+/// What one box counted within a window.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct RetryCounts {
+    /// Requests that arrived.
+    pub requests: u32,
+    /// Retries that were taken.
+    pub retries: u32,
+}
+
 /// Requests and retries of one box to one service within the window.
 #[derive(Clone, Debug)]
 pub struct RetryWindow {
@@ -61,14 +70,21 @@
         true
     }
 
+    /// Requests and retries within the window.
+    pub fn counts(&mut self, now_ms: u64) -> RetryCounts {
+        self.bucket(now_ms);
+        RetryCounts {
+            requests: self.buckets.iter().map(|bucket| bucket.requests).sum(),
+            retries: self.buckets.iter().map(|bucket| bucket.retries).sum(),
+        }
+    }
+
     /// Retries that the share of one box among `boxes` still allows.
     pub fn remaining(&mut self, boxes: usize, now_ms: u64) -> f64 {
-        self.bucket(now_ms);
-        let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
-        let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
+        let counts = self.counts(now_ms);
         let box_extra = self.limit.extra / boxes.max(1) as f64;
-        let allowed = self.limit.share * f64::from(requests) + box_extra;
-        allowed * USED_SHARE - f64::from(retries)
+        let allowed = self.limit.share * f64::from(counts.requests) + box_extra;
+        allowed * USED_SHARE - f64::from(counts.retries)
     }
 
     fn bucket(&mut self, now_ms: u64) -> &mut Bucket {
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -355,9 +355,13 @@
             true => self.members.borrow().peak_box_count(),
             false => 1,
         };
-        let taken = self.with_retry_window(service, |window, now_ms| {
-            window.try_take(budget_share, now_ms)
+        let (taken, counts) = self.with_retry_window(service, |window, now_ms| {
+            let taken = window.try_take(budget_share, now_ms);
+            (taken, window.counts(now_ms))
         });
+        slog::info!(self.log, "retry budget"; "service" => service, "taken" => taken,
+            "requests" => counts.requests, "retries" => counts.retries, "boxes" => budget_share,
+            "age_ms" => self.now_ms());
         let name = match taken {
             true => "shuntpier_resends",
             false => "shuntpier_resends_denied",
