--- a/components/policy/src/lib.rs
+++ b/components/policy/src/lib.rs
@@ -57,6 +57,7 @@
 pub use rate::bucket::TokenBucket;
 pub use rate::queue::{RateGrantRequest, RateQueue, RateVerdict};
 pub use rate::share::{FAILOVER_MS, FAILOVER_SHARE, FallbackShare};
+pub use retries::audit::{RetryExcess, worst_retry_excess};
 pub use retries::budget::RetryBudget;
-pub use retries::window::{RetryLimit, RetryWindow};
+pub use retries::window::{RetryCounts, RetryLimit, RetryWindow};
 pub use settings::{PolicyKind, PoolSettings, PrefillPolicy, WaitingPolicy};
--- a/components/policy/src/retries/mod.rs
+++ b/components/policy/src/retries/mod.rs
@@ -1,4 +1,5 @@
 //! Limits on retries.
 
+pub(crate) mod audit;
 pub(crate) mod budget;
 pub(crate) mod window;
