soak: targets refuse calls while nearly all boxes are killed in series

The check of second sends counts requests as the rule does: in the window, in the one before or half a window before, and no longer in two windows together, and in windows at any phase. While targets refuse, the share of requests is 0.02, so that most of the budget is what boxes divide.

--- a/components/bench/src/soak.rs
+++ b/components/bench/src/soak.rs
@@ -45,6 +45,8 @@
     pub partitions: bool,
     /// Also send requests with a prompt part that crashes engines
     pub fatal_part: bool,
+    /// Also have plain targets refuse calls while boxes are killed in series
+    pub refusals: bool,
     /// Runs at a time
     #[bpaf(argument("N"), fallback(2))]
     pub parallel: usize,
@@ -117,6 +119,7 @@
         slack_ms: options.slack_ms,
         has_partitions: options.partitions,
         has_fatal_part: options.fatal_part,
+        has_refusals: options.refusals,
         plant: options.plant,
     })
 }
--- a/components/soak/src/announced.rs
+++ b/components/soak/src/announced.rs
@@ -29,6 +29,8 @@
 const WITHIN_PAUSE_MAX: usize = 2;
 /// More requests than a target turns away.
 const SHED_MAX: usize = 5_000;
+/// More calls than a target gets while all refuse.
+const REFUSED_MAX: usize = 20_000;
 
 impl World<'_> {
     /// Has a target announce a rate limit for a time, unless it does already.
@@ -106,6 +108,16 @@
         self.later.push((self.now_ms() + lasts_ms, well));
     }
 
+    /// Has all plain targets refuse all calls for a time.
+    pub(crate) fn refuse_all(&mut self, lasts_ms: u64) {
+        let until_ms = self.now_ms() + lasts_ms;
+        for kept in &self.plain {
+            let record = kept.target.recorder.clone();
+            record.queue_behaviours(&vec![Behaviour::Full; REFUSED_MAX]);
+            self.later.push((until_ms, Later::ForgetActs(record)));
+        }
+    }
+
     /// Has a target announce something else than the history says, where that is planted.
     pub(crate) fn plant_announcements(
         &mut self,
--- a/components/soak/src/budget.rs
+++ b/components/soak/src/budget.rs
@@ -1,44 +1,49 @@
 //! The budget of second sends, checked over all boxes.
 
 use crate::history::{History, Kind};
-use std::collections::HashMap;
+use policy::{RetryLimit, worst_retry_excess};
+use std::collections::HashSet;
 
 /// The budget of second sends: a share of requests, and some more, in each window.
 pub(crate) const RESEND_SHARE: f64 = 0.2;
 pub(crate) const RESEND_SPARE: f64 = 50.0;
+/// The share while targets refuse and boxes are killed, so that most of the budget is what boxes divide.
+pub(crate) const RESEND_SHARE_IN_REFUSALS: f64 = 0.02;
 const RESEND_WINDOW_MS: u64 = 10_000;
 
-/// In each window, second sends are a share of the requests and some more.
+/// In each window, arrivals of calls at plain targets after the first of each call are a share of the calls and some more.
 pub(crate) fn budget(history: &History) -> Vec<String> {
-    let mut seen: HashMap<&str, u32> = HashMap::new();
-    let mut again: Vec<u64> = Vec::new();
+    let plain = history
+        .calls
+        .iter()
+        .filter(|call| call.kind != Kind::Stream);
+    let mut sent_ms: Vec<u64> = plain.map(|call| call.sent_ms).collect();
+    sent_ms.sort_unstable();
     let plain = history
         .arrivals
         .iter()
         .filter(|arrival| arrival.kind != Kind::Stream);
-    for arrival in plain {
-        let count = seen.entry(&arrival.id).or_default();
-        *count += 1;
-        if *count > 1 {
-            again.push(arrival.at_ms);
-        }
-    }
-    again.sort_unstable();
-    for from_ms in &again {
-        let in_window = |at_ms: &u64| (*from_ms..from_ms + RESEND_WINDOW_MS).contains(at_ms);
-        let sent = again.iter().filter(|at_ms| in_window(at_ms)).count();
-        // Requests of the window before count too, where there were more.
-        let wide = from_ms.saturating_sub(RESEND_WINDOW_MS)..from_ms + RESEND_WINDOW_MS;
-        let requests = history
-            .calls
-            .iter()
-            .filter(|call| call.kind != Kind::Stream && wide.contains(&call.sent_ms));
-        let bound = RESEND_SHARE * requests.count() as f64 + RESEND_SPARE;
-        if sent as f64 > bound {
-            return vec![format!(
-                "{sent} second sends from {from_ms} ms on, {bound:.0} allowed"
-            )];
-        }
-    }
-    Vec::new()
+    let mut arrivals: Vec<(u64, &str)> = plain
+        .map(|arrival| (arrival.at_ms, arrival.id.as_str()))
+        .collect();
+    arrivals.sort_unstable();
+    let mut seen = HashSet::new();
+    let again = arrivals.into_iter().filter(|(_, id)| !seen.insert(*id));
+    let again_ms: Vec<u64> = again.map(|(at_ms, _)| at_ms).collect();
+    let limit = RetryLimit {
+        share: match history.has_refusals {
+            true => RESEND_SHARE_IN_REFUSALS,
+            false => RESEND_SHARE,
+        },
+        extra: RESEND_SPARE,
+        window_ms: RESEND_WINDOW_MS,
+    };
+    let excess = worst_retry_excess(&limit, &sent_ms, &again_ms);
+    let cases = excess.map(|excess| {
+        format!(
+            "{} second sends from {} ms on, {:.0} allowed",
+            excess.retries, excess.from_ms, excess.allowed
+        )
+    });
+    cases.into_iter().collect()
 }
--- a/components/soak/src/history.rs
+++ b/components/soak/src/history.rs
@@ -145,6 +145,8 @@
 /// All that one run left behind.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct History {
+    /// Whether plain targets refused calls while boxes were killed in series.
+    pub has_refusals: bool,
     pub calls: Vec<Call>,
     pub arrivals: Vec<Arrival>,
     pub disturbed: Vec<Disturbed>,
--- a/components/soak/src/plan.rs
+++ b/components/soak/src/plan.rs
@@ -48,6 +48,13 @@
 const PARTITIONS_STREAM: u64 = 2;
 /// The same for prompt parts that crash engines.
 const FATAL_PARTS_STREAM: u64 = 3;
+/// The same for refusals.
+const REFUSALS_STREAM: u64 = 4;
+/// How long plain targets refuse all calls, and the time between the kills meanwhile.
+const REFUSALS_MS: std::ops::RangeInclusive<u64> = 5_000..=9_000;
+const KILLS_EACH_MS: std::ops::RangeInclusive<u64> = 600..=2_500;
+/// How long such a killed box is down.
+const KILLED_MS: u64 = 200;
 /// How long requests with such a part come.
 const FATAL_PART_MS: std::ops::RangeInclusive<u64> = 7_000..=10_000;
 /// How long a partition lasts, and the time until the next.
@@ -107,6 +114,8 @@
     },
     /// Requests with a prompt part that crashes engines come for a time.
     FatalPart { lasts_ms: u64 },
+    /// All plain targets refuse all calls for a time.
+    Refusals { lasts_ms: u64 },
     /// An engine leaves, and another comes.
     EngineLeaves { at: usize },
     /// An engine breaks streams off within an event.
@@ -152,6 +161,8 @@
     pub has_partitions: bool,
     /// Whether a prompt part crashes engines.
     pub has_fatal_part: bool,
+    /// Whether plain targets refuse calls while boxes are killed in series.
+    pub has_refusals: bool,
 }
 
 /// The plan of a seed.
@@ -182,10 +193,40 @@
     if sizes.has_fatal_part {
         steps.push(fatal_part(seed, sizes));
     }
+    if sizes.has_refusals {
+        steps.extend(refusals(seed, sizes));
+    }
     steps.sort_by_key(|timed| timed.at_ms);
     steps
 }
 
+/// Plain targets refuse calls, and nearly all boxes are killed again and again meanwhile; drawn apart from what else comes.
+fn refusals(seed: u64, sizes: Sizes) -> Vec<Timed> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(REFUSALS_STREAM);
+    let from_ms = rng.random_range(FIRST_MS..sizes.span_ms / 2);
+    let lasts_ms = rng.random_range(REFUSALS_MS);
+    let step = Step::Refusals { lasts_ms };
+    let mut steps = vec![Timed {
+        at_ms: from_ms,
+        step,
+    }];
+    let mut at_ms = from_ms + rng.random_range(KILLS_EACH_MS);
+    while at_ms < from_ms + lasts_ms {
+        let count = (sizes.boxes * 9).div_ceil(10);
+        let killed = rand::seq::index::sample(&mut rng, sizes.boxes, count);
+        steps.extend(killed.into_iter().map(|at| Timed {
+            at_ms,
+            step: Step::Kill {
+                at,
+                down_ms: KILLED_MS,
+            },
+        }));
+        at_ms += rng.random_range(KILLS_EACH_MS);
+    }
+    steps
+}
+
 /// Requests with a part that crashes engines, drawn apart from what else comes.
 fn fatal_part(seed: u64, sizes: Sizes) -> Timed {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
--- a/components/soak/src/plan_tests.rs
+++ b/components/soak/src/plan_tests.rs
@@ -7,6 +7,7 @@
     span_ms: 8_000,
     has_partitions: true,
     has_fatal_part: true,
+    has_refusals: true,
 };
 
 #[test]
@@ -22,5 +23,5 @@
         .iter()
         .map(|timed| std::mem::discriminant(&timed.step))
         .collect();
-    assert_eq!(kinds.len(), 23);
+    assert_eq!(kinds.len(), 24);
 }
--- a/components/soak/src/play.rs
+++ b/components/soak/src/play.rs
@@ -50,6 +50,8 @@
     pub has_partitions: bool,
     /// Whether a prompt part crashes engines.
     pub has_fatal_part: bool,
+    /// Whether plain targets refuse calls while boxes are killed in series.
+    pub has_refusals: bool,
     /// A promise that is broken on purpose.
     pub plant: Option<Plant>,
 }
@@ -70,6 +72,7 @@
         span_ms: soak.span_ms,
         has_partitions: soak.has_partitions,
         has_fatal_part: soak.has_fatal_part,
+        has_refusals: soak.has_refusals,
     };
     let steps = plan(seed, sizes);
     let mut world = World::start(soak, &folder, sizes)?;
@@ -244,6 +247,7 @@
                 let ends = Later::FatalPartEnds(callers);
                 self.later.push((now_ms + lasts_ms, ends));
             }
+            Step::Refusals { lasts_ms } => self.refuse_all(*lasts_ms),
             Step::TargetRestarts { at } => self.target_restarts(*at),
             Step::EngineRestarts { at, killed } => self.engine_restarts(*at, *killed),
             Step::Limit {
--- a/components/soak/src/world.rs
+++ b/components/soak/src/world.rs
@@ -1,7 +1,7 @@
 //! The world of one run: a platform in small, and boxes as processes.
 
 use crate::boxes::{BoxProcess, Common, box_at, free_addresses};
-use crate::budget::{RESEND_SHARE, RESEND_SPARE};
+use crate::budget::{RESEND_SHARE, RESEND_SHARE_IN_REFUSALS, RESEND_SPARE};
 use crate::fatal_part::FatalCallers;
 use crate::history::{Arrival, Disturbed, History, KeyChange, Kind, Trouble};
 use crate::plan::{PLACES, Sizes};
@@ -149,7 +149,11 @@
             program: &soak.program,
             folder,
             seeds: &seeds,
-            resend_share: if loose { 1.0 } else { RESEND_SHARE },
+            resend_share: match (loose, soak.has_refusals) {
+                (true, _) => 1.0,
+                (false, true) => RESEND_SHARE_IN_REFUSALS,
+                (false, false) => RESEND_SHARE,
+            },
             resend_spare: if loose { 50_000.0 } else { RESEND_SPARE },
             without: match soak.plant {
                 Some(Plant::FatalPart) => &["quarantine"],
@@ -183,6 +187,7 @@
             looked_ms: 0,
             files: 0,
             history: History {
+                has_refusals: soak.has_refusals,
                 events: EVENTS,
                 slack_ms: soak.slack_ms,
                 ..History::default()
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -14,6 +14,7 @@
         slack_ms: 4_000,
         has_partitions: false,
         has_fatal_part: false,
+        has_refusals: false,
         plant,
     }
 }
@@ -51,6 +52,18 @@
     assert!(report.served > 0, "{report:#?}");
 }
 
+#[rstest]
+#[case(15)]
+fn no_promise_is_broken_while_targets_refuse_and_boxes_are_killed_in_series(#[case] seed: u64) {
+    let refusals = Soak {
+        has_refusals: true,
+        ..soak(None)
+    };
+    let report = play(&refusals, seed).unwrap();
+    assert!(report.broken.is_empty(), "{report:#?}");
+    assert!(report.served > 0, "{report:#?}");
+}
+
 /// Plants that show whatever the seed's plan is.
 #[rstest]
 #[case(Plant::Twice)]
