relay: a box whose watchers lost the store does not keep removed targets

A request reached an engine 2,244 ms after its entry had gone (2,000 ms are allowed): a box that read the list of targets 1.1 s after its view was last confirmed took that for an outage of the store, and gave the missing entry the 2 s of grace for entries that lapse in one. The store had been there all the time; the watching box was cut from it.

An outage now needs a call of this box that failed since the last confirmation, or 3 s without one.

--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -141,6 +141,7 @@
         store_failing: Cell::new(false),
         targets_suspected: Cell::new(false),
         following: Cell::default(),
+        store_failed_ms: Cell::new(None),
         store_recovered_ms: Cell::new(None),
         follow_started: Notify::new(),
         polls_all_engines: Cell::new(false),
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -117,6 +117,8 @@
     pub(crate) targets_suspected: Cell<bool>,
     /// Views of the store that this box follows.
     pub(crate) following: Cell<FollowedViews>,
+    /// When following the store last failed at this box.
+    pub(crate) store_failed_ms: Cell<Option<u64>>,
     /// When the store last recovered from a failure.
     pub(crate) store_recovered_ms: Cell<Option<u64>>,
     /// Notified when this box begins to follow a view.
--- a/components/relay/src/watch/watcher.rs
+++ b/components/relay/src/watch/watcher.rs
@@ -39,8 +39,10 @@
 /// few watching boxes at once. A box with more changes had an almost empty list.
 const BROADCAST_CHANGES_MAX: usize = 1_024;
 
-/// A view that was not confirmed for this long was cut off by an outage of the store.
+/// A view that was not confirmed for this long, although this box called the store, was cut off by an outage of it.
 const OUTAGE_MIN_MS: u64 = 1_000;
+/// The same for a box that did not call the store meanwhile. It may be the watching boxes that were cut off, for a shorter time.
+const UNSEEN_OUTAGE_MIN_MS: u64 = 3_000;
 /// Grace period, after the store has recovered, in which lapsed entries can be written again. The users specify about
 /// two seconds; entries missing after that are removed.
 const MISSING_GRACE_MS: u64 = 2_000;
@@ -63,6 +65,7 @@
                 Err(StoreError::NotDone("the store is in doubt".into())),
         };
         if let Err(error) = result {
+            relay.store_failed_ms.set(Some(relay.now_ms()));
             if view == View::Targets {
                 relay.targets_suspected.set(true);
             }
@@ -252,13 +255,24 @@
 /// Records that the store answers again after an outage.
 fn record_store_recovery(relay: &Relay) {
     let now_ms = relay.now_ms();
-    let confirmed_ms = relay.confirmed_ms(View::Targets);
-    let had_outage = confirmed_ms.is_some_and(|confirmed_ms| confirmed_ms + OUTAGE_MIN_MS < now_ms);
-    if had_outage {
+    let Some(confirmed_ms) = relay.confirmed_ms(View::Targets) else {
+        return;
+    };
+    if had_outage(confirmed_ms, relay.store_failed_ms.get(), now_ms) {
         relay.store_recovered_ms.set(Some(now_ms));
     }
 }
 
+/// Whether the store was away since `confirmed_ms`, as far as this box can tell: `failed_ms` is when its last call failed.
+fn had_outage(confirmed_ms: u64, failed_ms: Option<u64>, now_ms: u64) -> bool {
+    let has_failed = failed_ms.is_some_and(|failed_ms| failed_ms >= confirmed_ms);
+    let min_ms = match has_failed {
+        true => OUTAGE_MIN_MS,
+        false => UNSEEN_OUTAGE_MIN_MS,
+    };
+    confirmed_ms + min_ms < now_ms
+}
+
 /// End of the grace period for missing entries; `None` if the store had no recent outage.
 fn missing_until_ms(relay: &Relay) -> Option<u64> {
     let until_ms = relay.store_recovered_ms.get()? + MISSING_GRACE_MS;
