A lost answer to an order to stop no longer ends a stream as complete

Cause: a generation that moves is stopped at its engine by a call. Any reply that could not be read, a lost one too, was taken for an order without effect, and the reader of the stream was told so; a stream without a length that closed 8 ms later was then taken for whole. Streams with chunks were broken off instead, and a 404 left the reader waiting until its deadline.

Change: one pure function says which reply settles an order (404 and 409 only while no other order is open); calls without an answer are repeated beside the first until one does; the reader takes no close for the end meanwhile; the first copy, whose name is known and stays the same, is kept as the way back. An order that may still take effect follows a generation that resumes at its source.

--- a/components/relay/src/dispatch/engine_polls.rs
+++ b/components/relay/src/dispatch/engine_polls.rs
@@ -151,7 +151,9 @@
 async fn poll_engine(relay: Rc<Relay>, slot: TargetSlot, address: SocketAddr) {
     metrics::counter!("shuntpier_engine_reports").increment(1);
     let answer = send_control_request(&relay, address, &report_request(address)).await;
-    let report = answer.and_then(|(status, body)| parse_report(status, &body));
+    let report = answer
+        .ok()
+        .and_then(|(status, body)| parse_report(status, &body));
     let now_ms = relay.now_ms();
     if report.is_some()
         && let Some(target) = relay.targets.borrow_mut().get_mut(slot)
--- a/components/relay/src/forwarding/control.rs
+++ b/components/relay/src/forwarding/control.rs
@@ -5,6 +5,7 @@
 use http1::exchange;
 use std::net::SocketAddr;
 use std::time::Duration;
+use thiserror::Error;
 
 /// Timeout for opening a control channel to an engine.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -12,27 +13,41 @@
 /// this time.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(4_000);
 
-/// Sends a control request to an engine. Returns status and body, or none if there was no response.
+/// Why a control request has no response.
+#[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
+pub(crate) enum ControlError {
+    /// No channel could be opened.
+    #[error("not sent")]
+    NotSent,
+    /// The engine may have carried the request out, or may yet do so.
+    #[error("no answer")]
+    NoAnswer,
+}
+
+/// Sends a control request to an engine. Returns status and body.
+///
+/// # Errors
+/// [`ControlError`].
 pub(crate) async fn send_control_request(
     relay: &Relay,
     address: SocketAddr,
     request: &[u8],
-) -> Option<(u16, Bytes)> {
+) -> Result<(u16, Bytes), ControlError> {
     let channel = relay.connect_target(address, CONNECT_TIMEOUT).await;
     let mut channel = match channel {
         Ok(channel) => channel,
         Err(error) => {
             slog::info!(relay.log, "connecting to engine for a control request failed"; "address" => %address,
                 "error" => %error);
-            return None;
+            return Err(ControlError::NotSent);
         }
     };
     match exchange(&mut channel, request, RESPONSE_TIMEOUT).await {
-        Ok(answer) => Some((answer.status, answer.body)),
+        Ok(answer) => Ok((answer.status, answer.body)),
         Err(error) => {
             slog::info!(relay.log, "no response to a control request"; "address" => %address,
                 "error" => %error);
-            None
+            Err(ControlError::NoAnswer)
         }
     }
 }
--- a/components/relay/src/forwarding/stream.rs
+++ b/components/relay/src/forwarding/stream.rs
@@ -179,7 +179,9 @@
         let remaining_ms = deadline_ms.saturating_sub(self.relay.now_ms());
         let deadline = Instant::now() + Duration::from_millis(remaining_ms);
         let head = forwarded_response_head(&response.head);
-        let mut migrator = Migrator::new(self.relay, self.engine);
+        let mut migrator = Migrator::new(self.relay, self.engine, false);
+        // How the stream ended while the generation may have been stopped.
+        let mut source_failure: Option<&'static str> = None;
         let mut silent_at = Instant::now() + SILENCE_TIMEOUT;
         let mut suspected = false;
         let mut was_reading = true;
@@ -222,7 +224,7 @@
                     return StreamEnd::Broken(TAKEN_BACK);
                 }
                 step = migrator.next_step(&self.permit, self.incoming.id()) => Some(step),
-                () = sleep_until(silent_at), if !suspected && wants_read => {
+                () = sleep_until(silent_at), if !suspected && wants_read && migrator.is_source_open() => {
                     suspected = true;
                     let silent_since_ms = self.relay.now_ms() - SILENCE_TIMEOUT.as_millis() as u64;
                     self.relay.probe_if_silent(&self.resolved.service().name, silent_since_ms);
@@ -237,42 +239,56 @@
                             Err(ended) => return ended,
                         }
                     }
-                    Ok(None) if !(migrator.is_stopping_source() && is_unframed(&response)) => {
+                    Ok(None) if !(migrator.may_be_stopped() && is_unframed(&response)) => {
                         return self.finish_stream(response);
                     }
-                    Ok(None) => {
+                    Err(why) if !migrator.may_be_stopped() => return self.break_off(why),
+                    ended => {
+                        source_failure = ended.err();
+                        self.log_source_closed(source_failure);
                         migrator.mark_source_closed();
                         None
                     }
-                    Err(why) if migrator.is_stopping_source() => {
-                        slog::debug!(self.relay.log, "source stream closed during a move"; "why" => why);
-                        migrator.mark_source_closed();
-                        None
-                    }
-                    Err(_) if self.caller_blocked_reads => {
-                        // The caller stalled the stream, so no engine fault is reported.
-                        return StreamEnd::Broken("its caller did not read, and its engine cut it off");
-                    }
-                    Err(why) => {
-                        self.report_fault(EngineFault::Broke);
-                        self.record_break(RunFailure::ConnectionClosed);
-                        return StreamEnd::Broken(why);
-                    }
                 },
             };
             let from = match step {
-                Some(MigrationStep::Continue(from)) => from,
-                Some(MigrationStep::Failed) if !migrator.is_source_open() => {
+                None => continue,
+                Some(MigrationStep::NotStopped) if migrator.is_source_open() => continue,
+                Some(MigrationStep::NotStopped) => {
+                    return match source_failure {
+                        None => self.finish_stream(response),
+                        Some(why) => self.break_off(why),
+                    };
+                }
+                Some(MigrationStep::Lost) => {
                     return StreamEnd::Broken("it was stopped and could not be moved");
                 }
-                _ => continue,
+                Some(MigrationStep::Continue(from)) => from,
             };
-            match self.resume_at(from, deadline).await {
+            match self.resume_at(&from, deadline).await {
                 Ok(next) => response = next,
                 Err(ended) => return ended,
             }
-            migrator = Migrator::new(self.relay, self.engine);
+            let has_open_order = from.has_open_order && self.permit.slot == from.source_slot;
+            migrator = Migrator::new(self.relay, self.engine, has_open_order);
+            silent_at = Instant::now() + SILENCE_TIMEOUT;
+        }
+    }
+
+    fn log_source_closed(&self, failure: Option<&'static str>) {
+        slog::info!(self.relay.log, "stream closed during an order to stop it"; "id" => self.incoming.id(),
+            "events" => self.events, "failure" => failure);
+    }
+
+    /// The end of a stream that its engine broke off.
+    fn break_off(&self, why: &'static str) -> StreamEnd {
+        if self.caller_blocked_reads {
+            // The caller stalled the stream, so no engine fault is reported.
+            return StreamEnd::Broken("its caller did not read, and its engine cut it off");
         }
+        self.report_fault(EngineFault::Broke);
+        self.record_break(RunFailure::ConnectionClosed);
+        StreamEnd::Broken(why)
     }
 
     fn report_fault(&self, fault: EngineFault) {
@@ -368,7 +384,7 @@
     /// Resumes the generation from its copy at the target of the move, or else at the source.
     async fn resume_at(
         &mut self,
-        from: MigratedCopy,
+        from: &MigratedCopy,
         deadline: Instant,
     ) -> Result<OpenResponse, StreamEnd> {
         // An event truncated at the end of the source's stream is sent again from the copy.
@@ -389,7 +405,7 @@
                 .await
                 .is_some()
             {
-                from.free(self.relay);
+                from.free_both(self.relay);
                 return Err(StreamEnd::Broken(TAKEN_BACK));
             }
             let sent_ms = self.relay.now_ms();
@@ -440,7 +456,7 @@
                 }
             }
         }
-        from.free(self.relay);
+        from.free_both(self.relay);
         metrics::counter!("shuntpier_moves", "end" => "lost").increment(1);
         Err(StreamEnd::Broken("its copy was not taken up"))
     }
--- a/components/relay/src/migration/migrated_copy.rs
+++ b/components/relay/src/migration/migrated_copy.rs
@@ -16,6 +16,8 @@
     pub source: SocketAddr,
     pub source_slot: TargetSlot,
     pub copy: Box<str>,
+    /// An order to stop the generation has no answer, and may take effect at the source later.
+    pub has_open_order: bool,
 }
 
 impl MigratedCopy {
@@ -31,6 +33,12 @@
         }
     }
 
+    /// Frees the unused copy and what the source keeps of the generation.
+    pub(crate) fn free_both(&self, relay: &Rc<Relay>) {
+        self.free(relay);
+        self.free_source(relay);
+    }
+
     /// Frees the state that the source engine keeps of a generation that resumed elsewhere. Skipped where the source is leaving,
     /// since its memory goes with it.
     pub(crate) fn free_source(&self, relay: &Rc<Relay>) {
@@ -51,6 +59,7 @@
     metrics::counter!("shuntpier_copies_freed").increment(1);
     let (relay, call) = (relay.clone(), drop_copy_request(holder, copy));
     tokio::task::spawn_local(async move {
-        send_control_request(&relay, holder, &call).await;
+        // The engine frees an unused copy by itself after a while.
+        let _ = send_control_request(&relay, holder, &call).await;
     });
 }
