A generation that waits is refused once its stopping box cannot end it in time

Callers whose generation waited for its permit when the box got SIGTERM waited on until the box ended; then their channel was closed without an answer, though the generation had not run and another box could have served it.

Cause: whether a generation ends in time was decided when it arrived only, not while it waited, nor when it was sent.

Change: the decision is repeated every 50 ms while a generation waits, when it has its permit, and before another box is asked to serve it. What arrived before the stop, or early in it, is judged by its arrival, as before.

--- a/components/relay/src/forwarding/generation.rs
+++ b/components/relay/src/forwarding/generation.rs
@@ -14,7 +14,7 @@
 use crate::forwarding::stream::StreamForwarder;
 use crate::ingress::accept::{ChannelAction, count_response, write_reply};
 use crate::ingress::request::{IncomingRequest, LocalReply, Reply, ResolvedRoute};
-use crate::ingress::stopping::refuse_if_stopping;
+use crate::ingress::stopping::{refuse_if_stopping, wait_until_refused};
 use crate::membership::gossip::broadcast_digest;
 use crate::quarantine::broken_runs::{RunFailure, RunProgress};
 use crate::state::Relay;
@@ -177,6 +177,9 @@
         if incoming.is_relayed {
             return Self::LocalReply(LocalReply::Unreachable);
         }
+        if let Some(local) = refuse_if_stopping(relay, incoming, resolved) {
+            return Self::LocalReply(local);
+        }
         match retry_if(reached_target, relay, incoming, resolved).await {
             Ok(retry) => Self::Relayed(retry),
             Err(local) => Self::LocalReply(local),
@@ -275,11 +278,18 @@
             () = relay.wait_until_withheld(incoming) => {
                 return StartResult::LocalReply(LocalReply::Withheld);
             }
+            local = wait_until_refused(relay, incoming, resolved) => {
+                return StartResult::LocalReply(local);
+            }
         };
         let permit = match acquired {
             Ok(permit) => permit,
             Err(refusal) => return StartResult::LocalReply(not_run_reply(refusal)),
         };
+        if let Some(local) = refuse_if_stopping(relay, incoming, resolved) {
+            // The box began to stop, or went on stopping, while the generation waited for its permit.
+            return StartResult::LocalReply(local);
+        }
         let deadline = Instant::now() + Duration::from_millis(due_ms.saturating_sub(now_ms));
         let slot = permit.slot;
         if !relay.takes_work(slot) {
--- a/components/relay/src/ingress/stopping.rs
+++ b/components/relay/src/ingress/stopping.rs
@@ -4,6 +4,8 @@
 use crate::state::Relay;
 use routing::{EngineTraits, Route};
 use settings::Mechanism;
+use std::time::Duration;
+use tokio::time::sleep;
 
 /// Retry-After of a stopping box if another box may serve the caller immediately.
 const OTHER_BOX_RETRY_MS: u64 = 20;
@@ -12,6 +14,9 @@
 /// For this long after SIGTERM the box may start a generation that might not finish in time, because its caller could not
 /// know of the stop. Later no generation may be started that might be cut off.
 const LIKELY_COMPLETION_WINDOW_MS: u64 = 2_500;
+/// How often a stopping box decides again whether a generation that waits can still finish.
+const RECHECK_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Retry-After for a caller that this stopping box refuses: immediately if another box may serve it, else when the first
 /// of the stopping boxes is expected to be back.
 pub(crate) fn stop_retry_after_ms(relay: &Relay) -> u64 {
@@ -50,6 +55,22 @@
     Some(route.answer_goal_ms + events * event_ms)
 }
 
+/// Waits until a generation that is not yet sent to an engine can no longer finish here, because the box is stopping. Returns the
+/// reply to its caller.
+pub(crate) async fn wait_until_refused(
+    relay: &Relay,
+    incoming: &IncomingRequest,
+    resolved: &ResolvedRoute,
+) -> LocalReply {
+    relay.stopping.cancelled().await;
+    loop {
+        if let Some(local) = refuse_if_stopping(relay, incoming, resolved) {
+            return local;
+        }
+        sleep(RECHECK_INTERVAL).await;
+    }
+}
+
 /// The reply of a stopping box to a generation that it does not start; none if it starts it. A generation that might not
 /// finish in time is refused later in the stop; early in the stop it is refused only if it is less likely to finish here
 /// than its caller is to reach a box that is not stopping. In 24 runs of a day with rolling stops, 100 generations were
