An upload that still arrives when its box ends is refused as not run

A caller whose body still arrived when a stopping box ended got a closed channel; the box knew that the request had not run and did not say so.

Cause: only whole requests are decided on; the body was read until the process ended.

Evidence: new test an_upload_that_still_arrives_when_its_box_ends_is_refused_as_not_run failed before (no response), passes now.

Change: reading a body ends when the box begins its final refusals, with 503 and Retry-After.

--- a/components/relay/src/ingress/accept.rs
+++ b/components/relay/src/ingress/accept.rs
@@ -6,7 +6,7 @@
 use crate::forwarding::generation::serve_generation;
 use crate::ingress::read_request::{memory_refusal, read_body, read_head};
 use crate::ingress::request::{IncomingRequest, LocalReply, Reply, ResolvedRoute};
-use crate::ingress::stopping::stop_retry_after_ms;
+use crate::ingress::stopping::stop_reply;
 use crate::state::Relay;
 use bytes::Bytes;
 use http1::{Channel, Listener, RequestHead};
@@ -291,10 +291,7 @@
     let remaining_ms = incoming
         .deadline_ms(resolved.route())
         .saturating_sub(relay.now_ms());
-    (remaining_ms > left_ms).then_some(LocalReply::NotRun {
-        why: "this box stops before it would answer",
-        retry_after_ms: stop_retry_after_ms(relay),
-    })
+    (remaining_ms > left_ms).then(|| stop_reply(relay))
 }
 
 pub(crate) async fn write_reply(
--- a/components/relay/src/ingress/read_request.rs
+++ b/components/relay/src/ingress/read_request.rs
@@ -2,6 +2,7 @@
 
 use crate::buffered::BufferReservation;
 use crate::ingress::request::LocalReply;
+use crate::ingress::stopping::stop_reply;
 use crate::state::Relay;
 use bytes::Bytes;
 use http1::{BodyError, Channel, ChannelError, Decoder, Framing, HeadError, Piece, RequestHead};
@@ -71,7 +72,11 @@
                     let written = channel.write(b"HTTP/1.1 100 Continue\r\n\r\n").await;
                     written.map_err(|_| None)?;
                 }
-                match timeout(BODY_READ_TIMEOUT, channel.fill()).await {
+                let filled = tokio::select! {
+                    filled = timeout(BODY_READ_TIMEOUT, channel.fill()) => filled,
+                    () = relay.refusing.cancelled() => return Err(Some(stop_reply(relay))),
+                };
+                match filled {
                     Ok(Ok(read)) if read > 0 => {}
                     Ok(_) => return Err(None),
                     Err(_) => return Err(Some(LocalReply::BadRequest("the body took too long"))),
--- a/components/relay/src/ingress/stopping.rs
+++ b/components/relay/src/ingress/stopping.rs
@@ -30,6 +30,14 @@
     restarted_ms.saturating_sub(now_ms).max(OTHER_BOX_RETRY_MS)
 }
 
+/// The reply to a request that has not run when its box ends.
+pub(super) fn stop_reply(relay: &Relay) -> LocalReply {
+    LocalReply::NotRun {
+        why: "this box stops before it would answer",
+        retry_after_ms: stop_retry_after_ms(relay),
+    }
+}
+
 fn grace_ms(relay: &Relay) -> u64 {
     (relay.settings().promises.stop_grace_s * 1000.0) as u64
 }
--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -161,6 +161,7 @@
         stopping: CancellationToken::new(),
         stop_until_ms: Cell::new(None),
         stop_started_ms: Cell::new(None),
+        refusing: CancellationToken::new(),
         closed: CancellationToken::new(),
         identity,
         keys: keys.clone(),
@@ -255,6 +256,7 @@
         }
         // From here on, arriving requests are refused as not run and are not forwarded.
         relay.stop_until_ms.set(Some(relay.now_ms()));
+        relay.refusing.cancel();
         sleep(FINAL_REFUSAL_TIME).await;
         slog::info!(relay.log, "stopped"; "in_progress" => relay.in_progress.get());
         relay.closed.cancel();
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -154,6 +154,8 @@
     pub(crate) stopping: CancellationToken,
     /// Deadline of a planned stop.
     pub(crate) stop_until_ms: Cell<Option<u64>>,
+    /// Cancelled when a stopping box refuses all that it has not begun.
+    pub(crate) refusing: CancellationToken,
     /// When the stop began.
     pub(crate) stop_started_ms: Cell<Option<u64>>,
     /// Cancelled when the process ends.
