A grace period that is shortened during a planned stop ends the stop earlier

A box whose grace period is shortened by its settings after SIGTERM stayed for the longer one, and would be killed with what it had in progress.

Cause: the end of the stop was computed at SIGTERM only, while the decisions on new generations read the grace period in force.

Evidence: new test a_stopping_box_ends_by_a_grace_period_that_is_shortened_meanwhile failed before (the box was there 30 s later), passes now.

Change: the end is the earlier of the two, looked at every 200 ms. A longer grace period does not lengthen a stop under way, since the process may be killed by the settings of its SIGTERM.

--- a/components/relay/src/start.rs
+++ b/components/relay/src/start.rs
@@ -48,6 +48,8 @@
 const DRAIN_ACCEPT_TIME: Duration = Duration::from_millis(2_700);
 /// Time that is left unused before the process is killed.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// How often a stopping box looks whether its settings shorten the grace period.
+const GRACE_RECHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// How long a box with no open requests refuses requests still in transit before it closes.
 const FINAL_REFUSAL_TIME: Duration = Duration::from_millis(80);
 
@@ -74,6 +76,19 @@
     })
 }
 
+/// The grace period of a planned stop, by the settings in force.
+fn stop_grace(relay: &Relay) -> Duration {
+    Duration::from_secs_f64(relay.settings().promises.stop_grace_s)
+}
+
+impl Relay {
+    /// Sets when the box ends that began to stop at `started_ms`.
+    fn limit_stop(&self, started_ms: u64, grace: Duration) {
+        let time_ms = grace.saturating_sub(STOP_MARGIN).as_millis() as u64;
+        self.stop_until_ms.set(Some(started_ms + time_ms));
+    }
+}
+
 /// A running box.
 #[derive(Clone)]
 pub struct Running(Rc<Relay>);
@@ -236,12 +251,11 @@
     /// process is about to be killed.
     pub async fn stop(&self) {
         let relay = &self.0;
-        let grace = Duration::from_secs_f64(relay.settings().promises.stop_grace_s);
-        let time = grace.saturating_sub(STOP_MARGIN);
-        let until = Instant::now() + time;
-        let until_ms = relay.now_ms() + time.as_millis() as u64;
-        relay.stop_until_ms.set(Some(until_ms));
-        relay.stop_started_ms.set(Some(relay.now_ms()));
+        let grace = stop_grace(relay);
+        let started = Instant::now();
+        let started_ms = relay.now_ms();
+        relay.stop_started_ms.set(Some(started_ms));
+        relay.limit_stop(started_ms, grace);
         slog::info!(relay.log, "stopping"; "in_progress" => relay.in_progress.get());
         relay.stopping.cancel();
         // Notifies the other boxes at once, so that roles of this box move to them.
@@ -249,10 +263,15 @@
         spawn_local(async move { announce_self(&notifier).await });
         sleep(DRAIN_ACCEPT_TIME.min(grace / 2)).await;
         while relay.in_progress.get() > 0 {
-            let ended = relay.requests_ended.notified();
-            if timeout_at(until, ended).await.is_err() {
+            // The platform ends the process by the settings of SIGTERM or by later ones: the earlier end holds.
+            let grace = grace.min(stop_grace(relay));
+            relay.limit_stop(started_ms, grace);
+            let until = started + grace.saturating_sub(STOP_MARGIN);
+            if Instant::now() >= until {
                 break;
             }
+            let recheck = until.min(Instant::now() + GRACE_RECHECK_INTERVAL);
+            let _ = timeout_at(recheck, relay.requests_ended.notified()).await;
         }
         // From here on, arriving requests are refused as not run and are not forwarded.
         relay.stop_until_ms.set(Some(relay.now_ms()));
