Every reader of an answer has a bound in bytes

Callers were held until their deadline where an engine sent heads without end, or refused them with a body without end while another engine was free; a control call without end was kept in the box's memory for up to 4 s (the store's for 31 s).

Cause: some readers had no bound in bytes, and the body of a refusal had none in time but the caller's.

An event that does not end is reported as the engine's fault, and bytes that complete no event no longer count as a sign of life. A channel is reused after a refusal only if its body was read to the end.

--- a/components/http1/src/channel.rs
+++ b/components/http1/src/channel.rs
@@ -16,6 +16,8 @@
 const AHEAD_BYTES_MAX: usize = 64 * 1024;
 /// Longest head of an answer.
 const ANSWER_HEAD_BYTES_MAX: usize = 32 * 1024;
+/// Heads that only announce an answer, before the answer.
+const INTERIM_HEADS_MAX: usize = 16;
 /// Written bytes that are not acknowledged for this long end a channel that this side opened. A peer behind
 /// a cut says nothing, and the system's own time is many minutes.
 const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(2_500);
@@ -286,12 +288,17 @@
     /// # Errors
     /// [`ChannelError`].
     pub async fn response(&mut self) -> Result<ResponseHead, ChannelError> {
+        let mut interim_heads = 0;
         loop {
             if let Some((head, taken)) = parse_response(&self.buffer, ANSWER_HEAD_BYTES_MAX)? {
                 self.buffer.advance(taken);
                 if head.status >= 200 {
                     return Ok(head);
                 }
+                interim_heads += 1;
+                if interim_heads > INTERIM_HEADS_MAX {
+                    return Err(HeadError::Malformed("too many interim answers").into());
+                }
                 continue;
             }
             if self.fill().await? == 0 {
--- a/components/http1/src/exchange.rs
+++ b/components/http1/src/exchange.rs
@@ -32,32 +32,46 @@
     pub reusable: bool,
 }
 
+/// What an answer may take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct AnswerLimits {
+    /// Time until it is whole, from the start of the request.
+    pub time: Duration,
+    /// Bytes of its body.
+    pub body_bytes: usize,
+}
+
 /// Sends `request` on a channel and reads its answer.
 ///
 /// # Errors
-/// [`ExchangeError::NoAnswer`], also after `limit`.
+/// [`ExchangeError::NoAnswer`], also where the answer exceeds its limits.
 pub async fn exchange(
     channel: &mut Channel,
     request: &[u8],
-    limit: Duration,
+    limits: AnswerLimits,
 ) -> Result<Answer, ExchangeError> {
     let exchanging = async {
         channel.write(request).await.map_err(ChannelError::from)?;
-        read_answer(channel).await
+        read_answer(channel, limits.body_bytes).await
     };
-    match tokio::time::timeout(limit, exchanging).await {
+    match tokio::time::timeout(limits.time, exchanging).await {
         Ok(Ok(answer)) => Ok(answer),
         Ok(Err(error)) => Err(ExchangeError::NoAnswer(error.to_string())),
         Err(_) => Err(ExchangeError::NoAnswer("no answer in time".into())),
     }
 }
 
-async fn read_answer(channel: &mut Channel) -> Result<Answer, ChannelError> {
+async fn read_answer(channel: &mut Channel, body_bytes_max: usize) -> Result<Answer, ChannelError> {
     let head = channel.response().await?;
     let mut decoder = Decoder::new(head.framing);
     let mut body = Vec::new();
     loop {
         match decoder.next(&mut channel.buffer).map_err(broken)? {
+            Piece::Data(data) if body.len() + data.len() > body_bytes_max => {
+                return Err(
+                    io::Error::new(io::ErrorKind::InvalidData, "the body is too long").into(),
+                );
+            }
             Piece::Data(data) => body.extend_from_slice(&data),
             Piece::End => break,
             Piece::More => {
--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -13,6 +13,6 @@
 
 pub use body::{BodyError, Decoder, Framing, Piece, push_chunk};
 pub use channel::{Channel, ChannelError, Listener};
-pub use exchange::{Answer, ExchangeError, exchange};
+pub use exchange::{Answer, AnswerLimits, ExchangeError, exchange};
 pub use head::{HeadError, RequestHead, ResponseHead, parse_request, parse_response};
 pub use headers::{Header, Headers};
--- a/components/relay/src/forwarding/control.rs
+++ b/components/relay/src/forwarding/control.rs
@@ -2,7 +2,7 @@
 
 use crate::state::Relay;
 use bytes::Bytes;
-use http1::exchange;
+use http1::{AnswerLimits, exchange};
 use std::net::SocketAddr;
 use std::time::Duration;
 use thiserror::Error;
@@ -13,6 +13,9 @@
 /// this time.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(4_000);
 
+/// Size limit of a response's body. Reports and names of copies are much shorter.
+const RESPONSE_BYTES_MAX: usize = 1024 * 1024;
+
 /// Why a control request has no response.
 #[derive(Clone, Copy, Debug, Error, PartialEq, Eq)]
 pub(crate) enum ControlError {
@@ -42,7 +45,11 @@
             return Err(ControlError::NotSent);
         }
     };
-    match exchange(&mut channel, request, RESPONSE_TIMEOUT).await {
+    let limits = AnswerLimits {
+        time: RESPONSE_TIMEOUT,
+        body_bytes: RESPONSE_BYTES_MAX,
+    };
+    match exchange(&mut channel, request, limits).await {
         Ok(answer) => Ok((answer.status, answer.body)),
         Err(error) => {
             slog::info!(relay.log, "no response to a control request"; "address" => %address,
--- a/components/relay/src/forwarding/open_response.rs
+++ b/components/relay/src/forwarding/open_response.rs
@@ -114,6 +114,18 @@
         Ok(body.into())
     }
 
+    /// Reads the body up to its end without keeping it.
+    pub(super) async fn skip_body(&mut self, most_bytes: usize) -> Result<(), &'static str> {
+        let mut read = 0;
+        while let Some(data) = self.next().await? {
+            read += data.len();
+            if read > most_bytes {
+                return Err(ANSWER_TOO_LONG);
+            }
+        }
+        Ok(())
+    }
+
     /// The next bytes of a body of which `read` bytes were read, with memory reserved for them.
     async fn next_reserved(
         &mut self,
--- a/components/relay/src/forwarding/send.rs
+++ b/components/relay/src/forwarding/send.rs
@@ -1,7 +1,6 @@
 //! Sends one request to one target, and is the only place that decides whether it ran: not run (the target said so, no
 //! channel could be opened, or nothing was written), answered, or possibly run.
 
-use crate::buffered::BufferReservation;
 use crate::forwarding::admission::Admission;
 use crate::forwarding::open_response::{OpenRequest, OpenResponse};
 use crate::forwarding::retries::RetryTicket;
@@ -13,6 +12,7 @@
 use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::time::timeout;
 
 /// Timeout for opening a channel. TCP retransmits a lost SYN only after one second.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -21,6 +21,12 @@
 /// Maximum number of responses to other requests that are skipped on one channel.
 const MAX_STRAY_RESPONSES: usize = 3;
 
+/// Limits of the body of a refusal whose channel is kept.
+const REFUSAL_BYTES_MAX: usize = 64 * 1024;
+const REFUSAL_BODY_TIMEOUT: Duration = Duration::from_millis(100);
+/// Size limit of the body of a response to another request.
+const STRAY_BYTES_MAX: usize = 1024 * 1024;
+
 /// Why a request was not run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum NotRun {
@@ -222,10 +228,11 @@
         };
         if response.metadata.is_not_run {
             let retry_after_ms = response.metadata.retry_after_ms.value();
-            // The short body is read only to make the channel reusable, so errors are ignored.
-            let mut memory = BufferReservation::new(&self.memory, None);
-            let _ = response.read_body(&mut memory).await;
-            response.recycle_channel(self);
+            // The body is read only to make the channel reusable; one that does not end soon is left with its channel.
+            let skipping = response.skip_body(REFUSAL_BYTES_MAX);
+            if let Ok(Ok(())) = timeout(REFUSAL_BODY_TIMEOUT, skipping).await {
+                response.recycle_channel(self);
+            }
             return SendResult::NotRun(NotRun::Refused { retry_after_ms });
         }
         SendResult::Answered(Box::new(response))
@@ -311,10 +318,16 @@
             return Err("an answer to another request, up to the end of the channel");
         }
         let mut decoder = Decoder::new(framing);
+        let mut read = 0;
         loop {
             match decoder.next(&mut channel.buffer) {
                 Ok(Piece::End) => break,
-                Ok(Piece::Data(_)) => {}
+                Ok(Piece::Data(data)) => {
+                    read += data.len();
+                    if read > STRAY_BYTES_MAX {
+                        return Err("an answer to another request does not end");
+                    }
+                }
                 Ok(Piece::More) => match channel.fill().await {
                     Ok(read) if read > 0 => {}
                     _ => return Err("the channel ended within an answer to another request"),
--- a/components/relay/src/forwarding/stream.rs
+++ b/components/relay/src/forwarding/stream.rs
@@ -233,8 +233,13 @@
                 }
                 piece = response.next(), if migrator.is_source_open() && wants_read => match piece {
                     Ok(Some(data)) => {
-                        silent_at = Instant::now() + SILENCE_TIMEOUT;
-                        match self.forward_chunk(caller, &head, &data, closes_channel) {
+                        let events_before = self.events;
+                        let forwarded = self.forward_chunk(caller, &head, &data, closes_channel);
+                        if self.events > events_before {
+                            // Bytes that complete no event are no sign of progress.
+                            silent_at = Instant::now() + SILENCE_TIMEOUT;
+                        }
+                        match forwarded {
                             Ok(()) => None,
                             Err(ended) => return ended,
                         }
@@ -336,7 +341,7 @@
         let events = self
             .splitter
             .push(data)
-            .map_err(|_| StreamEnd::Broken("an event does not end"))?;
+            .map_err(|_| self.break_off("an event does not end"))?;
         if events.count == 0 {
             self.unsent.push(&[], self.splitter.pending_bytes());
             return Ok(());
