--- a/components/bench/src/soak.rs
+++ b/components/bench/src/soak.rs
@@ -47,6 +47,8 @@
     pub fatal_part: bool,
     /// Also have plain targets refuse calls while boxes are killed in series
     pub refusals: bool,
+    /// Also have engines leave while answers to control calls are lost
+    pub lost_orders: bool,
     /// Runs at a time
     #[bpaf(argument("N"), fallback(2))]
     pub parallel: usize,
@@ -120,6 +122,7 @@
         has_partitions: options.partitions,
         has_fatal_part: options.fatal_part,
         has_refusals: options.refusals,
+        has_lost_orders: options.lost_orders,
         plant: options.plant,
     })
 }
--- a/components/soak/src/plan.rs
+++ b/components/soak/src/plan.rs
@@ -1,5 +1,6 @@
 //! What is done in one run, drawn from its seed: the same plan for the same seed.
 
+use fleet::copy_faults::{CopyAnswer, CopyFault};
 use fleet::link;
 use fleet::store;
 use fleet::target::Behaviour;
@@ -50,6 +51,13 @@
 const FATAL_PARTS_STREAM: u64 = 3;
 /// The same for refusals.
 const REFUSALS_STREAM: u64 = 4;
+/// The same for engines that leave while answers to control calls are lost.
+const LOST_ORDERS_STREAM: u64 = 5;
+/// The time between two such engines, and how many calls of one are not answered as they should be.
+const LOST_ORDERS_EACH_MS: std::ops::RangeInclusive<u64> = 500..=1_500;
+const LOST_ORDERS: std::ops::RangeInclusive<usize> = 1..=4;
+/// How long after its arrival such a call is carried out.
+const CARRIED_OUT_AFTER_MS: std::ops::RangeInclusive<u64> = 0..=150;
 /// How long plain targets refuse all calls, and the time between the kills meanwhile.
 const REFUSALS_MS: std::ops::RangeInclusive<u64> = 5_000..=9_000;
 const KILLS_EACH_MS: std::ops::RangeInclusive<u64> = 600..=2_500;
@@ -118,6 +126,12 @@
     Refusals { lasts_ms: u64 },
     /// An engine leaves, and another comes.
     EngineLeaves { at: usize },
+    /// The same, and its answers to the next calls that copy or stop a generation are lost, late or senseless.
+    EngineLosesOrders {
+        at: usize,
+        copies: Vec<CopyFault>,
+        stops: Vec<CopyFault>,
+    },
     /// An engine breaks streams off within an event.
     EngineCrash { at: usize, lasts_ms: u64 },
     /// A plain target leaves, and starts again under its name at once.
@@ -163,6 +177,8 @@
     pub has_fatal_part: bool,
     /// Whether plain targets refuse calls while boxes are killed in series.
     pub has_refusals: bool,
+    /// Whether engines leave while answers to control calls are lost.
+    pub has_lost_orders: bool,
 }
 
 /// The plan of a seed.
@@ -196,6 +212,9 @@
     if sizes.has_refusals {
         steps.extend(refusals(seed, sizes));
     }
+    if sizes.has_lost_orders {
+        steps.extend(lost_orders(seed, sizes));
+    }
     steps.sort_by_key(|timed| timed.at_ms);
     steps
 }
@@ -227,6 +246,46 @@
     steps
 }
 
+/// Engines leave one after another while answers to control calls are lost; drawn apart from what else comes.
+fn lost_orders(seed: u64, sizes: Sizes) -> Vec<Timed> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(LOST_ORDERS_STREAM);
+    let mut steps = Vec::new();
+    let mut at_ms = FIRST_MS;
+    while at_ms < sizes.span_ms {
+        let step = Step::EngineLosesOrders {
+            at: rng.random_range(0..sizes.engines),
+            copies: copy_faults(&mut rng),
+            stops: copy_faults(&mut rng),
+        };
+        steps.push(Timed { at_ms, step });
+        at_ms += rng.random_range(LOST_ORDERS_EACH_MS);
+    }
+    steps
+}
+
+fn copy_faults(rng: &mut ChaCha8Rng) -> Vec<CopyFault> {
+    use CopyAnswer::*;
+    let all = [
+        Close,
+        Reset,
+        Truncated,
+        Garbage,
+        Status(500),
+        Status(503),
+        Never,
+    ];
+    let count = rng.random_range(LOST_ORDERS);
+    (0..count)
+        .map(|_| CopyFault {
+            answer: *all.choose(rng).unwrap_or(&Close),
+            carried_out_after_ms: rng
+                .random_bool(0.7)
+                .then(|| rng.random_range(CARRIED_OUT_AFTER_MS)),
+        })
+        .collect()
+}
+
 /// Requests with a part that crashes engines, drawn apart from what else comes.
 fn fatal_part(seed: u64, sizes: Sizes) -> Timed {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
--- a/components/soak/src/plan_tests.rs
+++ b/components/soak/src/plan_tests.rs
@@ -8,6 +8,7 @@
     has_partitions: true,
     has_fatal_part: true,
     has_refusals: true,
+    has_lost_orders: true,
 };
 
 #[test]
@@ -23,5 +24,5 @@
         .iter()
         .map(|timed| std::mem::discriminant(&timed.step))
         .collect();
-    assert_eq!(kinds.len(), 24);
+    assert_eq!(kinds.len(), 25);
 }
--- a/components/soak/src/play.rs
+++ b/components/soak/src/play.rs
@@ -52,6 +52,8 @@
     pub has_fatal_part: bool,
     /// Whether plain targets refuse calls while boxes are killed in series.
     pub has_refusals: bool,
+    /// Whether engines leave while answers to control calls are lost, and half of the engines' streams have no length.
+    pub has_lost_orders: bool,
     /// A promise that is broken on purpose.
     pub plant: Option<Plant>,
 }
@@ -73,6 +75,7 @@
         has_partitions: soak.has_partitions,
         has_fatal_part: soak.has_fatal_part,
         has_refusals: soak.has_refusals,
+        has_lost_orders: soak.has_lost_orders,
     };
     let steps = plan(seed, sizes);
     let mut world = World::start(soak, &folder, sizes)?;
@@ -264,6 +267,16 @@
             } => self.shed(*at, *pause_ms, *lasts_ms),
             Step::Garble { at, lasts_ms } => self.garble(*at, *lasts_ms),
             Step::EngineLeaves { at } => self.engine_leaves(*at, now_ms),
+            Step::EngineLosesOrders { at, copies, stops } => {
+                let behaviour = &self.engines[*at].behaviour;
+                copies
+                    .iter()
+                    .for_each(|fault| behaviour.copy_faults.push(*fault));
+                stops
+                    .iter()
+                    .for_each(|fault| behaviour.stop_faults.push(*fault));
+                self.engine_leaves(*at, now_ms);
+            }
             Step::EngineCrash { at, lasts_ms } => {
                 self.engines[*at]
                     .behaviour
--- a/components/soak/src/world.rs
+++ b/components/soak/src/world.rs
@@ -275,6 +275,8 @@
         let is = |plant| self.soak.plant == Some(plant);
         pace.skips_third_event
             .store(is(Plant::Order), Ordering::Relaxed);
+        let is_unframed = self.soak.has_lost_orders && self.started.is_multiple_of(2);
+        pace.is_unframed.store(is_unframed, Ordering::Relaxed);
         pace.runs_twice.store(is(Plant::TwoRuns), Ordering::Relaxed);
         let life = self.begin_life(instance, "model", engine.address);
         self.records.push(Kept {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -15,6 +15,7 @@
         has_partitions: false,
         has_fatal_part: false,
         has_refusals: false,
+        has_lost_orders: false,
         plant,
     }
 }
@@ -64,6 +65,18 @@
     assert!(report.served > 0, "{report:#?}");
 }
 
+#[rstest]
+#[case(16)]
+fn no_promise_is_broken_while_engines_leave_and_answers_to_orders_are_lost(#[case] seed: u64) {
+    let lost_orders = Soak {
+        has_lost_orders: true,
+        ..soak(None)
+    };
+    let report = play(&lost_orders, seed).unwrap();
+    assert!(report.broken.is_empty(), "{report:#?}");
+    assert!(report.served > 0, "{report:#?}");
+}
+
 /// Plants that show whatever the seed's plan is.
 #[rstest]
 #[case(Plant::Twice)]
