The end of a killed engine no longer looks like the end of its answers

Cause: the system closes the channels of a process that ends in good order, as at the end of an answer without a length.

Change: after such an answer, of a stream or a plain call, the box connects to the target and keeps the connection; one that refuses three connections within 0.1 s has ended, and the answer counts as broken off.

--- a/components/relay/src/forwarding/attempt.rs
+++ b/components/relay/src/forwarding/attempt.rs
@@ -12,6 +12,7 @@
 use crate::state::Relay;
 use crate::watch::targets::TargetSlot;
 use bytes::Bytes;
+use http1::Framing;
 use platform::{ForwardOptions, forwarded_request_head, forwarded_response_head};
 use routing::RouteKind;
 use std::rc::Rc;
@@ -176,6 +177,9 @@
         Err(ANSWER_TOO_LONG) => return AttemptResult::OutOfMemory(ANSWER_TOO_LONG),
         Err(why) => return AttemptResult::MayHaveRun(why),
     };
+    if response.framing == Framing::UntilClose && !relay.outlives_answer(slot).await {
+        return AttemptResult::MayHaveRun("the target ended with its answer");
+    }
     let status = response.head.status;
     let reply = Reply {
         status,
--- a/components/relay/src/forwarding/mod.rs
+++ b/components/relay/src/forwarding/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod idle_channels;
 pub(crate) mod open_response;
 pub(crate) mod outcome;
+mod outlives;
 mod pauses;
 pub(crate) mod reachability;
 mod refused;
--- a/components/relay/src/forwarding/stream.rs
+++ b/components/relay/src/forwarding/stream.rs
@@ -245,7 +245,7 @@
                         }
                     }
                     Ok(None) if !(migrator.may_be_stopped() && is_unframed(&response)) => {
-                        return self.finish_stream(response);
+                        return self.finish_stream(response).await;
                     }
                     Err(why) if !migrator.may_be_stopped() => return self.break_off(why),
                     ended => {
@@ -261,7 +261,7 @@
                 Some(MigrationStep::NotStopped) if migrator.is_source_open() => continue,
                 Some(MigrationStep::NotStopped) => {
                     return match source_failure {
-                        None => self.finish_stream(response),
+                        None => self.finish_stream(response).await,
                         Some(why) => self.break_off(why),
                     };
                 }
@@ -318,7 +318,7 @@
     }
 
     /// Checks that a stream that ended is complete.
-    fn finish_stream(&mut self, response: OpenResponse) -> StreamEnd {
+    async fn finish_stream(&mut self, response: OpenResponse) -> StreamEnd {
         if self.splitter.is_within_event() {
             self.record_break(RunFailure::ConnectionClosed);
             return StreamEnd::Broken("the stream ended within an event");
@@ -327,6 +327,9 @@
             self.record_break(RunFailure::ConnectionClosed);
             return StreamEnd::Broken("the stream ended without an event");
         }
+        if is_unframed(&response) && !self.relay.outlives_answer(self.permit.slot).await {
+            return self.break_off("its engine ended with the stream");
+        }
         response.recycle_channel(self.relay);
         StreamEnd::Whole
     }
