A generation is not stopped for an engine that began to leave during its copy

Cause: after the first copy, of 2.6 s, the migration looked only whether the chosen engine was gone, and continuations may be sent to engines that leave.

Change: after the copy the engine must still take work; else the copy is freed and another engine is chosen while the generation runs on.

--- a/components/relay/src/forwarding/outcome.rs
+++ b/components/relay/src/forwarding/outcome.rs
@@ -114,6 +114,13 @@
             .is_none_or(|target| target.state == TargetState::Gone)
     }
 
+    /// Whether a target is leaving, and still serves what it has.
+    pub(crate) fn is_leaving(&self, slot: TargetSlot) -> bool {
+        let targets = self.targets.borrow();
+        let target = targets.get(slot);
+        target.is_some_and(|target| target.state == TargetState::Leaving)
+    }
+
     /// The instance name of a target's incarnation; none if this box no longer tracks it.
     pub(crate) fn instance_of(&self, slot: TargetSlot) -> Option<Box<str>> {
         let targets = self.targets.borrow();
--- a/components/relay/src/migration/job.rs
+++ b/components/relay/src/migration/job.rs
@@ -28,6 +28,9 @@
 /// engine is gone after this time.
 const COPY_TIMEOUT: Duration = Duration::from_millis(4_000);
 
+/// Time for the order to stop and for the request to reach the engine.
+const STOP_ALLOWANCE_MS: u64 = 250;
+
 /// Progress of a migration.
 pub(super) enum JobStep {
     /// The source is ordered to stop the generation, which can resume from this first copy.
@@ -69,6 +72,8 @@
     pub source: TargetSlot,
     pub source_id: TargetId,
     pub source_address: SocketAddr,
+    /// When the migration began: with the leaving of the source, if that is its cause.
+    pub started_ms: u64,
     /// An order of an earlier migration may take effect at the source.
     pub has_open_order: bool,
     pub stream: Rc<SourceStream>,
@@ -169,10 +174,11 @@
             }
         };
         let copied_ms = relay.now_ms();
-        if relay.is_gone(target) {
-            // The copy is lost with the engine process that held it: stopping the generation now would end it.
+        let copy_ms = copied_ms - started_ms;
+        if !relay.takes_work(target) && !self.must_go_on(relay, target, copy_ms) {
+            // The engine became unusable during the copy, and the generation still runs at its source.
             free_copy(relay, target_address, &first_copy);
-            return Next::Retry("the engine is gone", target_id);
+            return Next::Retry("the engine takes no work any more", target_id);
         }
         let first = self.migrated_to(target, first_copy);
         if steps.send(JobStep::StopOrdered(first.clone())).is_err() {
@@ -215,6 +221,17 @@
         Next::Done
     }
 
+    /// Whether a generation goes on at an engine that began to leave during the copy: its source may end before another copy
+    /// could be made, and the engine serves for the promised time from when it began to leave.
+    fn must_go_on(&self, relay: &Relay, target: TargetSlot, copy_ms: u64) -> bool {
+        let leaving_ms = relay.settings().promises.leaving_ms as u64;
+        let source_left_ms = relay.now_ms() - self.started_ms;
+        self.cause == Cause::Leaving
+            && relay.is_leaving(target)
+            && source_left_ms + copy_ms > leaving_ms
+            && copy_ms + STOP_ALLOWANCE_MS < leaving_ms
+    }
+
     fn migrated_to(&self, target: TargetSlot, copy: Box<str>) -> MigratedCopy {
         MigratedCopy {
             target,
--- a/components/relay/src/migration/migrator.rs
+++ b/components/relay/src/migration/migrator.rs
@@ -209,6 +209,7 @@
             source: permit.slot,
             source_id: target.id,
             source_address: target.entry.address,
+            started_ms: self.relay.now_ms(),
             has_open_order: self.has_open_order,
             stream: self.stream.clone(),
         };
