relay: the order to stop in a function of its own; line for the first copy

The attempt to move a generation was one function of 80 lines. How long the first copy took is logged when it is done, as a move may end before its order.

--- a/components/relay/src/migration/job.rs
+++ b/components/relay/src/migration/job.rs
@@ -173,8 +173,7 @@
                 return Next::Retry("the copy failed", target_id);
             }
         };
-        let copied_ms = relay.now_ms();
-        let copy_ms = copied_ms - started_ms;
+        let copy_ms = relay.now_ms() - started_ms;
         if !relay.takes_work(target) && !self.must_go_on(relay, target, copy_ms) {
             // The engine became unusable during the copy, and the generation still runs at its source.
             free_copy(relay, target_address, &first_copy);
@@ -186,18 +185,33 @@
             free_copy(relay, target_address, &first.copy);
             return Next::Done;
         }
+        slog::info!(relay.log, "generation copied"; "id" => &*self.id, "copy" => &*first.copy, "took_ms" => copy_ms);
+        self.stop(relay, first, target_address, transfer_slot, steps)
+            .await
+    }
+
+    /// Orders the source to stop the generation, which has been copied to the target, and has it resume.
+    async fn stop(
+        &self,
+        relay: &Rc<Relay>,
+        first: MigratedCopy,
+        target_address: SocketAddr,
+        transfer_slot: TransferSlot<'_>,
+        steps: &mpsc::UnboundedSender<JobStep>,
+    ) -> Next {
+        let ordered_ms = relay.now_ms();
         let mut orders = StopOrders::start(relay, self, target_address, steps);
         let outcome = orders.outcome(transfer_slot).await;
         let has_open_order = orders.has_open_order();
         slog::info!(relay.log, "order to stop a generation ended"; "id" => &*self.id, "outcome" => ?outcome,
             "first_copy" => &*first.copy,
             "orders" => orders.count(), "has_open_order" => has_open_order,
-            "copied_in_ms" => copied_ms - started_ms, "stopped_in_ms" => relay.now_ms() - copied_ms);
+            "stopped_in_ms" => relay.now_ms() - ordered_ms);
         metrics::counter!("shuntpier_stops", "outcome" => outcome.label()).increment(1);
         let resumes_from = match outcome {
-            StopOutcome::Stopped { copy, .. } => self.migrated_to(target, copy),
+            StopOutcome::Stopped { copy, .. } => self.migrated_to(first.target, copy),
             StopOutcome::KeptAtSource { copy } => self.migrated_to(self.source, copy),
-            StopOutcome::StoppedEarlier => first.clone(),
+            StopOutcome::StoppedEarlier => first,
             StopOutcome::Ended | StopOutcome::Busy => {
                 free_copy(relay, target_address, &first.copy);
                 let is_read = steps.send(JobStep::NotStopped).is_ok();
