A stopping box keeps waiting generations that are likely to end in time

Cause: what waits was judged by the longest time that its route allows, also where its caller could not know of the stop.

Change: a generation that arrived before the stop or early in it is refused while it waits only once not even a typical recent generation would end in time; later arrivals are judged as when they arrived.

--- a/components/relay/src/dispatch/completion.rs
+++ b/components/relay/src/dispatch/completion.rs
@@ -35,6 +35,7 @@
     first_token_ms: f64,
     /// Time per further token.
     token_ms: f64,
+    total_ms: u64,
 }
 
 /// Ratios and times learned from finished generations.
@@ -74,6 +75,7 @@
             self.recent.push_back(Pace {
                 first_token_ms: sample.first_token_ms as f64,
                 token_ms,
+                total_ms: sample.total_ms,
             });
         }
         let Some(guess) = sample.guess_tokens else {
@@ -99,6 +101,13 @@
         paces.fold(0.0, f64::max)
     }
 
+    /// Returns the median time, in milliseconds, that recent generations took; none if none is known.
+    pub(crate) fn typical_duration_ms(&self) -> Option<u64> {
+        let mut totals: Vec<u64> = self.recent.iter().map(|pace| pace.total_ms).collect();
+        totals.sort_unstable();
+        totals.get(totals.len() / 2).copied()
+    }
+
     /// Returns the time, in milliseconds, in which a generation finishes even if it is much slower than the slowest recent
     /// one; none while few are known.
     pub(crate) fn safe_duration_ms(&self, max_tokens: u32) -> Option<u64> {
--- a/components/relay/src/forwarding/generation.rs
+++ b/components/relay/src/forwarding/generation.rs
@@ -14,7 +14,9 @@
 use crate::forwarding::stream::StreamForwarder;
 use crate::ingress::accept::{ChannelAction, count_response, write_reply};
 use crate::ingress::request::{IncomingRequest, LocalReply, Reply, ResolvedRoute};
-use crate::ingress::stopping::{refuse_if_stopping, wait_until_refused};
+use crate::ingress::stopping::{
+    refuse_if_stopping, refuse_waiting_if_stopping, wait_until_refused,
+};
 use crate::membership::gossip::broadcast_digest;
 use crate::quarantine::broken_runs::{RunFailure, RunProgress};
 use crate::state::Relay;
@@ -177,7 +179,7 @@
         if incoming.is_relayed {
             return Self::LocalReply(LocalReply::Unreachable);
         }
-        if let Some(local) = refuse_if_stopping(relay, incoming, resolved) {
+        if let Some(local) = refuse_waiting_if_stopping(relay, incoming, resolved) {
             return Self::LocalReply(local);
         }
         match retry_if(reached_target, relay, incoming, resolved).await {
@@ -286,7 +288,7 @@
             Ok(permit) => permit,
             Err(refusal) => return StartResult::LocalReply(not_run_reply(refusal)),
         };
-        if let Some(local) = refuse_if_stopping(relay, incoming, resolved) {
+        if let Some(local) = refuse_waiting_if_stopping(relay, incoming, resolved) {
             // The box began to stop, or went on stopping, while the generation waited for its permit.
             return StartResult::LocalReply(local);
         }
--- a/components/relay/src/ingress/stopping.rs
+++ b/components/relay/src/ingress/stopping.rs
@@ -63,6 +63,22 @@
     Some(route.answer_goal_ms + events * event_ms)
 }
 
+/// The reply of a stopping box to a generation that has waited and is not yet sent to an engine; none if it is still started. One
+/// whose caller could not know of the stop is refused only when not even a typical generation would finish.
+pub(crate) fn refuse_waiting_if_stopping(
+    relay: &Relay,
+    incoming: &IncomingRequest,
+    resolved: &ResolvedRoute,
+) -> Option<LocalReply> {
+    let time_left_ms = relay.stop_remaining_ms()?;
+    let typical_ms = relay.completion.borrow().typical_duration_ms();
+    let typical_ms = typical_ms.unwrap_or(resolved.route().answer_goal_ms);
+    if arrived_early(relay, incoming.arrived_ms) && typical_ms <= time_left_ms {
+        return None;
+    }
+    refuse_if_stopping(relay, incoming, resolved)
+}
+
 /// Waits until a generation that is not yet sent to an engine can no longer finish here, because the box is stopping. Returns the
 /// reply to its caller.
 pub(crate) async fn wait_until_refused(
@@ -72,7 +88,7 @@
 ) -> LocalReply {
     relay.stopping.cancelled().await;
     loop {
-        if let Some(local) = refuse_if_stopping(relay, incoming, resolved) {
+        if let Some(local) = refuse_waiting_if_stopping(relay, incoming, resolved) {
             return local;
         }
         sleep(RECHECK_INTERVAL).await;
