--- a/components/relay/src/dispatch/completion.rs
+++ b/components/relay/src/dispatch/completion.rs
@@ -35,7 +35,8 @@
     first_token_ms: f64,
     /// Time per further token.
     token_ms: f64,
-    total_ms: u64,
+    /// Time from the first token to the end.
+    stream_ms: u64,
 }
 
 /// Ratios and times learned from finished generations.
@@ -75,7 +76,7 @@
             self.recent.push_back(Pace {
                 first_token_ms: sample.first_token_ms as f64,
                 token_ms,
-                total_ms: sample.total_ms,
+                stream_ms: sample.total_ms.saturating_sub(sample.first_token_ms),
             });
         }
         let Some(guess) = sample.guess_tokens else {
@@ -101,11 +102,12 @@
         paces.fold(0.0, f64::max)
     }
 
-    /// Returns the median time, in milliseconds, that recent generations took; none if none is known.
-    pub(crate) fn typical_duration_ms(&self) -> Option<u64> {
-        let mut totals: Vec<u64> = self.recent.iter().map(|pace| pace.total_ms).collect();
-        totals.sort_unstable();
-        totals.get(totals.len() / 2).copied()
+    /// Returns the median time, in milliseconds, that recent generations took from their first token on, which leaves out how
+    /// long they waited; none if none is known.
+    pub(crate) fn typical_stream_ms(&self) -> Option<u64> {
+        let mut times: Vec<u64> = self.recent.iter().map(|pace| pace.stream_ms).collect();
+        times.sort_unstable();
+        times.get(times.len() / 2).copied()
     }
 
     /// Returns the time, in milliseconds, in which a generation finishes even if it is much slower than the slowest recent
--- a/components/relay/src/dispatch/completion_tests.rs
+++ b/components/relay/src/dispatch/completion_tests.rs
@@ -99,5 +99,5 @@
     assert_eq!(estimator.safe_duration_ms(100), None);
     estimator.record(sample);
     assert_eq!(estimator.safe_duration_ms(100), Some(3_000));
-    assert_eq!(estimator.typical_duration_ms(), Some(1_500));
+    assert_eq!(estimator.typical_stream_ms(), Some(1_000));
 }
--- a/components/relay/src/ingress/stopping.rs
+++ b/components/relay/src/ingress/stopping.rs
@@ -71,7 +71,7 @@
     resolved: &ResolvedRoute,
 ) -> Option<LocalReply> {
     let time_left_ms = relay.stop_remaining_ms()?;
-    let typical_ms = relay.completion.borrow().typical_duration_ms();
+    let typical_ms = relay.completion.borrow().typical_stream_ms();
     let typical_ms = typical_ms.unwrap_or(resolved.route().answer_goal_ms);
     if arrived_early(relay, incoming.arrived_ms) && typical_ms <= time_left_ms {
         return None;
