relay: a line for each refusal with what its sends came to

The lines could not tell the hypotheses of the incident apart: none said what each send of a refused request came to, one way to a 503 wrote nothing (a relayed request at a box that lost its targets), and a request refused while its body was read was logged and answered without its id.

Each send is now recorded in a SendLog of its request before its first byte is written, as unclear until something shows otherwise, so a cancelled send stays unclear. A reply with 408, 421, 429 or 503 writes the line 'refusal sent'. No reply changes apart from the id in refusals of bodies.

--- a/components/relay/src/forwarding/attempt.rs
+++ b/components/relay/src/forwarding/attempt.rs
@@ -106,6 +106,7 @@
             _ => UNREPEATABLE_MAX_IDLE_MS,
         },
         retry,
+        sends: &incoming.sends,
     };
     let mut memory = BufferReservation::new(&relay.memory, Some(resolved.account_id()));
     let sending = attempt_response(relay, admission, request, &mut memory);
--- a/components/relay/src/forwarding/generation.rs
+++ b/components/relay/src/forwarding/generation.rs
@@ -113,7 +113,7 @@
         "after_ms" => relay.now_ms() - incoming.arrived_ms);
     count_response(local.status(), "own");
     let reply = Reply::local(local, incoming.facts.request_id.as_deref());
-    write_reply(relay, caller, incoming.id(), reply, false).await
+    write_reply(relay, caller, incoming, reply, false).await
 }
 
 /// Forwards a response that is not an event stream.
@@ -158,7 +158,7 @@
     slog::info!(relay.log, "generation failed"; "id" => incoming.id(), "status" => status,
         "vouched" => verified, "after_ms" => relay.now_ms() - incoming.arrived_ms);
     count_response(status, "generation");
-    write_reply(relay, caller, incoming.id(), reply, false).await
+    write_reply(relay, caller, incoming, reply, false).await
 }
 
 enum StartResult {
@@ -484,6 +484,7 @@
         has_no_body: false,
         max_idle_ms: UNREPEATABLE_MAX_IDLE_MS,
         retry: send.retry,
+        sends: &incoming.sends,
     };
     relay.send_request(&admission, request).await
 }
--- a/components/relay/src/forwarding/mod.rs
+++ b/components/relay/src/forwarding/mod.rs
@@ -23,5 +23,6 @@
 mod relay_stream;
 pub(crate) mod retries;
 pub(crate) mod send;
+pub(crate) mod sends;
 pub(crate) mod stream;
 mod stream_end;
--- a/components/relay/src/forwarding/relay.rs
+++ b/components/relay/src/forwarding/relay.rs
@@ -7,7 +7,10 @@
 use crate::forwarding::relay_peers::ChosenHelper;
 use crate::forwarding::retries::RetryTicket;
 use crate::forwarding::send::{NotRun, OutgoingRequest, exchange_heads};
-use crate::ingress::request::{IncomingRequest, LocalReply, Reply, ResolvedRoute};
+use crate::forwarding::sends::{Receiver, SendState};
+use crate::ingress::request::{
+    IncomingRequest, LocalReply, Reply, ResolvedRoute, is_not_run_status,
+};
 use crate::state::Relay;
 use http1::Channel;
 use platform::{forwarded_response_head, is_unreachable_reply, relayed_request_head};
@@ -163,11 +166,29 @@
         has_no_body: &*incoming.head.method == "HEAD",
         max_idle_ms: 0,
         retry,
+        sends: &incoming.sends,
     };
     if let Some(retry) = retry {
         retry.record_sent();
     }
-    match exchange_heads(channel, request).await {
+    let send = incoming
+        .sends
+        .begin(Receiver::Box(helper.id), relay.now_ms());
+    let result = exchange_heads(channel, request).await;
+    match &result {
+        Ok(response) => {
+            let status = response.head.status;
+            let is_refusal = is_not_run_status(status) && !response.metadata.is_signed;
+            let state = match is_refusal {
+                true => SendState::Refused(status),
+                false => SendState::Answered(status),
+            };
+            incoming.sends.settle(send, state);
+        }
+        Err(None) => incoming.sends.settle(send, SendState::Unsent),
+        Err(Some(_)) => {}
+    }
+    match result {
         Ok(response) if is_unreachable_reply(&response.head) => RelayResult::NoHelper,
         Ok(response) => RelayResult::Answered(Box::new(response), open_relay),
         Err(None) => RelayResult::NoHelper,
--- a/components/relay/src/forwarding/relay_stream.rs
+++ b/components/relay/src/forwarding/relay_stream.rs
@@ -8,8 +8,8 @@
 };
 use crate::forwarding::retries::RetryTicket;
 use crate::forwarding::stream_end::{StreamEnd, deliver_partial, deliver_remaining};
-use crate::ingress::accept::ChannelAction;
-use crate::ingress::request::{IncomingRequest, LocalReply, ResolvedRoute};
+use crate::ingress::accept::{ChannelAction, log_refusal};
+use crate::ingress::request::{IncomingRequest, LocalReply, ResolvedRoute, is_not_run_status};
 use crate::state::Relay;
 use http1::{Channel, push_chunk};
 use platform::forwarded_response_head;
@@ -75,6 +75,10 @@
 
     async fn run(mut self, caller: &mut Channel, mut response: OpenResponse) -> RelayedEnd {
         let closes_channel = self.relay.should_close_channel() || self.incoming.head.old;
+        let status = response.head.status;
+        if is_not_run_status(status) {
+            log_refusal(self.relay, self.incoming, status, "receiver", None);
+        }
         let end = self.forward(caller, &mut response, closes_channel).await;
         slog::info!(self.relay.log, "relayed generation ended"; "id" => self.incoming.id(),
             "end" => ?end, "status" => response.head.status,
--- a/components/relay/src/forwarding/send.rs
+++ b/components/relay/src/forwarding/send.rs
@@ -4,6 +4,7 @@
 use crate::forwarding::admission::Admission;
 use crate::forwarding::open_response::{OpenRequest, OpenResponse};
 use crate::forwarding::retries::RetryTicket;
+use crate::forwarding::sends::{Receiver, SendLog, SendState};
 use crate::state::Relay;
 use crate::watch::targets::TargetSlot;
 use bytes::Bytes;
@@ -89,6 +90,8 @@
     pub max_idle_ms: u64,
     /// The retry that is taken from the budget for this send; none for the first send of a request.
     pub retry: Option<&'a RetryTicket>,
+    /// The sends of the request, where this one is recorded.
+    pub sends: &'a SendLog,
 }
 
 /// Whether one more request fits into this box's share of a target's byte limit. The first always does; otherwise a large
@@ -181,6 +184,8 @@
         if let Some(retry) = request.retry {
             retry.record_sent();
         }
+        let send = request.sends.begin(Receiver::Target(slot), sent_ms);
+        let settle = |state| request.sends.settle(send, state);
         let written = write(&mut channel, request).await;
         if is_new && matches!(written, Written::Nothing | Written::Partial) {
             self.record_connect(slot, Err(&ErrorKind::ConnectionReset.into()));
@@ -188,7 +193,10 @@
         let is_request_complete = match written {
             Written::Complete => true,
             Written::AnsweredEarly => false,
-            Written::Nothing => return SendResult::NotRun(NotRun::Unreachable),
+            Written::Nothing => {
+                settle(SendState::Unsent);
+                return SendResult::NotRun(NotRun::Unreachable);
+            }
             Written::Partial => {
                 return SendResult::MayHaveRun("the channel failed while it was written to");
             }
@@ -213,6 +221,10 @@
         {
             target.load = Some((load, now_ms));
         }
+        settle(match metadata.is_not_run {
+            true => SendState::Refused(head.status),
+            false => SendState::Answered(head.status),
+        });
         if metadata.is_misdirected {
             return SendResult::NotRun(NotRun::Misdirected);
         }
--- a/components/relay/src/forwarding/stream.rs
+++ b/components/relay/src/forwarding/stream.rs
@@ -166,7 +166,7 @@
     async fn write_local_reply(&self, caller: &mut Channel, local: LocalReply) -> ChannelAction {
         count_response(local.status(), "own");
         let reply = Reply::local(local, self.incoming.facts.request_id.as_deref());
-        write_reply(self.relay, caller, self.incoming.id(), reply, false).await
+        write_reply(self.relay, caller, self.incoming, reply, false).await
     }
 
     async fn forward_events(
--- a/components/relay/src/ingress/accept.rs
+++ b/components/relay/src/ingress/accept.rs
@@ -4,8 +4,11 @@
 use crate::buffered::deliver::{Delivered, deliver};
 use crate::forwarding::call::serve_call;
 use crate::forwarding::generation::serve_generation;
+use crate::forwarding::sends::SendLog;
 use crate::ingress::read_request::{memory_refusal, read_body, read_head};
-use crate::ingress::request::{IncomingRequest, LocalReply, Reply, ResolvedRoute};
+use crate::ingress::request::{
+    IncomingRequest, LocalReply, Reply, ResolvedRoute, is_not_run_status,
+};
 use crate::ingress::stopping::stop_reply;
 use crate::state::Relay;
 use bytes::Bytes;
@@ -101,7 +104,10 @@
     let mut memory = BufferReservation::new(&relay.memory, None);
     let body = match read_body(channel, &head, relay, limits, &mut memory).await {
         Ok(body) => body,
-        Err(Some(local)) => return reject_and_close(relay, channel, local, None).await,
+        Err(Some(local)) => {
+            let id = request_id(&head);
+            return reject_and_close(relay, channel, local, id.as_deref()).await;
+        }
         Err(None) => return ChannelAction::Drop,
     };
     relay.wait_until_synced().await;
@@ -113,14 +119,7 @@
                 "status" => local.status(), "why" => local.why());
             count_response(local.status(), "own");
             let reply = Reply::local(local, id.as_deref());
-            write_reply(
-                relay,
-                channel,
-                id.as_deref().unwrap_or_default(),
-                reply,
-                closes_channel,
-            )
-            .await
+            write_rejection(relay, channel, id.as_deref(), reply, closes_channel).await
         }
     };
     match action {
@@ -207,6 +206,8 @@
         key,
         _memory: memory,
         arrived_ms: arrived_ms.saturating_sub(relayed_ms.unwrap_or_default()),
+        declared_version: table.version,
+        sends: SendLog::default(),
     };
     Ok((incoming, resolved))
 }
@@ -243,12 +244,12 @@
     if let Some(local) = relay.decided_withheld_reply(incoming).await {
         count_response(local.status(), "own");
         let reply = Reply::local(local, incoming.facts.request_id.as_deref());
-        return write_reply(relay, channel, incoming.id(), reply, false).await;
+        return write_reply(relay, channel, incoming, reply, false).await;
     }
     if incoming.is_relayed && relay.is_service_lost(&resolved.service().name) {
         count_response(LocalReply::Unreachable.status(), "own");
         let reply = Reply::local(LocalReply::Unreachable, Some(incoming.id()));
-        return write_reply(relay, channel, incoming.id(), reply, false).await;
+        return write_reply(relay, channel, incoming, reply, false).await;
     }
     if resolved.route().kind == RouteKind::Generation {
         return serve_generation(relay, channel, incoming, resolved).await;
@@ -258,7 +259,7 @@
             "why" => local.why());
         count_response(local.status(), "own");
         let reply = Reply::local(local, incoming.facts.request_id.as_deref());
-        return write_reply(relay, channel, incoming.id(), reply, true).await;
+        return write_reply(relay, channel, incoming, reply, true).await;
     }
     let reply = tokio::select! {
         reply = serve_call(relay, incoming, resolved) => reply,
@@ -278,7 +279,7 @@
     }
     count_response(reply.status, "call");
     metrics::histogram!("shuntpier_call_ms").record(took_ms as f64);
-    write_reply(relay, channel, incoming.id(), reply, false).await
+    write_reply(relay, channel, incoming, reply, false).await
 }
 
 /// The reply of a stopping box to a request whose deadline is later than the end of the box; none if it is accepted.
@@ -294,7 +295,63 @@
     (remaining_ms > left_ms).then(|| stop_reply(relay))
 }
 
+/// Writes the reply to a request that was read.
 pub(crate) async fn write_reply(
+    relay: &Relay,
+    channel: &mut Channel,
+    incoming: &IncomingRequest,
+    reply: Reply,
+    closes_channel: bool,
+) -> ChannelAction {
+    if is_not_run_status(reply.status) {
+        let refused_by = reply.local.map_or("receiver", |_| "box");
+        log_refusal(
+            relay,
+            incoming,
+            reply.status,
+            refused_by,
+            reply.local.map(LocalReply::why),
+        );
+    }
+    write(relay, channel, incoming.id(), reply, closes_channel).await
+}
+
+/// Logs that a caller is told that its request did not run, and what is known of each of its sends.
+pub(crate) fn log_refusal(
+    relay: &Relay,
+    incoming: &IncomingRequest,
+    status: u16,
+    refused_by: &'static str,
+    why: Option<&'static str>,
+) {
+    slog::info!(relay.log, "refusal sent"; "id" => incoming.id(),
+        "status" => status, "by" => refused_by, "why" => why,
+        "sends" => incoming.sends.describe(relay, incoming.arrived_ms),
+        "may_have_run" => incoming.sends.may_have_run(),
+        "version" => incoming.declared_version,
+        "after_ms" => relay.now_ms() - incoming.arrived_ms);
+    metrics::counter!("shuntpier_refusals", "by" => refused_by).increment(1);
+}
+
+/// Writes the reply to a request that was not read completely or is not allowed; it was never sent.
+async fn write_rejection(
+    relay: &Relay,
+    channel: &mut Channel,
+    id: Option<&str>,
+    reply: Reply,
+    closes_channel: bool,
+) -> ChannelAction {
+    write(
+        relay,
+        channel,
+        id.unwrap_or_default(),
+        reply,
+        closes_channel,
+    )
+    .await
+}
+
+async fn write(
     relay: &Relay,
     channel: &mut Channel,
     id: &str,
@@ -319,6 +376,11 @@
     }
 }
 
+/// The id of a request of which the head was read; none if a field of the head is malformed.
+fn request_id(head: &RequestHead) -> Option<Box<str>> {
+    parse_request_headers(&head.headers).ok()?.request_id
+}
+
 /// Refuses a request that could not be read, and closes the channel.
 async fn reject_and_close(
     relay: &Relay,
@@ -329,12 +391,5 @@
     slog::info!(relay.log, "request refused"; "id" => id, "status" => local.status(),
         "why" => local.why());
     count_response(local.status(), "own");
-    write_reply(
-        relay,
-        channel,
-        id.unwrap_or_default(),
-        Reply::local(local, id),
-        true,
-    )
-    .await
+    write_rejection(relay, channel, id, Reply::local(local, id), true).await
 }
--- a/components/relay/src/ingress/request.rs
+++ b/components/relay/src/ingress/request.rs
@@ -1,6 +1,7 @@
 //! A caller's request on this box, its resolved route, and replies.
 
 use crate::buffered::BufferReservation;
+use crate::forwarding::sends::SendLog;
 use crate::state::Declared;
 use bytes::Bytes;
 use http1::RequestHead;
@@ -27,6 +28,10 @@
     pub arrived_ms: u64,
     /// Another box relays the request, so this one does not.
     pub is_relayed: bool,
+    /// The version of the declarations by which it was admitted.
+    pub declared_version: u64,
+    /// Its sends so far.
+    pub sends: SendLog,
 }
 
 /// Route, service and account of a request, by the declarations that were in force when it was read.
@@ -93,6 +98,14 @@
     }
 }
 
+/// The statuses that promise that a request did not run and will not.
+const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
+
+/// Whether a status promises that a request did not run and will not.
+pub(crate) fn is_not_run_status(status: u16) -> bool {
+    NOT_RUN_STATUSES.contains(&status)
+}
+
 /// A reply that the box makes itself instead of forwarding a target's, by its reason.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LocalReply {
