A target's own status no longer promises what the target did not say

What callers saw: a target that ran a request, or may have, answered 408, 429 or 503 without Not-Executed, and the caller got that status, signed. It promises that the request has not run and never will.

Cause: the status of a caller's reply was derived in each way by itself, and a target's answer was passed on whatever its status.

Now every reply to a request that was read is a SettledReply: a status that promises leaves only if no send of the request may have run, by the SendLog, whichever way, hedge or other box it came from. write_reply takes nothing else.

The line 'generation failed' tells the caller's status and the engine's.

--- a/components/relay/src/forwarding/generation.rs
+++ b/components/relay/src/forwarding/generation.rs
@@ -12,8 +12,9 @@
 use crate::forwarding::retries::RetryTicket;
 use crate::forwarding::send::{NotRun, OutgoingRequest, SendResult, UNREPEATABLE_MAX_IDLE_MS};
 use crate::forwarding::stream::StreamForwarder;
-use crate::ingress::accept::{ChannelAction, count_response, write_reply};
+use crate::ingress::accept::{ChannelAction, count_response, write_local_reply, write_reply};
 use crate::ingress::request::{IncomingRequest, LocalReply, Reply, ResolvedRoute};
+use crate::ingress::settled::SettledReply;
 use crate::ingress::stopping::{
     refuse_if_stopping, refuse_waiting_if_stopping, wait_until_refused,
 };
@@ -105,15 +106,14 @@
     resolved: &ResolvedRoute,
     local: LocalReply,
 ) -> ChannelAction {
-    let local = relay.caller_reply(local);
+    let local = relay.caller_reply(local).settle(&incoming.sends);
     slog::info!(relay.log, "generation not begun"; "id" => incoming.id(), "request" => %incoming.key,
         "parts" => incoming.shared_part_ids(),
         "account" => resolved.account_name(), "rank" => resolved.rank(),
         "status" => local.status(), "why" => local.why(), "retry_after_ms" => local.retry_after_ms(),
         "after_ms" => relay.now_ms() - incoming.arrived_ms);
     count_response(local.status(), "own");
-    let reply = Reply::local(local, incoming.facts.request_id.as_deref());
-    write_reply(relay, caller, incoming, reply, false).await
+    write_local_reply(relay, caller, incoming, local, false).await
 }
 
 /// Forwards a response that is not an event stream.
@@ -155,9 +155,10 @@
             Reply::local(local, incoming.facts.request_id.as_deref())
         }
     };
-    slog::info!(relay.log, "generation failed"; "id" => incoming.id(), "status" => status,
-        "vouched" => verified, "after_ms" => relay.now_ms() - incoming.arrived_ms);
-    count_response(status, "generation");
+    let reply = SettledReply::new(incoming, reply);
+    slog::info!(relay.log, "generation failed"; "id" => incoming.id(), "status" => reply.status(),
+        "engine_status" => status, "why" => reply.why(), "vouched" => verified, "after_ms" => relay.now_ms() - incoming.arrived_ms);
+    count_response(reply.status(), "generation");
     write_reply(relay, caller, incoming, reply, false).await
 }
 
--- a/components/relay/src/forwarding/relay_stream.rs
+++ b/components/relay/src/forwarding/relay_stream.rs
@@ -10,6 +10,7 @@
 use crate::forwarding::stream_end::{StreamEnd, deliver_partial, deliver_remaining};
 use crate::ingress::accept::{ChannelAction, log_refusal};
 use crate::ingress::request::{IncomingRequest, LocalReply, ResolvedRoute, is_not_run_status};
+use crate::ingress::settled::UNVOUCHED_REFUSAL;
 use crate::state::Relay;
 use http1::{Channel, push_chunk};
 use platform::forwarded_response_head;
@@ -76,6 +77,9 @@
     async fn run(mut self, caller: &mut Channel, mut response: OpenResponse) -> RelayedEnd {
         let closes_channel = self.relay.should_close_channel() || self.incoming.head.old;
         let status = response.head.status;
+        if is_not_run_status(status) && self.incoming.sends.may_have_run() {
+            return RelayedEnd::LocalReply(LocalReply::MayHaveRun(UNVOUCHED_REFUSAL));
+        }
         if is_not_run_status(status) {
             log_refusal(self.relay, self.incoming, status, "receiver", None);
         }
--- a/components/relay/src/forwarding/stream.rs
+++ b/components/relay/src/forwarding/stream.rs
@@ -11,8 +11,8 @@
 use crate::forwarding::pauses::{PauseCause, Pauses};
 use crate::forwarding::send::SendResult;
 use crate::forwarding::stream_end::{StreamEnd, deliver_partial, deliver_remaining};
-use crate::ingress::accept::{ChannelAction, count_response, write_reply};
-use crate::ingress::request::{IncomingRequest, LocalReply, Reply, ResolvedRoute};
+use crate::ingress::accept::{ChannelAction, count_response, write_local_reply};
+use crate::ingress::request::{IncomingRequest, LocalReply, ResolvedRoute};
 use crate::migration::migrated_copy::MigratedCopy;
 use crate::migration::migrator::{MigrationStep, Migrator};
 use crate::quarantine::broken_runs::{RunFailure, RunProgress};
@@ -165,8 +165,7 @@
 
     async fn write_local_reply(&self, caller: &mut Channel, local: LocalReply) -> ChannelAction {
         count_response(local.status(), "own");
-        let reply = Reply::local(local, self.incoming.facts.request_id.as_deref());
-        write_reply(self.relay, caller, self.incoming, reply, false).await
+        write_local_reply(self.relay, caller, self.incoming, local, false).await
     }
 
     async fn forward_events(
--- a/components/relay/src/ingress/accept.rs
+++ b/components/relay/src/ingress/accept.rs
@@ -9,6 +9,7 @@
 use crate::ingress::request::{
     IncomingRequest, LocalReply, Reply, ResolvedRoute, is_not_run_status,
 };
+use crate::ingress::settled::SettledReply;
 use crate::ingress::stopping::stop_reply;
 use crate::state::Relay;
 use bytes::Bytes;
@@ -118,8 +119,7 @@
             slog::info!(relay.log, "request refused"; "id" => id.as_deref(),
                 "status" => local.status(), "why" => local.why());
             count_response(local.status(), "own");
-            let reply = Reply::local(local, id.as_deref());
-            write_rejection(relay, channel, id.as_deref(), reply, closes_channel).await
+            write_rejection(relay, channel, local, id.as_deref(), closes_channel).await
         }
     };
     match action {
@@ -243,13 +243,11 @@
 ) -> ChannelAction {
     if let Some(local) = relay.decided_withheld_reply(incoming).await {
         count_response(local.status(), "own");
-        let reply = Reply::local(local, incoming.facts.request_id.as_deref());
-        return write_reply(relay, channel, incoming, reply, false).await;
+        return write_local_reply(relay, channel, incoming, local, false).await;
     }
     if incoming.is_relayed && relay.is_service_lost(&resolved.service().name) {
         count_response(LocalReply::Unreachable.status(), "own");
-        let reply = Reply::local(LocalReply::Unreachable, Some(incoming.id()));
-        return write_reply(relay, channel, incoming, reply, false).await;
+        return write_local_reply(relay, channel, incoming, LocalReply::Unreachable, false).await;
     }
     if resolved.route().kind == RouteKind::Generation {
         return serve_generation(relay, channel, incoming, resolved).await;
@@ -258,11 +256,10 @@
         slog::info!(relay.log, "request refused"; "id" => incoming.id(), "status" => local.status(),
             "why" => local.why());
         count_response(local.status(), "own");
-        let reply = Reply::local(local, incoming.facts.request_id.as_deref());
-        return write_reply(relay, channel, incoming, reply, true).await;
+        return write_local_reply(relay, channel, incoming, local, true).await;
     }
     let reply = tokio::select! {
-        reply = serve_call(relay, incoming, resolved) => reply,
+        reply = serve_call(relay, incoming, resolved) => SettledReply::new(incoming, reply),
         () = channel.gone() => {
             slog::info!(relay.log, "caller left"; "id" => incoming.id(),
                 "after_ms" => relay.now_ms() - incoming.arrived_ms);
@@ -271,13 +268,13 @@
         }
     };
     let took_ms = relay.now_ms() - incoming.arrived_ms;
-    if reply.status >= 400 {
+    if reply.status() >= 400 {
         slog::info!(relay.log, "request failed"; "id" => incoming.id(),
-            "status" => reply.status, "route" => &*resolved.route().name,
+            "status" => reply.status(), "route" => &*resolved.route().name,
             "version" => resolved.declared.table.version, "after_ms" => took_ms,
-            "why" => reply.local.map(LocalReply::why));
+            "why" => reply.why());
     }
-    count_response(reply.status, "call");
+    count_response(reply.status(), "call");
     metrics::histogram!("shuntpier_call_ms").record(took_ms as f64);
     write_reply(relay, channel, incoming, reply, false).await
 }
@@ -300,22 +297,29 @@
     relay: &Relay,
     channel: &mut Channel,
     incoming: &IncomingRequest,
-    reply: Reply,
+    reply: SettledReply,
     closes_channel: bool,
 ) -> ChannelAction {
-    if is_not_run_status(reply.status) {
-        let refused_by = reply.local.map_or("receiver", |_| "box");
-        log_refusal(
-            relay,
-            incoming,
-            reply.status,
-            refused_by,
-            reply.local.map(LocalReply::why),
-        );
+    if is_not_run_status(reply.status()) {
+        let refused_by = reply.why().map_or("receiver", |_| "box");
+        log_refusal(relay, incoming, reply.status(), refused_by, reply.why());
     }
     write(relay, channel, incoming.id(), reply, closes_channel).await
 }
 
+/// Writes a reply that the box makes itself to a request that was read.
+pub(crate) async fn write_local_reply(
+    relay: &Relay,
+    channel: &mut Channel,
+    incoming: &IncomingRequest,
+    local: LocalReply,
+    closes_channel: bool,
+) -> ChannelAction {
+    let reply = Reply::local(local, incoming.facts.request_id.as_deref());
+    let reply = SettledReply::new(incoming, reply);
+    write_reply(relay, channel, incoming, reply, closes_channel).await
+}
+
 /// Logs that a caller is told that its request did not run, and what is known of each of its sends.
 pub(crate) fn log_refusal(
     relay: &Relay,
@@ -333,14 +337,15 @@
     metrics::counter!("shuntpier_refusals", "by" => refused_by).increment(1);
 }
 
-/// Writes the reply to a request that was not read completely or is not allowed; it was never sent.
+/// Writes the reply to a request that was not read completely or is not allowed.
 async fn write_rejection(
     relay: &Relay,
     channel: &mut Channel,
+    local: LocalReply,
     id: Option<&str>,
-    reply: Reply,
     closes_channel: bool,
 ) -> ChannelAction {
+    let reply = SettledReply::rejection(local, id);
     write(
         relay,
         channel,
@@ -355,11 +360,11 @@
     relay: &Relay,
     channel: &mut Channel,
     id: &str,
-    reply: Reply,
+    reply: SettledReply,
     closes_channel: bool,
 ) -> ChannelAction {
     let closes_channel = closes_channel || relay.should_close_channel();
-    let (mut head, body, memory) = reply.into_parts(closes_channel);
+    let (mut head, body, memory) = reply.into_inner().into_parts(closes_channel);
     let memory = memory.unwrap_or_else(|| Rc::new(BufferReservation::new(&relay.memory, None)));
     let joined = body.len() <= MAX_JOINED_BYTES;
     if joined {
@@ -391,5 +396,5 @@
     slog::info!(relay.log, "request refused"; "id" => id, "status" => local.status(),
         "why" => local.why());
     count_response(local.status(), "own");
-    write_rejection(relay, channel, id, Reply::local(local, id), true).await
+    write_rejection(relay, channel, local, id, true).await
 }
--- a/components/relay/src/ingress/mod.rs
+++ b/components/relay/src/ingress/mod.rs
@@ -7,4 +7,5 @@
 mod read_request;
 pub(crate) mod readiness;
 pub(crate) mod request;
+pub(crate) mod settled;
 pub(crate) mod stopping;
