A request that certainly did not run is refused with a promise

What callers saw: a repeatable call that its target and the target of its hedge had both refused got 502, with no text. By the same derivation a generation whose time ended, or whose prompt was withheld, while the box was still connecting to its engine got 504 or 502 (by reading), and a caller that may come back only after a promise had lost it.

Cause: the counter of attempts that may have run was raised for a hedge and not lowered when both were refused; other ways answered with a failure without looking at whether anything had been sent.

The SendLog decides here too: a failure is a promise where no send may have run. final_reply asks it in place of the counter.

--- a/components/relay/src/forwarding/call.rs
+++ b/components/relay/src/forwarding/call.rs
@@ -331,8 +331,8 @@
     if let Some(fallback) = &attempts.fallback {
         return fallback.clone();
     }
-    let local = match attempts.runs {
-        0 => LocalReply::NotRun {
+    let local = match incoming.sends.may_have_run() {
+        false => LocalReply::NotRun {
             why: match (
                 attempts.attempted.is_empty(),
                 attempts.rate_limited.is_empty(),
@@ -345,8 +345,8 @@
                 .earliest_retry_ms(relay.now_ms())
                 .unwrap_or(DEFAULT_RETRY_AFTER_MS),
         },
-        _ if relay.now_ms() >= deadline_ms => LocalReply::DeadlineExceeded,
-        _ => LocalReply::MayHaveRun(attempts.last_failure),
+        true if relay.now_ms() >= deadline_ms => LocalReply::DeadlineExceeded,
+        true => LocalReply::MayHaveRun(attempts.last_failure),
     };
     Reply::local(
         relay.caller_reply(local),
--- a/components/relay/src/forwarding/generation.rs
+++ b/components/relay/src/forwarding/generation.rs
@@ -317,7 +317,11 @@
         let sent = tokio::select! {
             sent = timeout_at(deadline, monitored) => sent,
             () = relay.wait_until_withheld(incoming) => {
-                return StartResult::LocalReply(LocalReply::MayHaveRun(TAKEN_BACK));
+                let local = match incoming.sends.may_have_run() {
+                    true => LocalReply::MayHaveRun(TAKEN_BACK),
+                    false => LocalReply::Withheld,
+                };
+                return StartResult::LocalReply(local);
             }
         };
         let Ok(result) = sent else {
--- a/components/relay/src/ingress/request.rs
+++ b/components/relay/src/ingress/request.rs
@@ -166,11 +166,16 @@
         }
     }
 
+    /// Whether the reply leaves open if the request ran.
+    pub(crate) fn leaves_run_open(self) -> bool {
+        matches!(self, Self::MayHaveRun(_) | Self::DeadlineExceeded)
+    }
+
     /// The `run` field of the error body: whether the request certainly did not run.
     fn run_status(self) -> &'static str {
-        match self {
-            Self::MayHaveRun(_) | Self::DeadlineExceeded => "unknown",
-            _ => "not_run",
+        match self.leaves_run_open() {
+            true => "unknown",
+            false => "not_run",
         }
     }
 
--- a/components/relay/src/ingress/settled.rs
+++ b/components/relay/src/ingress/settled.rs
@@ -7,7 +7,10 @@
 pub(crate) const UNVOUCHED_REFUSAL: &str =
     "a target refused without saying that it did not run the request";
 
-/// A reply that promises that its request did not run only if that is known. Callers get no other.
+/// Retry-After of a request that failed before any target received it.
+const UNSENT_RETRY_MS: u64 = 300;
+
+/// A reply that promises that its request did not run if, and only if, that is known. Callers get no other.
 pub(crate) struct SettledReply(Reply);
 
 impl SettledReply {
@@ -46,11 +49,16 @@
 }
 
 impl LocalReply {
-    /// This reply if the sends of its request allow it, or else one that promises nothing.
+    /// This reply if it agrees with the sends of its request. A promise that is not known to be true becomes a failure, and a
+    /// failure of a request that certainly did not run becomes a promise.
     pub(crate) fn settle(self, sends: &SendLog) -> Self {
-        match is_not_run_status(self.status()) && sends.may_have_run() {
-            true => Self::MayHaveRun(self.why()),
-            false => self,
+        match (self.leaves_run_open(), sends.may_have_run()) {
+            (false, true) if is_not_run_status(self.status()) => Self::MayHaveRun(self.why()),
+            (true, false) => Self::NotRun {
+                why: self.why(),
+                retry_after_ms: UNSENT_RETRY_MS,
+            },
+            _ => self,
         }
     }
 }
