A refusal that names no request refuses only one that had its channel to itself

What callers saw: an unrepeatable call or a stream was refused with 503 and run by its target; its answer was dropped as belonging to nobody. A repeatable call was sent to a second target.

Cause: targets name no request in some refusals (the wire's examples of 503 and 421 have no id), so any refusal without an id was taken for the refusal of the request that was sent last. On a channel that is used again, or with the answer right behind it, that is a guess: a target may send a response too many.

A request that cannot be repeated now goes on a channel of its own, where the first refusal can concern nothing else; one that is followed by more bytes is passed over, and the answer that names the request counts. A channel that carried a refusal without an id is not used again, so a repeatable request cannot meet a late copy of one. The bound of 200 ms on idle channels, which was for unrepeatable requests, stays for repeated runs.

--- a/components/relay/src/forwarding/attempt.rs
+++ b/components/relay/src/forwarding/attempt.rs
@@ -5,7 +5,7 @@
 use crate::forwarding::open_response::{ANSWER_TOO_LONG, OpenResponse};
 use crate::forwarding::outcome::TargetOutcome;
 use crate::forwarding::retries::RetryTicket;
-use crate::forwarding::send::{NotRun, OutgoingRequest, SendResult, UNREPEATABLE_MAX_IDLE_MS};
+use crate::forwarding::send::{ChannelChoice, NotRun, OutgoingRequest, SendResult};
 use crate::ingress::request::{IncomingRequest, Reply, ResolvedRoute};
 use crate::quarantine::broken_runs::{RunFailure, RunProgress};
 use crate::rate_limit::token::TokenRequest;
@@ -25,6 +25,10 @@
 /// Failure text of a response that could not be buffered before its deadline.
 pub(crate) const NO_MEMORY: &str = "no memory for the answer in its time";
 
+/// Maximum idle time of a channel that is reused for a repeated run. A target may drop an idle channel without notice from
+/// about 0.3 s after its last response.
+const REPEATED_MAX_IDLE_MS: u64 = 200;
+
 /// Result of one attempt.
 pub(super) enum AttemptResult {
     Answered(Reply),
@@ -100,10 +104,15 @@
         head: &head,
         body: &incoming.body,
         has_no_body: &*incoming.head.method == "HEAD",
-        max_idle_ms: match route.kind {
+        channel: match route.kind {
             // A first run may use any idle channel: if that fails, the request may be repeated on a fresh one.
-            RouteKind::Repeatable if runs == 0 => u64::MAX,
-            _ => UNREPEATABLE_MAX_IDLE_MS,
+            RouteKind::Repeatable if runs == 0 => ChannelChoice::Idle {
+                max_idle_ms: u64::MAX,
+            },
+            RouteKind::Repeatable => ChannelChoice::Idle {
+                max_idle_ms: REPEATED_MAX_IDLE_MS,
+            },
+            RouteKind::Unrepeatable | RouteKind::Generation => ChannelChoice::New,
         },
         retry,
         sends: &incoming.sends,
--- a/components/relay/src/forwarding/generation.rs
+++ b/components/relay/src/forwarding/generation.rs
@@ -10,7 +10,7 @@
 use crate::forwarding::outcome::TargetOutcome;
 use crate::forwarding::relay_stream::{RelayedEnd, relay_generation};
 use crate::forwarding::retries::RetryTicket;
-use crate::forwarding::send::{NotRun, OutgoingRequest, SendResult, UNREPEATABLE_MAX_IDLE_MS};
+use crate::forwarding::send::{ChannelChoice, NotRun, OutgoingRequest, SendResult};
 use crate::forwarding::stream::StreamForwarder;
 use crate::ingress::accept::{ChannelAction, count_response, write_local_reply, write_reply};
 use crate::ingress::request::{IncomingRequest, LocalReply, Reply, ResolvedRoute};
@@ -487,7 +487,7 @@
         head: &head,
         body: &incoming.body,
         has_no_body: false,
-        max_idle_ms: UNREPEATABLE_MAX_IDLE_MS,
+        channel: ChannelChoice::New,
         retry: send.retry,
         sends: &incoming.sends,
     };
--- a/components/relay/src/forwarding/relay.rs
+++ b/components/relay/src/forwarding/relay.rs
@@ -6,7 +6,7 @@
 use crate::forwarding::open_response::{ANSWER_TOO_LONG, OpenResponse};
 use crate::forwarding::relay_peers::ChosenHelper;
 use crate::forwarding::retries::RetryTicket;
-use crate::forwarding::send::{NotRun, OutgoingRequest, exchange_heads};
+use crate::forwarding::send::{ChannelChoice, NotRun, OutgoingRequest, exchange_heads};
 use crate::forwarding::sends::{Receiver, SendState};
 use crate::ingress::request::{
     IncomingRequest, LocalReply, Reply, ResolvedRoute, is_not_run_status,
@@ -164,7 +164,7 @@
         head: &head,
         body: &incoming.body,
         has_no_body: &*incoming.head.method == "HEAD",
-        max_idle_ms: 0,
+        channel: ChannelChoice::New,
         retry,
         sends: &incoming.sends,
     };
--- a/components/relay/src/forwarding/send.rs
+++ b/components/relay/src/forwarding/send.rs
@@ -74,9 +74,15 @@
     is_new: bool,
 }
 
-/// Maximum idle time of a channel that is reused for a request that cannot be repeated. A target may drop an idle channel
-/// without notice from about 0.3 s after its last response; a request sent on it then may have run.
-pub(crate) const UNREPEATABLE_MAX_IDLE_MS: u64 = 200;
+/// Which channel a request is sent on.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ChannelChoice {
+    /// A new one. Targets name no request in some refusals, so only where nothing else was sent is it certain which request
+    /// such a refusal concerns. A request that cannot be repeated goes on a channel of its own.
+    New,
+    /// Also one that has been idle for at most this time (ms).
+    Idle { max_idle_ms: u64 },
+}
 
 /// A request as it is sent to a target.
 #[derive(Clone, Copy)]
@@ -86,8 +92,7 @@
     pub body: &'a Bytes,
     /// The response has no body, whatever its head says, as for HEAD.
     pub has_no_body: bool,
-    /// Maximum idle time of a reused channel.
-    pub max_idle_ms: u64,
+    pub channel: ChannelChoice,
     /// The retry that is taken from the budget for this send; none for the first send of a request.
     pub retry: Option<&'a RetryTicket>,
     /// The sends of the request, where this one is recorded.
@@ -113,10 +118,15 @@
     async fn channel_to(
         self: &Rc<Self>,
         slot: TargetSlot,
-        max_idle_ms: u64,
+        choice: ChannelChoice,
     ) -> Result<TargetChannel, NotRun> {
         let now_ms = self.now_ms();
-        let idle = self.channels.borrow_mut().take(slot, max_idle_ms, now_ms);
+        let idle = match choice {
+            ChannelChoice::New => None,
+            ChannelChoice::Idle { max_idle_ms } => {
+                self.channels.borrow_mut().take(slot, max_idle_ms, now_ms)
+            }
+        };
         if let Some(channel) = idle {
             return Ok(TargetChannel {
                 channel,
@@ -166,7 +176,7 @@
             return SendResult::NotRun(NotRun::ByteLimit);
         }
         let open_request = OpenRequest::new(self, slot, bytes);
-        let opened = self.channel_to(slot, request.max_idle_ms).await;
+        let opened = self.channel_to(slot, request.channel).await;
         let TargetChannel {
             mut channel,
             is_new,
@@ -242,7 +252,9 @@
             let retry_after_ms = response.metadata.retry_after_ms.value();
             // The body is read only to make the channel reusable; one that does not end soon is left with its channel.
             let skipping = response.skip_body(REFUSAL_BYTES_MAX);
-            if let Ok(Ok(())) = timeout(REFUSAL_BODY_TIMEOUT, skipping).await {
+            let is_skipped = matches!(timeout(REFUSAL_BODY_TIMEOUT, skipping).await, Ok(Ok(())));
+            // Another refusal without an id on this channel could not be told from a late copy of this one.
+            if is_skipped && response.metadata.request_id.is_some() {
                 response.recycle_channel(self);
             }
             return SendResult::NotRun(NotRun::Refused { retry_after_ms });
@@ -304,12 +316,12 @@
 }
 
 /// Reads response heads until one belongs to this request. Earlier responses on the channel belong to requests that have
-/// ended and are discarded.
+/// ended and are discarded. A refusal that names no request belongs to this one if nothing else was received.
 async fn read_matching_head(
     channel: &mut Channel,
     request: OutgoingRequest<'_>,
 ) -> Result<(ResponseHead, ResponseMetadata, Framing), &'static str> {
-    for _ in 0..MAX_STRAY_RESPONSES {
+    for position in 0..MAX_STRAY_RESPONSES {
         let head = channel
             .response()
             .await
@@ -320,33 +332,56 @@
             false => head.framing,
         };
         let id = metadata.request_id.as_deref();
-        let is_ours = id == Some(request.request_id);
-        let is_unidentified_refusal = metadata.is_not_run && id.is_none();
-        if is_ours || is_unidentified_refusal {
+        if id == Some(request.request_id) {
             return Ok((head, metadata, framing));
         }
+        let may_be_ours = position == 0 && metadata.is_not_run && id.is_none();
+        if may_be_ours && is_last_response(channel, framing).await {
+            return Ok((head, metadata, Framing::Length(0)));
+        }
         metrics::counter!("shuntpier_stray_answers").increment(1);
-        if framing == Framing::UntilClose {
-            return Err("an answer to another request, up to the end of the channel");
+        if !may_be_ours {
+            skip_response_body(channel, framing, STRAY_BYTES_MAX).await?;
         }
-        let mut decoder = Decoder::new(framing);
-        let mut read = 0;
-        loop {
-            match decoder.next(&mut channel.buffer) {
-                Ok(Piece::End) => break,
-                Ok(Piece::Data(data)) => {
-                    read += data.len();
-                    if read > STRAY_BYTES_MAX {
-                        return Err("an answer to another request does not end");
-                    }
+    }
+    Err("too many answers to other requests")
+}
+
+/// Reads the body of a refusal whose head has been read, and returns whether nothing was received after it. A refusal that does
+/// not end soon is the last response on its channel.
+async fn is_last_response(channel: &mut Channel, framing: Framing) -> bool {
+    let skipping = skip_response_body(channel, framing, REFUSAL_BYTES_MAX);
+    match timeout(REFUSAL_BODY_TIMEOUT, skipping).await {
+        Ok(Ok(())) => channel.buffer.is_empty(),
+        Ok(Err(_)) | Err(_) => true,
+    }
+}
+
+/// Reads the body of a response to another request without keeping it.
+async fn skip_response_body(
+    channel: &mut Channel,
+    framing: Framing,
+    most_bytes: usize,
+) -> Result<(), &'static str> {
+    if framing == Framing::UntilClose {
+        return Err("an answer to another request, up to the end of the channel");
+    }
+    let mut decoder = Decoder::new(framing);
+    let mut read = 0;
+    loop {
+        match decoder.next(&mut channel.buffer) {
+            Ok(Piece::End) => return Ok(()),
+            Ok(Piece::Data(data)) => {
+                read += data.len();
+                if read > most_bytes {
+                    return Err("an answer to another request does not end");
                 }
-                Ok(Piece::More) => match channel.fill().await {
-                    Ok(read) if read > 0 => {}
-                    _ => return Err("the channel ended within an answer to another request"),
-                },
-                Err(_) => return Err("an answer to another request is not well formed"),
             }
+            Ok(Piece::More) => match channel.fill().await {
+                Ok(read) if read > 0 => {}
+                _ => return Err("the channel ended within an answer to another request"),
+            },
+            Err(_) => return Err("an answer to another request is not well formed"),
         }
     }
-    Err("too many answers to other requests")
 }
