--- a/components/relay/src/forwarding/generation.rs
+++ b/components/relay/src/forwarding/generation.rs
@@ -10,10 +10,11 @@
 use crate::forwarding::outcome::TargetOutcome;
 use crate::forwarding::relay_stream::{RelayedEnd, relay_generation};
 use crate::forwarding::retries::RetryTicket;
-use crate::forwarding::send::{NotRun, OutgoingRequest, SendResult, UNREPEATABLE_MAX_IDLE_MS};
+use crate::forwarding::send::{ChannelChoice, NotRun, OutgoingRequest, SendResult};
 use crate::forwarding::stream::StreamForwarder;
-use crate::ingress::accept::{ChannelAction, count_response, write_reply};
+use crate::ingress::accept::{ChannelAction, count_response, write_local_reply, write_reply};
 use crate::ingress::request::{IncomingRequest, LocalReply, Reply, ResolvedRoute};
+use crate::ingress::settled::SettledReply;
 use crate::ingress::stopping::{
     refuse_if_stopping, refuse_waiting_if_stopping, wait_until_refused,
 };
@@ -105,15 +106,14 @@
     resolved: &ResolvedRoute,
     local: LocalReply,
 ) -> ChannelAction {
-    let local = relay.caller_reply(local);
+    let local = relay.caller_reply(local).settle(&incoming.sends);
     slog::info!(relay.log, "generation not begun"; "id" => incoming.id(), "request" => %incoming.key,
         "parts" => incoming.shared_part_ids(),
         "account" => resolved.account_name(), "rank" => resolved.rank(),
         "status" => local.status(), "why" => local.why(), "retry_after_ms" => local.retry_after_ms(),
         "after_ms" => relay.now_ms() - incoming.arrived_ms);
     count_response(local.status(), "own");
-    let reply = Reply::local(local, incoming.facts.request_id.as_deref());
-    write_reply(relay, caller, incoming.id(), reply, false).await
+    write_local_reply(relay, caller, incoming, local, false).await
 }
 
 /// Forwards a response that is not an event stream.
@@ -155,10 +155,11 @@
             Reply::local(local, incoming.facts.request_id.as_deref())
         }
     };
-    slog::info!(relay.log, "generation failed"; "id" => incoming.id(), "status" => status,
-        "vouched" => verified, "after_ms" => relay.now_ms() - incoming.arrived_ms);
-    count_response(status, "generation");
-    write_reply(relay, caller, incoming.id(), reply, false).await
+    let reply = SettledReply::new(incoming, reply);
+    slog::info!(relay.log, "generation failed"; "id" => incoming.id(), "status" => reply.status(),
+        "engine_status" => status, "why" => reply.why(), "vouched" => verified, "after_ms" => relay.now_ms() - incoming.arrived_ms);
+    count_response(reply.status(), "generation");
+    write_reply(relay, caller, incoming, reply, false).await
 }
 
 enum StartResult {
@@ -316,7 +317,11 @@
         let sent = tokio::select! {
             sent = timeout_at(deadline, monitored) => sent,
             () = relay.wait_until_withheld(incoming) => {
-                return StartResult::LocalReply(LocalReply::MayHaveRun(TAKEN_BACK));
+                let local = match incoming.sends.may_have_run() {
+                    true => LocalReply::MayHaveRun(TAKEN_BACK),
+                    false => LocalReply::Withheld,
+                };
+                return StartResult::LocalReply(local);
             }
         };
         let Ok(result) = sent else {
@@ -482,8 +487,9 @@
         head: &head,
         body: &incoming.body,
         has_no_body: false,
-        max_idle_ms: UNREPEATABLE_MAX_IDLE_MS,
+        channel: ChannelChoice::New,
         retry: send.retry,
+        sends: &incoming.sends,
     };
     relay.send_request(&admission, request).await
 }
