A request of which no byte was written counts as not run

What callers saw: 502, without a promise, for an unrepeatable request whose channel the target had closed or reset before the request was written, or on which it had sent something before. Conversely a broken pipe counted as 'nothing written' even where a part of the head or of a small body had gone out (by reading; not provoked).

Cause: the write told an error or a count, not both, and the kind of the error stood for the count. It tells both now, and nothing was sent exactly if the system took no byte. What was read before the first byte was written answers nothing; a stray answer in the middle of a write ends the send as unclear at once, in place of waiting for an answer to a request that is not complete.

--- a/components/http1/src/channel.rs
+++ b/components/http1/src/channel.rs
@@ -46,6 +46,15 @@
     Head(#[from] HeadError),
 }
 
+/// How far a write came.
+#[derive(Debug)]
+pub struct Written {
+    /// Bytes that the system took. The peer may have received any part of them, and nothing else.
+    pub bytes: usize,
+    /// The system's error, or [`io::ErrorKind::UnexpectedEof`] where the peer closed the channel.
+    pub error: Option<io::Error>,
+}
+
 /// A TCP channel and what was read ahead from it.
 #[derive(Debug)]
 pub struct Channel {
@@ -214,28 +223,37 @@
         }
     }
 
-    /// Writes `bytes` while reading: ends when all is written, or as soon as something was read.
-    /// Says how many bytes were written.
-    ///
-    /// # Errors
-    /// The system's, where the peer closed it or it failed.
-    pub async fn write_or_read(&mut self, bytes: &[u8]) -> io::Result<usize> {
+    /// Writes `bytes` while reading: ends when all is written, or as soon as something was read, the peer closed the channel
+    /// or it failed.
+    pub async fn write_or_read(&mut self, bytes: &[u8]) -> Written {
         self.buffer.reserve(READ_BYTES);
         let (mut reader, mut writer) = self.io.split();
         let mut written = 0;
         while written < bytes.len() {
-            tokio::select! {
+            let ended = tokio::select! {
                 biased;
-                read = reader.read_buf(&mut self.buffer) => {
-                    return match read? {
-                        0 => Err(io::ErrorKind::UnexpectedEof.into()),
-                        _ => Ok(written),
-                    };
-                }
-                more = writer.write(&bytes[written..]) => written += more?,
-            }
+                read = reader.read_buf(&mut self.buffer) => match read {
+                    Ok(0) => Some(io::ErrorKind::UnexpectedEof.into()),
+                    Ok(_) => None,
+                    Err(error) => Some(error),
+                },
+                more = writer.write(&bytes[written..]) => match more {
+                    Ok(more) => {
+                        written += more;
+                        continue;
+                    }
+                    Err(error) => Some(error),
+                },
+            };
+            return Written {
+                bytes: written,
+                error: ended,
+            };
+        }
+        Written {
+            bytes: written,
+            error: None,
         }
-        Ok(written)
     }
 
     /// Whether the channel is open with nothing read from it: one on which a request may be sent.
--- a/components/http1/src/lib.rs
+++ b/components/http1/src/lib.rs
@@ -12,7 +12,7 @@
 mod headers;
 
 pub use body::{BodyError, Decoder, Framing, Piece, push_chunk};
-pub use channel::{Channel, ChannelError, Listener};
+pub use channel::{Channel, ChannelError, Listener, Written};
 pub use exchange::{Answer, AnswerLimits, ExchangeError, exchange};
 pub use head::{HeadError, RequestHead, ResponseHead, parse_request, parse_response};
 pub use headers::{Header, Headers};
--- a/components/relay/src/forwarding/send.rs
+++ b/components/relay/src/forwarding/send.rs
@@ -211,7 +211,7 @@
                 return SendResult::MayHaveRun("the channel failed while it was written to");
             }
         };
-        let answer = read_matching_head(&mut channel, request).await;
+        let answer = read_matching_head(&mut channel, request, is_request_complete).await;
         let (head, metadata, framing) = match answer {
             Ok(answer) => answer,
             Err(why) => {
@@ -275,7 +275,7 @@
         Written::Nothing => return Err(None),
         Written::Partial => return Err(Some("the channel failed while it was written to")),
     };
-    let answer = read_matching_head(&mut channel, request).await;
+    let answer = read_matching_head(&mut channel, request, is_request_complete).await;
     let (head, metadata, framing) = answer.map_err(Some)?;
     Ok(OpenResponse {
         decoder: Decoder::new(framing),
@@ -288,10 +288,15 @@
     })
 }
 
+/// How much of a request was written.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Written {
     Complete,
+    /// A part, before something was read.
     AnsweredEarly,
+    /// The system took no byte of it.
     Nothing,
+    /// A part, or all, before the channel failed.
     Partial,
 }
 
@@ -301,17 +306,28 @@
     if is_joined {
         first.extend_from_slice(request.body);
     }
-    match channel.write_or_read(&first).await {
-        Ok(written) if written < first.len() => return Written::AnsweredEarly,
-        Ok(_) if is_joined => return Written::Complete,
-        Ok(_) => {}
-        Err(error) if error.kind() == ErrorKind::BrokenPipe => return Written::Nothing,
-        Err(_) => return Written::Partial,
+    let written = channel.write_or_read(&first).await;
+    if written.bytes == 0 {
+        // Whatever was read before belongs to no request of this box.
+        return Written::Nothing;
+    }
+    match Written::after(&written, first.len()) {
+        Written::Complete if !is_joined => {
+            let written = channel.write_or_read(request.body).await;
+            Written::after(&written, request.body.len())
+        }
+        written => written,
     }
-    match channel.write_or_read(request.body).await {
-        Ok(written) if written < request.body.len() => Written::AnsweredEarly,
-        Ok(_) => Written::Complete,
-        Err(_) => Written::Partial,
+}
+
+impl Written {
+    /// What is written once a write of `length` bytes has ended and the system took some of the request.
+    fn after(write: &http1::Written, length: usize) -> Self {
+        match &write.error {
+            Some(_) => Self::Partial,
+            None if write.bytes < length => Self::AnsweredEarly,
+            None => Self::Complete,
+        }
     }
 }
 
@@ -320,6 +336,7 @@
 async fn read_matching_head(
     channel: &mut Channel,
     request: OutgoingRequest<'_>,
+    is_request_complete: bool,
 ) -> Result<(ResponseHead, ResponseMetadata, Framing), &'static str> {
     for position in 0..MAX_STRAY_RESPONSES {
         let head = channel
@@ -340,6 +357,9 @@
             return Ok((head, metadata, Framing::Length(0)));
         }
         metrics::counter!("shuntpier_stray_answers").increment(1);
+        if !is_request_complete {
+            return Err("an answer to another request came before all of this one was sent");
+        }
         if !may_be_ours {
             skip_response_body(channel, framing, STRAY_BYTES_MAX).await?;
         }
@@ -385,3 +405,7 @@
         }
     }
 }
+
+#[cfg(test)]
+#[path = "send_tests.rs"]
+mod tests;
