An unnamed refusal on a used channel promises nothing, also to a repeatable call

What callers saw: a repeatable call that its target ran, after a refusal of no request on the same channel, got 503, a promise, where no other target took it.

Cause: repeatable calls still go on used channels, where such a refusal is taken as a reason to try another target. That is right, as they may run twice, but it is no knowledge: the send stays unclear in the SendLog now.

Evidence: an_unnamed_refusal_on_a_used_channel_promises_nothing failed before (1 of 1), passes after.

--- a/components/relay/src/forwarding/send.rs
+++ b/components/relay/src/forwarding/send.rs
@@ -231,10 +231,13 @@
         {
             target.load = Some((load, now_ms));
         }
-        settle(match metadata.is_not_run {
-            true => SendState::Refused(head.status),
-            false => SendState::Answered(head.status),
-        });
+        // On a channel that carried other requests, a refusal that names none may concern another one.
+        let is_attributable = is_new || metadata.request_id.is_some();
+        match metadata.is_not_run {
+            true if is_attributable => settle(SendState::Refused(head.status)),
+            true => {}
+            false => settle(SendState::Answered(head.status)),
+        }
         if metadata.is_misdirected {
             return SendResult::NotRun(NotRun::Misdirected);
         }
