An answer that names no request ends a send on a channel of its own

What callers saw: the answer of a target came without the request's id, and the caller waited until its deadline, a generation up to 39 s, for one that names the request.

Cause: such an answer was passed over as belonging to another request, also on a channel that has carried no other. It ends the send as unclear there now, in 100 ms at most; where more bytes follow, or the channel carried other requests, it is passed over as before.

--- a/components/relay/src/forwarding/send.rs
+++ b/components/relay/src/forwarding/send.rs
@@ -211,7 +211,7 @@
                 return SendResult::MayHaveRun("the channel failed while it was written to");
             }
         };
-        let answer = read_matching_head(&mut channel, request, is_request_complete).await;
+        let answer = read_matching_head(&mut channel, request, is_request_complete, is_new).await;
         let (head, metadata, framing) = match answer {
             Ok(answer) => answer,
             Err(why) => {
@@ -278,7 +278,7 @@
         Written::Nothing => return Err(None),
         Written::Partial => return Err(Some("the channel failed while it was written to")),
     };
-    let answer = read_matching_head(&mut channel, request, is_request_complete).await;
+    let answer = read_matching_head(&mut channel, request, is_request_complete, true).await;
     let (head, metadata, framing) = answer.map_err(Some)?;
     Ok(OpenResponse {
         decoder: Decoder::new(framing),
@@ -335,11 +335,13 @@
 }
 
 /// Reads response heads until one belongs to this request. Earlier responses on the channel belong to requests that have
-/// ended and are discarded. A refusal that names no request belongs to this one if nothing else was received.
+/// ended and are discarded. A refusal that names no request belongs to this one if nothing else was received; an answer that
+/// names none, on a channel that carried no other request, is the last that can be expected.
 async fn read_matching_head(
     channel: &mut Channel,
     request: OutgoingRequest<'_>,
     is_request_complete: bool,
+    is_only_request: bool,
 ) -> Result<(ResponseHead, ResponseMetadata, Framing), &'static str> {
     for position in 0..MAX_STRAY_RESPONSES {
         let head = channel
@@ -355,9 +357,13 @@
         if id == Some(request.request_id) {
             return Ok((head, metadata, framing));
         }
-        let may_be_ours = position == 0 && metadata.is_not_run && id.is_none();
+        let is_first_unnamed = position == 0 && id.is_none();
+        let may_be_ours = is_first_unnamed && (metadata.is_not_run || is_only_request);
         if may_be_ours && is_last_response(channel, framing).await {
-            return Ok((head, metadata, Framing::Length(0)));
+            return match metadata.is_not_run {
+                true => Ok((head, metadata, Framing::Length(0))),
+                false => Err("an answer that names no request"),
+            };
         }
         metrics::counter!("shuntpier_stray_answers").increment(1);
         if !is_request_complete {
