--- a/components/bench/src/soak.rs
+++ b/components/bench/src/soak.rs
@@ -1,6 +1,6 @@
 //! `soak`: the promises of a fleet's boxes under faults, with boxes as processes of their own.
 
-use ::soak::{Plant, Report, Soak, play};
+use ::soak::{Plant, RefusalCounts, Report, Soak, play};
 use bpaf::Bpaf;
 use miette::{IntoDiagnostic, miette};
 use serde::Serialize;
@@ -49,6 +49,8 @@
     pub refusals: bool,
     /// Also have engines leave while answers to control calls are lost
     pub lost_orders: bool,
+    /// Also have targets refuse requests so that it is not plain whether they ran
+    pub doubtful_refusals: bool,
     /// Runs at a time
     #[bpaf(argument("N"), fallback(2))]
     pub parallel: usize,
@@ -123,6 +125,7 @@
         has_fatal_part: options.fatal_part,
         has_refusals: options.refusals,
         has_lost_orders: options.lost_orders,
+        has_doubtful_refusals: options.doubtful_refusals,
         plant: options.plant,
     })
 }
@@ -153,6 +156,26 @@
     }
 }
 
+/// The refusals of all runs, a kind of request each.
+fn refusals_in_words(reports: &[Report]) -> String {
+    let kinds = reports.first().map_or(&[][..], |report| &report.refusals);
+    let line = |(at, of_kind): (usize, &RefusalCounts)| {
+        let sum = |count: fn(&RefusalCounts) -> usize| -> usize {
+            let counts = reports.iter().map(|report| &report.refusals[at]);
+            counts.map(count).sum()
+        };
+        format!(
+            "refusals of {} requests: {} promised, {} of them untrue, {} withheld",
+            of_kind.kind,
+            sum(|counts| counts.promised),
+            sum(|counts| counts.untrue),
+            sum(|counts| counts.withheld)
+        )
+    };
+    let lines: Vec<String> = kinds.iter().enumerate().map(line).collect();
+    lines.join("\n")
+}
+
 fn conclude(reports: Vec<Report>, json: bool) -> ExitCode {
     let broken_runs = reports.iter().filter(|report| !report.broken.is_empty());
     let summary = Summary {
@@ -162,6 +185,7 @@
         broken_runs: broken_runs.count(),
         reports,
     };
+    let refusals = refusals_in_words(&summary.reports);
     let totals = format!(
         "{} runs, {} calls, {} served, {} runs with a broken promise",
         summary.runs, summary.calls, summary.served, summary.broken_runs
@@ -169,13 +193,13 @@
     match json {
         true => {
             // Standard output is one JSON value.
-            eprintln!("{totals}");
+            eprintln!("{totals}\n{refusals}");
             match serde_json::to_string_pretty(&summary).into_diagnostic() {
                 Ok(text) => println!("{text}"),
                 Err(error) => eprintln!("{error}"),
             }
         }
-        false => println!("{totals}"),
+        false => println!("{totals}\n{refusals}"),
     }
     match summary.broken_runs {
         0 => ExitCode::SUCCESS,
--- a/components/soak/src/checks.rs
+++ b/components/soak/src/checks.rs
@@ -15,7 +15,7 @@
 /// A box is bound by times only after it was undisturbed for this long.
 const IN_TOUCH_MS: u64 = 3_000;
 /// Statuses that say that a request was not run.
-const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
+pub(crate) const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 /// Of one promise, so many cases are told.
 const TOLD_MAX: usize = 4;
 
@@ -88,7 +88,7 @@
 
 type ById<'a> = HashMap<&'a str, Vec<&'a Arrival>>;
 
-fn by_id(history: &History) -> ById<'_> {
+pub(crate) fn by_id(history: &History) -> ById<'_> {
     let mut found: ById = HashMap::new();
     for arrival in &history.arrivals {
         found.entry(&arrival.id).or_default().push(arrival);
@@ -96,12 +96,12 @@
     found
 }
 
-fn runs(arrivals: &ById<'_>, id: &str) -> usize {
+pub(crate) fn runs(arrivals: &ById<'_>, id: &str) -> usize {
     let of_id = arrivals.get(id);
     of_id.map_or(0, |all| all.iter().filter(|arrival| arrival.ran).count())
 }
 
-fn got(call: &Call) -> Option<&Response> {
+pub(crate) fn got(call: &Call) -> Option<&Response> {
     match &call.outcome {
         Outcome::Answered(got) => Some(got),
         Outcome::NoChannel | Outcome::Cut => None,
--- a/components/soak/src/history.rs
+++ b/components/soak/src/history.rs
@@ -1,5 +1,6 @@
 //! What callers saw, what was done to boxes, and what came out.
 
+use crate::refusals::RefusalCounts;
 use fleet::caller::Response;
 use serde::Serialize;
 use std::collections::HashMap;
@@ -199,6 +200,8 @@
     pub calls: usize,
     /// Calls that were answered with success.
     pub served: usize,
+    /// Calls that were refused, by kind.
+    pub refusals: Vec<RefusalCounts>,
     /// What was done, in words.
     pub steps: Vec<String>,
     /// What was broken.
--- a/components/soak/src/lib.rs
+++ b/components/soak/src/lib.rs
@@ -12,9 +12,11 @@
 mod plan;
 mod plant;
 mod play;
+mod refusals;
 mod restore;
 mod world;
 
 pub use history::{Broken, Report};
 pub use plant::Plant;
 pub use play::{Soak, play};
+pub use refusals::RefusalCounts;
--- a/components/soak/src/plan.rs
+++ b/components/soak/src/plan.rs
@@ -2,6 +2,7 @@
 
 use fleet::copy_faults::{CopyAnswer, CopyFault};
 use fleet::link;
+use fleet::refusals::{Refusal, StrayRefusal};
 use fleet::store;
 use fleet::target::Behaviour;
 use rand::seq::IndexedRandom;
@@ -53,6 +54,13 @@
 const REFUSALS_STREAM: u64 = 4;
 /// The same for engines that leave while answers to control calls are lost.
 const LOST_ORDERS_STREAM: u64 = 5;
+/// The same for refusals of which it is not plain whether the request ran.
+const DOUBTFUL_STREAM: u64 = 6;
+/// The time between two targets that begin with such refusals, and how many each sends.
+const DOUBTFUL_EACH_MS: std::ops::RangeInclusive<u64> = 150..=600;
+const DOUBTFUL: std::ops::RangeInclusive<usize> = 2..=8;
+/// How long after its arrival such a request is refused, at times.
+const DOUBTFUL_AFTER_MS: u64 = 400;
 /// The time between two such engines, and how many calls of one are not answered as they should be.
 const LOST_ORDERS_EACH_MS: std::ops::RangeInclusive<u64> = 500..=1_500;
 const LOST_ORDERS: std::ops::RangeInclusive<usize> = 1..=4;
@@ -124,6 +132,12 @@
     FatalPart { lasts_ms: u64 },
     /// All plain targets refuse all calls for a time.
     Refusals { lasts_ms: u64 },
+    /// A target's next answers are refusals, or look like some.
+    DoubtfulRefusals {
+        at: usize,
+        is_engine: bool,
+        acts: Vec<Behaviour>,
+    },
     /// An engine leaves, and another comes.
     EngineLeaves { at: usize },
     /// The same, and its answers to the next calls that copy or stop a generation are lost, late or senseless.
@@ -179,6 +193,8 @@
     pub has_refusals: bool,
     /// Whether engines leave while answers to control calls are lost.
     pub has_lost_orders: bool,
+    /// Whether targets refuse requests so that it is not plain whether they ran.
+    pub has_doubtful_refusals: bool,
 }
 
 /// The plan of a seed.
@@ -215,10 +231,64 @@
     if sizes.has_lost_orders {
         steps.extend(lost_orders(seed, sizes));
     }
+    if sizes.has_doubtful_refusals {
+        steps.extend(doubtful_refusals(seed, sizes));
+    }
     steps.sort_by_key(|timed| timed.at_ms);
     steps
 }
 
+/// Targets send refusals that do not say whether the request ran, name no request, or contradict themselves; drawn apart from
+/// what else comes.
+fn doubtful_refusals(seed: u64, sizes: Sizes) -> Vec<Timed> {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(DOUBTFUL_STREAM);
+    let mut steps = Vec::new();
+    let mut at_ms = FIRST_MS;
+    while at_ms < sizes.span_ms {
+        let is_engine = rng.random_bool(0.5);
+        let count = match is_engine {
+            true => sizes.engines,
+            false => sizes.targets,
+        };
+        let step = Step::DoubtfulRefusals {
+            at: rng.random_range(0..count),
+            is_engine,
+            acts: doubtful_acts(&mut rng),
+        };
+        steps.push(Timed { at_ms, step });
+        at_ms += rng.random_range(DOUBTFUL_EACH_MS);
+    }
+    steps
+}
+
+fn doubtful_acts(rng: &mut ChaCha8Rng) -> Vec<Behaviour> {
+    let count = rng.random_range(DOUBTFUL);
+    let act = |_| match rng.random_range(0..10) {
+        0 => Behaviour::WellAfterStray(StrayRefusal::WithAnswer),
+        1 | 2 => Behaviour::WellAfterStray(StrayRefusal::OnUsedConnection),
+        _ => Behaviour::Refuses(doubtful_refusal(rng)),
+    };
+    (0..count).map(act).collect()
+}
+
+fn doubtful_refusal(rng: &mut ChaCha8Rng) -> Refusal {
+    let status = *[408, 429, 500, 503, 504].choose(rng).unwrap_or(&503);
+    let says_not_run = rng.random_bool(0.6);
+    Refusal {
+        status,
+        says_not_run,
+        is_signed: rng.random_bool(0.7),
+        names_request: rng.random_bool(0.6),
+        // A failure or time-out counts as run, whatever else is said.
+        runs: !says_not_run || matches!(status, 500 | 504),
+        after_ms: match rng.random_bool(0.3) {
+            true => DOUBTFUL_AFTER_MS,
+            false => 0,
+        },
+    }
+}
+
 /// Plain targets refuse calls, and nearly all boxes are killed again and again meanwhile; drawn apart from what else comes.
 fn refusals(seed: u64, sizes: Sizes) -> Vec<Timed> {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
--- a/components/soak/src/plan_tests.rs
+++ b/components/soak/src/plan_tests.rs
@@ -9,6 +9,7 @@
     has_fatal_part: true,
     has_refusals: true,
     has_lost_orders: true,
+    has_doubtful_refusals: true,
 };
 
 #[test]
@@ -24,5 +25,5 @@
         .iter()
         .map(|timed| std::mem::discriminant(&timed.step))
         .collect();
-    assert_eq!(kinds.len(), 25);
+    assert_eq!(kinds.len(), 26);
 }
--- a/components/soak/src/play.rs
+++ b/components/soak/src/play.rs
@@ -8,6 +8,7 @@
 use crate::lives::is_served;
 use crate::plan::{FileChange, PLACES, Sizes, Step, Timed, plan};
 use crate::plant::Plant;
+use crate::refusals::count_refusals;
 use crate::world::{LOOK_EACH, Later, World};
 use fleet::link::Partition;
 use fleet::{link, store};
@@ -54,6 +55,8 @@
     pub has_refusals: bool,
     /// Whether engines leave while answers to control calls are lost, and half of the engines' streams have no length.
     pub has_lost_orders: bool,
+    /// Whether targets refuse requests so that it is not plain whether they ran.
+    pub has_doubtful_refusals: bool,
     /// A promise that is broken on purpose.
     pub plant: Option<Plant>,
 }
@@ -76,6 +79,7 @@
         has_fatal_part: soak.has_fatal_part,
         has_refusals: soak.has_refusals,
         has_lost_orders: soak.has_lost_orders,
+        has_doubtful_refusals: soak.has_doubtful_refusals,
     };
     let steps = plan(seed, sizes);
     let mut world = World::start(soak, &folder, sizes)?;
@@ -105,6 +109,7 @@
         seed,
         calls: history.calls.len(),
         served: served.count(),
+        refusals: count_refusals(&history),
         steps: steps.iter().map(in_words).collect(),
         broken,
         logs,
@@ -250,6 +255,17 @@
                 let ends = Later::FatalPartEnds(callers);
                 self.later.push((now_ms + lasts_ms, ends));
             }
+            Step::DoubtfulRefusals {
+                at,
+                is_engine,
+                acts,
+            } => {
+                let recorder = match is_engine {
+                    true => &self.engines[*at].recorder,
+                    false => &self.plain[*at].target.recorder,
+                };
+                recorder.queue_behaviours(acts);
+            }
             Step::Refusals { lasts_ms } => self.refuse_all(*lasts_ms),
             Step::TargetRestarts { at } => self.target_restarts(*at),
             Step::EngineRestarts { at, killed } => self.engine_restarts(*at, *killed),
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -16,6 +16,7 @@
         has_fatal_part: false,
         has_refusals: false,
         has_lost_orders: false,
+        has_doubtful_refusals: false,
         plant,
     }
 }
@@ -77,6 +78,18 @@
     assert!(report.served > 0, "{report:#?}");
 }
 
+#[rstest]
+#[case(17)]
+fn no_promise_is_broken_while_targets_refuse_doubtfully(#[case] seed: u64) {
+    let doubtful = Soak {
+        has_doubtful_refusals: true,
+        ..soak(None)
+    };
+    let report = play(&doubtful, seed).unwrap();
+    assert!(report.broken.is_empty(), "{report:#?}");
+    assert!(report.served > 0, "{report:#?}");
+}
+
 /// Plants that show whatever the seed's plan is.
 #[rstest]
 #[case(Plant::Twice)]
