serve: a generation that an engine failed is not refused as not run

What callers saw (by reading, not seen in a run of a box): an engine answered 500, 502 or 504, no other engine took the generation, and the caller of serve was told run: not_run, 'no target was sent it'.

Cause: every answer other than success counted as a refusal. Only 429, 503 and invalid requests (4xx) do now; after others the caller is told that the generation may have begun.

Evidence: a_failure_of_an_engine_is_no_refusal, on the function that is new; the way from it to the caller is the one of engines that do not answer.

--- a/components/engines/src/client.rs
+++ b/components/engines/src/client.rs
@@ -38,7 +38,7 @@
         /// Cause, for a person.
         cause: String,
     },
-    /// The engine rejected the request and did not run it.
+    /// The engine answered with a failure.
     #[error("the engine refused with status {status}")]
     Refused {
         /// HTTP status.
@@ -58,6 +58,22 @@
     },
 }
 
+/// Statuses by which an engine turns a request away before it runs it, apart from those of invalid requests.
+const OVERLOAD_STATUSES: [u16; 2] = [429, 503];
+
+impl StartError {
+    /// Whether the engine may have run the generation, or may still run it.
+    pub fn may_have_run(&self) -> bool {
+        match self {
+            Self::NotReached { .. } => false,
+            Self::Refused { status, .. } => {
+                !(400..500).contains(status) && !OVERLOAD_STATUSES.contains(status)
+            }
+            Self::NoAnswer { .. } => true,
+        }
+    }
+}
+
 /// Why a generation could not be resumed.
 #[derive(Debug, Error)]
 pub enum ResumeError {
@@ -267,3 +283,7 @@
     let address = endpoint.address;
     format!("http://{address}/v1/chat/completions/{generation}")
 }
+
+#[cfg(test)]
+#[path = "client_tests.rs"]
+mod tests;
--- a/components/node/src/chat.rs
+++ b/components/node/src/chat.rs
@@ -278,7 +278,8 @@
                 let said = String::from_utf8_lossy(&body).into_owned();
                 return Err(NotStarted::Invalid(format!("the engine refused: {said}")));
             }
-            Err(StartError::Refused { pause_ms, .. }) => {
+            Err(error @ StartError::Refused { pause_ms, .. }) => {
+                may_have_begun |= error.may_have_run();
                 note_pause(shared, endpoint.key.id, pause_ms, began_ms);
             }
             Err(StartError::NotReached { .. }) => probe(shared, endpoint).await,
