--- a/components/relay/src/forwarding/relay.rs
+++ b/components/relay/src/forwarding/relay.rs
@@ -175,19 +175,7 @@
         .sends
         .begin(Receiver::Box(helper.id), relay.now_ms());
     let result = exchange_heads(channel, request).await;
-    match &result {
-        Ok(response) => {
-            let status = response.head.status;
-            let is_refusal = is_not_run_status(status) && !response.metadata.is_signed;
-            let state = match is_refusal {
-                true => SendState::Refused(status),
-                false => SendState::Answered(status),
-            };
-            incoming.sends.settle(send, state);
-        }
-        Err(None) => incoming.sends.settle(send, SendState::Unsent),
-        Err(Some(_)) => {}
-    }
+    incoming.sends.settle(send, state_at_helper(&result));
     match result {
         Ok(response) if is_unreachable_reply(&response.head) => RelayResult::NoHelper,
         Ok(response) => RelayResult::Answered(Box::new(response), open_relay),
@@ -196,6 +184,22 @@
     }
 }
 
+/// What a send to another box came to. A status that promises that the request did not run is the other box's own word, unless a
+/// target signed it.
+fn state_at_helper(result: &Result<OpenResponse, Option<&'static str>>) -> SendState {
+    match result {
+        Ok(response) => {
+            let status = response.head.status;
+            match is_not_run_status(status) && !response.metadata.is_signed {
+                true => SendState::Refused(status),
+                false => SendState::Answered(status),
+            }
+        }
+        Err(None) => SendState::Unsent,
+        Err(Some(_)) => SendState::Unclear,
+    }
+}
+
 /// Relays a plain request and buffers the answer whole. If earlier attempts may have run it (`runs`), the other box's own
 /// refusal is not the caller's answer: it speaks of its own attempts only.
 pub(super) async fn relay_call(
--- a/components/relay/src/forwarding/send.rs
+++ b/components/relay/src/forwarding/send.rs
@@ -211,7 +211,11 @@
                 return SendResult::MayHaveRun("the channel failed while it was written to");
             }
         };
-        let answer = read_matching_head(&mut channel, request, is_request_complete, is_new).await;
+        let exchange = Exchange {
+            is_request_complete,
+            is_only_request: is_new,
+        };
+        let answer = read_matching_head(&mut channel, request, exchange).await;
         let (head, metadata, framing) = match answer {
             Ok(answer) => answer,
             Err(why) => {
@@ -231,13 +235,7 @@
         {
             target.load = Some((load, now_ms));
         }
-        // On a channel that carried other requests, a refusal that names none may concern another one.
-        let is_attributable = is_new || metadata.request_id.is_some();
-        match metadata.is_not_run {
-            true if is_attributable => settle(SendState::Refused(head.status)),
-            true => {}
-            false => settle(SendState::Answered(head.status)),
-        }
+        settle(state_after_response(head.status, &metadata, is_new));
         if metadata.is_misdirected {
             return SendResult::NotRun(NotRun::Misdirected);
         }
@@ -278,7 +276,11 @@
         Written::Nothing => return Err(None),
         Written::Partial => return Err(Some("the channel failed while it was written to")),
     };
-    let answer = read_matching_head(&mut channel, request, is_request_complete, true).await;
+    let exchange = Exchange {
+        is_request_complete,
+        is_only_request: true,
+    };
+    let answer = read_matching_head(&mut channel, request, exchange).await;
     let (head, metadata, framing) = answer.map_err(Some)?;
     Ok(OpenResponse {
         decoder: Decoder::new(framing),
@@ -334,14 +336,36 @@
     }
 }
 
+/// What is known of a channel on which a response is awaited.
+#[derive(Clone, Copy, Debug)]
+struct Exchange {
+    /// The request was written completely.
+    is_request_complete: bool,
+    /// The channel carried no other request.
+    is_only_request: bool,
+}
+
+/// What a send came to, by the head of its response. On a channel that carried other requests, a refusal that names none may
+/// concern another one.
+fn state_after_response(
+    status: u16,
+    metadata: &ResponseMetadata,
+    is_only_request: bool,
+) -> SendState {
+    match metadata.is_not_run {
+        true if is_only_request || metadata.request_id.is_some() => SendState::Refused(status),
+        true => SendState::Unclear,
+        false => SendState::Answered(status),
+    }
+}
+
 /// Reads response heads until one belongs to this request. Earlier responses on the channel belong to requests that have
 /// ended and are discarded. A refusal that names no request belongs to this one if nothing else was received; an answer that
 /// names none, on a channel that carried no other request, is the last that can be expected.
 async fn read_matching_head(
     channel: &mut Channel,
     request: OutgoingRequest<'_>,
-    is_request_complete: bool,
-    is_only_request: bool,
+    exchange: Exchange,
 ) -> Result<(ResponseHead, ResponseMetadata, Framing), &'static str> {
     for position in 0..MAX_STRAY_RESPONSES {
         let head = channel
@@ -358,7 +382,7 @@
             return Ok((head, metadata, framing));
         }
         let is_first_unnamed = position == 0 && id.is_none();
-        let may_be_ours = is_first_unnamed && (metadata.is_not_run || is_only_request);
+        let may_be_ours = is_first_unnamed && (metadata.is_not_run || exchange.is_only_request);
         if may_be_ours && is_last_response(channel, framing).await {
             return match metadata.is_not_run {
                 true => Ok((head, metadata, Framing::Length(0))),
@@ -366,7 +390,7 @@
             };
         }
         metrics::counter!("shuntpier_stray_answers").increment(1);
-        if !is_request_complete {
+        if !exchange.is_request_complete {
             return Err("an answer to another request came before all of this one was sent");
         }
         if !may_be_ours {
