--- a/components/relay/src/forwarding/send_tests.rs
+++ b/components/relay/src/forwarding/send_tests.rs
@@ -10,7 +10,7 @@
     Reads,
     Closed,
     Reset,
-    Spoke,
+    SentFirst,
 }
 
 async fn prepare(peer: Peer) -> (Channel, Option<TcpStream>) {
@@ -26,7 +26,7 @@
             accepted.set_zero_linger().unwrap();
             drop(accepted);
         }
-        Peer::Spoke => {
+        Peer::SentFirst => {
             accepted.write_all(b"HTTP/1.1 503 X\r\n").await.unwrap();
             while channel.is_quiet() {
                 tokio::task::yield_now().await;
@@ -43,7 +43,7 @@
 #[case(Peer::Reads, Written::Complete)]
 #[case(Peer::Closed, Written::Nothing)]
 #[case(Peer::Reset, Written::Nothing)]
-#[case(Peer::Spoke, Written::Nothing)]
+#[case(Peer::SentFirst, Written::Nothing)]
 #[tokio::test]
 async fn a_request_of_which_no_byte_was_taken_is_not_sent(
     #[case] peer: Peer,
