--- a/review/standins-2/stale_pages.rs
+++ b/review/standins-2/stale_pages.rs
@@ -20,6 +20,8 @@
 const SERVES_ON: Duration = Duration::from_secs(16);
 /// How late the list of boxes comes. A slow store takes 50 times its 4 ms for each answer.
 const LATE: Duration = Duration::from_millis(100);
+/// How long it is slow.
+const SLOW_FOR: Duration = Duration::from_millis(500);
 /// How old a stale read is, at most.
 const STALE: Duration = Duration::from_millis(2_500);
 
@@ -116,8 +118,12 @@
         thread::sleep(Duration::from_millis(200));
         store.delay("boxes/", LATE);
         boxes[KILLED].start();
-        restarted = Some(Instant::now());
         record.say(&format!("{} starts again", boxes[KILLED].settings.name));
+        thread::sleep(SLOW_FOR);
+        store.delay("boxes/", Duration::ZERO);
+        // From here on nothing is disturbed.
+        restarted = Some(Instant::now());
+        record.say("the store is as fast as usual");
     }
     thread::sleep(SERVES_ON.saturating_sub(acknowledged.elapsed()));
     store.remove(&format!("servers/{}", leaving.id));
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -153,7 +153,7 @@
         }
     }
 
-    /// Answers to lists of a prefix come so much later from now on.
+    /// Answers to lists of a prefix come so much later from now on; no later than usual if it is zero.
     pub fn delay(&self, prefix: &str, by: Duration) {
         self.delays.lock().unwrap().insert(prefix.into(), by);
     }
