relay: the age of a confirmation is a bound that no start, delay or hop makes younger

Cause: boxes tell each other how long ago the store confirmed their view. The receiver subtracted that age from a clock that begins at 0 with its process and clamped the result at 0. A box that had just started so took any confirmation for one of its own start and passed it on as such; the latest confirmation counts, so each start renewed the old view of all boxes, and none read the store. By the same mistake the time that a message was under way did not count, and the store's confirmation was dated by when its answer was handled.

Change: `NotBefore`, a signed bound that can only be moved to earlier times. The store confirms as of when its call was sent, a peer's answer as of when it was asked for. A message that was not asked for carries the time at which it was made on the receiver's clock, of which every answer tells the sender a bound; where it has none, the age is unknown, and the sender repeats its digest once it has an answer. Boxes that start with a view known to be old read the store in the order of ranks.

--- a/components/peers/src/fleet.rs
+++ b/components/peers/src/fleet.rs
@@ -35,20 +35,33 @@
     pub link_mbps: u32,
 }
 
+/// A time on the clock of one process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ClockReading {
+    /// Which process it is, by [`FleetCard::life`].
+    pub life: u32,
+    /// Milliseconds since the clock began; negative before that.
+    pub at_ms: i64,
+}
+
 /// What a box knows, in short.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct FleetDigest {
     /// Who says it.
     pub from: FleetCard,
+    /// The clock of its process when this was made, in ms.
+    pub clock_ms: u64,
+    /// The same time or an earlier one, on the clock of the receiver; none where the sender can't tell. Ages count from then.
+    pub made_at: Option<ClockReading>,
     /// Version of the declarations that it has; 0 for none.
     pub table_version: u64,
     /// The store's version of the last change of targets that it knows.
     pub targets_changed_at: Version,
-    /// How long ago it was confirmed that these declarations are the newest, in ms; none where it was not.
+    /// How long ago, at most, the store confirmed that these declarations are the newest, in ms; none where that isn't known.
     pub table_age_ms: Option<u32>,
     /// The store's version up to which it knows all targets.
     pub targets_current_to: Version,
-    /// How long ago it was confirmed that its view of targets is current, in ms; none where it was not.
+    /// How long ago, at most, the store confirmed that its view of targets is current, in ms; none where that isn't known.
     pub targets_age_ms: Option<u32>,
     /// Data centres that operators have evacuated, as far as it knows.
     pub evacuations: Evacuations,
@@ -185,8 +198,8 @@
     /// Gets what the caller lacks.
     async fn fetch(request: FetchRequest) -> FleetGossip;
 
-    /// Tells news that the caller just learnt.
-    async fn tell(news: FleetGossip);
+    /// Tells news that the caller just learnt, and gets the receiver's clock.
+    async fn tell(news: FleetGossip) -> ClockReading;
 
     /// Tells what the caller just saw of a target of plain calls.
     async fn hint(hint: TargetHint);
@@ -238,7 +251,7 @@
     fn fetch(&self, request: FetchRequest) -> impl Future<Output = FleetGossip>;
 
     /// See [`Fleet::tell`].
-    fn tell(&self, news: FleetGossip) -> impl Future<Output = ()>;
+    fn tell(&self, news: FleetGossip) -> impl Future<Output = ClockReading>;
 
     /// See [`Fleet::hint`].
     fn hint(&self, hint: TargetHint) -> impl Future<Output = ()>;
@@ -296,8 +309,8 @@
         self.0.fetch(request).await
     }
 
-    async fn tell(self, _: Context, news: FleetGossip) {
-        self.0.tell(news).await;
+    async fn tell(self, _: Context, news: FleetGossip) -> ClockReading {
+        self.0.tell(news).await
     }
 
     async fn hint(self, _: Context, hint: TargetHint) {
--- a/components/peers/src/lib.rs
+++ b/components/peers/src/lib.rs
@@ -19,8 +19,8 @@
 pub use client::{FleetClients, LinkClient, LinkFrames, Links, PeerClients, PeerError};
 pub use counted::{Counted, Traffic};
 pub use fleet::{
-    EndsTold, EngineFault, FetchRequest, FleetCard, FleetClient, FleetDigest, FleetGossip,
-    FleetHandler, HintWord, RelocateReply, RelocateRequest, SharedTable, TargetHint,
+    ClockReading, EndsTold, EngineFault, FetchRequest, FleetCard, FleetClient, FleetDigest,
+    FleetGossip, FleetHandler, HintWord, RelocateReply, RelocateRequest, SharedTable, TargetHint,
 };
 pub use keys::KeyRing;
 pub use messages::{
--- a/components/relay/src/dispatch/engine_polls.rs
+++ b/components/relay/src/dispatch/engine_polls.rs
@@ -43,8 +43,7 @@
         let previous = std::mem::replace(&mut scope, current);
         if previous != scope {
             slog::info!(relay.log, "polling of engines changed"; "scope" => ?scope,
-                "confirmed_ms" => relay.targets.borrow().confirmed_ms,
-                "now_ms" => relay.now_ms());
+                "age_ms" => view_age_ms(&relay), "now_ms" => relay.now_ms());
         }
         relay.polls_all_engines.set(scope == PollScope::All);
         if scope != PollScope::None {
@@ -98,14 +97,22 @@
     }
 }
 
+/// How long ago the list of targets was confirmed, in ms. One that was read at the start and never confirmed is as old as the
+/// process.
+fn view_age_ms(relay: &Relay) -> u64 {
+    let now_ms = relay.now_ms();
+    let confirmed = relay.confirmed(View::Targets);
+    confirmed.map_or(now_ms, |confirmed| {
+        confirmed.age_ms(now_ms).map_or(u64::MAX, u64::from)
+    })
+}
+
 /// Returns true if a target may leave without this box being notified.
 fn is_target_view_stale(relay: &Relay) -> bool {
     if !relay.knows(View::Targets) {
         return false;
     }
-    // A list that was read at the start and never confirmed is as old as the process.
-    let confirmed_ms = relay.confirmed_ms(View::Targets).unwrap_or_default();
-    let age_ms = relay.now_ms().saturating_sub(confirmed_ms);
+    let age_ms = view_age_ms(relay);
     let store_fails = relay.store_failing.get() && age_ms > STALE_VIEW_STORE_FAILING_MS;
     relay.targets_suspected.get() || store_fails || age_ms > STALE_VIEW_MS
 }
--- a/components/relay/src/membership/broadcast.rs
+++ b/components/relay/src/membership/broadcast.rs
@@ -2,6 +2,8 @@
 //! groups. This keeps traffic between data centres low: the sender's messages grow with the number of data centres, and those of
 //! any other box with the square root of the boxes in its data centre.
 
+use crate::membership::clocks::NotBefore;
+use crate::membership::gossip::gossip_message;
 use crate::state::Relay;
 use peers::FleetGossip;
 use prelude::{BoxId, DataCentreId};
@@ -26,14 +28,19 @@
 /// Sends gossip to all other boxes.
 pub(crate) fn broadcast_gossip(relay: &Rc<Relay>, gossip: &FleetGossip) {
     let others = relay.members.borrow().broadcast_order(relay.now_ms());
+    let made_at = Some(NotBefore::at(gossip.digest.clock_ms));
     for group in data_centre_groups(&others) {
         let group = addressed(relay, &group);
-        spawn_local(send_to_group(relay.clone(), gossip.clone(), group));
+        spawn_local(send_to_group(relay.clone(), gossip.clone(), made_at, group));
     }
 }
 
-/// Forwards gossip to the boxes that its sender listed in `pass_on`.
-pub(crate) fn forward_gossip(relay: &Rc<Relay>, gossip: &mut FleetGossip) {
+/// Forwards gossip to the boxes that its sender listed in `pass_on`. `made_at` is when its digest was made.
+pub(crate) fn forward_gossip(
+    relay: &Rc<Relay>,
+    gossip: &mut FleetGossip,
+    made_at: Option<NotBefore>,
+) {
     let recipients = std::mem::take(&mut gossip.pass_on);
     for (id, address) in &recipients {
         if relay.members.borrow().card(*id).is_none() {
@@ -41,7 +48,7 @@
         }
     }
     for group in forward_groups(&recipients) {
-        spawn_local(send_to_group(relay.clone(), gossip.clone(), group));
+        spawn_local(send_to_group(relay.clone(), gossip.clone(), made_at, group));
     }
 }
 
@@ -89,12 +96,17 @@
 }
 
 /// Sends gossip to the first box of a group; on failure or after `HEAD_TIMEOUT` also to the next one.
-async fn send_to_group(relay: Rc<Relay>, mut gossip: FleetGossip, group: Vec<Addressed>) {
+async fn send_to_group(
+    relay: Rc<Relay>,
+    mut gossip: FleetGossip,
+    made_at: Option<NotBefore>,
+    group: Vec<Addressed>,
+) {
     let mut rest = &group[..];
     while let Some(((first, _), others)) = rest.split_first() {
         rest = others;
         gossip.pass_on = others.to_vec();
-        let sent = spawn_local(send(relay.clone(), *first, gossip.clone()));
+        let sent = spawn_local(send(relay.clone(), *first, gossip.clone(), made_at));
         // A slow box may still forward it. Receiving gossip twice is harmless.
         if matches!(timeout(HEAD_TIMEOUT, sent).await, Ok(Ok(true))) {
             return;
@@ -102,14 +114,49 @@
     }
 }
 
-/// Sends gossip to a box; true if it answered.
-async fn send(relay: Rc<Relay>, id: BoxId, gossip: FleetGossip) -> bool {
-    let call = relay
+/// Sends gossip to a box; true if it answered. A box whose clock is not known yet can't tell how old the confirmations in it are,
+/// and is sent them again once it has answered.
+async fn send(
+    relay: Rc<Relay>,
+    id: BoxId,
+    gossip: FleetGossip,
+    made_at: Option<NotBefore>,
+) -> bool {
+    let is_dated = send_gossip(&relay, id, gossip, made_at, "tell").await;
+    if is_dated == Some(false) {
+        spawn_local(async move {
+            let gossip = gossip_message(&relay);
+            let made_at = Some(NotBefore::at(gossip.digest.clock_ms));
+            send_gossip(&relay, id, gossip, made_at, "tell again").await;
+        });
+    }
+    is_dated.is_some()
+}
+
+/// Sends gossip to a box whose digest was made at `made_at`. Returns whether its time could be expressed on the box's clock; none
+/// if the box did not answer.
+pub(crate) async fn send_gossip(
+    relay: &Rc<Relay>,
+    id: BoxId,
+    mut gossip: FleetGossip,
+    made_at: Option<NotBefore>,
+    call: &'static str,
+) -> Option<bool> {
+    let now_ms = relay.now_ms();
+    let on_its_clock = made_at.and_then(|made_at| {
+        let clocks = relay.peer_clocks.borrow();
+        clocks.on_clock_of(id, made_at, now_ms)
+    });
+    gossip.digest.made_at = on_its_clock;
+    let told = relay
         .peers
         .call(id, CALL_TIMEOUT, |client, context| async move {
             client.tell(context, gossip).await
         });
-    relay.record_peer_result(id, call.await, "tell").is_some()
+    let reading = relay.record_peer_result(id, told.await, call)?;
+    let now_ms = relay.now_ms();
+    relay.peer_clocks.borrow_mut().record(id, reading, now_ms);
+    Some(on_its_clock.is_some())
 }
 
 /// The boxes whose address this one knows, with that address.
--- a/components/relay/src/membership/exchange.rs
+++ b/components/relay/src/membership/exchange.rs
@@ -1,7 +1,8 @@
 //! Anti-entropy: each box periodically exchanges digests with one other box, and fetches what it is missing from a box that has
 //! more. This repairs lost broadcasts, and lets a starting box learn what its seeds know.
 
-use crate::membership::gossip::handle_gossip;
+use crate::membership::clocks::NotBefore;
+use crate::membership::gossip::handle_answer;
 use crate::membership::missing::MissingData;
 use crate::state::Relay;
 use crate::watch::election::{View, watcher_role};
@@ -53,6 +54,7 @@
     for id in gone {
         slog::info!(relay.log, "silent box removed"; "box" => id.0);
         relay.peers.forget(id);
+        relay.peer_clocks.borrow_mut().forget(id);
     }
     relay.peers.drop_idle();
 }
@@ -80,20 +82,24 @@
 
 /// Exchanges digests with another box, and fetches what this one is missing.
 pub(crate) async fn exchange_with(relay: &Rc<Relay>, id: BoxId) {
-    let digest = relay.digest();
+    let sent_ms = relay.now_ms();
+    let mut digest = relay.digest();
+    let made_at = NotBefore::at(digest.clock_ms);
+    digest.made_at = relay.peer_clocks.borrow().on_clock_of(id, made_at, sent_ms);
     let call = relay
         .peers
         .call(id, EXCHANGE_TIMEOUT, |client, context| async move {
             client.exchange(context, digest).await
         });
     if let Some(gossip) = relay.record_peer_result(id, call.await, "exchange") {
-        handle_gossip(relay, gossip);
+        handle_answer(relay, gossip, sent_ms);
     }
 }
 
 /// Fetches the missing data from a box.
 pub(crate) async fn fetch_from(relay: &Rc<Relay>, id: BoxId, missing: MissingData) {
     slog::debug!(relay.log, "fetching missing data"; "of" => id.0, "missing" => ?missing);
+    let sent_ms = relay.now_ms();
     let summary = || relay.targets.borrow().summary();
     let request = FetchRequest {
         digest: relay.digest(),
@@ -106,7 +112,7 @@
             client.fetch(context, request).await
         });
     if let Some(gossip) = relay.record_peer_result(id, call.await, "fetch") {
-        handle_gossip(relay, gossip);
+        handle_answer(relay, gossip, sent_ms);
     }
 }
 
@@ -124,6 +130,7 @@
     // Seeds have addresses and no names: they get placeholder ids that no box has.
     let id = BoxId(u32::MAX - index as u32);
     relay.peers.set_address(id, seed);
+    let sent_ms = relay.now_ms();
     let digest = relay.digest();
     let call = relay
         .peers
@@ -132,7 +139,7 @@
         });
     match call.await {
         Ok(gossip) => {
-            handle_gossip(relay, gossip);
+            handle_answer(relay, gossip, sent_ms);
             let mut fetching = relay.fetching.subscribe();
             // A fetch from the seed may be in progress, and waiting for the seeds includes it.
             let _ = fetching.wait_for(|fetching| !fetching).await;
--- a/components/relay/src/membership/gossip.rs
+++ b/components/relay/src/membership/gossip.rs
@@ -2,6 +2,7 @@
 //! boxes. The transport is in [`crate::membership::broadcast`] and [`crate::membership::exchange`].
 
 use crate::membership::broadcast::{broadcast_gossip, forward_gossip};
+use crate::membership::clocks::{NotBefore, PeerClocks};
 use crate::membership::compression::decompress;
 use crate::membership::exchange::fetch_from;
 use crate::membership::members::MemberUpdate;
@@ -12,10 +13,10 @@
 use crate::watch::era::EraSource;
 use crate::watch::targets::Change;
 use peers::{
-    AcquireRequest, EndsTold, EngineFault, FetchRequest, FleetCard, FleetDigest, FleetGossip,
-    FleetHandler, LentRetries, OpenStreams, PermitReply, RateTokenReply, RateTokenRequest,
-    RelocateReply, RelocateRequest, RetryLoanRequest, SharedTable, TargetChanges, TargetHint,
-    TargetPatch, TargetSummary, UpdateReply, UpdateRequest,
+    AcquireRequest, ClockReading, EndsTold, EngineFault, FetchRequest, FleetCard, FleetDigest,
+    FleetGossip, FleetHandler, LentRetries, OpenStreams, PermitReply, RateTokenReply,
+    RateTokenRequest, RelocateReply, RelocateRequest, RetryLoanRequest, SharedTable, TargetChanges,
+    TargetHint, TargetPatch, TargetSummary, UpdateReply, UpdateRequest,
 };
 use prelude::{BoxId, PermitId, PoolId, TargetId};
 use std::net::SocketAddr;
@@ -124,25 +125,39 @@
     }
 }
 
-/// Applies gossip from a peer, and fetches what this box is still missing.
-pub(crate) fn handle_gossip(relay: &Rc<Relay>, gossip: FleetGossip) {
+/// Applies a peer's answer to a call that was sent at `sent_ms`, and fetches what this box is still missing.
+pub(crate) fn handle_answer(relay: &Rc<Relay>, gossip: FleetGossip, sent_ms: u64) {
     let digest = gossip.digest.clone();
-    apply_gossip(relay, gossip);
+    let reading = ClockReading {
+        life: digest.from.life,
+        at_ms: digest.clock_ms.cast_signed(),
+    };
+    let now_ms = relay.now_ms();
+    relay
+        .peer_clocks
+        .borrow_mut()
+        .record(digest.from.id, reading, now_ms);
+    apply_gossip(relay, gossip, Some(NotBefore::answer_to(sent_ms)));
     fetch_missing(relay, &digest);
 }
 
+/// When a digest was made that was not asked for; none if its sender could not express that on the clock of this box.
+fn made_at(relay: &Relay, digest: &FleetDigest) -> Option<NotBefore> {
+    PeerClocks::received(digest.made_at?, relay.incarnation)
+}
+
 /// Applies a broadcast, and fetches what may be fetched at once from its sender.
 fn handle_broadcast(relay: &Rc<Relay>, gossip: FleetGossip) {
     let digest = gossip.digest.clone();
-    apply_gossip(relay, gossip);
+    apply_gossip(relay, gossip, made_at(relay, &digest));
     let knows_list = relay.knows(View::Targets);
     let boxes = relay.members.borrow().peak_box_count();
     let missing = missing_data(relay, &digest).after_broadcast(knows_list, boxes, rand::random());
     fetch(relay, digest.from.id, missing);
 }
 
-/// Applies gossip without fetching anything.
-fn apply_gossip(relay: &Rc<Relay>, gossip: FleetGossip) {
+/// Applies gossip without fetching anything. `made_at` is when its digest was made.
+fn apply_gossip(relay: &Rc<Relay>, gossip: FleetGossip, made_at: Option<NotBefore>) {
     upsert_member(relay, &gossip.digest.from, false);
     let now_ms = relay.now_ms();
     relay
@@ -178,7 +193,7 @@
     changes.extend(leaving);
     relay.handle_target_changes(&changes, "peer");
     relay.observe_peer_rates(&gossip.rates);
-    apply_confirmations(relay, &gossip.digest);
+    apply_confirmations(relay, &gossip.digest, made_at);
 }
 
 fn apply_patch(relay: &Relay, digest: &FleetDigest, patch: Option<TargetPatch>) -> Vec<Change> {
@@ -219,9 +234,16 @@
     });
 }
 
-/// Adopts a peer's confirmation that a view is current, if this box has at least the peer's version of it.
-fn apply_confirmations(relay: &Relay, digest: &FleetDigest) {
-    let now_ms = relay.now_ms();
+/// Adopts a peer's confirmation that a view is current, if this box has at least the peer's version of it. An age that counts
+/// from an unknown time says nothing.
+fn apply_confirmations(relay: &Relay, digest: &FleetDigest, made_at: Option<NotBefore>) {
+    let Some(made_at) = made_at else {
+        if digest.table_age_ms.or(digest.targets_age_ms).is_some() {
+            metrics::counter!("shuntpier_confirmations_undated").increment(1);
+        }
+        return;
+    };
+    let peer = Some(digest.from.id);
     let table_version = relay
         .declared()
         .map_or(0, |declared| declared.table.version);
@@ -231,11 +253,11 @@
     };
     let same = table_version == digest.table_version && !peer_has_older_evacuations;
     if let Some(age_ms) = digest.table_age_ms.filter(|_| same) {
-        relay.confirm_at(View::Declarations, now_ms.saturating_sub(age_ms.into()));
+        relay.confirm(View::Declarations, made_at.earlier_by(age_ms), peer);
     }
     let has_all_changes = relay.targets.borrow().changed_at >= digest.targets_changed_at;
     if let Some(age_ms) = digest.targets_age_ms.filter(|_| has_all_changes) {
-        relay.confirm_at(View::Targets, now_ms.saturating_sub(age_ms.into()));
+        relay.confirm(View::Targets, made_at.earlier_by(age_ms), peer);
     }
 }
 
@@ -310,7 +332,7 @@
     async fn exchange(&self, digest: FleetDigest) -> FleetGossip {
         upsert_member(&self.0, &digest.from, false);
         apply_evacuations(&self.0, &digest);
-        apply_confirmations(&self.0, &digest);
+        apply_confirmations(&self.0, &digest, made_at(&self.0, &digest));
         fetch_missing(&self.0, &digest);
         gossip_message(&self.0)
     }
@@ -320,13 +342,15 @@
         fetch_response(&self.0, &request)
     }
 
-    async fn tell(&self, mut gossip: FleetGossip) {
-        forward_gossip(&self.0, &mut gossip);
+    async fn tell(&self, mut gossip: FleetGossip) -> ClockReading {
+        let made_at = made_at(&self.0, &gossip.digest);
+        forward_gossip(&self.0, &mut gossip, made_at);
         if gossip.follows_store {
             let now_ms = self.0.now_ms();
             self.0.members.borrow_mut().record_store_follower(now_ms);
         }
         handle_broadcast(&self.0, gossip);
+        self.0.clock_reading()
     }
 
     async fn hint(&self, hint: TargetHint) {
--- a/components/relay/src/membership/mod.rs
+++ b/components/relay/src/membership/mod.rs
@@ -1,6 +1,7 @@
 //! Membership of the fleet: which boxes exist, and the gossip between them.
 
 pub(crate) mod broadcast;
+pub(crate) mod clocks;
 pub(crate) mod compression;
 pub(crate) mod exchange;
 pub(crate) mod gossip;
--- a/components/relay/src/membership/registration.rs
+++ b/components/relay/src/membership/registration.rs
@@ -53,12 +53,13 @@
                 return;
             }
         }
+        let sent_ms = relay.now_ms();
         let kept = renew_or_write_key(&relay, &mut held).await;
         relay.store_failing.set(kept.is_err());
         pause = match kept {
             Ok(()) => {
                 backoff.reset();
-                match confirm_followed_views(&relay) {
+                match confirm_followed_views(&relay, sent_ms) {
                     true => CONFIRM_INTERVAL,
                     false => terms_of(held).renew_interval(),
                 }
@@ -92,12 +93,12 @@
     Duration::ZERO
 }
 
-/// On a box that follows views in the store, broadcasts that they are current: the store has just answered, and an open watch
-/// would have delivered any change. False if this box follows no view.
-fn confirm_followed_views(relay: &Rc<Relay>) -> bool {
+/// On a box that follows views in the store, broadcasts that they are current: the store has answered a call that was sent at
+/// `sent_ms`, and an open watch would have delivered any change. False if this box follows no view.
+fn confirm_followed_views(relay: &Rc<Relay>, sent_ms: u64) -> bool {
     let followed = relay.following.get();
     for view in followed.views() {
-        relay.confirm(view);
+        relay.confirm_from_store(view, sent_ms);
     }
     if followed.any() {
         broadcast_digest(relay);
--- a/components/relay/src/rate_limit/broadcast.rs
+++ b/components/relay/src/rate_limit/broadcast.rs
@@ -1,7 +1,8 @@
 //! Broadcast of rate limits. A box that observes a limit in a target's answer sends it to the target's coordinator, which
 //! broadcasts it to all boxes.
 
-use crate::membership::broadcast::broadcast_gossip;
+use crate::membership::broadcast::{broadcast_gossip, send_gossip};
+use crate::membership::clocks::NotBefore;
 use crate::membership::gossip::gossip_message;
 use crate::state::Relay;
 use crate::watch::targets::TargetSlot;
@@ -15,8 +16,6 @@
 const COLLECTION_DELAY: Duration = Duration::from_millis(10);
 /// How long a box waits when its broadcast budget is used up.
 const BUDGET_RETRY_DELAY: Duration = Duration::from_millis(250);
-/// Timeout of a call to a peer.
-const CALL_TIMEOUT: Duration = Duration::from_millis(400);
 /// Most limits in one broadcast.
 const RATES_PER_MESSAGE_MAX: usize = 256;
 
@@ -48,12 +47,8 @@
         };
         let mut message = gossip_message(self);
         message.rates = vec![rate];
-        let call = self
-            .peers
-            .call(coordinator, CALL_TIMEOUT, |client, context| async move {
-                client.tell(context, message).await
-            });
-        self.record_peer_result(coordinator, call.await, "rate limit");
+        let made_at = Some(NotBefore::at(message.digest.clock_ms));
+        send_gossip(self, coordinator, message, made_at, "rate limit").await;
     }
 
     async fn send_pending_rates(self: &Rc<Self>) {
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -10,6 +10,7 @@
 use crate::forwarding::relay_peers::RelayPeers;
 use crate::forwarding::retries::RetryBudgets;
 use crate::ingress::request::LocalReply;
+use crate::membership::clocks::{NotBefore, PeerClocks};
 use crate::membership::compression::compress;
 use crate::membership::list_budget::ListBudget;
 use crate::membership::load_shedding::LoadShedding;
@@ -23,7 +24,7 @@
 use crate::watch::refused::RefusedEntries;
 use crate::watch::targets::TargetRegistry;
 use arc_swap::Guard;
-use peers::{FleetCard, FleetClients, FleetDigest, KeyRing};
+use peers::{ClockReading, FleetCard, FleetClients, FleetDigest, KeyRing};
 use platform::{FleetStore, Lease};
 use policy::Quarantine;
 use prelude::{BoxId, Clock, DataCentreId, ModelId, PoolId, Suspect};
@@ -66,8 +67,8 @@
     pub(crate) store: FleetStore,
     pub(crate) peers: FleetClients,
     pub(crate) declared: RefCell<Option<Rc<Declared>>>,
-    /// When the declarations were last confirmed to be current.
-    pub(crate) declared_confirmed_ms: Cell<Option<u64>>,
+    /// When the store last confirmed the declarations to be current.
+    pub(crate) declared_confirmed: Cell<Option<NotBefore>>,
     pub(crate) evacuation: RefCell<Evacuation>,
     pub(crate) targets: RefCell<TargetRegistry>,
     /// Target entries in the store that are invalid.
@@ -101,6 +102,7 @@
     /// Whether this box may use a share of the extra retries.
     pub(crate) slack_claim: Cell<SlackClaim>,
     pub(crate) members: RefCell<Members>,
+    pub(crate) peer_clocks: RefCell<PeerClocks>,
     pub(crate) dispatchers: RefCell<HashMap<PoolId, Dispatcher>>,
     pub(crate) open_generations: RefCell<OpenGenerations>,
     /// Accounts with metrics of their own.
@@ -232,52 +234,62 @@
         }
     }
 
+    /// Reads the clock of this process, for a peer.
+    pub(crate) fn clock_reading(&self) -> ClockReading {
+        ClockReading {
+            life: self.incarnation,
+            at_ms: self.now_ms().cast_signed(),
+        }
+    }
+
     pub(crate) fn digest(&self) -> FleetDigest {
         let targets = self.targets.borrow();
         let now_ms = self.now_ms();
-        let age_ms = |confirmed_ms: Option<u64>| {
-            let age_ms = now_ms.saturating_sub(confirmed_ms?);
-            Some(u32::try_from(age_ms).unwrap_or(u32::MAX))
-        };
+        let age_ms = |confirmed: Option<NotBefore>| confirmed?.age_ms(now_ms);
         FleetDigest {
             from: self.card(),
+            clock_ms: now_ms,
+            made_at: None,
             table_version: self.declared().map_or(0, |declared| declared.table.version),
-            table_age_ms: age_ms(self.declared_confirmed_ms.get()),
+            table_age_ms: age_ms(self.declared_confirmed.get()),
             targets_changed_at: targets.changed_at,
             targets_current_to: targets.current_to,
-            targets_age_ms: age_ms(targets.confirmed_ms),
+            targets_age_ms: age_ms(targets.confirmed),
             evacuations: self.evacuation.borrow().known().clone(),
             boxes: self.members.borrow().others().len() as u32,
         }
     }
 
-    /// Returns when a view was last confirmed to be current.
-    pub(crate) fn confirmed_ms(&self, view: View) -> Option<u64> {
+    /// Returns when the store last confirmed a view to be current.
+    pub(crate) fn confirmed(&self, view: View) -> Option<NotBefore> {
         match view {
-            View::Declarations => self.declared_confirmed_ms.get(),
-            View::Targets => self.targets.borrow().confirmed_ms,
+            View::Declarations => self.declared_confirmed.get(),
+            View::Targets => self.targets.borrow().confirmed,
         }
     }
 
-    /// Records that a view is current now.
-    pub(crate) fn confirm(&self, view: View) {
-        self.confirm_at(view, self.now_ms());
+    /// Records that the store has confirmed a view in answer to a call that was sent at `sent_ms`.
+    pub(crate) fn confirm_from_store(&self, view: View, sent_ms: u64) {
+        self.confirm(view, NotBefore::at(sent_ms), None);
     }
 
-    /// Records that a view was current at `at_ms` on the clock of this box.
-    pub(crate) fn confirm_at(&self, view: View, at_ms: u64) {
-        let confirmed_ms = self.confirmed_ms(view);
-        if confirmed_ms.is_some_and(|confirmed_ms| confirmed_ms >= at_ms) {
+    /// Records that the store confirmed a view to be current, as this box knows from itself or from a peer.
+    pub(crate) fn confirm(&self, view: View, confirmed: NotBefore, peer: Option<BoxId>) {
+        let previous = self.confirmed(view);
+        if previous.is_some_and(|previous| previous >= confirmed) {
             return;
         }
         match view {
-            View::Declarations => self.declared_confirmed_ms.set(Some(at_ms)),
+            View::Declarations => self.declared_confirmed.set(Some(confirmed)),
             View::Targets => {
-                self.targets.borrow_mut().confirmed_ms = Some(at_ms);
+                self.targets.borrow_mut().confirmed = Some(confirmed);
                 self.targets_suspected.set(false);
             }
         }
-        if confirmed_ms.is_none() {
+        if previous.is_none() {
+            let now_ms = self.now_ms();
+            slog::info!(self.log, "view confirmed for the first time"; "view" => view.name(),
+                "peer" => peer.map(|id| id.0), "age_ms" => confirmed.age_ms(now_ms), "uptime_ms" => now_ms);
             // Requests that arrived since the start may wait for the first confirmation.
             self.target_changes.send_modify(|count| *count += 1);
         }
--- a/components/relay/src/watch/election.rs
+++ b/components/relay/src/watch/election.rs
@@ -165,16 +165,22 @@
 /// Whether this box must watch a view itself: it is elected, or nobody has confirmed the view in time.
 pub(crate) fn must_watch(relay: &Relay, view: View) -> bool {
     let now_ms = relay.now_ms();
-    // The initial read may be some seconds stale; it counts as confirmed at the time when the rank is known.
-    let initial_read_ms = relay.knows(view).then_some(STARTUP_GRACE_MS);
-    let Some(confirmed_ms) = relay.confirmed_ms(view).or(initial_read_ms) else {
+    let confirmed = relay.confirmed(view);
+    if confirmed.is_none() && !relay.knows(view) {
         return true;
-    };
+    }
     if now_ms < STARTUP_GRACE_MS {
         return false;
     }
     let limit_ms = confirm_timeout_ms(relay, view);
-    limit_ms == 0 || confirmed_ms + limit_ms < now_ms
+    // Boxes that start with an old view read the store in the order of their ranks, too.
+    let turn_ms = STARTUP_GRACE_MS + limit_ms.saturating_sub(CONFIRM_TIMEOUT_MS);
+    match confirmed {
+        _ if limit_ms == 0 => true,
+        Some(confirmed) => confirmed.is_older_than(limit_ms, now_ms) && turn_ms < now_ms,
+        // The initial read may be some seconds stale. The watching boxes confirm it soon after the start.
+        None => STARTUP_GRACE_MS + limit_ms < now_ms,
+    }
 }
 
 /// Whether other boxes watch the store again, so that a box that is not elected can stop watching.
--- a/components/relay/src/watch/targets.rs
+++ b/components/relay/src/watch/targets.rs
@@ -1,6 +1,7 @@
 //! The targets that this box knows, with its observations of each. Leaving is recorded per incarnation, never per
 //! address or name. Entries and lists are applied in [`crate::watch::listing`].
 
+use crate::membership::clocks::NotBefore;
 use crate::watch::index::TargetIndex;
 use crate::watch::retained::RetainedTargets;
 pub(crate) use crate::watch::target::{COLD_PENALTY_SHARE, REMOTE_PENALTY_SHARE};
@@ -39,7 +40,7 @@
     /// Until when the store's list may be stale, after its era rose.
     pub(super) settles_until_ms: Option<u64>,
     /// When the list was last confirmed to be current.
-    pub confirmed_ms: Option<u64>,
+    pub(crate) confirmed: Option<NotBefore>,
     /// A list was applied: from the store, possibly some seconds stale, or from a peer.
     pub(super) known: bool,
     evacuated: HashSet<DataCentreId>,
--- a/components/relay/src/watch/watcher.rs
+++ b/components/relay/src/watch/watcher.rs
@@ -1,6 +1,7 @@
 //! Watches the declarations and targets in the platform's store while this box is elected, and broadcasts changes to
 //! the other boxes.
 
+use crate::membership::clocks::NotBefore;
 use crate::membership::gossip::{
     broadcast_declarations, broadcast_digest, broadcast_target_changes,
 };
@@ -140,7 +141,7 @@
     view: View,
     backoff: &mut Backoff,
 ) -> Result<(), StoreError> {
-    let was_known = relay.confirmed_ms(view).is_some();
+    let was_known = relay.confirmed(view).is_some();
     let version = read_current(relay, view).await?;
     backoff.reset();
     if !was_known {
@@ -168,6 +169,7 @@
 ) -> Result<(), StoreError> {
     let started_ms = relay.now_ms();
     loop {
+        let polled_ms = relay.now_ms();
         let events = {
             let mut answer = pin!(watch.next());
             loop {
@@ -185,7 +187,7 @@
             View::Declarations => apply_declaration_events(relay, events),
             View::Targets => apply_target_events(relay, events, watch.version()),
         }
-        relay.confirm(view);
+        relay.confirm_from_store(view, polled_ms);
         sleep(poll_pause(relay, view)).await;
     }
 }
@@ -213,11 +215,12 @@
 
 /// Reads the current view and returns its version.
 async fn read_current(relay: &Rc<Relay>, view: View) -> Result<Version, StoreError> {
+    let sent_ms = relay.now_ms();
     let (items, version) = relay.store.list_with_version(prefix_of(view)).await?;
     record_store_recovery(relay);
     metrics::counter!("shuntpier_store_calls", "of" => view.name()).increment(1);
     let change = apply_list(relay, view, &items, version);
-    relay.confirm(view);
+    relay.confirm_from_store(view, sent_ms);
     match change {
         ViewChange::Nothing => {}
         ViewChange::Table => broadcast_declarations(relay),
@@ -255,22 +258,22 @@
 /// Records that the store answers again after an outage.
 fn record_store_recovery(relay: &Relay) {
     let now_ms = relay.now_ms();
-    let Some(confirmed_ms) = relay.confirmed_ms(View::Targets) else {
+    let Some(confirmed) = relay.confirmed(View::Targets) else {
         return;
     };
-    if had_outage(confirmed_ms, relay.store_failed_ms.get(), now_ms) {
+    if had_outage(confirmed, relay.store_failed_ms.get(), now_ms) {
         relay.store_recovered_ms.set(Some(now_ms));
     }
 }
 
-/// Whether the store was away since `confirmed_ms`, as far as this box can tell: `failed_ms` is when its last call failed.
-fn had_outage(confirmed_ms: u64, failed_ms: Option<u64>, now_ms: u64) -> bool {
-    let has_failed = failed_ms.is_some_and(|failed_ms| failed_ms >= confirmed_ms);
+/// Whether the store was away since `confirmed`, as far as this box can tell: `failed_ms` is when its last call failed.
+fn had_outage(confirmed: NotBefore, failed_ms: Option<u64>, now_ms: u64) -> bool {
+    let has_failed = failed_ms.is_some_and(|failed_ms| NotBefore::at(failed_ms) >= confirmed);
     let min_ms = match has_failed {
         true => OUTAGE_MIN_MS,
         false => UNSEEN_OUTAGE_MIN_MS,
     };
-    confirmed_ms + min_ms < now_ms
+    confirmed.is_older_than(min_ms, now_ms)
 }
 
 /// End of the grace period for missing entries; `None` if the store had no recent outage.
