relay: a box that starts does not make an old rate announcement look new

What callers may have seen: after a start of any box, a rate limit that had ended held again at all boxes, or one in force was lifted, until the target's next answer.

The age of an announcement was subtracted from a clock that begins at 0 with the process, and the box passed it on as some milliseconds old. The newest announcement counts.

Change: the span in which an announcement was made is signed. Ages count from when the message was made, where that is known, and not from an assumed transit of 0.4 s.

Real boxes were not played.

--- a/components/policy/src/rate/announced.rs
+++ b/components/policy/src/rate/announced.rs
@@ -17,10 +17,10 @@
 pub struct RateObservation {
     /// Requests per second from all boxes together; none if the answer announces no limit.
     pub limit_per_s: Option<f64>,
-    /// Earliest time at which the target can have produced the answer.
-    pub earliest_ms: u64,
+    /// Earliest time at which the target can have produced the answer; negative before the clock began.
+    pub earliest_ms: i64,
     /// Latest time at which the target can have produced the answer.
-    pub latest_ms: u64,
+    pub latest_ms: i64,
 }
 
 impl RateObservation {
@@ -47,8 +47,8 @@
 pub struct AnnouncedRate {
     /// Observations with different limits, each of which may be the newest.
     candidates: Vec<RateObservation>,
-    /// Earliest possible time of the newest observation.
-    not_before_ms: u64,
+    /// Earliest possible time of the newest observation; none before the first.
+    not_before_ms: Option<i64>,
     ended: Option<EndedLimit>,
 }
 
@@ -56,14 +56,14 @@
     /// Applies an observation. If the order of two observations is unknown, the lower limit is in effect. Returns whether the
     /// limit changed.
     pub fn observe(&mut self, observation: RateObservation, now_ms: u64) -> bool {
-        if observation.latest_ms < self.not_before_ms {
+        if Some(observation.latest_ms) < self.not_before_ms {
             return false;
         }
         let before = self.limit_per_s();
-        self.not_before_ms = self.not_before_ms.max(observation.earliest_ms);
+        self.not_before_ms = self.not_before_ms.max(Some(observation.earliest_ms));
         let not_before_ms = self.not_before_ms;
         self.candidates
-            .retain(|known| known.latest_ms >= not_before_ms);
+            .retain(|known| Some(known.latest_ms) >= not_before_ms);
         self.insert(observation);
         let after = self.limit_per_s();
         if let (Some(limit_per_s), None) = (before, after) {
--- a/components/policy/src/rate/announced_tests.rs
+++ b/components/policy/src/rate/announced_tests.rs
@@ -1,7 +1,7 @@
 use super::*;
 use proptest::prelude::*;
 
-fn observation(limit_per_s: Option<f64>, earliest_ms: u64, latest_ms: u64) -> RateObservation {
+fn observation(limit_per_s: Option<f64>, earliest_ms: i64, latest_ms: i64) -> RateObservation {
     RateObservation {
         limit_per_s,
         earliest_ms,
@@ -12,7 +12,7 @@
 fn after(observations: &[RateObservation]) -> AnnouncedRate {
     let mut rate = AnnouncedRate::default();
     for observation in observations {
-        rate.observe(*observation, observation.latest_ms);
+        rate.observe(*observation, observation.latest_ms.cast_unsigned());
     }
     rate
 }
@@ -88,10 +88,11 @@
     /// the newest one, or a lower one whose time range overlaps with it.
     #[test]
     fn the_limit_in_effect_never_exceeds_the_newest_whatever_the_order(
-        limits in prop::collection::vec((prop::option::of(1u32..50), 1u64..400, 0u64..300), 1..12),
+        limits in prop::collection::vec((prop::option::of(1u32..50), 1i64..400, 0i64..300), 1..12),
+        first_ms in -3_000i64..1_000,
         order in any::<prop::sample::Index>(), seed in any::<u64>(),
     ) {
-        let mut at_ms = 1_000;
+        let mut at_ms = first_ms;
         let mut observations = Vec::new();
         for (limit, interval_ms, span_ms) in &limits {
             at_ms += interval_ms;
--- a/components/relay/src/membership/clocks.rs
+++ b/components/relay/src/membership/clocks.rs
@@ -27,6 +27,11 @@
         Self::at(sent_ms).earlier_by(1)
     }
 
+    /// The bound in ms, where a policy takes plain numbers.
+    pub(crate) fn ms(self) -> i64 {
+        self.0
+    }
+
     /// Something that happened `age_ms` before.
     pub(crate) fn earlier_by(self, age_ms: u32) -> Self {
         Self(self.0 - i64::from(age_ms))
--- a/components/relay/src/membership/gossip.rs
+++ b/components/relay/src/membership/gossip.rs
@@ -7,7 +7,6 @@
 use crate::membership::exchange::fetch_from;
 use crate::membership::members::MemberUpdate;
 use crate::membership::missing::MissingData;
-use crate::rate_limit::announced::TRANSIT_MAX_MS;
 use crate::state::{Declared, Relay};
 use crate::watch::election::View;
 use crate::watch::era::EraSource;
@@ -192,7 +191,7 @@
     let leaving = relay.targets.borrow_mut().apply_leaving(&gossip.leaving);
     changes.extend(leaving);
     relay.handle_target_changes(&changes, "peer");
-    relay.observe_peer_rates(&gossip.rates);
+    relay.observe_peer_rates(&gossip.rates, made_at);
     apply_confirmations(relay, &gossip.digest, made_at);
 }
 
@@ -399,7 +398,7 @@
     }
 
     async fn rate_token(&self, request: RateTokenRequest) -> RateTokenReply {
-        self.0.observe_peer_rate(&request.rate, TRANSIT_MAX_MS);
+        self.0.observe_peer_rate(&request.rate, None);
         self.0.grant_rate_token(&request).await
     }
 
--- a/components/relay/src/quarantine/broadcast.rs
+++ b/components/relay/src/quarantine/broadcast.rs
@@ -62,7 +62,7 @@
         for id in std::mem::take(&mut report.pass_on) {
             tokio::task::spawn_local(send_to_group(self.clone(), report.clone(), vec![id]));
         }
-        self.apply_report(&report, TRANSIT_MAX_MS);
+        self.apply_report(&report, u64::from(TRANSIT_MAX_MS));
         let now_ms = self.now_ms();
         let quarantine = self.quarantine.borrow();
         if report.asks_all {
--- a/components/relay/src/rate_limit/announced.rs
+++ b/components/relay/src/rate_limit/announced.rs
@@ -1,13 +1,15 @@
 //! Observes the rate limits that targets announce, from their answers and from reports of peers.
 
+use crate::membership::clocks::NotBefore;
 use crate::state::Relay;
 use crate::watch::targets::TargetSlot;
 use peers::TargetRate;
 use policy::RateObservation;
+use prelude::TargetId;
 use std::rc::Rc;
 
 /// Longest transit time of a message from a peer. The answer that it reports may be older by this much than it says.
-pub(crate) const TRANSIT_MAX_MS: u64 = 400;
+pub(crate) const TRANSIT_MAX_MS: u32 = 400;
 /// Most limits that one message carries.
 const RATES_PER_MESSAGE_MAX: usize = 32;
 
@@ -22,34 +24,36 @@
     ) {
         let observation = RateObservation {
             limit_per_s,
-            earliest_ms: sent_ms,
-            latest_ms: self.now_ms(),
+            earliest_ms: sent_ms.cast_signed(),
+            latest_ms: self.now_ms().cast_signed(),
         };
         self.apply_rate_observation(slot, observation, "answer");
     }
 
-    /// Applies limits reported by a peer.
-    pub(crate) fn observe_peer_rates(self: &Rc<Self>, rates: &[TargetRate]) {
+    /// Applies limits reported by a peer in a message that was made at `made_at`, if that is known.
+    pub(crate) fn observe_peer_rates(
+        self: &Rc<Self>,
+        rates: &[TargetRate],
+        made_at: Option<NotBefore>,
+    ) {
         for rate in rates {
-            self.observe_peer_rate(rate, TRANSIT_MAX_MS);
+            self.observe_peer_rate(rate, made_at);
         }
     }
 
-    /// Applies a limit reported by a peer. `transit_max_ms` is the longest time that its message may have been in transit.
-    pub(crate) fn observe_peer_rate(self: &Rc<Self>, rate: &TargetRate, transit_max_ms: u64) {
+    /// Applies a limit reported by a peer in a message that was made at `made_at`, if that is known.
+    pub(crate) fn observe_peer_rate(
+        self: &Rc<Self>,
+        rate: &TargetRate,
+        made_at: Option<NotBefore>,
+    ) {
         let slot = self.targets.borrow().slot_of(rate.target);
-        let limit_per_s = rate.limit_per_s.map(f64::from);
-        let is_valid = limit_per_s.is_none_or(|limit| limit.is_finite() && limit >= 0.0);
+        let observation = reported_observation(rate, made_at, self.now_ms());
+        let is_valid = |limit: f64| limit.is_finite() && limit >= 0.0;
+        let is_valid = observation.limit_per_s.is_none_or(is_valid);
         let Some(slot) = slot.filter(|_| is_valid) else {
             return;
         };
-        let now_ms = self.now_ms();
-        let max_age_ms = u64::from(rate.made_from_ms_ago) + transit_max_ms;
-        let observation = RateObservation {
-            limit_per_s,
-            earliest_ms: now_ms.saturating_sub(max_age_ms),
-            latest_ms: now_ms.saturating_sub(rate.made_until_ms_ago.into()),
-        };
         self.apply_rate_observation(slot, observation, "peer");
     }
 
@@ -96,13 +100,7 @@
         let targets = self.targets.borrow();
         let target = targets.get(slot)?;
         let observation = target.rate_limit.announced.effective()?;
-        let age_ms = |at_ms: u64| u32::try_from(now_ms.saturating_sub(at_ms)).unwrap_or(u32::MAX);
-        Some(TargetRate {
-            target: target.id,
-            limit_per_s: observation.limit_per_s.map(|limit| limit as f32),
-            made_from_ms_ago: age_ms(observation.earliest_ms),
-            made_until_ms_ago: age_ms(observation.latest_ms),
-        })
+        report(target.id, observation, now_ms)
     }
 
     /// The limits in force, or a sample of them if they do not fit one message.
@@ -117,3 +115,33 @@
         rates.collect()
     }
 }
+
+/// What a box tells its peers of an observation; none if its age does not fit.
+fn report(target: TargetId, observation: RateObservation, now_ms: u64) -> Option<TargetRate> {
+    let age_ms = |at_ms: i64| (now_ms.cast_signed() - at_ms).max(0);
+    Some(TargetRate {
+        target,
+        limit_per_s: observation.limit_per_s.map(|limit| limit as f32),
+        made_from_ms_ago: u32::try_from(age_ms(observation.earliest_ms)).ok()?,
+        made_until_ms_ago: u32::try_from(age_ms(observation.latest_ms)).ok()?,
+    })
+}
+
+/// The observation that a peer has reported in a message that was made at `made_at`, if that is known.
+fn reported_observation(
+    rate: &TargetRate,
+    made_at: Option<NotBefore>,
+    now_ms: u64,
+) -> RateObservation {
+    let now = NotBefore::at(now_ms);
+    let made_at = made_at.unwrap_or(now.earlier_by(TRANSIT_MAX_MS));
+    RateObservation {
+        limit_per_s: rate.limit_per_s.map(f64::from),
+        earliest_ms: made_at.earlier_by(rate.made_from_ms_ago).ms(),
+        latest_ms: now.earlier_by(rate.made_until_ms_ago).ms(),
+    }
+}
+
+#[cfg(test)]
+#[path = "announced_tests.rs"]
+mod tests;
--- a/components/relay/src/rate_limit/token.rs
+++ b/components/relay/src/rate_limit/token.rs
@@ -1,6 +1,7 @@
 //! Acquires the rate token of a call to a target with a rate limit: from the target's coordinator, or from this box's own
 //! share of the limit if it reaches no coordinator.
 
+use crate::membership::clocks::NotBefore;
 use crate::state::Relay;
 use crate::watch::targets::TargetSlot;
 use peers::{RateTokenReply, RateTokenRequest};
@@ -60,7 +61,7 @@
             Some(RateTokenReply::Granted) => Ok(()),
             Some(RateTokenReply::Denied { retry_after_ms }) => Err(u64::from(retry_after_ms)),
             Some(RateTokenReply::NotLimited(rate)) => {
-                self.observe_peer_rate(&rate, self.now_ms() - now_ms);
+                self.observe_peer_rate(&rate, Some(NotBefore::answer_to(now_ms)));
                 self.take_fallback_token(slot)
             }
             Some(RateTokenReply::NotCoordinator) | None => self.take_fallback_token(slot),
