http1: a status outside 100 to 599 is no answer and ends the exchange at once

What callers saw: a target that answers `HTTP/1.1 000 X` kept its callers waiting until their time budget ended (504). Where the body of that answer read like a whole answer with the request's id, callers of plain calls got it as a success. 600 and 999 were passed on as they came.

Cause: the parser took any three digits for a status, and everything under 200 for interim, so what followed was read as the next head.

Change: a head is an answer only with a status of HTTP; the status line is checked as soon as it is there. 101 and an interim head with a body end the exchange as well. A 204 with a body ends the use of its channel. Callers are sent no status but 200 to 599, in one place.

--- a/components/http1/src/channel.rs
+++ b/components/http1/src/channel.rs
@@ -310,7 +310,7 @@
         loop {
             if let Some((head, taken)) = parse_response(&self.buffer, ANSWER_HEAD_BYTES_MAX)? {
                 self.buffer.advance(taken);
-                if head.status >= 200 {
+                if !head.is_interim() {
                     return Ok(head);
                 }
                 interim_heads += 1;
--- a/components/http1/src/head.rs
+++ b/components/http1/src/head.rs
@@ -2,10 +2,19 @@
 
 use crate::body::Framing;
 use crate::headers::Headers;
+use std::ops::RangeInclusive;
 use thiserror::Error;
 
 /// Most header fields of one message.
 const FIELDS_MAX: usize = 100;
+/// The statuses of HTTP; others of three digits are for a program's own use.
+const STATUSES: RangeInclusive<u16> = 100..=599;
+/// The first status of an answer that ends an exchange.
+const FINAL_STATUS_MIN: u16 = 200;
+const SWITCHING_PROTOCOLS: u16 = 101;
+const NO_CONTENT: u16 = 204;
+const NOT_MODIFIED: u16 = 304;
+const BAD_GATEWAY: u16 = 502;
 /// Longest name of a method.
 const METHOD_BYTES_MAX: usize = 32;
 
@@ -167,6 +176,21 @@
     Ok(Some((head, length)))
 }
 
+/// Whether a head that must have no body tells of one. What follows it can't be told from the next answer.
+fn declares_body(headers: &Headers) -> bool {
+    body_framing(headers, Framing::Length(0)) != Ok(Framing::Length(0))
+}
+
+/// # Errors
+/// The status is none of HTTP, or ends the use of HTTP on the channel, which no request asks for.
+fn check_status(status: u16) -> Result<(), HeadError> {
+    match status {
+        SWITCHING_PROTOCOLS => Err(HeadError::Malformed("a switch of protocols")),
+        status if STATUSES.contains(&status) => Ok(()),
+        _ => Err(HeadError::Malformed("a status outside 100 to 599")),
+    }
+}
+
 /// Reads the head of an answer at the start of `bytes`, and says how many of them it takes; none while
 /// it is not whole.
 ///
@@ -176,24 +200,33 @@
     bytes: &[u8],
     most_bytes: usize,
 ) -> Result<Option<(ResponseHead, usize)>, HeadError> {
-    let Some(length) = whole_length(bytes, most_bytes)? else {
-        return Ok(None);
-    };
+    let whole = whole_length(bytes, most_bytes)?;
+    let length = whole.unwrap_or(bytes.len());
     let mut parsed = [httparse::EMPTY_HEADER; FIELDS_MAX];
     let mut response = httparse::Response::new(&mut parsed);
-    match response.parse(&bytes[..length]) {
-        Ok(httparse::Status::Complete(taken)) if taken == length => {}
+    let read = response.parse(&bytes[..length]);
+    // A head that can't become an answer is not waited for.
+    response.code.map_or(Ok(()), check_status)?;
+    match read {
+        Ok(httparse::Status::Complete(taken)) if Some(taken) == whole => {}
+        Ok(httparse::Status::Partial) if whole.is_none() => return Ok(None),
         _ => return Err(HeadError::Malformed("no answer")),
     }
     let status = response.code.unwrap_or_default();
     let old = response.version == Some(0);
     let headers = fields(response.headers);
-    let bare = status < 200 || status == 204 || status == 304;
-    let framing = match bare {
+    let is_interim = status < FINAL_STATUS_MIN;
+    if is_interim && declares_body(&headers) {
+        return Err(HeadError::Malformed("an interim answer with a body"));
+    }
+    let framing = match is_interim || status == NO_CONTENT || status == NOT_MODIFIED {
         true => Framing::Length(0),
         false => body_framing(&headers, Framing::UntilClose)?,
     };
-    let closes = framing == Framing::UntilClose || old || headers.has_word("connection", "close");
+    let closes = framing == Framing::UntilClose
+        || old
+        || headers.has_word("connection", "close")
+        || status == NO_CONTENT && declares_body(&headers);
     let head = ResponseHead {
         status,
         headers,
@@ -223,8 +256,16 @@
 }
 
 impl ResponseHead {
-    /// Writes status line and fields, without the empty line that ends them.
+    /// Whether it only announces an answer.
+    pub fn is_interim(&self) -> bool {
+        self.status < FINAL_STATUS_MIN
+    }
+
+    /// Writes status line and fields, without the empty line that ends them. A status that is not final in HTTP is written as
+    /// 502.
     pub fn start(status: u16, headers: &Headers) -> Vec<u8> {
+        let is_final = STATUSES.contains(&status) && status >= FINAL_STATUS_MIN;
+        let status = if is_final { status } else { BAD_GATEWAY };
         let mut out = format!("HTTP/1.1 {status} {}\r\n", reason(status)).into_bytes();
         headers.write(&mut out);
         out
--- a/components/relay/src/forwarding/send.rs
+++ b/components/relay/src/forwarding/send.rs
@@ -8,7 +8,7 @@
 use crate::state::Relay;
 use crate::watch::targets::TargetSlot;
 use bytes::Bytes;
-use http1::{Channel, Decoder, Framing, Piece, ResponseHead};
+use http1::{Channel, ChannelError, Decoder, Framing, Piece, ResponseHead};
 use platform::ResponseMetadata;
 use std::io::ErrorKind;
 use std::rc::Rc;
@@ -368,10 +368,10 @@
     exchange: Exchange,
 ) -> Result<(ResponseHead, ResponseMetadata, Framing), &'static str> {
     for position in 0..MAX_STRAY_RESPONSES {
-        let head = channel
-            .response()
-            .await
-            .map_err(|_| "the channel ended before an answer")?;
+        let head = channel.response().await.map_err(|error| match error {
+            ChannelError::Head(_) => "what came is no answer in HTTP",
+            ChannelError::Io(_) | ChannelError::Closed => "the channel ended before an answer",
+        })?;
         let metadata = ResponseMetadata::read(&head);
         let framing = match request.has_no_body {
             true => Framing::Length(0),
