serve: an answer with a status that is none may have run

The client library rejects 000 by itself, but passed on 101, 600 and 999 as answers of plain services, and took them for refusals of engines. Both clients now report a call that may have run.

Evidence: an_answer_with_a_status_that_is_none_is_a_call_that_may_have_run fails in 6 of 8 cases without the check.

--- a/components/engines/src/client.rs
+++ b/components/engines/src/client.rs
@@ -159,6 +159,10 @@
             }
             Ok(Ok(response)) => response,
         };
+        if !prelude::is_final_status(response.status().as_u16()) {
+            let cause = format!("{} is no final status of HTTP", response.status());
+            return Err(StartError::NoAnswer { address, cause });
+        }
         if !response.status().is_success() {
             let status = response.status().as_u16();
             let retry_after = response.headers().get(header::RETRY_AFTER);
--- a/components/prelude/src/lib.rs
+++ b/components/prelude/src/lib.rs
@@ -4,6 +4,7 @@
 mod ends;
 mod ids;
 mod outcome;
+mod status;
 mod time;
 mod version;
 
@@ -14,5 +15,6 @@
     PermitId, PoolId, RegionId, RequestKey, ServiceId, TargetId, TargetIncarnation, TargetKey,
 };
 pub use outcome::{Refusal, RefusalReason, RunState, Standing};
+pub use status::is_final_status;
 pub use time::{Clock, retry_after_ms, unix_ms};
 pub use version::Version;
--- a/components/services/src/client.rs
+++ b/components/services/src/client.rs
@@ -137,6 +137,10 @@
         };
         let response = builder.send().await.map_err(to_call_error)?;
         let status = response.status().as_u16();
+        if !prelude::is_final_status(status) {
+            let cause = format!("{status} is no final status of HTTP");
+            return Err(CallError::MayHaveRun { address, cause });
+        }
         let content_type = response.headers().get(header::CONTENT_TYPE);
         let content_type = content_type
             .and_then(|value| value.to_str().ok())
@@ -158,3 +162,7 @@
         })
     }
 }
+
+#[cfg(test)]
+#[path = "client_tests.rs"]
+mod tests;
