relay: a relayed request keeps its deadline on a box that has just started

What callers may have seen: a request that was relayed to a box younger than the request was served, and its target kept at work, beyond its deadline by up to the time since its arrival.

The arrival of a relayed request was computed on a clock that begins at 0 with the process.

Change: `Arrival` is signed; deadlines and elapsed times come from it.

Real boxes were not played. A dispatcher that is younger than a request's wait still clamps the time of its arrival (`waited_ms`), which orders such requests by permit only.

--- a/components/relay/src/dispatch/permits.rs
+++ b/components/relay/src/dispatch/permits.rs
@@ -2,6 +2,7 @@
 //! hashing, then the next in rank if that one does not answer, and finally decides by its own view.
 
 use crate::dispatch::dispatcher::refusal;
+use crate::ingress::arrival::Arrival;
 use crate::state::{Relay, pool_of};
 use crate::watch::targets::TargetSlot;
 use peers::{AcquireRequest, PermitReply, RelocateReply, RelocateRequest};
@@ -40,8 +41,7 @@
     pub prompt_tokens: u32,
     pub max_tokens: u32,
     pub rank: u8,
-    /// When its caller arrived, on the clock of this box.
-    pub arrived_ms: u64,
+    pub arrival: Arrival,
     pub pause_goal_ms: Option<u64>,
     /// When the request is refused if it still waits.
     pub wait_deadline_ms: u64,
@@ -62,7 +62,7 @@
             prompt_tokens: self.prompt_tokens,
             max_tokens: self.max_tokens,
             rank: self.rank,
-            waited_ms: now_ms.saturating_sub(self.arrived_ms) as u32,
+            waited_ms: self.arrival.elapsed_ms(now_ms) as u32,
             pause_goal_ms: self.pause_goal_ms.map(|ms| ms as u32),
             wait_left_ms: self.wait_deadline_ms.saturating_sub(now_ms).max(1) as u32,
             caller_left_ms: self.caller_deadline_ms.saturating_sub(now_ms) as u32,
--- a/components/relay/src/dispatch/permits_tests.rs
+++ b/components/relay/src/dispatch/permits_tests.rs
@@ -1,4 +1,5 @@
 use super::*;
+use crate::ingress::arrival::Arrival;
 use prelude::Avoided;
 
 #[test]
@@ -11,7 +12,7 @@
         prompt_tokens: 10,
         max_tokens: 10,
         rank: 0,
-        arrived_ms: 1_000,
+        arrival: Arrival::new(1_000, 0),
         pause_goal_ms: None,
         wait_deadline_ms: 2_000,
         caller_deadline_ms: 6_100,
--- a/components/relay/src/forwarding/attempt.rs
+++ b/components/relay/src/forwarding/attempt.rs
@@ -221,7 +221,7 @@
         };
         relay.record_outcome(slot, outcome);
         // A timeout before the route's answer goal is the caller's choice and does not count against the target.
-        let waited_ms = relay.now_ms() - incoming.arrived_ms;
+        let waited_ms = incoming.arrival.elapsed_ms(relay.now_ms());
         let is_goal_passed = waited_ms >= resolved.route().answer_goal_ms;
         let has_no_answer = match &self {
             Self::MayHaveRun(why) => *why != NO_ANSWER_IN_TIME || is_goal_passed,
@@ -268,7 +268,7 @@
             Self::OutOfMemory(why) => format!("ran: {why}"),
         };
         slog::info!(relay.log, "offer failed"; "id" => incoming.id(), "request" => %incoming.key, "outcome" => outcome,
-            "target" => relay.name_of(slot), "after_ms" => relay.now_ms() - incoming.arrived_ms);
+            "target" => relay.name_of(slot), "after_ms" => incoming.arrival.elapsed_ms(relay.now_ms()));
     }
 
     /// Whether the target received the request.
--- a/components/relay/src/forwarding/capacity_wait.rs
+++ b/components/relay/src/forwarding/capacity_wait.rs
@@ -14,13 +14,13 @@
 /// Polling interval while no call of this box ends: calls of other boxes also free capacity.
 const POLL_INTERVAL_MS: u64 = 25;
 
-/// The latest end of a wait after which a call can still be answered by its goal. Without a baseline, half of the goal is
-/// reserved.
-fn latest_wait_end_ms(goal_ms: u64, baseline_ms: Option<f64>, arrived_ms: u64) -> u64 {
+/// The longest time from its arrival that a call may wait and still be answered by its goal. Without a baseline, half of the
+/// goal is reserved.
+fn longest_wait_ms(goal_ms: u64, baseline_ms: Option<f64>) -> u64 {
     let reserved_ms = baseline_ms.map_or(goal_ms as f64 / 2.0, |baseline_ms| {
         RESERVED_BASELINES * baseline_ms
     });
-    arrived_ms + (goal_ms as f64 - reserved_ms).max(0.0) as u64
+    (goal_ms as f64 - reserved_ms).max(0.0) as u64
 }
 
 /// Until when a call may wait on this box, at most its deadline.
@@ -31,7 +31,8 @@
 ) -> u64 {
     let route = resolved.route();
     let baseline_ms = relay.baseline_ms(route);
-    let deadline_ms = latest_wait_end_ms(route.answer_goal_ms, baseline_ms, incoming.arrived_ms);
+    let wait_ms = longest_wait_ms(route.answer_goal_ms, baseline_ms);
+    let deadline_ms = incoming.arrival.plus_ms(wait_ms);
     deadline_ms.min(incoming.deadline_ms(route))
 }
 
@@ -46,7 +47,7 @@
     if left_ms == 0 {
         slog::info!(relay.log, "targets hold enough"; "id" => incoming.id(),
             "service" => &*resolved.service().name, "bytes" => incoming.body.len(),
-            "waited_ms" => relay.now_ms() - incoming.arrived_ms);
+            "waited_ms" => incoming.arrival.elapsed_ms(relay.now_ms()));
         return false;
     }
     let call_ended = relay.calls_ended.notified();
--- a/components/relay/src/forwarding/generation.rs
+++ b/components/relay/src/forwarding/generation.rs
@@ -70,7 +70,7 @@
         started = start_generation(relay, incoming, resolved) => started,
         () = caller.gone() => {
             slog::info!(relay.log, "caller left before its answer"; "id" => incoming.id(),
-                "after_ms" => relay.now_ms() - incoming.arrived_ms);
+                "after_ms" => incoming.arrival.elapsed_ms(relay.now_ms()));
             metrics::counter!("shuntpier_callers_left").increment(1);
             return ChannelAction::Drop;
         }
@@ -111,7 +111,7 @@
         "parts" => incoming.shared_part_ids(),
         "account" => resolved.account_name(), "rank" => resolved.rank(),
         "status" => local.status(), "why" => local.why(), "retry_after_ms" => local.retry_after_ms(),
-        "after_ms" => relay.now_ms() - incoming.arrived_ms);
+        "after_ms" => incoming.arrival.elapsed_ms(relay.now_ms()));
     count_response(local.status(), "own");
     write_local_reply(relay, caller, incoming, local, false).await
 }
@@ -157,7 +157,7 @@
     };
     let reply = SettledReply::new(incoming, reply);
     slog::info!(relay.log, "generation failed"; "id" => incoming.id(), "status" => reply.status(),
-        "engine_status" => status, "why" => reply.why(), "vouched" => verified, "after_ms" => relay.now_ms() - incoming.arrived_ms);
+        "engine_status" => status, "why" => reply.why(), "vouched" => verified, "after_ms" => incoming.arrival.elapsed_ms(relay.now_ms()));
     count_response(reply.status(), "generation");
     write_reply(relay, caller, incoming, reply, false).await
 }
@@ -239,7 +239,7 @@
         true => goal_ms.saturating_sub(TRANSIT_MS),
         false => relay.completion.borrow().max_wait_ms(goal_ms),
     };
-    let wait_until_ms = incoming.arrived_ms + wait_ms;
+    let wait_until_ms = incoming.arrival.plus_ms(wait_ms);
     let mut failed_engine: Option<TargetId> = None;
     let mut last_refusal = refusal(RefusalReason::Crowded);
     let mut reached_target = false;
@@ -261,7 +261,7 @@
             prompt_tokens: generation.prompt_tokens,
             max_tokens: generation.most_tokens,
             rank: resolved.rank(),
-            arrived_ms: incoming.arrived_ms,
+            arrival: incoming.arrival,
             pause_goal_ms: route.pause_goal_ms,
             wait_deadline_ms: wait_until_ms.min(due_ms),
             caller_deadline_ms: due_ms,
@@ -354,7 +354,7 @@
                     "most_tokens" => generation.most_tokens, "guess" => generation.guess_tokens,
                     "version" => resolved.declared.table.version,
                     "permit_ms" => granted_ms - requested_ms, "engine_ms" => relay.now_ms() - granted_ms,
-                    "came_ms" => incoming.arrived_ms, "after_ms" => relay.now_ms() - incoming.arrived_ms);
+                    "came_ms" => incoming.arrival.plus_ms(0), "after_ms" => incoming.arrival.elapsed_ms(relay.now_ms()));
                 return StartResult::OpenResponse(response, permit);
             }
             SendResult::MayHaveRun(why) => {
--- a/components/relay/src/forwarding/hedge.rs
+++ b/components/relay/src/forwarding/hedge.rs
@@ -104,7 +104,7 @@
     attempts.attempted.extend(hedge_slot);
     slog::info!(relay.log, "second try beside the first"; "id" => incoming.id(),
         "first" => relay.name_of(slot), "second" => hedge_slot.map(|slot| relay.name_of(slot)),
-        "after_ms" => relay.now_ms() - incoming.arrived_ms, "hedge_delay_ms" => hedge_delay_ms);
+        "after_ms" => incoming.arrival.elapsed_ms(relay.now_ms()), "hedge_delay_ms" => hedge_delay_ms);
     let runs = attempts.runs;
     let hedge = async {
         let mut retry = hedge.retry;
@@ -134,7 +134,7 @@
         relay_call(relay, incoming, resolved, runs, retry.as_ref()).await
     };
     let hedge = pin!(hedge);
-    let started_ms = incoming.arrived_ms;
+    let arrival = incoming.arrival;
     match select(first, hedge).await {
         Either::Left((attempt, hedge)) => {
             let attempt = attempt.recorded(relay, incoming, resolved, slot);
@@ -147,7 +147,7 @@
         Either::Right((attempt, first)) => {
             if attempt.is_success() {
                 count_hedge("second");
-                record_unanswered_first(relay, route, slot, relay.now_ms() - started_ms);
+                record_unanswered_first(relay, route, slot, arrival.elapsed_ms(relay.now_ms()));
                 return attempt;
             }
             better_of(
--- a/components/relay/src/forwarding/relay.rs
+++ b/components/relay/src/forwarding/relay.rs
@@ -129,7 +129,7 @@
         let result = send_to_helper(relay, incoming, helper, retry).await;
         slog::info!(relay.log, "request relayed"; "id" => incoming.id(),
             "request" => %incoming.key, "to" => helper.id.0, "outcome" => result.outcome(),
-            "after_ms" => relay.now_ms() - incoming.arrived_ms);
+            "after_ms" => incoming.arrival.elapsed_ms(relay.now_ms()));
         if !matches!(result, RelayResult::NoHelper) {
             return result;
         }
@@ -149,7 +149,7 @@
     let Ok(channel) = Channel::connect(helper.address, CONNECT_TIMEOUT).await else {
         return RelayResult::NoHelper;
     };
-    let elapsed_ms = relay.now_ms() - incoming.arrived_ms;
+    let elapsed_ms = incoming.arrival.elapsed_ms(relay.now_ms());
     let Some(proof) = relay.keys.prove_relayed(incoming.id(), elapsed_ms) else {
         return RelayResult::NoHelper;
     };
--- a/components/relay/src/forwarding/relay_stream.rs
+++ b/components/relay/src/forwarding/relay_stream.rs
@@ -87,7 +87,7 @@
         slog::info!(self.relay.log, "relayed generation ended"; "id" => self.incoming.id(),
             "end" => ?end, "status" => response.head.status,
             "unsent_bytes_most" => self.unsent.peak_bytes(),
-            "after_ms" => self.relay.now_ms() - self.incoming.arrived_ms);
+            "after_ms" => self.incoming.arrival.elapsed_ms(self.relay.now_ms()));
         let action = match end {
             StreamEnd::Whole => {
                 let Self {
--- a/components/relay/src/forwarding/sends.rs
+++ b/components/relay/src/forwarding/sends.rs
@@ -1,5 +1,6 @@
 //! What a box knows of each send of a request. From it follows whether a reply may promise that the request did not run.
 
+use crate::ingress::arrival::Arrival;
 use crate::state::Relay;
 use crate::watch::targets::TargetSlot;
 use prelude::BoxId;
@@ -86,13 +87,13 @@
     }
 
     /// The sends for a log line: receiver, outcome, and time since the arrival of the request, separated by semicolons.
-    pub(crate) fn describe(&self, relay: &Relay, arrived_ms: u64) -> String {
+    pub(crate) fn describe(&self, relay: &Relay, arrival: Arrival) -> String {
         let describe = |send: &Send| {
             let receiver = match send.receiver {
                 Receiver::Target(slot) => relay.name_of(slot),
                 Receiver::Box(id) => format!("box {}", id.0),
             };
-            let after_ms = send.sent_ms.saturating_sub(arrived_ms);
+            let after_ms = arrival.elapsed_ms(send.sent_ms);
             format!("{receiver} {} sent after {after_ms} ms", send.state)
         };
         let sends: Vec<String> = self.0.borrow().iter().map(describe).collect();
--- a/components/relay/src/forwarding/stream.rs
+++ b/components/relay/src/forwarding/stream.rs
@@ -106,7 +106,7 @@
             "longest_pause_in" => ?self.pauses.longest_cause(),
             "unsent_bytes_most" => self.unsent.peak_bytes(),
             "late" => self.exceeds_answer_goal(), "paused" => self.exceeds_pause_goal(),
-            "after_ms" => self.relay.now_ms() - self.incoming.arrived_ms);
+            "after_ms" => self.incoming.arrival.elapsed_ms(self.relay.now_ms()));
         metrics::counter!("shuntpier_generations", "end" => ended.label()).increment(1);
         match ended {
             StreamEnd::Whole => {
@@ -141,7 +141,7 @@
             guess_tokens: generation.and_then(|generation| generation.guess_tokens),
             tokens: self.events * self.tokens_per_event(),
             first_token_ms: self.first_event_ms.unwrap_or_default(),
-            total_ms: self.relay.now_ms() - self.incoming.arrived_ms,
+            total_ms: self.incoming.arrival.elapsed_ms(self.relay.now_ms()),
         };
         self.relay.completion.borrow_mut().record(ended);
     }
@@ -352,7 +352,7 @@
         match self.pauses.record_events(now_ms) {
             Some((pause_ms, PauseCause::Engine)) => self.permit.record_gap(pause_ms, events.count),
             Some(_) => {}
-            None => self.first_event_ms = Some(now_ms - self.incoming.arrived_ms),
+            None => self.first_event_ms = Some(self.incoming.arrival.elapsed_ms(now_ms)),
         }
         let had_survived = self.events >= SURVIVED_EVENTS;
         self.events += events.count;
--- a/components/relay/src/forwarding/stream_end.rs
+++ b/components/relay/src/forwarding/stream_end.rs
@@ -52,7 +52,7 @@
     if was_blocked || delivered != Delivered::Whole {
         slog::info!(relay.log, "rest of a generation"; "id" => incoming.id(),
             "end" => ?delivered, "took_ms" => relay.now_ms() - started_ms,
-            "after_ms" => relay.now_ms() - incoming.arrived_ms);
+            "after_ms" => incoming.arrival.elapsed_ms(relay.now_ms()));
     }
     if delivered == Delivered::Whole {
         caller.set_reset_on_close(false);
--- a/components/relay/src/ingress/accept.rs
+++ b/components/relay/src/ingress/accept.rs
@@ -5,6 +5,7 @@
 use crate::forwarding::call::serve_call;
 use crate::forwarding::generation::serve_generation;
 use crate::forwarding::sends::SendLog;
+use crate::ingress::arrival::Arrival;
 use crate::ingress::read_request::{memory_refusal, read_body, read_head};
 use crate::ingress::request::{
     IncomingRequest, LocalReply, Reply, ResolvedRoute, is_not_run_status,
@@ -205,7 +206,7 @@
         body,
         key,
         _memory: memory,
-        arrived_ms: arrived_ms.saturating_sub(relayed_ms.unwrap_or_default()),
+        arrival: Arrival::new(arrived_ms, relayed_ms.unwrap_or_default()),
         declared_version: table.version,
         sends: SendLog::default(),
     };
@@ -262,12 +263,12 @@
         reply = serve_call(relay, incoming, resolved) => SettledReply::new(incoming, reply),
         () = channel.gone() => {
             slog::info!(relay.log, "caller left"; "id" => incoming.id(),
-                "after_ms" => relay.now_ms() - incoming.arrived_ms);
+                "after_ms" => incoming.arrival.elapsed_ms(relay.now_ms()));
             metrics::counter!("shuntpier_callers_left").increment(1);
             return ChannelAction::Drop;
         }
     };
-    let took_ms = relay.now_ms() - incoming.arrived_ms;
+    let took_ms = incoming.arrival.elapsed_ms(relay.now_ms());
     if reply.status() >= 400 {
         slog::info!(relay.log, "request failed"; "id" => incoming.id(),
             "status" => reply.status(), "route" => &*resolved.route().name,
@@ -330,10 +331,10 @@
 ) {
     slog::info!(relay.log, "refusal sent"; "id" => incoming.id(),
         "status" => status, "by" => refused_by, "why" => why,
-        "sends" => incoming.sends.describe(relay, incoming.arrived_ms),
+        "sends" => incoming.sends.describe(relay, incoming.arrival),
         "may_have_run" => incoming.sends.may_have_run(),
         "version" => incoming.declared_version,
-        "after_ms" => relay.now_ms() - incoming.arrived_ms);
+        "after_ms" => incoming.arrival.elapsed_ms(relay.now_ms()));
     metrics::counter!("shuntpier_refusals", "by" => refused_by).increment(1);
 }
 
--- a/components/relay/src/ingress/mod.rs
+++ b/components/relay/src/ingress/mod.rs
@@ -2,6 +2,7 @@
 //! overloaded or stopping box still accepts.
 
 pub(crate) mod accept;
+pub(crate) mod arrival;
 pub(crate) mod lag;
 pub(crate) mod overload;
 mod read_request;
--- a/components/relay/src/ingress/request.rs
+++ b/components/relay/src/ingress/request.rs
@@ -2,6 +2,7 @@
 
 use crate::buffered::BufferReservation;
 use crate::forwarding::sends::SendLog;
+use crate::ingress::arrival::Arrival;
 use crate::state::Declared;
 use bytes::Bytes;
 use http1::RequestHead;
@@ -24,8 +25,7 @@
     pub is_on_trial: Cell<bool>,
     /// Reserves memory for the body.
     pub _memory: BufferReservation,
-    /// When the first byte was read, here or at the box that relays the request.
-    pub arrived_ms: u64,
+    pub arrival: Arrival,
     /// Another box relays the request, so this one does not.
     pub is_relayed: bool,
     /// The version of the declarations by which it was admitted.
@@ -89,7 +89,7 @@
     /// The request's deadline: the end of the caller's wait or of the route's hold limit, whichever is earlier.
     pub(crate) fn deadline_ms(&self, route: &Route) -> u64 {
         let caller = self.facts.wait_limit_ms.unwrap_or(route.hold_limit_ms);
-        self.arrived_ms + caller.min(route.hold_limit_ms)
+        self.arrival.plus_ms(caller.min(route.hold_limit_ms))
     }
 
     /// The time (ms) left for a target until the request's deadline, at least 1.
--- a/components/relay/src/ingress/stopping.rs
+++ b/components/relay/src/ingress/stopping.rs
@@ -43,8 +43,9 @@
 }
 
 /// Whether a request arrived so early in the stop, or before it, that its caller could not know of the stop.
-fn arrived_early(relay: &Relay, arrived_ms: u64) -> bool {
+fn arrived_early(relay: &Relay, incoming: &IncomingRequest) -> bool {
     let started_ms = relay.stop_started_ms.get();
+    let arrived_ms = incoming.arrival.plus_ms(0);
     started_ms.is_some_and(|started_ms| arrived_ms < started_ms + LIKELY_COMPLETION_WINDOW_MS)
 }
 
@@ -73,7 +74,7 @@
     let time_left_ms = relay.stop_remaining_ms()?;
     let typical_ms = relay.completion.borrow().typical_stream_ms();
     let typical_ms = typical_ms.unwrap_or(resolved.route().answer_goal_ms);
-    if arrived_early(relay, incoming.arrived_ms) && typical_ms <= time_left_ms {
+    if arrived_early(relay, incoming) && typical_ms <= time_left_ms {
         return None;
     }
     refuse_if_stopping(relay, incoming, resolved)
@@ -128,8 +129,7 @@
     if needed_ms.is_some_and(|needed_ms| needed_ms <= time_left_ms) {
         return None;
     }
-    let is_early =
-        relay.settings().has(Mechanism::StopChances) && arrived_early(relay, incoming.arrived_ms);
+    let is_early = relay.settings().has(Mechanism::StopChances) && arrived_early(relay, incoming);
     let completion_probability = estimator.completion_probability(
         generation.guess_tokens,
         generation.most_tokens,
--- a/components/relay/src/quarantine/withhold.rs
+++ b/components/relay/src/quarantine/withhold.rs
@@ -81,7 +81,7 @@
     fn withhold(&self, incoming: &IncomingRequest) -> LocalReply {
         slog::info!(self.log, "request withheld"; "id" => incoming.id(),
             "request" => %incoming.key, "parts" => incoming.shared_part_ids(),
-            "after_ms" => self.now_ms() - incoming.arrived_ms);
+            "after_ms" => incoming.arrival.elapsed_ms(self.now_ms()));
         metrics::counter!("shuntpier_requests_withheld").increment(1);
         LocalReply::Withheld
     }
