relay: a list claims no change after the oldest of its pages

Cause: the list had the version of its first page and took the newest entry of any page for the last change that it knows. The other boxes knew the same last change, so nothing was fetched, and their confirmations were adopted. A box whose list was equal to that of another was not told so.

Change: the version of a list is that of its oldest page; a whole list or a patch raises `changed_at` no further. An empty patch says that lists are equal.

--- a/components/peers/src/targets.rs
+++ b/components/peers/src/targets.rs
@@ -139,8 +139,8 @@
     pub buckets: Vec<u64>,
 }
 
-/// The buckets of another box's list that differ, whole.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+/// The buckets of another box's list that differ, whole; none where the lists are equal.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct TargetPatch {
     /// Into how many buckets the list falls.
     pub bucket_count: u32,
--- a/components/relay/src/membership/gossip.rs
+++ b/components/relay/src/membership/gossip.rs
@@ -78,7 +78,9 @@
         && targets.is_known()
         && targets.current_to >= other.targets_current_to
     {
-        response.target_patch = targets.patch_for(summary, relay.now_ms());
+        // An empty patch says that the lists are equal.
+        let patch = targets.patch_for(summary, relay.now_ms());
+        response.target_patch = Some(patch.unwrap_or_default());
         let whole_list = response
             .target_patch
             .as_ref()
--- a/components/relay/src/watch/listing.rs
+++ b/components/relay/src/watch/listing.rs
@@ -185,7 +185,7 @@
         missing.collect()
     }
 
-    /// Applies a complete list as of `version`. If the store has just recovered, missing entries have until
+    /// Applies a complete list that has all changes up to `version`, and maybe some later ones. If the store has just recovered, missing entries have until
     /// `missing_until_ms` to be written again.
     pub fn replace(
         &mut self,
@@ -207,6 +207,7 @@
         missing_until_ms: Option<u64>,
         now_ms: u64,
     ) -> Vec<Change> {
+        let changed_before = self.changed_at;
         // A stale backup does not contain recent entries; live targets write them again.
         let missing_until_ms = missing_until_ms.max(self.settling_until_ms(now_ms));
         let listed: HashSet<Box<str>> = entries.iter().map(|e| e.instance.clone()).collect();
@@ -227,6 +228,8 @@
                 None => self.unlist(&instance, version),
             });
         }
+        // Of changes after `version` the list may have a later one and lack an earlier one.
+        self.changed_at = self.changed_at.min(changed_before.max(version));
         self.current_to = self.current_to.max(version);
         self.known = true;
         changes
--- a/components/relay/src/watch/listing_tests.rs
+++ b/components/relay/src/watch/listing_tests.rs
@@ -146,3 +146,16 @@
     assert!(!registry.takes_work(registry.get(slot).unwrap()));
     assert_eq!(registry.leaving().len(), 1);
 }
+
+#[test]
+fn a_list_with_an_older_page_claims_no_change_after_that_page() {
+    let mut registry = TargetRegistry::default();
+    let entries = vec![entry("a", 1, true, 9), entry("b", 1, false, 3)];
+    registry.replace(entries, at(5), None, 0);
+    assert_eq!((registry.changed_at, registry.current_to), (at(5), at(5)));
+    // What is known from elsewhere stays known.
+    let mut registry = TargetRegistry::default();
+    registry.replace(vec![entry("a", 1, false, 8)], at(8), None, 0);
+    registry.replace(vec![entry("a", 1, true, 9)], at(5), None, 0);
+    assert_eq!((registry.changed_at, registry.current_to), (at(8), at(8)));
+}
