relay: all orders of one transaction take effect

Cause: events were applied one by one, and an event of the known version was dropped. The first event of a transaction raised the version to its own.

Change: the orders of one answer are applied together and compared with the version that was known before; other boxes are told the complete set.

--- a/components/relay/src/watch/watcher.rs
+++ b/components/relay/src/watch/watcher.rs
@@ -18,6 +18,7 @@
 use peers::{TargetChanges, TargetList};
 use platform::{CONFIG_KEY, FleetWatch, OPERATOR_PREFIX, TARGET_PREFIX, evacuated_data_centre};
 use prelude::Version;
+use routing::EvacuationOrder;
 use std::collections::{BTreeMap, BTreeSet};
 use std::pin::pin;
 use std::rc::Rc;
@@ -317,15 +318,17 @@
 }
 
 fn apply_declaration_events(relay: &Rc<Relay>, events: Vec<WatchEvent>) {
+    let orders = events.iter().filter_map(|event| {
+        Some(EvacuationOrder {
+            data_centre: evacuated_data_centre(&event.key)?,
+            holds: event.value.is_some(),
+            version: event.version(),
+        })
+    });
+    if relay.update_evacuations("store", |known| known.ordered_together(orders)) {
+        broadcast_digest(relay);
+    }
     for event in events {
-        if let Some(name) = evacuated_data_centre(&event.key) {
-            let (is_evacuated, version) = (event.value.is_some(), event.version());
-            if relay.update_evacuations("store", |known| known.ordered(name, is_evacuated, version))
-            {
-                broadcast_digest(relay);
-            }
-            continue;
-        }
         if let (CONFIG_KEY, Some(text)) = (event.key.as_str(), event.value)
             && relay.apply_declarations(&text, "store")
         {
--- a/components/routing/src/evacuation.rs
+++ b/components/routing/src/evacuation.rs
@@ -16,6 +16,17 @@
     pub is_joined: bool,
 }
 
+/// An order to evacuate a data centre, or that it was taken back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EvacuationOrder<'a> {
+    /// Name of the data centre.
+    pub data_centre: &'a str,
+    /// Whether the order holds, or was taken back.
+    pub holds: bool,
+    /// The store's version of the change.
+    pub version: Version,
+}
+
 impl Evacuations {
     /// Takes in the whole set as it was read at a version. Says whether it changed.
     pub fn read(&mut self, data_centres: BTreeSet<Box<str>>, version: Version) -> bool {
@@ -32,14 +43,32 @@
 
     /// Takes in one order, or that it was taken back. Says whether the set changed.
     pub fn ordered(&mut self, data_centre: &str, holds: bool, version: Version) -> bool {
-        if version <= self.version {
-            return false;
-        }
-        self.version = version;
-        match holds {
-            true => self.data_centres.insert(data_centre.into()),
-            false => self.data_centres.remove(data_centre),
+        self.ordered_together([EvacuationOrder {
+            data_centre,
+            holds,
+            version,
+        }])
+    }
+
+    /// Takes in all orders of one answer of the store. A transaction gives several orders the same version, so no version may
+    /// be taken for known before all its orders are. Says whether the set changed.
+    pub fn ordered_together<'a>(
+        &mut self,
+        orders: impl IntoIterator<Item = EvacuationOrder<'a>>,
+    ) -> bool {
+        let known_version = self.version;
+        let before = self.data_centres.clone();
+        for order in orders {
+            if order.version <= known_version {
+                continue;
+            }
+            self.version = self.version.max(order.version);
+            match order.holds {
+                true => self.data_centres.insert(order.data_centre.into()),
+                false => self.data_centres.remove(order.data_centre),
+            };
         }
+        self.data_centres != before
     }
 
     /// Takes over what another box knows, where that is newer. Says whether the set changed.
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -6,7 +6,7 @@
 mod table;
 mod target;
 
-pub use evacuation::Evacuations;
+pub use evacuation::{EvacuationOrder, Evacuations};
 pub use request::{GenerationRequest, PromptPart, RelayMark, RequestFacts};
 pub use table::{
     AccountRule, CallerLimits, EngineTraits, Route, RouteKey, RouteKind, RoutingTable, Service,
--- a/components/routing/tests/evacuation.rs
+++ b/components/routing/tests/evacuation.rs
@@ -2,7 +2,7 @@
 
 use prelude::Version;
 use proptest::prelude::*;
-use routing::Evacuations;
+use routing::{EvacuationOrder, Evacuations};
 
 /// A version of the first era.
 fn at(revision: u64) -> Version {
@@ -170,3 +170,25 @@
     assert!(!known.join_list(listed(&[("west", 705)]), again(715)));
     assert_eq!(known.data_centres, set(&[]));
 }
+
+#[test]
+fn all_orders_of_one_version_are_taken_in() {
+    let order = |data_centre, holds| EvacuationOrder {
+        data_centre,
+        holds,
+        version: at(7),
+    };
+    for moved in [
+        [order("east", false), order("west", true)],
+        [order("west", true), order("east", false)],
+    ] {
+        let mut known = Evacuations::default();
+        known.ordered("east", true, at(5));
+        assert!(known.ordered_together(moved));
+        assert_eq!(
+            (known.version, &known.data_centres),
+            (at(7), &set(&["west"]))
+        );
+        assert!(!known.ordered_together(moved));
+    }
+}
