policy: reports of a crash do not make it look earlier than it was

Cause: ages are told in whole milliseconds, and of several reports of a crash the earliest time counts. Each exchange could make it 1 ms earlier, until it lay before an answer of some milliseconds before, which then cleared it; in the logs the first of four crashes is gone after the second query.

Change: the age of a crash is told at the least, that of an answer at the most.

--- a/components/policy/src/health/evidence.rs
+++ b/components/policy/src/health/evidence.rs
@@ -21,13 +21,14 @@
     pub runs: Vec<RunId>,
     /// How long the latest of them had run.
     pub ran_ms: u32,
+    /// The last millisecond of the clock in which it may have been.
     pub at_ms: i64,
 }
 
 impl Crash {
     /// Merges another report of the same crash. Returns whether it names runs that were not known.
     fn merge(&mut self, other: Crash) -> bool {
-        // Several attempts or boxes report the same crash: the earliest report is the most accurate.
+        // Several attempts or boxes report the same crash, none as earlier than it was.
         self.at_ms = self.at_ms.min(other.at_ms);
         self.ran_ms = self.ran_ms.min(other.ran_ms);
         let known = self.runs.clone();
@@ -47,7 +48,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Evidence {
     pub crashes: Vec<Crash>,
-    /// Crashes up to this time do not count.
+    /// Crashes before this time do not count.
     pub cleared_to_ms: Option<i64>,
 }
 
@@ -56,7 +57,7 @@
     pub fn counted_crashes(&self) -> impl Iterator<Item = &Crash> {
         self.crashes
             .iter()
-            .filter(|crash| self.cleared_to_ms.is_none_or(|to_ms| crash.at_ms > to_ms))
+            .filter(|crash| self.cleared_to_ms.is_none_or(|to_ms| crash.at_ms >= to_ms))
     }
 
     /// The number of crashes that count.
@@ -77,7 +78,7 @@
             .unwrap_or(0)
     }
 
-    /// Discards the crashes up to a time.
+    /// Discards the crashes before a time.
     pub fn clear_to(&mut self, at_ms: i64) {
         self.cleared_to_ms = self.cleared_to_ms.max(Some(at_ms));
     }
@@ -123,7 +124,7 @@
         }
     }
 
-    /// The time up to which a recent answer clears a suspect.
+    /// The time to which a recent answer clears a suspect.
     pub fn clears_to_ms(&self, suspect: Suspect) -> Option<i64> {
         let answered_ms = *self.answered_ms.get(&suspect)?;
         Some(cleared_by_answer_ms(suspect, answered_ms))
--- a/components/policy/src/health/quarantine.rs
+++ b/components/policy/src/health/quarantine.rs
@@ -30,6 +30,8 @@
 const TRIAL_INTERVAL_MS: i64 = 5_000;
 /// How long a trial may begin. Boxes differ by less than the rest of the interval in when they learned of a crash.
 const TRIAL_WINDOW_MS: i64 = 2_500;
+/// Clocks read whole milliseconds, so two readings are apart by up to one more or less than the times at which they were made.
+const CLOCK_STEP_MS: i64 = 1;
 /// Suspects kept. The one with the fewest crashes is evicted first, and among equals the one whose last crash is oldest.
 const SUSPECTS_MAX: usize = 1_024;
 
@@ -205,7 +207,8 @@
         Some(Acquittal {
             suspect,
             by: AcquittedBy::Answer,
-            age_ms: age_ms(answered_ms, now_ms),
+            // At the most, as an answer from before a crash must not clear it.
+            age_ms: age_ms(answered_ms - CLOCK_STEP_MS, now_ms),
         })
     }
 
@@ -250,12 +253,12 @@
         let at_ms = time_at(now_ms, acquittal.age_ms);
         let to_ms = match acquittal.by {
             AcquittedBy::Answer => cleared_by_answer_ms(acquittal.suspect, at_ms),
-            AcquittedBy::Operator => at_ms,
+            AcquittedBy::Operator => at_ms + CLOCK_STEP_MS,
         };
         let Some(evidence) = self.suspects.get_mut(&acquittal.suspect) else {
             return false;
         };
-        let is_new = evidence.counted_crashes().any(|crash| crash.at_ms <= to_ms);
+        let is_new = evidence.counted_crashes().any(|crash| crash.at_ms < to_ms);
         evidence.clear_to(to_ms);
         self.update_causes(now_ms);
         is_new
@@ -320,7 +323,8 @@
             target: crash.target,
             runs: crash.runs.clone(),
             ran_ms: crash.ran_ms,
-            age_ms: age_ms(crash.at_ms, now_ms),
+            // At the least: boxes report crashes to and fro, and errors to the other side would add up.
+            age_ms: age_ms(crash.at_ms + CLOCK_STEP_MS, now_ms),
         };
         evidence.counted_crashes().map(reported).collect()
     }
--- a/components/policy/src/health/quarantine_parts_tests.rs
+++ b/components/policy/src/health/quarantine_parts_tests.rs
@@ -462,3 +462,40 @@
         "{refused} of {sound}"
     );
 }
+
+// Guards against a part that is sent although it was withheld: each report of a crash made it look a little earlier, until an
+// answer from before it cleared it.
+#[test]
+fn an_answer_from_before_a_crash_does_not_clear_it_however_often_boxes_report_it() {
+    for phase_us in (0..1_000).step_by(50) {
+        let (mut judging, mut answered) = (Quarantine::default(), Quarantine::default());
+        let judging_ms = |now_us: u64| now_us / 1_000;
+        let answered_ms = |now_us: u64| (now_us + phase_us) / 1_000;
+        let suspect = Suspect::Part(part(7));
+        let mut now_us = 10_000_000;
+        answered.record_answer(suspect, answered_ms(now_us));
+        now_us += 1_100;
+        judging.record_crashes(&crash(1, &[7], 1), judging_ms(now_us));
+        for _ in 0..20 {
+            now_us += 130;
+            let sent_ms = judging_ms(now_us);
+            let report = judging.crashes_of(suspect, sent_ms);
+            answered.record_crashes(&report, answered_ms(now_us));
+            let acquittal = answered
+                .recent_acquittal(suspect, answered_ms(now_us))
+                .unwrap();
+            let report = answered.crashes_of(suspect, answered_ms(now_us));
+            now_us += 130;
+            let received_ms = judging_ms(now_us);
+            let acquittal = Acquittal {
+                age_ms: acquittal.age_ms + (received_ms - sent_ms) as u32,
+                ..acquittal
+            };
+            judging.record_crashes(&report, received_ms);
+            judging.apply_acquittal(&acquittal, received_ms);
+            let counted = judging.crashes_of(suspect, received_ms);
+            assert_eq!(counted.len(), 1, "phase {phase_us} us");
+        }
+        assert_eq!(answered.crashes_of(suspect, answered_ms(now_us)).len(), 1);
+    }
+}
--- a/components/prelude/src/ends.rs
+++ b/components/prelude/src/ends.rs
@@ -113,7 +113,7 @@
     pub runs: Vec<RunId>,
     /// How long the latest of them had run there, in ms.
     pub ran_ms: u32,
-    /// How long ago it was, in ms.
+    /// How long ago it was, in ms, at the least.
     pub age_ms: u32,
 }
 
@@ -133,6 +133,6 @@
     pub suspect: Suspect,
     /// Why.
     pub by: AcquittedBy,
-    /// How long ago it was answered or cleared, in ms.
+    /// How long ago it was answered, in ms, at the most; or cleared.
     pub age_ms: u32,
 }
