policy: of more crashes than are kept, those that say least are dropped, for good

Cause: of more than eight crashes of a suspect the oldest was dropped. Simultaneous crashes count as one, so too few were left to withhold the part. And a dropped crash was new when another box reported it: the boxes reported the same crashes to and fro without end, and what they kept of the fatal part and of the sound one differed.

Change: of simultaneous crashes one is dropped first. Targets of dropped crashes are remembered, and reports of them change nothing.

Evidence: two new tests failed before.

--- a/components/policy/src/health/evidence.rs
+++ b/components/policy/src/health/evidence.rs
@@ -1,11 +1,14 @@
 //! Evidence on what crashes targets: the crashes during requests with each suspect, and when each suspect was last answered.
 //! Times are on the clock of the box, and negative before its start.
 
+use super::causes::SIMULTANEOUS_MS;
 use prelude::{RunId, Suspect, TargetId};
 use std::collections::{HashMap, VecDeque};
 
 /// Crashes kept for each suspect.
 const CRASHES_MAX: usize = 8;
+/// Targets of earlier crashes kept for each suspect.
+const FORGOTTEN_MAX: usize = 64;
 /// Interrupted runs kept for each crash.
 const RUNS_MAX: usize = 64;
 /// Recently answered suspects kept.
@@ -47,7 +50,10 @@
 /// The crashes during requests with one suspect.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Evidence {
+    /// Sorted by time when they were added.
     pub crashes: Vec<Crash>,
+    /// Targets whose crashes were dropped for others. Another box may still report them.
+    forgotten: VecDeque<TargetId>,
     /// Crashes before this time do not count.
     pub cleared_to_ms: Option<i64>,
 }
@@ -89,16 +95,45 @@
         if let Some(known) = known.find(|known| known.target == crash.target) {
             return known.merge(crash);
         }
-        if self.crashes.len() >= CRASHES_MAX {
-            let crashes = self.crashes.iter().enumerate();
-            let oldest = crashes.min_by_key(|(_, crash)| crash.at_ms);
-            if let Some(at) = oldest.map(|(at, _)| at) {
-                self.crashes.swap_remove(at);
-            }
+        if self.forgotten.contains(&crash.target) {
+            return false;
         }
+        let added = crash.target;
         crash.sort_runs();
         self.crashes.push(crash);
-        true
+        self.crashes
+            .sort_unstable_by_key(|crash| (crash.at_ms, crash.target));
+        self.forget_excess() != Some(added)
+    }
+
+    /// Drops a crash if there are too many. Returns its target.
+    fn forget_excess(&mut self) -> Option<TargetId> {
+        if self.crashes.len() <= CRASHES_MAX {
+            return None;
+        }
+        let target = self.crashes.remove(self.most_redundant()).target;
+        self.forgotten.push_back(target);
+        if self.forgotten.len() > FORGOTTEN_MAX {
+            self.forgotten.pop_front();
+        }
+        Some(target)
+    }
+
+    /// The position of the crash that says least, of crashes sorted by time: one of the two that are closest, as simultaneous
+    /// crashes count as one, or else the oldest.
+    fn most_redundant(&self) -> usize {
+        let gaps = self
+            .crashes
+            .windows(2)
+            .map(|pair| pair[1].at_ms - pair[0].at_ms);
+        let closest = gaps.enumerate().min_by_key(|(_, gap_ms)| *gap_ms);
+        match closest {
+            // The last crash decides until when requests are withheld.
+            Some((at, gap_ms)) if gap_ms < SIMULTANEOUS_MS => {
+                at + usize::from(at + 2 < self.crashes.len())
+            }
+            _ => 0,
+        }
     }
 }
 
--- a/components/policy/src/health/quarantine_parts_tests.rs
+++ b/components/policy/src/health/quarantine_parts_tests.rs
@@ -499,3 +499,55 @@
         assert_eq!(answered.crashes_of(suspect, answered_ms(now_us)).len(), 1);
     }
 }
+
+// Guards against sound requests that are withheld, and boxes that report without end: a crash that had been dropped for a later one
+// counted as new when another box reported it.
+#[test]
+fn boxes_that_know_more_crashes_than_they_keep_agree_on_their_cause() {
+    let mut boxes = [(); 3].map(|()| Quarantine::default());
+    let suspects = [1, 7].map(|id| Suspect::Part(part(id)));
+    // Crashes in quick succession, which boxes learn of in different order.
+    for (at, quarantine) in boxes.iter_mut().enumerate() {
+        for step in 0..12_u64 {
+            let target = (step * 5 + at as u64 * 4) % 12;
+            let mut reports = crash(target, &[1, 7], target);
+            reports
+                .iter_mut()
+                .for_each(|report| report.age_ms = (1_100 - 90 * target) as u32);
+            quarantine.record_crashes(&reports, 20_000 + step);
+        }
+    }
+    for round in 0..6 {
+        let now_ms = 20_100 + round;
+        for (from, to) in [(0, 1), (1, 2), (2, 0), (1, 0), (0, 2), (2, 1)] {
+            let reports = suspects.map(|suspect| boxes[from].crashes_of(suspect, now_ms));
+            let recorded = boxes[to].record_crashes(&reports.concat(), now_ms);
+            assert_eq!(
+                (recorded.new_crashes, recorded.new_causes),
+                (vec![], vec![])
+            );
+        }
+    }
+    for quarantine in &boxes {
+        assert!(is_withheld(quarantine, &[1, 7], 21_000));
+        assert!(!is_withheld(quarantine, &[1, 8], 21_000));
+    }
+}
+
+// Guards against a withheld part that is sent again: with more crashes than are kept, the first ones were dropped, until those left
+// were too few that came apart.
+#[test]
+fn a_part_under_which_several_engines_crash_at_once_each_time_stays_withheld() {
+    let mut quarantine = Quarantine::default();
+    for target in 0..20_u64 {
+        let crashed_ms = 10_000 + 1_000 * (target / 4) + 5 * (target % 4);
+        quarantine.record_crashes(&crash(target, &[7], target), crashed_ms);
+        let decided_ms = crashed_ms + DECISION_MS as u64;
+        let is_third_time = target >= 8;
+        assert_eq!(
+            is_withheld(&quarantine, &[7], decided_ms),
+            is_third_time,
+            "{target}"
+        );
+    }
+}
