soak: most boxes lose the store while another one restarts again and again

`--stale-views`: all boxes but two are cut off from the store for 4 to 7 s, one of the two is killed or paused every 0.6 to 1.1 s, and a key changes. The last box must see the change within the bound.

--- a/components/bench/src/soak.rs
+++ b/components/bench/src/soak.rs
@@ -51,6 +51,8 @@
     pub lost_orders: bool,
     /// Also have targets refuse requests so that it is not plain whether they ran
     pub doubtful_refusals: bool,
+    /// Also cut most boxes off from the store while another one restarts again and again
+    pub stale_views: bool,
     /// Runs at a time
     #[bpaf(argument("N"), fallback(2))]
     pub parallel: usize,
@@ -126,6 +128,7 @@
         has_refusals: options.refusals,
         has_lost_orders: options.lost_orders,
         has_doubtful_refusals: options.doubtful_refusals,
+        has_stale_views: options.stale_views,
         plant: options.plant,
     })
 }
--- a/components/soak/src/plan.rs
+++ b/components/soak/src/plan.rs
@@ -5,7 +5,7 @@
 use fleet::refusals::{Refusal, StrayRefusal};
 use fleet::store;
 use fleet::target::Behaviour;
-use rand::seq::IndexedRandom;
+use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -56,6 +56,8 @@
 const LOST_ORDERS_STREAM: u64 = 5;
 /// The same for refusals of which it is not plain whether the request ran.
 const DOUBTFUL_STREAM: u64 = 6;
+/// The same for boxes whose views grow old.
+const STALE_VIEWS_STREAM: u64 = 7;
 /// The time between two targets that begin with such refusals, and how many each sends.
 const DOUBTFUL_EACH_MS: std::ops::RangeInclusive<u64> = 150..=600;
 const DOUBTFUL: std::ops::RangeInclusive<usize> = 2..=8;
@@ -73,6 +75,13 @@
 const KILLED_MS: u64 = 200;
 /// How long requests with such a part come.
 const FATAL_PART_MS: std::ops::RangeInclusive<u64> = 7_000..=10_000;
+/// How long boxes are cut off from the store while another one restarts, and the times between its starts.
+const STORE_CUT_MS: std::ops::RangeInclusive<u64> = 4_000..=7_000;
+const RESTARTS_EACH_MS: std::ops::RangeInclusive<u64> = 600..=1_100;
+/// How long a box is down each time.
+const RESTART_DOWN_MS: u64 = 250;
+/// The time from the cut to the change of a key that the cut boxes miss.
+const KEY_CHANGE_DELAY_MS: u64 = 200;
 /// How long a partition lasts, and the time until the next.
 const PARTITION_MS: std::ops::RangeInclusive<u64> = 300..=4_000;
 
@@ -195,6 +204,8 @@
     pub has_lost_orders: bool,
     /// Whether targets refuse requests so that it is not plain whether they ran.
     pub has_doubtful_refusals: bool,
+    /// Whether most boxes are cut off from the store while another one restarts again and again.
+    pub has_stale_views: bool,
 }
 
 /// The plan of a seed.
@@ -234,10 +245,60 @@
     if sizes.has_doubtful_refusals {
         steps.extend(doubtful_refusals(seed, sizes));
     }
+    if sizes.has_stale_views {
+        steps.extend(stale_views(seed, sizes));
+    }
     steps.sort_by_key(|timed| timed.at_ms);
     steps
 }
 
+/// All boxes but two are cut off from the store, so that their views grow old, while one of the two restarts or is paused again and
+/// again, and a key changes; drawn apart from what else comes. The last box must see the change.
+fn stale_views(seed: u64, sizes: Sizes) -> Vec<Timed> {
+    use store::StoreFault::{Reset, Silent};
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    rng.set_stream(STALE_VIEWS_STREAM);
+    let mut order: Vec<usize> = (0..sizes.boxes).collect();
+    order.shuffle(&mut rng);
+    let Some((restarted, cut)) = order[1..].split_first() else {
+        return Vec::new();
+    };
+    let from_ms = rng.random_range(FIRST_MS..sizes.span_ms / 2);
+    let lasts_ms = rng.random_range(STORE_CUT_MS);
+    let trouble = *[Reset, Silent].choose(&mut rng).unwrap_or(&Reset);
+    let cuts = cut.iter().map(|at| Step::Store {
+        at: Some(*at),
+        trouble,
+        lasts_ms,
+    });
+    let mut steps: Vec<Timed> = cuts
+        .map(|step| Timed {
+            at_ms: from_ms,
+            step,
+        })
+        .collect();
+    steps.push(Timed {
+        at_ms: from_ms + KEY_CHANGE_DELAY_MS,
+        step: Step::ToggleKey,
+    });
+    let mut at_ms = from_ms;
+    while at_ms < from_ms + lasts_ms {
+        let step = match rng.random_bool(0.8) {
+            true => Step::Kill {
+                at: *restarted,
+                down_ms: RESTART_DOWN_MS,
+            },
+            false => Step::Pause {
+                at: *restarted,
+                lasts_ms: RESTART_DOWN_MS,
+            },
+        };
+        steps.push(Timed { at_ms, step });
+        at_ms += rng.random_range(RESTARTS_EACH_MS);
+    }
+    steps
+}
+
 /// Targets send refusals that do not say whether the request ran, name no request, or contradict themselves; drawn apart from
 /// what else comes.
 fn doubtful_refusals(seed: u64, sizes: Sizes) -> Vec<Timed> {
--- a/components/soak/src/plan_tests.rs
+++ b/components/soak/src/plan_tests.rs
@@ -10,6 +10,7 @@
     has_refusals: true,
     has_lost_orders: true,
     has_doubtful_refusals: true,
+    has_stale_views: true,
 };
 
 #[test]
--- a/components/soak/src/play.rs
+++ b/components/soak/src/play.rs
@@ -57,6 +57,8 @@
     pub has_lost_orders: bool,
     /// Whether targets refuse requests so that it is not plain whether they ran.
     pub has_doubtful_refusals: bool,
+    /// Whether most boxes are cut off from the store while another one restarts again and again.
+    pub has_stale_views: bool,
     /// A promise that is broken on purpose.
     pub plant: Option<Plant>,
 }
@@ -80,6 +82,7 @@
         has_refusals: soak.has_refusals,
         has_lost_orders: soak.has_lost_orders,
         has_doubtful_refusals: soak.has_doubtful_refusals,
+        has_stale_views: soak.has_stale_views,
     };
     let steps = plan(seed, sizes);
     let mut world = World::start(soak, &folder, sizes)?;
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -17,6 +17,7 @@
         has_refusals: false,
         has_lost_orders: false,
         has_doubtful_refusals: false,
+        has_stale_views: false,
         plant,
     }
 }
@@ -90,6 +91,21 @@
     assert!(report.served > 0, "{report:#?}");
 }
 
+#[rstest]
+#[case(18)]
+fn no_promise_is_broken_while_boxes_that_watch_the_store_are_cut_off_and_another_restarts(
+    #[case] seed: u64,
+) {
+    let stale_views = Soak {
+        boxes: 5,
+        has_stale_views: true,
+        ..soak(None)
+    };
+    let report = play(&stale_views, seed).unwrap();
+    assert!(report.broken.is_empty(), "{report:#?}");
+    assert!(report.served > 0, "{report:#?}");
+}
+
 /// Plants that show whatever the seed's plan is.
 #[rstest]
 #[case(Plant::Twice)]
