--- a/components/http1/src/head.rs
+++ b/components/http1/src/head.rs
@@ -176,7 +176,7 @@
     Ok(Some((head, length)))
 }
 
-/// Whether a head that must have no body tells of one. What follows it can't be told from the next answer.
+/// Whether a head that must have no body declares one. What follows it may be that body or the next answer.
 fn declares_body(headers: &Headers) -> bool {
     body_framing(headers, Framing::Length(0)) != Ok(Framing::Length(0))
 }
--- a/components/peers/src/fleet.rs
+++ b/components/peers/src/fleet.rs
@@ -39,7 +39,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClockReading {
     /// Which process it is, by [`FleetCard::life`].
-    pub life: u32,
+    pub incarnation: u32,
     /// Milliseconds since the clock began; negative before that.
     pub at_ms: i64,
 }
@@ -51,7 +51,8 @@
     pub from: FleetCard,
     /// The clock of its process when this was made, in ms.
     pub clock_ms: u64,
-    /// The same time or an earlier one, on the clock of the receiver; none where the sender can't tell. Ages count from then.
+    /// The same time or an earlier one, on the clock of the receiver; none if the sender does not know that clock. Ages count
+    /// from then.
     pub made_at: Option<ClockReading>,
     /// Version of the declarations that it has; 0 for none.
     pub table_version: u64,
--- a/components/relay/src/membership/broadcast.rs
+++ b/components/relay/src/membership/broadcast.rs
@@ -114,8 +114,8 @@
     }
 }
 
-/// Sends gossip to a box; true if it answered. A box whose clock is not known yet can't tell how old the confirmations in it are,
-/// and is sent them again once it has answered.
+/// Sends gossip to a box; true if it answered. The ages in a message to a box whose clock is not known are unknown to it, so a
+/// second message follows once it has answered.
 async fn send(
     relay: Rc<Relay>,
     id: BoxId,
@@ -127,7 +127,7 @@
         spawn_local(async move {
             let gossip = gossip_message(&relay);
             let made_at = Some(NotBefore::at(gossip.digest.clock_ms));
-            send_gossip(&relay, id, gossip, made_at, "tell again").await;
+            send_gossip(&relay, id, gossip, made_at, "follow-up").await;
         });
     }
     is_dated.is_some()
@@ -148,12 +148,12 @@
         clocks.on_clock_of(id, made_at, now_ms)
     });
     gossip.digest.made_at = on_its_clock;
-    let told = relay
+    let answered = relay
         .peers
         .call(id, CALL_TIMEOUT, |client, context| async move {
             client.tell(context, gossip).await
         });
-    let reading = relay.record_peer_result(id, told.await, call)?;
+    let reading = relay.record_peer_result(id, answered.await, call)?;
     let now_ms = relay.now_ms();
     relay.peer_clocks.borrow_mut().record(id, reading, now_ms);
     Some(on_its_clock.is_some())
--- a/components/relay/src/membership/clocks.rs
+++ b/components/relay/src/membership/clocks.rs
@@ -52,7 +52,7 @@
 #[derive(Clone, Copy, Debug)]
 struct ClockBound {
     /// Which process it is.
-    life: u32,
+    incarnation: u32,
     /// The peer's clock is ahead of the clock of this box by at least this, in ms.
     ahead_ms: i64,
     /// When the peer's clock was read, in ms.
@@ -77,7 +77,7 @@
     /// Records the clock of a peer from an answer that was received at `now_ms`.
     pub(crate) fn record(&mut self, id: BoxId, reading: ClockReading, now_ms: u64) {
         let bound = ClockBound {
-            life: reading.life,
+            incarnation: reading.incarnation,
             // The peer's clock was read before the answer arrived, which was less than 1 ms after `now_ms`.
             ahead_ms: reading.at_ms - now_ms.cast_signed() - 1,
             read_ms: now_ms,
@@ -85,7 +85,7 @@
         let known = self
             .bounds
             .get(&id)
-            .filter(|known| known.life == bound.life);
+            .filter(|known| known.incarnation == bound.incarnation);
         let known_ahead_ms = known.and_then(|known| known.ahead_ms_at(now_ms));
         if known_ahead_ms.is_none_or(|known_ms| known_ms < bound.ahead_ms) {
             self.bounds.insert(id, bound);
@@ -101,14 +101,14 @@
     ) -> Option<ClockReading> {
         let bound = self.bounds.get(&id)?;
         Some(ClockReading {
-            life: bound.life,
+            incarnation: bound.incarnation,
             at_ms: at.0 + bound.ahead_ms_at(now_ms)?,
         })
     }
 
     /// A time that a peer has expressed on the clock of this box; none if it is that of another process.
-    pub(crate) fn received(reading: ClockReading, own_life: u32) -> Option<NotBefore> {
-        (reading.life == own_life).then_some(NotBefore(reading.at_ms))
+    pub(crate) fn received(reading: ClockReading, own_incarnation: u32) -> Option<NotBefore> {
+        (reading.incarnation == own_incarnation).then_some(NotBefore(reading.at_ms))
     }
 
     /// Forgets the clock of a peer.
--- a/components/relay/src/membership/clocks_tests.rs
+++ b/components/relay/src/membership/clocks_tests.rs
@@ -21,16 +21,16 @@
 }
 
 struct Process {
-    life: u32,
+    incarnation: u32,
     started_us: i64,
     clocks: PeerClocks,
     confirmation: Option<Confirmation>,
 }
 
 impl Process {
-    fn start(life: u32, now_us: i64) -> Self {
+    fn start(incarnation: u32, now_us: i64) -> Self {
         Self {
-            life,
+            incarnation,
             started_us: now_us,
             clocks: PeerClocks::default(),
             confirmation: None,
@@ -43,7 +43,7 @@
 
     fn reading(&self, now_us: i64) -> ClockReading {
         ClockReading {
-            life: self.life,
+            incarnation: self.incarnation,
             at_ms: self.now_ms(now_us).cast_signed(),
         }
     }
@@ -60,14 +60,14 @@
     Begin,
     StoreAnswers {
         at: usize,
-        life: u32,
+        incarnation: u32,
         sent_ms: u64,
         true_us: i64,
     },
     Arrives {
         from: usize,
         to: usize,
-        life: u32,
+        incarnation: u32,
         sent_ms: u64,
         made_at: Option<ClockReading>,
         report: Option<Report>,
@@ -75,7 +75,7 @@
     Answers {
         from: usize,
         to: usize,
-        life: u32,
+        incarnation: u32,
         sent_ms: u64,
         reading: ClockReading,
         report: Option<Report>,
@@ -89,7 +89,7 @@
     processes: Vec<Process>,
     events: BTreeMap<u64, Event>,
     queue: BinaryHeap<Reverse<(i64, u64)>>,
-    lives: u32,
+    incarnations: u32,
     adopted: usize,
 }
 
@@ -102,7 +102,7 @@
             processes: processes.collect(),
             events: BTreeMap::new(),
             queue: BinaryHeap::new(),
-            lives: BOXES as u32,
+            incarnations: BOXES as u32,
             adopted: 0,
         }
     }
@@ -127,7 +127,7 @@
                 }
                 Event::StoreAnswers {
                     at,
-                    life,
+                    incarnation,
                     sent_ms,
                     true_us,
                 } => {
@@ -137,24 +137,24 @@
                         true_us,
                         error_ms: self.hop_error_ms(),
                     };
-                    self.adopt(at, life, confirmation);
+                    self.adopt(at, incarnation, confirmation);
                 }
                 Event::Arrives {
                     from,
                     to,
-                    life,
+                    incarnation,
                     sent_ms,
                     made_at,
                     report,
                 } => {
                     let process = &self.processes[to];
-                    let made_at =
-                        made_at.and_then(|reading| PeerClocks::received(reading, process.life));
-                    self.adopt_report(to, process.life, made_at, report);
+                    let made_at = made_at
+                        .and_then(|reading| PeerClocks::received(reading, process.incarnation));
+                    self.adopt_report(to, process.incarnation, made_at, report);
                     let answer = Event::Answers {
                         from,
                         to,
-                        life,
+                        incarnation,
                         sent_ms,
                         reading: self.processes[to].reading(now_us),
                         report: self.report(to, now_us),
@@ -164,16 +164,21 @@
                 Event::Answers {
                     from,
                     to,
-                    life,
+                    incarnation,
                     sent_ms,
                     reading,
                     report,
                 } => {
                     let process = &mut self.processes[from];
-                    if process.life == life {
+                    if process.incarnation == incarnation {
                         let now_ms = process.now_ms(now_us);
                         process.clocks.record(BoxId(to as u32), reading, now_ms);
-                        self.adopt_report(from, life, Some(NotBefore::answer_to(sent_ms)), report);
+                        self.adopt_report(
+                            from,
+                            incarnation,
+                            Some(NotBefore::answer_to(sent_ms)),
+                            report,
+                        );
                     }
                 }
             }
@@ -184,16 +189,16 @@
         let at = self.random.random_range(0..BOXES);
         let to = (at + self.random.random_range(1..BOXES)) % BOXES;
         let process = &self.processes[at];
-        let (life, sent_ms) = (process.life, process.now_ms(now_us));
+        let (incarnation, sent_ms) = (process.incarnation, process.now_ms(now_us));
         match self.random.random_range(0..20) {
             0 => {
-                self.lives += 1;
-                self.processes[at] = Process::start(self.lives, now_us);
+                self.incarnations += 1;
+                self.processes[at] = Process::start(self.incarnations, now_us);
             }
             1 => {
                 let event = Event::StoreAnswers {
                     at,
-                    life,
+                    incarnation,
                     sent_ms,
                     true_us: now_us,
                 };
@@ -208,7 +213,7 @@
                 let event = Event::Arrives {
                     from: at,
                     to,
-                    life,
+                    incarnation,
                     sent_ms,
                     made_at,
                     report,
@@ -235,7 +240,7 @@
     fn adopt_report(
         &mut self,
         at: usize,
-        life: u32,
+        incarnation: u32,
         made_at: Option<NotBefore>,
         report: Option<Report>,
     ) {
@@ -245,14 +250,14 @@
                 true_us: report.confirmation.true_us,
                 error_ms: report.confirmation.error_ms + self.hop_error_ms(),
             };
-            self.adopt(at, life, confirmation);
+            self.adopt(at, incarnation, confirmation);
             self.adopted += 1;
         }
     }
 
-    fn adopt(&mut self, at: usize, life: u32, confirmation: Confirmation) {
+    fn adopt(&mut self, at: usize, incarnation: u32, confirmation: Confirmation) {
         let process = &mut self.processes[at];
-        if process.life != life {
+        if process.incarnation != incarnation {
             return;
         }
         let believed_us = confirmation.believed.0 * 1_000 + process.started_us;
@@ -307,22 +312,32 @@
 #[test]
 fn the_clock_of_a_previous_process_is_not_used() {
     let reading = ClockReading {
-        life: 7,
+        incarnation: 7,
         at_ms: 5_000,
     };
     assert_eq!(PeerClocks::received(reading, 8), None);
     let mut clocks = PeerClocks::default();
     clocks.record(BoxId(1), reading, 100);
-    let restarted = ClockReading { life: 8, at_ms: 0 };
+    let restarted = ClockReading {
+        incarnation: 8,
+        at_ms: 0,
+    };
     clocks.record(BoxId(1), restarted, 200);
     let on_its_clock = clocks.on_clock_of(BoxId(1), NotBefore::at(200), 200);
-    assert!(on_its_clock.is_some_and(|reading| reading.life == 8 && reading.at_ms <= 0));
+    assert!(on_its_clock.is_some_and(|reading| reading.incarnation == 8 && reading.at_ms <= 0));
 }
 
 #[test]
 fn an_old_reading_of_a_clock_is_not_used() {
     let mut clocks = PeerClocks::default();
-    clocks.record(BoxId(1), ClockReading { life: 7, at_ms: 0 }, 0);
+    clocks.record(
+        BoxId(1),
+        ClockReading {
+            incarnation: 7,
+            at_ms: 0,
+        },
+        0,
+    );
     let at = |now_ms| clocks.on_clock_of(BoxId(1), NotBefore::at(now_ms), now_ms);
     assert!(at(BOUND_KEPT_MS).is_some());
     assert!(at(BOUND_KEPT_MS + 1).is_none());
--- a/components/relay/src/membership/gossip.rs
+++ b/components/relay/src/membership/gossip.rs
@@ -130,7 +130,7 @@
 pub(crate) fn handle_answer(relay: &Rc<Relay>, gossip: FleetGossip, sent_ms: u64) {
     let digest = gossip.digest.clone();
     let reading = ClockReading {
-        life: digest.from.life,
+        incarnation: digest.from.life,
         at_ms: digest.clock_ms.cast_signed(),
     };
     let now_ms = relay.now_ms();
--- a/components/relay/src/state.rs
+++ b/components/relay/src/state.rs
@@ -237,7 +237,7 @@
     /// Reads the clock of this process, for a peer.
     pub(crate) fn clock_reading(&self) -> ClockReading {
         ClockReading {
-            life: self.incarnation,
+            incarnation: self.incarnation,
             at_ms: self.now_ms().cast_signed(),
         }
     }
