--- a/components/policy/src/health/quarantine.rs
+++ b/components/policy/src/health/quarantine.rs
@@ -392,3 +392,7 @@
 #[cfg(test)]
 #[path = "quarantine_parts_tests.rs"]
 mod parts_tests;
+
+#[cfg(test)]
+#[path = "quarantine_load_tests.rs"]
+mod load_tests;
